Lay out the workspace, shared types, link and kernel

Cause: nothing stood yet. The crates follow the areas of the design; the shared types come first so that every area can be built against them.

Done: the error table, ids, messages with a hand-written visitor for the answer chunk, the settings tree in plain form, authenticated links and the service kernel. Format, lints and tests pass.

--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission to one endpoint: load bound, fair queue, deadlines, drain.
--- /dev/null
+++ b/crates/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent program: authority for one endpoint.
--- /dev/null
+++ b/crates/agent/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphire-agent` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once execution of non-idempotent requests.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! The control program: replicated settings, claims, fences and membership digests.
--- /dev/null
+++ b/crates/control/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphire-control` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphirectl` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry program: requests from callers, choice of endpoint, answer streams.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphire-entry` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/fake/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for engines, plain services and the platform list.
--- /dev/null
+++ b/crates/fake/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphire-fake` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/link/src/frame.rs
@@ -0,0 +1,95 @@
+//! Framing, authentication and replay protection of messages.
+//!
+//! A frame is a length (4 bytes, big endian), a tag and a payload. The tag covers the number of
+//! the frame on its connection, so that a replayed, dropped or reordered frame is found.
+
+use bytes::{Buf, BufMut, Bytes, BytesMut};
+use hmac::Mac;
+
+use crate::error::{LinkError, Result};
+use crate::handshake::{KeyBytes, keyed_mac};
+use wire::codec::{CodecError, MAX_MESSAGE_BYTES};
+
+/// Bytes of a frame's tag.
+pub const TAG_BYTES: usize = 16;
+/// Bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+/// Bytes that a frame adds to its payload.
+pub const FRAME_OVERHEAD_BYTES: usize = LENGTH_BYTES + TAG_BYTES;
+
+/// Seals the payloads of one direction of a connection.
+pub struct FrameSealer {
+    key: KeyBytes,
+    /// Frames sealed so far.
+    number: u64,
+}
+
+impl FrameSealer {
+    /// Seals under `key`, from frame 0.
+    pub fn new(key: KeyBytes) -> Self {
+        Self { key, number: 0 }
+    }
+
+    /// Appends a frame with `payload` to `out`.
+    pub fn seal(&mut self, payload: &[u8], out: &mut BytesMut) {
+        let length = u32::try_from(payload.len()).expect("payload is below the message limit");
+        out.put_u32(length);
+        out.put_slice(&frame_tag(&self.key, self.number, payload));
+        out.put_slice(payload);
+        self.number += 1;
+    }
+}
+
+/// Opens the frames of one direction of a connection.
+pub struct FrameOpener {
+    key: KeyBytes,
+    /// Frames opened so far.
+    number: u64,
+}
+
+impl FrameOpener {
+    /// Opens under `key`, from frame 0.
+    pub fn new(key: KeyBytes) -> Self {
+        Self { key, number: 0 }
+    }
+
+    /// Takes the next payload off `buffer`, or `None` when it is incomplete.
+    ///
+    /// # Errors
+    /// A frame that is too large, or that is not the next one of an authentic peer.
+    pub fn open(&mut self, buffer: &mut BytesMut) -> Result<Option<Bytes>> {
+        let Some(length) = buffer.first_chunk::<LENGTH_BYTES>() else {
+            return Ok(None);
+        };
+        let length = u32::from_be_bytes(*length) as usize;
+        if length > MAX_MESSAGE_BYTES {
+            return Err(CodecError::Oversized { size: length }.into());
+        }
+        if buffer.len() < FRAME_OVERHEAD_BYTES + length {
+            return Ok(None);
+        }
+        buffer.advance(LENGTH_BYTES);
+        let tag = buffer.split_to(TAG_BYTES);
+        let payload = buffer.split_to(length).freeze();
+        self.check(&tag, &payload)?;
+        Ok(Some(payload))
+    }
+
+    fn check(&mut self, tag: &[u8], payload: &[u8]) -> Result<()> {
+        let mac = keyed_mac(&self.key).chain_update(self.number.to_be_bytes());
+        let valid = mac.chain_update(payload).verify_truncated_left(tag);
+        valid.map_err(|_| LinkError::NotAuthentic)?;
+        self.number += 1;
+        Ok(())
+    }
+}
+
+fn frame_tag(key: &KeyBytes, number: u64, payload: &[u8]) -> [u8; TAG_BYTES] {
+    let mac = keyed_mac(key)
+        .chain_update(number.to_be_bytes())
+        .chain_update(payload);
+    let full = mac.finalize().into_bytes();
+    let mut tag = [0; TAG_BYTES];
+    tag.copy_from_slice(&full[..TAG_BYTES]);
+    tag
+}
--- /dev/null
+++ b/crates/link/src/handshake.rs
@@ -0,0 +1,187 @@
+//! Mutual authentication and the keys of a connection.
+//!
+//! Each side sends a hello with a random nonce, then a proof over both hellos under the shared
+//! secret. Both directions get keys of their own, so a frame can't be reflected to its sender.
+
+use std::fs;
+use std::path::Path;
+
+use hmac::{Hmac, KeyInit, Mac};
+use postcard::{from_bytes, to_stdvec};
+use serde::{Deserialize, Serialize};
+use sha2::Sha256;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+use crate::error::{LinkError, Result};
+use wire::codec::CodecError;
+
+/// Version of the framing and of the messages.
+pub const LINK_VERSION: u8 = 1;
+/// Largest hello in bytes.
+const MAX_HELLO_BYTES: usize = 512;
+/// Bytes of a proof and of a key.
+const KEY_BYTES: usize = 32;
+
+/// Bytes of a key.
+pub type KeyBytes = [u8; KEY_BYTES];
+
+/// The secret that all processes of the system share.
+#[derive(Clone)]
+pub struct LinkSecret(Vec<u8>);
+
+impl LinkSecret {
+    /// Takes the secret as it is.
+    pub fn new(bytes: impl Into<Vec<u8>>) -> Self {
+        Self(bytes.into())
+    }
+
+    /// Reads the secret from a file; white space at its ends does not count.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    pub fn load(path: &Path) -> std::io::Result<Self> {
+        Ok(Self(fs::read(path)?.trim_ascii().to_vec()))
+    }
+}
+
+/// What a process does in the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum PeerRole {
+    /// Takes requests of callers.
+    Entry,
+    /// Stands beside an endpoint.
+    Agent,
+    /// Belongs to the control quorum.
+    Control,
+}
+
+/// Who is at the other end of a connection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LinkIdentity {
+    /// Name of the instance.
+    pub name: String,
+    /// What it does.
+    pub role: PeerRole,
+}
+
+#[derive(Serialize, Deserialize)]
+struct HelloFrame {
+    nonce: KeyBytes,
+    identity: LinkIdentity,
+}
+
+/// What a successful handshake yields.
+pub struct HandshakeResult {
+    /// The peer.
+    pub peer: LinkIdentity,
+    /// Key of the frames that this side sends.
+    pub send_key: KeyBytes,
+    /// Key of the frames that this side receives.
+    pub receive_key: KeyBytes,
+}
+
+/// Which side of the handshake this process is on.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(crate) enum HandshakeSide {
+    Connecting,
+    Accepting,
+}
+
+/// Runs the handshake on a new connection.
+pub(crate) async fn shake_hands(
+    stream: &mut TcpStream,
+    side: HandshakeSide,
+    identity: &LinkIdentity,
+    secret: &LinkSecret,
+) -> Result<HandshakeResult> {
+    let nonce: KeyBytes = rand::random();
+    let own = encode_hello(&HelloFrame {
+        nonce,
+        identity: identity.clone(),
+    })?;
+    write_hello(stream, &own).await?;
+    let theirs = read_hello(stream).await?;
+    let peer = decode_hello(&theirs)?.identity;
+    let (first, second) = match side {
+        HandshakeSide::Connecting => (&own, &theirs),
+        HandshakeSide::Accepting => (&theirs, &own),
+    };
+    let derive = |purpose: &str| derive_key(secret, purpose, first, second);
+    let keys = (derive("connecting"), derive("accepting"));
+    let (send_key, receive_key) = match side {
+        HandshakeSide::Connecting => keys,
+        HandshakeSide::Accepting => (keys.1, keys.0),
+    };
+    exchange_proofs(stream, &send_key, &receive_key).await?;
+    Ok(HandshakeResult {
+        peer,
+        send_key,
+        receive_key,
+    })
+}
+
+async fn exchange_proofs(stream: &mut TcpStream, own: &KeyBytes, theirs: &KeyBytes) -> Result<()> {
+    stream
+        .write_all(&proof_of(own).finalize().into_bytes())
+        .await?;
+    let mut proof = [0; KEY_BYTES];
+    stream.read_exact(&mut proof).await?;
+    proof_of(theirs)
+        .verify_slice(&proof)
+        .map_err(|_| LinkError::NotAuthentic)
+}
+
+fn proof_of(key: &KeyBytes) -> Hmac<Sha256> {
+    keyed_mac(key).chain_update(b"proof")
+}
+
+/// A message authentication code under `key`.
+pub(crate) fn keyed_mac(key: &[u8]) -> Hmac<Sha256> {
+    Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length")
+}
+
+fn derive_key(secret: &LinkSecret, purpose: &str, first: &[u8], second: &[u8]) -> KeyBytes {
+    let mac = keyed_mac(&secret.0)
+        .chain_update(purpose)
+        .chain_update(first)
+        .chain_update(second);
+    mac.finalize().into_bytes().into()
+}
+
+fn encode_hello(hello: &HelloFrame) -> Result<Vec<u8>> {
+    to_stdvec(hello).map_err(malformed)
+}
+
+fn decode_hello(bytes: &[u8]) -> Result<HelloFrame> {
+    from_bytes(bytes).map_err(malformed)
+}
+
+async fn write_hello(stream: &mut TcpStream, hello: &[u8]) -> Result<()> {
+    let length = u16::try_from(hello.len()).map_err(|_| LinkError::NotAuthentic)?;
+    stream.write_u8(LINK_VERSION).await?;
+    stream.write_u16(length).await?;
+    stream.write_all(hello).await?;
+    Ok(())
+}
+
+async fn read_hello(stream: &mut TcpStream) -> Result<Vec<u8>> {
+    let version = stream.read_u8().await?;
+    if version != LINK_VERSION {
+        return Err(LinkError::Version { version });
+    }
+    let length = usize::from(stream.read_u16().await?);
+    if length > MAX_HELLO_BYTES {
+        return Err(LinkError::NotAuthentic);
+    }
+    let mut hello = vec![0; length];
+    stream.read_exact(&mut hello).await?;
+    Ok(hello)
+}
+
+fn malformed(error: postcard::Error) -> LinkError {
+    CodecError::Malformed {
+        reason: error.to_string(),
+    }
+    .into()
+}
--- /dev/null
+++ b/crates/measure/src/lib.rs
@@ -0,0 +1,1 @@
+//! Measurements of the decision crates.
--- /dev/null
+++ b/crates/measure/src/main.rs
@@ -0,0 +1,3 @@
+//! The `sapphire-measure` program.
+
+fn main() {}
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership: incarnations, heartbeats, platform list, suspicion, leaving.
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! Consensus on the control log.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of an endpoint for a request.
--- /dev/null
+++ b/crates/store/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable log and snapshots under one data folder.
--- /dev/null
+++ b/crates/watch/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and decision records.
--- /dev/null
+++ b/crates/wire/src/id.rs
@@ -0,0 +1,35 @@
+//! Ids and how they derive from names.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Identifies one request of a caller. Random, chosen by the entry.
+pub type RequestId = u128;
+/// Number of an attempt to run a request, from 1.
+pub type AttemptNumber = u32;
+/// Identifies an endpoint: [`name_id`] of its name.
+pub type EndpointId = u64;
+/// Identifies an instance that runs a program of the system: [`name_id`] of its name.
+pub type InstanceId = u64;
+/// Identifies a service: [`name_id`] of its name.
+pub type ServiceId = u64;
+/// Identifies a client account: [`name_id`] of its name.
+pub type AccountId = u64;
+/// Identifies a model: [`name_id`] of its name.
+pub type ModelId = u64;
+/// Identifies a failure domain: [`name_id`] of its name.
+pub type DomainId = u64;
+/// One life of a process. Larger means later.
+pub type IncarnationNumber = u64;
+/// Version of the settings tree, from 1.
+pub type SettingsVersion = u64;
+/// Fencing number: the index of a log entry of the control quorum.
+pub type FenceNumber = u64;
+/// Hash of one prefix block of a prompt, chained over the blocks before it.
+pub type PrefixHash = u64;
+/// Hash of what makes two requests the same work: account, service, method, path and body.
+pub type FingerprintHash = u64;
+
+/// The id that belongs to `name`, equal in every process.
+pub fn name_id(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
