--- a/crates/measure/src/lib.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Measurements of the decision crates.
