Serve a chat from caller through entry and agent to an engine

Cause: no request could travel the path yet. Entry, agent, control and the stand-ins run as separate processes; the answer streams as it is produced.

--- /dev/null
+++ b/crates/control/src/node.rs
@@ -0,0 +1,108 @@
+//! What the parts of a control instance share; the one way to propose a command.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use link::LinkSender;
+use settings::process::ControlSettings;
+use wire::LinkMessage;
+use wire::command::{ControlCommand, ControlReply, StampedCommand};
+use wire::id::{EndpointId, ServiceId};
+use wire::member::{AgentHeartbeat, EndpointState, LoadSample, MemberDigest, ServiceMean};
+use wire::message::SettingsUpdate;
+
+use crate::state::ControlState;
+
+/// State of one control instance, on one thread.
+pub struct ControlNode {
+    /// The instance's file.
+    pub settings: ControlSettings,
+    /// The agreed state as far as it is known here.
+    pub state: RefCell<ControlState>,
+    /// Last heartbeat of each endpoint.
+    pub endpoints: RefCell<BTreeMap<EndpointId, AgentHeartbeat>>,
+    /// Open connections of entries and agents.
+    pub peers: RefCell<Vec<LinkSender>>,
+}
+
+impl ControlNode {
+    /// Proposes a command and waits until it is committed and applied.
+    pub async fn propose(&self, command: ControlCommand) -> ControlReply {
+        let time = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let before = self.state.borrow().version;
+        let reply = self
+            .state
+            .borrow_mut()
+            .apply(&StampedCommand { time, command });
+        if self.state.borrow().version != before {
+            self.broadcast(&LinkMessage::Settings(self.settings_update()));
+        }
+        reply
+    }
+
+    /// The settings in force, whole.
+    pub fn settings_update(&self) -> SettingsUpdate {
+        let state = self.state.borrow();
+        SettingsUpdate::Full {
+            version: state.version,
+            text: state.tree.to_text(),
+        }
+    }
+
+    /// Everything known of the endpoints.
+    pub fn digest(&self) -> MemberDigest {
+        let endpoints = self.endpoints.borrow();
+        let records = endpoints
+            .values()
+            .filter_map(|beat| beat.record.clone())
+            .collect();
+        let loads = endpoints.values().map(sample).collect();
+        MemberDigest {
+            records,
+            gone: Vec::new(),
+            loads,
+            means: self.means(),
+        }
+    }
+
+    /// Sends a message to every open connection.
+    pub fn broadcast(&self, message: &LinkMessage) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|peer| !peer.is_closed());
+        for peer in peers.iter() {
+            let _ = peer.try_send(message.clone());
+        }
+    }
+
+    fn means(&self) -> Vec<ServiceMean> {
+        let mut means: BTreeMap<ServiceId, ServiceMean> = BTreeMap::new();
+        for beat in self.endpoints.borrow().values() {
+            let Some(record) = &beat.record else { continue };
+            if beat.state != EndpointState::Serving {
+                continue;
+            }
+            let service = record.service;
+            let empty = ServiceMean {
+                service,
+                load: 0,
+                weight: 0,
+            };
+            let mean = means.entry(service).or_insert(empty);
+            mean.load += u64::from(beat.load.total());
+            mean.weight += u64::from(record.weight);
+        }
+        means.into_values().collect()
+    }
+}
+
+fn sample(beat: &AgentHeartbeat) -> LoadSample {
+    LoadSample {
+        endpoint: beat.endpoint,
+        incarnation: beat.incarnation,
+        state: beat.state,
+        load: beat.load,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,95 @@
+//! What the entry reads from a chat completion request.
+
+use fault::{Fault, FaultKind};
+use serde::Deserialize;
+use serde_json::Value;
+use wire::id::PrefixHash;
+use xxhash_rust::xxh3::Xxh3;
+
+/// Bytes of prompt text in one prefix block.
+pub const BLOCK_BYTES: usize = 256;
+/// Prefix blocks that are told to the agent at most.
+pub const MAX_BLOCKS: usize = 64;
+/// Bytes of prompt text in a token, roughly.
+const TOKEN_BYTES: usize = 4;
+
+/// Result of reading a request.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// The parts of a chat completion request that routing needs.
+#[derive(Debug, Deserialize)]
+pub struct ChatRequest {
+    /// Name of the model.
+    pub model: String,
+    /// The chat so far.
+    pub messages: Vec<ChatMessage>,
+    /// Whether the caller wants server-sent events.
+    #[serde(default)]
+    pub stream: bool,
+}
+
+/// One message of a chat.
+#[derive(Debug, Deserialize)]
+pub struct ChatMessage {
+    /// Who speaks.
+    pub role: String,
+    /// What is said; text, or parts that routing does not read.
+    #[serde(default)]
+    pub content: Value,
+}
+
+impl ChatRequest {
+    /// Reads a request body.
+    ///
+    /// # Errors
+    /// [`FaultKind::MalformedRequest`] with the place of the fault.
+    pub fn read(body: &[u8]) -> Result<Self> {
+        let request: Self = serde_json::from_slice(body).map_err(|error| {
+            FaultKind::MalformedRequest.because(format!("the body is no chat request: {error}"))
+        })?;
+        if request.messages.is_empty() {
+            return Err(FaultKind::MalformedRequest.because("messages is empty"));
+        }
+        Ok(request)
+    }
+
+    /// Chained hashes of the prompt's blocks, shortest prefix first.
+    pub fn prefixes(&self) -> Vec<PrefixHash> {
+        let text = self.prompt_text();
+        let mut chain = Xxh3::new();
+        let blocks = text.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+        let hashes = blocks.map(|block| {
+            chain.update(block);
+            chain.digest()
+        });
+        hashes.collect()
+    }
+
+    /// Estimated prompt tokens.
+    pub fn prompt_tokens(&self) -> u32 {
+        let length: usize = self
+            .messages
+            .iter()
+            .map(|message| content_text(message).len())
+            .sum();
+        u32::try_from(length / TOKEN_BYTES).unwrap_or(u32::MAX)
+    }
+
+    fn prompt_text(&self) -> String {
+        let mut text = String::new();
+        for message in &self.messages {
+            text.push_str(&message.role);
+            text.push('\n');
+            text.push_str(&content_text(message));
+            text.push('\n');
+        }
+        text
+    }
+}
+
+fn content_text(message: &ChatMessage) -> String {
+    match &message.content {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/link/src/control_client.rs
@@ -0,0 +1,148 @@
+//! The connection of an entry or an agent to the control quorum.
+//!
+//! The client holds one connection to one control instance, moves to the next one when it ends,
+//! and matches decisions to proposals by ticket.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use fault::{Fault, FaultKind};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use wire::LinkMessage;
+use wire::command::{ControlCommand, ControlReply};
+use wire::message::ControlProposal;
+
+use crate::connection::{LinkReceiver, LinkSender, LinkSettings, connect};
+
+/// Pause before the next control instance is tried.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
+/// Longest wait for a decision.
+const DECISION_LIMIT: Duration = Duration::from_secs(3);
+
+/// What the client tells its owner.
+#[derive(Debug)]
+pub enum ControlEvent {
+    /// A connection is open; the owner sends its first heartbeat now.
+    Connected,
+    /// A message arrived.
+    Message(Box<LinkMessage>),
+    /// The connection ended.
+    Disconnected,
+}
+
+/// The connection to the control quorum.
+pub struct ControlClient {
+    addresses: Vec<SocketAddr>,
+    settings: LinkSettings,
+    sender: RefCell<Option<LinkSender>>,
+    /// Proposals without a decision, by ticket.
+    waiting: RefCell<HashMap<u64, oneshot::Sender<ControlReply>>>,
+    next_ticket: Cell<u64>,
+    events: mpsc::UnboundedSender<ControlEvent>,
+}
+
+impl ControlClient {
+    /// Starts a client that tries `addresses` in turn, from a random one.
+    pub fn start(
+        addresses: Vec<SocketAddr>,
+        settings: LinkSettings,
+    ) -> (Rc<Self>, mpsc::UnboundedReceiver<ControlEvent>) {
+        let (events, receiver) = mpsc::unbounded_channel();
+        let client = Rc::new(Self {
+            addresses,
+            settings,
+            sender: RefCell::new(None),
+            waiting: RefCell::default(),
+            next_ticket: Cell::new(1),
+            events,
+        });
+        actix_rt::spawn(Rc::clone(&client).keep_connected());
+        (client, receiver)
+    }
+
+    /// Sends a message if a connection is open.
+    pub fn tell(&self, message: LinkMessage) {
+        if let Some(sender) = self.sender.borrow().as_ref() {
+            // A heartbeat that finds the queue full is superseded by the next one.
+            let _ = sender.try_send(message);
+        }
+    }
+
+    /// Proposes a command and waits for the quorum's decision.
+    ///
+    /// # Errors
+    /// [`FaultKind::ControlUnreachable`] when no decision arrives in time. The command may still
+    /// be committed then; proposing it again is safe for every command.
+    pub async fn propose(&self, command: ControlCommand) -> fault::Result<ControlReply> {
+        let ticket = self.next_ticket.replace(self.next_ticket.get() + 1);
+        let (decision, decided) = oneshot::channel();
+        self.waiting.borrow_mut().insert(ticket, decision);
+        let sent = self
+            .send_proposal(ControlProposal { ticket, command })
+            .await;
+        let reply = match sent {
+            true => timeout(DECISION_LIMIT, decided)
+                .await
+                .ok()
+                .and_then(Result::ok),
+            false => None,
+        };
+        self.waiting.borrow_mut().remove(&ticket);
+        reply.ok_or_else(unreachable_fault)
+    }
+
+    async fn send_proposal(&self, proposal: ControlProposal) -> bool {
+        let sender = self.sender.borrow().clone();
+        match sender {
+            Some(sender) => sender.send(LinkMessage::Propose(proposal)).await.is_ok(),
+            None => false,
+        }
+    }
+
+    async fn keep_connected(self: Rc<Self>) {
+        let mut index = rand::random_range(0..self.addresses.len().max(1));
+        while !self.events.is_closed() {
+            let Some(address) = self.addresses.get(index % self.addresses.len().max(1)) else {
+                return;
+            };
+            match connect(*address, &self.settings).await {
+                Ok(link) => self.serve_connection(link.sender, link.receiver).await,
+                Err(error) => log::debug!("link: control {address} is unreachable: {error}"),
+            }
+            index += 1;
+            sleep(RECONNECT_PAUSE).await;
+        }
+    }
+
+    async fn serve_connection(&self, sender: LinkSender, mut receiver: LinkReceiver) {
+        *self.sender.borrow_mut() = Some(sender);
+        let _ = self.events.send(ControlEvent::Connected);
+        loop {
+            match receiver.next().await {
+                Ok(LinkMessage::Decided(decision)) => {
+                    if let Some(waiter) = self.waiting.borrow_mut().remove(&decision.ticket) {
+                        let _ = waiter.send(decision.reply);
+                    }
+                }
+                Ok(message) => {
+                    let _ = self.events.send(ControlEvent::Message(Box::new(message)));
+                }
+                Err(error) => {
+                    log::info!("link: control connection ended: {error}");
+                    break;
+                }
+            }
+        }
+        *self.sender.borrow_mut() = None;
+        self.waiting.borrow_mut().clear();
+        let _ = self.events.send(ControlEvent::Disconnected);
+    }
+}
+
+fn unreachable_fault() -> Fault {
+    FaultKind::ControlUnreachable.because("no control quorum answered")
+}
