Give services a life of named steps in the kernel

Cause: the first kernel asked every service for an actor type of its own, although most services are one task. A service is now a set of futures in one actor type, found by name through the handle that it registers.

--- a/crates/kernel/src/kernel.rs
+++ b/crates/kernel/src/kernel.rs
@@ -2,13 +2,13 @@
 
 use std::any::Any;
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::rc::Rc;
 
-use actix::dev::ToEnvelope;
-use actix::{Actor, Addr, Handler, Recipient};
+use actix::{Actor, Addr};
 use derive_more::{Display, Error};
+use tokio::sync::mpsc;
 
-use crate::signal::ServiceSignal;
+use crate::service::{ServiceSignal, TaskService};
 
 /// Why the kernel can't go on.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -19,7 +19,7 @@
         /// The name.
         name: &'static str,
     },
-    /// A service refused a signal.
+    /// A service failed at a step, or while it ran.
     #[display("service {name} failed: {reason}")]
     Failed {
         /// The service.
@@ -32,18 +32,31 @@
 /// Result of kernel operations.
 pub type Result<T> = std::result::Result<T, KernelError>;
 
+/// One registered service.
 struct ServiceEntry {
     name: &'static str,
-    signals: Recipient<ServiceSignal>,
+    /// What other services find under the name; an `Rc` of the service's own type.
+    handle: Box<dyn Any>,
+    lifecycle: Addr<TaskService>,
 }
 
 /// The services of one process.
-#[derive(Default)]
 pub struct ServiceKernel {
-    /// In order of registration, which is the order of the start.
-    order: RefCell<Vec<ServiceEntry>>,
-    /// Holds an `Addr` of each service's own actor type.
-    addresses: RefCell<HashMap<&'static str, Box<dyn Any>>>,
+    /// In order of registration, which is the order of the start. Names are unique.
+    services: RefCell<Vec<ServiceEntry>>,
+    failures: mpsc::UnboundedSender<KernelError>,
+    failed: RefCell<mpsc::UnboundedReceiver<KernelError>>,
+}
+
+impl Default for ServiceKernel {
+    fn default() -> Self {
+        let (failures, failed) = mpsc::unbounded_channel();
+        Self {
+            services: RefCell::default(),
+            failures,
+            failed: RefCell::new(failed),
+        }
+    }
 }
 
 impl ServiceKernel {
@@ -52,32 +65,33 @@
         Self::default()
     }
 
-    /// Registers a service under a name.
+    /// Registers a service, and the handle that others find under its name.
     ///
     /// # Errors
     /// [`KernelError::Duplicate`] when the name is taken.
-    pub fn register<A>(&self, name: &'static str, address: Addr<A>) -> Result<()>
-    where
-        A: Actor + Handler<ServiceSignal>,
-        A::Context: ToEnvelope<A, ServiceSignal>,
-    {
-        let mut addresses = self.addresses.borrow_mut();
-        if addresses.contains_key(name) {
+    pub fn register<T: 'static>(
+        &self,
+        name: &'static str,
+        handle: Rc<T>,
+        service: TaskService,
+    ) -> Result<()> {
+        let mut services = self.services.borrow_mut();
+        if services.iter().any(|entry| entry.name == name) {
             return Err(KernelError::Duplicate { name });
         }
-        let signals = address.clone().recipient();
-        addresses.insert(name, Box::new(address));
-        self.order.borrow_mut().push(ServiceEntry { name, signals });
+        services.push(ServiceEntry {
+            name,
+            handle: Box::new(handle),
+            lifecycle: service.start(),
+        });
         Ok(())
     }
 
-    /// The service registered under `name`, if it is an `A`.
-    pub fn find<A: Actor>(&self, name: &str) -> Option<Addr<A>> {
-        self.addresses
-            .borrow()
-            .get(name)?
-            .downcast_ref::<Addr<A>>()
-            .cloned()
+    /// The handle registered under `name`, if it is a `T`.
+    pub fn find<T: 'static>(&self, name: &str) -> Option<Rc<T>> {
+        let services = self.services.borrow();
+        let entry = services.iter().find(|entry| entry.name == name)?;
+        entry.handle.downcast_ref::<Rc<T>>().cloned()
     }
 
     /// Starts every service in order of registration.
@@ -85,9 +99,9 @@
     /// # Errors
     /// The first service that fails.
     pub async fn start(&self) -> Result<()> {
-        for (name, signals) in self.in_order() {
-            log::info!("kernel: starting {name}");
-            signal(name, &signals, ServiceSignal::Start).await?;
+        for (name, lifecycle) in self.in_order() {
+            log::info!("kernel: starting {name}.");
+            send_signal(name, &lifecycle, ServiceSignal::Start).await?;
         }
         Ok(())
     }
@@ -98,30 +112,47 @@
     /// The first failure, after all services were told.
     pub async fn shut_down(&self) -> Result<()> {
         let mut result = Ok(());
-        for step in [ServiceSignal::Drain, ServiceSignal::Stop] {
-            for (name, signals) in self.in_order().into_iter().rev() {
-                log::info!("kernel: {step:?} {name}");
-                result = result.and(signal(name, &signals, step).await);
+        for (step, verb) in [
+            (ServiceSignal::Drain, "draining"),
+            (ServiceSignal::Stop, "stopping"),
+        ] {
+            for (name, lifecycle) in self.in_order().into_iter().rev() {
+                log::info!("kernel: {verb} {name}.");
+                result = result.and(send_signal(name, &lifecycle, step).await);
             }
         }
         result
     }
 
-    fn in_order(&self) -> Vec<(&'static str, Recipient<ServiceSignal>)> {
-        let order = self.order.borrow();
-        order
+    /// Reports that a running service failed, which stops the process.
+    pub fn report_failure(&self, name: &'static str, reason: String) {
+        // The kernel holds the receiver for as long as it lives.
+        let _ = self.failures.send(KernelError::Failed { name, reason });
+    }
+
+    /// The next failure of a running service.
+    pub async fn next_failure(&self) -> KernelError {
+        let failed = std::future::poll_fn(|context| self.failed.borrow_mut().poll_recv(context));
+        failed
+            .await
+            .expect("the kernel holds a sender for as long as it lives")
+    }
+
+    fn in_order(&self) -> Vec<(&'static str, Addr<TaskService>)> {
+        let services = self.services.borrow();
+        services
             .iter()
-            .map(|entry| (entry.name, entry.signals.clone()))
+            .map(|entry| (entry.name, entry.lifecycle.clone()))
             .collect()
     }
 }
 
-async fn signal(
+async fn send_signal(
     name: &'static str,
-    signals: &Recipient<ServiceSignal>,
+    lifecycle: &Addr<TaskService>,
     step: ServiceSignal,
 ) -> Result<()> {
-    let answer = signals.send(step).await;
+    let answer = lifecycle.send(step).await;
     let flat = answer
         .map_err(|error| error.to_string())
         .and_then(|told| told);
--- a/crates/kernel/src/lib.rs
+++ b/crates/kernel/src/lib.rs
@@ -1,10 +1,12 @@
 //! Micro-kernel: services registered by name, started in order, drained in reverse.
 //!
-//! A service is an actix actor that handles [`ServiceSignal`]. Services find each other by name
-//! through [`ServiceKernel::find`]. A service that fails to start stops the process.
+//! * [`kernel`]: the registry, in which services find each other's handles by name.
+//! * [`service`]: the life of one service, as an actix actor.
+//! * [`process`]: the life of a process, from its start to SIGTERM.
 
 pub mod kernel;
-pub mod signal;
+pub mod process;
+pub mod service;
 
 pub use kernel::{KernelError, Result, ServiceKernel};
-pub use signal::ServiceSignal;
+pub use service::{ServiceSignal, TaskService};
