Name crash reports, suspects' permits and abandoned claims on the wire

Cause: a resent crash report counted as a second crash, two endpoints could run one suspect at once, and a claim held by a dead agent had no way to end.

Additive but for one field: ReportCrash carries the cache epoch that ended, by which a resend is told from a second crash. New: TrySuspect and DropTrial (a permit bound to one attempt), AbandonClaims, and the Suspects list.

--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -93,6 +93,8 @@
     ReportCrash {
         /// The endpoint.
         endpoint: EndpointId,
+        /// Life of the endpoint's cache that ended; equal for a resend of the same report.
+        cache_epoch: u64,
         /// What was running.
         suspects: Vec<FingerprintHash>,
     },
@@ -106,6 +108,27 @@
         /// The request.
         fingerprint: FingerprintHash,
     },
+    /// Asks for the right to run a suspect, alone. One attempt at a time holds it.
+    TrySuspect {
+        /// The suspect.
+        fingerprint: FingerprintHash,
+        /// The endpoint that would run it.
+        endpoint: EndpointId,
+        /// The one attempt that the permit is for.
+        attempt: AttemptKey,
+    },
+    /// Gives back the permit of an attempt that never started and never will.
+    DropTrial {
+        /// The suspect.
+        fingerprint: FingerprintHash,
+        /// The attempt that held the permit.
+        attempt: AttemptKey,
+    },
+    /// Reports that a new life of an endpoint's agent began: what earlier lives held is unknown.
+    AbandonClaims {
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
 }
 
 /// A command with the time at which the leader took it.
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -93,4 +93,6 @@
     Decided(ControlDecision),
     /// Control to control: an encoded message of the consensus.
     Replica(Vec<u8>),
+    /// Control to agent: requests that may only run alone and with a permit, the whole list.
+    Suspects(Vec<FingerprintHash>),
 }
