Add the state machines of at-most-once outcomes

Cause: nothing decided which non-idempotent request may run, what an agent may still run, or which frames belong to an answer.

--- /dev/null
+++ b/crates/claim/src/assembly.rs
@@ -0,0 +1,185 @@
+//! Entry: puts an answer together from its frames.
+//!
+//! Only frames of the current attempt count, each byte is delivered once and in order, and the
+//! end is believed only when length and checksum agree.
+
+use bytes::Bytes;
+use crc32fast::Hasher;
+use fault::RunOutcome;
+use wire::answer::{AckNotice, AnswerChunk, AnswerEnd, AnswerHead, AttemptKey, ResumeRequest};
+
+use crate::error::{Result, ensure};
+
+/// Bytes after which the entry acknowledges.
+const ACK_EVERY_BYTES: u64 = 32 * 1024;
+
+/// What to do after a frame.
+#[derive(Clone, Debug, PartialEq)]
+pub enum AssemblyVerdict {
+    /// Pass the head on to the caller.
+    Head(Box<AnswerHead>),
+    /// Pass the bytes on to the caller.
+    Deliver(Bytes),
+    /// The answer is whole.
+    Complete(RunOutcome),
+    /// The endpoint failed midway: cut the caller's answer off, so that it sees the failure.
+    Failed(RunOutcome),
+    /// The frame is late, a duplicate, or belongs to another attempt: drop it.
+    Stale,
+    /// Frames are missing: resume from the offset reached.
+    Gap,
+    /// Length or checksum do not agree: cut the caller's answer off.
+    Corrupt,
+}
+
+/// How far an answer has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum AssemblyState {
+    Open,
+    Closed,
+}
+
+/// The answer to one request as the entry has it.
+#[derive(Debug)]
+pub struct AnswerAssembly {
+    /// The attempt whose frames count.
+    key: AttemptKey,
+    has_head: bool,
+    /// First byte that has not arrived.
+    offset: u64,
+    /// First byte that the caller's connection has not taken. At most `offset`.
+    taken: u64,
+    /// Last acknowledged offset. At most `taken`.
+    acked: u64,
+    /// Over all bytes that have arrived.
+    checksum: Hasher,
+    state: AssemblyState,
+}
+
+impl AnswerAssembly {
+    /// Awaits the answer of an attempt.
+    pub fn new(key: AttemptKey) -> Self {
+        Self {
+            key,
+            has_head: false,
+            offset: 0,
+            taken: 0,
+            acked: 0,
+            checksum: Hasher::new(),
+            state: AssemblyState::Open,
+        }
+    }
+
+    /// Turns to a later attempt. Returns false, and changes nothing, once a part of the answer
+    /// was delivered: parts of two runs never mix.
+    #[must_use]
+    pub fn restart(&mut self, key: AttemptKey) -> bool {
+        let is_later = key.request == self.key.request && key.attempt > self.key.attempt;
+        if self.has_head || self.state == AssemblyState::Closed || !is_later {
+            return false;
+        }
+        *self = Self::new(key);
+        true
+    }
+
+    /// The attempt whose frames count.
+    pub fn key(&self) -> AttemptKey {
+        self.key
+    }
+
+    /// Whether a part of the answer was delivered.
+    pub fn has_started(&self) -> bool {
+        self.has_head
+    }
+
+    /// Takes a head.
+    pub fn accept_head(&mut self, head: AnswerHead) -> AssemblyVerdict {
+        if !self.is_awaited(head.key) || self.has_head {
+            return AssemblyVerdict::Stale;
+        }
+        self.has_head = true;
+        AssemblyVerdict::Head(Box::new(head))
+    }
+
+    /// Takes a chunk.
+    pub fn accept_chunk(&mut self, chunk: AnswerChunk) -> AssemblyVerdict {
+        if !self.is_awaited(chunk.key) {
+            return AssemblyVerdict::Stale;
+        }
+        if !self.has_head || chunk.offset > self.offset {
+            return AssemblyVerdict::Gap;
+        }
+        let old = self.offset - chunk.offset;
+        if old >= chunk.bytes.len() as u64 {
+            return AssemblyVerdict::Stale;
+        }
+        let bytes = chunk.bytes.slice(old as usize..);
+        self.offset += bytes.len() as u64;
+        self.checksum.update(&bytes);
+        AssemblyVerdict::Deliver(bytes)
+    }
+
+    /// Takes an end.
+    pub fn accept_end(&mut self, end: &AnswerEnd) -> AssemblyVerdict {
+        if !self.is_awaited(end.key) {
+            return AssemblyVerdict::Stale;
+        }
+        if end.outcome != RunOutcome::Ran {
+            self.state = AssemblyState::Closed;
+            return AssemblyVerdict::Failed(end.outcome);
+        }
+        if !self.has_head || end.length > self.offset {
+            return AssemblyVerdict::Gap;
+        }
+        self.state = AssemblyState::Closed;
+        let is_whole = end.length == self.offset;
+        if !is_whole || end.checksum != self.checksum.clone().finalize() {
+            return AssemblyVerdict::Corrupt;
+        }
+        AssemblyVerdict::Complete(end.outcome)
+    }
+
+    /// The caller's connection took `bytes` more bytes.
+    pub fn take(&mut self, bytes: usize) {
+        self.taken = self.offset.min(self.taken + bytes as u64);
+    }
+
+    /// The acknowledgement that is due, if one is.
+    pub fn ack_due(&mut self) -> Option<AckNotice> {
+        let is_last = self.state == AssemblyState::Closed && self.taken > self.acked;
+        if !is_last && self.taken - self.acked < ACK_EVERY_BYTES {
+            return None;
+        }
+        self.acked = self.taken;
+        Some(AckNotice {
+            key: self.key,
+            offset: self.acked,
+        })
+    }
+
+    /// Asks the agent to go on from here on a new connection, or after a gap.
+    pub fn resume_request(&self) -> ResumeRequest {
+        ResumeRequest {
+            key: self.key,
+            has_head: self.has_head,
+            offset: self.offset,
+        }
+    }
+
+    /// Checks the invariants.
+    ///
+    /// # Errors
+    /// The first one that is broken.
+    pub fn verify(&self) -> Result<()> {
+        ensure(self.offset == 0 || self.has_head, "the head comes first")?;
+        ensure(self.taken <= self.offset, "only what arrived is taken")?;
+        ensure(
+            self.acked <= self.taken,
+            "only what was taken is acknowledged",
+        )
+    }
+
+    fn is_awaited(&self, key: AttemptKey) -> bool {
+        self.state == AssemblyState::Open && key == self.key
+    }
+}
--- /dev/null
+++ b/crates/claim/src/claims.rs
@@ -0,0 +1,444 @@
+//! Control's replicated record of non-idempotent requests.
+//!
+//! The table is a deterministic part of the control state machine: equal commands with equal
+//! stamps lead to equal tables. A key passes through these states:
+//!
+//! ```text
+//! (absent) -> Held -> Ran | Unknown -> spent -> (absent)
+//!               \--> Released (the attempt never ran) -> Held by another attempt
+//! ```
+//!
+//! Only `Released` leads back to `Held`, so a key is run by one attempt at the most until it is
+//! forgotten.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use bytes::Bytes;
+use fault::{FaultKind, RunOutcome};
+use serde::{Deserialize, Serialize};
+use wire::answer::AttemptKey;
+use wire::command::{ClaimKey, ClaimRequest, ControlReply, RecordedAnswer};
+use wire::id::{AccountId, EndpointId, FingerprintHash, name_id};
+
+use crate::error::{Result, ensure};
+
+/// Bounds of the table. Equal at every replica: they travel with the snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimLimits {
+    /// Keys kept, spent ones included. New keys are refused beyond.
+    pub keys: usize,
+    /// Bytes of recorded answers together. The oldest bodies are dropped beyond.
+    pub answer_bytes: usize,
+    /// Bytes of one recorded answer. A larger one is recorded without its body.
+    pub one_answer_bytes: usize,
+    /// Shortest retention; outlives every deadline and every frame on its way.
+    pub min_retention: Duration,
+    /// Longest retention.
+    pub max_retention: Duration,
+    /// Time for which a key is refused as expired after its retention.
+    pub spent_for: Duration,
+}
+
+impl Default for ClaimLimits {
+    fn default() -> Self {
+        Self {
+            keys: 500_000,
+            answer_bytes: 64 * 1024 * 1024,
+            one_answer_bytes: 256 * 1024,
+            min_retention: Duration::from_secs(10 * 60),
+            max_retention: Duration::from_secs(7 * 24 * 60 * 60),
+            spent_for: Duration::from_secs(24 * 60 * 60),
+        }
+    }
+}
+
+/// How far a claimed request has come.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimState {
+    /// The attempt may run.
+    Held,
+    /// The attempt ran.
+    Ran(Option<RecordedAnswer>),
+    /// The attempt may have run. It is never repeated.
+    Unknown,
+    /// The attempt did not run and never will; another one may.
+    Released,
+}
+
+/// One claimed request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRecord {
+    /// The work; another one under the same key is a conflict.
+    pub fingerprint: FingerprintHash,
+    /// The one attempt that may run.
+    pub attempt: AttemptKey,
+    /// The one endpoint that may run it.
+    pub endpoint: EndpointId,
+    /// How far it has come.
+    pub state: ClaimState,
+    /// How long the record is kept after its last change of state.
+    retention: Duration,
+    /// When the record leaves its state by itself.
+    due: Duration,
+}
+
+/// A key past its retention: the account and the hash of the key.
+type SpentKey = (AccountId, u64);
+
+/// Control's record of non-idempotent requests.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "ClaimSnapshot", into = "ClaimSnapshot")]
+pub struct ClaimTable {
+    limits: ClaimLimits,
+    /// Latest stamp seen. Never runs backwards.
+    now: Duration,
+    records: BTreeMap<ClaimKey, ClaimRecord>,
+    /// Exactly the `due` of every record.
+    due: BTreeSet<(Duration, ClaimKey)>,
+    /// Keys past their retention with the time at which they are forgotten.
+    spent: BTreeMap<SpentKey, Duration>,
+    /// Exactly the times of `spent`.
+    spent_due: BTreeSet<(Duration, SpentKey)>,
+    /// Keys whose record may hold a body, oldest first.
+    bodies: VecDeque<ClaimKey>,
+    /// Bytes of all recorded answers.
+    answer_bytes: usize,
+}
+
+/// What a snapshot holds; the rest of the table follows from it.
+#[derive(Serialize, Deserialize)]
+struct ClaimSnapshot {
+    limits: ClaimLimits,
+    now: Duration,
+    records: Vec<(ClaimKey, ClaimRecord)>,
+    spent: Vec<(SpentKey, Duration)>,
+    bodies: Vec<ClaimKey>,
+}
+
+impl From<ClaimTable> for ClaimSnapshot {
+    fn from(table: ClaimTable) -> Self {
+        Self {
+            limits: table.limits,
+            now: table.now,
+            records: table.records.into_iter().collect(),
+            spent: table.spent.into_iter().collect(),
+            bodies: table.bodies.into(),
+        }
+    }
+}
+
+impl From<ClaimSnapshot> for ClaimTable {
+    fn from(snapshot: ClaimSnapshot) -> Self {
+        let records: BTreeMap<_, _> = snapshot.records.into_iter().collect();
+        let spent: BTreeMap<_, _> = snapshot.spent.into_iter().collect();
+        Self {
+            due: records
+                .iter()
+                .map(|(key, r)| (r.due, key.clone()))
+                .collect(),
+            answer_bytes: records.values().map(ClaimRecord::answer_bytes).sum(),
+            spent_due: spent.iter().map(|(key, due)| (*due, *key)).collect(),
+            limits: snapshot.limits,
+            now: snapshot.now,
+            records,
+            spent,
+            bodies: snapshot.bodies.into(),
+        }
+    }
+}
+
+impl ClaimRecord {
+    fn answer_bytes(&self) -> usize {
+        match &self.state {
+            ClaimState::Ran(Some(answer)) => answer_bytes(answer),
+            _ => 0,
+        }
+    }
+}
+
+fn answer_bytes(answer: &RecordedAnswer) -> usize {
+    let headers = answer.headers.iter();
+    let header_bytes: usize = headers.map(|h| h.name.len() + h.value.len()).sum();
+    header_bytes + answer.body.as_ref().map_or(0, Bytes::len)
+}
+
+impl ClaimTable {
+    /// An empty table with these bounds.
+    pub fn new(limits: ClaimLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Applies a claim that the leader stamped with `time`.
+    ///
+    /// The reply is `ClaimGranted` only to the one attempt that holds the key. A resend of that
+    /// attempt's claim is granted again, so a lost reply does no harm.
+    pub fn claim(&mut self, time: Duration, request: &ClaimRequest) -> ControlReply {
+        self.advance(time);
+        if self.spent.contains_key(&spent_key(&request.claim)) {
+            return refuse(
+                FaultKind::KeyExpired,
+                "the idempotency key is past its retention",
+            );
+        }
+        let Some(record) = self.records.get(&request.claim) else {
+            return self.grant_new(request);
+        };
+        if record.fingerprint != request.fingerprint {
+            return refuse(
+                FaultKind::KeyConflict,
+                "the idempotency key was used with another request",
+            );
+        }
+        match &record.state {
+            ClaimState::Held => reply_held(record, request),
+            ClaimState::Ran(Some(answer)) => ControlReply::ClaimAnswered(answer.clone()),
+            ClaimState::Ran(None) => refuse(
+                FaultKind::OutcomeUnknown,
+                "the request ran and its answer was not kept; it is not run again",
+            ),
+            ClaimState::Unknown => refuse(
+                FaultKind::OutcomeUnknown,
+                "the request may have run; it is not run again",
+            ),
+            ClaimState::Released => self.grant_released(request),
+        }
+    }
+
+    /// Records how the attempt that holds a claim ended.
+    ///
+    /// `Unknown` may still become `Ran`, nothing else changes once it is told: a caller may have
+    /// heard it. The end of an attempt that does not hold the claim changes nothing.
+    pub fn finish(
+        &mut self,
+        time: Duration,
+        claim: &ClaimKey,
+        attempt: AttemptKey,
+        outcome: RunOutcome,
+        answer: Option<RecordedAnswer>,
+    ) -> ControlReply {
+        self.advance(time);
+        let Some(record) = self.records.get(claim) else {
+            return refuse(FaultKind::KeyExpired, "the claim is not recorded");
+        };
+        if record.attempt != attempt {
+            return refuse(FaultKind::Fenced, "another attempt holds the claim");
+        }
+        let state = match (&record.state, outcome) {
+            (ClaimState::Held | ClaimState::Unknown, RunOutcome::Ran) => {
+                ClaimState::Ran(answer.map(|answer| self.fitted(answer)))
+            }
+            (ClaimState::Held, RunOutcome::NotRun) => ClaimState::Released,
+            (ClaimState::Held, RunOutcome::Unknown) => ClaimState::Unknown,
+            _ => return ControlReply::ClaimFinished,
+        };
+        self.set_state(claim, state);
+        self.drop_old_bodies();
+        ControlReply::ClaimFinished
+    }
+
+    /// Turns every held claim of `endpoint` into `Unknown`: the agent that knew better is gone.
+    pub fn abandon(&mut self, time: Duration, endpoint: EndpointId) {
+        self.advance(time);
+        let is_held = |r: &ClaimRecord| r.endpoint == endpoint && r.state == ClaimState::Held;
+        let held = self.records.iter().filter(|(_, record)| is_held(record));
+        let keys: Vec<ClaimKey> = held.map(|(key, _)| key.clone()).collect();
+        for key in keys {
+            self.set_state(&key, ClaimState::Unknown);
+        }
+    }
+
+    /// Moves the time on and lets go of what is past its retention.
+    pub fn advance(&mut self, time: Duration) {
+        self.now = self.now.max(time);
+        while let Some((due, _)) = self.due.first()
+            && *due <= self.now
+        {
+            self.expire_first();
+        }
+        while let Some((due, key)) = self.spent_due.first().copied()
+            && due <= self.now
+        {
+            self.spent_due.remove(&(due, key));
+            self.spent.remove(&key);
+        }
+    }
+
+    /// The record of `claim`.
+    pub fn get(&self, claim: &ClaimKey) -> Option<&ClaimRecord> {
+        self.records.get(claim)
+    }
+
+    /// Keys kept, spent ones included.
+    pub fn len(&self) -> usize {
+        self.records.len() + self.spent.len()
+    }
+
+    /// Whether no key is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Bytes of all recorded answers.
+    pub fn answer_bytes(&self) -> usize {
+        self.answer_bytes
+    }
+
+    /// Checks the invariants.
+    ///
+    /// # Errors
+    /// The first one that is broken.
+    pub fn verify(&self) -> Result<()> {
+        ensure(
+            self.due.len() == self.records.len(),
+            "one due time a record",
+        )?;
+        ensure(
+            self.spent_due.len() == self.spent.len(),
+            "one due time a spent key",
+        )?;
+        for (key, record) in &self.records {
+            ensure(
+                self.due.contains(&(record.due, key.clone())),
+                "due times match",
+            )?;
+            ensure(record.due > self.now, "no record is overdue")?;
+            ensure(
+                !self.spent.contains_key(&spent_key(key)),
+                "a spent key has no record",
+            )?;
+        }
+        let bytes: usize = self.records.values().map(ClaimRecord::answer_bytes).sum();
+        ensure(bytes == self.answer_bytes, "recorded bytes are counted")?;
+        ensure(self.len() <= self.limits.keys, "keys are bounded")?;
+        ensure(
+            bytes <= self.limits.answer_bytes,
+            "recorded bytes are bounded",
+        )
+    }
+
+    fn grant_new(&mut self, request: &ClaimRequest) -> ControlReply {
+        if self.len() >= self.limits.keys {
+            return refuse(FaultKind::StoreFull, "too many idempotency keys are kept");
+        }
+        let (min, max) = (self.limits.min_retention, self.limits.max_retention);
+        let retention = request.retention.clamp(min, max);
+        let record = ClaimRecord {
+            fingerprint: request.fingerprint,
+            attempt: request.attempt,
+            endpoint: request.endpoint,
+            state: ClaimState::Held,
+            retention,
+            due: self.now + retention,
+        };
+        self.due.insert((record.due, request.claim.clone()));
+        self.records.insert(request.claim.clone(), record);
+        ControlReply::ClaimGranted
+    }
+
+    fn grant_released(&mut self, request: &ClaimRequest) -> ControlReply {
+        let Some(record) = self.records.get_mut(&request.claim) else {
+            return refuse(FaultKind::Internal, "the claim is not recorded");
+        };
+        let last = record.attempt;
+        if request.attempt.request == last.request && request.attempt <= last {
+            return refuse(FaultKind::Fenced, "the attempt was given up");
+        }
+        record.attempt = request.attempt;
+        record.endpoint = request.endpoint;
+        self.set_state(&request.claim, ClaimState::Held);
+        ControlReply::ClaimGranted
+    }
+
+    /// Changes the state of a record and starts its retention anew.
+    fn set_state(&mut self, claim: &ClaimKey, state: ClaimState) {
+        let Some(record) = self.records.get_mut(claim) else {
+            return;
+        };
+        self.due.remove(&(record.due, claim.clone()));
+        self.answer_bytes -= record.answer_bytes();
+        record.state = state;
+        record.due = self.now + record.retention;
+        self.answer_bytes += record.answer_bytes();
+        if record.answer_bytes() > 0 {
+            self.bodies.push_back(claim.clone());
+        }
+        self.due.insert((record.due, claim.clone()));
+    }
+
+    fn expire_first(&mut self) {
+        let Some((due, claim)) = self.due.pop_first() else {
+            return;
+        };
+        let Some(mut record) = self.records.remove(&claim) else {
+            return;
+        };
+        match record.state {
+            ClaimState::Held => {
+                record.state = ClaimState::Unknown;
+                record.due = due + record.retention;
+                self.due.insert((record.due, claim.clone()));
+                self.records.insert(claim, record);
+            }
+            ClaimState::Released => {}
+            ClaimState::Ran(_) | ClaimState::Unknown => {
+                self.answer_bytes -= record.answer_bytes();
+                let key = spent_key(&claim);
+                let forget = due + self.limits.spent_for;
+                self.spent.insert(key, forget);
+                self.spent_due.insert((forget, key));
+            }
+        }
+    }
+
+    /// The answer without its body when it is larger than one answer may be.
+    fn fitted(&self, mut answer: RecordedAnswer) -> RecordedAnswer {
+        if answer_bytes(&answer) > self.limits.one_answer_bytes {
+            answer.body = None;
+        }
+        if answer_bytes(&answer) > self.limits.one_answer_bytes {
+            answer.headers.clear();
+        }
+        answer
+    }
+
+    fn drop_old_bodies(&mut self) {
+        while self.answer_bytes > self.limits.answer_bytes {
+            let Some(claim) = self.bodies.pop_front() else {
+                return;
+            };
+            let Some(record) = self.records.get_mut(&claim) else {
+                continue;
+            };
+            self.answer_bytes -= record.answer_bytes();
+            if let ClaimState::Ran(Some(answer)) = &mut record.state {
+                answer.body = None;
+                answer.headers.clear();
+            }
+        }
+    }
+}
+
+fn reply_held(record: &ClaimRecord, request: &ClaimRequest) -> ControlReply {
+    if record.attempt != request.attempt {
+        return refuse(FaultKind::StillRunning, "the request is still running");
+    }
+    if record.endpoint != request.endpoint {
+        return refuse(
+            FaultKind::Fenced,
+            "the attempt is bound to another endpoint",
+        );
+    }
+    ControlReply::ClaimGranted
+}
+
+fn spent_key(claim: &ClaimKey) -> SpentKey {
+    (claim.account, name_id(&claim.key))
+}
+
+pub(crate) fn refuse(kind: FaultKind, message: &str) -> ControlReply {
+    ControlReply::Refused(kind.because(message))
+}
--- /dev/null
+++ b/crates/claim/src/suspects.rs
@@ -0,0 +1,312 @@
+//! Control's replicated record of requests that may crash endpoints.
+//!
+//! Every request that was running when an endpoint crashed is suspected. A suspect runs only
+//! alone and with a permit that one attempt at a time holds. It is cleared when it completes and
+//! quarantined when its endpoint crashes, so a request that always crashes takes two endpoints at
+//! the most: one in company and one alone.
+//!
+//! ```text
+//! (absent) -> Suspected -> OnTrial -> (absent) when it completes
+//!                 ^            \----> Quarantined when the endpoint crashes or falls silent
+//!                 \------------------/ when the quarantine is over
+//! ```
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use fault::FaultKind;
+use serde::{Deserialize, Serialize};
+use wire::answer::AttemptKey;
+use wire::command::ControlReply;
+use wire::id::{EndpointId, FingerprintHash};
+
+use crate::claims::refuse;
+use crate::error::{Result, ensure};
+
+/// Crashes that lead to a quarantine.
+pub const CRASHES_TO_QUARANTINE: u32 = 2;
+/// Crashes held against a request whose quarantine is over: the next one leads back.
+const CRASHES_AFTER_QUARANTINE: u32 = CRASHES_TO_QUARANTINE - 1;
+
+/// Bounds of the table. Equal at every replica: they travel with the snapshot.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectLimits {
+    /// Requests recorded. The suspect whose suspicion ends first gives way.
+    pub requests: usize,
+    /// Time for which a request is suspected without running.
+    pub suspicion: Duration,
+    /// Time within which a trial has to end. One that doesn't counts as a crash.
+    pub trial: Duration,
+    /// Time for which a request is quarantined.
+    pub quarantine: Duration,
+}
+
+impl Default for SuspectLimits {
+    fn default() -> Self {
+        Self {
+            requests: 16_384,
+            suspicion: Duration::from_secs(60 * 60),
+            trial: Duration::from_secs(15 * 60),
+            quarantine: Duration::from_secs(60 * 60),
+        }
+    }
+}
+
+/// What may be done with a recorded request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SuspectStage {
+    /// It may run alone, with a permit.
+    Suspected,
+    /// This attempt may run it, alone.
+    OnTrial(AttemptKey),
+    /// It is refused everywhere.
+    Quarantined,
+}
+
+/// One recorded request, as operators see it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectRow {
+    /// What may be done with it.
+    pub stage: SuspectStage,
+    /// Crashes held against it.
+    pub crashes: u32,
+    /// Endpoint that crashed last, or that tries the request.
+    pub endpoint: EndpointId,
+    /// When the stage ends by itself, on the clock of the stamps.
+    pub due: Duration,
+}
+
+/// Control's record of requests that may crash endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectTable {
+    limits: SuspectLimits,
+    /// Latest stamp seen. Never runs backwards.
+    now: Duration,
+    rows: BTreeMap<FingerprintHash, SuspectRow>,
+    /// Crash reports that were counted, with the time at which they are forgotten.
+    counted: BTreeMap<(EndpointId, u64), Duration>,
+}
+
+impl SuspectTable {
+    /// An empty table with these bounds.
+    pub fn new(limits: SuspectLimits) -> Self {
+        Self {
+            limits,
+            ..Self::default()
+        }
+    }
+
+    /// Counts a crash of `endpoint` against the requests that were running there. A resend of a
+    /// counted report, known by the cache epoch that ended, changes nothing.
+    pub fn report_crash(
+        &mut self,
+        time: Duration,
+        endpoint: EndpointId,
+        cache_epoch: u64,
+        suspects: &[FingerprintHash],
+    ) -> ControlReply {
+        self.advance(time);
+        let forget = self.now + self.limits.suspicion;
+        if self
+            .counted
+            .insert((endpoint, cache_epoch), forget)
+            .is_some()
+        {
+            return ControlReply::Recorded;
+        }
+        let mut running = suspects.to_vec();
+        running.sort_unstable();
+        running.dedup();
+        for fingerprint in running {
+            self.count_crash(fingerprint, endpoint);
+        }
+        ControlReply::Recorded
+    }
+
+    /// Asks for the permit to run a suspect alone, as `attempt` at `endpoint`. `Recorded` grants
+    /// it.
+    pub fn try_suspect(
+        &mut self,
+        time: Duration,
+        fingerprint: FingerprintHash,
+        endpoint: EndpointId,
+        attempt: AttemptKey,
+    ) -> ControlReply {
+        self.advance(time);
+        let due = self.now + self.limits.trial;
+        let Some(row) = self.rows.get_mut(&fingerprint) else {
+            return ControlReply::Recorded;
+        };
+        match row.stage {
+            SuspectStage::Suspected => {
+                row.stage = SuspectStage::OnTrial(attempt);
+                row.endpoint = endpoint;
+                row.due = due;
+                ControlReply::Recorded
+            }
+            SuspectStage::OnTrial(holder) if holder == attempt => ControlReply::Recorded,
+            SuspectStage::OnTrial(_) => refuse(
+                FaultKind::Overloaded,
+                "the request is suspected of crashing endpoints and another attempt is running",
+            ),
+            SuspectStage::Quarantined => refuse(
+                FaultKind::Quarantined,
+                "the request crashed endpoints and is quarantined",
+            ),
+        }
+    }
+
+    /// Takes back the permit of an attempt that never started and never will.
+    pub fn drop_trial(
+        &mut self,
+        time: Duration,
+        fingerprint: FingerprintHash,
+        attempt: AttemptKey,
+    ) -> ControlReply {
+        self.advance(time);
+        let due = self.now + self.limits.suspicion;
+        if let Some(row) = self.rows.get_mut(&fingerprint)
+            && row.stage == SuspectStage::OnTrial(attempt)
+        {
+            row.stage = SuspectStage::Suspected;
+            row.due = due;
+        }
+        ControlReply::Recorded
+    }
+
+    /// Records that a request completed without a crash. One that is quarantined for its crashes
+    /// stays so; one whose trial was only silent is cleared.
+    pub fn clear(&mut self, time: Duration, fingerprint: FingerprintHash) -> ControlReply {
+        self.advance(time);
+        let is_cleared = |row: &SuspectRow| {
+            row.stage != SuspectStage::Quarantined || row.crashes < CRASHES_TO_QUARANTINE
+        };
+        if self.rows.get(&fingerprint).is_some_and(is_cleared) {
+            self.rows.remove(&fingerprint);
+        }
+        ControlReply::Recorded
+    }
+
+    /// Lifts a quarantine or a suspicion by order of an operator.
+    pub fn lift(&mut self, time: Duration, fingerprint: FingerprintHash) -> ControlReply {
+        self.advance(time);
+        self.rows.remove(&fingerprint);
+        ControlReply::Recorded
+    }
+
+    /// Moves the time on and ends stages that are due.
+    pub fn advance(&mut self, time: Duration) {
+        self.now = self.now.max(time);
+        let now = self.now;
+        self.counted.retain(|_, forget| *forget > now);
+        let is_due = |(_, row): &(&FingerprintHash, &SuspectRow)| row.due <= now;
+        let due: Vec<FingerprintHash> = self.rows.iter().filter(is_due).map(|r| *r.0).collect();
+        for fingerprint in due {
+            self.end_stage(fingerprint);
+        }
+    }
+
+    /// Requests that run only alone and with a permit.
+    pub fn suspects(&self) -> Vec<FingerprintHash> {
+        self.select(|stage| stage != SuspectStage::Quarantined)
+    }
+
+    /// Requests that are refused.
+    pub fn quarantined(&self) -> Vec<FingerprintHash> {
+        self.select(|stage| stage == SuspectStage::Quarantined)
+    }
+
+    /// Everything recorded, for operators.
+    pub fn rows(&self) -> impl Iterator<Item = (FingerprintHash, &SuspectRow)> {
+        self.rows
+            .iter()
+            .map(|(fingerprint, row)| (*fingerprint, row))
+    }
+
+    /// Checks the invariants.
+    ///
+    /// # Errors
+    /// The first one that is broken.
+    pub fn verify(&self) -> Result<()> {
+        for row in self.rows.values() {
+            let is_free = row.stage != SuspectStage::Quarantined;
+            ensure(row.due > self.now, "no stage is overdue")?;
+            ensure(row.crashes > 0, "suspicion follows a crash")?;
+            ensure(
+                !is_free || row.crashes < CRASHES_TO_QUARANTINE,
+                "a request that crashed often enough is quarantined",
+            )?;
+        }
+        ensure(
+            self.rows.len() <= self.limits.requests,
+            "requests are bounded",
+        )
+    }
+
+    fn select(&self, wanted: impl Fn(SuspectStage) -> bool) -> Vec<FingerprintHash> {
+        let rows = self.rows.iter().filter(|(_, row)| wanted(row.stage));
+        rows.map(|(fingerprint, _)| *fingerprint).collect()
+    }
+
+    fn count_crash(&mut self, fingerprint: FingerprintHash, endpoint: EndpointId) {
+        let crashes = self.rows.get(&fingerprint).map_or(0, |row| row.crashes) + 1;
+        if crashes == 1 && !self.make_room() {
+            return;
+        }
+        let row = if crashes >= CRASHES_TO_QUARANTINE {
+            self.quarantine_row(crashes, endpoint)
+        } else {
+            self.suspect_row(crashes, endpoint)
+        };
+        self.rows.insert(fingerprint, row);
+    }
+
+    /// Ends the stage of a row that is due.
+    fn end_stage(&mut self, fingerprint: FingerprintHash) {
+        let Some(row) = self.rows.remove(&fingerprint) else {
+            return;
+        };
+        let next = match row.stage {
+            SuspectStage::Suspected => return,
+            SuspectStage::OnTrial(_) => self.quarantine_row(row.crashes, row.endpoint),
+            SuspectStage::Quarantined => self.suspect_row(CRASHES_AFTER_QUARANTINE, row.endpoint),
+        };
+        self.rows.insert(fingerprint, next);
+    }
+
+    fn quarantine_row(&self, crashes: u32, endpoint: EndpointId) -> SuspectRow {
+        SuspectRow {
+            stage: SuspectStage::Quarantined,
+            crashes,
+            endpoint,
+            due: self.now + self.limits.quarantine,
+        }
+    }
+
+    fn suspect_row(&self, crashes: u32, endpoint: EndpointId) -> SuspectRow {
+        SuspectRow {
+            stage: SuspectStage::Suspected,
+            crashes,
+            endpoint,
+            due: self.now + self.limits.suspicion,
+        }
+    }
+
+    /// Makes room for one more row. Returns false when everything recorded is quarantined or on
+    /// trial.
+    fn make_room(&mut self) -> bool {
+        if self.rows.len() < self.limits.requests {
+            return true;
+        }
+        let free = self
+            .rows
+            .iter()
+            .filter(|(_, row)| row.stage == SuspectStage::Suspected);
+        let first = free.min_by_key(|(fingerprint, row)| (row.due, **fingerprint));
+        let Some(fingerprint) = first.map(|(fingerprint, _)| *fingerprint) else {
+            return false;
+        };
+        self.rows.remove(&fingerprint);
+        true
+    }
+}
