Choose endpoints by warm hint, rendezvous preference, shared prefix and room

The table is flat and sorted by endpoint id, so the choice does not depend on how endpoints are listed; preference is weighted rendezvous hashing. Each choice carries the record of what was considered and why it was passed over. Retries draw on a budget that is a share of first attempts.

The aim is lowered to bound x (n - 1) / n in small services: the return of one cold endpoint lowers the mean by that share.

--- /dev/null
+++ b/crates/route/src/choice.rs
@@ -0,0 +1,396 @@
+//! The choice of an endpoint and its record.
+//!
+//! In order: the warm places of the hint, the preferred endpoints of the chat, the holders of the
+//! longest shared prefix, and any endpoint in proportion to its room. The first that stays under
+//! the aimed load is taken. The aim lies under the hard bound of the agents because work that ends
+//! elsewhere lowers the mean under an endpoint that is already full.
+
+use std::time::Instant;
+
+use rand::{Rng, RngExt};
+use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
+use wire::member::EndpointState;
+
+use crate::hint::WarmHint;
+use crate::preference::{AffinityKey, PreferenceList};
+use crate::table::{EndpointRow, RouteTable, ServiceRows};
+
+/// Preferred endpoints that are considered.
+pub const PREFERENCE_DEPTH: usize = 3;
+/// Holders of a shared prefix that are considered.
+const HOLDER_SAMPLES: usize = 4;
+/// Factor on the room of endpoints in the entry's own failure domain.
+const NEAR_FACTOR: f64 = 2.0;
+
+/// What the choice depends on.
+#[derive(Clone, Debug)]
+pub struct RouteRequest<'a> {
+    /// Service that must serve the request.
+    pub service: ServiceId,
+    /// Model that the endpoint must carry.
+    pub model: Option<ModelId>,
+    /// What the request wants to be close to, normally its chat.
+    pub affinity: AffinityKey,
+    /// Where the chat is warm, as the caller says.
+    pub hint: &'a WarmHint,
+    /// Chained hashes of the prompt's blocks, shortest prefix first.
+    pub prefixes: &'a [PrefixHash],
+    /// Endpoints that refused this request before.
+    pub tried: &'a [EndpointId],
+    /// Hard limit of load as a multiple of the mean.
+    pub load_bound: f64,
+    /// Aimed limit of load as a multiple of the mean.
+    pub load_aim: f64,
+}
+
+/// Why an endpoint was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ChoiceReason {
+    /// The hint names it and it has room.
+    Warm,
+    /// It is preferred by the chat and has room.
+    Preferred,
+    /// It holds the longest known prefix of the prompt and has room.
+    SharedPrefix,
+    /// It was drawn in proportion to its room.
+    Room,
+    /// Nobody has room; it is the least loaded.
+    LeastLoaded,
+    /// No endpoint can be tried.
+    NoneLeft,
+}
+
+/// Why an endpoint was passed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Exclusion {
+    /// It is draining or said that it is leaving.
+    Leaving,
+    /// Control says that it is down: its lease lapsed or its agent finds it unusable.
+    Down,
+    /// A connection to it failed a moment ago.
+    Suspect,
+    /// It refused this request before.
+    Tried,
+    /// Its load would exceed the aim.
+    Loaded,
+    /// It serves another service, or does not carry the model.
+    Misplaced,
+    /// Its cache was lost since the hint was given.
+    Cold,
+    /// The hint names it, but no digest does.
+    Unknown,
+}
+
+/// One endpoint that was considered.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CandidateRecord {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its load with the request, as a multiple of the mean.
+    pub load: f64,
+    /// Tokens that are believed warm there.
+    pub warm_tokens: u32,
+    /// Why it was considered.
+    pub reason: ChoiceReason,
+    /// Why it was passed over; `None` for the chosen one.
+    pub exclusion: Option<Exclusion>,
+}
+
+/// The choice and its record.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteDecision {
+    /// The endpoint, or `None` when none can be tried.
+    pub endpoint: Option<EndpointId>,
+    /// Why it was chosen.
+    pub reason: ChoiceReason,
+    /// Endpoints in the order in which they were considered.
+    pub candidates: Vec<CandidateRecord>,
+    /// Mean load for each unit of weight that the loads are measured by.
+    pub mean: f64,
+    /// Endpoints that could be tried.
+    pub admissible: u32,
+    /// Endpoints of the service.
+    pub known: u32,
+}
+
+/// What one pass over the endpoints of a service finds.
+struct ServiceScan {
+    preferred: PreferenceList<PREFERENCE_DEPTH>,
+    /// Drawn in proportion to room.
+    roomy: Option<u32>,
+    least_loaded: Option<u32>,
+    admissible: u32,
+    known: u32,
+}
+
+/// One choice in progress.
+struct ChoiceRun<'a> {
+    table: &'a RouteTable,
+    request: &'a RouteRequest<'a>,
+    now: Instant,
+    mean: f64,
+    aim: f64,
+    candidates: Vec<CandidateRecord>,
+}
+
+impl RouteTable {
+    /// Chooses an endpoint for `request`.
+    pub fn choose<R: Rng>(
+        &self,
+        request: &RouteRequest<'_>,
+        now: Instant,
+        rng: &mut R,
+    ) -> RouteDecision {
+        let Some(service) = self.services.get(&request.service) else {
+            return no_decision();
+        };
+        let mut run = ChoiceRun {
+            table: self,
+            request,
+            now,
+            mean: self.mean_load(service),
+            aim: reachable_aim(request, service.rows.len()),
+            candidates: Vec::new(),
+        };
+        let scan = run.scan(service, rng);
+        let choice = run.pick(&scan, rng);
+        RouteDecision {
+            endpoint: choice.map(|(endpoint, _)| endpoint),
+            reason: choice.map_or(ChoiceReason::NoneLeft, |(_, reason)| reason),
+            candidates: run.candidates,
+            mean: run.mean,
+            admissible: scan.admissible,
+            known: scan.known,
+        }
+    }
+
+    /// Mean load for each unit of weight: control's word, or else what this entry saw itself.
+    fn mean_load(&self, service: &ServiceRows) -> f64 {
+        if let Some(mean) = service.mean {
+            return mean;
+        }
+        let rows = service.rows.iter().map(|row| &self.rows[*row as usize]);
+        let (load, weight) = rows
+            .filter(|row| row.state == EndpointState::Serving)
+            .fold((0, 0), |(load, weight), row| {
+                (load + row.load.total() + row.pending, weight + row.weight)
+            });
+        f64::from(load) / f64::from(weight.max(1))
+    }
+}
+
+/// Lowers the aim so far that the loss or return of one endpoint, which lowers the mean by its
+/// share, leaves the others under the bound.
+fn reachable_aim(request: &RouteRequest<'_>, endpoints: usize) -> f64 {
+    let endpoints = endpoints.max(1) as f64;
+    let after_return = request.load_bound * (endpoints - 1.0) / endpoints;
+    request.load_aim.min(after_return).max(1.0)
+}
+
+fn no_decision() -> RouteDecision {
+    RouteDecision {
+        endpoint: None,
+        reason: ChoiceReason::NoneLeft,
+        candidates: Vec::new(),
+        mean: 0.0,
+        admissible: 0,
+        known: 0,
+    }
+}
+
+impl ChoiceRun<'_> {
+    fn scan<R: Rng>(&self, service: &ServiceRows, rng: &mut R) -> ServiceScan {
+        let mut scan = ServiceScan {
+            preferred: PreferenceList::default(),
+            roomy: None,
+            least_loaded: None,
+            admissible: 0,
+            known: 0,
+        };
+        let mut total_room = 0.0;
+        let mut least_load = f64::INFINITY;
+        for index in &service.rows {
+            let row = &self.table.rows[*index as usize];
+            scan.known += 1;
+            if self.exclusion(row).is_some() {
+                continue;
+            }
+            scan.admissible += 1;
+            let affinity = self.request.affinity;
+            scan.preferred
+                .offer(affinity, row.endpoint, row.weight, *index);
+            let load = self.load_with_request(row);
+            if load < least_load {
+                least_load = load;
+                scan.least_loaded = Some(*index);
+            }
+            let room = self.room(row, load);
+            if room > 0.0 {
+                total_room += room;
+                if rng.random_range(0.0..total_room) < room {
+                    scan.roomy = Some(*index);
+                }
+            }
+        }
+        scan
+    }
+
+    fn pick<R: Rng>(
+        &mut self,
+        scan: &ServiceScan,
+        rng: &mut R,
+    ) -> Option<(EndpointId, ChoiceReason)> {
+        if let Some(endpoint) = self.pick_warm() {
+            return Some((endpoint, ChoiceReason::Warm));
+        }
+        if self.request.hint.is_empty()
+            && let Some(endpoint) = self.pick_preferred(scan)
+        {
+            return Some((endpoint, ChoiceReason::Preferred));
+        }
+        if let Some(endpoint) = self.pick_holder(rng) {
+            return Some((endpoint, ChoiceReason::SharedPrefix));
+        }
+        if let Some(row) = scan.roomy {
+            return Some((self.take(row, ChoiceReason::Room), ChoiceReason::Room));
+        }
+        let row = scan.least_loaded?;
+        let reason = ChoiceReason::LeastLoaded;
+        Some((self.take(row, reason), reason))
+    }
+
+    fn pick_warm(&mut self) -> Option<EndpointId> {
+        let hint = self.request.hint;
+        for place in hint.places() {
+            let row = self.table.find(place.endpoint);
+            let row = row.map(|index| &self.table.rows[index]);
+            let exclusion = match row {
+                None => Some(Exclusion::Unknown),
+                Some(row) if row.cache_epoch != place.cache_epoch => Some(Exclusion::Cold),
+                Some(row) => self.exclusion(row).or_else(|| self.overload(row, self.aim)),
+            };
+            let load = row.map_or(0.0, |row| self.load_with_request(row));
+            self.candidates.push(CandidateRecord {
+                endpoint: place.endpoint,
+                load,
+                warm_tokens: place.tokens,
+                reason: ChoiceReason::Warm,
+                exclusion,
+            });
+            if exclusion.is_none() {
+                return Some(place.endpoint);
+            }
+        }
+        None
+    }
+
+    fn pick_preferred(&mut self, scan: &ServiceScan) -> Option<EndpointId> {
+        for rank in scan.preferred.ranks() {
+            let row = &self.table.rows[rank.row as usize];
+            let exclusion = self.overload(row, self.aim);
+            let endpoint = row.endpoint;
+            self.record(rank.row, ChoiceReason::Preferred, exclusion);
+            if exclusion.is_none() {
+                return Some(endpoint);
+            }
+        }
+        None
+    }
+
+    fn pick_holder<R: Rng>(&mut self, rng: &mut R) -> Option<EndpointId> {
+        let holders = self.table.prefixes.holders(self.request.prefixes)?;
+        for _ in 0..HOLDER_SAMPLES {
+            let draw = rng.random_range(0..holders.endpoints.len());
+            let Some(index) = self.table.find(holders.endpoints[draw]) else {
+                continue;
+            };
+            let row = &self.table.rows[index];
+            let exclusion = self.exclusion(row).or_else(|| self.overload(row, self.aim));
+            let endpoint = row.endpoint;
+            self.record(index as u32, ChoiceReason::SharedPrefix, exclusion);
+            if exclusion.is_none() {
+                return Some(endpoint);
+            }
+        }
+        None
+    }
+
+    fn take(&mut self, row: u32, reason: ChoiceReason) -> EndpointId {
+        self.record(row, reason, None);
+        self.table.rows[row as usize].endpoint
+    }
+
+    fn record(&mut self, row: u32, reason: ChoiceReason, exclusion: Option<Exclusion>) {
+        let row = &self.table.rows[row as usize];
+        let record = CandidateRecord {
+            endpoint: row.endpoint,
+            load: self.load_with_request(row),
+            warm_tokens: 0,
+            reason,
+            exclusion,
+        };
+        self.candidates.push(record);
+    }
+
+    /// Why `row` can't be tried at all.
+    fn exclusion(&self, row: &EndpointRow) -> Option<Exclusion> {
+        let is_ahead = |until: Option<Instant>| until.is_some_and(|until| self.now < until);
+        if row.state == EndpointState::Draining || is_ahead(row.leaving_until) {
+            return Some(Exclusion::Leaving);
+        }
+        if row.state == EndpointState::Down {
+            return Some(Exclusion::Down);
+        }
+        if is_ahead(row.suspect_until) {
+            return Some(Exclusion::Suspect);
+        }
+        if self.request.tried.contains(&row.endpoint) {
+            return Some(Exclusion::Tried);
+        }
+        self.is_misplaced(row).then_some(Exclusion::Misplaced)
+    }
+
+    fn is_misplaced(&self, row: &EndpointRow) -> bool {
+        if row.service != self.request.service {
+            return true;
+        }
+        let Some(model) = self.request.model else {
+            return false;
+        };
+        let Some(endpoints) = self.table.placement.get(&model) else {
+            return false;
+        };
+        endpoints.binary_search(&row.endpoint).is_err()
+    }
+
+    fn overload(&self, row: &EndpointRow, limit: f64) -> Option<Exclusion> {
+        (self.load_with_request(row) > limit).then_some(Exclusion::Loaded)
+    }
+
+    /// Load of `row` with the request added, as a multiple of the mean with the request added.
+    fn load_with_request(&self, row: &EndpointRow) -> f64 {
+        let weight = f64::from(row.weight);
+        let expected = self.mean * weight;
+        let load = expected + (f64::from(row.load.total()) - expected) * self.trust(row);
+        let load = load + f64::from(row.pending) + 1.0;
+        load / (expected + 1.0)
+    }
+
+    /// Weight of the reported load against the mean, falling with its age.
+    fn trust(&self, row: &EndpointRow) -> f64 {
+        let Some(seen_at) = row.seen_at else {
+            return 0.0;
+        };
+        let age = self.now.saturating_duration_since(seen_at).as_secs_f64();
+        let fades_after = self.table.settings.load_fades_after.as_secs_f64();
+        (1.0 - age / fades_after).max(0.0)
+    }
+
+    /// Requests that fit under the aim, more for endpoints nearby.
+    fn room(&self, row: &EndpointRow, load: f64) -> f64 {
+        let expected = self.mean * f64::from(row.weight) + 1.0;
+        let near = row.domain == self.table.settings.domain;
+        let factor = if near { NEAR_FACTOR } else { 1.0 };
+        (self.aim - load) * expected * factor
+    }
+}
--- /dev/null
+++ b/crates/route/src/preference.rs
@@ -0,0 +1,95 @@
+//! Weighted rendezvous hashing: the order of endpoints for one chat.
+//!
+//! Each endpoint draws an exponential variate from the hash of chat and endpoint, divided by its
+//! weight; the smallest comes first. The order does not depend on how the endpoints are listed,
+//! and an endpoint that comes or goes moves only its own chats.
+
+use wire::id::{AccountId, EndpointId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Identifies what a request wants to be close to, normally one chat of one account.
+pub type AffinityKey = u64;
+
+/// Mixes the endpoint id before it meets the affinity key.
+const ENDPOINT_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// First factor of the finalizer of the hash.
+const MIX_FACTOR_A: u64 = 0xbf58_476d_1ce4_e5b9;
+/// Second factor of the finalizer of the hash.
+const MIX_FACTOR_B: u64 = 0x94d0_49bb_1331_11eb;
+/// Number of distinct values of a draw, which has 53 bits.
+const DRAW_RANGE: f64 = 9_007_199_254_740_992.0;
+
+/// The affinity key of a chat.
+pub fn chat_key(account: AccountId, chat: &str) -> AffinityKey {
+    xxh3_64_with_seed(chat.as_bytes(), account)
+}
+
+/// One endpoint in the order of preference.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PreferenceRank {
+    /// Row of the endpoint in the caller's table.
+    pub row: u32,
+    /// Position on the line; smaller is preferred.
+    pub distance: f64,
+}
+
+/// The `LENGTH` most preferred endpoints, nearest first.
+#[derive(Clone, Debug)]
+pub struct PreferenceList<const LENGTH: usize> {
+    /// Sorted by distance; the first `count` are in use.
+    ranks: [PreferenceRank; LENGTH],
+    count: usize,
+}
+
+impl<const LENGTH: usize> Default for PreferenceList<LENGTH> {
+    fn default() -> Self {
+        let unused = PreferenceRank {
+            row: u32::MAX,
+            distance: f64::INFINITY,
+        };
+        Self {
+            ranks: [unused; LENGTH],
+            count: 0,
+        }
+    }
+}
+
+impl<const LENGTH: usize> PreferenceList<LENGTH> {
+    /// Offers an endpoint to the list.
+    pub fn offer(&mut self, key: AffinityKey, endpoint: EndpointId, weight: u32, row: u32) {
+        let draw = uniform_draw(key, endpoint);
+        let weight = f64::from(weight.max(1));
+        // -ln(draw) is at least 1 - draw, which spares the logarithm for most endpoints.
+        let worst = self.ranks[LENGTH - 1].distance;
+        if (1.0 - draw) / weight >= worst {
+            return;
+        }
+        let distance = -draw.ln() / weight;
+        if distance < worst {
+            self.insert(PreferenceRank { row, distance });
+        }
+    }
+
+    /// The endpoints found so far, nearest first.
+    pub fn ranks(&self) -> &[PreferenceRank] {
+        &self.ranks[..self.count]
+    }
+
+    fn insert(&mut self, rank: PreferenceRank) {
+        let place = self
+            .ranks
+            .partition_point(|held| held.distance <= rank.distance);
+        self.ranks[place..].rotate_right(1);
+        self.ranks[place] = rank;
+        self.count = (self.count + 1).min(LENGTH);
+    }
+}
+
+/// A draw from (0, 1], equal for equal arguments in every process.
+fn uniform_draw(key: AffinityKey, endpoint: EndpointId) -> f64 {
+    let mut bits = key ^ endpoint.wrapping_mul(ENDPOINT_FACTOR);
+    bits = (bits ^ (bits >> 30)).wrapping_mul(MIX_FACTOR_A);
+    bits = (bits ^ (bits >> 27)).wrapping_mul(MIX_FACTOR_B);
+    bits ^= bits >> 31;
+    ((bits >> 11) + 1) as f64 / DRAW_RANGE
+}
--- /dev/null
+++ b/crates/route/src/retry.rs
@@ -0,0 +1,90 @@
+//! Retry budget and back-off.
+
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+
+/// How often and how soon an entry retries.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RetrySettings {
+    /// Retries that each first attempt adds to the budget.
+    pub ratio: f64,
+    /// Largest budget, which is also the budget at the start.
+    pub burst: f64,
+    /// Upper end of the first wait.
+    pub first_wait: Duration,
+    /// Upper end of every wait.
+    pub longest_wait: Duration,
+    /// Agents that may refuse one request before the caller is told.
+    pub max_hops: u8,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            burst: 20.0,
+            first_wait: Duration::from_millis(50),
+            longest_wait: Duration::from_secs(2),
+            max_hops: 4,
+        }
+    }
+}
+
+/// Retries as a share of first attempts, so that a lost failure domain causes no retry storm.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    /// Between 0 and `settings.burst`.
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    pub fn new(settings: RetrySettings) -> Self {
+        let tokens = settings.burst;
+        Self { settings, tokens }
+    }
+
+    /// Counts a first attempt.
+    pub fn record_first(&mut self) {
+        self.tokens = (self.tokens + self.settings.ratio).min(self.settings.burst);
+    }
+
+    /// Takes one retry out of the budget, or says that there is none.
+    pub fn try_retry(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Wait before retry number `retry`, from 1: uniform up to a limit that doubles.
+    pub fn backoff<R: Rng>(&self, retry: u32, rng: &mut R) -> Duration {
+        let factor = 1_u32 << retry.saturating_sub(1).min(16);
+        let limit = self.settings.first_wait.saturating_mul(factor);
+        let limit = limit.min(self.settings.longest_wait);
+        limit.mul_f64(rng.random_range(0.0..1.0))
+    }
+
+    /// Wait before retry number `retry` after a refusal that asked for `retry_after`.
+    pub fn backoff_after<R: Rng>(
+        &self,
+        retry: u32,
+        retry_after: Option<Duration>,
+        rng: &mut R,
+    ) -> Duration {
+        retry_after.unwrap_or_default() + self.backoff(retry, rng)
+    }
+
+    /// Agents that may refuse one request before the caller is told.
+    pub fn max_hops(&self) -> u8 {
+        self.settings.max_hops
+    }
+
+    /// Retries left.
+    pub fn left(&self) -> f64 {
+        self.tokens
+    }
+}
--- /dev/null
+++ b/crates/route/src/table.rs
@@ -0,0 +1,333 @@
+//! The endpoints that an entry knows, with their load as it was last seen.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use fault::FaultKind;
+use wire::answer::EndpointLoad;
+use wire::id::{DomainId, EndpointId, IncarnationNumber, ModelId, ServiceId};
+use wire::member::{EndpointRecord, EndpointState, LoadSample, MemberDigest, WarmDigest};
+
+use crate::prefix::PrefixTable;
+
+/// How an entry sees endpoints.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RouteSettings {
+    /// Failure domain of the entry.
+    pub domain: DomainId,
+    /// Age at which a reported load says no more than the mean.
+    pub load_fades_after: Duration,
+    /// How long an endpoint is passed over after a failed connection.
+    pub suspect_for: Duration,
+    /// How long an endpoint that said that it is leaving is passed over, whatever a digest says.
+    pub leaving_for: Duration,
+}
+
+impl Default for RouteSettings {
+    fn default() -> Self {
+        Self {
+            domain: 0,
+            load_fades_after: Duration::from_secs(5),
+            suspect_for: Duration::from_secs(1),
+            leaving_for: Duration::from_secs(10),
+        }
+    }
+}
+
+/// One endpoint as the entry sees it.
+#[derive(Clone, Debug)]
+pub(crate) struct EndpointRow {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) cache_epoch: u64,
+    pub(crate) service: ServiceId,
+    pub(crate) domain: DomainId,
+    /// At least 1.
+    pub(crate) weight: u32,
+    pub(crate) state: EndpointState,
+    /// As last reported, at `seen_at`.
+    pub(crate) load: EndpointLoad,
+    pub(crate) seen_at: Option<Instant>,
+    /// Requests that this entry sent and that no reported load covers yet.
+    pub(crate) pending: u32,
+    pub(crate) suspect_until: Option<Instant>,
+    pub(crate) leaving_until: Option<Instant>,
+}
+
+/// The endpoints of one service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct ServiceRows {
+    /// Mean load for each unit of weight, as control last said.
+    pub(crate) mean: Option<f64>,
+    pub(crate) rows: Vec<u32>,
+}
+
+/// The endpoints that an entry knows. Memory is linear in endpoints.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    pub(crate) settings: RouteSettings,
+    /// Sorted by endpoint, parallel to `records`.
+    pub(crate) rows: Vec<EndpointRow>,
+    records: Vec<EndpointRecord>,
+    /// Derived from `rows`.
+    pub(crate) services: HashMap<ServiceId, ServiceRows>,
+    /// Endpoints that carry a model, sorted; a model without an entry is carried by all.
+    pub(crate) placement: HashMap<ModelId, Vec<EndpointId>>,
+    pub(crate) prefixes: PrefixTable,
+}
+
+impl RouteTable {
+    /// An empty table.
+    pub fn new(settings: RouteSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Number of endpoints.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Record of an endpoint.
+    pub fn record(&self, endpoint: EndpointId) -> Option<&EndpointRecord> {
+        Some(&self.records[self.find(endpoint)?])
+    }
+
+    /// Address of the agent of an endpoint.
+    pub fn address(&self, endpoint: EndpointId) -> Option<SocketAddr> {
+        Some(self.record(endpoint)?.address)
+    }
+
+    /// Records of all endpoints, sorted by id.
+    pub fn records(&self) -> &[EndpointRecord] {
+        &self.records
+    }
+
+    /// Restricts `model` to `endpoints`; an empty list lifts the restriction.
+    pub fn place_model(&mut self, model: ModelId, mut endpoints: Vec<EndpointId>) {
+        if endpoints.is_empty() {
+            self.placement.remove(&model);
+            return;
+        }
+        endpoints.sort_unstable();
+        self.placement.insert(model, endpoints);
+    }
+
+    /// Takes a digest of control in.
+    pub fn observe_digest(&mut self, digest: &MemberDigest, now: Instant) {
+        for record in &digest.records {
+            self.upsert(record);
+        }
+        for endpoint in &digest.gone {
+            self.remove(*endpoint);
+        }
+        if !digest.records.is_empty() || !digest.gone.is_empty() {
+            self.rebuild_services();
+        }
+        for sample in &digest.loads {
+            self.observe_sample(sample, now);
+        }
+        for mean in &digest.means {
+            let service = self.services.entry(mean.service).or_default();
+            service.mean = (mean.weight > 0).then(|| mean.load as f64 / mean.weight as f64);
+        }
+    }
+
+    /// Drops every endpoint that is not in `digest`, then takes it in. For the first digest of a
+    /// connection, which names all.
+    pub fn replace_with(&mut self, digest: &MemberDigest, now: Instant) {
+        let names = |endpoint| {
+            digest
+                .records
+                .iter()
+                .any(|record| record.endpoint == endpoint)
+        };
+        let lost: Vec<EndpointId> = self.rows.iter().map(|row| row.endpoint).collect();
+        for endpoint in lost.into_iter().filter(|endpoint| !names(*endpoint)) {
+            self.remove(endpoint);
+        }
+        self.rebuild_services();
+        self.observe_digest(digest, now);
+    }
+
+    /// Takes a digest of warm prefixes in.
+    pub fn observe_warm(&mut self, digest: &WarmDigest) {
+        self.prefixes.observe(digest);
+    }
+
+    /// Counts a request as sent to `endpoint` until [`Self::observe_load`] or
+    /// [`Self::observe_failure`] follows.
+    pub fn note_sent(&mut self, endpoint: EndpointId) {
+        if let Some(row) = self.row_mut(endpoint) {
+            row.pending += 1;
+        }
+    }
+
+    /// Takes in the load that an admission or a refusal reported.
+    pub fn observe_answer(&mut self, endpoint: EndpointId, load: EndpointLoad, now: Instant) {
+        if let Some(row) = self.row_mut(endpoint) {
+            row.pending = row.pending.saturating_sub(1);
+        }
+        self.observe_load(endpoint, load, now);
+    }
+
+    /// Takes in a load that came without an admission or refusal, as with the end of an answer.
+    pub fn observe_load(&mut self, endpoint: EndpointId, load: EndpointLoad, now: Instant) {
+        if let Some(row) = self.row_mut(endpoint) {
+            row.load = load;
+            row.seen_at = Some(now);
+            row.suspect_until = None;
+        }
+    }
+
+    /// Takes a refusal in: its load, and whether the endpoint is leaving.
+    pub fn observe_refusal(
+        &mut self,
+        endpoint: EndpointId,
+        kind: FaultKind,
+        load: EndpointLoad,
+        now: Instant,
+    ) {
+        self.observe_answer(endpoint, load, now);
+        let leaving_until = now + self.settings.leaving_for;
+        if kind == FaultKind::Draining
+            && let Some(row) = self.row_mut(endpoint)
+        {
+            row.leaving_until = Some(leaving_until);
+        }
+    }
+
+    /// Takes in that a request sent to `endpoint` got no answer because the connection failed.
+    pub fn observe_failure(&mut self, endpoint: EndpointId, now: Instant) {
+        let suspect_until = now + self.settings.suspect_for;
+        if let Some(row) = self.row_mut(endpoint) {
+            row.pending = row.pending.saturating_sub(1);
+            row.suspect_until = Some(suspect_until);
+        }
+    }
+
+    /// Re-checks the invariants.
+    ///
+    /// # Panics
+    /// When one does not hold.
+    pub fn verify(&self) {
+        assert_eq!(self.rows.len(), self.records.len());
+        assert!(
+            self.rows
+                .is_sorted_by(|left, right| left.endpoint < right.endpoint)
+        );
+        for (row, record) in self.rows.iter().zip(&self.records) {
+            assert_eq!(row.endpoint, record.endpoint);
+            assert!(row.weight >= 1);
+        }
+        let listed: usize = self
+            .services
+            .values()
+            .map(|service| service.rows.len())
+            .sum();
+        assert_eq!(listed, self.rows.len());
+    }
+
+    pub(crate) fn find(&self, endpoint: EndpointId) -> Option<usize> {
+        self.rows
+            .binary_search_by_key(&endpoint, |row| row.endpoint)
+            .ok()
+    }
+
+    fn row_mut(&mut self, endpoint: EndpointId) -> Option<&mut EndpointRow> {
+        let index = self.find(endpoint)?;
+        Some(&mut self.rows[index])
+    }
+
+    fn upsert(&mut self, record: &EndpointRecord) {
+        self.prefixes
+            .keep_epoch(record.endpoint, record.cache_epoch);
+        let search = self
+            .rows
+            .binary_search_by_key(&record.endpoint, |row| row.endpoint);
+        match search {
+            Ok(index) => self.update(index, record),
+            Err(index) => {
+                self.rows.insert(index, new_row(record));
+                self.records.insert(index, record.clone());
+            }
+        }
+    }
+
+    /// Ignores a record of an earlier life.
+    fn update(&mut self, index: usize, record: &EndpointRecord) {
+        let known = &self.records[index];
+        if record.incarnation < known.incarnation {
+            return;
+        }
+        let row = &mut self.rows[index];
+        if record.incarnation > known.incarnation {
+            *row = new_row(record);
+        }
+        row.cache_epoch = record.cache_epoch;
+        row.service = record.service;
+        row.domain = record.domain;
+        row.weight = record.weight.max(1);
+        self.records[index] = record.clone();
+    }
+
+    fn remove(&mut self, endpoint: EndpointId) {
+        let Some(index) = self.find(endpoint) else {
+            return;
+        };
+        self.rows.remove(index);
+        self.records.remove(index);
+        self.prefixes.forget(endpoint);
+    }
+
+    fn rebuild_services(&mut self) {
+        for service in self.services.values_mut() {
+            service.rows.clear();
+        }
+        for (index, row) in (0..).zip(&self.rows) {
+            let service = self.services.entry(row.service).or_default();
+            service.rows.push(index);
+        }
+        self.services.retain(|_, service| !service.rows.is_empty());
+    }
+
+    fn observe_sample(&mut self, sample: &LoadSample, now: Instant) {
+        let Some(index) = self.find(sample.endpoint) else {
+            return;
+        };
+        if !is_current(sample.incarnation, &self.records[index]) {
+            return;
+        }
+        let row = &mut self.rows[index];
+        row.state = sample.state;
+        row.load = sample.load;
+        row.seen_at = Some(now);
+    }
+}
+
+fn is_current(incarnation: IncarnationNumber, record: &EndpointRecord) -> bool {
+    incarnation == record.incarnation
+}
+
+fn new_row(record: &EndpointRecord) -> EndpointRow {
+    EndpointRow {
+        endpoint: record.endpoint,
+        cache_epoch: record.cache_epoch,
+        service: record.service,
+        domain: record.domain,
+        weight: record.weight.max(1),
+        state: EndpointState::Serving,
+        load: EndpointLoad::default(),
+        seen_at: None,
+        pending: 0,
+        suspect_until: None,
+        leaving_until: None,
+    }
+}
--- /dev/null
+++ b/crates/route/tests/retry.rs
@@ -0,0 +1,39 @@
+//! The retry budget and back-off.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rand_pcg::Pcg64Mcg;
+use route::{RetryBudget, RetrySettings};
+
+#[gtest]
+fn retries_stay_a_share_of_first_attempts() {
+    let settings = RetrySettings::default();
+    let mut budget = RetryBudget::new(settings.clone());
+
+    let mut retries = 0.0;
+    for _ in 0..1000 {
+        budget.record_first();
+        // Every attempt fails and is retried as long as the budget allows, as when a failure
+        // domain is lost.
+        while budget.try_retry() {
+            retries += 1.0;
+        }
+    }
+
+    expect_that!(retries, le(settings.burst + 1000.0 * settings.ratio));
+}
+
+#[gtest]
+fn backoff_doubles_up_to_its_limit_and_is_jittered() {
+    let budget = RetryBudget::new(RetrySettings::default());
+    let mut rng = Pcg64Mcg::new(1);
+
+    let waits: Vec<Duration> = (1..=40)
+        .map(|retry| budget.backoff(retry, &mut rng))
+        .collect();
+
+    expect_that!(waits[0], le(Duration::from_millis(50)));
+    expect_that!(waits.iter().max(), some(le(&Duration::from_secs(2))));
+    expect_that!(waits[39], not(eq(waits[38])));
+}
