Accept, remember and hold versions of the settings

Cause: changes had no state machine, and entries and agents no holder.

Diff and rollback rebuild an older tree from undo edits. SettingsHolder never goes back, and brings the first settings into force only when a quorum confirmed their version.

Excluded: keeping whole trees for each version (the undo edits are enough). Removing a path that is not set is now a fault, not a silent success.

--- /dev/null
+++ b/crates/settings/src/answer.rs
@@ -0,0 +1,147 @@
+//! The first answer to each change id, for changes that are sent again.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use fault::{Fault, FaultKind};
+use serde::{Deserialize, Serialize};
+use sha2::{Digest, Sha256};
+use wire::command::SettingsChange;
+use wire::id::SettingsVersion;
+
+use crate::history::{RECORD_LIMIT, Result};
+
+/// Accepted changes whose ids are remembered. An id outlives the record of its version, and a
+/// change based on a version without record is refused, so no accepted change can be applied
+/// twice.
+pub(crate) const ACCEPTED_LIMIT: usize = 50_000;
+/// Refused changes whose ids are remembered.
+pub(crate) const REFUSED_LIMIT: usize = 1_000;
+
+const _: () = assert!(ACCEPTED_LIMIT > RECORD_LIMIT);
+
+/// Digest of what a change asks for.
+type ChangeDigest = [u8; 16];
+
+/// What a change was answered.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub(crate) enum ChangeAnswer {
+    /// Accepted as this version.
+    Accepted(SettingsVersion),
+    /// Refused; nothing changed.
+    Refused(Fault),
+}
+
+impl ChangeAnswer {
+    pub(crate) fn into_result(self) -> Result<SettingsVersion> {
+        match self {
+            Self::Accepted(version) => Ok(version),
+            Self::Refused(fault) => Err(fault),
+        }
+    }
+}
+
+/// One remembered answer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+struct AnswerRecord {
+    /// What the change asked for.
+    digest: ChangeDigest,
+    /// The first answer.
+    answer: ChangeAnswer,
+}
+
+/// Answers by change id, bounded. Accepted and refused ones are counted apart, so that refused
+/// changes cannot push accepted ones out.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub(crate) struct AnswerTable {
+    /// Holds exactly the ids in the two queues.
+    answers: BTreeMap<String, AnswerRecord>,
+    /// Ids of accepted changes, oldest first, at most [`ACCEPTED_LIMIT`].
+    accepted: VecDeque<String>,
+    /// Ids of refused changes, oldest first, at most [`REFUSED_LIMIT`].
+    refused: VecDeque<String>,
+}
+
+impl AnswerTable {
+    /// The answer to a change whose id was answered before.
+    pub(crate) fn repeat(&self, change: &SettingsChange) -> Option<Result<SettingsVersion>> {
+        let record = self.answers.get(&change.change_id)?;
+        if record.digest != digest_of(change) {
+            let message = "this change id belongs to another change; choose a new one";
+            return Some(Err(FaultKind::KeyConflict.because(message)));
+        }
+        Some(record.answer.clone().into_result())
+    }
+
+    /// Remembers the first answer to a change.
+    pub(crate) fn record(&mut self, change: &SettingsChange, answer: ChangeAnswer) {
+        let (queue, limit) = match answer {
+            ChangeAnswer::Accepted(_) => (&mut self.accepted, ACCEPTED_LIMIT),
+            ChangeAnswer::Refused(_) => (&mut self.refused, REFUSED_LIMIT),
+        };
+        queue.push_back(change.change_id.clone());
+        if queue.len() > limit
+            && let Some(oldest) = queue.pop_front()
+        {
+            self.answers.remove(&oldest);
+        }
+        let record = AnswerRecord {
+            digest: digest_of(change),
+            answer,
+        };
+        let earlier = self.answers.insert(change.change_id.clone(), record);
+        debug_assert!(earlier.is_none(), "a change id is answered once");
+    }
+
+    /// The version that an accepted change made.
+    pub(crate) fn accepted(&self, change_id: &str) -> Option<SettingsVersion> {
+        match self.answers.get(change_id)?.answer {
+            ChangeAnswer::Accepted(version) => Some(version),
+            ChangeAnswer::Refused(_) => None,
+        }
+    }
+
+    /// Re-checks the invariants against the current version.
+    pub(crate) fn verify(&self, current: SettingsVersion) -> std::result::Result<(), String> {
+        if self.answers.len() != self.accepted.len() + self.refused.len() {
+            return Err("the answers do not match their queues".to_owned());
+        }
+        if self.accepted.len() > ACCEPTED_LIMIT || self.refused.len() > REFUSED_LIMIT {
+            return Err("too many answers".to_owned());
+        }
+        let mut previous = 0;
+        for id in &self.accepted {
+            let version = self.accepted(id).ok_or("an accepted id has no version")?;
+            if version <= previous || version > current {
+                return Err("accepted versions do not grow".to_owned());
+            }
+            previous = version;
+        }
+        Ok(())
+    }
+}
+
+fn digest_of(change: &SettingsChange) -> ChangeDigest {
+    let mut hasher = Sha256::new();
+    hasher.update(change.base.to_be_bytes());
+    update_text(&mut hasher, &change.operator);
+    for edit in &change.edits {
+        update_text(&mut hasher, &edit.path);
+        match &edit.value {
+            None => hasher.update([0]),
+            Some(value) => {
+                hasher.update([1]);
+                update_text(&mut hasher, value);
+            }
+        }
+    }
+    let hash = hasher.finalize();
+    let mut digest = ChangeDigest::default();
+    digest.copy_from_slice(&hash[..size_of::<ChangeDigest>()]);
+    digest
+}
+
+/// Adds a text with its length, so that no two lists of texts give the same bytes.
+fn update_text(hasher: &mut Sha256, text: &str) {
+    hasher.update((text.len() as u64).to_be_bytes());
+    hasher.update(text.as_bytes());
+}
--- /dev/null
+++ b/crates/settings/src/diff.rs
@@ -0,0 +1,47 @@
+//! The difference between two trees, as edits.
+
+use toml::{Table, Value};
+use wire::command::SettingEdit;
+
+use crate::path::SettingPath;
+
+/// The edits that lead from `old` to `new`, in the order of their paths.
+///
+/// A value that differs inside a branch that both have is one edit; a branch that only one has is
+/// one edit as a whole.
+pub(crate) fn diff_tables(old: &Table, new: &Table) -> Vec<SettingEdit> {
+    let mut edits = Vec::new();
+    collect(&SettingPath::default(), old, new, &mut edits);
+    edits
+}
+
+fn collect(path: &SettingPath, old: &Table, new: &Table, edits: &mut Vec<SettingEdit>) {
+    for key in old.keys().filter(|key| !new.contains_key(*key)) {
+        edits.push(edit(&path.child(key), None));
+    }
+    for (key, value) in new {
+        let child = path.child(key);
+        match (old.get(key), value) {
+            (Some(before), after) if before == after => {}
+            (Some(Value::Table(before)), Value::Table(after)) => {
+                collect(&child, before, after, edits);
+            }
+            _ => edits.push(edit(&child, Some(value))),
+        }
+    }
+}
+
+fn edit(path: &SettingPath, value: Option<&Value>) -> SettingEdit {
+    SettingEdit {
+        path: path.to_string(),
+        value: value.map(ToString::to_string),
+    }
+}
+
+/// One line for an edit, for example `services.redaction.load_bound = 1.5`.
+pub fn edit_line(edit: &SettingEdit) -> String {
+    match &edit.value {
+        Some(value) => format!("{} = {value}", edit.path),
+        None => format!("{} removed", edit.path),
+    }
+}
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The resolved form of the settings tree that the programs use.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
@@ -105,12 +106,14 @@
 }
 
 /// Every branch of one settings version, resolved.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct FleetSettings {
     /// Version that this was resolved from.
     pub version: SettingsVersion,
     /// Values of the root.
     pub policy: PolicySettings,
+    /// How long settings are current after a quorum confirmed them.
+    pub settings_lease: Duration,
     /// Services by name.
     pub services: BTreeMap<String, ServiceSettings>,
     /// Endpoints by name.
@@ -121,6 +124,20 @@
     pub operators: BTreeMap<String, OperatorSettings>,
 }
 
+impl Default for FleetSettings {
+    fn default() -> Self {
+        Self {
+            version: 0,
+            policy: PolicySettings::default(),
+            settings_lease: Duration::from_secs(30),
+            services: BTreeMap::new(),
+            endpoints: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            operators: BTreeMap::new(),
+        }
+    }
+}
+
 impl FleetSettings {
     /// The account that `key` belongs to. Compares in constant time.
     pub fn account_of_key(&self, key: &str) -> Option<(&str, &AccountSettings)> {
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,15 +1,28 @@
 //! The settings tree, its checks, and the settings file of each program.
 //!
+//! * [`path`]: dotted paths into the tree.
 //! * [`tree`]: the tree as operators write it, and edits to it.
+//! * [`diff`]: the difference between two trees, as edits.
 //! * [`fleet`]: the resolved form that the programs use.
 //! * [`policy`]: the values that every branch inherits.
+//! * [`history`]: every version, and how changes are accepted.
+//! * [`holder`]: the settings that an entry or an agent holds, and their lease.
 //! * [`process`]: the file that each program reads at its start.
 
+mod answer;
+pub mod diff;
 pub mod fleet;
+pub mod history;
+pub mod holder;
+mod overlap;
+pub mod path;
 pub mod policy;
 pub mod process;
 pub mod tree;
 
 pub use fleet::FleetSettings;
+pub use history::SettingsHistory;
+pub use holder::SettingsHolder;
+pub use path::SettingPath;
 pub use policy::PolicySettings;
 pub use tree::{SettingFault, SettingsTree};
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -4,15 +4,17 @@
 use std::time::Duration;
 
 use derive_more::{Display, Error};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use toml::{Table, Value};
 use wire::command::SettingEdit;
 use wire::id::SettingsVersion;
 
+use crate::diff::diff_tables;
 use crate::fleet::{
     AccountSettings, EndpointSettings, FleetSettings, ModelSettings, OperatorRole,
     OperatorSettings, ServiceKind, ServiceSettings,
 };
+use crate::path::SettingPath;
 use crate::policy::{PolicySettings, StaleKind};
 use wire::answer::ClassKind;
 
@@ -30,7 +32,10 @@
 pub type Result<T> = std::result::Result<T, Vec<SettingFault>>;
 
 /// One version of the settings as a tree of TOML tables.
-#[derive(Clone, Debug, Default, PartialEq)]
+///
+/// Serializes as its TOML text, so that it travels through encodings that describe no types.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[serde(into = "String", try_from = "String")]
 pub struct SettingsTree {
     root: Table,
 }
@@ -71,13 +76,22 @@
         }
     }
 
+    /// The edits that lead from this tree to `other`.
+    pub fn diff(&self, other: &Self) -> Vec<SettingEdit> {
+        diff_tables(&self.root, &other.root)
+    }
+
     /// The value or branch at a dotted path; the empty path is the root.
     pub fn get(&self, path: &str) -> Option<Value> {
-        let mut value = Value::Table(self.root.clone());
-        for key in path.split('.').filter(|key| !key.is_empty()) {
-            value = value.as_table()?.get(key)?.clone();
+        let path = SettingPath::parse(path).ok()?;
+        let Some((last, parents)) = path.split_last() else {
+            return Some(Value::Table(self.root.clone()));
+        };
+        let mut table = &self.root;
+        for key in parents {
+            table = table.get(key)?.as_table()?;
         }
-        Some(value)
+        table.get(last).cloned()
     }
 
     /// Resolves inheritance and checks the whole tree.
@@ -92,36 +106,72 @@
     }
 
     fn apply(&mut self, edit: &SettingEdit) -> std::result::Result<(), SettingFault> {
-        let keys: Vec<&str> = edit.path.split('.').collect();
-        let Some((last, parents)) = keys.split_last() else {
-            return Err(fault(&edit.path, "empty path"));
+        let path = SettingPath::parse(&edit.path)?;
+        let Some((last, parents)) = path.split_last() else {
+            return Err(fault(&edit.path, "names no value or branch"));
         };
+        match &edit.value {
+            None => self.remove(&edit.path, last, parents),
+            Some(literal) => self.insert(&edit.path, last, parents, literal),
+        }
+    }
+
+    fn remove(
+        &mut self,
+        path: &str,
+        last: &str,
+        parents: &[String],
+    ) -> std::result::Result<(), SettingFault> {
+        let absent = || fault(path, "is not set, so that it cannot be removed");
+        let mut table = &mut self.root;
+        for key in parents {
+            let next = table.get_mut(key).ok_or_else(absent)?;
+            table = next.as_table_mut().ok_or_else(absent)?;
+        }
+        table.remove(last).map(|_| ()).ok_or_else(absent)
+    }
+
+    fn insert(
+        &mut self,
+        path: &str,
+        last: &str,
+        parents: &[String],
+        literal: &str,
+    ) -> std::result::Result<(), SettingFault> {
+        let value = parse_literal(literal)
+            .ok_or_else(|| fault(path, &format!("`{literal}` is no TOML value")))?;
         let mut table = &mut self.root;
         for key in parents {
             let next = table
-                .entry(*key)
+                .entry(key.as_str())
                 .or_insert_with(|| Value::Table(Table::new()));
             table = next
                 .as_table_mut()
-                .ok_or_else(|| fault(&edit.path, "parent is a value"))?;
-        }
-        match &edit.value {
-            None => {
-                table.remove(*last);
-            }
-            Some(literal) => {
-                let parsed = parse_literal(literal)
-                    .ok_or_else(|| fault(&edit.path, "value is no TOML literal"))?;
-                table.insert((*last).to_owned(), parsed);
-            }
+                .ok_or_else(|| fault(path, &format!("`{key}` is a value, not a branch")))?;
         }
+        table.insert(last.to_owned(), value);
         Ok(())
     }
 }
 
+impl From<SettingsTree> for String {
+    fn from(tree: SettingsTree) -> Self {
+        tree.to_text()
+    }
+}
+
+impl TryFrom<String> for SettingsTree {
+    type Error = SettingFault;
+
+    fn try_from(text: String) -> std::result::Result<Self, SettingFault> {
+        Self::parse(&text).map_err(|mut faults| faults.remove(0))
+    }
+}
+
 fn parse_literal(literal: &str) -> Option<Value> {
     let mut table = format!("value = {literal}").parse::<Table>().ok()?;
-    table.remove("value")
+    let value = table.remove("value")?;
+    table.is_empty().then_some(value)
 }
 
 fn fault(path: &str, reason: &str) -> SettingFault {
@@ -179,6 +229,7 @@
 struct RootBranch {
     #[serde(flatten)]
     policy: PolicyBranch,
+    settings_lease_ms: Option<u64>,
     #[serde(default)]
     services: BTreeMap<String, ServiceBranch>,
     #[serde(default)]
@@ -250,8 +301,11 @@
             key_hash: branch.key_hash,
             role: branch.role,
         });
+        let defaults = FleetSettings::default();
+        let settings_lease = self.settings_lease_ms.map(Duration::from_millis);
         FleetSettings {
             version,
+            settings_lease: settings_lease.unwrap_or(defaults.settings_lease),
             services,
             endpoints,
             accounts,
--- /dev/null
+++ b/crates/settings/tests/history.rs
@@ -0,0 +1,220 @@
+//! Changes of the settings: resends, races, diff and rollback.
+
+use std::time::Duration;
+
+use fault::FaultKind;
+use googletest::prelude::*;
+use settings::history::RECORD_LIMIT;
+use settings::{SettingsHistory, SettingsTree};
+use wire::command::{SettingEdit, SettingsChange};
+use wire::message::SettingsUpdate;
+
+const TREE: &str = r#"
+load_bound = 1.5
+
+[services.redaction]
+models.breton = { version = "3", endpoints = ["runner-1"] }
+
+[services.guichet]
+kind = "plain"
+
+[endpoints.runner-1]
+service = "redaction"
+
+[endpoints.desk-1]
+service = "guichet"
+"#;
+
+fn tree() -> SettingsTree {
+    SettingsTree::parse(TREE).expect("the tree parses")
+}
+
+fn history() -> SettingsHistory {
+    let mut history = SettingsHistory::default();
+    let first = SettingsHistory::first_change(&tree());
+    history
+        .accept(&first, Duration::ZERO)
+        .expect("the tree is valid");
+    history
+}
+
+fn set(path: &str, value: &str) -> SettingEdit {
+    SettingEdit {
+        path: path.to_owned(),
+        value: Some(value.to_owned()),
+    }
+}
+
+fn change(change_id: &str, base: u64, edits: Vec<SettingEdit>) -> SettingsChange {
+    SettingsChange {
+        change_id: change_id.to_owned(),
+        base,
+        operator: "anna".to_owned(),
+        edits,
+    }
+}
+
+fn accept(history: &mut SettingsHistory, change: &SettingsChange) -> fault::Result<u64> {
+    let answer = history.accept(change, Duration::from_secs(1));
+    assert_that!(history.verify(), ok(anything()));
+    answer
+}
+
+#[gtest]
+fn first_tree_is_version_one_on_every_instance() {
+    let mut history = history();
+
+    let again = accept(&mut history, &SettingsHistory::first_change(&tree()));
+
+    expect_that!(again, ok(eq(&1)));
+    expect_that!(history.tree(), eq(&tree()));
+}
+
+#[gtest]
+fn resend_gets_the_first_answer_after_later_changes_and_a_snapshot() {
+    let mut history = history();
+    let first = change("a", 1, vec![set("services.redaction.load_bound", "1.4")]);
+    accept(&mut history, &first).expect("accepted");
+    let second = change("b", 2, vec![set("services.redaction.load_bound", "1.3")]);
+    accept(&mut history, &second).expect("accepted");
+    let snapshot = serde_json::to_string(&history).expect("serializes");
+    let mut restored: SettingsHistory = serde_json::from_str(&snapshot).expect("deserializes");
+
+    let answer = accept(&mut restored, &first);
+
+    expect_that!(answer, ok(eq(&2)));
+    expect_that!(restored, eq(&history));
+    let value = restored.tree().get("services.redaction.load_bound");
+    expect_that!(value, some(eq(&toml::Value::Float(1.3))));
+}
+
+#[gtest]
+fn racing_changes_of_one_branch_have_exactly_one_winner() {
+    let mut history = history();
+    let winner = change("a", 1, vec![set("services.redaction.load_bound", "1.4")]);
+    let loser = change("b", 1, vec![set("services.redaction.load_aim", "1.2")]);
+
+    let first = accept(&mut history, &winner);
+    let second = accept(&mut history, &loser).expect_err("conflicts");
+
+    expect_that!(first, ok(eq(&2)));
+    expect_that!(second.kind, eq(FaultKind::VersionConflict));
+    expect_that!(
+        second.message,
+        contains_substring("version 2 by anna: services.redaction.load_bound = 1.4")
+    );
+    expect_that!(accept(&mut history, &loser), err(eq(&second)));
+    expect_that!(history.version(), eq(2));
+}
+
+#[gtest]
+fn racing_changes_of_disjoint_branches_are_both_accepted() {
+    let mut history = history();
+    let left = change("a", 1, vec![set("endpoints.runner-1.draining", "true")]);
+    let right = change("b", 1, vec![set("endpoints.desk-1.draining", "true")]);
+
+    let first = accept(&mut history, &left);
+    let second = accept(&mut history, &right);
+
+    expect_that!(first, ok(eq(&2)));
+    expect_that!(second, ok(eq(&3)));
+}
+
+#[gtest]
+fn root_value_conflicts_with_every_branch() {
+    let mut history = history();
+    let root = change("a", 1, vec![set("load_bound", "1.6")]);
+    let branch = change("b", 1, vec![set("endpoints.desk-1.draining", "true")]);
+
+    accept(&mut history, &root).expect("accepted");
+    let answer = accept(&mut history, &branch).expect_err("conflicts");
+
+    expect_that!(answer.kind, eq(FaultKind::VersionConflict));
+}
+
+#[gtest]
+fn change_id_of_another_change_is_refused() {
+    let mut history = history();
+    accept(
+        &mut history,
+        &change("a", 1, vec![set("load_bound", "1.6")]),
+    )
+    .expect("accepted");
+
+    let other = change("a", 2, vec![set("load_bound", "1.7")]);
+    let answer = accept(&mut history, &other).expect_err("another change");
+
+    expect_that!(answer.kind, eq(FaultKind::KeyConflict));
+}
+
+#[gtest]
+fn base_that_does_not_exist_is_refused() {
+    let mut history = history();
+
+    let future = change("a", 9, vec![set("load_bound", "1.6")]);
+    let answer = accept(&mut history, &future).expect_err("no such version");
+
+    expect_that!(answer.kind, eq(FaultKind::VersionConflict));
+}
+
+#[gtest]
+fn rollback_is_a_new_version_with_the_old_tree() {
+    let mut history = history();
+    let edits = vec![
+        set("services.redaction.load_bound", "1.4"),
+        set("services.new.kind", "\"plain\""),
+    ];
+    accept(&mut history, &change("a", 1, edits)).expect("accepted");
+
+    let back = history.diff(2, 1).expect("both are kept");
+    let answer = accept(&mut history, &change("back", 2, back));
+
+    expect_that!(answer, ok(eq(&3)));
+    expect_that!(history.tree(), eq(&tree()));
+}
+
+#[gtest]
+fn update_is_a_delta_where_the_version_is_kept() {
+    let mut history = history();
+    accept(
+        &mut history,
+        &change("a", 1, vec![set("load_bound", "1.6")]),
+    )
+    .expect("accepted");
+
+    expect_that!(
+        history.update_since(1),
+        pat!(SettingsUpdate::Delta {
+            from: &1,
+            version: &2,
+            ..
+        })
+    );
+    expect_that!(
+        history.update_since(0),
+        pat!(SettingsUpdate::Full { version: &2, .. })
+    );
+    expect_that!(
+        history.update_since(2),
+        eq(&SettingsUpdate::Confirmed { version: 2 })
+    );
+}
+
+#[gtest]
+fn resend_whose_record_is_gone_still_gets_the_first_answer() {
+    let mut history = history();
+    let first = change("a", 1, vec![set("endpoints.desk-1.weight", "2")]);
+    history.accept(&first, Duration::ZERO).expect("accepted");
+    for base in 2..(RECORD_LIMIT as u64 + 10) {
+        let edits = vec![set("endpoints.desk-1.weight", &(base % 7 + 1).to_string())];
+        let next = change(&format!("n{base}"), base, edits);
+        history.accept(&next, Duration::ZERO).expect("accepted");
+    }
+
+    let resent = accept(&mut history, &first);
+    let late = change("late", 1, vec![set("endpoints.runner-1.weight", "2")]);
+    let refused = accept(&mut history, &late).expect_err("the base is no longer kept");
+
+    expect_that!(resent, ok(eq(&2)));
+    expect_that!(refused.kind, eq(FaultKind::VersionConflict));
+}
