--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -8,12 +8,13 @@
 use control::node::ControlNode;
 use control::operator::{operator_queue, serve_http, serve_operators};
 use control::server::{send_digests, serve_links};
-use control::state::ControlState;
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
-use settings::SettingsTree;
+use settings::history::SettingsHistory;
 use settings::process::{self, ControlSettings};
 use settings::tree::Result;
+use settings::{SettingFault, SettingsTree};
 use tokio::net::TcpListener;
+use wire::command::ControlCommand;
 
 /// Keeps the settings, claims and fences of the fleet.
 #[derive(FromArgs)]
@@ -30,8 +31,8 @@
 async fn main() -> std::io::Result<()> {
     let args: ControlArgs = argh::from_env();
     let loaded = process::load::<ControlSettings>(&args.settings)
-        .and_then(|settings| Ok((first_state(settings.first_tree.as_deref())?, settings)));
-    let (state, settings) = match loaded {
+        .and_then(|settings| Ok((first_tree(settings.first_tree.as_deref())?, settings)));
+    let (tree, settings) = match loaded {
         Ok(loaded) => loaded,
         Err(faults) => {
             for fault in faults {
@@ -52,10 +53,13 @@
     let http = settings.instance.http;
     let node = Rc::new(ControlNode {
         settings,
-        state: RefCell::new(state),
+        state: RefCell::default(),
+        published: RefCell::default(),
         endpoints: RefCell::default(),
         peers: RefCell::default(),
     });
+    let first = SettingsHistory::first_change(&tree);
+    node.propose(ControlCommand::ChangeSettings(first)).await;
     let (queue, requests) = operator_queue();
     actix_rt::spawn(serve_links(
         listener,
@@ -67,10 +71,18 @@
     serve_http(http, queue).await
 }
 
-fn first_state(path: Option<&Path>) -> Result<ControlState> {
-    let text = match path {
-        Some(path) => std::fs::read_to_string(path).unwrap_or_default(),
-        None => String::new(),
+/// Reads and checks the tree of the first start.
+fn first_tree(path: Option<&Path>) -> Result<SettingsTree> {
+    let Some(path) = path else {
+        return Ok(SettingsTree::default());
     };
-    ControlState::first(SettingsTree::parse(&text)?)
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        vec![SettingFault {
+            path: path.display().to_string(),
+            reason: error.to_string(),
+        }]
+    })?;
+    let tree = SettingsTree::parse(&text)?;
+    tree.resolve(1)?;
+    Ok(tree)
 }
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -8,18 +8,38 @@
 use settings::process::ControlSettings;
 use wire::LinkMessage;
 use wire::command::{ControlCommand, ControlReply, StampedCommand};
-use wire::id::{EndpointId, ServiceId};
+use wire::id::{EndpointId, FingerprintHash, ServiceId, SettingsVersion};
 use wire::member::{AgentHeartbeat, EndpointState, LoadSample, MemberDigest, ServiceMean};
 use wire::message::SettingsUpdate;
 
 use crate::state::ControlState;
 
+/// What the open connections were last told of the agreed state.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Published {
+    version: SettingsVersion,
+    suspects: Vec<FingerprintHash>,
+    quarantined: Vec<FingerprintHash>,
+}
+
+impl Published {
+    fn of(state: &ControlState) -> Self {
+        Self {
+            version: state.settings.version(),
+            suspects: state.suspects.suspects(),
+            quarantined: state.suspects.quarantined(),
+        }
+    }
+}
+
 /// State of one control instance, on one thread.
 pub struct ControlNode {
     /// The instance's file.
     pub settings: ControlSettings,
     /// The agreed state as far as it is known here.
     pub state: RefCell<ControlState>,
+    /// What the open connections were last told.
+    pub published: RefCell<Published>,
     /// Last heartbeat of each endpoint.
     pub endpoints: RefCell<BTreeMap<EndpointId, AgentHeartbeat>>,
     /// Open connections of entries and agents.
@@ -32,23 +52,49 @@
         let time = SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .unwrap_or_default();
-        let before = self.state.borrow().version;
         let reply = self
             .state
             .borrow_mut()
             .apply(&StampedCommand { time, command });
-        if self.state.borrow().version != before {
-            self.broadcast(&LinkMessage::Settings(self.settings_update()));
-        }
+        self.publish();
         reply
     }
 
-    /// The settings in force, whole.
-    pub fn settings_update(&self) -> SettingsUpdate {
+    /// Sends what the last applied commands changed to every open connection.
+    pub fn publish(&self) {
         let state = self.state.borrow();
-        SettingsUpdate::Full {
-            version: state.version,
-            text: state.tree.to_text(),
+        let before = self.published.replace(Published::of(&state));
+        let now = self.published.borrow();
+        if now.version != before.version {
+            self.broadcast(&LinkMessage::Settings(
+                state.settings.update_since(before.version),
+            ));
+            self.broadcast(&LinkMessage::Settings(self.confirmation()));
+        }
+        if now.suspects != before.suspects {
+            self.broadcast(&LinkMessage::Suspects(now.suspects.clone()));
+        }
+        if now.quarantined != before.quarantined {
+            self.broadcast(&LinkMessage::Quarantine(now.quarantined.clone()));
+        }
+    }
+
+    /// What a new connection needs to know: settings, lists and members.
+    pub fn greeting(&self) -> Vec<LinkMessage> {
+        let state = self.state.borrow();
+        vec![
+            LinkMessage::Settings(state.settings.update_since(0)),
+            LinkMessage::Settings(self.confirmation()),
+            LinkMessage::Suspects(state.suspects.suspects()),
+            LinkMessage::Quarantine(state.suspects.quarantined()),
+            LinkMessage::Members(self.digest()),
+        ]
+    }
+
+    /// The version in force, as confirmed by the quorum.
+    pub fn confirmation(&self) -> SettingsUpdate {
+        SettingsUpdate::Confirmed {
+            version: self.state.borrow().settings.version(),
         }
     }
 
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -86,7 +86,8 @@
 
 fn find_operator(node: &ControlNode, key: &str) -> Result<(String, OperatorRole), Fault> {
     let state = node.state.borrow();
-    let found = state.fleet.operator_of_key(key);
+    let fleet = state.settings.resolved().unwrap_or_default();
+    let found = fleet.operator_of_key(key);
     let (name, operator) =
         found.ok_or_else(|| FaultKind::UnknownKey.because("no operator has this key"))?;
     Ok((name.to_owned(), operator.role))
@@ -94,10 +95,10 @@
 
 fn get(node: &ControlNode, path: &str) -> Result<Value, Fault> {
     let state = node.state.borrow();
-    let found = state.tree.get(path);
+    let found = state.settings.tree().get(path);
     let value =
         found.ok_or_else(|| FaultKind::MalformedRequest.because(format!("no setting {path}")))?;
-    Ok(json!({"version": state.version, "value": value}))
+    Ok(json!({"version": state.settings.version(), "value": value}))
 }
 
 fn status(node: &ControlNode) -> Value {
@@ -111,7 +112,7 @@
             "running": beat.load.running, "queued": beat.load.queued, "settings": beat.settings})
         })
         .collect();
-    json!({"version": node.state.borrow().version, "endpoints": endpoints})
+    json!({"version": node.state.borrow().settings.version(), "endpoints": endpoints})
 }
 
 async fn change_settings(
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -32,6 +32,7 @@
     loop {
         ticks.tick().await;
         node.broadcast(&LinkMessage::Members(node.digest()));
+        node.broadcast(&LinkMessage::Settings(node.confirmation()));
     }
 }
 
@@ -48,10 +49,9 @@
         }
     };
     log::info!("control: {} connected", peer.name);
-    let _ = sender
-        .send(LinkMessage::Settings(node.settings_update()))
-        .await;
-    let _ = sender.send(LinkMessage::Members(node.digest())).await;
+    for message in node.greeting() {
+        let _ = sender.send(message).await;
+    }
     node.peers.borrow_mut().push(sender.clone());
     loop {
         match receiver.next().await {
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,77 +1,120 @@
 //! The deterministic state machine behind the replicated log.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
+use claim::{ClaimTable, SuspectTable};
 use fault::FaultKind;
-use settings::{FleetSettings, SettingsTree};
-use wire::command::{ControlCommand, ControlReply, SettingsChange, StampedCommand};
-use wire::id::SettingsVersion;
+use serde::{Deserialize, Serialize};
+use settings::history::SettingsHistory;
+use wire::codec::{self, CodecError};
+use wire::command::{ControlCommand, ControlReply, StampedCommand};
+use wire::id::{EndpointId, FenceNumber};
 
 /// State that the control instances agree on. Equal logs give equal states.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ControlState {
-    /// Version in force; grows by one with each accepted change.
-    pub version: SettingsVersion,
-    /// Tree in force; always resolves without faults.
-    pub tree: SettingsTree,
-    /// The tree, resolved.
-    pub fleet: FleetSettings,
-    /// First answers of settings changes, by change id.
-    answers: HashMap<String, ControlReply>,
+    /// Every version of the settings.
+    pub settings: SettingsHistory,
+    /// Non-idempotent requests that were claimed.
+    pub claims: ClaimTable,
+    /// Requests that may crash endpoints.
+    pub suspects: SuspectTable,
+    /// Newest fencing number of each endpoint. Every number is taken once.
+    fences: BTreeMap<EndpointId, FenceNumber>,
+    /// Largest of `fences`.
+    last_fence: FenceNumber,
 }
 
 impl ControlState {
-    /// A state whose first version is `tree`.
-    ///
-    /// # Errors
-    /// Every fault of the tree.
-    pub fn first(tree: SettingsTree) -> settings::tree::Result<Self> {
-        let fleet = tree.resolve(1)?;
-        Ok(Self {
-            version: 1,
-            tree,
-            fleet,
-            answers: HashMap::new(),
-        })
-    }
-
     /// Applies the next command of the log.
     pub fn apply(&mut self, stamped: &StampedCommand) -> ControlReply {
+        let time = stamped.time;
+        self.claims.advance(time);
+        self.suspects.advance(time);
         match &stamped.command {
-            ControlCommand::ChangeSettings(change) => self.change_settings(change),
-            other => {
-                let message = format!("{other:?} is not supported");
-                ControlReply::Refused(FaultKind::Internal.because(message))
+            ControlCommand::ChangeSettings(change) => match self.settings.accept(change, time) {
+                Ok(version) => ControlReply::SettingsAccepted(version),
+                Err(fault) => ControlReply::Refused(fault),
+            },
+            ControlCommand::ClaimRequest(request) => self.claims.claim(time, request),
+            ControlCommand::FinishClaim {
+                claim,
+                attempt,
+                outcome,
+                answer,
+            } => self
+                .claims
+                .finish(time, claim, *attempt, *outcome, answer.clone()),
+            ControlCommand::AbandonClaims { endpoint } => {
+                self.claims.abandon(time, *endpoint);
+                ControlReply::Recorded
+            }
+            ControlCommand::TakeFence { endpoint } => self.take_fence(*endpoint),
+            ControlCommand::ReportCrash {
+                endpoint,
+                cache_epoch,
+                suspects,
+            } => self
+                .suspects
+                .report_crash(time, *endpoint, *cache_epoch, suspects),
+            ControlCommand::ClearSuspect { fingerprint } => self.suspects.clear(time, *fingerprint),
+            ControlCommand::TrySuspect {
+                fingerprint,
+                endpoint,
+                attempt,
+            } => self
+                .suspects
+                .try_suspect(time, *fingerprint, *endpoint, *attempt),
+            ControlCommand::DropTrial {
+                fingerprint,
+                attempt,
+            } => self.suspects.drop_trial(time, *fingerprint, *attempt),
+            ControlCommand::LiftQuarantine { fingerprint } => {
+                self.suspects.lift(time, *fingerprint)
             }
         }
     }
 
-    fn change_settings(&mut self, change: &SettingsChange) -> ControlReply {
-        if let Some(answer) = self.answers.get(&change.change_id) {
-            return answer.clone();
-        }
-        let reply = self.try_change(change);
-        self.answers.insert(change.change_id.clone(), reply.clone());
-        reply
+    /// The state as bytes, for a snapshot.
+    ///
+    /// # Errors
+    /// The state exceeds the limit of an encoded value.
+    pub fn snapshot(&self) -> codec::Result<Vec<u8>> {
+        codec::encode(self)
     }
 
-    fn try_change(&mut self, change: &SettingsChange) -> ControlReply {
-        if change.base != self.version {
-            let message = format!("based on version {}, now {}", change.base, self.version);
-            return ControlReply::Refused(FaultKind::VersionConflict.because(message));
-        }
-        let version = self.version + 1;
-        let checked = self.tree.edited(&change.edits);
-        let checked = checked.and_then(|tree| Ok((tree.resolve(version)?, tree)));
-        match checked {
-            Ok((fleet, tree)) => {
-                (self.version, self.tree, self.fleet) = (version, tree, fleet);
-                ControlReply::SettingsAccepted(version)
-            }
-            Err(faults) => {
-                let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
-                ControlReply::Refused(FaultKind::InvalidSettings.because(texts.join("; ")))
-            }
+    /// The state that [`Self::snapshot`] encoded.
+    ///
+    /// # Errors
+    /// The bytes hold no state, or one that breaks an invariant.
+    pub fn restore(bytes: &[u8]) -> codec::Result<Self> {
+        let state: Self = codec::decode_as(bytes)?;
+        state
+            .verify()
+            .map_err(|reason| CodecError::Malformed { reason })?;
+        Ok(state)
+    }
+
+    /// Checks the invariants.
+    ///
+    /// # Errors
+    /// The first one that is broken.
+    pub fn verify(&self) -> Result<(), String> {
+        self.settings.verify()?;
+        self.claims.verify().map_err(|fault| fault.to_string())?;
+        self.suspects.verify().map_err(|fault| fault.to_string())?;
+        if self.fences.values().any(|fence| *fence > self.last_fence) {
+            return Err("a fencing number exceeds the last one taken".to_owned());
         }
+        Ok(())
+    }
+
+    fn take_fence(&mut self, endpoint: EndpointId) -> ControlReply {
+        let Some(fence) = self.last_fence.checked_add(1) else {
+            return ControlReply::Refused(FaultKind::Internal.because("no fencing number is left"));
+        };
+        self.last_fence = fence;
+        self.fences.insert(endpoint, fence);
+        ControlReply::FenceTaken(fence)
     }
 }
