Set up logs by logforth

Cause: no program had a logger, so its messages went nowhere. Level and format come from an argument, else from SAPPHIRE_LOG and SAPPHIRE_LOG_FORMAT, else info as text; JSON is the other format. Logs go to the standard error stream.

Weighed: a layout of our own without target and line; left out, the library's text layout is enough.

--- /dev/null
+++ b/crates/watch/src/logging.rs
@@ -0,0 +1,126 @@
+//! Sets up `log` by logforth.
+//!
+//! Every message is a short sentence after a fixed prefix of its part, for example
+//! `entry: listening on 127.0.0.1:8080`. Logs go to the standard error stream.
+
+use std::env;
+use std::str::FromStr;
+
+use derive_more::{Display, Error};
+use log::LevelFilter;
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilter;
+use logforth::layout::{JsonLayout, TextLayout};
+
+/// Environment variable with the level, when the argument is absent.
+pub const LEVEL_VARIABLE: &str = "SAPPHIRE_LOG";
+/// Environment variable with the format, when the argument is absent.
+pub const FORMAT_VARIABLE: &str = "SAPPHIRE_LOG_FORMAT";
+
+/// Why logging can't be set up.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum LogError {
+    /// The level is none of `off`, `error`, `warn`, `info`, `debug`, `trace`.
+    #[display("log level {text:?} is unknown; use off, error, warn, info, debug or trace")]
+    UnknownLevel {
+        /// What was given.
+        text: String,
+    },
+    /// The format is neither `text` nor `json`.
+    #[display("log format {text:?} is unknown; use text or json")]
+    UnknownFormat {
+        /// What was given.
+        text: String,
+    },
+    /// Logging is set up already.
+    #[display("logging is set up twice")]
+    Repeated,
+}
+
+/// Result of setting up logging.
+pub type Result<T> = std::result::Result<T, LogError>;
+
+/// Form of a log line.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text.
+    #[default]
+    Text,
+    /// One JSON object a line.
+    Json,
+}
+
+impl FromStr for LogFormat {
+    type Err = LogError;
+
+    fn from_str(text: &str) -> Result<Self> {
+        match text {
+            "text" => Ok(Self::Text),
+            "json" => Ok(Self::Json),
+            _ => Err(LogError::UnknownFormat {
+                text: text.to_owned(),
+            }),
+        }
+    }
+}
+
+/// What is logged and how.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LogSettings {
+    /// Least severe level that is logged.
+    pub level: LevelFilter,
+    /// Form of a line.
+    pub format: LogFormat,
+}
+
+impl Default for LogSettings {
+    fn default() -> Self {
+        Self {
+            level: LevelFilter::Info,
+            format: LogFormat::Text,
+        }
+    }
+}
+
+impl LogSettings {
+    /// Reads level and format from arguments, else from the environment, else the defaults.
+    ///
+    /// # Errors
+    /// The first text that is unknown.
+    pub fn choose(level: Option<&str>, format: Option<&str>) -> Result<Self> {
+        let defaults = Self::default();
+        let level =
+            chosen(level, LEVEL_VARIABLE).map_or(Ok(defaults.level), |text| parse_level(&text))?;
+        let format = chosen(format, FORMAT_VARIABLE)
+            .map_or(Ok(defaults.format), |text| LogFormat::from_str(&text))?;
+        Ok(Self { level, format })
+    }
+
+    /// Installs the logger of this process.
+    ///
+    /// # Errors
+    /// [`LogError::Repeated`] when one is installed.
+    pub fn install(self) -> Result<()> {
+        let append = match self.format {
+            LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+            LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+        };
+        let filter = RustLogFilter::from(self.level.as_str().to_lowercase().as_str());
+        let starter = logforth::starter_log::builder()
+            .dispatch(|dispatch| dispatch.filter(filter).append(append));
+        starter.try_apply().map_err(|_| LogError::Repeated)?;
+        log::set_max_level(self.level);
+        Ok(())
+    }
+}
+
+fn chosen(argument: Option<&str>, variable: &str) -> Option<String> {
+    let argument = argument.map(str::to_owned);
+    argument.or_else(|| env::var(variable).ok().filter(|text| !text.is_empty()))
+}
+
+fn parse_level(text: &str) -> Result<LevelFilter> {
+    LevelFilter::from_str(text).map_err(|_| LogError::UnknownLevel {
+        text: text.to_owned(),
+    })
+}
--- /dev/null
+++ b/crates/watch/tests/logging.rs
@@ -0,0 +1,36 @@
+//! Choice of the log level and format.
+
+use googletest::prelude::*;
+use log::LevelFilter;
+use watch::logging::{LogError, LogFormat, LogSettings};
+
+#[gtest]
+fn arguments_choose_level_and_format() {
+    let settings = LogSettings::choose(Some("debug"), Some("json"));
+
+    expect_that!(
+        settings,
+        ok(eq(&LogSettings {
+            level: LevelFilter::Debug,
+            format: LogFormat::Json,
+        }))
+    );
+}
+
+#[gtest]
+fn unknown_words_are_refused_with_the_known_ones() {
+    let level = LogSettings::choose(Some("loud"), Some("text")).unwrap_err();
+    let format = LogSettings::choose(Some("info"), Some("xml")).unwrap_err();
+
+    expect_that!(level.to_string(), contains_substring("off, error, warn"));
+    expect_that!(format.to_string(), contains_substring("text or json"));
+}
+
+#[gtest]
+fn a_second_logger_is_refused() {
+    let settings = LogSettings::choose(Some("error"), Some("text")).unwrap();
+
+    let results = [settings.install(), settings.install()];
+
+    expect_that!(results, eq(&[Ok(()), Err(LogError::Repeated)]));
+}
