Measure entry, agent and control with bounded labels

Cause: an operator could see neither how one account fares nor what the processes spend on each other. Every program gets one set of metrics by prometheus, with names, suffixes and units of its conventions.

The histograms carry account and class; their series are bounded because accounts past the setting share the label "other". Labels come from settings names only, never from what a caller writes.

Excluded: a histogram for each account and model; 2,100 accounts by 39 models would be 81,900 series a histogram. Models are counted apart.

The tests read the exposition with a strict reader of the text format 0.0.4; the reader itself is shown eight faulty texts that it must refuse.

--- /dev/null
+++ b/crates/watch/src/control.rs
@@ -0,0 +1,175 @@
+//! Metrics of a control instance.
+
+use std::time::Duration;
+
+use fault::FaultKind;
+use prometheus::{GaugeVec, Histogram, IntCounter, IntCounterVec, IntGauge};
+
+use crate::label::{LabelBound, LabelSettings};
+use crate::metric::{
+    Result, SpanKind, clamp, counter, counter_family, gauge_family, span, whole_gauge,
+};
+use crate::process::ProcessMetrics;
+
+/// Where a control instance stands in the replicated log.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaSample {
+    /// Term of the last election.
+    pub term: u64,
+    /// Whether this instance leads.
+    pub is_leader: bool,
+    /// Index of the last committed entry.
+    pub commit: u64,
+    /// Entries since the last snapshot.
+    pub log_entries: u64,
+}
+
+/// Metrics of a control instance.
+pub struct ControlMetrics {
+    /// What every program measures.
+    pub process: ProcessMetrics,
+    services: LabelBound,
+    commands: IntCounterVec,
+    refused: IntCounterVec,
+    elections: IntCounter,
+    sync: Histogram,
+    commit_wait: Histogram,
+    load_over_mean: GaugeVec,
+    members: GaugeVec,
+    term: IntGauge,
+    is_leader: IntGauge,
+    commit: IntGauge,
+    log_entries: IntGauge,
+    quarantined: IntGauge,
+}
+
+impl ControlMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// A name that is taken; never in a released build.
+    pub fn new(labels: LabelSettings) -> Result<Self> {
+        let process = ProcessMetrics::new()?;
+        let registry = &process.registry;
+        Ok(Self {
+            services: LabelBound::new(labels.services),
+            commands: counter_family(
+                registry,
+                "sapphire_control_commands_total",
+                "Commands that were committed, by kind.",
+                &["kind"],
+            )?,
+            refused: counter_family(
+                registry,
+                "sapphire_control_refused_total",
+                "Commands that were refused, by kind of error.",
+                &["kind"],
+            )?,
+            elections: counter(
+                registry,
+                "sapphire_control_elections_total",
+                "Elections that this instance saw end.",
+            )?,
+            sync: span(
+                registry,
+                SpanKind::Disk,
+                "sapphire_control_sync_seconds",
+                "Time to make a batch of log entries durable.",
+            )?,
+            commit_wait: span(
+                registry,
+                SpanKind::QueueWait,
+                "sapphire_control_commit_seconds",
+                "Time from taking a command to its commit.",
+            )?,
+            load_over_mean: gauge_family(
+                registry,
+                "sapphire_control_load_over_mean_ratio",
+                "Load of the busiest endpoint of a service over its mean.",
+                &["service"],
+            )?,
+            members: gauge_family(
+                registry,
+                "sapphire_control_members",
+                "Instances with a live lease, by role.",
+                &["role"],
+            )?,
+            term: whole_gauge(
+                registry,
+                "sapphire_control_term",
+                "Term of the last election.",
+            )?,
+            is_leader: whole_gauge(
+                registry,
+                "sapphire_control_is_leader",
+                "Whether this instance leads.",
+            )?,
+            commit: whole_gauge(
+                registry,
+                "sapphire_control_commit_index",
+                "Index of the last committed entry.",
+            )?,
+            log_entries: whole_gauge(
+                registry,
+                "sapphire_control_log_entries",
+                "Entries since the last snapshot.",
+            )?,
+            quarantined: whole_gauge(
+                registry,
+                "sapphire_control_quarantined_requests",
+                "Requests in quarantine.",
+            )?,
+            process,
+        })
+    }
+
+    /// Counts a committed command; `kind` is from a closed set.
+    pub fn record_command(&self, kind: &'static str, wait: Duration) {
+        self.commands.with_label_values(&[kind]).inc();
+        self.commit_wait.observe(wait.as_secs_f64());
+    }
+
+    /// Counts a refused command.
+    pub fn record_refused(&self, kind: FaultKind) {
+        self.refused.with_label_values(&[kind.to_string()]).inc();
+    }
+
+    /// Counts the end of an election.
+    pub fn record_election(&self) {
+        self.elections.inc();
+    }
+
+    /// Counts a sync of the log.
+    pub fn record_sync(&self, duration: Duration) {
+        self.sync.observe(duration.as_secs_f64());
+    }
+
+    /// Sets the load of the busiest endpoint of a service over its mean.
+    pub fn set_load_over_mean(&self, service: &str, ratio: f64) {
+        let label = self.services.label(service);
+        self.load_over_mean.with_label_values(&[label]).set(ratio);
+    }
+
+    /// Sets the number of entries and agents with a live lease.
+    pub fn set_members(&self, entries: usize, agents: usize) {
+        self.members
+            .with_label_values(&["entry"])
+            .set(entries as f64);
+        self.members
+            .with_label_values(&["agent"])
+            .set(agents as f64);
+    }
+
+    /// Sets the place in the replicated log.
+    pub fn set_replica(&self, sample: ReplicaSample) {
+        self.term.set(clamp(sample.term));
+        self.is_leader.set(i64::from(sample.is_leader));
+        self.commit.set(clamp(sample.commit));
+        self.log_entries.set(clamp(sample.log_entries));
+    }
+
+    /// Sets the number of requests in quarantine.
+    pub fn set_quarantined(&self, count: usize) {
+        self.quarantined.set(clamp(count as u64));
+    }
+}
--- /dev/null
+++ b/crates/watch/src/entry.rs
@@ -0,0 +1,227 @@
+//! Metrics of the entry.
+
+use std::time::Duration;
+
+use fault::{FaultKind, RunOutcome};
+use prometheus::{GaugeVec, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge};
+use wire::answer::ClassKind;
+
+use crate::label::{LabelBound, LabelSettings};
+use crate::metric::{
+    Result, SpanKind, clamp, class_label, counter, counter_family, gauge_family, observe,
+    span_family, whole_gauge,
+};
+use crate::process::ProcessMetrics;
+
+/// One finished request, as the entry measures it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AnswerSample<'a> {
+    /// Name of the client account; must exist in the settings.
+    pub account: &'a str,
+    /// Name of the service; must exist in the settings.
+    pub service: &'a str,
+    /// Name of the model; must exist in the settings.
+    pub model: Option<&'a str>,
+    /// Priority class.
+    pub class: ClassKind,
+    /// What is known about execution.
+    pub outcome: RunOutcome,
+    /// The error, when there was no whole answer.
+    pub fault: Option<FaultKind>,
+    /// Wait until the first byte of the body; `None` when none came.
+    pub first_token: Option<Duration>,
+    /// Time that the request waited at the agent; `None` when it was not admitted.
+    pub queue_wait: Option<Duration>,
+    /// Time from arrival to the end.
+    pub total: Duration,
+    /// Estimated prompt tokens.
+    pub prompt_tokens: u32,
+    /// Prompt tokens found in the endpoint's prefix cache.
+    pub cached_tokens: u32,
+    /// Attempts that were sent to agents.
+    pub attempts: u32,
+}
+
+/// Takes the times between successive parts of one streamed answer.
+#[derive(Clone, Debug)]
+pub struct GapObserver(Histogram);
+
+impl GapObserver {
+    /// Counts one gap.
+    pub fn observe(&self, gap: Duration) {
+        self.0.observe(gap.as_secs_f64());
+    }
+}
+
+/// Metrics of the entry.
+pub struct EntryMetrics {
+    /// What every program measures.
+    pub process: ProcessMetrics,
+    accounts: LabelBound,
+    services: LabelBound,
+    models: LabelBound,
+    first_token: HistogramVec,
+    between_tokens: HistogramVec,
+    queue_wait: HistogramVec,
+    answer: HistogramVec,
+    answers: IntCounterVec,
+    service_answers: IntCounterVec,
+    faults: IntCounterVec,
+    attempts: IntCounter,
+    prompt_tokens: IntCounterVec,
+    cached_tokens: IntCounterVec,
+    load_over_mean: GaugeVec,
+    in_flight: IntGauge,
+}
+
+impl EntryMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// A name that is taken; never in a released build.
+    pub fn new(labels: LabelSettings) -> Result<Self> {
+        let process = ProcessMetrics::new()?;
+        let registry = &process.registry;
+        let tenant = ["account", "class"];
+        let place = ["service", "model"];
+        Ok(Self {
+            accounts: LabelBound::new(labels.accounts),
+            services: LabelBound::new(labels.services),
+            models: LabelBound::new(labels.models),
+            first_token: span_family(
+                registry,
+                SpanKind::FirstToken,
+                "sapphire_entry_first_token_seconds",
+                "Time from the arrival of a request to the first byte of its answer's body.",
+                &tenant,
+            )?,
+            between_tokens: span_family(
+                registry,
+                SpanKind::BetweenTokens,
+                "sapphire_entry_between_tokens_seconds",
+                "Time between successive parts of a streamed answer.",
+                &tenant,
+            )?,
+            queue_wait: span_family(
+                registry,
+                SpanKind::QueueWait,
+                "sapphire_entry_queue_wait_seconds",
+                "Time that an admitted request waited at its agent.",
+                &tenant,
+            )?,
+            answer: span_family(
+                registry,
+                SpanKind::Answer,
+                "sapphire_entry_answer_seconds",
+                "Time from the arrival of a request to the end of its answer.",
+                &tenant,
+            )?,
+            answers: counter_family(
+                registry,
+                "sapphire_entry_answers_total",
+                "Answers to callers, by account and outcome.",
+                &["account", "outcome"],
+            )?,
+            service_answers: counter_family(
+                registry,
+                "sapphire_entry_service_answers_total",
+                "Answers to callers, by service, model and outcome.",
+                &["service", "model", "outcome"],
+            )?,
+            faults: counter_family(
+                registry,
+                "sapphire_entry_faults_total",
+                "Requests without a whole answer, by kind of error.",
+                &["kind"],
+            )?,
+            attempts: counter(
+                registry,
+                "sapphire_entry_attempts_total",
+                "Attempts sent to agents.",
+            )?,
+            prompt_tokens: counter_family(
+                registry,
+                "sapphire_entry_prompt_tokens_total",
+                "Estimated tokens of the prompts.",
+                &place,
+            )?,
+            cached_tokens: counter_family(
+                registry,
+                "sapphire_entry_cached_prefix_tokens_total",
+                "Prompt tokens found in prefix caches.",
+                &place,
+            )?,
+            load_over_mean: gauge_family(
+                registry,
+                "sapphire_entry_load_over_mean_ratio",
+                "Load of the busiest endpoint of a service over its mean, as seen.",
+                &["service"],
+            )?,
+            in_flight: whole_gauge(
+                registry,
+                "sapphire_entry_in_flight_requests",
+                "Requests that are being served.",
+            )?,
+            process,
+        })
+    }
+
+    /// Counts a finished request.
+    pub fn record(&self, sample: &AnswerSample) {
+        let tenant = [
+            self.accounts.label(sample.account),
+            class_label(sample.class),
+        ];
+        if let Some(wait) = sample.first_token {
+            observe(&self.first_token, &tenant, wait);
+        }
+        if let Some(wait) = sample.queue_wait {
+            observe(&self.queue_wait, &tenant, wait);
+        }
+        observe(&self.answer, &tenant, sample.total);
+        let outcome = sample.outcome.to_string();
+        self.answers.with_label_values(&[tenant[0], &outcome]).inc();
+        self.attempts.inc_by(u64::from(sample.attempts));
+        if let Some(kind) = sample.fault {
+            self.record_fault(kind);
+        }
+        self.record_place(sample, &outcome);
+    }
+
+    /// Counts an error of a request whose account or service is not known.
+    pub fn record_fault(&self, kind: FaultKind) {
+        self.faults.with_label_values(&[kind.to_string()]).inc();
+    }
+
+    /// The observer of one stream's gaps; fetched once, so that a token costs no lookup.
+    pub fn gap_observer(&self, account: &str, class: ClassKind) -> GapObserver {
+        let tenant = [self.accounts.label(account), class_label(class)];
+        GapObserver(self.between_tokens.with_label_values(&tenant))
+    }
+
+    /// Sets the load of the busiest endpoint of a service over its mean.
+    pub fn set_load_over_mean(&self, service: &str, ratio: f64) {
+        let label = self.services.label(service);
+        self.load_over_mean.with_label_values(&[label]).set(ratio);
+    }
+
+    /// Sets the number of requests that are being served.
+    pub fn set_in_flight(&self, count: usize) {
+        self.in_flight.set(clamp(count as u64));
+    }
+
+    fn record_place(&self, sample: &AnswerSample, outcome: &str) {
+        let service = self.services.label(sample.service);
+        let model = sample.model.map_or("", |name| self.models.label(name));
+        let answers = &self.service_answers;
+        answers.with_label_values(&[service, model, outcome]).inc();
+        if sample.model.is_none() {
+            return;
+        }
+        let place = [service, model];
+        let prompt = self.prompt_tokens.with_label_values(&place);
+        prompt.inc_by(u64::from(sample.prompt_tokens));
+        let cached = self.cached_tokens.with_label_values(&place);
+        cached.inc_by(u64::from(sample.cached_tokens));
+    }
+}
--- /dev/null
+++ b/crates/watch/src/metric.rs
@@ -0,0 +1,130 @@
+//! Registration of metrics.
+
+use std::time::Duration;
+
+use derive_more::{Display, Error, From};
+use prometheus::core::Collector;
+use prometheus::{
+    Counter, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    Opts, Registry,
+};
+use wire::answer::ClassKind;
+
+/// A metric that can't be registered: its name is taken or malformed.
+#[derive(Debug, Display, Error, From)]
+#[display("metric can't be registered: {_0}")]
+pub struct MetricError(prometheus::Error);
+
+/// Result of building a set of metrics.
+pub type Result<T> = std::result::Result<T, MetricError>;
+
+/// Upper bounds in seconds of the time to the first token.
+const FIRST_TOKEN_BOUNDS: [f64; 11] =
+    [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.91, 1.5, 3.0, 10.0, 30.0];
+/// Upper bounds in seconds of the time between tokens.
+const BETWEEN_TOKENS_BOUNDS: [f64; 9] = [0.005, 0.01, 0.02, 0.035, 0.049, 0.075, 0.15, 0.5, 2.0];
+/// Upper bounds in seconds of the wait in a queue.
+const QUEUE_WAIT_BOUNDS: [f64; 10] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.25, 0.5, 1.0, 5.0, 30.0];
+/// Upper bounds in seconds of a whole answer.
+const ANSWER_BOUNDS: [f64; 10] = [0.02, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0, 120.0];
+/// Upper bounds in seconds of a write to the disk.
+const DISK_BOUNDS: [f64; 8] = [0.0005, 0.001, 0.0025, 0.005, 0.01, 0.05, 0.25, 1.0];
+
+/// Which duration a histogram holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum SpanKind {
+    FirstToken,
+    BetweenTokens,
+    QueueWait,
+    Answer,
+    Disk,
+}
+
+impl SpanKind {
+    fn bounds(self) -> &'static [f64] {
+        match self {
+            Self::FirstToken => &FIRST_TOKEN_BOUNDS,
+            Self::BetweenTokens => &BETWEEN_TOKENS_BOUNDS,
+            Self::QueueWait => &QUEUE_WAIT_BOUNDS,
+            Self::Answer => &ANSWER_BOUNDS,
+            Self::Disk => &DISK_BOUNDS,
+        }
+    }
+}
+
+pub(crate) fn span_family(
+    registry: &Registry,
+    kind: SpanKind,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<HistogramVec> {
+    let opts = HistogramOpts::new(name, help).buckets(kind.bounds().to_vec());
+    register(registry, HistogramVec::new(opts, labels)?)
+}
+
+pub(crate) fn span(
+    registry: &Registry,
+    kind: SpanKind,
+    name: &str,
+    help: &str,
+) -> Result<Histogram> {
+    let opts = HistogramOpts::new(name, help).buckets(kind.bounds().to_vec());
+    register(registry, Histogram::with_opts(opts)?)
+}
+
+pub(crate) fn counter_family(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec> {
+    register(registry, IntCounterVec::new(Opts::new(name, help), labels)?)
+}
+
+pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+    register(registry, IntCounter::new(name, help)?)
+}
+
+pub(crate) fn gauge_family(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<GaugeVec> {
+    register(registry, GaugeVec::new(Opts::new(name, help), labels)?)
+}
+
+pub(crate) fn real_counter(registry: &Registry, name: &str, help: &str) -> Result<Counter> {
+    register(registry, Counter::new(name, help)?)
+}
+
+pub(crate) fn whole_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+    register(registry, IntGauge::new(name, help)?)
+}
+
+fn register<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> Result<C> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+/// Label of a priority class.
+pub(crate) fn class_label(class: ClassKind) -> &'static str {
+    match class {
+        ClassKind::Urgent => "urgent",
+        ClassKind::Interactive => "interactive",
+        ClassKind::Batch => "batch",
+    }
+}
+
+/// Counts one duration of a labelled histogram.
+pub(crate) fn observe(family: &HistogramVec, labels: &[&str], duration: Duration) {
+    family
+        .with_label_values(labels)
+        .observe(duration.as_secs_f64());
+}
+
+/// A count as the value of a gauge.
+pub(crate) fn clamp(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/crates/watch/src/usage.rs
@@ -0,0 +1,90 @@
+//! Processor time and memory of this process.
+
+use std::fs;
+use std::time::Duration;
+
+use prometheus::{Counter, IntGauge, Registry};
+
+use crate::metric::{Result, real_counter, whole_gauge};
+
+/// Clock ticks a second in `/proc/self/stat`; fixed by the kernel's interface on Linux.
+const TICKS_PER_SECOND: u64 = 100;
+/// Position of the user time among the fields after the program's name.
+const USER_TIME_FIELD: usize = 11;
+/// Bytes in the unit of `/proc/self/status`.
+const STATUS_UNIT_BYTES: u64 = 1024;
+
+/// What this process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ProcessUsage {
+    /// Processor time in user and system mode.
+    pub processor_time: Duration,
+    /// Resident memory in bytes.
+    pub resident_bytes: u64,
+}
+
+impl ProcessUsage {
+    /// Reads the usage from the proc file system; zero where it has none.
+    pub fn read() -> Self {
+        let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
+        let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+        Self {
+            processor_time: parse_processor_time(&stat).unwrap_or_default(),
+            resident_bytes: parse_resident_bytes(&status).unwrap_or_default(),
+        }
+    }
+}
+
+/// Reads user and system time from the text of `/proc/<pid>/stat`.
+pub fn parse_processor_time(stat: &str) -> Option<Duration> {
+    let (_, fields) = stat.rsplit_once(')')?;
+    let times = fields.split_whitespace().skip(USER_TIME_FIELD).take(2);
+    let ticks: u64 = times
+        .map(|text| text.parse::<u64>().unwrap_or_default())
+        .sum();
+    Some(Duration::from_millis(ticks * 1000 / TICKS_PER_SECOND))
+}
+
+/// Reads the resident size from the text of `/proc/<pid>/status`.
+pub fn parse_resident_bytes(status: &str) -> Option<u64> {
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let units: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(units * STATUS_UNIT_BYTES)
+}
+
+/// Processor time and memory as metrics.
+#[derive(Clone, Debug)]
+pub struct UsageMetrics {
+    processor_time: Counter,
+    resident_bytes: IntGauge,
+}
+
+impl UsageMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// A name that is taken.
+    pub fn register(registry: &Registry) -> Result<Self> {
+        Ok(Self {
+            processor_time: real_counter(
+                registry,
+                "process_cpu_seconds_total",
+                "Processor time in user and system mode.",
+            )?,
+            resident_bytes: whole_gauge(
+                registry,
+                "process_resident_memory_bytes",
+                "Resident memory.",
+            )?,
+        })
+    }
+
+    /// Sets the metrics to the present usage.
+    pub fn update(&self) {
+        let usage = ProcessUsage::read();
+        let growth = usage.processor_time.as_secs_f64() - self.processor_time.get();
+        self.processor_time.inc_by(growth.max(0.0));
+        let resident = i64::try_from(usage.resident_bytes).unwrap_or(i64::MAX);
+        self.resident_bytes.set(resident);
+    }
+}
