Record why each request went where it went

Cause: nobody could say afterwards why a request met one endpoint and not another. Entry and agent each keep a record: candidates with load and warmth as seen, exclusions, choice, attempts, queue wait, outcome.

Refusals, failures, retries and notices have a ring of their own, so that a flood of successes can't evict them and a flood of refusals stays bounded. Above the full rate, ordinary records are sampled by request id and not by a generator, so entry and agent keep the same requests and can be joined.

Weighed: one ring for all; excluded, a second of successes at the target rate would push out every refusal.

--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -1,6 +1,10 @@
 //! Logs, metrics, decision records and the status page.
 //!
 //! * [`logging`]: sets up `log` by logforth, as text or JSON.
+//! * [`record`]: why one request went where it went, as seen by an entry or an agent.
+//! * [`ring`]: the bounded store of records and notices of one instance.
+//! * [`filter`]: which records a reader follows.
+//! * [`explain`]: the readable account of one request.
 //! * [`label`]: the bound on the label values of metrics.
 //! * [`entry`], [`agent`], [`control`]: the metrics of each program.
 //! * [`process`]: the metrics that every program has.
@@ -8,16 +12,23 @@
 //! * [`usage`]: processor time and memory of this process.
 //! * [`exposition`]: metrics as Prometheus text.
 //! * [`role`]: what an instance does.
+//! * [`status`]: what the status page shows, as data.
 
 pub mod agent;
 pub mod control;
 pub mod entry;
+pub mod explain;
 pub mod exposition;
+pub mod filter;
 pub mod label;
 pub mod logging;
 mod metric;
+mod millis;
 pub mod process;
+pub mod record;
+pub mod ring;
 pub mod role;
+pub mod status;
 pub mod traffic;
 pub mod usage;
 
@@ -25,7 +36,11 @@
 pub use control::ControlMetrics;
 pub use entry::EntryMetrics;
 pub use exposition::TEXT_CONTENT_TYPE;
+pub use filter::RecordFilter;
 pub use logging::LogSettings;
 pub use metric::{MetricError, Result};
 pub use process::ProcessMetrics;
+pub use record::DecisionRecord;
+pub use ring::{DecisionRing, RingSettings};
 pub use role::InstanceRole;
+pub use status::FleetStatus;
--- /dev/null
+++ b/crates/watch/src/ring.rs
@@ -0,0 +1,234 @@
+//! The bounded store of records and notices of one instance.
+//!
+//! Ordinary records and notable ones (refusals, failures, retries, notices) have a ring each, so
+//! that a flood of successes can't evict a refusal. Above a set rate, ordinary records are
+//! sampled by request id, so that the entry and the agent keep the same requests and their parts
+//! can still be joined.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use wire::id::RequestId;
+
+use crate::filter::RecordFilter;
+use crate::record::{DecisionRecord, NoticeRecord};
+
+/// Bounds of a ring.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RingSettings {
+    /// Ordinary records kept.
+    pub ordinary_capacity: usize,
+    /// Notable records and notices kept.
+    pub notable_capacity: usize,
+    /// Ordinary records stored in one second before sampling begins.
+    pub full_rate: u32,
+    /// Above the full rate, one request of this many is stored; at least 1.
+    pub sample_divisor: u32,
+}
+
+impl Default for RingSettings {
+    fn default() -> Self {
+        Self {
+            ordinary_capacity: 2048,
+            notable_capacity: 2048,
+            full_rate: 50,
+            sample_divisor: 16,
+        }
+    }
+}
+
+/// What a ring holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RingEvent {
+    /// A decision about a request.
+    Decision(Box<DecisionRecord>),
+    /// Something else worth following.
+    Notice(NoticeRecord),
+}
+
+/// An event with its place in the ring.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct RingEntry {
+    /// Grows by one with every stored event, from 1.
+    pub sequence: u64,
+    /// The event.
+    pub event: RingEvent,
+}
+
+/// What a follower gets.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct RingBatch {
+    /// Entries in order of their sequence.
+    pub entries: Vec<RingEntry>,
+    /// Sequence to follow from next.
+    pub next: u64,
+}
+
+/// The bounded store of one instance.
+///
+/// Invariants: each ring is sorted by sequence and within its capacity; a sequence occurs once.
+#[derive(Debug)]
+pub struct DecisionRing {
+    settings: RingSettings,
+    ordinary: VecDeque<RingEntry>,
+    notable: VecDeque<RingEntry>,
+    /// Sequence of the last stored event.
+    last: u64,
+    /// Second of the wall clock that `stored` counts.
+    second: u64,
+    /// Ordinary records stored in `second`.
+    stored: u32,
+    /// Ordinary records that sampling left out.
+    sampled_out: u64,
+}
+
+impl DecisionRing {
+    /// An empty ring.
+    pub fn new(settings: RingSettings) -> Self {
+        Self {
+            settings,
+            ordinary: VecDeque::new(),
+            notable: VecDeque::new(),
+            last: 0,
+            second: 0,
+            stored: 0,
+            sampled_out: 0,
+        }
+    }
+
+    /// Stores a record, unless sampling leaves it out. Returns whether it was stored.
+    pub fn push(&mut self, record: DecisionRecord) -> bool {
+        if record.is_notable() {
+            self.store_notable(RingEvent::Decision(Box::new(record)));
+            return true;
+        }
+        if !self.samples(record.request, record.time) {
+            self.sampled_out += 1;
+            return false;
+        }
+        let entry = self.number(RingEvent::Decision(Box::new(record)));
+        push_bounded(&mut self.ordinary, entry, self.settings.ordinary_capacity);
+        true
+    }
+
+    /// Stores a notice.
+    pub fn push_notice(&mut self, record: NoticeRecord) {
+        self.store_notable(RingEvent::Notice(record));
+    }
+
+    /// The stored records of a request, oldest first.
+    pub fn find(&self, request: RequestId) -> Vec<&DecisionRecord> {
+        let entries = self.ordinary.iter().chain(&self.notable);
+        let mut found: Vec<(u64, &DecisionRecord)> = entries
+            .filter_map(|entry| Some((entry.sequence, decision_of(entry)?)))
+            .filter(|(_, record)| record.request == request)
+            .collect();
+        found.sort_by_key(|(sequence, _)| *sequence);
+        found.into_iter().map(|(_, record)| record).collect()
+    }
+
+    /// At most `limit` entries after `after` that pass the filter, oldest first.
+    pub fn follow(&self, after: u64, filter: &RecordFilter, limit: usize) -> RingBatch {
+        let mut entries: Vec<&RingEntry> = newer(&self.ordinary, after)
+            .chain(newer(&self.notable, after))
+            .filter(|entry| filter.admits(&entry.event))
+            .collect();
+        entries.sort_by_key(|entry| entry.sequence);
+        let is_cut = entries.len() > limit;
+        entries.truncate(limit);
+        let next = match entries.last() {
+            Some(entry) if is_cut => entry.sequence,
+            _ => self.last.max(after),
+        };
+        RingBatch {
+            entries: entries.into_iter().cloned().collect(),
+            next,
+        }
+    }
+
+    /// The last `count` decisions, newest first.
+    pub fn last_decisions(&self, count: usize) -> Vec<&DecisionRecord> {
+        let mut entries: Vec<&RingEntry> = self.ordinary.iter().chain(&self.notable).collect();
+        entries.sort_by_key(|entry| std::cmp::Reverse(entry.sequence));
+        entries
+            .into_iter()
+            .filter_map(decision_of)
+            .take(count)
+            .collect()
+    }
+
+    /// Sequence of the last stored event.
+    pub fn last_sequence(&self) -> u64 {
+        self.last
+    }
+
+    /// Ordinary records that sampling left out.
+    pub fn sampled_out(&self) -> u64 {
+        self.sampled_out
+    }
+
+    /// Checks the invariants.
+    pub fn verify(&self) {
+        assert!(self.ordinary.len() <= self.settings.ordinary_capacity);
+        assert!(self.notable.len() <= self.settings.notable_capacity);
+        assert!(is_ascending(&self.ordinary, self.last));
+        assert!(is_ascending(&self.notable, self.last));
+    }
+
+    fn samples(&mut self, request: RequestId, time: Duration) -> bool {
+        let second = time.as_secs();
+        if second != self.second {
+            self.second = second;
+            self.stored = 0;
+        }
+        let divisor = RequestId::from(self.settings.sample_divisor.max(1));
+        if self.stored >= self.settings.full_rate && !request.is_multiple_of(divisor) {
+            return false;
+        }
+        self.stored = self.stored.saturating_add(1);
+        true
+    }
+
+    fn store_notable(&mut self, event: RingEvent) {
+        let entry = self.number(event);
+        push_bounded(&mut self.notable, entry, self.settings.notable_capacity);
+    }
+
+    fn number(&mut self, event: RingEvent) -> RingEntry {
+        self.last += 1;
+        RingEntry {
+            sequence: self.last,
+            event,
+        }
+    }
+}
+
+fn push_bounded(ring: &mut VecDeque<RingEntry>, entry: RingEntry, capacity: usize) {
+    if capacity == 0 {
+        return;
+    }
+    if ring.len() >= capacity {
+        ring.pop_front();
+    }
+    ring.push_back(entry);
+}
+
+fn newer(ring: &VecDeque<RingEntry>, after: u64) -> impl Iterator<Item = &RingEntry> {
+    let start = ring.partition_point(|entry| entry.sequence <= after);
+    ring.range(start..)
+}
+
+fn decision_of(entry: &RingEntry) -> Option<&DecisionRecord> {
+    match &entry.event {
+        RingEvent::Decision(record) => Some(record),
+        RingEvent::Notice(_) => None,
+    }
+}
+
+fn is_ascending(ring: &VecDeque<RingEntry>, last: u64) -> bool {
+    let pairs = ring.iter().zip(ring.iter().skip(1));
+    let mut ordered = pairs.map(|(left, right)| left.sequence < right.sequence);
+    ordered.all(|is_ordered| is_ordered) && ring.back().is_none_or(|entry| entry.sequence <= last)
+}
