Draw the status page as one file of HTML and SVG

Cause: a fleet could be seen only through many separate texts. One page shows instances with their settings version, load over mean by endpoint, the warm share, the leader and the last decisions. It has no script and loads nothing.

--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`exposition`]: metrics as Prometheus text.
 //! * [`role`]: what an instance does.
 //! * [`status`]: what the status page shows, as data.
+//! * [`page`]: the status page as HTML.
 
 pub mod agent;
 pub mod control;
@@ -24,6 +25,7 @@
 pub mod logging;
 mod metric;
 mod millis;
+pub mod page;
 pub mod process;
 pub mod record;
 pub mod ring;
--- /dev/null
+++ b/crates/watch/src/page.rs
@@ -0,0 +1,227 @@
+//! The status page as HTML: one file with inline SVG, without scripts.
+//!
+//! Every text that an operator or a caller can write passes through [`escape`].
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use crate::explain::summarize;
+use crate::millis::to_millis;
+use crate::record::DecisionRecord;
+use crate::ring::RingEvent;
+use crate::status::{EndpointStatus, FleetStatus, InstanceStatus, ServiceStatus};
+
+/// Content type of the page.
+pub const PAGE_CONTENT_TYPE: &str = "text/html; charset=utf-8";
+/// Content security policy of the page: nothing is loaded or executed.
+pub const PAGE_POLICY: &str = "default-src 'none'; style-src 'unsafe-inline'";
+
+/// Endpoints drawn for one service; the busiest come first.
+const MAX_BARS: usize = 64;
+/// Rows of a table.
+const MAX_ROWS: usize = 200;
+/// Width in pixels of a bar at the mean load.
+const MEAN_WIDTH: f64 = 160.0;
+/// Largest load over mean that is drawn to scale.
+const MAX_RATIO: f64 = 3.0;
+/// Height in pixels of a bar's row.
+const ROW_HEIGHT: usize = 18;
+/// Width in pixels of the names beside the bars.
+const NAME_WIDTH: f64 = 200.0;
+/// Seconds between reloads of the page.
+const RELOAD_SECONDS: u32 = 5;
+
+const STYLE: &str = "body{font:14px sans-serif;margin:1.5em;max-width:70em}\
+table{border-collapse:collapse}td,th{padding:2px 10px;text-align:left;border-bottom:1px solid #ddd}\
+.late{color:#b00}code{font-size:12px}";
+
+/// The page that shows `status`.
+pub fn render(status: &FleetStatus) -> String {
+    let mut page = String::new();
+    push_head(&mut page, status);
+    push_instances(&mut page, status);
+    push_services(&mut page, status);
+    push_decisions(&mut page, &status.decisions);
+    page.push_str("</body></html>\n");
+    page
+}
+
+/// Replaces the characters that have a meaning in HTML text and attributes.
+pub fn escape(text: &str) -> String {
+    let mut escaped = String::with_capacity(text.len());
+    for character in text.chars() {
+        match character {
+            '&' => escaped.push_str("&amp;"),
+            '<' => escaped.push_str("&lt;"),
+            '>' => escaped.push_str("&gt;"),
+            '"' => escaped.push_str("&quot;"),
+            '\'' => escaped.push_str("&#39;"),
+            control if control.is_control() => escaped.push('\u{fffd}'),
+            other => escaped.push(other),
+        }
+    }
+    escaped
+}
+
+fn push_head(page: &mut String, status: &FleetStatus) {
+    let title = escape(&format!("{} {}", status.role, status.instance));
+    put(
+        page,
+        "<!doctype html><html lang=\"en\"><head><meta charset=\"utf-8\">",
+    );
+    let reload = format!("<meta http-equiv=\"refresh\" content=\"{RELOAD_SECONDS}\">");
+    put(page, &reload);
+    put(
+        page,
+        &format!("<title>{title}</title><style>{STYLE}</style></head><body>"),
+    );
+    put(page, &format!("<h1>{title}</h1>"));
+    let leader = match &status.leader {
+        Some(name) => format!("{} leads term {}", escape(name), status.term),
+        None => "no leader is known".to_owned(),
+    };
+    let version = status.settings;
+    put(
+        page,
+        &format!("<p>Control: {leader}. Settings version {version} in force here.</p>"),
+    );
+}
+
+fn push_instances(page: &mut String, status: &FleetStatus) {
+    put(
+        page,
+        "<h2>Instances</h2><table><tr><th>name<th>role<th>failure domain",
+    );
+    put(page, "<th>settings version<th>last heard</tr>");
+    for instance in status.instances.iter().take(MAX_ROWS) {
+        put(page, &instance_row(instance, status.settings));
+    }
+    put(page, "</table>");
+    push_rest(page, status.instances.len(), MAX_ROWS, "instances");
+}
+
+fn instance_row(instance: &InstanceStatus, newest: u64) -> String {
+    let late = if instance.settings < newest {
+        " class=\"late\""
+    } else {
+        ""
+    };
+    format!(
+        "<tr><td>{}<td>{}<td>{}<td{late}>{}<td>{}</tr>",
+        escape(&instance.name),
+        instance.role,
+        escape(&instance.domain),
+        instance.settings,
+        ago(instance.silence),
+    )
+}
+
+fn push_services(page: &mut String, status: &FleetStatus) {
+    for service in &status.services {
+        let mut endpoints: Vec<&EndpointStatus> = status
+            .endpoints
+            .iter()
+            .filter(|endpoint| endpoint.service == service.name)
+            .collect();
+        endpoints.sort_by(|left, right| {
+            let busier = right.load_over_mean.total_cmp(&left.load_over_mean);
+            busier.then_with(|| left.name.cmp(&right.name))
+        });
+        push_service(page, service, &endpoints);
+    }
+}
+
+fn push_service(page: &mut String, service: &ServiceStatus, endpoints: &[&EndpointStatus]) {
+    let warm = match service.warm_share() {
+        Some(share) => format!("{:.0} % of the prompt tokens found warm", share * 100.0),
+        None => "no prompts yet".to_owned(),
+    };
+    let name = escape(&service.name);
+    put(page, &format!("<h2>Service {name}</h2>"));
+    let mean = service.mean_load;
+    let bound = service.load_bound;
+    put(
+        page,
+        &format!("<p>Mean load {mean:.2}, bound {bound:.2} times the mean, {warm}.</p>"),
+    );
+    put(page, &chart(endpoints, bound));
+    push_rest(page, endpoints.len(), MAX_BARS, "endpoints");
+}
+
+/// A bar for each endpoint, with lines at the mean and at the bound.
+fn chart(endpoints: &[&EndpointStatus], bound: f64) -> String {
+    let rows = endpoints.len().min(MAX_BARS);
+    let height = (rows + 1) * ROW_HEIGHT;
+    let width = NAME_WIDTH + MAX_RATIO * MEAN_WIDTH + NAME_WIDTH;
+    let mut svg = format!("<svg width=\"{width}\" height=\"{height}\" font-size=\"12\">");
+    for (row, endpoint) in endpoints.iter().take(MAX_BARS).enumerate() {
+        svg.push_str(&bar(row, endpoint, bound));
+    }
+    svg.push_str(&marker(1.0, "mean", "#555", height));
+    svg.push_str(&marker(bound, "bound", "#b00", height));
+    svg.push_str("</svg>");
+    svg
+}
+
+fn bar(row: usize, endpoint: &EndpointStatus, bound: f64) -> String {
+    let y = row * ROW_HEIGHT;
+    let text_y = y + ROW_HEIGHT - 5;
+    let ratio = endpoint.load_over_mean;
+    let length = drawn(ratio) * MEAN_WIDTH;
+    let colour = if ratio > bound { "#b00" } else { "#48c" };
+    let label = format!(
+        "{:.2} ({} running, {} waiting) {:?} in {}",
+        ratio, endpoint.load.running, endpoint.load.queued, endpoint.state, endpoint.domain
+    );
+    format!(
+        "<text x=\"0\" y=\"{text_y}\">{}</text>\
+         <rect x=\"{NAME_WIDTH}\" y=\"{y}\" width=\"{length:.1}\" height=\"{}\" fill=\"{colour}\"/>\
+         <text x=\"{:.1}\" y=\"{text_y}\">{}</text>\n",
+        escape(&endpoint.name),
+        ROW_HEIGHT - 4,
+        NAME_WIDTH + length + 4.0,
+        escape(&label),
+    )
+}
+
+fn marker(ratio: f64, name: &str, colour: &str, height: usize) -> String {
+    let x = NAME_WIDTH + drawn(ratio) * MEAN_WIDTH;
+    format!(
+        "<line x1=\"{x:.1}\" x2=\"{x:.1}\" y1=\"0\" y2=\"{height}\" stroke=\"{colour}\"/>\
+         <text x=\"{x:.1}\" y=\"{}\" fill=\"{colour}\">{name}</text>\n",
+        height - 4,
+    )
+}
+
+fn drawn(ratio: f64) -> f64 {
+    if ratio.is_finite() {
+        ratio.clamp(0.0, MAX_RATIO)
+    } else {
+        0.0
+    }
+}
+
+fn push_decisions(page: &mut String, decisions: &[DecisionRecord]) {
+    put(page, "<h2>Last decisions</h2><table>");
+    for record in decisions.iter().take(MAX_ROWS) {
+        let event = RingEvent::Decision(Box::new(record.clone()));
+        let line = escape(&summarize(&event));
+        put(page, &format!("<tr><td><code>{line}</code></tr>"));
+    }
+    put(page, "</table>");
+}
+
+fn push_rest(page: &mut String, count: usize, shown: usize, noun: &str) {
+    if count > shown {
+        put(page, &format!("<p>and {} more {noun}</p>", count - shown));
+    }
+}
+
+fn ago(duration: Duration) -> String {
+    format!("{:.1} s ago", to_millis(duration) / 1000.0)
+}
+
+fn put(page: &mut String, content: &str) {
+    // Writing to a string can't fail.
+    let _ = writeln!(page, "{content}");
+}
