Run calls by the decision crates in the entry

Cause: the entry chose by load alone, retried blindly and lost a stream with its connection. It now chooses by the route table, keeps a ledger of what may be said about each call, claims non-idempotent calls, continues a stream on a new connection and leaves a decision record and metrics behind.

--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -1,101 +1,143 @@
-//! The answer of an endpoint on its way to the caller.
+//! From the answer of an endpoint to the HTTP response.
 
+use actix_web::http::StatusCode;
+use actix_web::{HttpResponse, HttpResponseBuilder};
 use bytes::Bytes;
-use crc32fast::Hasher;
-use fault::{Fault, FaultKind};
-use link::LinkSender;
-use wire::LinkMessage;
-use wire::answer::{AckNotice, AnswerHead, AttemptKey, CancelRequest};
+use fault::{Fault, RunOutcome};
+use futures::stream;
+use route::WarmHint;
+use serde_json::json;
+use watch::record::request_to_text;
+use wire::command::RecordedAnswer;
+use wire::id::RequestId;
 
-use crate::pool::{LinkPool, StreamEvent, StreamReceiver};
+use crate::attempt::{AttemptEvent, AttemptStream};
+use crate::core::CallGuard;
+use crate::dispatch::StartedAnswer;
+use crate::trace::CallTrace;
 
-/// The rest of an answer whose head has arrived.
-pub struct AnswerStream {
-    key: AttemptKey,
-    pool: LinkPool,
-    sender: LinkSender,
-    events: StreamReceiver,
-    /// Bytes handed to the caller so far.
-    offset: u64,
-    checksum: Hasher,
-    is_complete: bool,
-}
+/// Header with the id of the request.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+/// Header with what is known about execution.
+pub const OUTCOME_HEADER: &str = "x-outcome";
+/// Header with the places where a chat is warm.
+pub const WARM_HINT_HEADER: &str = "x-warm-hint";
+/// Header with the prompt tokens found in the prefix cache.
+pub const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
 
-impl AnswerStream {
-    /// The stream behind `head`.
-    pub fn new(
-        head: &AnswerHead,
-        pool: LinkPool,
-        sender: LinkSender,
-        events: StreamReceiver,
-    ) -> Self {
-        let checksum = Hasher::new();
-        Self {
-            key: head.key,
-            pool,
-            sender,
-            events,
-            offset: 0,
-            checksum,
-            is_complete: false,
-        }
-    }
+/// An answer on its way to the caller.
+struct CallerStream {
+    stream: AttemptStream,
+    trace: CallTrace,
+    /// Bytes handed to the HTTP layer and not yet counted as taken.
+    handed: usize,
+    is_over: bool,
+    /// Keeps the call counted while its answer is under way.
+    _guard: CallGuard,
+}
 
-    /// The next bytes for the caller; `None` after the last.
-    ///
-    /// # Errors
-    /// The answer can't be completed.
-    pub async fn next_bytes(&mut self) -> Option<Result<Bytes, Fault>> {
-        if self.is_complete {
+impl CallerStream {
+    /// The next part; an error cuts the response off, so that the caller sees that it is not
+    /// whole.
+    async fn next_part(&mut self) -> Option<Result<Bytes, Fault>> {
+        if self.is_over {
             return None;
         }
-        let step = self.next_step().await;
-        if !matches!(step, Some(Ok(_))) {
-            self.is_complete = true;
-            self.pool.close_stream(self.key);
-        }
-        step
-    }
-
-    async fn next_step(&mut self) -> Option<Result<Bytes, Fault>> {
+        self.stream.take(std::mem::take(&mut self.handed));
         loop {
-            let message = match self.events.recv().await {
-                Some(StreamEvent::Message(message)) => message,
-                _ => return Some(Err(FaultKind::ConnectionLost.because("the agent is gone"))),
-            };
-            match *message {
-                LinkMessage::Chunk(chunk) if chunk.offset == self.offset => {
-                    self.offset += chunk.bytes.len() as u64;
-                    self.checksum.update(&chunk.bytes);
-                    let ack = AckNotice {
-                        key: self.key,
-                        offset: self.offset,
-                    };
-                    let _ = self.sender.try_send(LinkMessage::Ack(ack));
-                    return Some(Ok(chunk.bytes));
+            match self.stream.next_event().await {
+                AttemptEvent::Bytes(bytes) => {
+                    self.trace.record_part();
+                    self.handed = bytes.len();
+                    return Some(Ok(bytes));
                 }
-                LinkMessage::End(end) => {
-                    let checksum = self.checksum.clone().finalize();
-                    if (end.length, end.checksum) == (self.offset, checksum) {
-                        return None;
-                    }
-                    return Some(Err(
-                        FaultKind::ConnectionLost.because("the answer has a gap")
-                    ));
+                AttemptEvent::Complete(_) => {
+                    self.trace.finish();
+                    self.is_over = true;
+                    return None;
                 }
-                LinkMessage::Refused(notice) => return Some(Err(notice.fault)),
-                _ => {}
+                AttemptEvent::Refused(notice) => return Some(Err(self.fail(notice.fault))),
+                AttemptEvent::Failed(fault) => return Some(Err(self.fail(fault))),
+                AttemptEvent::Admitted(_) | AttemptEvent::Head(_) => {}
             }
         }
     }
+
+    fn fail(&mut self, fault: Fault) -> Fault {
+        log::warn!("entry: an answer was cut off: {fault}.");
+        self.trace.fail(&fault);
+        self.is_over = true;
+        fault
+    }
 }
 
-impl Drop for AnswerStream {
-    fn drop(&mut self) {
-        if !self.is_complete {
-            self.pool.close_stream(self.key);
-            let cancel = CancelRequest { key: self.key };
-            let _ = self.sender.try_send(LinkMessage::Cancel(cancel));
-        }
+/// The response of an answer that has begun.
+pub fn started_response(
+    started: StartedAnswer,
+    hint: &WarmHint,
+    id: RequestId,
+    mut trace: CallTrace,
+    guard: CallGuard,
+) -> HttpResponse {
+    let head = &started.head;
+    trace.record_head(head);
+    let mut response = response_of(head.status, id, RunOutcome::Ran);
+    for header in &head.headers {
+        response.insert_header((header.name.as_str(), header.value.as_str()));
     }
+    response.insert_header((WARM_HINT_HEADER, hint.moved_to(started.place).to_string()));
+    response.insert_header((CACHED_TOKENS_HEADER, head.cached_tokens.to_string()));
+    let stream = CallerStream {
+        stream: started.stream,
+        trace,
+        handed: 0,
+        is_over: false,
+        _guard: guard,
+    };
+    response.streaming(stream::unfold(stream, |mut stream| async move {
+        let part = stream.next_part().await?;
+        Some((part, stream))
+    }))
+}
+
+/// The response of a call that ran before.
+pub fn recorded_response(answer: RecordedAnswer, id: RequestId) -> HttpResponse {
+    let mut response = response_of(answer.status, id, RunOutcome::Ran);
+    for header in &answer.headers {
+        response.insert_header((header.name.as_str(), header.value.as_str()));
+    }
+    response.insert_header(("x-recorded", "true"));
+    match answer.body {
+        Some(body) => response.body(body),
+        None => response.finish(),
+    }
+}
+
+/// The response of a call that failed.
+pub fn fault_response(fault: &Fault, id: RequestId) -> HttpResponse {
+    let answer = fault.kind.answer();
+    log::log!(
+        answer.level,
+        "entry: request {}: {fault}.",
+        request_to_text(id)
+    );
+    let mut response = response_of(answer.status, id, answer.outcome);
+    if let Some(wait) = fault.retry_after.or(answer.retry_after) {
+        let seconds = wait.as_secs_f64().ceil().max(1.0);
+        response.insert_header(("retry-after", format!("{seconds:.0}")));
+    }
+    response.json(json!({"error": {
+        "kind": fault.kind.to_string(),
+        "outcome": answer.outcome.to_string(),
+        "message": fault.message,
+        "request": request_to_text(id),
+    }}))
+}
+
+fn response_of(status: u16, id: RequestId, outcome: RunOutcome) -> HttpResponseBuilder {
+    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    response.insert_header((REQUEST_ID_HEADER, request_to_text(id)));
+    response.insert_header((OUTCOME_HEADER, outcome.to_string()));
+    response
 }
--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -75,6 +75,22 @@
         u32::try_from(length / TOKEN_BYTES).unwrap_or(u32::MAX)
     }
 
+    /// What tells this chat from others when the caller names none: its first messages, up to and
+    /// with the first of the user.
+    pub fn opening(&self) -> String {
+        let first = self
+            .messages
+            .iter()
+            .position(|message| message.role == "user");
+        let count = first.map_or(self.messages.len(), |index| index + 1);
+        self.messages
+            .iter()
+            .take(count)
+            .map(content_text)
+            .collect::<Vec<_>>()
+            .join("\n")
+    }
+
     fn prompt_text(&self) -> String {
         let mut text = String::new();
         for message in &self.messages {
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -2,13 +2,16 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use fault::FaultKind;
 use link::control_client::{ControlClient, ControlEvent};
-use settings::SettingsTree;
-use tokio::sync::mpsc::UnboundedReceiver;
+use settings::holder::{HolderError, UpdateOutcome};
+use tokio::sync::mpsc::{self, UnboundedReceiver};
+use tokio::sync::oneshot;
 use tokio::time::interval;
 use wire::LinkMessage;
+use wire::command::{ControlCommand, ControlReply};
 use wire::id::name_id;
 use wire::member::EntryHeartbeat;
 use wire::message::SettingsUpdate;
@@ -17,6 +20,53 @@
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Proposals that wait for the main thread.
+const QUEUE_PROPOSALS: usize = 1024;
+
+/// A command on its way from an HTTP worker to the main thread.
+pub struct ProposalRequest {
+    command: ControlCommand,
+    reply: oneshot::Sender<fault::Result<ControlReply>>,
+}
+
+/// Way of the HTTP workers to the control quorum.
+#[derive(Clone)]
+pub struct ProposalQueue(mpsc::Sender<ProposalRequest>);
+
+impl ProposalQueue {
+    /// A queue, and the end that [`serve_proposals`] works off.
+    pub fn new() -> (Self, mpsc::Receiver<ProposalRequest>) {
+        let (sender, receiver) = mpsc::channel(QUEUE_PROPOSALS);
+        (Self(sender), receiver)
+    }
+
+    /// Proposes a command and waits for the quorum's decision.
+    ///
+    /// # Errors
+    /// `ControlUnreachable` when there is none in time; the command may still be committed.
+    pub async fn propose(&self, command: ControlCommand) -> fault::Result<ControlReply> {
+        let (reply, answer) = oneshot::channel();
+        let sent = self.0.send(ProposalRequest { command, reply }).await;
+        match sent {
+            Ok(()) => answer.await.unwrap_or_else(|_| Err(unreachable_fault())),
+            Err(_) => Err(unreachable_fault()),
+        }
+    }
+}
+
+/// Hands proposals to the connection until the process ends.
+pub async fn serve_proposals(
+    client: Rc<ControlClient>,
+    mut requests: mpsc::Receiver<ProposalRequest>,
+) {
+    while let Some(request) = requests.recv().await {
+        let client = Rc::clone(&client);
+        actix_rt::spawn(async move {
+            let reply = client.propose(request.command).await;
+            let _ = request.reply.send(reply);
+        });
+    }
+}
 
 /// Sends heartbeats and applies what control says, until the process ends.
 pub async fn follow_control(
@@ -25,52 +75,88 @@
     mut events: UnboundedReceiver<ControlEvent>,
 ) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
+    let mut follower = ControlFollower {
+        core,
+        client,
+        is_first_digest: true,
+    };
     loop {
         tokio::select! {
-            _ = ticks.tick() => send_heartbeat(&core, &client),
+            _ = ticks.tick() => follower.send_heartbeat(),
             event = events.recv() => match event {
-                Some(ControlEvent::Connected) => send_heartbeat(&core, &client),
-                Some(ControlEvent::Disconnected) => log::warn!("entry: control connection lost"),
-                Some(ControlEvent::Message(message)) => handle_message(&core, &client, *message),
+                Some(event) => follower.handle_event(event),
                 None => return,
             },
         }
     }
 }
 
-fn send_heartbeat(core: &EntryCore, client: &ControlClient) {
-    let name = core.settings.instance.name.clone();
-    client.tell(LinkMessage::EntryHeartbeat(EntryHeartbeat {
-        instance: name_id(&name),
-        name,
-        incarnation: core.incarnation,
-        settings: core.fleet.load().version,
-    }));
+struct ControlFollower {
+    core: Arc<EntryCore>,
+    client: Rc<ControlClient>,
+    /// Whether the next digest is the first of its connection, which names all endpoints.
+    is_first_digest: bool,
 }
 
-fn handle_message(core: &EntryCore, client: &ControlClient, message: LinkMessage) {
-    match message {
-        LinkMessage::Settings(update) => {
-            apply_settings(core, &update);
-            send_heartbeat(core, client);
+impl ControlFollower {
+    fn send_heartbeat(&self) {
+        let name = self.core.settings.instance.name.clone();
+        self.client
+            .tell(LinkMessage::EntryHeartbeat(EntryHeartbeat {
+                instance: name_id(&name),
+                name,
+                incarnation: self.core.incarnation,
+                settings: self.core.fleet.load().version,
+            }));
+    }
+
+    fn handle_event(&mut self, event: ControlEvent) {
+        match event {
+            ControlEvent::Connected => {
+                self.is_first_digest = true;
+                self.send_heartbeat();
+            }
+            ControlEvent::Disconnected => log::warn!("entry: control connection lost."),
+            ControlEvent::Message(message) => self.handle_message(*message),
         }
-        LinkMessage::Members(digest) => core.members().apply(digest),
-        other => log::debug!("entry: control sent {other:?}"),
     }
-}
 
-fn apply_settings(core: &EntryCore, update: &SettingsUpdate) {
-    let SettingsUpdate::Full { version, text } = update else {
-        return;
-    };
-    if *version <= core.fleet.load().version {
-        return;
+    fn handle_message(&mut self, message: LinkMessage) {
+        match message {
+            LinkMessage::Settings(update) => self.apply_settings(&update),
+            LinkMessage::Members(digest) => {
+                self.core.desk.observe_digest(&digest, self.is_first_digest);
+                self.is_first_digest = false;
+            }
+            LinkMessage::Warm(digest) => self.core.desk.lock().table.observe_warm(&digest),
+            LinkMessage::Suspects(_) | LinkMessage::Quarantine(_) => {}
+            other => log::debug!("entry: control sent {other:?}."),
+        }
     }
-    match SettingsTree::parse(text).and_then(|tree| tree.resolve(*version)) {
-        Ok(fleet) => {
-            log::info!("entry: settings {version} in force");
-            core.fleet.store(Arc::new(fleet));
+
+    fn apply_settings(&self, update: &SettingsUpdate) {
+        let mut holder = self.core.holder();
+        match holder.apply(update, Instant::now()) {
+            Ok(UpdateOutcome::InForce(version)) => {
+                let fleet = holder.fleet().cloned().unwrap_or_default();
+                drop(holder);
+                self.core.desk.place_models(&fleet);
+                self.core.fleet.store(fleet);
+                self.core.metrics.process.set_settings_version(version);
+                log::info!("entry: settings {version} are in force.");
+                self.send_heartbeat();
+            }
+            Ok(_) => {}
+            Err(HolderError::MissingBase { held, from }) => {
+                drop(holder);
+                log::info!("entry: settings {held} can't take a change of {from}.");
+                self.client.reconnect();
+            }
+            Err(error) => log::error!("entry: settings are not applied: {error}."),
         }
-        Err(faults) => log::error!("entry: settings {version} are faulty: {faults:?}"),
     }
 }
+
+fn unreachable_fault() -> fault::Fault {
+    FaultKind::ControlUnreachable.because("no control quorum answered")
+}
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -1,14 +1,19 @@
 //! What the parts of the entry share.
 
-use std::collections::BTreeMap;
-use std::sync::{Mutex, MutexGuard};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use fault::FaultKind;
 use settings::FleetSettings;
+use settings::holder::SettingsHolder;
 use settings::process::EntrySettings;
-use wire::id::{EndpointId, IncarnationNumber, ServiceId};
-use wire::member::{EndpointRecord, EndpointState, LoadSample, MemberDigest};
+use watch::{DecisionRing, EntryMetrics, RingSettings};
+use wire::id::IncarnationNumber;
 
+use crate::control::ProposalQueue;
+use crate::desk::RouteDesk;
 use crate::pool::LinkPool;
 
 /// State of one entry, shared by its threads.
@@ -17,77 +22,124 @@
     pub settings: EntrySettings,
     /// This life of the entry.
     pub incarnation: IncarnationNumber,
-    /// Settings in force.
+    /// Settings in force; the default before the first.
     pub fleet: ArcSwap<FleetSettings>,
+    /// Choice of endpoints.
+    pub desk: RouteDesk,
     /// Connections to agents.
     pub pool: LinkPool,
-    members: Mutex<MemberView>,
-}
-
-/// What the entry knows of the endpoints.
-#[derive(Default)]
-pub struct MemberView {
-    /// Records by endpoint.
-    pub records: BTreeMap<EndpointId, EndpointRecord>,
-    /// Last load by endpoint.
-    pub loads: BTreeMap<EndpointId, LoadSample>,
+    /// Way to the control quorum.
+    pub proposals: ProposalQueue,
+    /// Metrics.
+    pub metrics: EntryMetrics,
+    holder: Mutex<SettingsHolder>,
+    decisions: Mutex<DecisionRing>,
+    /// Whether readiness fails because of a stop. Set before `is_stopping`.
+    is_leaving: AtomicBool,
+    is_stopping: AtomicBool,
+    /// Calls whose answer is not finished.
+    active: AtomicUsize,
 }
 
 impl EntryCore {
     /// A core without settings and members.
-    pub fn new(settings: EntrySettings, incarnation: IncarnationNumber, pool: LinkPool) -> Self {
+    pub fn new(
+        settings: EntrySettings,
+        incarnation: IncarnationNumber,
+        pool: LinkPool,
+        proposals: ProposalQueue,
+        metrics: EntryMetrics,
+    ) -> Self {
+        let desk = RouteDesk::new(&settings.instance.failure_domain);
         Self {
             settings,
             incarnation,
             fleet: ArcSwap::default(),
+            desk,
             pool,
-            members: Mutex::default(),
+            proposals,
+            metrics,
+            holder: Mutex::default(),
+            decisions: Mutex::new(DecisionRing::new(RingSettings::default())),
+            is_leaving: AtomicBool::new(false),
+            is_stopping: AtomicBool::new(false),
+            active: AtomicUsize::new(0),
         }
     }
 
-    /// The view of the endpoints.
-    pub fn members(&self) -> MutexGuard<'_, MemberView> {
-        self.members
+    /// The holder of the settings.
+    pub fn holder(&self) -> MutexGuard<'_, SettingsHolder> {
+        self.holder
             .lock()
-            .expect("no thread panics while it holds the view")
+            .expect("no thread panics while it holds the settings")
     }
-}
 
-impl MemberView {
-    /// Takes over a digest.
-    pub fn apply(&mut self, digest: MemberDigest) {
-        for record in digest.records {
-            self.records.insert(record.endpoint, record);
-        }
-        for endpoint in digest.gone {
-            self.records.remove(&endpoint);
-            self.loads.remove(&endpoint);
-        }
-        for sample in digest.loads {
-            self.loads.insert(sample.endpoint, sample);
+    /// The ring of decision records.
+    pub fn decisions(&self) -> MutexGuard<'_, DecisionRing> {
+        self.decisions
+            .lock()
+            .expect("no thread panics while it holds the ring")
+    }
+
+    /// Fails readiness from now on, so that the balancer sends no new calls.
+    pub fn stop_ready(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
+    /// Takes no new calls from now on.
+    pub fn stop(&self) {
+        self.is_stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether new calls are taken: settings are in force and the entry is not leaving.
+    pub fn is_ready(&self) -> bool {
+        !self.is_leaving.load(Ordering::SeqCst) && self.fleet.load().version > 0
+    }
+
+    /// Calls whose answer is not finished.
+    pub fn active(&self) -> usize {
+        self.active.load(Ordering::SeqCst)
+    }
+
+    /// Admits a call to this entry, until the guard is dropped.
+    ///
+    /// # Errors
+    /// `Draining` when the entry is stopping.
+    pub fn enter(self: &Arc<Self>) -> fault::Result<CallGuard> {
+        // Counted first, so that a stop that sees no calls can't miss this one.
+        self.active.fetch_add(1, Ordering::SeqCst);
+        let guard = CallGuard {
+            core: Arc::clone(self),
+        };
+        if self.is_stopping.load(Ordering::SeqCst) {
+            return Err(FaultKind::Draining.because("this entry is stopping"));
         }
+        Ok(guard)
     }
 
-    /// Serving endpoints of a service, least loaded first.
-    pub fn candidates(&self, service: ServiceId) -> Vec<EndpointRecord> {
-        let mut found: Vec<&EndpointRecord> = self
-            .records
-            .values()
-            .filter(|record| self.is_candidate(record, service))
-            .collect();
-        found.sort_by_key(|record| self.load_of(record.endpoint));
-        found.into_iter().cloned().collect()
+    /// Whether new work of `service` may start.
+    ///
+    /// # Errors
+    /// `SettingsStale` without settings, or past the lease of a service that then steps out.
+    pub fn check_lease(&self, service: &str) -> fault::Result<()> {
+        self.holder().check_lease(service, Instant::now())
     }
+}
 
-    fn is_candidate(&self, record: &EndpointRecord, service: ServiceId) -> bool {
-        let sample = self.loads.get(&record.endpoint);
-        record.service == service
-            && sample.is_some_and(|sample| sample.state == EndpointState::Serving)
+/// Counts a call as active.
+pub struct CallGuard {
+    core: Arc<EntryCore>,
+}
+
+impl CallGuard {
+    /// The core that counts the call.
+    pub fn core(&self) -> &Arc<EntryCore> {
+        &self.core
     }
+}
 
-    fn load_of(&self, endpoint: EndpointId) -> u32 {
-        self.loads
-            .get(&endpoint)
-            .map_or(0, |sample| sample.load.total())
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.core.active.fetch_sub(1, Ordering::SeqCst);
     }
 }
--- /dev/null
+++ b/crates/entry/src/desk.rs
@@ -0,0 +1,82 @@
+//! Choice of endpoints and the retry budget, behind one lock.
+
+use std::sync::{Mutex, MutexGuard};
+use std::time::Instant;
+
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use route::{RetryBudget, RetrySettings, RouteDecision, RouteRequest, RouteSettings, RouteTable};
+use settings::FleetSettings;
+use wire::id::name_id;
+use wire::member::MemberDigest;
+
+/// What the choice works on.
+pub struct DeskState {
+    /// The endpoints that are known.
+    pub table: RouteTable,
+    /// Retries that may still be made.
+    pub budget: RetryBudget,
+    rng: StdRng,
+}
+
+impl DeskState {
+    /// Chooses an endpoint and counts the request as sent there.
+    pub fn choose(&mut self, request: &RouteRequest<'_>) -> RouteDecision {
+        let decision = self.table.choose(request, Instant::now(), &mut self.rng);
+        if let Some(endpoint) = decision.endpoint {
+            self.table.note_sent(endpoint);
+        }
+        decision
+    }
+}
+
+/// Choice of endpoints, shared by the threads of the entry.
+pub struct RouteDesk {
+    state: Mutex<DeskState>,
+}
+
+impl RouteDesk {
+    /// A desk of an entry in `domain` that knows no endpoint.
+    pub fn new(domain: &str) -> Self {
+        let settings = RouteSettings {
+            domain: name_id(domain),
+            ..RouteSettings::default()
+        };
+        let state = DeskState {
+            table: RouteTable::new(settings),
+            budget: RetryBudget::new(RetrySettings::default()),
+            rng: StdRng::from_rng(&mut rand::rng()),
+        };
+        Self {
+            state: Mutex::new(state),
+        }
+    }
+
+    /// The state, locked.
+    pub fn lock(&self) -> MutexGuard<'_, DeskState> {
+        self.state
+            .lock()
+            .expect("no thread panics while it holds the desk")
+    }
+
+    /// Takes a digest of control in; `is_first` when it names all endpoints.
+    pub fn observe_digest(&self, digest: &MemberDigest, is_first: bool) {
+        let now = Instant::now();
+        let mut state = self.lock();
+        if is_first {
+            state.table.replace_with(digest, now);
+        } else {
+            state.table.observe_digest(digest, now);
+        }
+    }
+
+    /// Takes the placement of models over from new settings.
+    pub fn place_models(&self, fleet: &FleetSettings) {
+        let mut state = self.lock();
+        let models = fleet.services.values().flat_map(|service| &service.models);
+        for (name, model) in models {
+            let endpoints = model.endpoints.iter().map(|name| name_id(name)).collect();
+            state.table.place_model(name_id(name), endpoints);
+        }
+    }
+}
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -1,87 +1,326 @@
-//! Attempts to run a request until an endpoint answers.
+//! Attempts to run a call until an endpoint answers.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
+use claim::CallLedger;
 use fault::{Fault, FaultKind, RunOutcome};
-use wire::LinkMessage;
-use wire::answer::{AnswerHead, SubmitRequest};
+use route::{RouteRequest, WarmPlace};
+use tokio::time::{Instant, timeout, timeout_at};
+use watch::record::AttemptResult;
+use wire::answer::{AnswerHead, EndpointLoad, SubmitRequest};
+use wire::command::{ClaimKey, ClaimRequest, RecordedAnswer};
+use wire::id::EndpointId;
 
-use crate::answer::AnswerStream;
+use crate::attempt::{AttemptEvent, AttemptStream};
+use crate::claims::{ClaimVerdict, claim_call, release_claim};
 use crate::core::EntryCore;
-use crate::pool::StreamEvent;
+use crate::intake::CallRequest;
+use crate::trace::CallTrace;
 
-/// Attempts for one request at most.
-const MAX_ATTEMPTS: u32 = 3;
+/// Wait for the agent's word after an attempt was cancelled.
+const CANCEL_LIMIT: Duration = Duration::from_millis(500);
 
-/// The head of an answer, and the stream behind it.
+/// An answer that has begun.
 pub struct StartedAnswer {
     /// The head.
     pub head: AnswerHead,
     /// The rest.
-    pub stream: AnswerStream,
+    pub stream: AttemptStream,
+    /// Where the chat is warm now.
+    pub place: WarmPlace,
 }
 
-/// Runs a request on one endpoint after the other until one answers.
-///
-/// # Errors
-/// The last refusal, or the first failure after which another attempt could run the work twice.
-pub async fn dispatch(core: &EntryCore, mut submit: SubmitRequest) -> fault::Result<StartedAnswer> {
-    let candidates = core.members().candidates(submit.service);
-    let mut last = FaultKind::NoEndpoint.because("no endpoint serves this");
-    for record in candidates.iter().take(MAX_ATTEMPTS as usize) {
-        submit.key.attempt += 1;
-        match attempt(core, &submit, record.address).await {
-            Ok(started) => return Ok(started),
-            Err(fault) if may_retry(&fault, &submit) => last = fault,
-            Err(fault) => return Err(fault),
-        }
-        submit.hops = submit.hops.saturating_add(1);
-    }
-    Err(last)
+/// What a call came to.
+pub enum CallResult {
+    /// An endpoint answers.
+    Started(Box<StartedAnswer>),
+    /// The call ran before; this is its answer.
+    Recorded(RecordedAnswer),
 }
 
-fn may_retry(fault: &Fault, submit: &SubmitRequest) -> bool {
-    let is_harmless = fault.outcome() == RunOutcome::NotRun || submit.idempotent;
-    is_harmless && fault.kind.answer().status >= 500
+/// How one attempt went until its answer began.
+enum AttemptEnd {
+    Started(Box<StartedAnswer>),
+    Refused(Fault),
+    Failed(Fault),
 }
 
-async fn attempt(
-    core: &EntryCore,
-    submit: &SubmitRequest,
+/// The endpoint that an attempt goes to.
+#[derive(Clone, Copy)]
+struct AttemptTarget {
+    endpoint: EndpointId,
     address: SocketAddr,
-) -> fault::Result<StartedAnswer> {
-    let sender = core.pool.sender(address).await.map_err(|error| {
-        FaultKind::NoEndpoint.because(format!("the agent is unreachable: {error}"))
-    })?;
-    let mut events = core.pool.open_stream(submit.key, address);
-    let sent = sender
-        .send(LinkMessage::Submit(Box::new(submit.clone())))
-        .await;
-    let result = match sent {
-        Ok(()) => wait_for_head(&mut events).await,
-        Err(_) => Err(FaultKind::ConnectionLost.because("the agent is gone")),
-    };
-    match result {
-        Ok(head) => {
-            let stream = AnswerStream::new(&head, core.pool.clone(), sender, events);
-            Ok(StartedAnswer { head, stream })
+    cache_epoch: u64,
+}
+
+/// One call and the attempts made for it.
+pub struct CallDispatch<'a> {
+    core: &'a Arc<EntryCore>,
+    call: &'a CallRequest,
+    trace: &'a mut CallTrace,
+    ledger: CallLedger,
+    /// Endpoints that refused or failed the call.
+    tried: Vec<EndpointId>,
+    deadline: Instant,
+}
+
+impl<'a> CallDispatch<'a> {
+    /// A call that nothing was sent of.
+    pub fn new(core: &'a Arc<EntryCore>, call: &'a CallRequest, trace: &'a mut CallTrace) -> Self {
+        let submit = &call.submit;
+        let ledger = CallLedger::new(submit.key.request, submit.idempotent);
+        let deadline = call.arrived + submit.deadline;
+        Self {
+            core,
+            call,
+            trace,
+            ledger,
+            tried: Vec::new(),
+            deadline: deadline.into(),
         }
-        Err(fault) => {
-            core.pool.close_stream(submit.key);
-            Err(fault)
+    }
+
+    /// Runs the call on one endpoint after the other until one answers.
+    ///
+    /// # Errors
+    /// Why no endpoint answers, with an outcome that holds for all attempts together.
+    pub async fn run(mut self) -> fault::Result<CallResult> {
+        self.core.desk.lock().budget.record_first();
+        let mut last = FaultKind::NoEndpoint.because("no endpoint can serve this now");
+        loop {
+            let Some(target) = self.choose() else {
+                return Err(self.ledger.settle(last));
+            };
+            if let Some(answer) = self.claim(target.endpoint).await? {
+                return Ok(CallResult::Recorded(answer));
+            }
+            match self.attempt(target).await {
+                AttemptEnd::Started(started) => return Ok(CallResult::Started(started)),
+                AttemptEnd::Refused(fault) | AttemptEnd::Failed(fault) => last = fault,
+            }
+            self.tried.push(target.endpoint);
+            if !self.may_retry(&last) {
+                return Err(self.ledger.settle(last));
+            }
         }
     }
-}
 
-async fn wait_for_head(events: &mut crate::pool::StreamReceiver) -> fault::Result<AnswerHead> {
-    loop {
-        match events.recv().await {
-            Some(StreamEvent::Message(message)) => match *message {
-                LinkMessage::Head(head) => return Ok(head),
-                LinkMessage::Refused(notice) => return Err(notice.fault),
-                _ => {}
-            },
-            _ => return Err(FaultKind::ConnectionLost.because("the agent is gone")),
+    fn choose(&mut self) -> Option<AttemptTarget> {
+        let submit = &self.call.submit;
+        let request = RouteRequest {
+            service: submit.service,
+            model: submit.model,
+            affinity: self.call.affinity,
+            hint: &self.call.hint,
+            prefixes: &submit.prefixes,
+            tried: &self.tried,
+            load_bound: self.call.policy.load_bound,
+            load_aim: self.call.policy.load_aim,
+        };
+        let mut desk = self.core.desk.lock();
+        let decision = desk.choose(&request);
+        self.trace.record_choice(&decision, &desk.table);
+        let record = desk.table.record(decision.endpoint?)?;
+        Some(AttemptTarget {
+            endpoint: record.endpoint,
+            address: record.address,
+            cache_epoch: record.cache_epoch,
+        })
+    }
+
+    /// Claims the call when it is non-idempotent and has a key. Returns the recorded answer of an
+    /// earlier run.
+    async fn claim(&mut self, endpoint: EndpointId) -> fault::Result<Option<RecordedAnswer>> {
+        let Some(claim) = self.claim_key() else {
+            return Ok(None);
+        };
+        let request = ClaimRequest {
+            claim,
+            fingerprint: self.call.submit.fingerprint,
+            attempt: self.ledger.next_key(),
+            endpoint,
+            retention: self.call.policy.retention,
+        };
+        match claim_call(self.core, request).await {
+            Ok(ClaimVerdict::Granted) => Ok(None),
+            Ok(ClaimVerdict::Answered(answer)) => Ok(Some(answer)),
+            Err(fault) => {
+                self.core.desk.lock().table.observe_unsent(endpoint);
+                Err(self.ledger.settle(fault))
+            }
         }
     }
+
+    fn claim_key(&self) -> Option<ClaimKey> {
+        let key = self.call.submit.claim.clone()?;
+        Some(ClaimKey {
+            account: self.call.submit.account,
+            key,
+        })
+    }
+
+    async fn attempt(&mut self, target: AttemptTarget) -> AttemptEnd {
+        let Some(key) = self.ledger.open() else {
+            return AttemptEnd::Failed(FaultKind::OutcomeUnknown.because("the call may have run"));
+        };
+        let submit = SubmitRequest {
+            key,
+            deadline: self.deadline.saturating_duration_since(Instant::now()),
+            hops: u8::try_from(self.tried.len()).unwrap_or(u8::MAX),
+            ..self.call.submit.clone()
+        };
+        let end = match AttemptStream::send(&self.core.pool, target.address, submit).await {
+            Ok(stream) => self.await_head(target, stream).await,
+            Err(fault) => {
+                self.core
+                    .desk
+                    .lock()
+                    .table
+                    .observe_failure(target.endpoint, Instant::now().into());
+                AttemptEnd::Refused(fault)
+            }
+        };
+        self.settle_attempt(target, key, &end);
+        end
+    }
+
+    fn settle_attempt(
+        &mut self,
+        target: AttemptTarget,
+        key: wire::answer::AttemptKey,
+        end: &AttemptEnd,
+    ) {
+        match end {
+            AttemptEnd::Started(_) => {
+                self.ledger.close(key, RunOutcome::Ran);
+                self.trace.record_attempt(key, target.endpoint, None);
+            }
+            AttemptEnd::Refused(fault) => {
+                self.ledger.close(key, fault.outcome());
+                let result = AttemptResult::Refused(fault.kind);
+                self.trace
+                    .record_attempt(key, target.endpoint, Some(result));
+                self.release(key, fault);
+            }
+            AttemptEnd::Failed(fault) => {
+                self.ledger.lose(key);
+                let result = AttemptResult::Failed(fault.kind);
+                self.trace
+                    .record_attempt(key, target.endpoint, Some(result));
+            }
+        }
+    }
+
+    fn release(&self, key: wire::answer::AttemptKey, fault: &Fault) {
+        if fault.outcome() != RunOutcome::NotRun {
+            return;
+        }
+        if let Some(claim) = self.claim_key() {
+            actix_rt::spawn(release_claim(Arc::clone(self.core), claim, key));
+        }
+    }
+
+    async fn await_head(&mut self, target: AttemptTarget, mut stream: AttemptStream) -> AttemptEnd {
+        let mut is_pending = true;
+        loop {
+            let Ok(event) = timeout_at(self.deadline, stream.next_event()).await else {
+                return self.give_up(target, stream, is_pending).await;
+            };
+            match event {
+                AttemptEvent::Admitted(load) => {
+                    self.observe_answer(target.endpoint, load, is_pending);
+                    is_pending = false;
+                }
+                AttemptEvent::Head(head) => {
+                    let place = self.warm_place(target, &head);
+                    let started = StartedAnswer {
+                        head: *head,
+                        stream,
+                        place,
+                    };
+                    return AttemptEnd::Started(Box::new(started));
+                }
+                AttemptEvent::Refused(notice) => {
+                    let now = Instant::now().into();
+                    let mut desk = self.core.desk.lock();
+                    let (kind, load) = (notice.fault.kind, notice.load);
+                    desk.table.observe_refusal(target.endpoint, kind, load, now);
+                    return AttemptEnd::Refused(notice.fault);
+                }
+                AttemptEvent::Failed(fault) => {
+                    let now = Instant::now().into();
+                    self.core
+                        .desk
+                        .lock()
+                        .table
+                        .observe_failure(target.endpoint, now);
+                    return AttemptEnd::Failed(fault);
+                }
+                AttemptEvent::Bytes(_) | AttemptEvent::Complete(_) => {
+                    debug_assert!(false, "the head comes first");
+                }
+            }
+        }
+    }
+
+    /// Cancels an attempt whose deadline passed and hears what became of it.
+    async fn give_up(
+        &self,
+        target: AttemptTarget,
+        mut stream: AttemptStream,
+        is_pending: bool,
+    ) -> AttemptEnd {
+        stream.cancel();
+        let last = timeout(CANCEL_LIMIT, stream.next_event()).await;
+        if is_pending {
+            self.core.desk.lock().table.observe_unsent(target.endpoint);
+        }
+        match last {
+            Ok(AttemptEvent::Refused(notice)) if notice.fault.outcome() == RunOutcome::NotRun => {
+                let message = "the deadline passed before the request started";
+                AttemptEnd::Refused(FaultKind::DeadlineUnmet.because(message))
+            }
+            _ => {
+                let message = "the deadline passed before the answer began";
+                AttemptEnd::Failed(FaultKind::DeadlinePassed.because(message))
+            }
+        }
+    }
+
+    fn observe_answer(&self, endpoint: EndpointId, load: EndpointLoad, is_pending: bool) {
+        let now = Instant::now().into();
+        let mut desk = self.core.desk.lock();
+        if is_pending {
+            desk.table.observe_answer(endpoint, load, now);
+        } else {
+            desk.table.observe_load(endpoint, load, now);
+        }
+    }
+
+    fn warm_place(&self, target: AttemptTarget, head: &AnswerHead) -> WarmPlace {
+        WarmPlace {
+            endpoint: target.endpoint,
+            cache_epoch: target.cache_epoch,
+            tokens: self.call.submit.prompt_tokens.max(head.cached_tokens),
+        }
+    }
+
+    /// Whether another endpoint may get the call after `fault`. Takes the retry from the budget.
+    fn may_retry(&self, fault: &Fault) -> bool {
+        let can_help = matches!(
+            fault.kind,
+            FaultKind::Overloaded
+                | FaultKind::Draining
+                | FaultKind::NoEndpoint
+                | FaultKind::SettingsStale
+                | FaultKind::EndpointFailed
+                | FaultKind::ConnectionLost
+        );
+        let mut desk = self.core.desk.lock();
+        let has_hops = self.tried.len() <= usize::from(desk.budget.max_hops());
+        let has_time = Instant::now() < self.deadline;
+        can_help && has_hops && has_time && self.ledger.may_send() && desk.budget.try_retry()
+    }
 }
--- /dev/null
+++ b/crates/entry/src/intake.rs
@@ -0,0 +1,331 @@
+//! From an HTTP request to a checked call.
+
+use std::str::FromStr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::HttpRequest;
+use actix_web::web::Payload;
+use bytes::{Bytes, BytesMut};
+use fault::{Fault, FaultKind};
+use futures::StreamExt;
+use route::WarmHint;
+use route::preference::{AffinityKey, chat_key};
+use settings::fleet::{ServiceKind, ServiceSettings};
+use settings::{FleetSettings, PolicySettings};
+use tokio::time::timeout;
+use wire::answer::{AttemptKey, ClassKind, HeaderField, SubmitRequest};
+use wire::id::{RequestId, name_id};
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::chat::ChatRequest;
+use crate::core::EntryCore;
+
+/// Longest wait for the next part of a body.
+const BODY_PART_LIMIT: Duration = Duration::from_secs(10);
+/// Longest accepted idempotency key in bytes.
+const MAX_KEY_BYTES: usize = 128;
+/// Headers that are passed to the endpoint.
+const PASSED_HEADERS: [&str; 5] = [
+    "content-type",
+    "accept",
+    "accept-language",
+    "if-match",
+    "if-none-match",
+];
+
+/// Result of taking a call in.
+pub type Result<T> = std::result::Result<T, Fault>;
+
+/// A call that passed the checks of the entry.
+pub struct CallRequest {
+    /// What is sent to an agent, with attempt 0.
+    pub submit: SubmitRequest,
+    /// Name of the client account.
+    pub account: String,
+    /// Name of the service.
+    pub service: String,
+    /// Name of the model.
+    pub model: Option<String>,
+    /// Values of the settings for this account and service.
+    pub policy: PolicySettings,
+    /// Where the chat is warm, as the caller says.
+    pub hint: WarmHint,
+    /// What the call wants to be close to.
+    pub affinity: AffinityKey,
+    /// When the call arrived.
+    pub arrived: Instant,
+}
+
+/// Who calls what, before the body is read.
+struct CallTarget {
+    account: String,
+    service: String,
+    path: String,
+    policy: PolicySettings,
+}
+
+/// Reads a chat completion request.
+///
+/// # Errors
+/// What is wrong with it; it was not sent anywhere.
+pub async fn read_chat(
+    core: &EntryCore,
+    request: &HttpRequest,
+    payload: Payload,
+    id: RequestId,
+) -> Result<CallRequest> {
+    let arrived = Instant::now();
+    let fleet = core.fleet.load_full();
+    let account = find_account(&fleet, request)?;
+    let limit = fleet.request_policy(&account, "").max_body_bytes;
+    let body = read_body(payload, limit).await?;
+    let chat = ChatRequest::read(&body)?;
+    let (service, _, model) = fleet
+        .service_of_model(&chat.model)
+        .ok_or_else(|| FaultKind::UnknownModel.because(format!("no model {}", chat.model)))?;
+    let target = CallTarget {
+        policy: PolicySettings {
+            load_bound: model.policy.load_bound,
+            load_aim: model.policy.load_aim,
+            deadline: model.policy.deadline,
+            ..fleet.request_policy(&account, service)
+        },
+        account,
+        service: service.to_owned(),
+        path: request_path(request),
+    };
+    target.check(core, &fleet)?;
+    let mut call = target.build(request, body, id, arrived)?;
+    call.submit.model = Some(name_id(&chat.model));
+    call.submit.idempotent = true;
+    call.submit.claim = None;
+    call.submit.prefixes = chat.prefixes();
+    call.submit.prompt_tokens = chat.prompt_tokens();
+    call.affinity = chat_affinity(request, &call, &chat);
+    call.model = Some(chat.model);
+    Ok(call)
+}
+
+/// Reads a call of a plain service.
+///
+/// # Errors
+/// What is wrong with it; it was not sent anywhere.
+pub async fn read_service_call(
+    core: &EntryCore,
+    request: &HttpRequest,
+    service: &str,
+    payload: Payload,
+    id: RequestId,
+) -> Result<CallRequest> {
+    let arrived = Instant::now();
+    let fleet = core.fleet.load_full();
+    let account = find_account(&fleet, request)?;
+    let settings = find_plain_service(&fleet, service)?;
+    let idempotent = !settings
+        .non_idempotent_methods
+        .iter()
+        .any(|method| request.method() == method.as_str());
+    let target = CallTarget {
+        policy: fleet.request_policy(&account, service),
+        account,
+        service: service.to_owned(),
+        path: endpoint_path(request, service),
+    };
+    target.check(core, &fleet)?;
+    let body = read_body(payload, target.policy.max_body_bytes).await?;
+    let mut call = target.build(request, body, id, arrived)?;
+    call.submit.idempotent = idempotent;
+    if idempotent {
+        call.submit.claim = None;
+    }
+    Ok(call)
+}
+
+impl CallTarget {
+    fn check(&self, core: &EntryCore, fleet: &FleetSettings) -> Result<()> {
+        let account = fleet.accounts.get(&self.account);
+        let is_allowed = account.is_some_and(|found| {
+            found.services.is_empty() || found.services.contains(&self.service)
+        });
+        if !is_allowed {
+            let message = format!("this account may not use {}", self.service);
+            return Err(FaultKind::Forbidden.because(message));
+        }
+        core.check_lease(&self.service)
+    }
+
+    fn build(
+        self,
+        request: &HttpRequest,
+        body: Bytes,
+        id: RequestId,
+        arrived: Instant,
+    ) -> Result<CallRequest> {
+        let method = request.method().as_str().to_owned();
+        let submit = SubmitRequest {
+            key: AttemptKey {
+                request: id,
+                attempt: 0,
+            },
+            account: name_id(&self.account),
+            service: name_id(&self.service),
+            model: None,
+            class: stated_class(request, self.policy.class)?,
+            idempotent: true,
+            claim: stated_key(request)?,
+            fingerprint: self.fingerprint(&method, &body),
+            prefixes: Vec::new(),
+            prompt_tokens: 0,
+            deadline: stated_deadline(request)?.unwrap_or(self.policy.deadline),
+            hops: 0,
+            method,
+            path: self.path,
+            headers: passed_headers(request),
+            body,
+        };
+        Ok(CallRequest {
+            affinity: affinity_of(request, submit.account, submit.fingerprint),
+            submit,
+            account: self.account,
+            service: self.service,
+            model: None,
+            policy: self.policy,
+            hint: stated_hint(request),
+            arrived,
+        })
+    }
+
+    fn fingerprint(&self, method: &str, body: &[u8]) -> u64 {
+        let mut hash = Xxh3::new();
+        for part in [self.account.as_str(), &self.service, method, &self.path] {
+            hash.update(part.as_bytes());
+            hash.update(b"\n");
+        }
+        hash.update(body);
+        hash.digest()
+    }
+}
+
+fn find_account(fleet: &Arc<FleetSettings>, request: &HttpRequest) -> Result<String> {
+    let value = header_text(request, "authorization");
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    let key = key.ok_or_else(|| FaultKind::MissingKey.because("an account key is needed"))?;
+    let found = fleet.account_of_key(key);
+    let (name, _) =
+        found.ok_or_else(|| FaultKind::UnknownKey.because("no client account has this key"))?;
+    Ok(name.to_owned())
+}
+
+fn find_plain_service<'a>(fleet: &'a FleetSettings, name: &str) -> Result<&'a ServiceSettings> {
+    let found = fleet
+        .services
+        .get(name)
+        .filter(|found| found.kind == ServiceKind::Plain);
+    found.ok_or_else(|| FaultKind::UnknownService.because(format!("no plain service {name}")))
+}
+
+async fn read_body(mut payload: Payload, limit: u64) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    loop {
+        let part = timeout(BODY_PART_LIMIT, payload.next()).await;
+        let part = part.map_err(|_| FaultKind::SlowCaller.because("the body came too slowly"))?;
+        let Some(part) = part else {
+            return Ok(body.freeze());
+        };
+        let part = part.map_err(|error| {
+            FaultKind::MalformedRequest.because(format!("the body is unreadable: {error}"))
+        })?;
+        if (body.len() + part.len()) as u64 > limit {
+            let message = format!("the body exceeds {limit} bytes");
+            return Err(FaultKind::OversizedBody.because(message));
+        }
+        body.extend_from_slice(&part);
+    }
+}
+
+fn request_path(request: &HttpRequest) -> String {
+    request
+        .uri()
+        .path_and_query()
+        .map_or("/", |path| path.as_str())
+        .to_owned()
+}
+
+/// Path and query without the `/service/{name}` in front.
+fn endpoint_path(request: &HttpRequest, service: &str) -> String {
+    let path = request_path(request);
+    let prefix = format!("/service/{service}");
+    match path.strip_prefix(&prefix) {
+        Some(rest) if rest.starts_with('/') => rest.to_owned(),
+        Some(rest) => format!("/{rest}"),
+        None => path,
+    }
+}
+
+fn chat_affinity(request: &HttpRequest, call: &CallRequest, chat: &ChatRequest) -> AffinityKey {
+    match header_text(request, "x-chat-id") {
+        Some(chat_id) => chat_key(call.submit.account, chat_id),
+        None => chat_key(call.submit.account, &chat.opening()),
+    }
+}
+
+fn affinity_of(request: &HttpRequest, account: u64, fingerprint: u64) -> AffinityKey {
+    header_text(request, "x-chat-id").map_or(fingerprint, |chat_id| chat_key(account, chat_id))
+}
+
+/// A hint that can't be read only costs its caller a warm place.
+fn stated_hint(request: &HttpRequest) -> WarmHint {
+    let text = header_text(request, "x-warm-hint").unwrap_or_default();
+    WarmHint::from_str(text).unwrap_or_default()
+}
+
+/// The class that the caller states, which can't be higher than the account's.
+fn stated_class(request: &HttpRequest, highest: ClassKind) -> Result<ClassKind> {
+    let stated = match header_text(request, "x-class") {
+        None => return Ok(highest),
+        Some("urgent") => ClassKind::Urgent,
+        Some("interactive") => ClassKind::Interactive,
+        Some("batch") => ClassKind::Batch,
+        Some(_) => {
+            let message = "x-class is none of urgent, interactive and batch";
+            return Err(FaultKind::MalformedRequest.because(message));
+        }
+    };
+    Ok(stated.max(highest))
+}
+
+fn stated_key(request: &HttpRequest) -> Result<Option<String>> {
+    match header_text(request, "idempotency-key") {
+        Some(key) if key.is_empty() || key.len() > MAX_KEY_BYTES => {
+            let message = format!("idempotency-key has not 1 to {MAX_KEY_BYTES} bytes");
+            Err(FaultKind::MalformedRequest.because(message))
+        }
+        key => Ok(key.map(str::to_owned)),
+    }
+}
+
+fn stated_deadline(request: &HttpRequest) -> Result<Option<Duration>> {
+    let Some(text) = header_text(request, "x-deadline-ms") else {
+        return Ok(None);
+    };
+    let millis = text.parse().map_err(|_| {
+        FaultKind::MalformedRequest.because("x-deadline-ms is no whole number of milliseconds")
+    })?;
+    Ok(Some(Duration::from_millis(millis)))
+}
+
+fn passed_headers(request: &HttpRequest) -> Vec<HeaderField> {
+    let found = PASSED_HEADERS.iter().filter_map(|name| {
+        let value = header_text(request, name)?.to_owned();
+        Some(HeaderField {
+            name: (*name).to_owned(),
+            value,
+        })
+    });
+    found.collect()
+}
+
+fn header_text<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+    request.headers().get(name)?.to_str().ok()
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -2,16 +2,28 @@
 //!
 //! * [`core`]: what the parts of the entry share.
 //! * [`control`]: the connection to the control quorum.
+//! * [`desk`]: choice of endpoints and the retry budget.
 //! * [`pool`]: connections to agents and the streams on them.
-//! * [`caller`]: the callers' HTTP interface.
+//! * [`server`]: the HTTP server and its routes.
+//! * [`intake`]: from an HTTP request to a checked call.
 //! * [`chat`]: what the entry reads from a chat completion request.
-//! * [`dispatch`]: attempts to run a request until an endpoint answers.
-//! * [`answer`]: the answer of an endpoint on its way to the caller.
+//! * [`dispatch`]: attempts to run a call until an endpoint answers.
+//! * [`attempt`]: one attempt and its frames, across connections.
+//! * [`claims`]: claims of non-idempotent calls at the control quorum.
+//! * [`answer`]: from the answer of an endpoint to the HTTP response.
+//! * [`trace`]: what a call leaves behind: its decision record and metrics.
+//! * [`operator`]: decisions, status and metrics over HTTP.
 
 pub mod answer;
-pub mod caller;
+pub mod attempt;
 pub mod chat;
+pub mod claims;
 pub mod control;
 pub mod core;
+pub mod desk;
 pub mod dispatch;
+pub mod intake;
+pub mod operator;
 pub mod pool;
+pub mod server;
+pub mod trace;
--- a/crates/link/src/control_client.rs
+++ b/crates/link/src/control_client.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use fault::{Fault, FaultKind};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::{Notify, mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use wire::LinkMessage;
 use wire::command::{ControlCommand, ControlReply};
@@ -43,6 +43,8 @@
     waiting: RefCell<HashMap<u64, oneshot::Sender<ControlReply>>>,
     next_ticket: Cell<u64>,
     events: mpsc::UnboundedSender<ControlEvent>,
+    /// Told when the owner asks for a new connection.
+    restart: Notify,
 }
 
 impl ControlClient {
@@ -59,6 +61,7 @@
             waiting: RefCell::default(),
             next_ticket: Cell::new(1),
             events,
+            restart: Notify::new(),
         });
         actix_rt::spawn(Rc::clone(&client).keep_connected());
         (client, receiver)
@@ -72,6 +75,11 @@
         }
     }
 
+    /// Drops the connection and opens a new one, whose greeting names everything again.
+    pub fn reconnect(&self) {
+        self.restart.notify_one();
+    }
+
     /// Proposes a command and waits for the quorum's decision.
     ///
     /// # Errors
@@ -122,7 +130,11 @@
         *self.sender.borrow_mut() = Some(sender);
         let _ = self.events.send(ControlEvent::Connected);
         loop {
-            match receiver.next().await {
+            let received = tokio::select! {
+                received = receiver.next() => received,
+                () = self.restart.notified() => break,
+            };
+            match received {
                 Ok(LinkMessage::Decided(decision)) => {
                     if let Some(waiter) = self.waiting.borrow_mut().remove(&decision.ticket) {
                         let _ = waiter.send(decision.reply);
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -105,6 +105,12 @@
         Some(self.record(endpoint)?.address)
     }
 
+    /// Load of an endpoint as last reported, with what this entry sent since.
+    pub fn load(&self, endpoint: EndpointId) -> Option<u32> {
+        let row = &self.rows[self.find(endpoint)?];
+        Some(row.load.total() + row.pending)
+    }
+
     /// Records of all endpoints, sorted by id.
     pub fn records(&self) -> &[EndpointRecord] {
         &self.records
@@ -178,6 +184,13 @@
         self.observe_load(endpoint, load, now);
     }
 
+    /// Takes in that a request counted as sent was never sent, or is no longer awaited.
+    pub fn observe_unsent(&mut self, endpoint: EndpointId) {
+        if let Some(row) = self.row_mut(endpoint) {
+            row.pending = row.pending.saturating_sub(1);
+        }
+    }
+
     /// Takes in a load that came without an admission or refusal, as with the end of an answer.
     pub fn observe_load(&mut self, endpoint: EndpointId, load: EndpointLoad, now: Instant) {
         if let Some(row) = self.row_mut(endpoint) {
--- a/crates/watch/src/traffic.rs
+++ b/crates/watch/src/traffic.rs
@@ -85,6 +85,7 @@
         LinkMessage::Warm(_) => "warm",
         LinkMessage::Settings(_) => "settings",
         LinkMessage::Quarantine(_) => "quarantine",
+        LinkMessage::Suspects(_) => "suspects",
         LinkMessage::Propose(_) => "propose",
         LinkMessage::Decided(_) => "decided",
         LinkMessage::Replica(_) => "replica",
