--- a/crates/watch/src/traffic.rs
+++ b/crates/watch/src/traffic.rs
@@ -2,7 +2,6 @@
 
 use derive_more::Display;
 use prometheus::{IntCounterVec, Registry};
-use wire::LinkMessage;
 
 use crate::metric::{Result, counter_family};
 use crate::role::InstanceRole;
@@ -66,27 +65,3 @@
 
 /// Kind of a probe of an idle link and of its reply.
 pub const PROBE_KIND: &str = "probe";
-
-/// Label of the kind of a message.
-pub fn message_kind(message: &LinkMessage) -> &'static str {
-    match message {
-        LinkMessage::Submit(_) => "submit",
-        LinkMessage::Ack(_) => "ack",
-        LinkMessage::Cancel(_) => "cancel",
-        LinkMessage::Resume(_) => "resume",
-        LinkMessage::Admitted(_) => "admitted",
-        LinkMessage::Refused(_) => "refused",
-        LinkMessage::Head(_) => "head",
-        LinkMessage::Chunk(_) => "chunk",
-        LinkMessage::End(_) => "end",
-        LinkMessage::AgentHeartbeat(_) => "agent-heartbeat",
-        LinkMessage::EntryHeartbeat(_) => "entry-heartbeat",
-        LinkMessage::Members(_) => "members",
-        LinkMessage::Warm(_) => "warm",
-        LinkMessage::Settings(_) => "settings",
-        LinkMessage::Quarantine(_) => "quarantine",
-        LinkMessage::Propose(_) => "propose",
-        LinkMessage::Decided(_) => "decided",
-        LinkMessage::Replica(_) => "replica",
-    }
-}
--- a/crates/watch/tests/metrics.rs
+++ b/crates/watch/tests/metrics.rs
@@ -8,7 +8,7 @@
 use watch::control::ReplicaSample;
 use watch::entry::AnswerSample;
 use watch::label::{LabelBound, LabelSettings};
-use watch::traffic::{TrafficDirection, message_kind};
+use watch::traffic::TrafficDirection;
 use watch::usage::{parse_processor_time, parse_resident_bytes};
 use watch::{AgentMetrics, ControlMetrics, EntryMetrics, InstanceRole, ProcessMetrics};
 use wire::LinkMessage;
@@ -53,7 +53,7 @@
     metrics.set_load_over_mean("redaction", 1.2);
     metrics.set_in_flight(3);
     metrics.process.set_settings_version(9);
-    let kind = message_kind(&LinkMessage::Quarantine(Vec::new()));
+    let kind = LinkMessage::Quarantine(Vec::new()).kind();
     let traffic = &metrics.process.traffic;
     traffic.record(kind, InstanceRole::Control, TrafficDirection::Received, 120);
     text_of(&metrics.process)
