--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -96,3 +96,30 @@
     /// Control to agent: requests that may only run alone and with a permit, the whole list.
     Suspects(Vec<FingerprintHash>),
 }
+
+impl LinkMessage {
+    /// Name of the kind of message, as a label of metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Submit(_) => "submit",
+            Self::Ack(_) => "ack",
+            Self::Cancel(_) => "cancel",
+            Self::Resume(_) => "resume",
+            Self::Admitted(_) => "admitted",
+            Self::Refused(_) => "refused",
+            Self::Head(_) => "head",
+            Self::Chunk(_) => "chunk",
+            Self::End(_) => "end",
+            Self::AgentHeartbeat(_) => "agent-heartbeat",
+            Self::EntryHeartbeat(_) => "entry-heartbeat",
+            Self::Members(_) => "members",
+            Self::Warm(_) => "warm",
+            Self::Settings(_) => "settings",
+            Self::Quarantine(_) => "quarantine",
+            Self::Propose(_) => "propose",
+            Self::Decided(_) => "decided",
+            Self::Replica(_) => "replica",
+            Self::Suspects(_) => "suspects",
+        }
+    }
+}
