Give the load limits one type with the reachable aim

Entry and agent must lower the aim of a small service by the same rule, so it stands beside the settings that it reads. Additive in settings.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use rand::{Rng, RngExt};
+use settings::LoadLimits;
 use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
 use wire::member::EndpointState;
 
@@ -37,10 +38,8 @@
     pub prefixes: &'a [PrefixHash],
     /// Endpoints that refused this request before.
     pub tried: &'a [EndpointId],
-    /// Hard limit of load as a multiple of the mean.
-    pub load_bound: f64,
-    /// Aimed limit of load as a multiple of the mean.
-    pub load_aim: f64,
+    /// Limits of an endpoint's load.
+    pub limits: LoadLimits,
 }
 
 /// Why an endpoint was chosen.
@@ -149,7 +148,7 @@
             request,
             now,
             mean: self.mean_load(service),
-            aim: reachable_aim(request, service.rows.len()),
+            aim: request.limits.reachable_aim(service.rows.len() as f64),
             candidates: Vec::new(),
         };
         let scan = run.scan(service, rng);
@@ -179,14 +178,6 @@
     }
 }
 
-/// Lowers the aim so far that the loss or return of one endpoint, which lowers the mean by its
-/// share, leaves the others under the bound.
-fn reachable_aim(request: &RouteRequest<'_>, endpoints: usize) -> f64 {
-    let endpoints = endpoints.max(1) as f64;
-    let after_return = request.load_bound * (endpoints - 1.0) / endpoints;
-    request.load_aim.min(after_return).max(1.0)
-}
-
 fn no_decision() -> RouteDecision {
     RouteDecision {
         endpoint: None,
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -8,6 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use route::{ChoiceReason, Exclusion, RouteDecision, RouteRequest, RouteSettings, RouteTable};
 use route::{WarmHint, WarmPlace};
+use settings::LoadLimits;
 use wire::answer::EndpointLoad;
 use wire::id::name_id;
 use wire::member::{
@@ -68,8 +69,7 @@
         hint,
         prefixes: &[],
         tried: &[],
-        load_bound: 1.25,
-        load_aim: 1.1,
+        limits: LoadLimits::default(),
     }
 }
 
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -11,5 +11,5 @@
 pub mod tree;
 
 pub use fleet::FleetSettings;
-pub use policy::PolicySettings;
+pub use policy::{LoadLimits, PolicySettings};
 pub use tree::{SettingFault, SettingsTree};
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -63,3 +63,40 @@
         }
     }
 }
+
+impl PolicySettings {
+    /// The limits of an endpoint's load.
+    pub fn load_limits(&self) -> LoadLimits {
+        LoadLimits {
+            bound: self.load_bound,
+            aim: self.load_aim,
+        }
+    }
+}
+
+/// Limits of an endpoint's load as multiples of the service's mean.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LoadLimits {
+    /// Hard limit, at least 1.
+    pub bound: f64,
+    /// Limit that routing aims to stay under; at most `bound`.
+    pub aim: f64,
+}
+
+impl LoadLimits {
+    /// The aim among `endpoints` equal endpoints.
+    ///
+    /// One cold endpoint that joins lowers the mean by its share. The aim is lowered so far that
+    /// the others are still under the bound then, but never below the mean itself.
+    pub fn reachable_aim(self, endpoints: f64) -> f64 {
+        let endpoints = endpoints.max(1.0);
+        let after_join = self.bound * (endpoints - 1.0) / endpoints;
+        self.aim.min(after_join).max(1.0)
+    }
+}
+
+impl Default for LoadLimits {
+    fn default() -> Self {
+        PolicySettings::default().load_limits()
+    }
+}
