Admit work at the agent: load bound, fair queue, limits, deadlines, drain

The queue is a state machine without a clock. The bound counts requests, running and waiting: the agent knows them exactly and at once. An account over its concurrency waits without holding others up; a full queue drops the newest request of the account that has most for its share.

--- /dev/null
+++ b/crates/admit/src/lane.rs
@@ -0,0 +1,187 @@
+//! Weighted fair queueing of client accounts within priority classes.
+//!
+//! Start-time fair queueing: each account has a lane with a virtual start time that advances by
+//! one over its share with each request taken; the lane that is furthest behind goes first.
+
+use std::collections::VecDeque;
+
+use wire::answer::{AttemptKey, ClassKind};
+use wire::id::AccountId;
+
+use crate::request::AdmitRequest;
+
+/// Requests of higher classes after which one batch request goes first.
+const BATCH_INTERVAL: u32 = 16;
+/// Number of classes.
+const CLASS_COUNT: usize = 3;
+
+#[derive(Clone, Debug)]
+struct AccountLane {
+    account: AccountId,
+    /// Virtual time at which its next request starts.
+    start: f64,
+    /// Not empty.
+    requests: VecDeque<AdmitRequest>,
+}
+
+/// The waiting requests of one class.
+#[derive(Clone, Debug, Default)]
+struct ClassQueue {
+    lanes: Vec<AccountLane>,
+    /// Virtual start of the request that was taken last.
+    time: f64,
+}
+
+impl ClassQueue {
+    fn push(&mut self, request: AdmitRequest) {
+        let found = self
+            .lanes
+            .iter_mut()
+            .find(|lane| lane.account == request.account);
+        if let Some(lane) = found {
+            lane.requests.push_back(request);
+            return;
+        }
+        self.lanes.push(AccountLane {
+            account: request.account,
+            start: self.time,
+            requests: VecDeque::from([request]),
+        });
+    }
+
+    /// Takes the next request among the accounts that `may_start` allows.
+    fn pop(&mut self, may_start: impl Fn(&AdmitRequest) -> bool) -> Option<AdmitRequest> {
+        let lanes = self.lanes.iter().enumerate();
+        let allowed = lanes.filter(|(_, lane)| lane.requests.front().is_some_and(&may_start));
+        let first = allowed.min_by(|(_, left), (_, right)| left.start.total_cmp(&right.start));
+        let (index, _) = first?;
+        let lane = &mut self.lanes[index];
+        self.time = lane.start;
+        let request = lane.requests.pop_front()?;
+        lane.start += 1.0 / f64::from(request.share.max(1));
+        self.drop_empty_lanes();
+        Some(request)
+    }
+
+    fn pop_newest(&mut self, account: AccountId) -> Option<AdmitRequest> {
+        let lane = self.lanes.iter_mut().find(|lane| lane.account == account)?;
+        let request = lane.requests.pop_back();
+        self.drop_empty_lanes();
+        request
+    }
+
+    fn take_if(&mut self, condition: impl Fn(&AdmitRequest) -> bool) -> Vec<AdmitRequest> {
+        let mut taken = Vec::new();
+        for lane in &mut self.lanes {
+            let (matching, rest) = lane.requests.drain(..).partition(&condition);
+            let matching: VecDeque<AdmitRequest> = matching;
+            taken.extend(matching);
+            lane.requests = rest;
+        }
+        self.drop_empty_lanes();
+        taken
+    }
+
+    /// A lane that empties loses its place in virtual time, which can only cost it less than one
+    /// request.
+    fn drop_empty_lanes(&mut self) {
+        self.lanes.retain(|lane| !lane.requests.is_empty());
+    }
+
+    fn len(&self) -> usize {
+        self.lanes.iter().map(|lane| lane.requests.len()).sum()
+    }
+
+    fn iter(&self) -> impl Iterator<Item = &AdmitRequest> {
+        self.lanes.iter().flat_map(|lane| lane.requests.iter())
+    }
+}
+
+/// All waiting requests.
+#[derive(Clone, Debug, Default)]
+pub struct LaneTable {
+    /// By class, highest first.
+    classes: [ClassQueue; CLASS_COUNT],
+    /// Requests taken while batch requests waited.
+    passed_batch: u32,
+}
+
+impl LaneTable {
+    /// Adds a request behind its account's others.
+    pub fn push(&mut self, request: AdmitRequest) {
+        self.classes[class_index(request.class)].push(request);
+    }
+
+    /// Takes the next request to start among those that `may_start` allows.
+    pub fn pop(&mut self, may_start: impl Fn(&AdmitRequest) -> bool) -> Option<AdmitRequest> {
+        let batch = class_index(ClassKind::Batch);
+        let urgent = class_index(ClassKind::Urgent);
+        if self.passed_batch >= BATCH_INTERVAL && self.classes[urgent].len() == 0 {
+            self.passed_batch = 0;
+            if let Some(request) = self.classes[batch].pop(&may_start) {
+                return Some(request);
+            }
+        }
+        let request = self
+            .classes
+            .iter_mut()
+            .find_map(|class| class.pop(&may_start))?;
+        let waits = request.class != ClassKind::Batch && self.classes[batch].len() > 0;
+        self.passed_batch = if waits { self.passed_batch + 1 } else { 0 };
+        Some(request)
+    }
+
+    /// Takes the newest request of `account`, of the lowest class down to `highest`.
+    pub fn pop_newest(&mut self, account: AccountId, highest: ClassKind) -> Option<AdmitRequest> {
+        let classes = self.classes[class_index(highest)..].iter_mut();
+        classes.rev().find_map(|class| class.pop_newest(account))
+    }
+
+    /// Takes one attempt.
+    pub fn remove(&mut self, key: AttemptKey) -> Option<AdmitRequest> {
+        self.take_if(|request| request.key == key).pop()
+    }
+
+    /// Takes every request for which `condition` holds.
+    pub fn take_if(&mut self, condition: impl Fn(&AdmitRequest) -> bool) -> Vec<AdmitRequest> {
+        let classes = self.classes.iter_mut();
+        classes
+            .flat_map(|class| class.take_if(&condition))
+            .collect()
+    }
+
+    /// Requests that wait.
+    pub fn len(&self) -> u32 {
+        self.classes.iter().map(|class| class.len() as u32).sum()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Requests that would start before a new one of `class`.
+    pub fn ahead_of(&self, class: ClassKind) -> u32 {
+        let classes = &self.classes[..=class_index(class)];
+        classes.iter().map(|class| class.len() as u32).sum()
+    }
+
+    /// Whether `account` has a waiting request of `highest` class or lower.
+    pub fn has(&self, account: AccountId, highest: ClassKind) -> bool {
+        let mut classes = self.classes[class_index(highest)..].iter();
+        classes.any(|class| class.lanes.iter().any(|lane| lane.account == account))
+    }
+
+    /// Every waiting request.
+    pub fn iter(&self) -> impl Iterator<Item = &AdmitRequest> {
+        self.classes.iter().flat_map(ClassQueue::iter)
+    }
+}
+
+fn class_index(class: ClassKind) -> usize {
+    match class {
+        ClassKind::Urgent => 0,
+        ClassKind::Interactive => 1,
+        ClassKind::Batch => 2,
+    }
+}
--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -1,1 +1,18 @@
 //! Admission to one endpoint: load bound, fair queue, deadlines, drain.
+//!
+//! * [`queue`]: the state machine that an agent drives by plain calls.
+//! * [`request`]: what goes in and what comes out.
+//! * [`lane`]: weighted fair queueing of client accounts within priority classes.
+//! * [`mean`]: the service's mean load as it can be known at one endpoint.
+//! * [`account`]: use and limits of client accounts at one endpoint.
+//!
+//! Nothing here reads a clock; time comes in with each call.
+
+pub mod account;
+pub mod lane;
+pub mod mean;
+pub mod queue;
+pub mod request;
+
+pub use queue::AdmitQueue;
+pub use request::{AdmitAction, AdmitRequest, AdmitSettings, CancelOutcome};
--- /dev/null
+++ b/crates/admit/src/queue.rs
@@ -0,0 +1,389 @@
+//! The state machine that an agent drives by plain calls.
+//!
+//! The load bound counts requests, running and waiting: an agent knows them exactly and at once,
+//! whereas the tokens of a request are known when it has ended.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use fault::{Fault, FaultKind};
+use wire::answer::{AttemptKey, ClassKind, EndpointLoad};
+use wire::id::AccountId;
+use wire::member::{EndpointState, ServiceMean};
+
+use crate::account::{AccountTable, AccountUse};
+use crate::lane::LaneTable;
+use crate::mean::MeanForecast;
+use crate::request::{AdmitAction, AdmitRequest, AdmitSettings, CancelOutcome};
+
+/// Weight of the newest duration in the average duration of a request.
+const DURATION_GAIN: f64 = 0.05;
+/// Shortest time that a refusal asks its caller to wait.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(200);
+/// Longest time that a refusal asks its caller to wait.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+#[derive(Clone, Copy, Debug)]
+struct RunningRecord {
+    account: AccountId,
+    started_at: Instant,
+}
+
+/// Admission to one endpoint.
+#[derive(Clone, Debug)]
+pub struct AdmitQueue {
+    settings: AdmitSettings,
+    state: EndpointState,
+    /// No request starts before this.
+    open_at: Instant,
+    waiting: LaneTable,
+    /// At most `settings.places`, unless the places were reduced.
+    running: HashMap<AttemptKey, RunningRecord>,
+    accounts: AccountTable,
+    forecast: MeanForecast,
+    /// Average duration of a request in seconds; 0 when none has ended.
+    duration: f64,
+}
+
+impl AdmitQueue {
+    /// An endpoint that serves, after the join delay, from `now`.
+    pub fn new(settings: AdmitSettings, now: Instant) -> Self {
+        let open_at = now + settings.join_delay;
+        Self {
+            settings,
+            state: EndpointState::Serving,
+            open_at,
+            waiting: LaneTable::default(),
+            running: HashMap::new(),
+            accounts: AccountTable::default(),
+            forecast: MeanForecast::default(),
+            duration: 0.0,
+        }
+    }
+
+    /// Takes new settings over. What was admitted stays admitted.
+    pub fn update_settings(&mut self, settings: AdmitSettings, now: Instant) -> Vec<AdmitAction> {
+        self.settings = settings;
+        self.start_waiting(now)
+    }
+
+    /// Takes in the service's mean load.
+    pub fn observe_mean(&mut self, mean: &ServiceMean, now: Instant) {
+        let own = self.load().total();
+        self.forecast.observe(mean, own, now);
+    }
+
+    /// Takes in what the endpoint does with new work. What waits is refused, as not run, when the
+    /// endpoint stops serving.
+    pub fn set_state(&mut self, state: EndpointState, now: Instant) -> Vec<AdmitAction> {
+        let was = std::mem::replace(&mut self.state, state);
+        if state == EndpointState::Serving {
+            if was != EndpointState::Serving {
+                self.open_at = now + self.settings.join_delay;
+            }
+            return Vec::new();
+        }
+        let dropped = self.waiting.take_if(|_| true);
+        let refuse = |request| self.refuse_waiting(&request, closed_fault(state));
+        dropped.into_iter().map(refuse).collect()
+    }
+
+    /// What the endpoint does with new work.
+    pub fn state(&self) -> EndpointState {
+        self.state
+    }
+
+    /// Offers an attempt for admission. It starts, waits or is refused; a waiting attempt of an
+    /// account that has more than its share may be refused in its place.
+    pub fn offer(&mut self, request: AdmitRequest, now: Instant) -> Vec<AdmitAction> {
+        debug_assert!(!self.holds(request.key), "attempt is offered twice");
+        if let Err(fault) = self.check(&request, now) {
+            let key = request.key;
+            return vec![AdmitAction::Refuse { key, fault }];
+        }
+        let mut actions = Vec::new();
+        if self.is_full(&request, now) {
+            let Some(evicted) = self.evict_for(&request, now) else {
+                return vec![self.refuse_full(&request)];
+            };
+            actions.push(evicted);
+        }
+        let key = request.key;
+        self.accounts.use_mut(request.account, now).waiting += 1;
+        self.waiting.push(request);
+        actions.extend(self.start_waiting(now));
+        if !self.running.contains_key(&key) {
+            actions.push(AdmitAction::Queue(key));
+        }
+        actions
+    }
+
+    /// Takes in that a running attempt has ended, however it ended.
+    pub fn finish(&mut self, key: AttemptKey, now: Instant) -> Vec<AdmitAction> {
+        let Some(record) = self.running.remove(&key) else {
+            return Vec::new();
+        };
+        self.accounts.use_mut(record.account, now).running -= 1;
+        self.observe_duration(now.saturating_duration_since(record.started_at));
+        self.start_waiting(now)
+    }
+
+    /// Cancels an attempt. A running one stays until [`Self::finish`].
+    pub fn cancel(&mut self, key: AttemptKey) -> CancelOutcome {
+        if self.running.contains_key(&key) {
+            return CancelOutcome::Running;
+        }
+        let Some(request) = self.waiting.remove(key) else {
+            return CancelOutcome::Unknown;
+        };
+        self.accounts.release_waiting(request.account);
+        CancelOutcome::NotRun
+    }
+
+    /// Refuses what can't start before its deadline and starts what may start by now. Call it at
+    /// [`Self::next_wake`].
+    pub fn tick(&mut self, now: Instant) -> Vec<AdmitAction> {
+        let late = self.waiting.take_if(|request| request.deadline <= now);
+        let mut actions: Vec<AdmitAction> = late
+            .into_iter()
+            .map(|request| {
+                let fault = FaultKind::DeadlineUnmet.because("deadline passed in the queue");
+                self.refuse_waiting(&request, fault)
+            })
+            .collect();
+        actions.extend(self.start_waiting(now));
+        self.accounts.forget_idle(now);
+        actions
+    }
+
+    /// When [`Self::tick`] has something to do, if no other call comes before.
+    pub fn next_wake(&self) -> Option<Instant> {
+        self.waiting.iter().map(|request| request.deadline).min()
+    }
+
+    /// Load now.
+    pub fn load(&self) -> EndpointLoad {
+        EndpointLoad {
+            running: self.running.len() as u32,
+            queued: self.waiting.len(),
+        }
+    }
+
+    /// Whether nothing runs and nothing waits.
+    pub fn is_idle(&self) -> bool {
+        self.running.is_empty() && self.waiting.is_empty()
+    }
+
+    /// Attempts that run.
+    pub fn running(&self) -> impl Iterator<Item = AttemptKey> {
+        self.running.keys().copied()
+    }
+
+    /// Largest load that an admission of a request with `hops` refusals may leave, or `None` while
+    /// the mean is unknown.
+    pub fn load_limit(&self, hops: u8, now: Instant) -> Option<u32> {
+        let own = self.load().total() + 1;
+        let mean = self.forecast.low_mean(own, now)?;
+        let weight = f64::from(self.settings.weight.max(1));
+        let limits = self.settings.limits;
+        let multiple = if hops < self.settings.soft_hops {
+            limits.reachable_aim(self.forecast.total_weight()? / weight)
+        } else {
+            limits.bound
+        };
+        Some((multiple * mean * weight).ceil() as u32)
+    }
+
+    /// Re-checks the invariants.
+    ///
+    /// # Panics
+    /// When one does not hold.
+    pub fn verify(&self) {
+        let mut waiting: HashMap<AccountId, u32> = HashMap::new();
+        for request in self.waiting.iter() {
+            assert!(!self.running.contains_key(&request.key), "runs and waits");
+            *waiting.entry(request.account).or_default() += 1;
+        }
+        let mut running: HashMap<AccountId, u32> = HashMap::new();
+        for record in self.running.values() {
+            *running.entry(record.account).or_default() += 1;
+        }
+        for (account, used) in self.accounts.iter() {
+            let count = |counts: &HashMap<_, _>| counts.get(&account).copied().unwrap_or(0);
+            assert_eq!(used.waiting, count(&waiting));
+            assert_eq!(used.running, count(&running));
+        }
+        if self.state != EndpointState::Serving {
+            assert!(self.waiting.is_empty(), "a closed endpoint has no queue");
+        }
+    }
+
+    fn holds(&self, key: AttemptKey) -> bool {
+        self.running.contains_key(&key) || self.waiting.iter().any(|request| request.key == key)
+    }
+
+    /// Checks all but the load.
+    fn check(&mut self, request: &AdmitRequest, now: Instant) -> Result<(), Fault> {
+        if self.state != EndpointState::Serving {
+            return Err(closed_fault(self.state));
+        }
+        if now < self.open_at {
+            let fault = FaultKind::Overloaded.because("endpoint is about to join");
+            return Err(fault.retry_after(self.open_at - now));
+        }
+        let start_at = now + self.expected_wait(request.class);
+        if request.deadline <= start_at {
+            let fault = FaultKind::DeadlineUnmet.because("request can't start before its deadline");
+            return Err(fault.retry_after(self.retry_after()));
+        }
+        self.check_concurrency(request)?;
+        let portion = self.portion();
+        let taken = self.accounts.take_token(request, portion, now);
+        taken.map_err(|wait| {
+            let fault = FaultKind::RateLimited.because("account exceeds its request rate");
+            fault.retry_after(wait)
+        })
+    }
+
+    fn check_concurrency(&self, request: &AdmitRequest) -> Result<(), Fault> {
+        let used = self.accounts.get(request.account);
+        let waiting = used.map_or(0, |used| used.waiting);
+        let is_running_full = used.is_some_and(|used| used.running >= request.concurrency);
+        if request.concurrency == 0 || !is_running_full || waiting < request.concurrency {
+            return Ok(());
+        }
+        let fault = FaultKind::ConcurrencyLimited.because("account has too many requests here");
+        Err(fault.retry_after(self.retry_after()))
+    }
+
+    /// Share of the service's capacity that this endpoint is, as far as it is known.
+    fn portion(&self) -> f64 {
+        let weight = f64::from(self.settings.weight.max(1));
+        let total = self.forecast.total_weight().unwrap_or(weight);
+        (weight / total).min(1.0)
+    }
+
+    fn is_full(&self, request: &AdmitRequest, now: Instant) -> bool {
+        let load = self.load();
+        let is_queue_full =
+            load.running >= self.settings.places && load.queued >= self.settings.queue_limit;
+        let limit = self.load_limit(request.hops, now);
+        is_queue_full || limit.is_some_and(|limit| load.total() + 1 > limit)
+    }
+
+    /// Makes room by refusing the newest waiting request of the account that has most for its
+    /// share, if that is more than `request`'s own account would have.
+    fn evict_for(&mut self, request: &AdmitRequest, now: Instant) -> Option<AdmitAction> {
+        let limit = self.load_limit(request.hops, now);
+        if limit.is_some_and(|limit| self.load().total() > limit) {
+            return None;
+        }
+        let own_use = self.use_for_share(request, 1);
+        let waiting = self.waiting.iter();
+        let heaviest = waiting
+            .filter(|held| held.class >= request.class)
+            .map(|held| (held.account, self.use_for_share(held, 0)))
+            .max_by(|left, right| left.1.total_cmp(&right.1));
+        let (account, held_use) = heaviest?;
+        if held_use <= own_use {
+            return None;
+        }
+        let evicted = self.waiting.pop_newest(account, request.class)?;
+        let fault = FaultKind::Overloaded.because("account has more than its share here");
+        let fault = fault.retry_after(self.retry_after());
+        Some(self.refuse_waiting(&evicted, fault))
+    }
+
+    /// Requests of the account of `request`, with `more` added, for each unit of its share.
+    fn use_for_share(&self, request: &AdmitRequest, more: u32) -> f64 {
+        let used = self.accounts.get(request.account);
+        let total = used.map_or(0, AccountUse::total);
+        f64::from(total + more) / f64::from(request.share.max(1))
+    }
+
+    fn refuse_full(&mut self, request: &AdmitRequest) -> AdmitAction {
+        self.accounts.return_token(request.account);
+        let fault = FaultKind::Overloaded.because("endpoint is at its load bound");
+        AdmitAction::Refuse {
+            key: request.key,
+            fault: fault.retry_after(self.retry_after()),
+        }
+    }
+
+    /// Refuses a request that was taken out of the queue.
+    fn refuse_waiting(&mut self, request: &AdmitRequest, fault: Fault) -> AdmitAction {
+        self.accounts.return_token(request.account);
+        self.accounts.release_waiting(request.account);
+        AdmitAction::Refuse {
+            key: request.key,
+            fault,
+        }
+    }
+
+    fn start_waiting(&mut self, now: Instant) -> Vec<AdmitAction> {
+        let mut actions = Vec::new();
+        while (self.running.len() as u32) < self.settings.places {
+            let accounts = &self.accounts;
+            let may_start = |request: &AdmitRequest| {
+                let running = accounts.get(request.account).map_or(0, |used| used.running);
+                request.concurrency == 0 || running < request.concurrency
+            };
+            let Some(request) = self.waiting.pop(may_start) else {
+                break;
+            };
+            let account = request.account;
+            let used = self.accounts.use_mut(account, now);
+            used.waiting -= 1;
+            used.running += 1;
+            let record = RunningRecord {
+                account,
+                started_at: now,
+            };
+            self.running.insert(request.key, record);
+            actions.push(AdmitAction::Start(request.key));
+        }
+        actions
+    }
+
+    fn observe_duration(&mut self, duration: Duration) {
+        let seconds = duration.as_secs_f64();
+        if self.duration <= 0.0 {
+            self.duration = seconds;
+        }
+        self.duration += DURATION_GAIN * (seconds - self.duration);
+    }
+
+    /// Expected wait of a new request of `class`.
+    fn expected_wait(&self, class: ClassKind) -> Duration {
+        let free = self
+            .settings
+            .places
+            .saturating_sub(self.running.len() as u32);
+        let ahead = self.waiting.ahead_of(class);
+        if ahead < free {
+            return Duration::ZERO;
+        }
+        self.time_for(ahead - free + 1)
+    }
+
+    /// Expected time in which `ends` requests end.
+    fn time_for(&self, ends: u32) -> Duration {
+        let places = f64::from(self.settings.places.max(1));
+        Duration::from_secs_f64(self.duration * f64::from(ends) / places)
+    }
+
+    /// When a refused request has a chance: when the queue has moved on.
+    fn retry_after(&self) -> Duration {
+        let wait = self.time_for(self.waiting.len() + 1);
+        wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+    }
+}
+
+fn closed_fault(state: EndpointState) -> Fault {
+    match state {
+        EndpointState::Down => FaultKind::NoEndpoint.because("endpoint is down"),
+        EndpointState::Draining | EndpointState::Serving => {
+            FaultKind::Draining.because("endpoint is leaving")
+        }
+    }
+}
