--- /dev/null
+++ b/crates/member/src/flap.rs
@@ -0,0 +1,68 @@
+//! Damping of endpoints that come and go.
+
+use std::time::{Duration, Instant};
+
+/// When an endpoint counts as flapping.
+#[derive(Clone, Debug, PartialEq)]
+pub struct FlapSettings {
+    /// Time in which half of the penalty is forgotten.
+    pub half_life: Duration,
+    /// Penalty at which the endpoint is kept out; each failure adds 1.
+    pub limit: f64,
+    /// Penalty under which it is let in again.
+    pub release: f64,
+}
+
+impl Default for FlapSettings {
+    fn default() -> Self {
+        Self {
+            half_life: Duration::from_secs(30),
+            limit: 2.5,
+            release: 1.0,
+        }
+    }
+}
+
+/// Failures of one endpoint, decaying with time.
+#[derive(Clone, Debug)]
+pub struct FlapRecord {
+    penalty: f64,
+    updated_at: Instant,
+    is_damped: bool,
+}
+
+impl FlapRecord {
+    /// No failures.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            penalty: 0.0,
+            updated_at: now,
+            is_damped: false,
+        }
+    }
+
+    /// Counts a failure.
+    pub fn record_failure(&mut self, settings: &FlapSettings, now: Instant) {
+        self.decay(settings, now);
+        self.penalty += 1.0;
+        if self.penalty > settings.limit {
+            self.is_damped = true;
+        }
+    }
+
+    /// Whether the endpoint is kept out at `now`.
+    pub fn is_damped(&mut self, settings: &FlapSettings, now: Instant) -> bool {
+        self.decay(settings, now);
+        if self.penalty < settings.release {
+            self.is_damped = false;
+        }
+        self.is_damped
+    }
+
+    fn decay(&mut self, settings: &FlapSettings, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at);
+        let half_lives = elapsed.as_secs_f64() / settings.half_life.as_secs_f64();
+        self.penalty *= (-half_lives).exp2();
+        self.updated_at = now;
+    }
+}
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
 use settings::LoadLimits;
 use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
 use wire::member::EndpointState;
@@ -43,7 +44,8 @@
 }
 
 /// Why an endpoint was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ChoiceReason {
     /// The hint names it and it has room.
     Warm,
@@ -60,7 +62,8 @@
 }
 
 /// Why an endpoint was passed over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Exclusion {
     /// It is draining or said that it is leaving.
     Leaving,
@@ -81,7 +84,7 @@
 }
 
 /// One endpoint that was considered.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CandidateRecord {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -96,7 +99,7 @@
 }
 
 /// The choice and its record.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteDecision {
     /// The endpoint, or `None` when none can be tried.
     pub endpoint: Option<EndpointId>,
