--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -8,6 +8,8 @@
 use std::time::Instant;
 
 use rand::{Rng, RngExt};
+use serde::{Deserialize, Serialize};
+use settings::LoadLimits;
 use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
 use wire::member::EndpointState;
 
@@ -37,14 +39,13 @@
     pub prefixes: &'a [PrefixHash],
     /// Endpoints that refused this request before.
     pub tried: &'a [EndpointId],
-    /// Hard limit of load as a multiple of the mean.
-    pub load_bound: f64,
-    /// Aimed limit of load as a multiple of the mean.
-    pub load_aim: f64,
+    /// Limits of an endpoint's load.
+    pub limits: LoadLimits,
 }
 
 /// Why an endpoint was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum ChoiceReason {
     /// The hint names it and it has room.
     Warm,
@@ -61,7 +62,8 @@
 }
 
 /// Why an endpoint was passed over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Exclusion {
     /// It is draining or said that it is leaving.
     Leaving,
@@ -82,7 +84,7 @@
 }
 
 /// One endpoint that was considered.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct CandidateRecord {
     /// The endpoint.
     pub endpoint: EndpointId,
@@ -97,7 +99,7 @@
 }
 
 /// The choice and its record.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct RouteDecision {
     /// The endpoint, or `None` when none can be tried.
     pub endpoint: Option<EndpointId>,
@@ -149,7 +151,7 @@
             request,
             now,
             mean: self.mean_load(service),
-            aim: reachable_aim(request, service.rows.len()),
+            aim: request.limits.reachable_aim(service.rows.len() as f64),
             candidates: Vec::new(),
         };
         let scan = run.scan(service, rng);
@@ -179,14 +181,6 @@
     }
 }
 
-/// Lowers the aim so far that the loss or return of one endpoint, which lowers the mean by its
-/// share, leaves the others under the bound.
-fn reachable_aim(request: &RouteRequest<'_>, endpoints: usize) -> f64 {
-    let endpoints = endpoints.max(1) as f64;
-    let after_return = request.load_bound * (endpoints - 1.0) / endpoints;
-    request.load_aim.min(after_return).max(1.0)
-}
-
 fn no_decision() -> RouteDecision {
     RouteDecision {
         endpoint: None,
