--- /dev/null
+++ b/crates/settings/examples/settings-page.rs
@@ -0,0 +1,6 @@
+//! Prints the page of all settings: `cargo run -p settings --example settings-page >
+//! docs/SETTINGS.md`.
+
+fn main() {
+    print!("{}", settings::page::settings_page());
+}
--- /dev/null
+++ b/crates/settings/src/check.rs
@@ -0,0 +1,294 @@
+//! Checks one table against its key table: known keys, forms, ranges and required keys.
+
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use toml::{Table, Value};
+
+use crate::path::SettingPath;
+use crate::schema::{BranchSpec, DefaultValue, MAX_NAME_BYTES, MAX_TEXT_BYTES, ValueForm, is_name};
+use crate::tree::SettingFault;
+
+/// Least similarity, from 0 to 1, of a known key that is suggested for an unknown one.
+const LEAST_SIMILARITY: f64 = 0.7;
+
+/// Checks `table` and removes what is faulty, so that the rest can be read and checked further.
+pub(crate) fn clean_table(
+    path: &SettingPath,
+    table: &mut Table,
+    spec: &BranchSpec,
+    faults: &mut Vec<SettingFault>,
+) {
+    report_missing(path, table, spec, faults);
+    table.retain(|name, value| {
+        let child = path.child(name);
+        let Some(key) = spec.key(name) else {
+            faults.push(fault(&child, unknown_key(name, spec)));
+            return false;
+        };
+        clean_value(&child, value, key.form, faults)
+    });
+}
+
+/// A fault at `path`.
+pub(crate) fn fault(path: &SettingPath, reason: impl Into<String>) -> SettingFault {
+    SettingFault {
+        path: path.to_string(),
+        reason: reason.into(),
+    }
+}
+
+/// The candidate most like `name`, if one is like it.
+pub(crate) fn nearest<'a>(
+    name: &str,
+    candidates: impl Iterator<Item = &'a str>,
+) -> Option<&'a str> {
+    let scored = candidates.map(|candidate| (strsim::jaro_winkler(name, candidate), candidate));
+    let best = scored.max_by(|left, right| left.0.total_cmp(&right.0));
+    best.filter(|(score, _)| *score >= LEAST_SIMILARITY)
+        .map(|(_, candidate)| candidate)
+}
+
+fn unknown_key(name: &str, spec: &BranchSpec) -> String {
+    match nearest(name, spec.keys().map(|key| key.name)) {
+        Some(known) => format!("unknown key; did you mean `{known}`?"),
+        None => format!("unknown key; {} has no such key", spec.place),
+    }
+}
+
+fn report_missing(
+    path: &SettingPath,
+    table: &Table,
+    spec: &BranchSpec,
+    faults: &mut Vec<SettingFault>,
+) {
+    for key in spec.keys() {
+        if key.default == DefaultValue::Required && !table.contains_key(key.name) {
+            faults.push(fault(&path.child(key.name), "is missing"));
+        }
+    }
+}
+
+/// Checks one value; returns whether it is kept.
+fn clean_value(
+    path: &SettingPath,
+    value: &mut Value,
+    form: ValueForm,
+    faults: &mut Vec<SettingFault>,
+) -> bool {
+    let found = type_name(value);
+    match (form, value) {
+        (ValueForm::Branches(spec), Value::Table(table)) => {
+            clean_branches(path, table, spec, faults);
+            true
+        }
+        (ValueForm::Section(spec), Value::Table(table)) => {
+            clean_table(path, table, spec, faults);
+            true
+        }
+        (ValueForm::List(spec), Value::Array(items)) => clean_list(path, items, spec, faults),
+        (_, value) => match check_value(value, form) {
+            Ok(()) => true,
+            Err(None) => {
+                let expected = expected_form(form);
+                faults.push(fault(path, format!("is {found}, expected {expected}")));
+                false
+            }
+            Err(Some(reason)) => {
+                faults.push(fault(path, reason));
+                false
+            }
+        },
+    }
+}
+
+fn clean_branches(
+    path: &SettingPath,
+    table: &mut Table,
+    spec: &BranchSpec,
+    faults: &mut Vec<SettingFault>,
+) {
+    table.retain(|name, value| {
+        let child = path.child(name);
+        if !is_name(name) {
+            faults.push(fault(&child, bad_name(name)));
+            return false;
+        }
+        let Value::Table(branch) = value else {
+            let found = type_name(value);
+            faults.push(fault(&child, format!("is {found}, expected a branch")));
+            return false;
+        };
+        clean_table(&child, branch, spec, faults);
+        true
+    });
+}
+
+fn clean_list(
+    path: &SettingPath,
+    items: &mut [Value],
+    spec: &BranchSpec,
+    faults: &mut Vec<SettingFault>,
+) -> bool {
+    if items.is_empty() {
+        faults.push(fault(path, "is empty, expected at least one entry"));
+        return false;
+    }
+    let before = faults.len();
+    for (index, item) in items.iter_mut().enumerate() {
+        let child = path.child(&index.to_string());
+        match item {
+            Value::Table(table) => clean_table(&child, table, spec, faults),
+            other => {
+                let found = type_name(other);
+                faults.push(fault(&child, format!("is {found}, expected a table")));
+            }
+        }
+    }
+    faults.len() == before
+}
+
+/// Checks a plain value. `Err(None)` means that its type is wrong.
+fn check_value(value: &Value, form: ValueForm) -> Result<(), Option<String>> {
+    match (form, value) {
+        (ValueForm::Whole { least, most }, Value::Integer(number)) => {
+            let is_inside = u64::try_from(*number).is_ok_and(|it| (least..=most).contains(&it));
+            holds(is_inside, || {
+                format!("is {number}, expected {least} to {most}")
+            })
+        }
+        (ValueForm::Decimal { least, most }, Value::Float(number)) => {
+            check_decimal(*number, least, most)
+        }
+        (ValueForm::Decimal { least, most }, Value::Integer(number)) => {
+            check_decimal(*number as f64, least, most)
+        }
+        (ValueForm::Flag, Value::Boolean(_)) => Ok(()),
+        (ValueForm::Text, Value::String(text)) => holds(text.len() <= MAX_TEXT_BYTES, || {
+            format!("is longer than {MAX_TEXT_BYTES} bytes")
+        }),
+        (ValueForm::File, Value::String(text)) => {
+            holds(!text.is_empty(), || "is empty, expected a path".to_owned())
+        }
+        (ValueForm::Name, Value::String(text)) => holds(is_name(text), || bad_name(text)),
+        (ValueForm::Choice(words), Value::String(text)) => check_choice(text, words),
+        (ValueForm::KeyHash, Value::String(text)) => check_hash(text),
+        (ValueForm::Address, Value::String(text)) => check_address(text),
+        (ValueForm::Names, Value::Array(items)) => {
+            check_items(items, |text| holds(is_name(text), || bad_name(text)))
+        }
+        (ValueForm::Methods, Value::Array(items)) => check_items(items, check_method),
+        (ValueForm::Addresses, Value::Array(items)) => {
+            holds(!items.is_empty(), || {
+                "is empty, expected at least one address".to_owned()
+            })?;
+            check_items(items, check_address)
+        }
+        _ => Err(None),
+    }
+}
+
+fn holds(is_valid: bool, reason: impl FnOnce() -> String) -> Result<(), Option<String>> {
+    if is_valid {
+        Ok(())
+    } else {
+        Err(Some(reason()))
+    }
+}
+
+fn check_decimal(number: f64, least: f64, most: f64) -> Result<(), Option<String>> {
+    holds((least..=most).contains(&number), || {
+        format!("is {number}, expected {least} to {most}")
+    })
+}
+
+fn check_choice(text: &str, words: &'static [&'static str]) -> Result<(), Option<String>> {
+    holds(words.contains(&text), || {
+        let listed = quoted_list(words);
+        match nearest(text, words.iter().copied()) {
+            Some(word) => format!("is `{text}`, expected {listed}; did you mean `{word}`?"),
+            None => format!("is `{text}`, expected {listed}"),
+        }
+    })
+}
+
+fn check_hash(text: &str) -> Result<(), Option<String>> {
+    let is_digit = |byte: u8| byte.is_ascii_digit() || (b'a'..=b'f').contains(&byte);
+    let is_hash = text.len() == 64 && text.bytes().all(is_digit);
+    // The value is not repeated: it may be a key that was pasted in place of its hash.
+    holds(is_hash, || {
+        "is no SHA-256 in 64 lower-case hexadecimal digits; `sapphirectl hash-key` prints one"
+            .to_owned()
+    })
+}
+
+fn check_address(text: &str) -> Result<(), Option<String>> {
+    holds(text.parse::<SocketAddr>().is_ok(), || {
+        format!("is `{text}`, expected an IP number and a port, for example `127.0.0.1:7000`")
+    })
+}
+
+fn check_method(text: &str) -> Result<(), Option<String>> {
+    let is_method = !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_uppercase());
+    holds(is_method, || {
+        format!("holds `{text}`, expected HTTP methods in capitals")
+    })
+}
+
+fn check_items(
+    items: &[Value],
+    check: impl Fn(&str) -> Result<(), Option<String>>,
+) -> Result<(), Option<String>> {
+    let mut seen = HashSet::new();
+    for item in items {
+        let text = item.as_str().ok_or(None)?;
+        check(text)?;
+        holds(seen.insert(text), || format!("holds `{text}` twice"))?;
+    }
+    Ok(())
+}
+
+fn bad_name(text: &str) -> String {
+    format!(
+        "`{text}` is no name; a name has 1 to {MAX_NAME_BYTES} letters, digits and `-_.:/+@`, \
+         and starts with a letter or digit"
+    )
+}
+
+fn quoted_list(words: &[&str]) -> String {
+    let quoted: Vec<String> = words.iter().map(|word| format!("`{word}`")).collect();
+    quoted.join(" or ")
+}
+
+fn type_name(value: &Value) -> &'static str {
+    match value {
+        Value::String(_) => "a text",
+        Value::Integer(_) => "a whole number",
+        Value::Float(_) => "a decimal number",
+        Value::Boolean(_) => "a truth value",
+        Value::Datetime(_) => "a date",
+        Value::Array(_) => "a list",
+        Value::Table(_) => "a branch",
+    }
+}
+
+/// The form in words, also used by the page of all settings.
+pub(crate) fn expected_form(form: ValueForm) -> String {
+    match form {
+        ValueForm::Whole { least, most } => format!("a whole number, {least} to {most}"),
+        ValueForm::Decimal { least, most } => format!("a number, {least} to {most}"),
+        ValueForm::Flag => "`true` or `false`".to_owned(),
+        ValueForm::Text => "a text".to_owned(),
+        ValueForm::Name => "a name".to_owned(),
+        ValueForm::Choice(words) => quoted_list(words),
+        ValueForm::Names => "a list of names".to_owned(),
+        ValueForm::Methods => "a list of HTTP methods".to_owned(),
+        ValueForm::KeyHash => "a SHA-256 in hexadecimal".to_owned(),
+        ValueForm::Address => "an IP number and a port".to_owned(),
+        ValueForm::Addresses => "a list of IP numbers and ports".to_owned(),
+        ValueForm::File => "a path".to_owned(),
+        ValueForm::Branches(spec) => format!("branches `{}`", spec.place),
+        ValueForm::Section(spec) => format!("the table `{}`", spec.place),
+        ValueForm::List(spec) => format!("a list of tables `{}`", spec.place),
+    }
+}
--- /dev/null
+++ b/crates/settings/src/defaults.rs
@@ -0,0 +1,33 @@
+//! Every default of the settings, in one place.
+//!
+//! The `Default` impls of the resolved forms and the key tables of [`crate::schema`] both read
+//! these, so that the page of all settings and the programs cannot differ.
+
+/// Default of `load_bound`, a multiple of the mean load.
+pub const LOAD_BOUND: f64 = 1.25;
+/// Default of `load_aim`, a multiple of the mean load.
+pub const LOAD_AIM: f64 = 1.1;
+/// Default of `rate_per_second`, in requests per second; 0 is unlimited.
+pub const RATE_PER_SECOND: f64 = 0.0;
+/// Default of `concurrency`, in requests; 0 is unlimited.
+pub const CONCURRENCY: u32 = 0;
+/// Default of `share`.
+pub const SHARE: u32 = 1;
+/// Default of `queue_limit`, in requests.
+pub const QUEUE_LIMIT: u32 = 256;
+/// Default of `deadline_ms`.
+pub const DEADLINE_MS: u64 = 120_000;
+/// Default of `max_body_bytes`.
+pub const MAX_BODY_BYTES: u64 = 4 * 1024 * 1024;
+/// Default of `retention_s`.
+pub const RETENTION_S: u64 = 24 * 60 * 60;
+/// Default of `max_recorded_bytes`.
+pub const MAX_RECORDED_BYTES: u64 = 64 * 1024;
+/// Default of `settings_lease_ms`.
+pub const SETTINGS_LEASE_MS: u64 = 30_000;
+/// Default of an endpoint's `weight`.
+pub const WEIGHT: u32 = 1;
+/// Default of an endpoint's `places`, in requests.
+pub const PLACES: u32 = 32;
+/// Default of `checks_fence`.
+pub const CHECKS_FENCE: bool = false;
--- a/crates/settings/src/fleet.rs
+++ b/crates/settings/src/fleet.rs
@@ -8,7 +8,8 @@
 use subtle::ConstantTimeEq;
 use wire::id::{SettingsVersion, name_id};
 
-use crate::policy::PolicySettings;
+use crate::defaults;
+use crate::policy::{PolicyOverrides, PolicySettings};
 
 /// What stands behind a service.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -66,10 +67,10 @@
     fn default() -> Self {
         Self {
             service: String::new(),
-            weight: 1,
-            places: 32,
+            weight: defaults::WEIGHT,
+            places: defaults::PLACES,
             draining: false,
-            checks_fence: false,
+            checks_fence: defaults::CHECKS_FENCE,
         }
     }
 }
@@ -81,8 +82,12 @@
     pub key_hash: String,
     /// Services that it may use; empty means every service.
     pub services: Vec<String>,
-    /// Values of this branch, resolved.
+    /// Values of this branch, resolved against the root.
     pub policy: PolicySettings,
+    /// Values that this branch sets itself; they go before the service's.
+    pub overrides: PolicyOverrides,
+    /// Values that this branch sets for one service, by its name; they go before `overrides`.
+    pub per_service: BTreeMap<String, PolicyOverrides>,
 }
 
 /// What an operator may do.
@@ -129,7 +134,7 @@
         Self {
             version: 0,
             policy: PolicySettings::default(),
-            settings_lease: Duration::from_secs(30),
+            settings_lease: Duration::from_millis(defaults::SETTINGS_LEASE_MS),
             services: BTreeMap::new(),
             endpoints: BTreeMap::new(),
             accounts: BTreeMap::new(),
@@ -167,23 +172,20 @@
         })
     }
 
-    /// Values for requests of `account` to `service`: the account's own where it overrides the
-    /// root, the service's elsewhere.
+    /// Values for requests of `account` to `service`: what the account sets for the service goes
+    /// before what it sets for all, then come the service and the root.
     pub fn request_policy(&self, account: &str, service: &str) -> PolicySettings {
-        let service = self
+        let service_policy = self
             .services
             .get(service)
             .map_or(&self.policy, |found| &found.policy);
-        let account = self
-            .accounts
-            .get(account)
-            .map_or(&self.policy, |found| &found.policy);
-        PolicySettings {
-            rate_per_second: account.rate_per_second,
-            concurrency: account.concurrency,
-            share: account.share,
-            class: account.class,
-            ..service.clone()
+        let Some(account) = self.accounts.get(account) else {
+            return service_policy.clone();
+        };
+        let policy = account.overrides.over(service_policy);
+        match account.per_service.get(service) {
+            Some(overrides) => overrides.over(&policy),
+            None => policy,
         }
     }
 
--- /dev/null
+++ b/crates/settings/src/keys.rs
@@ -0,0 +1,342 @@
+//! The key tables of the settings tree. docs/SETTINGS.md is generated from them.
+
+use wire::codec::MAX_MESSAGE_BYTES;
+
+use crate::defaults as d;
+use crate::schema::{BranchSpec, DefaultValue, KeySpec, ValueForm};
+
+/// Room that a request needs in a message besides its body, in bytes.
+const REQUEST_ROOM_BYTES: usize = 1024 * 1024;
+const DAY_MS: u64 = 24 * 60 * 60 * 1000;
+const YEAR_S: u64 = 366 * 24 * 60 * 60;
+/// Answers are recorded in the control log, so that large ones are left out.
+const MOST_RECORDED_BYTES: u64 = 1024 * 1024;
+
+pub(crate) const fn key(
+    name: &'static str,
+    form: ValueForm,
+    default: DefaultValue,
+    help: &'static str,
+) -> KeySpec {
+    KeySpec {
+        name,
+        form,
+        default,
+        is_inherited: false,
+        help,
+    }
+}
+
+const fn inherited(
+    name: &'static str,
+    form: ValueForm,
+    default: DefaultValue,
+    help: &'static str,
+) -> KeySpec {
+    KeySpec {
+        is_inherited: true,
+        ..key(name, form, default, help)
+    }
+}
+
+const fn whole(least: u64, most: u64) -> ValueForm {
+    ValueForm::Whole { least, most }
+}
+
+const fn decimal(least: f64, most: f64) -> ValueForm {
+    ValueForm::Decimal { least, most }
+}
+
+/// Values that describe how a service is run.
+const SERVICE_POLICY: &[KeySpec] = &[
+    inherited(
+        "load_bound",
+        decimal(1.0, 1_000.0),
+        DefaultValue::Decimal(d::LOAD_BOUND),
+        "Hard limit of an endpoint's load as a multiple of the service's mean.",
+    ),
+    inherited(
+        "load_aim",
+        decimal(1.0, 1_000.0),
+        DefaultValue::Decimal(d::LOAD_AIM),
+        "Load that routing aims to stay under, as a multiple of the mean. At most `load_bound`.",
+    ),
+    inherited(
+        "queue_limit",
+        whole(0, 1_000_000),
+        DefaultValue::Whole(d::QUEUE_LIMIT as u64),
+        "Requests that may wait at one endpoint.",
+    ),
+    inherited(
+        "max_recorded_bytes",
+        whole(0, MOST_RECORDED_BYTES),
+        DefaultValue::Whole(d::MAX_RECORDED_BYTES),
+        "Largest answer body in bytes that is recorded for resends of a non-idempotent request.",
+    ),
+    inherited(
+        "when_stale",
+        ValueForm::Choice(&["serve", "step-out"]),
+        DefaultValue::Text("serve"),
+        "What an instance does when its settings lease has lapsed: go on with the settings it \
+         has, or refuse new work.",
+    ),
+];
+
+/// Values that describe what a client account may ask for.
+const CALLER_POLICY: &[KeySpec] = &[
+    inherited(
+        "rate_per_second",
+        decimal(0.0, 1_000_000.0),
+        DefaultValue::Decimal(d::RATE_PER_SECOND),
+        "Requests that an account may start per second, over the whole service; 0 is unlimited.",
+    ),
+    inherited(
+        "concurrency",
+        whole(0, 1_000_000),
+        DefaultValue::Whole(d::CONCURRENCY as u64),
+        "Requests that an account may have in flight at one endpoint; 0 is unlimited.",
+    ),
+    inherited(
+        "share",
+        whole(1, 1_000),
+        DefaultValue::Whole(d::SHARE as u64),
+        "Share of an account in the fair queue of an endpoint.",
+    ),
+    inherited(
+        "class",
+        ValueForm::Choice(&["urgent", "interactive", "batch"]),
+        DefaultValue::Text("interactive"),
+        "Class of a request that states none.",
+    ),
+    inherited(
+        "deadline_ms",
+        whole(1, DAY_MS),
+        DefaultValue::Whole(d::DEADLINE_MS),
+        "Deadline of a request that states none, in milliseconds.",
+    ),
+    inherited(
+        "max_body_bytes",
+        whole(1, (MAX_MESSAGE_BYTES - REQUEST_ROOM_BYTES) as u64),
+        DefaultValue::Whole(d::MAX_BODY_BYTES),
+        "Largest accepted body in bytes.",
+    ),
+    inherited(
+        "retention_s",
+        whole(1, YEAR_S),
+        DefaultValue::Whole(d::RETENTION_S),
+        "How long a recorded answer is kept after its request ended, in seconds. At least the \
+         deadline.",
+    ),
+];
+
+/// Values that describe an endpoint.
+const ENDPOINT_POLICY: &[KeySpec] = &[
+    inherited(
+        "weight",
+        whole(1, 1_000),
+        DefaultValue::Whole(d::WEIGHT as u64),
+        "Relative capacity of an endpoint.",
+    ),
+    inherited(
+        "places",
+        whole(1, 100_000),
+        DefaultValue::Whole(d::PLACES as u64),
+        "Requests that an endpoint runs at once.",
+    ),
+    inherited(
+        "checks_fence",
+        ValueForm::Flag,
+        DefaultValue::Flag(d::CHECKS_FENCE),
+        "Whether the endpoint itself refuses orders with an outdated fencing number. Where it \
+         does not, its agent does.",
+    ),
+];
+
+/// The root.
+pub static ROOT: BranchSpec = BranchSpec {
+    place: "the root",
+    help: "Values that every branch inherits, and the branches.",
+    groups: &[SERVICE_POLICY, CALLER_POLICY, ENDPOINT_POLICY, ROOT_KEYS],
+};
+
+const ROOT_KEYS: &[KeySpec] = &[
+    key(
+        "settings_lease_ms",
+        whole(1_000, DAY_MS),
+        DefaultValue::Whole(d::SETTINGS_LEASE_MS),
+        "How long an instance takes its settings for current after a quorum confirmed them, in \
+         milliseconds.",
+    ),
+    key(
+        "services",
+        ValueForm::Branches(&SERVICE),
+        DefaultValue::Absent,
+        "Services by name.",
+    ),
+    key(
+        "endpoints",
+        ValueForm::Branches(&ENDPOINT),
+        DefaultValue::Absent,
+        "Endpoints by name.",
+    ),
+    key(
+        "accounts",
+        ValueForm::Branches(&ACCOUNT),
+        DefaultValue::Absent,
+        "Client accounts by name.",
+    ),
+    key(
+        "operators",
+        ValueForm::Branches(&OPERATOR),
+        DefaultValue::Absent,
+        "Operators by name.",
+    ),
+];
+
+/// A service.
+pub static SERVICE: BranchSpec = BranchSpec {
+    place: "services.NAME",
+    help: "One service. Inherits from the root.",
+    groups: &[SERVICE_KEYS, SERVICE_POLICY, CALLER_POLICY, ENDPOINT_POLICY],
+};
+
+const SERVICE_KEYS: &[KeySpec] = &[
+    key(
+        "kind",
+        ValueForm::Choice(&["model", "plain"]),
+        DefaultValue::Text("model"),
+        "What stands behind it: model engines, or plain HTTP servers.",
+    ),
+    key(
+        "non_idempotent_methods",
+        ValueForm::Methods,
+        DefaultValue::EmptyList,
+        "HTTP methods whose execution must not be repeated.",
+    ),
+    key(
+        "models",
+        ValueForm::Branches(&MODEL),
+        DefaultValue::Absent,
+        "Models by name. Only for the kind `model`.",
+    ),
+];
+
+/// A model of a service.
+pub static MODEL: BranchSpec = BranchSpec {
+    place: "services.NAME.models.NAME",
+    help: "One model and its placement. Inherits from its service.",
+    groups: &[MODEL_KEYS, SERVICE_POLICY, CALLER_POLICY],
+};
+
+const MODEL_KEYS: &[KeySpec] = &[
+    key(
+        "version",
+        ValueForm::Text,
+        DefaultValue::Text(""),
+        "Version of the weights.",
+    ),
+    key(
+        "adapter",
+        ValueForm::Text,
+        DefaultValue::Text(""),
+        "Adapter on top of the weights; empty for none.",
+    ),
+    key(
+        "endpoints",
+        ValueForm::Names,
+        DefaultValue::EmptyList,
+        "Endpoints of the service that carry it; empty means all of them.",
+    ),
+];
+
+/// An endpoint.
+pub static ENDPOINT: BranchSpec = BranchSpec {
+    place: "endpoints.NAME",
+    help: "One endpoint. Inherits from its service, then from the root.",
+    groups: &[ENDPOINT_KEYS, ENDPOINT_POLICY],
+};
+
+const ENDPOINT_KEYS: &[KeySpec] = &[
+    key(
+        "service",
+        ValueForm::Name,
+        DefaultValue::Required,
+        "Service that it belongs to.",
+    ),
+    key(
+        "draining",
+        ValueForm::Flag,
+        DefaultValue::Flag(false),
+        "Whether it is to finish its work and take none.",
+    ),
+];
+
+/// A client account.
+pub static ACCOUNT: BranchSpec = BranchSpec {
+    place: "accounts.NAME",
+    help: "One client account. A value set here goes before the service's; what it does not set \
+           is inherited from the service of the request, then from the root.",
+    groups: &[ACCOUNT_KEYS, CALLER_POLICY],
+};
+
+const ACCOUNT_KEYS: &[KeySpec] = &[
+    key(
+        "key_hash",
+        ValueForm::KeyHash,
+        DefaultValue::Required,
+        "SHA-256 of the account key, as `sapphirectl hash-key` prints it.",
+    ),
+    key(
+        "services",
+        ValueForm::Names,
+        DefaultValue::EmptyList,
+        "Services that it may use; empty means all of them.",
+    ),
+    key(
+        "per_service",
+        ValueForm::Branches(&ACCOUNT_SERVICE),
+        DefaultValue::Absent,
+        "Values for its requests to one service, by the service's name.",
+    ),
+];
+
+/// An account's values for one service.
+pub static ACCOUNT_SERVICE: BranchSpec = BranchSpec {
+    place: "accounts.NAME.per_service.NAME",
+    help: "An account's values for one service. Inherits from the account, then from the \
+           service, then from the root.",
+    groups: &[CALLER_POLICY],
+};
+
+/// An operator.
+pub static OPERATOR: BranchSpec = BranchSpec {
+    place: "operators.NAME",
+    help: "One operator. Inherits nothing.",
+    groups: &[OPERATOR_KEYS],
+};
+
+const OPERATOR_KEYS: &[KeySpec] = &[
+    key(
+        "key_hash",
+        ValueForm::KeyHash,
+        DefaultValue::Required,
+        "SHA-256 of the operator key, as `sapphirectl hash-key` prints it.",
+    ),
+    key(
+        "role",
+        ValueForm::Choice(&["read", "change"]),
+        DefaultValue::Text("read"),
+        "`read` sees settings, status and decisions; `change` also changes settings.",
+    ),
+];
+
+/// Every kind of branch, in the order of the page.
+pub static BRANCHES: &[&BranchSpec] = &[
+    &ROOT,
+    &SERVICE,
+    &MODEL,
+    &ENDPOINT,
+    &ACCOUNT,
+    &ACCOUNT_SERVICE,
+    &OPERATOR,
+];
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,20 +5,32 @@
 //! * [`diff`]: the difference between two trees, as edits.
 //! * [`fleet`]: the resolved form that the programs use.
 //! * [`policy`]: the values that every branch inherits.
+//! * [`defaults`], [`schema`], [`keys`], [`files`]: every key, its range, its default and its meaning.
+//! * [`origin`]: where each resolved value comes from.
+//! * [`page`]: the page of all settings.
 //! * [`history`]: every version, and how changes are accepted.
 //! * [`holder`]: the settings that an entry or an agent holds, and their lease.
 //! * [`process`]: the file that each program reads at its start.
 
 mod answer;
+mod branch;
+mod check;
+pub mod defaults;
 pub mod diff;
+pub mod files;
 pub mod fleet;
 pub mod history;
 pub mod holder;
+pub mod keys;
+pub mod origin;
 mod overlap;
+pub mod page;
 pub mod path;
 pub mod policy;
 pub mod process;
+pub mod schema;
 pub mod tree;
+mod whole;
 
 pub use fleet::FleetSettings;
 pub use history::SettingsHistory;
--- /dev/null
+++ b/crates/settings/src/origin.rs
@@ -0,0 +1,137 @@
+//! Where each resolved value comes from.
+
+use derive_more::Display;
+use toml::{Table, Value};
+
+use crate::keys::ROOT;
+use crate::path::SettingPath;
+use crate::schema::{BranchSpec, DefaultValue, KeySpec, ValueForm};
+
+/// Where a resolved value comes from.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum ValueOrigin {
+    /// This branch sets it; the path is that of the value as written.
+    #[display("{_0}")]
+    Set(SettingPath),
+    /// No branch sets it.
+    #[display("default")]
+    Default,
+}
+
+/// One value of a branch with its origin.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ResolvedValue {
+    /// Where the value applies.
+    pub path: SettingPath,
+    /// The value.
+    pub value: Value,
+    /// Where it comes from.
+    pub origin: ValueOrigin,
+}
+
+/// Every value at and below `path`, resolved. Empty when there is no such place.
+pub(crate) fn resolved_values(root: &Table, path: &SettingPath) -> Vec<ResolvedValue> {
+    let mut walk = OriginWalk {
+        root,
+        wanted: path,
+        values: Vec::new(),
+    };
+    walk.branch(&SettingPath::default(), root, &ROOT);
+    walk.values
+}
+
+struct OriginWalk<'a> {
+    root: &'a Table,
+    wanted: &'a SettingPath,
+    values: Vec<ResolvedValue>,
+}
+
+impl OriginWalk<'_> {
+    fn branch(&mut self, path: &SettingPath, table: &Table, spec: &BranchSpec) {
+        for key in spec.keys() {
+            let child = path.child(key.name);
+            match (key.form, table.get(key.name)) {
+                (ValueForm::Branches(spec), Some(Value::Table(branches))) => {
+                    self.branches(&child, branches, spec);
+                }
+                (ValueForm::Branches(_), _) => {}
+                _ if child.starts_with(self.wanted) => self.value(path, &child, key),
+                _ => {}
+            }
+        }
+    }
+
+    fn branches(&mut self, path: &SettingPath, branches: &Table, spec: &BranchSpec) {
+        for (name, value) in branches {
+            let child = path.child(name);
+            let is_related = child.starts_with(self.wanted) || self.wanted.starts_with(&child);
+            if let (Value::Table(branch), true) = (value, is_related) {
+                self.branch(&child, branch, spec);
+            }
+        }
+    }
+
+    fn value(&mut self, branch: &SettingPath, path: &SettingPath, key: &KeySpec) {
+        let mut places = vec![branch.clone()];
+        if key.is_inherited {
+            places.extend(self.parents(branch));
+        }
+        for place in places {
+            let origin = place.child(key.name);
+            if let Some(value) = find(self.root, &origin) {
+                self.push(path, value.clone(), ValueOrigin::Set(origin));
+                return;
+            }
+        }
+        if let Some(value) = default_value(key.default) {
+            self.push(path, value, ValueOrigin::Default);
+        }
+    }
+
+    fn push(&mut self, path: &SettingPath, value: Value, origin: ValueOrigin) {
+        self.values.push(ResolvedValue {
+            path: path.clone(),
+            value,
+            origin,
+        });
+    }
+
+    /// The branches that `branch` inherits from, nearest first.
+    fn parents(&self, branch: &SettingPath) -> Vec<SettingPath> {
+        let root = SettingPath::default();
+        let service = |name: &str| root.child("services").child(name);
+        let keys: Vec<&str> = branch.keys().iter().map(String::as_str).collect();
+        match keys.as_slice() {
+            [] => Vec::new(),
+            ["services", name, "models", _] => vec![service(name), root],
+            ["accounts", _, "per_service", name] => vec![branch.prefix(2), service(name), root],
+            ["endpoints", _] => {
+                let owner = find(self.root, &branch.child("service")).and_then(Value::as_str);
+                let owner = owner.map(service);
+                owner.into_iter().chain([root]).collect()
+            }
+            _ => vec![root],
+        }
+    }
+}
+
+/// The value at `path`.
+pub(crate) fn find<'a>(root: &'a Table, path: &SettingPath) -> Option<&'a Value> {
+    let (last, parents) = path.split_last()?;
+    let mut table = root;
+    for key in parents {
+        table = table.get(key)?.as_table()?;
+    }
+    table.get(last)
+}
+
+fn default_value(default: DefaultValue) -> Option<Value> {
+    match default {
+        DefaultValue::Required | DefaultValue::Absent => None,
+        DefaultValue::Whole(number) => i64::try_from(number).ok().map(Value::Integer),
+        DefaultValue::Decimal(number) => Some(Value::Float(number)),
+        DefaultValue::Flag(flag) => Some(Value::Boolean(flag)),
+        DefaultValue::Text(text) => Some(Value::String(text.to_owned())),
+        DefaultValue::EmptyList => Some(Value::Array(Vec::new())),
+    }
+}
--- a/crates/settings/src/path.rs
+++ b/crates/settings/src/path.rs
@@ -50,6 +50,11 @@
         path
     }
 
+    /// Whether this path is `start` or lies below it.
+    pub fn starts_with(&self, start: &Self) -> bool {
+        self.keys.starts_with(&start.keys)
+    }
+
     /// The path of the first `count` keys.
     #[must_use]
     pub fn prefix(&self, count: usize) -> Self {
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -5,6 +5,8 @@
 use serde::{Deserialize, Serialize};
 use wire::answer::ClassKind;
 
+use crate::defaults;
+
 /// What an instance does when its settings lease has lapsed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -48,18 +50,71 @@
 impl Default for PolicySettings {
     fn default() -> Self {
         Self {
-            load_bound: 1.25,
-            load_aim: 1.1,
-            rate_per_second: 0.0,
-            concurrency: 0,
-            share: 1,
-            queue_limit: 256,
-            deadline: Duration::from_secs(120),
-            max_body_bytes: 4 * 1024 * 1024,
+            load_bound: defaults::LOAD_BOUND,
+            load_aim: defaults::LOAD_AIM,
+            rate_per_second: defaults::RATE_PER_SECOND,
+            concurrency: defaults::CONCURRENCY,
+            share: defaults::SHARE,
+            queue_limit: defaults::QUEUE_LIMIT,
+            deadline: Duration::from_millis(defaults::DEADLINE_MS),
+            max_body_bytes: defaults::MAX_BODY_BYTES,
             class: ClassKind::Interactive,
-            retention: Duration::from_secs(24 * 60 * 60),
-            max_recorded_bytes: 64 * 1024,
+            retention: Duration::from_secs(defaults::RETENTION_S),
+            max_recorded_bytes: defaults::MAX_RECORDED_BYTES,
             when_stale: StaleKind::Serve,
         }
     }
 }
+
+/// The values that one branch sets itself. `None` inherits.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct PolicyOverrides {
+    /// Overrides [`PolicySettings::load_bound`].
+    pub load_bound: Option<f64>,
+    /// Overrides [`PolicySettings::load_aim`].
+    pub load_aim: Option<f64>,
+    /// Overrides [`PolicySettings::rate_per_second`].
+    pub rate_per_second: Option<f64>,
+    /// Overrides [`PolicySettings::concurrency`].
+    pub concurrency: Option<u32>,
+    /// Overrides [`PolicySettings::share`].
+    pub share: Option<u32>,
+    /// Overrides [`PolicySettings::queue_limit`].
+    pub queue_limit: Option<u32>,
+    /// Overrides [`PolicySettings::deadline`]. In milliseconds.
+    pub deadline_ms: Option<u64>,
+    /// Overrides [`PolicySettings::max_body_bytes`].
+    pub max_body_bytes: Option<u64>,
+    /// Overrides [`PolicySettings::class`].
+    pub class: Option<ClassKind>,
+    /// Overrides [`PolicySettings::retention`]. In seconds.
+    pub retention_s: Option<u64>,
+    /// Overrides [`PolicySettings::max_recorded_bytes`].
+    pub max_recorded_bytes: Option<u64>,
+    /// Overrides [`PolicySettings::when_stale`].
+    pub when_stale: Option<StaleKind>,
+}
+
+impl PolicyOverrides {
+    /// The values of a branch with these overrides under `parent`.
+    pub fn over(&self, parent: &PolicySettings) -> PolicySettings {
+        PolicySettings {
+            load_bound: self.load_bound.unwrap_or(parent.load_bound),
+            load_aim: self.load_aim.unwrap_or(parent.load_aim),
+            rate_per_second: self.rate_per_second.unwrap_or(parent.rate_per_second),
+            concurrency: self.concurrency.unwrap_or(parent.concurrency),
+            share: self.share.unwrap_or(parent.share),
+            queue_limit: self.queue_limit.unwrap_or(parent.queue_limit),
+            deadline: self
+                .deadline_ms
+                .map_or(parent.deadline, Duration::from_millis),
+            max_body_bytes: self.max_body_bytes.unwrap_or(parent.max_body_bytes),
+            class: self.class.unwrap_or(parent.class),
+            retention: self
+                .retention_s
+                .map_or(parent.retention, Duration::from_secs),
+            max_recorded_bytes: self.max_recorded_bytes.unwrap_or(parent.max_recorded_bytes),
+            when_stale: self.when_stale.unwrap_or(parent.when_stale),
+        }
+    }
+}
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -1,12 +1,23 @@
 //! The file that each program reads at its start.
+//!
+//! Checked like the settings tree: every fault at once, each with its path.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use toml::{Table, Value};
 
-use crate::tree::{Result, SettingFault};
+use crate::check::clean_table;
+use crate::files::{AGENT, CONTROL, ENTRY};
+use crate::path::SettingPath;
+use crate::schema::BranchSpec;
+use crate::tree::{Result, SettingFault, SettingsTree, syntax_fault};
+
+/// Control instances of one fleet at most.
+const MAX_CONTROL_INSTANCES: usize = 7;
 
 /// What every program needs to know about itself.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
@@ -76,18 +87,196 @@
     pub platform_list: Option<SocketAddr>,
 }
 
+/// A program's file: its keys, and what they must satisfy together.
+pub trait ProcessFile: DeserializeOwned {
+    /// The keys of the file.
+    const SPEC: &'static BranchSpec;
+
+    /// Faults that show only when every value is valid by itself.
+    fn whole_faults(&self) -> Vec<SettingFault>;
+
+    /// Files that the program reads at its start, by key.
+    fn needed_files(&self) -> Vec<NeededFile<'_>>;
+}
+
+/// A file that a program's file refers to.
+#[derive(Clone, Copy, Debug)]
+pub enum NeededFile<'a> {
+    /// The secret; the path of its key comes first.
+    Secret(&'static str, &'a Path),
+    /// A settings tree; the path of its key comes first.
+    Tree(&'static str, &'a Path),
+}
+
 /// Reads and checks a program's file.
 ///
 /// # Errors
 /// Every fault with its path.
-pub fn load<T: DeserializeOwned>(path: &Path) -> Result<T> {
-    let text = std::fs::read_to_string(path).map_err(|error| file_fault(path, &error))?;
-    toml::from_str(&text).map_err(|error| file_fault(path, &error))
+pub fn load<T: ProcessFile>(path: &Path) -> Result<T> {
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        let reason = format!("cannot be read: {error}");
+        vec![plain_fault(path.display(), reason)]
+    })?;
+    parse(&text)
+}
+
+/// Checks the text of a program's file.
+///
+/// # Errors
+/// Every fault with its path.
+pub fn parse<T: ProcessFile>(text: &str) -> Result<T> {
+    let mut table = text
+        .parse::<Table>()
+        .map_err(|error| vec![syntax_fault(text, &error)])?;
+    let mut faults = Vec::new();
+    clean_table(&SettingPath::default(), &mut table, T::SPEC, &mut faults);
+    if !faults.is_empty() {
+        return Err(faults);
+    }
+    let file: T = Value::Table(table)
+        .try_into()
+        .map_err(|error: toml::de::Error| vec![plain_fault("file", error.message())])?;
+    match file.whole_faults() {
+        faults if faults.is_empty() => Ok(file),
+        faults => Err(faults),
+    }
+}
+
+/// Reads and checks a program's file and the files that it refers to, for `--check`.
+///
+/// # Errors
+/// Every fault with its path.
+pub fn check<T: ProcessFile>(path: &Path) -> Result<T> {
+    let file: T = load(path)?;
+    let needed = file.needed_files();
+    let faults: Vec<SettingFault> = needed.into_iter().flat_map(file_faults).collect();
+    if faults.is_empty() {
+        Ok(file)
+    } else {
+        Err(faults)
+    }
+}
+
+fn file_faults(needed: NeededFile<'_>) -> Vec<SettingFault> {
+    let (NeededFile::Secret(key, path) | NeededFile::Tree(key, path)) = needed;
+    let text = match std::fs::read_to_string(path) {
+        Ok(text) => text,
+        Err(error) => {
+            let reason = format!("{} cannot be read: {error}", path.display());
+            return vec![plain_fault(key, reason)];
+        }
+    };
+    match needed {
+        NeededFile::Secret(..) if text.trim().is_empty() => {
+            vec![plain_fault(key, format!("{} is empty", path.display()))]
+        }
+        NeededFile::Secret(..) => Vec::new(),
+        NeededFile::Tree(..) => tree_faults(key, &text),
+    }
+}
+
+fn tree_faults(key: &str, text: &str) -> Vec<SettingFault> {
+    let checked = SettingsTree::parse(text).and_then(|tree| tree.resolve(0));
+    let faults = checked.err().unwrap_or_default();
+    let inside = faults
+        .into_iter()
+        .map(|fault| plain_fault(format!("{key}: {}", fault.path), fault.reason));
+    inside.collect()
+}
+
+impl ProcessFile for EntrySettings {
+    const SPEC: &'static BranchSpec = &ENTRY;
+
+    fn whole_faults(&self) -> Vec<SettingFault> {
+        control_faults(&self.control)
+    }
+
+    fn needed_files(&self) -> Vec<NeededFile<'_>> {
+        vec![secret_of(&self.instance)]
+    }
+}
+
+impl ProcessFile for AgentSettings {
+    const SPEC: &'static BranchSpec = &AGENT;
+
+    fn whole_faults(&self) -> Vec<SettingFault> {
+        let mut faults = control_faults(&self.control);
+        faults.extend(listener_faults(&self.instance, self.link));
+        faults
+    }
+
+    fn needed_files(&self) -> Vec<NeededFile<'_>> {
+        vec![secret_of(&self.instance)]
+    }
+}
+
+impl ProcessFile for ControlSettings {
+    const SPEC: &'static BranchSpec = &CONTROL;
+
+    fn whole_faults(&self) -> Vec<SettingFault> {
+        let mut faults = listener_faults(&self.instance, self.link);
+        faults.extend(peer_faults(self));
+        faults
+    }
+
+    fn needed_files(&self) -> Vec<NeededFile<'_>> {
+        let tree = self.first_tree.as_deref();
+        let tree = tree.map(|path| NeededFile::Tree("first_tree", path));
+        [secret_of(&self.instance)]
+            .into_iter()
+            .chain(tree)
+            .collect()
+    }
+}
+
+fn secret_of(instance: &InstanceSettings) -> NeededFile<'_> {
+    NeededFile::Secret("instance.secret_file", &instance.secret_file)
+}
+
+fn control_faults(control: &[SocketAddr]) -> Vec<SettingFault> {
+    if control.len() <= MAX_CONTROL_INSTANCES {
+        return Vec::new();
+    }
+    let reason = format!("holds more than {MAX_CONTROL_INSTANCES} addresses");
+    vec![plain_fault("control", reason)]
+}
+
+fn listener_faults(instance: &InstanceSettings, link: SocketAddr) -> Vec<SettingFault> {
+    if instance.http != link || link.port() == 0 {
+        return Vec::new();
+    }
+    vec![plain_fault("link", "is also `instance.http`".to_owned())]
+}
+
+fn peer_faults(settings: &ControlSettings) -> Vec<SettingFault> {
+    let peers = &settings.peers;
+    let mut faults = Vec::new();
+    if peers.len().is_multiple_of(2) || peers.len() > MAX_CONTROL_INSTANCES {
+        let reason = format!("holds {} instances, expected 1, 3, 5 or 7", peers.len());
+        faults.push(plain_fault("peers", reason));
+    }
+    let mut names = HashSet::new();
+    let mut links = HashSet::new();
+    for (index, peer) in peers.iter().enumerate() {
+        if !names.insert(&peer.name) {
+            let reason = format!("`{}` stands twice", peer.name);
+            faults.push(plain_fault(format!("peers.{index}.name"), reason));
+        }
+        if !links.insert(peer.link) {
+            let reason = format!("`{}` stands twice", peer.link);
+            faults.push(plain_fault(format!("peers.{index}.link"), reason));
+        }
+    }
+    if !names.contains(&settings.instance.name) {
+        let reason = format!("do not hold this instance, `{}`", settings.instance.name);
+        faults.push(plain_fault("peers", reason));
+    }
+    faults
 }
 
-fn file_fault(path: &Path, error: &dyn std::error::Error) -> Vec<SettingFault> {
-    vec![SettingFault {
-        path: path.display().to_string(),
-        reason: error.to_string(),
-    }]
+fn plain_fault(path: impl ToString, reason: impl Into<String>) -> SettingFault {
+    SettingFault {
+        path: path.to_string(),
+        reason: reason.into(),
+    }
 }
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -1,22 +1,19 @@
 //! The tree as operators write it, and edits to it.
 
-use std::collections::BTreeMap;
-use std::time::Duration;
-
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 use toml::{Table, Value};
 use wire::command::SettingEdit;
 use wire::id::SettingsVersion;
 
+use crate::branch::RootBranch;
+use crate::check::clean_table;
 use crate::diff::diff_tables;
-use crate::fleet::{
-    AccountSettings, EndpointSettings, FleetSettings, ModelSettings, OperatorRole,
-    OperatorSettings, ServiceKind, ServiceSettings,
-};
+use crate::fleet::FleetSettings;
+use crate::keys::ROOT;
+use crate::origin::{ResolvedValue, find, resolved_values};
 use crate::path::SettingPath;
-use crate::policy::{PolicySettings, StaleKind};
-use wire::answer::ClassKind;
+use crate::whole::check_whole;
 
 /// One fault of a settings tree or file.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -48,7 +45,7 @@
     pub fn parse(text: &str) -> Result<Self> {
         let root = text
             .parse::<Table>()
-            .map_err(|error| one_fault("", error.message()))?;
+            .map_err(|error| vec![syntax_fault(text, &error)])?;
         Ok(Self { root })
     }
 
@@ -84,14 +81,17 @@
     /// The value or branch at a dotted path; the empty path is the root.
     pub fn get(&self, path: &str) -> Option<Value> {
         let path = SettingPath::parse(path).ok()?;
-        let Some((last, parents)) = path.split_last() else {
+        if path.keys().is_empty() {
             return Some(Value::Table(self.root.clone()));
-        };
-        let mut table = &self.root;
-        for key in parents {
-            table = table.get(key)?.as_table()?;
         }
-        table.get(last).cloned()
+        find(&self.root, &path).cloned()
+    }
+
+    /// Every value at and below a dotted path with inheritance resolved, and where each comes
+    /// from. Empty when there is no such place.
+    pub fn resolved_values(&self, path: &str) -> Vec<ResolvedValue> {
+        let path = SettingPath::parse(path);
+        path.map_or_else(|_| Vec::new(), |path| resolved_values(&self.root, &path))
     }
 
     /// Resolves inheritance and checks the whole tree.
@@ -99,10 +99,19 @@
     /// # Errors
     /// Every fault with its path.
     pub fn resolve(&self, version: SettingsVersion) -> Result<FleetSettings> {
-        let branch: RootBranch = Value::Table(self.root.clone())
+        let mut faults = Vec::new();
+        let mut table = self.root.clone();
+        clean_table(&SettingPath::default(), &mut table, &ROOT, &mut faults);
+        let branch: RootBranch = Value::Table(table)
             .try_into()
             .map_err(|error: toml::de::Error| one_fault("", error.message()))?;
-        Ok(branch.resolve(version))
+        let fleet = branch.resolve(version);
+        faults.extend(check_whole(&fleet, &self.root));
+        if faults.is_empty() {
+            Ok(fleet)
+        } else {
+            Err(faults)
+        }
     }
 
     fn apply(&mut self, edit: &SettingEdit) -> std::result::Result<(), SettingFault> {
@@ -168,6 +177,14 @@
     }
 }
 
+/// The fault of a text that is no TOML, with its line as the path.
+pub(crate) fn syntax_fault(text: &str, error: &toml::de::Error) -> SettingFault {
+    let start = error.span().map_or(0, |span| span.start);
+    let before = text.get(..start).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    fault(&format!("line {line}"), error.message())
+}
+
 fn parse_literal(literal: &str) -> Option<Value> {
     let mut table = format!("value = {literal}").parse::<Table>().ok()?;
     let value = table.remove("value")?;
@@ -184,181 +201,3 @@
 fn one_fault(path: &str, reason: &str) -> Vec<SettingFault> {
     vec![fault(path, reason)]
 }
-
-/// The overrides of one branch.
-#[derive(Clone, Debug, Default, Deserialize)]
-struct PolicyBranch {
-    load_bound: Option<f64>,
-    load_aim: Option<f64>,
-    rate_per_second: Option<f64>,
-    concurrency: Option<u32>,
-    share: Option<u32>,
-    queue_limit: Option<u32>,
-    deadline_ms: Option<u64>,
-    max_body_bytes: Option<u64>,
-    class: Option<ClassKind>,
-    retention_s: Option<u64>,
-    max_recorded_bytes: Option<u64>,
-    when_stale: Option<StaleKind>,
-}
-
-impl PolicyBranch {
-    fn over(&self, parent: &PolicySettings) -> PolicySettings {
-        PolicySettings {
-            load_bound: self.load_bound.unwrap_or(parent.load_bound),
-            load_aim: self.load_aim.unwrap_or(parent.load_aim),
-            rate_per_second: self.rate_per_second.unwrap_or(parent.rate_per_second),
-            concurrency: self.concurrency.unwrap_or(parent.concurrency),
-            share: self.share.unwrap_or(parent.share),
-            queue_limit: self.queue_limit.unwrap_or(parent.queue_limit),
-            deadline: self
-                .deadline_ms
-                .map_or(parent.deadline, Duration::from_millis),
-            max_body_bytes: self.max_body_bytes.unwrap_or(parent.max_body_bytes),
-            class: self.class.unwrap_or(parent.class),
-            retention: self
-                .retention_s
-                .map_or(parent.retention, Duration::from_secs),
-            max_recorded_bytes: self.max_recorded_bytes.unwrap_or(parent.max_recorded_bytes),
-            when_stale: self.when_stale.unwrap_or(parent.when_stale),
-        }
-    }
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct RootBranch {
-    #[serde(flatten)]
-    policy: PolicyBranch,
-    settings_lease_ms: Option<u64>,
-    #[serde(default)]
-    services: BTreeMap<String, ServiceBranch>,
-    #[serde(default)]
-    endpoints: BTreeMap<String, EndpointBranch>,
-    #[serde(default)]
-    accounts: BTreeMap<String, AccountBranch>,
-    #[serde(default)]
-    operators: BTreeMap<String, OperatorBranch>,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct ServiceBranch {
-    #[serde(default)]
-    kind: ServiceKind,
-    #[serde(default)]
-    non_idempotent_methods: Vec<String>,
-    #[serde(default)]
-    models: BTreeMap<String, ModelBranch>,
-    #[serde(flatten)]
-    policy: PolicyBranch,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct ModelBranch {
-    #[serde(default)]
-    version: String,
-    #[serde(default)]
-    adapter: String,
-    #[serde(default)]
-    endpoints: Vec<String>,
-    #[serde(flatten)]
-    policy: PolicyBranch,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct EndpointBranch {
-    service: String,
-    weight: Option<u32>,
-    places: Option<u32>,
-    #[serde(default)]
-    draining: bool,
-    #[serde(default)]
-    checks_fence: bool,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct AccountBranch {
-    key_hash: String,
-    #[serde(default)]
-    services: Vec<String>,
-    #[serde(flatten)]
-    policy: PolicyBranch,
-}
-
-#[derive(Debug, Default, Deserialize)]
-struct OperatorBranch {
-    key_hash: String,
-    #[serde(default)]
-    role: OperatorRole,
-}
-
-impl RootBranch {
-    fn resolve(self, version: SettingsVersion) -> FleetSettings {
-        let policy = self.policy.over(&PolicySettings::default());
-        let services = map_values(self.services, |branch| branch.resolve(&policy));
-        let endpoints = map_values(self.endpoints, EndpointBranch::resolve);
-        let accounts = map_values(self.accounts, |branch| branch.resolve(&policy));
-        let operators = map_values(self.operators, |branch| OperatorSettings {
-            key_hash: branch.key_hash,
-            role: branch.role,
-        });
-        let defaults = FleetSettings::default();
-        let settings_lease = self.settings_lease_ms.map(Duration::from_millis);
-        FleetSettings {
-            version,
-            settings_lease: settings_lease.unwrap_or(defaults.settings_lease),
-            services,
-            endpoints,
-            accounts,
-            operators,
-            policy,
-        }
-    }
-}
-
-impl ServiceBranch {
-    fn resolve(self, parent: &PolicySettings) -> ServiceSettings {
-        let policy = self.policy.over(parent);
-        let models = map_values(self.models, |branch| ModelSettings {
-            policy: branch.policy.over(&policy),
-            version: branch.version,
-            adapter: branch.adapter,
-            endpoints: branch.endpoints,
-        });
-        let non_idempotent_methods = self.non_idempotent_methods;
-        ServiceSettings {
-            kind: self.kind,
-            non_idempotent_methods,
-            models,
-            policy,
-        }
-    }
-}
-
-impl EndpointBranch {
-    fn resolve(self) -> EndpointSettings {
-        let defaults = EndpointSettings::default();
-        EndpointSettings {
-            service: self.service,
-            weight: self.weight.unwrap_or(defaults.weight),
-            places: self.places.unwrap_or(defaults.places),
-            draining: self.draining,
-            checks_fence: self.checks_fence,
-        }
-    }
-}
-
-impl AccountBranch {
-    fn resolve(self, parent: &PolicySettings) -> AccountSettings {
-        AccountSettings {
-            key_hash: self.key_hash,
-            services: self.services,
-            policy: self.policy.over(parent),
-        }
-    }
-}
-
-fn map_values<F, T>(map: BTreeMap<String, F>, convert: impl Fn(F) -> T) -> BTreeMap<String, T> {
-    map.into_iter()
-        .map(|(name, value)| (name, convert(value)))
-        .collect()
-}
--- /dev/null
+++ b/crates/settings/src/whole.rs
@@ -0,0 +1,250 @@
+//! Checks of the tree as a whole: names that refer to each other, limits that depend on each
+//! other, and keys that must differ.
+
+use std::collections::{BTreeMap, HashMap};
+
+use toml::Table;
+
+use crate::check::{fault, nearest};
+use crate::fleet::{AccountSettings, FleetSettings, ModelSettings, ServiceKind, ServiceSettings};
+use crate::path::SettingPath;
+use crate::policy::{PolicyOverrides, PolicySettings};
+use crate::tree::SettingFault;
+
+/// Every fault of the resolved tree. `names` is the tree before faulty values were left out, so
+/// that a faulty branch is not reported again as a dangling name.
+pub(crate) fn check_whole(fleet: &FleetSettings, names: &Table) -> Vec<SettingFault> {
+    let mut check = WholeCheck {
+        fleet,
+        names,
+        faults: Vec::new(),
+    };
+    check.limits();
+    check.services();
+    check.endpoints();
+    check.accounts();
+    check.key_hashes();
+    check.faults
+}
+
+struct WholeCheck<'a> {
+    fleet: &'a FleetSettings,
+    names: &'a Table,
+    faults: Vec<SettingFault>,
+}
+
+impl WholeCheck<'_> {
+    fn report(&mut self, path: &SettingPath, reason: impl Into<String>) {
+        self.faults.push(fault(path, reason));
+    }
+
+    /// Whether the tree has the branch `group.name`, valid or not.
+    fn has(&self, group: &str, name: &str) -> bool {
+        let table = self.names.get(group).and_then(toml::Value::as_table);
+        table.is_some_and(|table| table.contains_key(name))
+    }
+
+    /// Reports a name that refers to no branch of the group.
+    fn reference(&mut self, path: &SettingPath, group: &str, name: &str) -> bool {
+        if self.has(group, name) {
+            return true;
+        }
+        let table = self.names.get(group).and_then(toml::Value::as_table);
+        let known = table.into_iter().flat_map(Table::keys);
+        let reason = match nearest(name, known.map(String::as_str)) {
+            Some(near) => format!("`{name}` is not in `{group}`; did you mean `{near}`?"),
+            None => format!("`{name}` is not in `{group}`"),
+        };
+        self.report(path, reason);
+        false
+    }
+
+    fn limits(&mut self) {
+        let fleet = self.fleet;
+        let root = SettingPath::default();
+        self.policy(&root, &fleet.policy, None);
+        for (name, service) in &fleet.services {
+            let path = root.child("services").child(name);
+            self.policy(&path, &service.policy, Some(&fleet.policy));
+            for (model_name, model) in &service.models {
+                let path = path.child("models").child(model_name);
+                self.policy(&path, &model.policy, Some(&service.policy));
+            }
+        }
+        for (name, account) in &fleet.accounts {
+            let path = root.child("accounts").child(name);
+            self.policy(&path, &account.policy, Some(&fleet.policy));
+            self.account_services(&path, name, account);
+        }
+    }
+
+    fn account_services(&mut self, path: &SettingPath, name: &str, account: &AccountSettings) {
+        let fleet = self.fleet;
+        let sets_nothing = account.overrides == PolicyOverrides::default();
+        let is_reported = limit_faults(&account.policy).next().is_some();
+        if is_reported || (sets_nothing && account.per_service.is_empty()) {
+            return;
+        }
+        for (service_name, service) in &fleet.services {
+            let resolved = fleet.request_policy(name, service_name);
+            let path = match account.per_service.get(service_name) {
+                Some(_) => path.child("per_service").child(service_name),
+                None => path.clone(),
+            };
+            self.policy(&path, &resolved, Some(&service.policy));
+        }
+    }
+
+    /// Reports limits that contradict each other, unless the parent's already do.
+    fn policy(
+        &mut self,
+        path: &SettingPath,
+        policy: &PolicySettings,
+        parent: Option<&PolicySettings>,
+    ) {
+        let inherited: Vec<String> = parent
+            .into_iter()
+            .flat_map(limit_faults)
+            .map(|it| it.1)
+            .collect();
+        for (key, reason) in limit_faults(policy) {
+            if !inherited.contains(&reason) {
+                self.report(&path.child(key), reason);
+            }
+        }
+    }
+
+    fn services(&mut self) {
+        let fleet = self.fleet;
+        let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+        for (name, service) in &fleet.services {
+            let models = SettingPath::default()
+                .child("services")
+                .child(name)
+                .child("models");
+            if service.kind == ServiceKind::Plain && !service.models.is_empty() {
+                self.report(&models, "a plain service has no models");
+            }
+            for (model_name, model) in &service.models {
+                let path = models.child(model_name);
+                if let Some(owner) = owners.insert(model_name, name) {
+                    self.report(&path, format!("is already a model of `services.{owner}`"));
+                }
+                self.placement(&path, name, service, model);
+            }
+        }
+    }
+
+    /// Reports a placement that fits no endpoint.
+    fn placement(
+        &mut self,
+        path: &SettingPath,
+        service_name: &str,
+        service: &ServiceSettings,
+        model: &ModelSettings,
+    ) {
+        let fleet = self.fleet;
+        let path = path.child("endpoints");
+        if service.kind == ServiceKind::Plain {
+            return;
+        }
+        for name in &model.endpoints {
+            if !self.reference(&path, "endpoints", name) {
+                continue;
+            }
+            let owner = fleet
+                .endpoints
+                .get(name)
+                .map(|found| found.service.as_str());
+            let is_foreign = owner.is_some_and(|owner| !owner.is_empty() && owner != service_name);
+            if let Some(owner) = owner.filter(|_| is_foreign) {
+                self.report(&path, format!("`{name}` belongs to the service `{owner}`"));
+            }
+        }
+        let mut endpoints = fleet.endpoints.values();
+        let has_any = endpoints.any(|endpoint| endpoint.service == service_name);
+        if model.endpoints.is_empty() && !has_any {
+            let reason = format!("fits no endpoint: `{service_name}` has none");
+            self.report(&path, reason);
+        }
+    }
+
+    fn endpoints(&mut self) {
+        let fleet = self.fleet;
+        for (name, endpoint) in &fleet.endpoints {
+            let path = SettingPath::default()
+                .child("endpoints")
+                .child(name)
+                .child("service");
+            // An empty name was reported as missing or malformed.
+            if !endpoint.service.is_empty() {
+                self.reference(&path, "services", &endpoint.service);
+            }
+        }
+    }
+
+    fn accounts(&mut self) {
+        let fleet = self.fleet;
+        for (name, account) in &fleet.accounts {
+            let path = SettingPath::default().child("accounts").child(name);
+            for service in &account.services {
+                self.reference(&path.child("services"), "services", service);
+            }
+            for service in account.per_service.keys() {
+                let path = path.child("per_service").child(service);
+                let is_known = self.reference(&path, "services", service);
+                let is_allowed = account.services.is_empty() || account.services.contains(service);
+                if is_known && !is_allowed {
+                    self.report(&path, "the account may not use this service");
+                }
+            }
+        }
+    }
+
+    /// Reports keys that open more than one branch.
+    fn key_hashes(&mut self) {
+        let fleet = self.fleet;
+        let accounts = fleet.accounts.iter();
+        let accounts = accounts.map(|(name, account)| ("accounts", name, &account.key_hash));
+        let operators = fleet.operators.iter();
+        let operators = operators.map(|(name, operator)| ("operators", name, &operator.key_hash));
+        let mut owners: HashMap<&str, SettingPath> = HashMap::new();
+        for (group, name, hash) in accounts.chain(operators) {
+            // An empty hash was reported as missing or malformed.
+            if hash.is_empty() {
+                continue;
+            }
+            let path = SettingPath::default().child(group).child(name);
+            if let Some(owner) = owners.get(hash.as_str()) {
+                let reason = format!("is also the key of `{owner}`");
+                self.report(&path.child("key_hash"), reason);
+            } else {
+                owners.insert(hash, path);
+            }
+        }
+    }
+}
+
+/// Limits of one branch that contradict each other: the key to report and the reason.
+fn limit_faults(policy: &PolicySettings) -> impl Iterator<Item = (&'static str, String)> + use<> {
+    let PolicySettings {
+        load_aim,
+        load_bound,
+        deadline,
+        retention,
+        ..
+    } = *policy;
+    let aim = (load_aim > load_bound).then(|| {
+        let reason = format!("is {load_aim}, above `load_bound`, which is {load_bound}");
+        ("load_aim", reason)
+    });
+    let kept = (retention < deadline).then(|| {
+        let reason = format!(
+            "is {}, shorter than `deadline_ms`, which is {}",
+            retention.as_secs(),
+            deadline.as_millis()
+        );
+        ("retention_s", reason)
+    });
+    aim.into_iter().chain(kept)
+}
--- /dev/null
+++ b/crates/settings/tests/checks.rs
@@ -0,0 +1,225 @@
+//! Checks of the tree: every fault at once, each with its path.
+
+use googletest::prelude::*;
+use settings::{FleetSettings, SettingsTree};
+use wire::command::SettingEdit;
+
+const SOUND: &str = r#"
+load_aim = 1.2
+checks_fence = true
+
+[services.redaction]
+load_bound = 1.4
+places = 8
+share = 2
+models.breton = { version = "3", endpoints = ["runner-1"], deadline_ms = 60000 }
+
+[services.guichet]
+kind = "plain"
+non_idempotent_methods = ["POST"]
+
+[endpoints.runner-1]
+service = "redaction"
+
+[endpoints.runner-2]
+service = "redaction"
+places = 16
+checks_fence = false
+
+[endpoints.desk-1]
+service = "guichet"
+
+[accounts.quimper]
+key_hash = "1111111111111111111111111111111111111111111111111111111111111111"
+concurrency = 4
+
+[accounts.quimper.per_service.redaction]
+concurrency = 2
+
+[accounts.auray]
+key_hash = "2222222222222222222222222222222222222222222222222222222222222222"
+services = ["guichet"]
+
+[operators.anna]
+key_hash = "3333333333333333333333333333333333333333333333333333333333333333"
+role = "change"
+"#;
+
+const FAULTY: &str = r#"
+load_bond = 1.5
+load_bound = "much"
+queue_limit = -1
+colour = "blue"
+
+[services.redaction]
+load_aim = 1.9
+kind = "modell"
+weight = 0
+
+[services.redaction.models.breton]
+endpoints = ["runner-1", "runer-2", "desk-1"]
+
+[services.empty.models.latin]
+
+[services.guichet]
+kind = "plain"
+models.breton = {}
+non_idempotent_methods = ["post"]
+
+[endpoints.runner-1]
+service = "redaction"
+
+[endpoints.runner-2]
+service = "redakcion"
+draining = "yes"
+
+[endpoints.desk-1]
+service = "guichet"
+
+[endpoints.lost]
+
+[accounts.quimper]
+key_hash = "1111111111111111111111111111111111111111111111111111111111111111"
+services = ["guichet", "guichet"]
+retention_s = 1
+
+[accounts.auray]
+key_hash = "1111111111111111111111111111111111111111111111111111111111111111"
+services = ["guichet"]
+per_service.redaction.share = 0
+
+[accounts."bad name"]
+
+[operators.anna]
+key_hash = "secret"
+role = "chnge"
+"#;
+
+fn tree(text: &str) -> SettingsTree {
+    SettingsTree::parse(text).expect("the text is TOML")
+}
+
+fn resolved(text: &str) -> FleetSettings {
+    tree(text).resolve(1).expect("the tree is sound")
+}
+
+fn reasons(text: &str) -> Vec<String> {
+    let faults = tree(text).resolve(1).err().unwrap_or_default();
+    faults.iter().map(ToString::to_string).collect()
+}
+
+#[gtest]
+fn every_fault_is_reported_at_once() {
+    insta::assert_snapshot!(reasons(FAULTY).join("\n"));
+}
+
+#[gtest]
+fn sound_tree_resolves_inheritance() {
+    let fleet = resolved(SOUND);
+
+    let redaction = &fleet.services["redaction"];
+    expect_that!(redaction.policy.load_bound, eq(1.4));
+    expect_that!(redaction.policy.load_aim, eq(1.2));
+    expect_that!(redaction.models["breton"].policy.load_bound, eq(1.4));
+    expect_that!(fleet.endpoints["runner-1"].places, eq(8));
+    expect_that!(fleet.endpoints["runner-2"].places, eq(16));
+    expect_that!(fleet.endpoints["runner-1"].checks_fence, eq(true));
+    expect_that!(fleet.endpoints["runner-2"].checks_fence, eq(false));
+}
+
+#[gtest]
+fn request_policy_takes_the_account_before_the_service() {
+    let fleet = resolved(SOUND);
+
+    let cases = [
+        ("quimper", "redaction", 2, 2),
+        ("quimper", "guichet", 4, 1),
+        ("auray", "redaction", 0, 2),
+        ("nobody", "nothing", 0, 1),
+    ];
+    for (account, service, concurrency, share) in cases {
+        let policy = fleet.request_policy(account, service);
+        expect_that!(policy.concurrency, eq(concurrency), "{account} {service}");
+        expect_that!(policy.share, eq(share), "{account} {service}");
+    }
+}
+
+#[gtest]
+fn resolved_values_tell_their_origin() {
+    let values = tree(SOUND).resolved_values("accounts.quimper.per_service.redaction");
+
+    let lines: Vec<String> = values
+        .iter()
+        .map(|it| format!("{} = {} ({})", it.path, it.value, it.origin))
+        .collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
+
+#[gtest]
+fn origins_agree_with_the_resolved_form() {
+    let cases = [
+        (
+            "endpoints.runner-1.places",
+            "8",
+            "services.redaction.places",
+        ),
+        (
+            "endpoints.runner-2.places",
+            "16",
+            "endpoints.runner-2.places",
+        ),
+        ("endpoints.desk-1.checks_fence", "true", "checks_fence"),
+        ("endpoints.desk-1.weight", "1", "default"),
+        (
+            "services.redaction.models.breton.load_bound",
+            "1.4",
+            "services.redaction.load_bound",
+        ),
+    ];
+    for (path, value, origin) in cases {
+        let found = tree(SOUND).resolved_values(path);
+        assert_that!(found, len(eq(1)), "{path}");
+        expect_that!(found[0].value.to_string(), eq(value), "{path}");
+        expect_that!(found[0].origin.to_string(), eq(origin), "{path}");
+    }
+}
+
+#[gtest]
+fn syntax_error_names_its_line() {
+    let faults = SettingsTree::parse("load_bound = 1.5\nload_aim = \n").expect_err("no TOML");
+
+    expect_that!(faults[0].path, eq("line 2"));
+}
+
+#[gtest]
+fn diff_leads_from_one_tree_to_the_other() {
+    let old = tree(SOUND);
+    let new = tree("load_aim = 1.1\n[services.\"a.b\"]\nkind = \"plain\"\n");
+
+    for (from, to) in [(&old, &new), (&new, &old), (&old, &old)] {
+        let edits = from.diff(to);
+        expect_that!(from.edited(&edits).as_ref(), ok(eq(to)));
+    }
+}
+
+#[gtest]
+fn edits_that_do_not_fit_are_all_reported() {
+    let edit = |path: &str, value: Option<&str>| SettingEdit {
+        path: path.to_owned(),
+        value: value.map(str::to_owned),
+    };
+    let edits = [
+        edit("", Some("1")),
+        edit("services..x", Some("1")),
+        edit("services.\"open", Some("1")),
+        edit("load_aim.deeper", Some("1")),
+        edit("load_bound", Some("1.5\nload_aim = 3")),
+        edit("services.gone", None),
+        edit("load_aim", Some("1.1")),
+    ];
+
+    let faults = tree(SOUND).edited(&edits).expect_err("faulty edits");
+
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    insta::assert_snapshot!(lines.join("\n"));
+}
--- /dev/null
+++ b/crates/settings/tests/files.rs
@@ -0,0 +1,106 @@
+//! The programs' files, the annotated examples and the page of all settings.
+
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use googletest::prelude::*;
+use settings::process::{self, AgentSettings, ControlSettings, EntrySettings};
+use settings::{SettingsTree, page};
+
+fn repository() -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
+
+fn example(name: &str) -> String {
+    let path = repository().join("examples").join(name);
+    fs::read_to_string(path).expect("the example exists")
+}
+
+fn fault_lines<T>(result: settings::tree::Result<T>) -> String {
+    let faults = result.err().unwrap_or_default();
+    let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
+    lines.join("\n")
+}
+
+#[gtest]
+fn page_of_all_settings_is_true() {
+    let path = repository().join("docs/SETTINGS.md");
+
+    let page = fs::read_to_string(path).expect("the page exists");
+
+    expect_that!(page, eq(&page::settings_page()));
+}
+
+#[gtest]
+fn examples_pass_their_checks() {
+    expect_that!(
+        fault_lines(process::parse::<EntrySettings>(&example("entry.toml"))),
+        eq("")
+    );
+    expect_that!(
+        fault_lines(process::parse::<AgentSettings>(&example("agent.toml"))),
+        eq("")
+    );
+    expect_that!(
+        fault_lines(process::parse::<ControlSettings>(&example("control.toml"))),
+        eq("")
+    );
+    let tree = SettingsTree::parse(&example("tree.toml"));
+    expect_that!(fault_lines(tree.and_then(|tree| tree.resolve(1))), eq(""));
+}
+
+#[gtest]
+fn every_fault_of_a_file_is_reported_at_once() {
+    let text = r#"
+peers = [{ name = "c1", link = "here" }, { name = "c2", lnk = "127.0.0.1:1" }, 3]
+dta = "/var/lib"
+
+[instance]
+name = ""
+failure_domain = "rennes"
+http = "localhost:80"
+"#;
+
+    let faults = fault_lines(process::parse::<ControlSettings>(text));
+
+    insta::assert_snapshot!(faults);
+}
+
+#[gtest]
+fn values_of_a_file_must_fit_together() {
+    let text = r#"
+link = "127.0.0.1:80"
+data = "data"
+peers = [{ name = "c2", link = "127.0.0.1:81" }, { name = "c2", link = "127.0.0.1:81" }]
+
+[instance]
+name = "c1"
+failure_domain = "rennes"
+secret_file = "secret"
+http = "127.0.0.1:80"
+"#;
+
+    let faults = fault_lines(process::parse::<ControlSettings>(text));
+
+    insta::assert_snapshot!(faults);
+}
+
+#[gtest]
+fn check_reads_the_files_that_a_file_names() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let place = folder.path();
+    let secret = place.join("secret");
+    let tree = place.join("tree.toml");
+    fs::write(&secret, " \n").expect("writes");
+    fs::write(&tree, "load_bnd = 2\n").expect("writes");
+    let text = example("control.toml")
+        .replace("/etc/sapphirecourse/secret", &secret.display().to_string())
+        .replace("/etc/sapphirecourse/tree.toml", &tree.display().to_string());
+    let file = place.join("control.toml");
+    fs::write(&file, text).expect("writes");
+
+    let faults = fault_lines(process::check::<ControlSettings>(&file));
+
+    let faults = faults.replace(&place.display().to_string(), "FOLDER");
+    insta::assert_snapshot!(faults);
+}
