Add the consensus core of the control log

The control instances need one log that holds what was accepted.

A member is an instance and the random identity of its data folder. An emptied folder is another member: it catches up without a vote, and a joint change of the voters puts it in the place of the old one. A swap in one step was excluded: with {a,b,c} and {d,b,c} the quorums {a,b} and {d,c} do not meet.

Answers that promise durable state pass one check that panics when the write is not durable.

--- /dev/null
+++ b/crates/replica/src/follow.rs
@@ -0,0 +1,129 @@
+//! The follower's side of replication.
+
+use std::time::Duration;
+
+use crate::action::ReplicaAction;
+use crate::core::{ReplicaCore, ReplicaRole};
+use crate::id::{LogIndex, MemberKey, RoundNumber};
+use crate::log::LogEntry;
+use crate::message::{ClockStamp, MessageBody};
+
+impl ReplicaCore {
+    /// Takes the sender as the leader of the current term.
+    pub(crate) fn follow(&mut self, leader: MemberKey, round: RoundNumber) {
+        assert!(!self.is_leader(), "two leaders in term {}", self.hard.term);
+        if !matches!(self.role, ReplicaRole::Follower) {
+            self.become_follower();
+        }
+        if self.leader != Some(leader) {
+            self.leader = Some(leader);
+            self.actions.push(ReplicaAction::RoleChanged);
+        }
+        self.leader_at = Some(self.now);
+        self.round = self.round.max(round);
+        self.reset_election();
+    }
+
+    pub(crate) fn on_append(&mut self, from: MemberKey, body: MessageBody) {
+        let MessageBody::Append {
+            prev_index,
+            prev_term,
+            entries,
+            commit,
+            round,
+            confirmed_age,
+            echo,
+        } = body
+        else {
+            return;
+        };
+        self.follow(from, round);
+        if let Some(hint) = self.disagreement(prev_index, prev_term) {
+            let body = MessageBody::AppendReject {
+                prev_index,
+                hint,
+                round,
+            };
+            self.send_held(from, body);
+            return;
+        }
+        let end = prev_index + entries.len() as u64;
+        self.take_entries(entries);
+        self.agreed = self.agreed.max(end);
+        self.commit = self.commit.max(commit.min(self.agreed));
+        if self.commit >= commit {
+            self.note_confirmed(confirmed_age, echo);
+        }
+        self.report_durable();
+        self.apply_committed();
+    }
+
+    /// Tells the leader how far the log agrees with it and is durable.
+    pub(crate) fn report_durable(&mut self) {
+        let Some(leader) = self.leader else {
+            return;
+        };
+        if self.persists.hard != self.hard {
+            self.persist_hard_once();
+            return;
+        }
+        if self.agreed == 0 {
+            return;
+        }
+        let stamp = ClockStamp {
+            life: self.life,
+            at: self.now,
+        };
+        let body = MessageBody::AppendReply {
+            index: self.agreed.min(self.persists.index),
+            round: self.round,
+            stamp,
+        };
+        self.send(leader, body);
+    }
+
+    /// The latest position that may agree, if the log does not agree at `index`.
+    fn disagreement(&self, index: LogIndex, term: u64) -> Option<LogIndex> {
+        if index <= self.commit {
+            return None;
+        }
+        match self.log.term_at(index) {
+            None => Some(self.log.last_index()),
+            Some(own) if own == term => None,
+            Some(_) => Some(self.commit.max(self.log.term_start(index) - 1)),
+        }
+    }
+
+    /// Adds the entries that are missing and removes those that contradict them.
+    fn take_entries(&mut self, entries: Vec<LogEntry>) {
+        let log = &self.log;
+        let is_held = |entry: &LogEntry| {
+            entry.index <= self.commit || log.term_at(entry.index) == Some(entry.term)
+        };
+        let held = entries.iter().take_while(|entry| is_held(entry)).count();
+        let new: Vec<LogEntry> = entries.into_iter().skip(held).collect();
+        let Some(first) = new.first().map(|entry| entry.index) else {
+            return;
+        };
+        let contradicts = first <= self.log.last_index();
+        if contradicts {
+            assert!(first > self.commit, "committed entry {first} contradicted");
+            self.log.truncate(first);
+        }
+        for entry in &new {
+            self.log.append(entry.clone());
+        }
+        self.persist_entries(contradicts.then_some(first), new);
+    }
+
+    /// Notes when the leader was confirmed by a quorum, no later than it really was.
+    fn note_confirmed(&mut self, age: Option<Duration>, echo: Option<ClockStamp>) {
+        let (Some(age), Some(echo)) = (age, echo) else {
+            return;
+        };
+        if echo.life == self.life {
+            let at = echo.at.saturating_sub(age);
+            self.confirmed_at = self.confirmed_at.max(Some(at));
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/found.rs
@@ -0,0 +1,87 @@
+//! Founding of the first log, and joining an existing one.
+//!
+//! An empty member probes all instances. The instance with the lowest id founds a log, but only
+//! when every other instance answered that it is empty too. An answer that any instance belongs to
+//! a log forbids it for good, so an instance whose folder was emptied never founds a second log.
+
+use crate::core::ReplicaCore;
+use crate::id::{MemberIdentity, MemberKey};
+use crate::log::{EntryPayload, LogEntry};
+use crate::member::MemberSet;
+use crate::message::{MessageBody, ReplicaMessage};
+
+/// Term of the first entry, which the founder writes without an election.
+const FOUNDING_TERM: u64 = 1;
+
+impl ReplicaCore {
+    /// A member without a vote shows itself to all instances.
+    pub(crate) fn tick_joining(&mut self) {
+        if self.now < self.probe_at {
+            return;
+        }
+        self.probe_at = self.now + self.settings.heartbeat;
+        for instance in self.peers.clone() {
+            if instance != self.own.instance {
+                let probe = self.message(instance, 0, MessageBody::Probe);
+                self.actions.push(crate::ReplicaAction::Send(probe));
+            }
+        }
+        self.found_if_first();
+    }
+
+    pub(crate) fn on_probe(&mut self, probe: &ReplicaMessage) {
+        let reply = MessageBody::ProbeReply {
+            asker: probe.from.identity,
+            formed: self.hard.cluster != 0,
+        };
+        self.send(probe.from, reply);
+        let is_ours = probe.cluster == 0 || probe.cluster == self.hard.cluster;
+        if is_ours {
+            self.admit_learner(probe.from);
+        }
+    }
+
+    pub(crate) fn on_probe_reply(&mut self, from: MemberKey, asker: MemberIdentity, formed: bool) {
+        if asker != self.own.identity || self.hard.cluster != 0 {
+            return;
+        }
+        if formed {
+            self.log_exists = true;
+        } else {
+            self.unformed.insert(from.instance, from.identity);
+        }
+        self.found_if_first();
+    }
+
+    fn found_if_first(&mut self) {
+        let own = self.own.instance;
+        let is_first = self.peers.iter().all(|peer| *peer >= own);
+        let answered = |peer: &u64| *peer == own || self.unformed.contains_key(peer);
+        let all_empty = self.peers.iter().all(answered);
+        if self.hard.cluster == 0 && !self.log_exists && is_first && all_empty {
+            self.found();
+        }
+    }
+
+    fn found(&mut self) {
+        let others = self.unformed.iter();
+        let mut voters: Vec<MemberKey> = others
+            .map(|(instance, identity)| MemberKey {
+                instance: *instance,
+                identity: *identity,
+            })
+            .collect();
+        voters.push(self.own);
+        self.hard.cluster = self.own.identity;
+        self.hard.term = FOUNDING_TERM;
+        self.hard.vote = Some(self.own);
+        let entry = LogEntry {
+            index: 1,
+            term: FOUNDING_TERM,
+            payload: EntryPayload::Members(MemberSet::new(voters)),
+        };
+        self.log.append(entry.clone());
+        self.persist_entries(None, vec![entry]);
+        self.reset_election();
+    }
+}
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,1 +1,49 @@
 //! Consensus on the control log.
+//!
+//! [`ReplicaCore`] decides; it owns no clock, socket, thread or file. The caller feeds it time,
+//! messages and finished writes, and carries out the [`ReplicaAction`]s that it returns.
+//!
+//! * [`core`]: the state of one member and its entry points.
+//! * [`id`]: ids of members, log positions and terms.
+//! * [`member`]: the voters and their quorums.
+//! * [`log`]: the entries that a member holds.
+//! * [`record`]: what a member keeps on disk.
+//! * [`message`]: what members send to each other.
+//! * [`action`]: what the caller must do.
+//! * [`settings`]: times and sizes.
+//! * [`error`]: why a call is refused.
+//!
+//! The other modules hold the parts of [`ReplicaCore`]: founding of the first log, elections, the
+//! leader's and the follower's side of replication, snapshots, writes and invariants.
+
+pub mod action;
+pub mod core;
+pub mod error;
+pub mod id;
+pub mod log;
+pub mod member;
+pub mod message;
+pub mod record;
+pub mod settings;
+
+mod election;
+mod follow;
+mod found;
+mod lead;
+mod persist;
+mod progress;
+mod replace;
+mod snapshot;
+mod verify;
+
+pub use action::ReplicaAction;
+pub use core::{ReplicaCore, ReplicaStatus, RoleKind};
+pub use error::{ReplicaError, Result};
+pub use id::MemberKey;
+pub use log::{EntryPayload, LogEntry};
+pub use member::MemberSet;
+pub use message::{MessageBody, ReplicaMessage};
+pub use record::{
+    AppendRecord, HardState, PersistBatch, PersistOrder, RecoveredState, SnapshotRecord,
+};
+pub use settings::ReplicaSettings;
--- /dev/null
+++ b/crates/replica/src/member.rs
@@ -0,0 +1,91 @@
+//! The voters and their quorums.
+
+use serde::{Deserialize, Serialize};
+use wire::id::InstanceId;
+
+use crate::id::{LogIndex, MemberKey};
+
+/// The members that count towards quorums.
+///
+/// During a change both groups must agree, so that no quorum before the change misses one after.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MemberSet {
+    /// The voters. At most one per instance.
+    pub voters: Vec<MemberKey>,
+    /// The voters before the change that is under way; empty when there is none.
+    pub outgoing: Vec<MemberKey>,
+}
+
+impl MemberSet {
+    /// A set of voters without a change under way.
+    pub fn new(mut voters: Vec<MemberKey>) -> Self {
+        voters.sort_unstable();
+        Self {
+            voters,
+            outgoing: Vec::new(),
+        }
+    }
+
+    /// Whether a change is under way.
+    pub fn is_joint(&self) -> bool {
+        !self.outgoing.is_empty()
+    }
+
+    /// Whether `member` counts towards a quorum.
+    pub fn contains(&self, member: MemberKey) -> bool {
+        self.voters.contains(&member) || self.outgoing.contains(&member)
+    }
+
+    /// Every member that counts towards a quorum, once.
+    pub fn all(&self) -> Vec<MemberKey> {
+        let mut members = self.voters.clone();
+        members.extend(&self.outgoing);
+        members.sort_unstable();
+        members.dedup();
+        members
+    }
+
+    /// The voter that belongs to `instance`.
+    pub fn voter_of(&self, instance: InstanceId) -> Option<MemberKey> {
+        let mut voters = self.voters.iter();
+        voters.find(|voter| voter.instance == instance).copied()
+    }
+
+    /// Whether the members that `agrees` accepts are a quorum.
+    pub fn has_quorum(&self, agrees: impl Fn(MemberKey) -> bool) -> bool {
+        self.quorum_value(|member| u64::from(agrees(member))) == 1
+    }
+
+    /// The highest value that a quorum has reached.
+    pub fn quorum_value(&self, value: impl Fn(MemberKey) -> LogIndex) -> LogIndex {
+        let reached = majority_value(&self.voters, &value);
+        if self.is_joint() {
+            reached.min(majority_value(&self.outgoing, &value))
+        } else {
+            reached
+        }
+    }
+
+    /// The joint set in which `new` takes the place of `old`.
+    pub fn replacing(&self, old: MemberKey, new: MemberKey) -> Self {
+        debug_assert!(!self.is_joint(), "one change at a time");
+        let kept = self.voters.iter().copied().filter(|voter| *voter != old);
+        let voters = kept.chain([new]).collect();
+        Self {
+            outgoing: self.voters.clone(),
+            ..Self::new(voters)
+        }
+    }
+
+    /// The set after the change that is under way.
+    pub fn settled(&self) -> Self {
+        Self::new(self.voters.clone())
+    }
+}
+
+fn majority_value(group: &[MemberKey], value: impl Fn(MemberKey) -> u64) -> u64 {
+    let mut values: Vec<u64> = group.iter().map(|member| value(*member)).collect();
+    values.sort_unstable();
+    let below_majority = values.len().saturating_sub(1) / 2;
+    values.get(below_majority).copied().unwrap_or(0)
+}
--- /dev/null
+++ b/crates/replica/src/persist.rs
@@ -0,0 +1,213 @@
+//! Writes, and what must be durable before an answer.
+
+use std::collections::VecDeque;
+
+use crate::action::ReplicaAction;
+use crate::core::{ReplicaCore, ReplicaRole};
+use crate::id::{LogIndex, MemberKey, PersistNumber};
+use crate::log::LogEntry;
+use crate::message::{MessageBody, ReplicaMessage};
+use crate::record::{AppendRecord, HardState, PersistBatch, PersistOrder};
+
+/// A write that is not known to be durable.
+#[derive(Clone, Debug)]
+struct PendingWrite {
+    number: PersistNumber,
+    hard: HardState,
+    /// Last entry of the log after the write.
+    last_index: LogIndex,
+    /// Entries up to here were not touched by the write.
+    untouched: LogIndex,
+}
+
+/// The writes in flight and what is durable without them.
+#[derive(Clone, Debug)]
+pub(crate) struct PersistQueue {
+    /// Number of the last write issued.
+    issued: PersistNumber,
+    pending: VecDeque<PendingWrite>,
+    /// Durable hard state.
+    pub(crate) hard: HardState,
+    /// The log is durable up to here, and no write in flight changes it.
+    pub(crate) index: LogIndex,
+}
+
+impl PersistQueue {
+    pub(crate) fn recovered(hard: HardState, index: LogIndex) -> Self {
+        Self {
+            issued: 0,
+            pending: VecDeque::new(),
+            hard,
+            index,
+        }
+    }
+
+    fn issue(
+        &mut self,
+        hard: HardState,
+        untouched: LogIndex,
+        last_index: LogIndex,
+    ) -> PersistNumber {
+        self.issued += 1;
+        self.index = self.index.min(untouched);
+        self.pending.push_back(PendingWrite {
+            number: self.issued,
+            hard,
+            last_index,
+            untouched,
+        });
+        self.issued
+    }
+
+    fn finish(&mut self, number: PersistNumber) {
+        while let Some(write) = self.pending.front()
+            && write.number <= number
+        {
+            self.hard = write.hard;
+            let untouched = self.pending.iter().skip(1).map(|later| later.untouched);
+            let limit = untouched.min().unwrap_or(LogIndex::MAX);
+            self.index = write.last_index.min(limit);
+            self.pending.pop_front();
+        }
+    }
+}
+
+impl ReplicaCore {
+    /// Every write up to `number` is durable.
+    pub fn persisted(&mut self, number: PersistNumber) {
+        debug_assert!(number <= self.persists.issued, "write was never issued");
+        self.persists.finish(number);
+        while let Some((after, _)) = self.held.front()
+            && *after <= number
+        {
+            if let Some((_, message)) = self.held.pop_front() {
+                self.release(message);
+            }
+        }
+        self.count_own_vote();
+        match self.role {
+            ReplicaRole::Leader(_) => self.advance_commit(),
+            _ => self.report_durable(),
+        }
+        self.apply_committed();
+    }
+
+    /// Orders a write of the hard state.
+    pub(crate) fn persist_hard(&mut self) {
+        self.persist_entries(None, Vec::new());
+    }
+
+    /// Orders a write of entries that the log already has.
+    pub(crate) fn persist_entries(
+        &mut self,
+        truncate_from: Option<LogIndex>,
+        entries: Vec<LogEntry>,
+    ) {
+        let untouched = truncate_from.map_or(LogIndex::MAX, |first| first - 1);
+        let record = AppendRecord {
+            hard: self.hard,
+            truncate_from,
+            entries,
+        };
+        self.issue(untouched, PersistOrder::Append(record));
+    }
+
+    /// Orders a write of the snapshot and the whole log. `untouched` as for a truncation.
+    pub(crate) fn persist_all(&mut self, untouched: LogIndex) {
+        let Some(snapshot) = self.log.snapshot().cloned() else {
+            return;
+        };
+        let order = PersistOrder::Replace {
+            hard: self.hard,
+            snapshot,
+            entries: self.log.held().to_vec(),
+        };
+        self.issue(untouched, order);
+    }
+
+    fn issue(&mut self, untouched: LogIndex, order: PersistOrder) {
+        let last_index = self.log.last_index();
+        let number = self.persists.issue(self.hard, untouched, last_index);
+        let batch = PersistBatch { number, order };
+        self.actions.push(ReplicaAction::Persist(batch));
+    }
+
+    /// Sends a message once the current hard state is durable.
+    pub(crate) fn send_held(&mut self, to: MemberKey, body: MessageBody) {
+        if self.persists.hard != self.hard {
+            self.persist_hard_once();
+            let message = self.message(to.instance, to.identity, body);
+            self.held.push_back((self.persists.issued, message));
+        } else {
+            self.send(to, body);
+        }
+    }
+
+    /// Orders a write of the hard state unless that is under way.
+    pub(crate) fn persist_hard_once(&mut self) {
+        let last = self.persists.pending.back();
+        if last.map_or(self.persists.hard, |write| write.hard) != self.hard {
+            self.persist_hard();
+        }
+    }
+
+    /// Sends a held message unless its term is over.
+    fn release(&mut self, message: ReplicaMessage) {
+        if message.term == self.hard.term {
+            self.check_durable(&message);
+            self.actions.push(ReplicaAction::Send(message));
+        }
+    }
+
+    /// Invariant: an answer never promises what a crash could take back.
+    ///
+    /// # Panics
+    /// When it would.
+    pub(crate) fn check_durable(&self, message: &ReplicaMessage) {
+        let durable = &self.persists;
+        let promised = match &message.body {
+            MessageBody::AppendReply { index, .. } => *index <= durable.index,
+            MessageBody::VoteReply { granted: true } => durable.hard.vote == Some(key_of(message)),
+            MessageBody::Vote { .. } => durable.hard.vote == Some(self.own),
+            _ => return,
+        };
+        let same_term = durable.hard.term == message.term;
+        assert!(
+            promised && same_term,
+            "answer before its write: {message:?}"
+        );
+    }
+
+    /// Hands committed entries to the state machine once they are durable here.
+    pub(crate) fn apply_committed(&mut self) {
+        let end = self.commit.min(self.persists.index);
+        if self.applied < self.log.snapshot_index() && end >= self.log.snapshot_index() {
+            self.restore_snapshot();
+        }
+        while self.applied < end {
+            let Some(entry) = self.log.entry(self.applied + 1) else {
+                break;
+            };
+            let entry = entry.clone();
+            self.applied += 1;
+            self.actions.push(ReplicaAction::Apply(entry));
+        }
+        self.confirm_reads();
+        self.want_snapshot();
+    }
+
+    fn restore_snapshot(&mut self) {
+        if let Some(snapshot) = self.log.snapshot().cloned() {
+            self.applied = snapshot.index;
+            self.wanted_snapshot = None;
+            self.actions.push(ReplicaAction::Restore(snapshot));
+        }
+    }
+}
+
+fn key_of(message: &ReplicaMessage) -> MemberKey {
+    MemberKey {
+        instance: message.to,
+        identity: message.identity,
+    }
+}
--- /dev/null
+++ b/crates/replica/src/settings.rs
@@ -0,0 +1,49 @@
+//! Times and sizes.
+
+use std::time::Duration;
+
+/// Times and sizes of one member. All members use equal election times.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaSettings {
+    /// Shortest wait for a leader before an election.
+    pub election_min: Duration,
+    /// Longest wait for a leader before an election. Above `election_min`.
+    pub election_max: Duration,
+    /// Extra wait of a member that should lead only when no other can, for example because its
+    /// failure domain is far from the others.
+    pub election_delay: Duration,
+    /// Time between heartbeats. Well below `election_min`.
+    pub heartbeat: Duration,
+    /// Silence of a voter after which a caught-up member of the same instance may replace it.
+    pub replace_after: Duration,
+    /// Largest payload of one append message in bytes; a single larger entry goes alone.
+    pub append_bytes: usize,
+    /// Entries that may be on their way to one member.
+    pub window_entries: u64,
+    /// Entries that may wait for the quorum before proposals are refused.
+    pub waiting_entries: u64,
+    /// Applied entries after which a snapshot is taken.
+    pub snapshot_entries: u64,
+    /// Entries before the snapshot that stay in the log for members that lag.
+    pub kept_entries: u64,
+    /// Bytes of a snapshot sent in one message.
+    pub chunk_bytes: usize,
+}
+
+impl Default for ReplicaSettings {
+    fn default() -> Self {
+        Self {
+            election_min: Duration::from_millis(400),
+            election_max: Duration::from_millis(800),
+            election_delay: Duration::ZERO,
+            heartbeat: Duration::from_millis(100),
+            replace_after: Duration::from_secs(2),
+            append_bytes: 256 * 1024,
+            window_entries: 1024,
+            waiting_entries: 16 * 1024,
+            snapshot_entries: 4096,
+            kept_entries: 1024,
+            chunk_bytes: 512 * 1024,
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/snapshot.rs
@@ -0,0 +1,190 @@
+//! Snapshots: taking, sending and receiving them.
+
+use std::sync::Arc;
+
+use crate::action::ReplicaAction;
+use crate::core::ReplicaCore;
+use crate::id::{LogIndex, MemberKey, RoundNumber, TermNumber};
+use crate::message::MessageBody;
+use crate::record::SnapshotRecord;
+
+/// A snapshot that is arriving.
+#[derive(Clone, Debug)]
+pub(crate) struct IncomingSnapshot {
+    index: LogIndex,
+    term: TermNumber,
+    /// The bytes so far, without a gap.
+    bytes: Vec<u8>,
+}
+
+impl ReplicaCore {
+    /// Takes the encoded state machine after the entry `index`, as asked for by an action.
+    pub fn snapshot_taken(&mut self, index: LogIndex, state: Vec<u8>) {
+        if self.wanted_snapshot != Some(index) {
+            return;
+        }
+        self.wanted_snapshot = None;
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let snapshot = SnapshotRecord {
+            index,
+            term,
+            members: self.log.members_at(index),
+            state,
+        };
+        self.log
+            .compact(Arc::new(snapshot), self.settings.kept_entries);
+        self.persist_all(LogIndex::MAX);
+    }
+
+    /// Asks the caller for a snapshot when enough entries were applied since the last.
+    pub(crate) fn want_snapshot(&mut self) {
+        let since = self.applied.saturating_sub(self.log.snapshot_index());
+        if since < self.settings.snapshot_entries || self.wanted_snapshot.is_some() {
+            return;
+        }
+        if !self.store_full {
+            self.wanted_snapshot = Some(self.applied);
+            self.actions.push(ReplicaAction::TakeSnapshot(self.applied));
+        }
+    }
+
+    /// Leader: sends the next part of the snapshot to a member that lags behind the log.
+    pub(crate) fn send_snapshot(&mut self, member: MemberKey) {
+        let Some(snapshot) = self.log.snapshot().cloned() else {
+            return;
+        };
+        let chunk_bytes = self.settings.chunk_bytes;
+        let size = snapshot.state.len() as u64;
+        let Some(peer) = self.peer(member) else {
+            return;
+        };
+        let offset = match peer.snapshot {
+            Some((index, offset)) if index == snapshot.index => offset.min(size),
+            _ => 0,
+        };
+        peer.snapshot = Some((snapshot.index, offset));
+        let start = offset as usize;
+        let end = snapshot.state.len().min(start + chunk_bytes);
+        let body = MessageBody::SnapshotChunk {
+            index: snapshot.index,
+            last_term: snapshot.term,
+            members: snapshot.members.clone(),
+            offset,
+            bytes: snapshot.state[start..end].to_vec(),
+            done: end == snapshot.state.len(),
+            round: self.current_round(),
+        };
+        self.send(member, body);
+    }
+
+    pub(crate) fn on_snapshot_chunk(&mut self, from: MemberKey, body: MessageBody) {
+        let MessageBody::SnapshotChunk {
+            index,
+            last_term,
+            members,
+            offset,
+            bytes,
+            done,
+            round,
+        } = body
+        else {
+            return;
+        };
+        self.follow(from, round);
+        if index <= self.commit {
+            self.agreed = self.agreed.max(index);
+            self.report_durable();
+            return;
+        }
+        let complete = self.collect_chunk(index, last_term, offset, &bytes) && done;
+        if complete && let Some(incoming) = self.incoming.take() {
+            self.install(SnapshotRecord {
+                index,
+                term: last_term,
+                members,
+                state: incoming.bytes,
+            });
+        } else {
+            let arrived = self.incoming.as_ref().map_or(0, |part| part.bytes.len());
+            let body = MessageBody::SnapshotReply {
+                index,
+                offset: arrived as u64,
+                round,
+            };
+            self.send_held(from, body);
+        }
+    }
+
+    /// Adds a part; false when it does not continue what has arrived.
+    fn collect_chunk(
+        &mut self,
+        index: LogIndex,
+        term: TermNumber,
+        offset: u64,
+        bytes: &[u8],
+    ) -> bool {
+        let is_same = |part: &IncomingSnapshot| (part.index, part.term) == (index, term);
+        if !self.incoming.as_ref().is_some_and(is_same) {
+            self.incoming = None;
+        }
+        let incoming = self.incoming.get_or_insert_with(|| IncomingSnapshot {
+            index,
+            term,
+            bytes: Vec::new(),
+        });
+        if incoming.bytes.len() as u64 != offset {
+            return false;
+        }
+        incoming.bytes.extend_from_slice(bytes);
+        true
+    }
+
+    /// Replaces the log by a snapshot of the leader. It is applied once it is durable.
+    fn install(&mut self, snapshot: SnapshotRecord) {
+        self.persist_hard_once();
+        let index = snapshot.index;
+        let snapshot = Arc::new(snapshot);
+        if self.log.term_at(index) == Some(snapshot.term) {
+            self.log.compact(snapshot, self.settings.kept_entries);
+            self.persist_all(LogIndex::MAX);
+        } else {
+            self.log.reset(snapshot);
+            self.persist_all(0);
+        }
+        self.commit = index;
+        self.agreed = self.agreed.max(index);
+        self.wanted_snapshot = None;
+    }
+
+    pub(crate) fn on_snapshot_reply(
+        &mut self,
+        from: MemberKey,
+        index: LogIndex,
+        offset: u64,
+        round: RoundNumber,
+    ) {
+        self.hear(from, round);
+        let Some(peer) = self.peer(from) else {
+            return;
+        };
+        let Some((sent, sent_offset)) = peer.snapshot else {
+            return;
+        };
+        if sent != index {
+            return;
+        }
+        peer.snapshot = Some((index, offset));
+        if offset > sent_offset {
+            self.send_snapshot(from);
+        }
+    }
+
+    fn current_round(&self) -> RoundNumber {
+        match &self.role {
+            crate::core::ReplicaRole::Leader(state) => state.round,
+            _ => 0,
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/src/verify.rs
@@ -0,0 +1,68 @@
+//! Invariants of a member, checked by tests after every step.
+
+use crate::core::{ReplicaCore, ReplicaRole};
+use crate::progress::LeaderState;
+
+impl ReplicaCore {
+    /// Checks every invariant.
+    ///
+    /// # Panics
+    /// When one does not hold.
+    pub fn verify(&self) {
+        self.verify_log();
+        self.verify_positions();
+        if let ReplicaRole::Leader(state) = &self.role {
+            self.verify_leader(state);
+        }
+    }
+
+    fn verify_log(&self) {
+        let mut index = self.log.start_index();
+        let mut term = self.log.term_at(index).unwrap_or(0);
+        for entry in self.log.held() {
+            assert_eq!(entry.index, index + 1, "log has a gap");
+            assert!(entry.term >= term, "terms fall at {}", entry.index);
+            index = entry.index;
+            term = entry.term;
+        }
+        assert!(term <= self.hard.term, "entry of a future term");
+        let snapshot = self.log.snapshot_index();
+        assert!(snapshot >= self.log.start_index(), "entries are missing");
+        assert!(snapshot <= self.log.last_index(), "snapshot is ahead");
+        let voters = &self.log.members().1.voters;
+        for pair in voters.windows(2) {
+            assert!(pair[0].instance != pair[1].instance, "instance votes twice");
+        }
+    }
+
+    fn verify_positions(&self) {
+        assert!(
+            self.commit <= self.log.last_index(),
+            "committed beyond the log"
+        );
+        assert!(self.applied <= self.commit, "applied before its commit");
+        assert!(self.persists.hard.term <= self.hard.term, "term fell");
+        let durable = self.persists.index;
+        assert!(durable <= self.log.last_index(), "durable beyond the log");
+    }
+
+    fn verify_leader(&self, state: &LeaderState) {
+        assert_eq!(self.leader, Some(self.own), "leader follows another");
+        assert_eq!(self.persists.hard, self.hard, "leads on a vote in flight");
+        let first = self.log.term_at(state.first_index);
+        let is_own = first.is_none_or(|term| term == self.hard.term);
+        assert!(is_own, "first entry of the term is missing");
+        for (member, peer) in &state.progress {
+            assert!(*member != self.own, "leader follows itself");
+            assert!(peer.matched < peer.next, "{member:?} is sent what it has");
+            assert!(
+                peer.next <= self.log.last_index() + 1,
+                "{member:?} is ahead"
+            );
+        }
+        for member in self.log.members().1.all() {
+            let known = member == self.own || state.progress.contains_key(&member);
+            assert!(known, "voter {member:?} is not served");
+        }
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/rules.rs
@@ -0,0 +1,193 @@
+//! Rules of the consensus that a single member shows by itself.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use replica::{
+    MemberKey, MemberSet, MessageBody, PersistBatch, ReplicaAction, ReplicaCore, ReplicaMessage,
+    ReplicaSettings, RoleKind,
+};
+
+const CLUSTER: u64 = 100;
+
+fn key(instance: u64) -> MemberKey {
+    MemberKey {
+        instance,
+        identity: instance + 99,
+    }
+}
+
+fn empty_member(instance: u64, peers: Vec<u64>) -> ReplicaCore {
+    ReplicaCore::new(
+        ReplicaSettings::default(),
+        key(instance),
+        peers,
+        replica::RecoveredState::default(),
+        Duration::ZERO,
+        instance,
+    )
+}
+
+fn message(from: u64, to: u64, term: u64, body: MessageBody) -> ReplicaMessage {
+    ReplicaMessage {
+        cluster: CLUSTER,
+        from: key(from),
+        to,
+        identity: key(to).identity,
+        term,
+        body,
+    }
+}
+
+fn probe_reply(from: u64, to: u64, formed: bool) -> ReplicaMessage {
+    let body = MessageBody::ProbeReply {
+        asker: key(to).identity,
+        formed,
+    };
+    message(from, to, 0, body)
+}
+
+fn sent(actions: &[ReplicaAction]) -> Vec<&ReplicaMessage> {
+    let messages = actions.iter().filter_map(|action| match action {
+        ReplicaAction::Send(message) => Some(message),
+        _ => None,
+    });
+    messages.collect()
+}
+
+fn writes(actions: &[ReplicaAction]) -> Vec<&PersistBatch> {
+    let batches = actions.iter().filter_map(|action| match action {
+        ReplicaAction::Persist(batch) => Some(batch),
+        _ => None,
+    });
+    batches.collect()
+}
+
+#[gtest]
+fn joint_quorum_needs_both_groups() {
+    let members = MemberSet::new(vec![key(1), key(2), key(3)]);
+    let fresh = MemberKey {
+        instance: 1,
+        identity: 7,
+    };
+
+    let joint = members.replacing(key(1), fresh);
+
+    let agrees = |group: &[MemberKey]| joint.has_quorum(|member| group.contains(&member));
+    expect_that!(agrees(&[key(1), key(2)]), eq(false));
+    expect_that!(agrees(&[fresh, key(3)]), eq(false));
+    expect_that!(agrees(&[key(2), key(3)]), eq(true));
+    expect_that!(joint.settled().contains(key(1)), eq(false));
+}
+
+#[gtest]
+fn vote_is_answered_only_after_its_write() {
+    let mut core = empty_member(2, vec![1, 2, 3]);
+    let vote = MessageBody::Vote {
+        last_index: 1,
+        last_term: 1,
+        handed_over: false,
+    };
+
+    core.receive(Duration::ZERO, message(1, 2, 2, vote));
+
+    let actions = core.take_actions();
+    let number = writes(&actions).last().unwrap().number;
+    expect_that!(sent(&actions), is_empty());
+    core.persisted(number);
+    let actions = core.take_actions();
+    let granted = MessageBody::VoteReply { granted: true };
+    expect_that!(sent(&actions)[0].body, eq(&granted));
+}
+
+#[gtest]
+fn second_candidate_of_a_term_gets_no_vote() {
+    let mut core = empty_member(2, vec![1, 2, 3]);
+    let vote = MessageBody::Vote {
+        last_index: 1,
+        last_term: 1,
+        handed_over: false,
+    };
+    core.receive(Duration::ZERO, message(1, 2, 2, vote.clone()));
+    let number = writes(&core.take_actions()).last().unwrap().number;
+    core.persisted(number);
+    core.take_actions();
+
+    core.receive(Duration::ZERO, message(3, 2, 2, vote));
+
+    let actions = core.take_actions();
+    let refused = MessageBody::VoteReply { granted: false };
+    expect_that!(sent(&actions)[0].body, eq(&refused));
+}
+
+#[gtest]
+fn message_for_the_lost_data_folder_is_dropped() {
+    let mut core = empty_member(2, vec![1, 2, 3]);
+    let mut vote = message(
+        1,
+        2,
+        2,
+        MessageBody::Vote {
+            last_index: 1,
+            last_term: 1,
+            handed_over: false,
+        },
+    );
+    vote.identity = 4711;
+
+    core.receive(Duration::ZERO, vote);
+
+    expect_that!(core.take_actions(), is_empty());
+}
+
+#[gtest]
+fn first_log_needs_every_instance_to_be_empty() {
+    let mut core = empty_member(1, vec![1, 2, 3]);
+    core.receive(Duration::ZERO, probe_reply(2, 1, false));
+    expect_that!(core.is_voter(), eq(false));
+
+    core.receive(Duration::ZERO, probe_reply(3, 1, false));
+
+    expect_that!(core.is_voter(), eq(true));
+    expect_that!(core.status().members.voters.len(), eq(3));
+}
+
+#[gtest]
+fn emptied_member_founds_no_second_log() {
+    let mut core = empty_member(1, vec![1, 2, 3]);
+    core.receive(Duration::ZERO, probe_reply(2, 1, true));
+
+    core.receive(Duration::ZERO, probe_reply(3, 1, false));
+    core.receive(Duration::ZERO, probe_reply(2, 1, false));
+
+    expect_that!(core.is_voter(), eq(false));
+}
+
+#[gtest]
+fn single_member_leads_and_commits_once_durable() {
+    let mut core = empty_member(1, vec![1]);
+    let mut now = Duration::ZERO;
+    let mut applied = 0;
+    while !core.is_leader() {
+        now += Duration::from_millis(50);
+        core.tick(now);
+        for batch in writes(&core.take_actions()) {
+            core.persisted(batch.number);
+        }
+    }
+    core.take_actions();
+
+    core.propose(now, b"change".to_vec()).unwrap();
+
+    let actions = core.take_actions();
+    applied += actions
+        .iter()
+        .filter(|action| matches!(action, ReplicaAction::Apply(_)))
+        .count();
+    expect_that!(applied, eq(0));
+    core.persisted(writes(&actions).last().unwrap().number);
+    let actions = core.take_actions();
+    expect_that!(actions, contains(matches_pattern!(ReplicaAction::Apply(_))));
+    expect_that!(core.status().role, eq(RoleKind::Leader));
+    core.verify();
+}
