Add the store of the control log, and fuzz both against an oracle

Records carry a checksum of length and position, one of the payload, and an end mark that is not zero. Only a short last record, or one followed by zeros, counts as an unfinished write and is cut. Treating every bad last record as torn was excluded: a flipped bit in a durable record would then silently remove an answer that was given.

--- /dev/null
+++ b/crates/store/src/folder.rs
@@ -0,0 +1,139 @@
+//! The files of a data folder, as the store needs them.
+
+use std::collections::HashMap;
+use std::fs::{self, File, OpenOptions, TryLockError};
+use std::io::{self, Write};
+use std::path::{Path, PathBuf};
+
+use crate::error::{Result, StoreError};
+
+/// Name of a file in the data folder.
+pub type FileName = &'static str;
+
+/// File whose lock marks the folder as in use.
+const LOCK_FILE: FileName = "lock";
+
+/// A flat folder of files. Nothing is durable before the file, and for new or renamed files the
+/// folder too, is synced.
+pub trait DataFolder {
+    /// Reads a whole file; `None` when it does not exist.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn read(&mut self, name: FileName) -> io::Result<Option<Vec<u8>>>;
+    /// Creates a file with these bytes, in place of an existing one.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn create(&mut self, name: FileName, bytes: &[u8]) -> io::Result<()>;
+    /// Adds bytes at the end of a file.
+    ///
+    /// # Errors
+    /// The error of the file system; some of the bytes may be there.
+    fn append(&mut self, name: FileName, bytes: &[u8]) -> io::Result<()>;
+    /// Cuts a file to a length.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn truncate(&mut self, name: FileName, length: u64) -> io::Result<()>;
+    /// Makes the content of a file durable.
+    ///
+    /// # Errors
+    /// The error of the file system; the content is unknown then.
+    fn sync(&mut self, name: FileName) -> io::Result<()>;
+    /// Gives a file another name, in place of a file that has it.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn rename(&mut self, from: FileName, to: FileName) -> io::Result<()>;
+    /// Makes the names of the files durable.
+    ///
+    /// # Errors
+    /// The error of the file system.
+    fn sync_folder(&mut self) -> io::Result<()>;
+}
+
+/// A data folder on a disk, locked against other processes while this value lives.
+pub struct DiskFolder {
+    path: PathBuf,
+    /// Held open, so that a failed writeback is reported to the next sync.
+    files: HashMap<FileName, File>,
+    _lock: File,
+}
+
+impl DiskFolder {
+    /// Opens a folder, creating it if it does not exist.
+    ///
+    /// # Errors
+    /// [`StoreError::Locked`] when another process has it open.
+    pub fn open(path: &Path) -> Result<Self> {
+        fs::create_dir_all(path)?;
+        let lock = File::create(path.join(LOCK_FILE))?;
+        match lock.try_lock() {
+            Ok(()) => {}
+            Err(TryLockError::WouldBlock) => return Err(StoreError::Locked),
+            Err(TryLockError::Error(error)) => return Err(error.into()),
+        }
+        if let Some(parent) = path.parent().filter(|parent| parent.exists()) {
+            File::open(parent)?.sync_all()?;
+        }
+        Ok(Self {
+            path: path.to_owned(),
+            files: HashMap::new(),
+            _lock: lock,
+        })
+    }
+
+    fn file(&mut self, name: FileName) -> io::Result<&mut File> {
+        if !self.files.contains_key(name) {
+            let file = OpenOptions::new().append(true).open(self.path.join(name))?;
+            self.files.insert(name, file);
+        }
+        self.files
+            .get_mut(name)
+            .ok_or_else(|| io::ErrorKind::NotFound.into())
+    }
+}
+
+impl DataFolder for DiskFolder {
+    fn read(&mut self, name: FileName) -> io::Result<Option<Vec<u8>>> {
+        match fs::read(self.path.join(name)) {
+            Ok(bytes) => Ok(Some(bytes)),
+            Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn create(&mut self, name: FileName, bytes: &[u8]) -> io::Result<()> {
+        self.files.remove(name);
+        let mut file = File::create(self.path.join(name))?;
+        file.write_all(bytes)?;
+        drop(file);
+        self.file(name).map(|_| ())
+    }
+
+    fn append(&mut self, name: FileName, bytes: &[u8]) -> io::Result<()> {
+        self.file(name)?.write_all(bytes)
+    }
+
+    fn truncate(&mut self, name: FileName, length: u64) -> io::Result<()> {
+        self.file(name)?.set_len(length)
+    }
+
+    fn sync(&mut self, name: FileName) -> io::Result<()> {
+        self.file(name)?.sync_all()
+    }
+
+    fn rename(&mut self, from: FileName, to: FileName) -> io::Result<()> {
+        fs::rename(self.path.join(from), self.path.join(to))?;
+        self.files.remove(to);
+        if let Some(file) = self.files.remove(from) {
+            self.files.insert(to, file);
+        }
+        Ok(())
+    }
+
+    fn sync_folder(&mut self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+}
--- /dev/null
+++ b/crates/store/src/frame.rs
@@ -0,0 +1,143 @@
+//! Checksummed records and how far a file is sound.
+//!
+//! A file is a header and frames. A frame is a length, a checksum of length and position, a
+//! checksum of the payload, the payload, and an end mark that is not zero. A crash while a frame is
+//! written leaves it short, or leaves zeros where blocks were not written; such a tail is cut. Any
+//! other fault means that durable bytes were changed, and is refused.
+
+use crate::error::{FORMAT_VERSION, Result, StoreError};
+use crate::folder::FileName;
+
+/// First bytes of every file.
+const MAGIC: [u8; 6] = *b"sapphi";
+/// Bytes before the first frame.
+pub const HEADER_BYTES: usize = MAGIC.len() + size_of::<u16>();
+/// Bytes of a frame before its payload.
+const FRAME_HEAD_BYTES: usize = 12;
+/// Last byte of a frame.
+const END_MARK: u8 = 0xA5;
+
+/// The header of a new file.
+pub fn file_header() -> Vec<u8> {
+    let mut bytes = MAGIC.to_vec();
+    bytes.extend(FORMAT_VERSION.to_le_bytes());
+    bytes
+}
+
+/// Adds a frame that will stand at `position` in its file.
+pub fn push_frame(out: &mut Vec<u8>, position: u64, payload: &[u8]) {
+    let length = u32::try_from(payload.len()).expect("records are below 4 GiB");
+    out.extend(length.to_le_bytes());
+    out.extend(head_checksum(length, position).to_le_bytes());
+    out.extend(crc32fast::hash(payload).to_le_bytes());
+    out.extend(payload);
+    out.push(END_MARK);
+}
+
+/// The sound part of a file.
+#[derive(Debug, PartialEq, Eq)]
+pub struct FrameScan<'a> {
+    /// Payloads in order.
+    pub payloads: Vec<&'a [u8]>,
+    /// Bytes of the file up to the end of the last sound frame.
+    pub sound_bytes: u64,
+}
+
+/// Reads all frames of a file. A tail that a crash left is not part of the result.
+///
+/// # Errors
+/// [`StoreError::Damaged`] and [`StoreError::Version`].
+pub fn scan(file: FileName, bytes: &[u8]) -> Result<FrameScan<'_>> {
+    check_header(file, bytes)?;
+    let mut payloads = Vec::new();
+    let mut position = HEADER_BYTES;
+    loop {
+        match next_frame(&bytes[position..], position as u64) {
+            FrameState::Sound(payload) => {
+                payloads.push(payload);
+                position += FRAME_HEAD_BYTES + payload.len() + 1;
+            }
+            FrameState::Torn => break,
+            FrameState::Damaged(reason) => {
+                return Err(StoreError::Damaged {
+                    file,
+                    offset: position as u64,
+                    reason,
+                });
+            }
+        }
+    }
+    Ok(FrameScan {
+        payloads,
+        sound_bytes: position as u64,
+    })
+}
+
+enum FrameState<'a> {
+    Sound(&'a [u8]),
+    /// Nothing, or what a crash left of an unfinished write.
+    Torn,
+    Damaged(&'static str),
+}
+
+fn check_header(file: FileName, bytes: &[u8]) -> Result<()> {
+    let damaged = |reason| StoreError::Damaged {
+        file,
+        offset: 0,
+        reason,
+    };
+    let rest = bytes
+        .strip_prefix(&MAGIC)
+        .ok_or_else(|| damaged("this is no data file"))?;
+    let version = rest
+        .first_chunk()
+        .ok_or_else(|| damaged("the header is short"))?;
+    match u16::from_le_bytes(*version) {
+        FORMAT_VERSION => Ok(()),
+        version => Err(StoreError::Version { file, version }),
+    }
+}
+
+fn next_frame(rest: &[u8], position: u64) -> FrameState<'_> {
+    let (Some(length), Some(head), Some(sum)) = (word(rest, 0), word(rest, 4), word(rest, 8))
+    else {
+        return FrameState::Torn;
+    };
+    if head != head_checksum(length, position) {
+        return if is_unwritten(&rest[FRAME_HEAD_BYTES - 1..]) {
+            FrameState::Torn
+        } else {
+            FrameState::Damaged("the head of a record does not match its checksum")
+        };
+    }
+    let end = FRAME_HEAD_BYTES + length as usize;
+    if rest.len() <= end {
+        return FrameState::Torn;
+    }
+    let payload = &rest[FRAME_HEAD_BYTES..end];
+    if rest[end] == END_MARK && crc32fast::hash(payload) == sum {
+        return FrameState::Sound(payload);
+    }
+    if is_unwritten(&rest[end..]) {
+        FrameState::Torn
+    } else {
+        FrameState::Damaged("a record does not match its checksum")
+    }
+}
+
+/// Whether these are blocks of a file that grew before its data was written.
+fn is_unwritten(bytes: &[u8]) -> bool {
+    bytes.iter().all(|byte| *byte == 0)
+}
+
+fn word(bytes: &[u8], start: usize) -> Option<u32> {
+    let chunk = bytes.get(start..)?.first_chunk()?;
+    Some(u32::from_le_bytes(*chunk))
+}
+
+fn head_checksum(length: u32, position: u64) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    hasher.update(&position.to_le_bytes());
+    hasher.finalize()
+}
--- /dev/null
+++ b/crates/store/src/store.rs
@@ -0,0 +1,339 @@
+//! Opening, recovery and writing.
+
+use std::sync::Arc;
+
+use replica::id::{MemberIdentity, PersistNumber};
+use replica::{
+    AppendRecord, HardState, LogEntry, PersistBatch, PersistOrder, RecoveredState, SnapshotRecord,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Result, StoreError};
+use crate::folder::{DataFolder, FileName};
+use crate::frame::{file_header, push_frame, scan};
+
+/// File with the log.
+pub const LOG_FILE: FileName = "log";
+/// File with the snapshot.
+pub const SNAPSHOT_FILE: FileName = "snapshot";
+/// A log that is being written.
+const NEW_LOG_FILE: FileName = "log.new";
+/// A snapshot that is being written.
+const NEW_SNAPSHOT_FILE: FileName = "snapshot.new";
+
+/// One record of the log file.
+#[derive(Debug, Serialize, Deserialize)]
+enum LogRecord {
+    /// The first record.
+    Head {
+        /// The member that the folder belongs to.
+        identity: MemberIdentity,
+        /// Records that were durable before the file got its name, this one included.
+        records: u32,
+    },
+    /// An addition to the log.
+    Append(AppendRecord),
+}
+
+/// What was found in a data folder.
+#[derive(Debug, PartialEq, Eq)]
+pub struct OpenedMember {
+    /// The member that the folder belongs to.
+    pub identity: MemberIdentity,
+    /// Whether the folder was empty, so that the member is a new one.
+    pub is_new: bool,
+    /// What the member had durable.
+    pub recovered: RecoveredState,
+    /// Bytes of an unfinished write that were cut.
+    pub cut_bytes: u64,
+}
+
+/// The files of one member.
+pub struct MemberStore<F> {
+    folder: F,
+    identity: MemberIdentity,
+    /// Length of the log file. All of it is durable, except inside `write`.
+    log_bytes: u64,
+    /// Last write that is durable. Never falls.
+    durable: PersistNumber,
+    /// Whether a failed write left the files unknown.
+    poisoned: bool,
+}
+
+impl<F: DataFolder> MemberStore<F> {
+    /// Opens a data folder and recovers what is durable. An empty folder becomes that of a new
+    /// member, with the identity `fresh`.
+    ///
+    /// # Errors
+    /// Damage, which is never repaired here.
+    pub fn open(mut folder: F, fresh: MemberIdentity) -> Result<(Self, OpenedMember)> {
+        let log_bytes = folder.read(LOG_FILE)?;
+        let snapshot_bytes = folder.read(SNAPSHOT_FILE)?;
+        let snapshot = match &snapshot_bytes {
+            Some(bytes) => Some(Arc::new(read_snapshot(bytes)?)),
+            None => None,
+        };
+        let mut store = Self {
+            folder,
+            identity: fresh,
+            log_bytes: 0,
+            durable: 0,
+            poisoned: false,
+        };
+        let opened = match log_bytes {
+            None if snapshot.is_some() => {
+                return Err(log_damage(0, "the file is missing"));
+            }
+            None => store.create_member()?,
+            Some(bytes) => store.recover(&bytes, snapshot)?,
+        };
+        Ok((store, opened))
+    }
+
+    /// Makes orders durable, in order; returns the number of the last. Orders that are durable
+    /// already are skipped, so a refused call may be repeated.
+    ///
+    /// # Errors
+    /// [`StoreError::Full`] when the disk is full; anything else needs a restart.
+    pub fn write(&mut self, batches: &[PersistBatch]) -> Result<PersistNumber> {
+        if self.poisoned {
+            return Err(StoreError::Poisoned);
+        }
+        let known = batches
+            .iter()
+            .take_while(|batch| batch.number <= self.durable);
+        let mut rest = &batches[known.count()..];
+        while let Some(first) = rest.first() {
+            let done = match &first.order {
+                PersistOrder::Append(_) => self.append(rest)?,
+                PersistOrder::Replace {
+                    hard,
+                    snapshot,
+                    entries,
+                } => {
+                    self.replace(*hard, snapshot, entries)?;
+                    1
+                }
+            };
+            self.durable = rest[done - 1].number;
+            rest = &rest[done..];
+        }
+        Ok(self.durable)
+    }
+
+    /// The folder, for tests.
+    pub fn into_folder(self) -> F {
+        self.folder
+    }
+
+    fn create_member(&mut self) -> Result<OpenedMember> {
+        let recovered = RecoveredState::default();
+        self.write_log(recovered.hard, &[])?;
+        Ok(OpenedMember {
+            identity: self.identity,
+            is_new: true,
+            recovered,
+            cut_bytes: 0,
+        })
+    }
+
+    fn recover(
+        &mut self,
+        bytes: &[u8],
+        snapshot: Option<Arc<SnapshotRecord>>,
+    ) -> Result<OpenedMember> {
+        let scan = scan(LOG_FILE, bytes)?;
+        let (identity, hard, mut entries) = replay(&scan.payloads)?;
+        self.identity = identity;
+        self.log_bytes = scan.sound_bytes;
+        let cut_bytes = bytes.len() as u64 - scan.sound_bytes;
+        if cut_bytes > 0 {
+            log::warn!("store: cutting {cut_bytes} bytes of an unfinished write");
+            self.folder.truncate(LOG_FILE, self.log_bytes)?;
+            self.folder.sync(LOG_FILE)?;
+        }
+        check_start(&entries, snapshot.as_deref())?;
+        if !continues(&entries, snapshot.as_deref()) {
+            entries.clear();
+            self.write_log(hard, &entries)?;
+        }
+        let recovered = RecoveredState {
+            hard,
+            snapshot,
+            entries,
+        };
+        Ok(OpenedMember {
+            identity,
+            is_new: false,
+            recovered,
+            cut_bytes,
+        })
+    }
+
+    /// Writes the appends at the front with one sync; returns how many.
+    fn append(&mut self, batches: &[PersistBatch]) -> Result<usize> {
+        let mut bytes = Vec::new();
+        let mut count = 0;
+        for batch in batches {
+            let PersistOrder::Append(record) = &batch.order else {
+                break;
+            };
+            let position = self.log_bytes + bytes.len() as u64;
+            let payload = encode(&LogRecord::Append(record.clone()))?;
+            push_frame(&mut bytes, position, &payload);
+            count += 1;
+        }
+        if let Err(error) = self.folder.append(LOG_FILE, &bytes) {
+            self.poisoned = true;
+            self.folder.truncate(LOG_FILE, self.log_bytes)?;
+            self.poisoned = false;
+            return Err(error.into());
+        }
+        self.poisoned = true;
+        self.folder.sync(LOG_FILE)?;
+        self.poisoned = false;
+        self.log_bytes += bytes.len() as u64;
+        Ok(count)
+    }
+
+    /// Replaces the snapshot, then the log. After a crash between the two, the old log still holds
+    /// everything that was durable, and the new snapshot covers or supersedes it.
+    fn replace(
+        &mut self,
+        hard: HardState,
+        snapshot: &SnapshotRecord,
+        entries: &[LogEntry],
+    ) -> Result<()> {
+        let mut bytes = file_header();
+        let position = bytes.len() as u64;
+        push_frame(&mut bytes, position, &encode(snapshot)?);
+        self.put(NEW_SNAPSHOT_FILE, SNAPSHOT_FILE, &bytes)?;
+        self.write_log(hard, entries)
+    }
+
+    fn write_log(&mut self, hard: HardState, entries: &[LogEntry]) -> Result<()> {
+        let head = LogRecord::Head {
+            identity: self.identity,
+            records: 2,
+        };
+        let image = LogRecord::Append(AppendRecord {
+            hard,
+            truncate_from: None,
+            entries: entries.to_vec(),
+        });
+        let mut bytes = file_header();
+        for record in [head, image] {
+            let position = bytes.len() as u64;
+            push_frame(&mut bytes, position, &encode(&record)?);
+        }
+        self.put(NEW_LOG_FILE, LOG_FILE, &bytes)?;
+        self.log_bytes = bytes.len() as u64;
+        Ok(())
+    }
+
+    /// Puts a whole file in place, durably.
+    fn put(&mut self, new: FileName, name: FileName, bytes: &[u8]) -> Result<()> {
+        self.folder.create(new, bytes)?;
+        self.folder.sync(new)?;
+        self.poisoned = true;
+        self.folder.rename(new, name)?;
+        self.folder.sync_folder()?;
+        self.poisoned = false;
+        Ok(())
+    }
+}
+
+fn read_snapshot(bytes: &[u8]) -> Result<SnapshotRecord> {
+    let damaged = |reason| StoreError::Damaged {
+        file: SNAPSHOT_FILE,
+        offset: 0,
+        reason,
+    };
+    let scan = scan(SNAPSHOT_FILE, bytes)?;
+    let [payload] = scan.payloads[..] else {
+        return Err(damaged("the file is not complete"));
+    };
+    if scan.sound_bytes != bytes.len() as u64 {
+        return Err(damaged("the file is too long"));
+    }
+    postcard::from_bytes(payload).map_err(|_| damaged("the record can't be read"))
+}
+
+type LogContent = (MemberIdentity, HardState, Vec<LogEntry>);
+
+fn replay(payloads: &[&[u8]]) -> Result<LogContent> {
+    let mut payloads = payloads.iter().enumerate();
+    let count = payloads.len();
+    let head = payloads.next().map(|(_, payload)| decode(payload));
+    let Some(LogRecord::Head { identity, records }) = head.transpose()? else {
+        return Err(log_damage(0, "the head is missing"));
+    };
+    if count < records as usize {
+        return Err(log_damage(0, "durable records are missing"));
+    }
+    let mut hard = HardState::default();
+    let mut entries = Vec::new();
+    for (number, payload) in payloads {
+        let LogRecord::Append(record) = decode(payload)? else {
+            return Err(log_damage(number as u64, "second head"));
+        };
+        hard = record.hard;
+        replay_append(&mut entries, record)?;
+    }
+    Ok((identity, hard, entries))
+}
+
+fn replay_append(entries: &mut Vec<LogEntry>, record: AppendRecord) -> Result<()> {
+    if let Some(first) = record.truncate_from {
+        entries.retain(|entry| entry.index < first);
+    }
+    for entry in record.entries {
+        let gap = entries
+            .last()
+            .is_some_and(|last| last.index + 1 != entry.index);
+        if gap {
+            return Err(log_damage(0, "entries are missing"));
+        }
+        entries.push(entry);
+    }
+    Ok(())
+}
+
+/// The first entry must follow the snapshot without a gap.
+fn check_start(entries: &[LogEntry], snapshot: Option<&SnapshotRecord>) -> Result<()> {
+    let covered = snapshot.map_or(0, |snapshot| snapshot.index);
+    match entries.first() {
+        Some(first) if first.index > covered + 1 => {
+            Err(log_damage(0, "entries after the snapshot are missing"))
+        }
+        _ => Ok(()),
+    }
+}
+
+/// Whether the entries go on from the snapshot, rather than from another history.
+fn continues(entries: &[LogEntry], snapshot: Option<&SnapshotRecord>) -> bool {
+    let (Some(first), Some(snapshot)) = (entries.first(), snapshot) else {
+        return true;
+    };
+    if first.index == snapshot.index + 1 {
+        return true;
+    }
+    let at_snapshot = entries.get((snapshot.index - first.index) as usize);
+    at_snapshot.is_some_and(|entry| entry.term == snapshot.term)
+}
+
+fn encode<T: Serialize>(record: &T) -> Result<Vec<u8>> {
+    postcard::to_stdvec(record).map_err(|error| StoreError::Io(std::io::Error::other(error)))
+}
+
+fn decode(payload: &[u8]) -> Result<LogRecord> {
+    postcard::from_bytes(payload).map_err(|_| log_damage(0, "a record can't be read"))
+}
+
+fn log_damage(offset: u64, reason: &'static str) -> StoreError {
+    StoreError::Damaged {
+        file: LOG_FILE,
+        offset,
+        reason,
+    }
+}
--- /dev/null
+++ b/crates/store/tests/quorum/member.rs
@@ -0,0 +1,212 @@
+//! One member: core, store and a list as its state machine.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64;
+use replica::{
+    EntryPayload, LogEntry, MemberKey, PersistBatch, ReplicaAction, ReplicaCore, ReplicaMessage,
+    ReplicaSettings,
+};
+use store::{MemberStore, StoreError};
+
+use super::folder::FakeFolder;
+
+/// What a running member did that others must see.
+#[derive(Debug)]
+pub(crate) enum MemberEvent {
+    Sent(ReplicaMessage),
+    Applied(LogEntry),
+    Restored(u64, Vec<u64>),
+    ReadConfirmed(u64),
+}
+
+/// The part of a member that a crash ends.
+pub(crate) struct RunningMember {
+    pub(crate) core: ReplicaCore,
+    store: MemberStore<FakeFolder>,
+    waiting: Vec<PersistBatch>,
+    /// Values of all applied commands.
+    pub(crate) values: Vec<u64>,
+    pub(crate) applied: u64,
+}
+
+pub(crate) struct FakeMember {
+    pub(crate) instance: u64,
+    pub(crate) folder: FakeFolder,
+    pub(crate) identity: u64,
+    pub(crate) running: Option<RunningMember>,
+    pub(crate) now: Duration,
+}
+
+pub(crate) fn fuzz_settings() -> ReplicaSettings {
+    ReplicaSettings {
+        append_bytes: 120,
+        window_entries: 8,
+        snapshot_entries: 12,
+        kept_entries: 4,
+        chunk_bytes: 24,
+        ..ReplicaSettings::default()
+    }
+}
+
+impl FakeMember {
+    pub(crate) fn new(instance: u64) -> Self {
+        Self {
+            instance,
+            folder: FakeFolder::default(),
+            identity: 0,
+            running: None,
+            now: Duration::ZERO,
+        }
+    }
+
+    pub(crate) fn key(&self) -> MemberKey {
+        MemberKey {
+            instance: self.instance,
+            identity: self.identity,
+        }
+    }
+
+    pub(crate) fn start(&mut self, peers: &[u64], random: &mut Pcg64) -> Vec<MemberEvent> {
+        let fresh = random.random_range(1..u64::MAX);
+        let opened = MemberStore::open(self.folder.clone(), fresh);
+        let (store, opened) = match opened {
+            Ok(opened) => opened,
+            Err(StoreError::Io(_) | StoreError::Full) => {
+                self.crash(random);
+                return Vec::new();
+            }
+            Err(error) => panic!("store refuses what a crash left: {error}"),
+        };
+        self.identity = opened.identity;
+        let core = ReplicaCore::new(
+            fuzz_settings(),
+            self.key(),
+            peers.to_vec(),
+            opened.recovered,
+            self.now,
+            random.random(),
+        );
+        self.running = Some(RunningMember {
+            core,
+            store,
+            waiting: Vec::new(),
+            values: Vec::new(),
+            applied: 0,
+        });
+        self.drain()
+    }
+
+    pub(crate) fn crash(&mut self, random: &mut Pcg64) {
+        self.running = None;
+        self.folder.0.borrow_mut().crash(random);
+    }
+
+    /// Destroys the data folder.
+    pub(crate) fn wipe(&mut self) {
+        self.running = None;
+        self.folder = FakeFolder::default();
+        self.identity = 0;
+    }
+
+    pub(crate) fn tick(&mut self, step: Duration) -> Vec<MemberEvent> {
+        self.now += step;
+        let now = self.now;
+        if let Some(running) = &mut self.running {
+            running.core.tick(now);
+        }
+        self.drain()
+    }
+
+    pub(crate) fn receive(&mut self, message: ReplicaMessage) -> Vec<MemberEvent> {
+        let now = self.now;
+        if let Some(running) = &mut self.running {
+            running.core.receive(now, message);
+        }
+        self.drain()
+    }
+
+    /// Writes up to `most` waiting orders; a failed write is a crash.
+    pub(crate) fn flush(&mut self, most: usize, random: &mut Pcg64) -> Vec<MemberEvent> {
+        let Some(running) = &mut self.running else {
+            return Vec::new();
+        };
+        let count = most.min(running.waiting.len());
+        if count == 0 {
+            return Vec::new();
+        }
+        match running.store.write(&running.waiting[..count]) {
+            Ok(number) => {
+                running.waiting.drain(..count);
+                running.core.set_store_full(false);
+                running.core.persisted(number);
+                self.drain()
+            }
+            Err(StoreError::Full) => {
+                running.core.set_store_full(true);
+                Vec::new()
+            }
+            Err(_) => {
+                self.crash(random);
+                Vec::new()
+            }
+        }
+    }
+
+    /// Carries out the actions that need no other member.
+    pub(crate) fn drain(&mut self) -> Vec<MemberEvent> {
+        let Some(running) = &mut self.running else {
+            return Vec::new();
+        };
+        let mut events = Vec::new();
+        running.core.verify();
+        for action in running.core.take_actions() {
+            match action {
+                ReplicaAction::Send(message) => events.push(MemberEvent::Sent(message)),
+                ReplicaAction::Persist(batch) => running.waiting.push(batch),
+                ReplicaAction::Restore(snapshot) => {
+                    running.values = decode_values(&snapshot.state);
+                    running.applied = snapshot.index;
+                    let values = running.values.clone();
+                    events.push(MemberEvent::Restored(snapshot.index, values));
+                }
+                ReplicaAction::Apply(entry) => {
+                    assert_eq!(entry.index, running.applied + 1, "applied out of order");
+                    running.applied = entry.index;
+                    if let EntryPayload::Command(bytes) = &entry.payload {
+                        running.values.extend(decode_values(bytes));
+                    }
+                    events.push(MemberEvent::Applied(entry));
+                }
+                ReplicaAction::TakeSnapshot(index) => {
+                    assert_eq!(index, running.applied, "snapshot of another state");
+                    let state = encode_values(&running.values);
+                    running.core.snapshot_taken(index, state);
+                }
+                ReplicaAction::ReadConfirmed(ticket) => {
+                    events.push(MemberEvent::ReadConfirmed(ticket));
+                }
+                ReplicaAction::ReadFailed(_) | ReplicaAction::RoleChanged => {}
+            }
+        }
+        let is_done = running.core.clone().take_actions().is_empty();
+        if !is_done {
+            events.extend(self.drain());
+        }
+        events
+    }
+}
+
+pub(crate) fn encode_values(values: &[u64]) -> Vec<u8> {
+    values
+        .iter()
+        .flat_map(|value| value.to_le_bytes())
+        .collect()
+}
+
+fn decode_values(bytes: &[u8]) -> Vec<u64> {
+    let chunks = bytes.chunks_exact(8);
+    let parse = |chunk: &[u8]| u64::from_le_bytes(chunk.try_into().expect("chunk has 8 bytes"));
+    chunks.map(parse).collect()
+}
