--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -116,8 +116,7 @@
             hint: &self.call.hint,
             prefixes: &submit.prefixes,
             tried: &self.tried,
-            load_bound: self.call.policy.load_bound,
-            load_aim: self.call.policy.load_aim,
+            limits: self.call.policy.load_limits(),
         };
         let mut desk = self.core.desk.lock();
         let decision = desk.choose(&request);
