--- /dev/null
+++ b/crates/agent/src/admission.rs
@@ -0,0 +1,277 @@
+//! From a submitted attempt to its start or refusal.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use admit::{AdmitAction, AdmitRequest};
+use claim::gate::GateVerdict;
+use claim::{CancelVerdict, SubmitVerdict};
+use fault::{Fault, FaultKind};
+use link::LinkSender;
+use tokio::time::{sleep_until, timeout};
+use wire::LinkMessage;
+use wire::answer::{AdmitNotice, AttemptKey, RefuseNotice, SubmitRequest};
+use wire::command::{ControlCommand, ControlReply};
+use wire::id::FingerprintHash;
+
+use crate::core::AgentCore;
+use crate::run::run_attempt;
+use crate::session::{AttemptSession, send_answer};
+
+impl AgentCore {
+    /// Takes an attempt that an entry submits.
+    pub fn submit(self: &Rc<Self>, submit: SubmitRequest, sender: LinkSender) {
+        let key = submit.key;
+        let verdict = self
+            .attempts
+            .borrow_mut()
+            .submit(Instant::now(), key, submit.idempotent);
+        match verdict {
+            SubmitVerdict::Fresh { stop } => {
+                if let Some(earlier) = stop {
+                    let fault = FaultKind::Fenced.because("a later attempt replaced it");
+                    self.cancel_attempt(earlier, fault);
+                }
+                self.open_session(submit, sender);
+            }
+            SubmitVerdict::Refuse(kind) => {
+                let fault = kind.because("the attempt may not run here");
+                let notice = RefuseNotice {
+                    key,
+                    fault,
+                    load: self.load(),
+                };
+                let _ = sender.try_send(LinkMessage::Refused(notice));
+            }
+            SubmitVerdict::Known(_) => log::debug!("agent: an attempt was submitted twice."),
+        }
+    }
+
+    fn open_session(self: &Rc<Self>, submit: SubmitRequest, sender: LinkSender) {
+        let (key, fingerprint) = (submit.key, submit.fingerprint);
+        let session = Rc::new(AttemptSession::new(submit, self.load(), sender));
+        self.sessions.borrow_mut().insert(key, Rc::clone(&session));
+        actix_rt::spawn(send_answer(Rc::clone(self), session));
+        let verdict = self.gate.borrow().check(fingerprint);
+        match verdict {
+            GateVerdict::Run => self.offer(key),
+            GateVerdict::Refuse => self.refuse_attempt(key, quarantine_fault()),
+            GateVerdict::Alone => {
+                actix_rt::spawn(ask_permit(Rc::clone(self), key, fingerprint));
+            }
+        }
+    }
+
+    fn offer(self: &Rc<Self>, key: AttemptKey) {
+        let Some(session) = self.session(key) else {
+            return;
+        };
+        let request = self.admit_request(&session.submit);
+        let actions = self.queue.borrow_mut().offer(request, Instant::now());
+        self.perform(actions);
+        self.queue_changed.notify_one();
+    }
+
+    fn admit_request(&self, submit: &SubmitRequest) -> AdmitRequest {
+        let fleet = self.shared.fleet.load();
+        let account = self.account_name(submit.account);
+        let service = self.endpoint_settings().unwrap_or_default().service;
+        let policy = fleet.request_policy(&account, &service);
+        AdmitRequest {
+            key: submit.key,
+            account: submit.account,
+            class: submit.class,
+            deadline: Instant::now() + submit.deadline,
+            hops: submit.hops,
+            share: policy.share,
+            rate_per_second: policy.rate_per_second,
+            concurrency: policy.concurrency,
+        }
+    }
+
+    /// Carries out what the queue decided.
+    pub fn perform(self: &Rc<Self>, actions: Vec<AdmitAction>) {
+        for action in actions {
+            match action {
+                AdmitAction::Queue(key) => self.tell_admitted(key),
+                AdmitAction::Start(key) => self.held.borrow_mut().push_back(key),
+                AdmitAction::Refuse { key, fault } => self.refuse_attempt(key, fault),
+            }
+        }
+        self.start_held();
+    }
+
+    /// Starts what the queue started, as far as the gate allows.
+    pub fn start_held(self: &Rc<Self>) {
+        let waiting = std::mem::take(&mut *self.held.borrow_mut());
+        for key in waiting {
+            let Some(session) = self.session(key) else {
+                continue;
+            };
+            let fingerprint = session.submit.fingerprint;
+            let (verdict, may_start) = {
+                let gate = self.gate.borrow();
+                (gate.check(fingerprint), gate.may_start(key, fingerprint))
+            };
+            if verdict == GateVerdict::Refuse {
+                self.refuse_started(key, quarantine_fault());
+            } else if may_start {
+                self.start_attempt(key, &session);
+            } else {
+                self.held.borrow_mut().push_back(key);
+            }
+        }
+    }
+
+    fn start_attempt(self: &Rc<Self>, key: AttemptKey, session: &Rc<AttemptSession>) {
+        if !self.attempts.borrow_mut().start(key) {
+            // Cancelled or fenced while it was held back.
+            self.free_place(key);
+            return;
+        }
+        self.gate
+            .borrow_mut()
+            .started(key, session.submit.fingerprint);
+        session.mark_started();
+        self.tell_admitted(key);
+        let account = self.account_name(session.submit.account);
+        let wait = session.waited();
+        self.shared.metrics.record_admitted(&account);
+        self.shared
+            .metrics
+            .record_started(&account, session.submit.class, wait);
+        actix_rt::spawn(run_attempt(Rc::clone(self), Rc::clone(session)));
+    }
+
+    fn tell_admitted(&self, key: AttemptKey) {
+        if let Some(session) = self.session(key) {
+            let notice = AdmitNotice {
+                key,
+                load: self.load(),
+                incarnation: self.incarnation(),
+            };
+            session.tell(LinkMessage::Admitted(notice));
+        }
+    }
+
+    /// Refuses an attempt that waits; it has not run and never will.
+    pub fn refuse_attempt(self: &Rc<Self>, key: AttemptKey, fault: Fault) {
+        if !self
+            .attempts
+            .borrow_mut()
+            .refuse(Instant::now(), key, fault.kind)
+        {
+            return;
+        }
+        self.drop_waiting(key, fault);
+    }
+
+    /// Refuses an attempt that the queue started and the gate held back.
+    fn refuse_started(self: &Rc<Self>, key: AttemptKey, fault: Fault) {
+        self.refuse_attempt(key, fault);
+        self.free_place(key);
+    }
+
+    /// Frees the place of an attempt that ended, and starts what waits for it.
+    pub fn free_place(self: &Rc<Self>, key: AttemptKey) {
+        let actions = self.queue.borrow_mut().finish(key, Instant::now());
+        self.perform(actions);
+        self.queue_changed.notify_one();
+    }
+
+    /// Tells the entry and forgets an attempt that waited and was refused or cancelled.
+    fn drop_waiting(self: &Rc<Self>, key: AttemptKey, fault: Fault) {
+        let Some(session) = self.sessions.borrow_mut().remove(&key) else {
+            return;
+        };
+        session.close();
+        let fingerprint = session.submit.fingerprint;
+        if self.gate.borrow_mut().drop_permit(key, fingerprint) {
+            actix_rt::spawn(drop_trial(Rc::clone(self), key, fingerprint));
+        }
+        self.report_refusal(&session, &fault);
+        self.tell_refusal(&session, fault);
+    }
+
+    /// Cancels an attempt. A running one goes on when it is non-idempotent, so that its answer can
+    /// be recorded.
+    pub fn cancel_attempt(self: &Rc<Self>, key: AttemptKey, fault: Fault) {
+        let verdict = self.attempts.borrow_mut().cancel(Instant::now(), key);
+        match verdict {
+            CancelVerdict::NotRun => {
+                self.queue.borrow_mut().cancel(key);
+                self.drop_waiting(
+                    key,
+                    FaultKind::Cancelled.because("cancelled before it started"),
+                );
+                self.free_place(key);
+            }
+            CancelVerdict::Stop => {
+                if let Some(session) = self.session(key)
+                    && session.submit.idempotent
+                {
+                    session.stop(fault);
+                }
+            }
+            CancelVerdict::Ended(_) | CancelVerdict::Lost => {}
+        }
+    }
+}
+
+/// Asks control for the permit to run a suspect, then offers it to the queue.
+async fn ask_permit(core: Rc<AgentCore>, key: AttemptKey, fingerprint: FingerprintHash) {
+    let endpoint = core.endpoint;
+    let command = ControlCommand::TrySuspect {
+        fingerprint,
+        endpoint,
+        attempt: key,
+    };
+    match core.control.propose(command).await {
+        Ok(ControlReply::Recorded) => {
+            if core.session(key).is_some() {
+                core.gate.borrow_mut().permit(key, fingerprint);
+                core.offer(key);
+            } else {
+                drop_trial(core, key, fingerprint).await;
+            }
+        }
+        Ok(ControlReply::Refused(fault)) | Err(fault) => core.refuse_attempt(key, fault),
+        Ok(other) => {
+            let message = format!("control gave another answer: {other:?}");
+            core.refuse_attempt(key, FaultKind::ControlUnreachable.because(message));
+        }
+    }
+}
+
+async fn drop_trial(core: Rc<AgentCore>, attempt: AttemptKey, fingerprint: FingerprintHash) {
+    core.control
+        .record(ControlCommand::DropTrial {
+            fingerprint,
+            attempt,
+        })
+        .await;
+}
+
+/// Refuses what waits past its deadline, until the process ends.
+pub async fn watch_deadlines(core: Rc<AgentCore>) {
+    loop {
+        let wake = core.queue.borrow().next_wake();
+        let changed = core.queue_changed.notified();
+        match wake {
+            None => changed.await,
+            Some(at) => {
+                let until = at.saturating_duration_since(Instant::now());
+                if timeout(until, changed).await.is_ok() {
+                    continue;
+                }
+                sleep_until(at.into()).await;
+                let actions = core.queue.borrow_mut().tick(Instant::now());
+                core.perform(actions);
+            }
+        }
+    }
+}
+
+fn quarantine_fault() -> Fault {
+    FaultKind::Quarantined.because("this request crashed endpoints and is quarantined")
+}
--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -1,71 +1,205 @@
-//! The connection to the control quorum.
+//! Connections to the control instances.
+//!
+//! The agent reports to every control instance, so that each knows all endpoints, and proposes
+//! through one of them.
 
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use link::control_client::ControlEvent;
-use settings::SettingsTree;
+use fault::FaultKind;
+use link::LinkSettings;
+use link::control_client::{ControlClient, ControlEvent};
+use settings::holder::{HolderError, UpdateOutcome};
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::time::interval;
+use tokio::time::{interval, sleep};
 use wire::LinkMessage;
+use wire::command::{ControlCommand, ControlReply};
+use wire::id::name_id;
+use wire::member::{AgentHeartbeat, EndpointRecord, MemberDigest};
 use wire::message::SettingsUpdate;
 
-use crate::state::AgentState;
+use crate::core::AgentCore;
 
 /// Time between two heartbeats.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Pause between two tries of a command that must be recorded.
+const RECORD_PAUSE: Duration = Duration::from_millis(500);
 
-/// Sends heartbeats and applies what control says, until the process ends.
-pub async fn follow_control(state: Rc<AgentState>, mut events: UnboundedReceiver<ControlEvent>) {
+/// Connections to all control instances.
+pub struct ControlLinks {
+    clients: Vec<Rc<ControlClient>>,
+    /// Heartbeats sent in this life.
+    sequence: Cell<u64>,
+    /// What the control instances were last told.
+    told: RefCell<Option<EndpointRecord>>,
+    /// Index of the client that answered last.
+    preferred: Cell<usize>,
+}
+
+/// The events of one control instance.
+pub type ControlEvents = UnboundedReceiver<ControlEvent>;
+
+impl ControlLinks {
+    /// Starts a connection to each of `addresses`.
+    pub fn start(addresses: &[SocketAddr], settings: &LinkSettings) -> (Self, Vec<ControlEvents>) {
+        let started = addresses.iter().map(|address| {
+            let settings = settings.clone();
+            ControlClient::start(vec![*address], settings)
+        });
+        let (clients, events) = started.unzip();
+        let links = Self {
+            clients,
+            sequence: Cell::new(0),
+            told: RefCell::default(),
+            preferred: Cell::new(0),
+        };
+        (links, events)
+    }
+
+    /// Proposes a command through one control instance after the other.
+    ///
+    /// # Errors
+    /// `ControlUnreachable` when none gives a decision.
+    pub async fn propose(&self, command: ControlCommand) -> fault::Result<ControlReply> {
+        let mut last = FaultKind::ControlUnreachable.because("no control instance is known");
+        let first = self.preferred.get();
+        for step in 0..self.clients.len() {
+            let index = (first + step) % self.clients.len();
+            match self.clients[index].propose(command.clone()).await {
+                Ok(ControlReply::Refused(fault)) if fault.kind == FaultKind::ControlUnreachable => {
+                    last = fault;
+                }
+                Ok(reply) => {
+                    self.preferred.set(index);
+                    return Ok(reply);
+                }
+                Err(fault) => last = fault,
+            }
+        }
+        Err(last)
+    }
+
+    /// Proposes a command until it is decided. Returns the decision.
+    pub async fn record(&self, command: ControlCommand) -> ControlReply {
+        loop {
+            match self.propose(command.clone()).await {
+                Ok(reply) => return reply,
+                Err(fault) => log::warn!("agent: a record has to wait: {fault}."),
+            }
+            sleep(RECORD_PAUSE).await;
+        }
+    }
+}
+
+impl AgentCore {
+    /// Reports to every control instance.
+    pub fn send_heartbeats(&self) {
+        let links = &self.control;
+        let record = self.record();
+        let is_changed = links.told.replace(Some(record.clone())).as_ref() != Some(&record);
+        for client in &links.clients {
+            client.tell(self.heartbeat(is_changed.then(|| record.clone())));
+        }
+    }
+
+    fn heartbeat(&self, record: Option<EndpointRecord>) -> LinkMessage {
+        let links = &self.control;
+        links.sequence.set(links.sequence.get() + 1);
+        LinkMessage::AgentHeartbeat(AgentHeartbeat {
+            record,
+            endpoint: self.endpoint,
+            incarnation: self.incarnation(),
+            sequence: links.sequence.get(),
+            state: self.endpoint_state(),
+            load: self.load(),
+            settings: self.shared.fleet.load().version,
+        })
+    }
+}
+
+/// Reports the endpoint's state until the process ends.
+pub async fn send_heartbeats(core: Rc<AgentCore>) {
     let mut ticks = interval(HEARTBEAT_INTERVAL);
     loop {
-        tokio::select! {
-            _ = ticks.tick() => send_heartbeat(&state),
-            event = events.recv() => match event {
-                Some(event) => handle_event(&state, event),
-                None => return,
-            },
-        }
+        ticks.tick().await;
+        core.send_heartbeats();
+        core.shared.metrics.set_load(core.load(), load_limit(&core));
     }
 }
 
-fn send_heartbeat(state: &AgentState) {
-    state
-        .control
-        .tell(LinkMessage::AgentHeartbeat(state.heartbeat()));
+fn load_limit(core: &AgentCore) -> u32 {
+    core.queue
+        .borrow()
+        .load_limit(u8::MAX, Instant::now())
+        .unwrap_or(0)
+}
+
+/// Gives up the claims of earlier lives, then lets the endpoint serve.
+pub async fn abandon_claims(core: Rc<AgentCore>) {
+    let command = ControlCommand::AbandonClaims {
+        endpoint: core.endpoint,
+    };
+    core.control.record(command).await;
+    core.has_abandoned.set(true);
+    core.refresh_state();
 }
 
-fn handle_event(state: &AgentState, event: ControlEvent) {
-    match event {
-        ControlEvent::Connected => send_heartbeat(state),
-        ControlEvent::Disconnected => log::warn!("agent: control connection lost"),
-        ControlEvent::Message(message) => handle_message(state, *message),
+/// Applies what one control instance says, until the process ends.
+pub async fn follow_control(core: Rc<AgentCore>, index: usize, mut events: ControlEvents) {
+    while let Some(event) = events.recv().await {
+        match event {
+            ControlEvent::Connected => {
+                let heartbeat = core.heartbeat(Some(core.record()));
+                core.control.clients[index].tell(heartbeat);
+            }
+            ControlEvent::Disconnected => log::info!("agent: control connection {index} lost."),
+            ControlEvent::Message(message) => handle_message(&core, index, *message),
+        }
     }
 }
 
-fn handle_message(state: &AgentState, message: LinkMessage) {
+fn handle_message(core: &Rc<AgentCore>, index: usize, message: LinkMessage) {
     match message {
-        LinkMessage::Settings(update) => {
-            apply_settings(state, &update);
-            send_heartbeat(state);
+        LinkMessage::Settings(update) => apply_settings(core, index, &update),
+        LinkMessage::Members(digest) => observe_means(core, &digest),
+        LinkMessage::Suspects(list) => {
+            core.gate.borrow_mut().set_suspects(&list);
+            core.start_held();
+        }
+        LinkMessage::Quarantine(list) => {
+            core.gate.borrow_mut().set_quarantined(&list);
+            core.start_held();
         }
-        other => log::debug!("agent: control sent {other:?}"),
+        other => log::debug!("agent: control sent {}.", other.kind()),
     }
 }
 
-fn apply_settings(state: &AgentState, update: &SettingsUpdate) {
-    let SettingsUpdate::Full { version, text } = update else {
+fn apply_settings(core: &Rc<AgentCore>, index: usize, update: &SettingsUpdate) {
+    let outcome = core.holder.borrow_mut().apply(update, Instant::now());
+    match outcome {
+        Ok(UpdateOutcome::InForce(version)) => {
+            let fleet = core.holder.borrow().fleet().cloned().unwrap_or_default();
+            core.install_fleet(fleet);
+            core.send_heartbeats();
+            log::info!("agent: settings {version} are in force.");
+        }
+        Ok(_) => {}
+        Err(HolderError::MissingBase { held, from }) => {
+            log::info!("agent: settings {held} can't take a change of {from}.");
+            core.control.clients[index].reconnect();
+        }
+        Err(error) => log::error!("agent: settings are not applied: {error}."),
+    }
+}
+
+fn observe_means(core: &Rc<AgentCore>, digest: &MemberDigest) {
+    let Some(endpoint) = core.endpoint_settings() else {
         return;
     };
-    if *version <= state.fleet.borrow().version {
-        return;
-    }
-    match SettingsTree::parse(text).and_then(|tree| tree.resolve(*version)) {
-        Ok(fleet) => {
-            log::info!("agent: settings {version} in force");
-            *state.fleet.borrow_mut() = Arc::new(fleet);
-        }
-        Err(faults) => log::error!("agent: settings {version} are faulty: {faults:?}"),
+    let service = name_id(&endpoint.service);
+    if let Some(mean) = digest.means.iter().find(|mean| mean.service == service) {
+        core.queue.borrow_mut().observe_mean(mean, Instant::now());
     }
 }
--- /dev/null
+++ b/crates/agent/src/endpoint.rs
@@ -0,0 +1,244 @@
+//! The endpoint itself: calls, health, crashes.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use awc::error::SendRequestError;
+use awc::http::header::HeaderMap;
+use awc::http::{Method, StatusCode};
+use awc::{Client, ClientResponse, Connector};
+use claim::attempts::AttemptState;
+use fault::{Fault, FaultKind};
+use tokio::time::{interval, sleep, timeout};
+use wire::answer::{HeaderField, SubmitRequest};
+use wire::command::ControlCommand;
+use wire::id::FingerprintHash;
+
+use crate::core::AgentCore;
+
+/// Header by which an endpoint reports the prompt tokens found in its cache.
+const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
+/// Headers of an answer that are not passed on: they belong to one connection.
+const CONNECTION_HEADERS: [&str; 6] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+    "date",
+];
+/// Time between two health checks.
+const HEALTH_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a health check.
+const HEALTH_LIMIT: Duration = Duration::from_secs(1);
+/// Failed health checks in a row after which the endpoint is down.
+const HEALTH_TRIES: u32 = 2;
+/// Longest duration of opening a connection.
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// How long a crash report counts as on its way after it is recorded, until control's lists have
+/// arrived.
+const LIST_DELAY: Duration = Duration::from_secs(1);
+
+/// An answer of the endpoint, with its body unread.
+pub type EndpointResponse = ClientResponse;
+
+/// Why a request has no answer.
+pub enum SendFault {
+    /// It never left the agent.
+    NotSent(Fault),
+    /// It may have been executed.
+    Broken(Fault),
+}
+
+/// Clients of the endpoint's HTTP server.
+pub struct EndpointClients {
+    /// Reuses connections whose last answer was read to its end.
+    pooled: Client,
+    /// Opens a connection for each request. A non-idempotent request must not meet a connection
+    /// that the endpoint closes at that moment, as its outcome would be unknown.
+    fresh: Client,
+}
+
+impl EndpointClients {
+    /// Clients without connections.
+    pub fn new() -> Self {
+        let pooled = Connector::new().limit(0).timeout(CONNECT_LIMIT);
+        let fresh = Connector::new().limit(0).timeout(CONNECT_LIMIT);
+        let fresh = fresh.conn_keep_alive(Duration::ZERO);
+        Self {
+            pooled: Client::builder()
+                .connector(pooled)
+                .disable_timeout()
+                .finish(),
+            fresh: Client::builder()
+                .connector(fresh)
+                .disable_timeout()
+                .finish(),
+        }
+    }
+
+    /// The client for a request.
+    pub fn choose(&self, is_idempotent: bool) -> &Client {
+        if is_idempotent {
+            &self.pooled
+        } else {
+            &self.fresh
+        }
+    }
+}
+
+impl Default for EndpointClients {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// Sends a request to the endpoint and waits for the head of its answer.
+///
+/// # Errors
+/// Whether the request may have been executed.
+pub async fn send(
+    core: &AgentCore,
+    submit: &SubmitRequest,
+) -> std::result::Result<EndpointResponse, SendFault> {
+    let method = Method::from_bytes(submit.method.as_bytes()).map_err(|_| {
+        SendFault::NotSent(FaultKind::MalformedRequest.because("the method is invalid"))
+    })?;
+    let uri = format!(
+        "http://{}{}",
+        core.shared.settings.endpoint_http, submit.path
+    );
+    let client = core.clients.choose(submit.idempotent);
+    let mut request = client.request(method, uri).no_decompress();
+    for header in &submit.headers {
+        request = request.insert_header((header.name.as_str(), header.value.as_str()));
+    }
+    request
+        .send_body(submit.body.clone())
+        .await
+        .map_err(|error| classify(&error))
+}
+
+fn classify(error: &SendRequestError) -> SendFault {
+    match error {
+        SendRequestError::Url(_) | SendRequestError::Connect(_) => {
+            let message = format!("the endpoint can't be reached: {error}");
+            SendFault::NotSent(FaultKind::NoEndpoint.because(message))
+        }
+        _ => {
+            let message = format!("the endpoint failed: {error}");
+            SendFault::Broken(FaultKind::EndpointFailed.because(message))
+        }
+    }
+}
+
+/// Headers of an answer that are passed on.
+pub fn passed_headers(headers: &HeaderMap) -> Vec<HeaderField> {
+    let passed = headers.iter().filter_map(|(name, value)| {
+        let name = name.as_str();
+        let is_private = CONNECTION_HEADERS.contains(&name) || name == CACHED_TOKENS_HEADER;
+        let value = value.to_str().ok().filter(|_| !is_private)?;
+        Some(HeaderField {
+            name: name.to_owned(),
+            value: value.to_owned(),
+        })
+    });
+    passed.collect()
+}
+
+/// Prompt tokens that the endpoint found in its cache.
+pub fn cached_tokens(headers: &HeaderMap) -> u32 {
+    let value = headers
+        .get(CACHED_TOKENS_HEADER)
+        .and_then(|value| value.to_str().ok());
+    value.and_then(|text| text.parse().ok()).unwrap_or(0)
+}
+
+/// Whether the answer is a stream of events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    let value = headers
+        .get("content-type")
+        .and_then(|value| value.to_str().ok());
+    value.is_some_and(|text| text.starts_with("text/event-stream"))
+}
+
+/// Whether the endpoint answers its health check on a new connection.
+pub async fn is_alive(core: &AgentCore) -> bool {
+    let uri = format!("http://{}/healthz", core.shared.settings.endpoint_http);
+    let check = core.clients.choose(false).get(uri).send();
+    match timeout(HEALTH_LIMIT, check).await {
+        Ok(Ok(response)) => response.status() < StatusCode::INTERNAL_SERVER_ERROR,
+        _ => false,
+    }
+}
+
+/// Checks the endpoint's health until the process ends.
+pub async fn watch_health(core: Rc<AgentCore>) {
+    let mut ticks = interval(HEALTH_INTERVAL);
+    let mut failures = 0;
+    loop {
+        ticks.tick().await;
+        if is_alive(&core).await {
+            failures = 0;
+            core.is_endpoint_up.set(true);
+        } else {
+            failures += 1;
+            if failures >= HEALTH_TRIES {
+                core.is_endpoint_up.set(false);
+            }
+        }
+        core.refresh_state();
+    }
+}
+
+impl AgentCore {
+    /// Takes in that the endpoint crashed in the life `cache_epoch` of its cache. All that ran
+    /// there is suspected and its outcome unknown. Later calls for the same life change nothing.
+    pub fn endpoint_crashed(self: &Rc<Self>, cache_epoch: u64) {
+        if self.cache_epoch.get() != cache_epoch {
+            return;
+        }
+        let suspects = self.running_fingerprints();
+        log::error!(
+            "agent: endpoint crashed with {} requests running.",
+            suspects.len()
+        );
+        self.shared.metrics.record_crash();
+        self.cache_epoch.set(new_epoch().max(cache_epoch + 1));
+        self.gate.borrow_mut().crashed(&suspects);
+        self.attempts.borrow_mut().fail_running(Instant::now());
+        self.is_endpoint_up.set(false);
+        self.refresh_state();
+        actix_rt::spawn(report_crash(Rc::clone(self), cache_epoch, suspects));
+    }
+
+    fn running_fingerprints(&self) -> Vec<FingerprintHash> {
+        let attempts = self.attempts.borrow();
+        let running = attempts.in_state(AttemptState::Running);
+        let sessions = self.sessions.borrow();
+        running
+            .filter_map(|key| Some(sessions.get(&key)?.submit.fingerprint))
+            .collect()
+    }
+}
+
+async fn report_crash(core: Rc<AgentCore>, cache_epoch: u64, suspects: Vec<FingerprintHash>) {
+    let endpoint = core.endpoint;
+    let command = ControlCommand::ReportCrash {
+        endpoint,
+        cache_epoch,
+        suspects,
+    };
+    core.control.record(command).await;
+    sleep(LIST_DELAY).await;
+    core.gate.borrow_mut().report_recorded();
+    core.start_held();
+}
+
+/// A number that grows from one life of the endpoint's cache to the next.
+fn new_epoch() -> u64 {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since_epoch.as_nanos()).unwrap_or(u64::MAX)
+}
--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -1,17 +1,103 @@
 //! Health, metrics and decisions.
 
-use actix_web::{App, HttpResponse, HttpServer, web};
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
-/// Serves until the process ends.
+use actix_web::dev::Server;
+use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use fault::{Fault, FaultKind};
+use serde::Deserialize;
+use serde_json::json;
+use watch::record::request_from_text;
+use watch::{RecordFilter, TEXT_CONTENT_TYPE};
+
+use crate::core::AgentShared;
+
+/// Records that one request returns at most.
+const MAX_RECORDS: usize = 500;
+
+/// Binds the server. It serves while the returned future is polled.
 ///
 /// # Errors
-/// The error of the HTTP server.
-pub async fn serve_http(address: SocketAddr) -> std::io::Result<()> {
-    HttpServer::new(|| App::new().route("/healthz", web::get().to(HttpResponse::Ok)))
-        .workers(1)
-        .disable_signals()
-        .bind(address)?
-        .run()
-        .await
+/// The address can't be bound.
+pub fn bind_server(address: SocketAddr, shared: Arc<AgentShared>) -> std::io::Result<Server> {
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(web::Data::from(Arc::clone(&shared)))
+            .route("/healthz", web::get().to(HttpResponse::Ok))
+            .route("/readyz", web::get().to(get_ready))
+            .route("/metrics", web::get().to(get_metrics))
+            .route("/operator/decisions", web::get().to(get_decisions))
+    });
+    Ok(server.workers(1).disable_signals().bind(address)?.run())
+}
+
+async fn get_ready(shared: web::Data<AgentShared>) -> HttpResponse {
+    if shared.is_serving.load(Ordering::Relaxed) {
+        HttpResponse::Ok().finish()
+    } else {
+        HttpResponse::ServiceUnavailable().finish()
+    }
+}
+
+async fn get_metrics(shared: web::Data<AgentShared>) -> HttpResponse {
+    match shared.metrics.process.expose() {
+        Ok(text) => HttpResponse::Ok()
+            .content_type(TEXT_CONTENT_TYPE)
+            .body(text),
+        Err(error) => HttpResponse::InternalServerError().body(error.to_string()),
+    }
+}
+
+/// What an operator asks for: one request, or what came after a sequence number.
+#[derive(Deserialize)]
+struct DecisionQuery {
+    request: Option<String>,
+    #[serde(default)]
+    after: u64,
+}
+
+async fn get_decisions(
+    shared: web::Data<AgentShared>,
+    request: HttpRequest,
+    query: web::Query<DecisionQuery>,
+) -> HttpResponse {
+    if let Err(fault) = check_operator(&shared, &request) {
+        return fault_response(&fault);
+    }
+    let Some(text) = &query.request else {
+        let filter = RecordFilter::default();
+        let batch = shared.decisions().follow(query.after, &filter, MAX_RECORDS);
+        return HttpResponse::Ok().json(batch);
+    };
+    match request_from_text(text) {
+        Some(id) => HttpResponse::Ok().json(json!({"records": shared.decisions().find(id)})),
+        None => fault_response(&FaultKind::MalformedRequest.because("request is no request id")),
+    }
+}
+
+fn check_operator(shared: &AgentShared, request: &HttpRequest) -> fault::Result<()> {
+    let value = request
+        .headers()
+        .get("authorization")
+        .and_then(|value| value.to_str().ok());
+    let key = value.and_then(|value| value.strip_prefix("Bearer "));
+    let key = key.ok_or_else(|| FaultKind::MissingKey.because("an operator key is needed"))?;
+    let fleet = shared.fleet.load();
+    match fleet.operator_of_key(key) {
+        Some(_) => Ok(()),
+        None => Err(FaultKind::UnknownKey.because("no operator has this key")),
+    }
+}
+
+fn fault_response(fault: &Fault) -> HttpResponse {
+    let answer = fault.kind.answer();
+    let status = actix_web::http::StatusCode::from_u16(answer.status);
+    let status = status.unwrap_or(actix_web::http::StatusCode::INTERNAL_SERVER_ERROR);
+    HttpResponse::build(status).json(json!({"error": {
+        "kind": fault.kind.to_string(),
+        "outcome": answer.outcome.to_string(),
+        "message": fault.message,
+    }}))
 }
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -1,141 +1,156 @@
 //! One attempt at the endpoint.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use awc::http::Method;
-use crc32fast::Hasher;
+use bytes::{Bytes, BytesMut};
 use fault::{Fault, FaultKind, RunOutcome};
 use futures::StreamExt;
-use link::LinkSender;
-use tokio::sync::Notify;
-use wire::LinkMessage;
-use wire::answer::{
-    AdmitNotice, AnswerChunk, AnswerEnd, AnswerHead, HeaderField, RefuseNotice, SubmitRequest,
-};
-use wire::member::EndpointState;
+use tokio::time::timeout;
+use wire::answer::AnswerHead;
+use wire::command::RecordedAnswer;
 
-use crate::state::AgentState;
+use crate::core::AgentCore;
+use crate::endpoint::{self, EndpointResponse};
+use crate::session::AttemptSession;
 
-/// Header by which an endpoint reports the prompt tokens found in its cache.
-const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
+/// Longest pause between two parts of a stream of events, after which its connection counts as
+/// silent.
+const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(3);
 
-/// Runs one attempt and streams its answer to the entry.
-pub async fn run_attempt(state: Rc<AgentState>, submit: SubmitRequest, sender: LinkSender) {
-    let key = submit.key;
-    if state.endpoint_state() != EndpointState::Serving {
-        let fault = FaultKind::Draining.because("the endpoint takes no new work");
-        refuse(&state, &sender, &submit, fault).await;
-        return;
+/// How a run ended.
+enum RunEnd {
+    /// The whole answer came.
+    Whole(RecordedAnswer),
+    /// The request never left the agent.
+    NotSent(Fault),
+    /// The endpoint's connection failed; the endpoint may have crashed.
+    Broken(Fault),
+    /// The run was stopped.
+    Stopped(Fault),
+}
+
+impl RunEnd {
+    fn outcome(&self) -> RunOutcome {
+        match self {
+            Self::Whole(_) => RunOutcome::Ran,
+            Self::NotSent(_) => RunOutcome::NotRun,
+            Self::Broken(_) | Self::Stopped(_) => RunOutcome::Unknown,
+        }
     }
-    let cancelled = Rc::new(Notify::new());
-    state
-        .attempts
-        .borrow_mut()
-        .insert(key, Rc::clone(&cancelled));
-    let notice = AdmitNotice {
-        key,
-        load: state.load(),
-        incarnation: state.incarnation,
-    };
-    let _ = sender.send(LinkMessage::Admitted(notice)).await;
-    let result = tokio::select! {
-        result = call_endpoint(&state, &submit, &sender) => result,
-        () = cancelled.notified() => Err(FaultKind::Cancelled.because("the caller left")),
+}
+
+/// Runs an attempt that was started, and passes its answer to the session.
+pub async fn run_attempt(core: Rc<AgentCore>, session: Rc<AttemptSession>) {
+    let cache_epoch = core.cache_epoch.get();
+    let end = tokio::select! {
+        end = call_endpoint(&core, &session) => end,
+        fault = session.wait_for_stop() => RunEnd::Stopped(fault),
     };
-    state.attempts.borrow_mut().remove(&key);
-    if let Err(fault) = result {
-        refuse(&state, &sender, &submit, fault).await;
+    if let RunEnd::Broken(_) = end
+        && !endpoint::is_alive(&core).await
+    {
+        core.endpoint_crashed(cache_epoch);
     }
+    settle_run(&core, &session, end, cache_epoch);
 }
 
-async fn refuse(state: &AgentState, sender: &LinkSender, submit: &SubmitRequest, fault: Fault) {
-    let notice = RefuseNotice {
-        key: submit.key,
-        fault,
-        load: state.load(),
-    };
-    let _ = sender.send(LinkMessage::Refused(notice)).await;
+/// Brings all tables up to the end of a run, then tells the entry.
+fn settle_run(core: &Rc<AgentCore>, session: &Rc<AttemptSession>, end: RunEnd, cache_epoch: u64) {
+    let (key, outcome) = (session.key(), end.outcome());
+    core.attempts.borrow_mut().end(Instant::now(), key, outcome);
+    if core.cache_epoch.get() == cache_epoch {
+        core.release_gate(session, outcome);
+    }
+    core.free_place(key);
+    match end {
+        RunEnd::Whole(answer) => {
+            core.record_claim(session, outcome, Some(answer));
+            core.report_end(session, None);
+            session.push_end(outcome);
+        }
+        RunEnd::NotSent(fault) | RunEnd::Broken(fault) | RunEnd::Stopped(fault) => {
+            core.record_claim(session, outcome, None);
+            core.report_end(session, Some(&fault));
+            if session.has_head() {
+                session.push_end(outcome);
+            } else {
+                core.tell_refusal(session, fault);
+            }
+        }
+    }
+    core.retire_session(key);
 }
 
-async fn call_endpoint(
-    state: &AgentState,
-    submit: &SubmitRequest,
-    sender: &LinkSender,
-) -> fault::Result<()> {
-    let failed = |error: &dyn std::fmt::Display| {
-        FaultKind::EndpointFailed.because(format!("the endpoint failed: {error}"))
+async fn call_endpoint(core: &Rc<AgentCore>, session: &Rc<AttemptSession>) -> RunEnd {
+    let mut response = match endpoint::send(core, &session.submit).await {
+        Ok(response) => response,
+        Err(endpoint::SendFault::NotSent(fault)) => return RunEnd::NotSent(fault),
+        Err(endpoint::SendFault::Broken(fault)) => return RunEnd::Broken(fault),
     };
-    let request = build_request(state, submit)?;
-    let sent = request.send_body(submit.body.clone()).await;
-    let mut response = sent.map_err(|error| failed(&error))?;
     let head = AnswerHead {
-        key: submit.key,
+        key: session.key(),
         status: response.status().as_u16(),
-        headers: pass_headers(response.headers()),
-        cached_tokens: cached_tokens(response.headers()),
-        queue_wait: Duration::ZERO,
+        headers: endpoint::passed_headers(response.headers()),
+        cached_tokens: endpoint::cached_tokens(response.headers()),
+        queue_wait: session.waited(),
     };
-    let _ = sender.send(LinkMessage::Head(head)).await;
-    let mut offset = 0;
-    let mut checksum = Hasher::new();
-    while let Some(chunk) = response.next().await {
-        let bytes = chunk.map_err(|error| failed(&error))?;
-        checksum.update(&bytes);
-        let length = bytes.len() as u64;
-        let chunk = AnswerChunk {
-            key: submit.key,
-            offset,
-            bytes,
-        };
-        let _ = sender.send(LinkMessage::Chunk(chunk)).await;
-        offset += length;
+    session.push_head(head.clone());
+    core.shared
+        .metrics
+        .record_tokens(session.submit.prompt_tokens, head.cached_tokens);
+    match pass_body(core, session, &mut response).await {
+        Ok(body) => RunEnd::Whole(RecordedAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        }),
+        Err(fault) if fault.kind == FaultKind::SlowCaller => RunEnd::Stopped(fault),
+        Err(fault) => RunEnd::Broken(fault),
     }
-    let end = AnswerEnd {
-        key: submit.key,
-        length: offset,
-        checksum: checksum.finalize(),
-        outcome: RunOutcome::Ran,
-        load: state.load(),
-    };
-    let _ = sender.send(LinkMessage::End(end)).await;
-    Ok(())
 }
 
-fn build_request(state: &AgentState, submit: &SubmitRequest) -> fault::Result<awc::ClientRequest> {
-    let method = Method::from_bytes(submit.method.as_bytes())
-        .map_err(|_| FaultKind::MalformedRequest.because("the method is invalid"))?;
-    let uri = format!("http://{}{}", state.settings.endpoint_http, submit.path);
-    let client = awc::Client::builder().timeout(submit.deadline).finish();
-    let mut request = client.request(method, uri).no_decompress();
-    for header in &submit.headers {
-        request = request.insert_header((header.name.as_str(), header.value.as_str()));
+/// Passes the body on and returns it when it is small enough to be recorded.
+async fn pass_body(
+    core: &AgentCore,
+    session: &AttemptSession,
+    response: &mut EndpointResponse,
+) -> fault::Result<Option<Bytes>> {
+    let limit = if session.submit.claim.is_some() {
+        core.recorded_limit(session)
+    } else {
+        0
+    };
+    let is_stream = endpoint::is_event_stream(response.headers());
+    let mut recorded = Some(BytesMut::new());
+    while let Some(part) = next_part(response, is_stream).await? {
+        if recorded
+            .as_ref()
+            .is_some_and(|kept| kept.len() + part.len() > limit)
+        {
+            recorded = None;
+        }
+        if let Some(kept) = &mut recorded {
+            kept.extend_from_slice(&part);
+        }
+        session.push_bytes(part);
+        session.wait_for_room().await?;
     }
-    Ok(request)
+    Ok(recorded.map(BytesMut::freeze))
 }
 
-fn pass_headers(headers: &awc::http::header::HeaderMap) -> Vec<HeaderField> {
-    let passed = [
-        "content-type",
-        "cache-control",
-        "location",
-        "etag",
-        "x-method",
-        "x-path",
-    ];
-    let found = passed.iter().filter_map(|name| {
-        let value = headers.get(*name)?.to_str().ok()?;
-        Some(HeaderField {
-            name: (*name).to_owned(),
-            value: value.to_owned(),
-        })
-    });
-    found.collect()
-}
-
-fn cached_tokens(headers: &awc::http::header::HeaderMap) -> u32 {
-    let value = headers
-        .get(CACHED_TOKENS_HEADER)
-        .and_then(|value| value.to_str().ok());
-    value.and_then(|text| text.parse().ok()).unwrap_or(0)
+async fn next_part(
+    response: &mut EndpointResponse,
+    is_stream: bool,
+) -> fault::Result<Option<Bytes>> {
+    let next = response.next();
+    let part = if is_stream {
+        let waited = timeout(STREAM_SILENCE_LIMIT, next).await;
+        waited.map_err(|_| FaultKind::EndpointFailed.because("the endpoint's stream is silent"))?
+    } else {
+        next.await
+    };
+    let failed =
+        |error| FaultKind::EndpointFailed.because(format!("the endpoint failed midway: {error}"));
+    part.transpose().map_err(failed)
 }
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,28 +1,30 @@
 //! Connections from entries.
 
 use std::rc::Rc;
+use std::time::Instant;
 
+use claim::ResumeVerdict;
+use fault::{Fault, FaultKind};
 use link::{Link, LinkSender, LinkSettings, PeerRole, accept};
 use tokio::net::{TcpListener, TcpStream};
 use wire::LinkMessage;
+use wire::answer::{AttemptKey, RefuseNotice, ResumeRequest};
 
-use crate::run::run_attempt;
-use crate::state::AgentState;
+use crate::core::AgentCore;
 
 /// Accepts connections until the process ends.
-pub async fn serve_links(listener: TcpListener, settings: LinkSettings, state: Rc<AgentState>) {
+pub async fn serve_links(listener: TcpListener, settings: LinkSettings, core: Rc<AgentCore>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let served = serve_link(stream, settings.clone(), Rc::clone(&state));
-                actix_rt::spawn(served);
+                actix_rt::spawn(serve_link(stream, settings.clone(), Rc::clone(&core)));
             }
-            Err(error) => log::warn!("agent: accepting failed: {error}"),
+            Err(error) => log::warn!("agent: accepting failed: {error}."),
         }
     }
 }
 
-async fn serve_link(stream: TcpStream, settings: LinkSettings, state: Rc<AgentState>) {
+async fn serve_link(stream: TcpStream, settings: LinkSettings, core: Rc<AgentCore>) {
     let Link {
         peer,
         sender,
@@ -30,35 +32,82 @@
     } = match accept(stream, &settings).await {
         Ok(link) => link,
         Err(error) => {
-            log::warn!("agent: refused a connection: {error}");
+            log::warn!("agent: refused a connection: {error}.");
             return;
         }
     };
     if peer.role != PeerRole::Entry {
-        log::warn!("agent: {} is no entry", peer.name);
+        log::warn!("agent: {} is no entry.", peer.name);
         return;
     }
     loop {
         match receiver.next().await {
-            Ok(message) => handle_message(&state, &sender, message),
+            Ok(message) => handle_message(&core, &sender, message),
             Err(error) => {
-                log::debug!("agent: connection of {} ended: {error}", peer.name);
+                log::debug!("agent: connection of {} ended: {error}.", peer.name);
                 return;
             }
         }
     }
 }
 
-fn handle_message(state: &Rc<AgentState>, sender: &LinkSender, message: LinkMessage) {
+fn handle_message(core: &Rc<AgentCore>, sender: &LinkSender, message: LinkMessage) {
     match message {
-        LinkMessage::Submit(submit) => {
-            actix_rt::spawn(run_attempt(Rc::clone(state), *submit, sender.clone()));
+        LinkMessage::Submit(submit) => core.submit(*submit, sender.clone()),
+        LinkMessage::Ack(ack) => {
+            if let Some(session) = core.session(ack.key) {
+                session.ack(ack.offset);
+            }
         }
         LinkMessage::Cancel(cancel) => {
-            if let Some(handle) = state.attempts.borrow().get(&cancel.key) {
-                handle.notify_one();
+            let fault = FaultKind::ConnectionLost.because("the caller left");
+            core.cancel_attempt(cancel.key, fault);
+        }
+        LinkMessage::Resume(resume) => resume_attempt(core, sender, &resume),
+        other => log::debug!("agent: an entry sent {}.", other.kind()),
+    }
+}
+
+fn resume_attempt(core: &Rc<AgentCore>, sender: &LinkSender, resume: &ResumeRequest) {
+    let key = resume.key;
+    let verdict = core.attempts.borrow_mut().resume(Instant::now(), key);
+    match (verdict, core.session(key)) {
+        (ResumeVerdict::Refused(kind), _) => {
+            refuse(core, sender, key, kind.because("the attempt was refused"));
+        }
+        (ResumeVerdict::Wait | ResumeVerdict::Stream, Some(session)) => {
+            if let Err(error) = session.resume(resume, sender.clone()) {
+                refuse(core, sender, key, lost_fault(&error.to_string()));
             }
         }
-        other => log::debug!("agent: entry sent {other:?}"),
+        (ResumeVerdict::Wait | ResumeVerdict::Stream, None) => {
+            refuse(
+                core,
+                sender,
+                key,
+                lost_fault("the answer is no longer kept"),
+            );
+        }
+        (ResumeVerdict::Lost, _) => {
+            refuse(
+                core,
+                sender,
+                key,
+                lost_fault("this life of the agent has not seen it"),
+            );
+        }
     }
 }
+
+fn refuse(core: &AgentCore, sender: &LinkSender, key: AttemptKey, fault: Fault) {
+    let notice = RefuseNotice {
+        key,
+        fault,
+        load: core.load(),
+    };
+    let _ = sender.try_send(LinkMessage::Refused(notice));
+}
+
+fn lost_fault(message: &str) -> Fault {
+    FaultKind::ConnectionLost.because(message)
+}
--- /dev/null
+++ b/crates/agent/src/session.rs
@@ -0,0 +1,263 @@
+//! The answer of one attempt on its way to the entry.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use claim::AnswerTail;
+use fault::{Fault, FaultKind, RunOutcome};
+use link::LinkSender;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+use wire::LinkMessage;
+use wire::answer::{
+    AnswerHead, AttemptKey, EndpointLoad, RefuseNotice, ResumeRequest, SubmitRequest,
+};
+use wire::command::ClaimKey;
+
+use crate::core::AgentCore;
+
+/// Bytes of an answer that may be unacknowledged.
+const WINDOW_BYTES: usize = 256 * 1024;
+/// How long an answer is kept after its end, for an entry that lost the end.
+const KEEP_AFTER_END: Duration = Duration::from_secs(30);
+/// How long a running attempt goes on without a connection to its entry.
+const DETACHED_LIMIT: Duration = Duration::from_secs(30);
+/// How long a caller may take nothing while its answer waits.
+const STALL_LIMIT: Duration = Duration::from_secs(30);
+
+/// One attempt that is queued, running, or has ended a moment ago.
+pub struct AttemptSession {
+    /// What was submitted.
+    pub submit: SubmitRequest,
+    /// When it arrived.
+    pub arrived: Instant,
+    /// Load of the endpoint when it arrived.
+    pub load_at_arrival: EndpointLoad,
+    /// When it started at the endpoint.
+    started: Cell<Option<Instant>>,
+    cached_tokens: Cell<u32>,
+    has_head: Cell<bool>,
+    /// Whether the entry was told of a refusal or failure instead of an answer.
+    is_refused: Cell<bool>,
+    tail: RefCell<AnswerTail>,
+    /// Connection of the entry, while there is one.
+    sender: RefCell<Option<LinkSender>>,
+    /// Told when there is something to send, or a new connection.
+    changed: Notify,
+    /// Told when bytes were acknowledged.
+    acknowledged: Notify,
+    /// Told when the attempt has to stop.
+    stopped: Notify,
+    /// Why it has to stop.
+    stop_fault: RefCell<Option<Fault>>,
+    is_closed: Cell<bool>,
+}
+
+impl AttemptSession {
+    /// A session whose entry is connected by `sender`.
+    pub fn new(submit: SubmitRequest, load: EndpointLoad, sender: LinkSender) -> Self {
+        Self {
+            tail: RefCell::new(AnswerTail::new(submit.key, WINDOW_BYTES)),
+            submit,
+            arrived: Instant::now(),
+            load_at_arrival: load,
+            started: Cell::new(None),
+            cached_tokens: Cell::new(0),
+            has_head: Cell::new(false),
+            is_refused: Cell::new(false),
+            sender: RefCell::new(Some(sender)),
+            changed: Notify::new(),
+            acknowledged: Notify::new(),
+            stopped: Notify::new(),
+            stop_fault: RefCell::default(),
+            is_closed: Cell::new(false),
+        }
+    }
+
+    /// The attempt.
+    pub fn key(&self) -> AttemptKey {
+        self.submit.key
+    }
+
+    /// The claim that the attempt holds.
+    pub fn claim(&self) -> Option<ClaimKey> {
+        let key = self.submit.claim.clone()?;
+        Some(ClaimKey {
+            account: self.submit.account,
+            key,
+        })
+    }
+
+    /// Takes in that the endpoint has the request.
+    pub fn mark_started(&self) {
+        self.started.set(Some(Instant::now()));
+    }
+
+    /// Time that the attempt waited, or has waited so far.
+    pub fn waited(&self) -> Duration {
+        self.started.get().unwrap_or_else(Instant::now) - self.arrived
+    }
+
+    /// Prompt tokens that the endpoint found in its cache.
+    pub fn cached_tokens(&self) -> u32 {
+        self.cached_tokens.get()
+    }
+
+    /// Whether the endpoint began to answer.
+    pub fn has_head(&self) -> bool {
+        self.has_head.get()
+    }
+
+    /// Whether the entry has everything that there is to tell.
+    pub fn is_delivered(&self) -> bool {
+        self.is_refused.get() || self.tail.borrow().is_acknowledged()
+    }
+
+    /// Takes the head of the answer.
+    pub fn push_head(&self, head: AnswerHead) {
+        self.has_head.set(true);
+        self.cached_tokens.set(head.cached_tokens);
+        self.tail.borrow_mut().set_head(head);
+        self.changed.notify_one();
+    }
+
+    /// Takes bytes of the answer.
+    pub fn push_bytes(&self, bytes: Bytes) {
+        self.tail.borrow_mut().push(bytes);
+        self.changed.notify_one();
+    }
+
+    /// Ends the answer.
+    pub fn push_end(&self, outcome: RunOutcome) {
+        self.tail.borrow_mut().finish(outcome);
+        self.changed.notify_one();
+    }
+
+    /// Waits until the entry has taken enough for more to be read from the endpoint.
+    ///
+    /// # Errors
+    /// `SlowCaller` when nothing is taken for too long.
+    pub async fn wait_for_room(&self) -> fault::Result<()> {
+        while self.tail.borrow().room() == 0 {
+            let woken = timeout(STALL_LIMIT, self.acknowledged.notified()).await;
+            woken.map_err(|_| FaultKind::SlowCaller.because("the caller takes no more bytes"))?;
+        }
+        Ok(())
+    }
+
+    /// Takes an acknowledgement in.
+    pub fn ack(&self, offset: u64) {
+        self.tail.borrow_mut().ack(offset);
+        self.acknowledged.notify_one();
+        self.changed.notify_one();
+    }
+
+    /// Goes on over a new connection.
+    ///
+    /// # Errors
+    /// The bytes that the entry needs are gone.
+    pub fn resume(&self, request: &ResumeRequest, sender: LinkSender) -> claim::tail::Result<()> {
+        self.tail.borrow_mut().resume(request)?;
+        *self.sender.borrow_mut() = Some(sender);
+        self.changed.notify_one();
+        Ok(())
+    }
+
+    /// Sends a message that is no part of the answer.
+    pub fn tell(&self, message: LinkMessage) {
+        if let Some(sender) = self.sender.borrow().as_ref() {
+            // A connection that is gone is resumed, and the agent then repeats what it said.
+            let _ = sender.try_send(message);
+        }
+    }
+
+    /// Asks the run to stop.
+    pub fn stop(&self, fault: Fault) {
+        self.stop_fault.borrow_mut().get_or_insert(fault);
+        self.stopped.notify_one();
+    }
+
+    /// Waits until the run has to stop. Returns why.
+    pub async fn wait_for_stop(&self) -> Fault {
+        loop {
+            if let Some(fault) = self.stop_fault.borrow().clone() {
+                return fault;
+            }
+            self.stopped.notified().await;
+        }
+    }
+
+    /// Lets the session go.
+    pub fn close(&self) {
+        self.is_closed.set(true);
+        self.changed.notify_one();
+    }
+}
+
+/// Sends the answer of a session until it is closed.
+pub async fn send_answer(core: Rc<AgentCore>, session: Rc<AttemptSession>) {
+    while !session.is_closed.get() {
+        let sender = session.sender.borrow().clone();
+        let is_open = sender.as_ref().is_some_and(|sender| !sender.is_closed());
+        let Some(sender) = sender.filter(|_| is_open) else {
+            wait_for_connection(&core, &session).await;
+            continue;
+        };
+        let message = session.tail.borrow_mut().next_message(core.load());
+        match message {
+            Some(message) => {
+                // A failed send shows as a closed connection above.
+                let _ = sender.send(message).await;
+            }
+            None => {
+                tokio::select! {
+                    () = session.changed.notified() => {}
+                    () = sender.closed() => {}
+                }
+            }
+        }
+    }
+}
+
+/// Waits until the entry has resumed. A run whose entry stays away is stopped, unless the endpoint
+/// must not be interrupted.
+async fn wait_for_connection(core: &Rc<AgentCore>, session: &Rc<AttemptSession>) {
+    *session.sender.borrow_mut() = None;
+    if timeout(DETACHED_LIMIT, session.changed.notified())
+        .await
+        .is_ok()
+    {
+        return;
+    }
+    if session.submit.idempotent && session.sender.borrow().is_none() {
+        let message = "the entry is gone";
+        core.cancel_attempt(session.key(), FaultKind::ConnectionLost.because(message));
+        session.close();
+    }
+}
+
+impl AgentCore {
+    /// Keeps the session of an ended attempt for a while, then lets it go.
+    pub fn retire_session(self: &Rc<Self>, key: AttemptKey) {
+        let core = Rc::clone(self);
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(KEEP_AFTER_END).await;
+            if let Some(session) = core.sessions.borrow_mut().remove(&key) {
+                session.close();
+            }
+        });
+    }
+
+    /// Tells the entry that an attempt was refused or failed.
+    pub fn tell_refusal(&self, session: &AttemptSession, fault: Fault) {
+        session.is_refused.set(true);
+        let notice = RefuseNotice {
+            key: session.key(),
+            fault,
+            load: self.load(),
+        };
+        session.tell(LinkMessage::Refused(notice));
+    }
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -67,7 +67,13 @@
 fn handle_message(node: &Rc<ControlNode>, sender: &LinkSender, message: LinkMessage) {
     match message {
         LinkMessage::AgentHeartbeat(beat) => {
-            node.endpoints.borrow_mut().insert(beat.endpoint, beat);
+            let mut beat = beat;
+            let mut endpoints = node.endpoints.borrow_mut();
+            let known = endpoints
+                .get(&beat.endpoint)
+                .and_then(|known| known.record.clone());
+            beat.record = beat.record.or(known);
+            endpoints.insert(beat.endpoint, beat);
         }
         LinkMessage::EntryHeartbeat(beat) => {
             log::debug!("control: entry {} is alive", beat.name);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -144,7 +144,10 @@
         };
         match claim_call(self.core, request).await {
             Ok(ClaimVerdict::Granted) => Ok(None),
-            Ok(ClaimVerdict::Answered(answer)) => Ok(Some(answer)),
+            Ok(ClaimVerdict::Answered(answer)) => {
+                self.core.desk.lock().table.observe_unsent(endpoint);
+                Ok(Some(answer))
+            }
             Err(fault) => {
                 self.core.desk.lock().table.observe_unsent(endpoint);
                 Err(self.ledger.settle(fault))
--- a/crates/link/src/connection.rs
+++ b/crates/link/src/connection.rs
@@ -101,6 +101,11 @@
         self.queue.try_send(content).map_err(|_| LinkError::Closed)
     }
 
+    /// Waits until the connection has ended.
+    pub async fn closed(&self) {
+        self.queue.closed().await;
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.queue.is_closed()
