Add a caller, the steps of the tour and the quickstart

Cause: nobody could see the product at work with one command. The script starts a fleet of fakes on loopback and shows each promise of the tour; the steps check what they print.

--- /dev/null
+++ b/crates/fake/src/caller.rs
@@ -0,0 +1,166 @@
+//! A caller of the product, for the tour, tests and measurements.
+
+use std::net::SocketAddr;
+
+use awc::Client;
+use derive_more::{Display, Error};
+use futures::StreamExt;
+use serde_json::{Value, json};
+
+/// A call that got no whole answer.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+#[display("{reason}")]
+pub struct CallError {
+    /// What went wrong, for the reader.
+    pub reason: String,
+}
+
+/// Result of a call.
+pub type Result<T> = std::result::Result<T, CallError>;
+
+/// Who calls, and where.
+#[derive(Clone, Debug)]
+pub struct CallerSettings {
+    /// Address of an entry.
+    pub entry: SocketAddr,
+    /// Key of the client account.
+    pub key: String,
+}
+
+/// One chat completion to ask for.
+#[derive(Clone, Debug, Default)]
+pub struct ChatCall {
+    /// Name of the model.
+    pub model: String,
+    /// Id of the chat.
+    pub chat: String,
+    /// The chat so far, as text.
+    pub prompt: String,
+    /// Tokens of the answer.
+    pub tokens: u64,
+    /// Warm hint of the last answer of this chat.
+    pub hint: String,
+}
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallAnswer {
+    /// HTTP status.
+    pub status: u16,
+    /// Header `x-outcome`.
+    pub outcome: String,
+    /// Header `x-request-id`.
+    pub request: String,
+    /// Header `x-warm-hint`.
+    pub hint: String,
+    /// Header `x-cached-tokens`.
+    pub cached_tokens: u64,
+    /// Header `retry-after`, in seconds.
+    pub retry_after: Option<u64>,
+    /// Body.
+    pub body: String,
+}
+
+impl CallAnswer {
+    /// Tokens of a streamed answer, if it is whole.
+    ///
+    /// # Errors
+    /// The stream lacks its last event.
+    pub fn stream_tokens(&self) -> Result<u64> {
+        if !self.body.trim_end().ends_with("data: [DONE]") {
+            return Err(CallError {
+                reason: "the stream was cut off".to_owned(),
+            });
+        }
+        Ok(self.body.matches("\"delta\"").count() as u64)
+    }
+}
+
+/// Calls an entry.
+pub struct FleetCaller {
+    settings: CallerSettings,
+    client: Client,
+}
+
+impl FleetCaller {
+    /// A caller without connections.
+    pub fn new(settings: CallerSettings) -> Self {
+        let client = Client::builder().disable_timeout().finish();
+        Self { settings, client }
+    }
+
+    /// Asks for a streamed chat completion and reads it to its end.
+    ///
+    /// # Errors
+    /// The connection failed or the answer was cut off.
+    pub async fn chat(&self, call: &ChatCall) -> Result<CallAnswer> {
+        let body = json!({
+            "model": call.model,
+            "messages": [{"role": "user", "content": call.prompt}],
+            "stream": true,
+            "max_tokens": call.tokens,
+        });
+        let uri = format!("http://{}/v1/chat/completions", self.settings.entry);
+        let request = self.client.post(uri).bearer_auth(&self.settings.key);
+        let request = request.insert_header(("x-chat-id", call.chat.as_str()));
+        let request = request.insert_header(("x-warm-hint", call.hint.as_str()));
+        read_answer(request.send_json(&body).await).await
+    }
+
+    /// Posts to a plain service.
+    ///
+    /// # Errors
+    /// The connection failed or the answer was cut off.
+    pub async fn post(
+        &self,
+        path: &str,
+        idempotency_key: &str,
+        body: &Value,
+    ) -> Result<CallAnswer> {
+        let uri = format!("http://{}{path}", self.settings.entry);
+        let request = self.client.post(uri).bearer_auth(&self.settings.key);
+        let request = request.insert_header(("idempotency-key", idempotency_key));
+        read_answer(request.send_json(body).await).await
+    }
+
+    /// Reads a path of the entry.
+    ///
+    /// # Errors
+    /// The connection failed or the answer was cut off.
+    pub async fn get(&self, path: &str) -> Result<CallAnswer> {
+        let uri = format!("http://{}{path}", self.settings.entry);
+        let request = self.client.get(uri).bearer_auth(&self.settings.key);
+        read_answer(request.send().await).await
+    }
+}
+
+async fn read_answer(
+    sent: std::result::Result<awc::ClientResponse, awc::error::SendRequestError>,
+) -> Result<CallAnswer> {
+    let mut response = sent.map_err(|error| CallError {
+        reason: error.to_string(),
+    })?;
+    let header = |name: &str| {
+        let value = response
+            .headers()
+            .get(name)
+            .and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let mut answer = CallAnswer {
+        status: response.status().as_u16(),
+        outcome: header("x-outcome"),
+        request: header("x-request-id"),
+        hint: header("x-warm-hint"),
+        cached_tokens: header("x-cached-tokens").parse().unwrap_or_default(),
+        retry_after: header("retry-after").parse().ok(),
+        body: String::new(),
+    };
+    while let Some(part) = response.next().await {
+        let part = part.map_err(|error| CallError {
+            reason: error.to_string(),
+        })?;
+        answer.body.push_str(&String::from_utf8_lossy(&part));
+    }
+    Ok(answer)
+}
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -1,12 +1,15 @@
 //! The `sapphire-fake` program: one stand-in in a process.
 
 use std::net::SocketAddr;
+use std::process::ExitCode;
 use std::time::Duration;
 
 use argh::FromArgs;
+use fake::caller::{CallError, CallerSettings};
 use fake::engine::{self, EngineSettings};
 use fake::plain::{self, PlainSettings};
 use fake::platform;
+use fake::tour::{self, LoadSettings};
 
 /// Runs a stand-in for a model engine, a plain service or the platform's list.
 #[derive(FromArgs)]
@@ -21,6 +24,7 @@
     Engine(EngineArgs),
     Plain(PlainArgs),
     Platform(PlatformArgs),
+    Tour(TourArgs),
 }
 
 /// A model engine.
@@ -65,10 +69,40 @@
     http: SocketAddr,
 }
 
+/// One step of the quickstart's tour.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "tour")]
+struct TourArgs {
+    /// address of an entry; repeat it for each entry
+    #[argh(option)]
+    entry: Vec<SocketAddr>,
+    /// key of the client account
+    #[argh(option)]
+    key: String,
+    /// model to ask for
+    #[argh(option, default = "String::from(\"bulletin\")")]
+    model: String,
+    /// idempotency key of the order
+    #[argh(option, default = "String::from(\"order-1\")")]
+    order: String,
+    /// callers at the same time
+    #[argh(option, default = "8")]
+    callers: usize,
+    /// calls of each caller
+    #[argh(option, default = "3")]
+    calls: usize,
+    /// tokens of each answer under load
+    #[argh(option, default = "200")]
+    tokens: u64,
+    /// ready, chats, refused, order or load
+    #[argh(positional)]
+    step: String,
+}
+
 #[actix_web::main]
-async fn main() -> std::io::Result<()> {
+async fn main() -> ExitCode {
     let args: FakeArgs = argh::from_env();
-    match args.kind {
+    let result = match args.kind {
         FakeKind::Engine(args) => {
             let settings = EngineSettings {
                 http: args.http,
@@ -78,16 +112,68 @@
                 checks_fence: args.checks_fence,
                 ..EngineSettings::default()
             };
-            engine::serve(settings).await
+            engine::serve(settings)
+                .await
+                .map_err(|error| error.to_string())
         }
         FakeKind::Plain(args) => {
             let pause = Duration::from_millis(args.pause_ms);
-            plain::serve(PlainSettings {
+            let settings = PlainSettings {
                 http: args.http,
                 pause,
-            })
+            };
+            plain::serve(settings)
+                .await
+                .map_err(|error| error.to_string())
+        }
+        FakeKind::Platform(args) => platform::serve(args.http)
             .await
+            .map_err(|error| error.to_string()),
+        FakeKind::Tour(args) => take_step(&args).await.map_err(|error| error.to_string()),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(reason) => {
+            eprintln!("fake: {reason}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn take_step(args: &TourArgs) -> fake::caller::Result<()> {
+    let entries = args.entry.iter();
+    let entries: Vec<CallerSettings> = entries
+        .map(|entry| CallerSettings {
+            entry: *entry,
+            key: args.key.clone(),
+        })
+        .collect();
+    let (Some(first), Some(last)) = (entries.first(), entries.last()) else {
+        return Err(CallError {
+            reason: "--entry is missing".to_owned(),
+        });
+    };
+    match args.step.as_str() {
+        "ready" => {
+            for entry in &entries {
+                tour::wait_until_ready(entry, &args.model).await?;
+            }
+            Ok(())
+        }
+        "chats" => tour::return_chats(first, &args.model).await,
+        "refused" => tour::refuse_account(first, &args.model).await,
+        "order" => tour::order_twice([first, last], "guichet", &args.order).await,
+        "load" => {
+            let load = LoadSettings {
+                model: args.model.clone(),
+                callers: args.callers,
+                calls: args.calls,
+                tokens: args.tokens,
+            };
+            tour::run_load(&entries, &load).await
         }
-        FakeKind::Platform(args) => platform::serve(args.http).await,
+        other => Err(CallError {
+            reason: format!("no step {other}"),
+        }),
     }
 }
