Measure skew and reuse on real crate code, and mend the joining of endpoints

Causes, one at a time: - Damping kept out endpoints that served, so the known mean left them out while they stood empty: it began at 2.5 failures with a half-life of 30 s, and restarts that are a minute apart reached it.

--- a/crates/admit/src/request.rs
+++ b/crates/admit/src/request.rs
@@ -33,7 +33,7 @@
             limits: LoadLimits::default(),
             queue_limit: 256,
             soft_hops: 2,
-            join_delay: Duration::from_millis(1500),
+            join_delay: Duration::from_millis(400),
         }
     }
 }
--- /dev/null
+++ b/crates/measure/src/cache.rs
@@ -0,0 +1,72 @@
+//! Prefix cache of one endpoint: limited, least recently used goes first.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::workload::{AccountNumber, ChatNumber};
+
+/// What the cache holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) enum CacheKey {
+    /// The common prompt of an account.
+    Prompt(AccountNumber),
+    /// The rest of a chat.
+    Chat(ChatNumber),
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CacheItem {
+    tokens: u32,
+    used_at: u64,
+}
+
+/// Prefix cache of one endpoint.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct PrefixCache {
+    capacity: u64,
+    /// Sum of the items' tokens, at most `capacity`.
+    tokens: u64,
+    items: HashMap<CacheKey, CacheItem>,
+    /// Keys by their last use; parallel to `items`.
+    order: BTreeMap<u64, CacheKey>,
+    uses: u64,
+}
+
+impl PrefixCache {
+    pub(crate) fn new(capacity: u64) -> Self {
+        Self {
+            capacity,
+            ..Self::default()
+        }
+    }
+
+    /// Tokens held under `key`.
+    pub(crate) fn tokens(&self, key: CacheKey) -> u32 {
+        self.items.get(&key).map_or(0, |item| item.tokens)
+    }
+
+    /// Holds `tokens` under `key` as the latest use.
+    pub(crate) fn put(&mut self, key: CacheKey, tokens: u32) {
+        self.remove(key);
+        self.uses += 1;
+        let item = CacheItem {
+            tokens,
+            used_at: self.uses,
+        };
+        self.items.insert(key, item);
+        self.order.insert(self.uses, key);
+        self.tokens += u64::from(tokens);
+        while self.tokens > self.capacity {
+            let Some((_, oldest)) = self.order.first_key_value() else {
+                return;
+            };
+            self.remove(*oldest);
+        }
+    }
+
+    fn remove(&mut self, key: CacheKey) {
+        if let Some(item) = self.items.remove(&key) {
+            self.order.remove(&item.used_at);
+            self.tokens -= u64::from(item.tokens);
+        }
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -4,13 +4,23 @@
 //! * [`skew`]: how far the busiest endpoint sits above the mean.
 //! * [`reuse`]: how much of the reusable prefixes returning chats find warm.
 //! * [`control`]: what the nodes spend to coordinate.
+//! * [`suite`]: the services that skew and reuse are measured on.
+//! * [`trial`]: one policy on one request sequence.
+//! * [`workload`], [`fleet`], [`cache`], [`plane`]: the sequence, the endpoints, their caches, and
+//!   what entries and agents know of them.
 //!
 //! Exit code 0 when the bound of the run holds, 1 when it does not, 2 for bad arguments.
 
+mod cache;
 mod control;
+mod fleet;
+mod plane;
 mod policy;
 mod reuse;
 mod skew;
+mod suite;
+mod trial;
+mod workload;
 
 use std::process::ExitCode;
 
--- /dev/null
+++ b/crates/measure/src/plane.rs
@@ -0,0 +1,152 @@
+//! What entries and agents know: heartbeats and digests that lag, loads that come with answers.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use member::{MemberSettings, MemberTable};
+use route::{RouteSettings, RouteTable};
+use wire::member::{AgentHeartbeat, MemberDigest, ServiceMean};
+
+use crate::fleet::{Fleet, SERVICE};
+use crate::workload::{RequestSequence, StepNumber};
+
+/// Time between two heartbeats of an agent.
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two digests.
+const DIGEST_INTERVAL: Duration = Duration::from_millis(500);
+/// Lag of the receiver that hears first.
+const MIN_LAG: Duration = Duration::from_millis(20);
+/// Lag of the receiver that hears last.
+const MAX_LAG: Duration = Duration::from_millis(250);
+/// Failure domains that the entries are spread over.
+const DOMAINS: u64 = 4;
+
+/// A digest on its way.
+struct DigestPost {
+    sent: StepNumber,
+    digest: Rc<MemberDigest>,
+}
+
+/// What entries and agents know.
+pub(crate) struct ViewPlane {
+    control: MemberTable,
+    /// The view of each entry.
+    pub(crate) entries: Vec<RouteTable>,
+    /// Digests that some receiver has not got yet, oldest first.
+    posts: VecDeque<DigestPost>,
+    /// Sequence of each agent's last heartbeat.
+    sequences: Vec<u64>,
+    heartbeat_steps: StepNumber,
+    digest_steps: StepNumber,
+    min_lag: StepNumber,
+    max_lag: StepNumber,
+}
+
+impl ViewPlane {
+    /// Views in which everybody knows the fleet, idle.
+    pub(crate) fn new(fleet: &Fleet, sequence: &RequestSequence, now: Instant) -> Self {
+        let entries = (0..sequence.settings.entries as u64)
+            .map(|number| {
+                RouteTable::new(RouteSettings {
+                    domain: number % DOMAINS,
+                    ..RouteSettings::default()
+                })
+            })
+            .collect();
+        let mut plane = Self {
+            control: MemberTable::new(MemberSettings::default()),
+            entries,
+            posts: VecDeque::new(),
+            sequences: vec![0; fleet.endpoints.len()],
+            heartbeat_steps: sequence.steps(HEARTBEAT_INTERVAL),
+            digest_steps: sequence.steps(DIGEST_INTERVAL),
+            min_lag: sequence.steps(MIN_LAG),
+            max_lag: sequence.steps(MAX_LAG),
+        };
+        for endpoint in 0..fleet.endpoints.len() {
+            plane.send_heartbeat(fleet, endpoint, now);
+        }
+        let digest = plane.control.next_digest(now);
+        for table in &mut plane.entries {
+            table.observe_digest(&digest, now);
+        }
+        plane
+    }
+
+    /// Sends and delivers what is due at `step`.
+    pub(crate) fn advance(&mut self, fleet: &mut Fleet, changed: &[usize], step: StepNumber) {
+        let now = fleet.time(step);
+        for endpoint in changed {
+            self.send_heartbeat(fleet, *endpoint, now);
+        }
+        let count = fleet.endpoints.len() as StepNumber;
+        for endpoint in 0..count {
+            let phase = endpoint * self.heartbeat_steps / count;
+            if (step + phase).is_multiple_of(self.heartbeat_steps) {
+                self.send_heartbeat(fleet, endpoint as usize, now);
+            }
+        }
+        let is_due = step.is_multiple_of(self.digest_steps);
+        if is_due || !changed.is_empty() {
+            self.control.tick(now);
+            let digest = Rc::new(self.control.next_digest(now));
+            let sent = step;
+            self.posts.push_back(DigestPost { sent, digest });
+        }
+        self.deliver(fleet, step);
+    }
+
+    fn send_heartbeat(&mut self, fleet: &Fleet, endpoint: usize, now: Instant) {
+        let found = &fleet.endpoints[endpoint];
+        self.sequences[endpoint] += 1;
+        let heartbeat = AgentHeartbeat {
+            record: Some(found.record.clone()),
+            endpoint: found.record.endpoint,
+            incarnation: found.record.incarnation,
+            sequence: self.sequences[endpoint],
+            state: found.queue.state(),
+            load: found.load(),
+            settings: 1,
+        };
+        self.control.observe_heartbeat(&heartbeat, now);
+    }
+
+    fn deliver(&mut self, fleet: &mut Fleet, step: StepNumber) {
+        let now = fleet.time(step);
+        for post in &self.posts {
+            let age = step - post.sent;
+            let entries = self.entries.len();
+            for (number, table) in self.entries.iter_mut().enumerate() {
+                if age == lag(number, entries, self.min_lag, self.max_lag) {
+                    table.observe_digest(&post.digest, now);
+                }
+            }
+            let Some(mean) = service_mean(&post.digest) else {
+                continue;
+            };
+            let agents = fleet.endpoints.len();
+            for (number, endpoint) in fleet.endpoints.iter_mut().enumerate() {
+                if age == lag(number, agents, self.min_lag, self.max_lag) {
+                    endpoint.queue.observe_mean(mean, now);
+                }
+            }
+        }
+        while self
+            .posts
+            .front()
+            .is_some_and(|post| step - post.sent >= self.max_lag)
+        {
+            self.posts.pop_front();
+        }
+    }
+}
+
+fn service_mean(digest: &MemberDigest) -> Option<&ServiceMean> {
+    digest.means.iter().find(|mean| mean.service == SERVICE)
+}
+
+/// Steps after which receiver `number` of `count` hears of a digest.
+fn lag(number: usize, count: usize, min: StepNumber, max: StepNumber) -> StepNumber {
+    min + (max - min) * number as StepNumber / count as StepNumber
+}
--- /dev/null
+++ b/crates/measure/src/suite.rs
@@ -0,0 +1,103 @@
+//! The services that a run measures, and the line that it prints for each trial.
+
+use settings::LoadLimits;
+
+use crate::policy::PolicyKind;
+use crate::trial::{Chooser, TrialResult, run_trial};
+use crate::workload::{RequestSequence, WorkloadSettings};
+
+/// Endpoints of the services of both deployments: redaction and guichet, toponym-lm and
+/// gazetteer-api.
+const DEPLOYED_SERVICES: [usize; 4] = [9, 3, 9, 4];
+/// Entries of a deployment.
+const DEPLOYED_ENTRIES: usize = 4;
+/// Fewest requests of a trial.
+const MIN_REQUESTS: usize = 60_000;
+/// Requests of a trial for each request that the service runs at once, at least.
+const REQUESTS_PER_PLACE: usize = 8;
+
+/// What a run is asked to measure.
+#[derive(Clone, Debug)]
+pub(crate) struct SuiteSettings {
+    pub(crate) seed: u64,
+    pub(crate) entries: Option<usize>,
+    pub(crate) endpoints: Option<usize>,
+    pub(crate) surge: u32,
+    pub(crate) churn: u32,
+}
+
+/// The trials of every policy on one service.
+pub(crate) struct ServiceTrials {
+    results: Vec<(PolicyKind, TrialResult)>,
+}
+
+impl ServiceTrials {
+    /// The trial of `policy`.
+    pub(crate) fn result(&self, policy: PolicyKind) -> &TrialResult {
+        let found = self.results.iter().find(|(kind, _)| *kind == policy);
+        found
+            .map(|(_, result)| result)
+            .expect("every policy is tried")
+    }
+}
+
+/// Runs every policy on every service; `ideal` is the chooser that knows everything.
+pub(crate) fn run_suite(settings: &SuiteSettings, ideal: Chooser) -> Vec<ServiceTrials> {
+    let deployed = DEPLOYED_SERVICES.to_vec();
+    let services = settings.endpoints.map_or(deployed, |count| vec![count]);
+    let numbered = (0..).zip(services);
+    numbered
+        .map(|(number, endpoints)| run_service(settings, endpoints, number, ideal))
+        .collect()
+}
+
+fn run_service(
+    settings: &SuiteSettings,
+    endpoints: usize,
+    number: u64,
+    ideal: Chooser,
+) -> ServiceTrials {
+    let places = endpoints * crate::workload::PLACES as usize;
+    let workload = WorkloadSettings {
+        seed: settings.seed.wrapping_mul(16).wrapping_add(number),
+        endpoints,
+        entries: settings.entries.unwrap_or(DEPLOYED_ENTRIES),
+        surge: settings.surge,
+        churn: settings.churn,
+        requests: MIN_REQUESTS.max(places * REQUESTS_PER_PLACE),
+    };
+    let sequence = RequestSequence::draw(&workload);
+    let trial = |policy| {
+        let result = run_trial(&sequence, chooser(policy, ideal), LoadLimits::default());
+        print_trial(endpoints, policy, &result);
+        (policy, result)
+    };
+    let results = PolicyKind::ALL.into_iter().map(trial).collect();
+    ServiceTrials { results }
+}
+
+fn chooser(policy: PolicyKind, ideal: Chooser) -> Chooser {
+    match policy {
+        PolicyKind::Random => Chooser::Random,
+        PolicyKind::Least => Chooser::Least,
+        PolicyKind::Rendezvous => Chooser::Rendezvous,
+        PolicyKind::Warm => Chooser::Warm,
+        PolicyKind::Ideal => ideal,
+    }
+}
+
+fn print_trial(endpoints: usize, policy: PolicyKind, result: &TrialResult) {
+    println!(
+        "trial endpoints={endpoints} policy={policy} over_bound={} max_over_mean={:.3} \
+         p99_over_mean={:.3} over_share={:.4} refused={:.4} redirected={:.3} deferred={:.4} cut={} hit={:.4}",
+        result.over_bound,
+        result.max_over_mean(),
+        result.p99_over_mean(),
+        result.over_share(LoadLimits::default().bound),
+        result.refused_share(),
+        result.redirected_share(),
+        result.deferred_share(),
+        result.cut,
+        result.hit(),
+    );
+}
--- /dev/null
+++ b/crates/measure/src/trial.rs
@@ -0,0 +1,433 @@
+//! One policy on one request sequence.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+use std::time::{Duration, Instant};
+
+use fault::FaultKind;
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use route::preference::{PreferenceList, chat_key};
+use route::{RetryBudget, RetrySettings, RouteRequest, WarmHint, WarmPlace};
+use settings::LoadLimits;
+use wire::id::EndpointId;
+
+use crate::fleet::{
+    Fleet, NO_LIMITS, OfferReply, OfferSpec, SERVICE, StepOutput, agent_settings, reusable_tokens,
+    warm_tokens,
+};
+use crate::plane::ViewPlane;
+use crate::workload::{ChatNumber, RequestSequence, RequestSpec, StepNumber};
+
+/// Agents that may refuse one request before it counts as refused.
+const MAX_HOPS: u8 = 4;
+/// Rounds of hops, with a wait between, before a request counts as refused.
+const MAX_ROUNDS: u8 = 3;
+/// Shortest wait of a request that a whole round of endpoints refused.
+const MIN_DEFERRAL: Duration = Duration::from_millis(200);
+/// Mean durations of a request that warm-up takes.
+const WARM_UP_DURATIONS: f64 = 3.0;
+
+/// One way to choose an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Chooser {
+    /// Any serving endpoint.
+    Random,
+    /// The least loaded as the entry sees it.
+    Least,
+    /// The preference order alone.
+    Rendezvous,
+    /// The product's choice.
+    Warm,
+    /// The least loaded by an exact view.
+    IdealLoad,
+    /// The warmest under the load bound by an exact view.
+    IdealWarm,
+}
+
+/// What a trial measured after warm-up.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TrialResult {
+    /// Requests that were offered.
+    pub(crate) requests: u64,
+    /// Requests that no endpoint admitted.
+    pub(crate) refused: u64,
+    /// Waits at the entry after all hops of a round were refused.
+    pub(crate) deferred: u64,
+    /// Refusals by agents that led to another try.
+    pub(crate) redirected: u64,
+    /// Running requests that restarts cut.
+    pub(crate) cut: u64,
+    /// Admissions that left an endpoint above ceil(bound x true mean).
+    pub(crate) over_bound: u64,
+    /// Largest load over mean of each sample.
+    pub(crate) peaks: Vec<f32>,
+    /// Tokens that earlier requests may have left in some cache.
+    pub(crate) reusable_tokens: u64,
+    /// Tokens found in the cache of the endpoint that ran the request.
+    pub(crate) found_tokens: u64,
+}
+
+impl TrialResult {
+    /// The worst sample.
+    pub(crate) fn max_over_mean(&self) -> f64 {
+        self.peaks.iter().copied().fold(0.0, f32::max).into()
+    }
+
+    /// The sample that 99 of 100 do not exceed.
+    pub(crate) fn p99_over_mean(&self) -> f64 {
+        let mut peaks = self.peaks.clone();
+        peaks.sort_by(f32::total_cmp);
+        let place = (peaks.len() * 99 / 100).min(peaks.len().saturating_sub(1));
+        peaks.get(place).copied().unwrap_or_default().into()
+    }
+
+    /// Share of samples above `bound`.
+    pub(crate) fn over_share(&self, bound: f64) -> f64 {
+        let over = self.peaks.iter().filter(|peak| f64::from(**peak) > bound);
+        over.count() as f64 / self.peaks.len().max(1) as f64
+    }
+
+    /// Share of requests that no endpoint admitted.
+    pub(crate) fn refused_share(&self) -> f64 {
+        self.refused as f64 / self.requests.max(1) as f64
+    }
+
+    /// Refusals that led to another try, for each request.
+    pub(crate) fn redirected_share(&self) -> f64 {
+        self.redirected as f64 / self.requests.max(1) as f64
+    }
+
+    /// Waits at the entry, for each request.
+    pub(crate) fn deferred_share(&self) -> f64 {
+        self.deferred as f64 / self.requests.max(1) as f64
+    }
+
+    /// Share of reusable prefix tokens found warm.
+    pub(crate) fn hit(&self) -> f64 {
+        self.found_tokens as f64 / self.reusable_tokens.max(1) as f64
+    }
+}
+
+/// Runs `chooser` on `sequence` under `limits`.
+pub(crate) fn run_trial(
+    sequence: &RequestSequence,
+    chooser: Chooser,
+    limits: LoadLimits,
+) -> TrialResult {
+    let start = Instant::now();
+    let agent_limits = match chooser {
+        Chooser::Warm => limits,
+        Chooser::IdealLoad | Chooser::IdealWarm => NO_LIMITS,
+        Chooser::Random | Chooser::Least | Chooser::Rendezvous => LoadLimits {
+            aim: limits.bound,
+            ..limits
+        },
+    };
+    let fleet = Fleet::new(sequence, agent_settings(agent_limits), start);
+    let mut trial = Trial {
+        plane: ViewPlane::new(&fleet, sequence, start),
+        fleet,
+        sequence,
+        chooser,
+        limits,
+        hints: HashMap::new(),
+        rng: Pcg64Mcg::new(u128::from(sequence.settings.seed) + 2),
+        result: TrialResult::default(),
+        warm_up: (WARM_UP_DURATIONS * sequence.mean_duration) as StepNumber,
+        retries: RetryBudget::new(RetrySettings::default()),
+        deferred: BinaryHeap::new(),
+    };
+    for step in 0..sequence.requests.len() as StepNumber {
+        trial.step(step);
+    }
+    trial.result
+}
+
+struct Trial<'a> {
+    sequence: &'a RequestSequence,
+    fleet: Fleet<'a>,
+    plane: ViewPlane,
+    chooser: Chooser,
+    limits: LoadLimits,
+    /// What each chat's caller holds.
+    hints: HashMap<ChatNumber, WarmHint>,
+    rng: Pcg64Mcg,
+    result: TrialResult,
+    /// Steps that are not measured.
+    warm_up: StepNumber,
+    retries: RetryBudget,
+    /// Requests that wait at their entry.
+    deferred: BinaryHeap<Reverse<DeferredRequest>>,
+}
+
+/// A request that waits at its entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct DeferredRequest {
+    due: StepNumber,
+    request: usize,
+    attempts: u8,
+    /// Rounds of hops that were refused.
+    rounds: u8,
+}
+
+impl Trial<'_> {
+    fn step(&mut self, step: StepNumber) {
+        let mut output = self.fleet.advance(step);
+        let changed = std::mem::take(&mut output.changed);
+        if !self.is_ideal() {
+            self.plane.advance(&mut self.fleet, &changed, step);
+        }
+        self.route_deferred(step, &mut output);
+        let first = DeferredRequest {
+            due: step,
+            request: step as usize,
+            attempts: 0,
+            rounds: 0,
+        };
+        self.route(first, &mut output);
+        while let Some(work) = output.returned.pop() {
+            let again = DeferredRequest {
+                request: work.request,
+                attempts: work.attempts,
+                ..first
+            };
+            self.route(again, &mut output);
+        }
+        self.learn(&output, step);
+        if step >= self.warm_up {
+            self.result.requests += 1;
+            self.result.cut += output.cut;
+            self.sample(step);
+        }
+    }
+
+    fn is_ideal(&self) -> bool {
+        matches!(self.chooser, Chooser::IdealLoad | Chooser::IdealWarm)
+    }
+
+    fn route_deferred(&mut self, step: StepNumber, output: &mut StepOutput) {
+        while let Some(Reverse(waiting)) = self.deferred.peek().copied() {
+            if waiting.due > step {
+                return;
+            }
+            self.deferred.pop();
+            self.route(waiting, output);
+        }
+    }
+
+    /// Offers a request to endpoints until one admits it or the hops are used up.
+    fn route(&mut self, routed: DeferredRequest, output: &mut StepOutput) {
+        let step = output.step;
+        let is_measured = step >= self.warm_up;
+        let now = self.fleet.time(step);
+        let spec = &self.sequence.requests[routed.request];
+        let mut tried: Vec<EndpointId> = Vec::new();
+        let mut attempts = routed.attempts;
+        while tried.len() <= usize::from(MAX_HOPS) {
+            let Some(endpoint) = self.choose(spec, &tried, step) else {
+                break;
+            };
+            attempts += 1;
+            let offer = OfferSpec {
+                request: routed.request,
+                attempt: attempts,
+                hops: tried.len() as u8,
+            };
+            let reply = self.fleet.offer(endpoint, &offer, output);
+            let found = &self.fleet.endpoints[endpoint];
+            let (id, load) = (found.record.endpoint, found.load());
+            let view = &mut self.plane.entries[spec.entry];
+            view.note_sent(id);
+            match reply {
+                OfferReply::Admitted => {
+                    view.observe_answer(id, load, now);
+                    self.check_bound(endpoint, step);
+                    return;
+                }
+                OfferReply::Refused(FaultKind::NoEndpoint) => view.observe_failure(id, now),
+                OfferReply::Refused(kind) => view.observe_refusal(id, kind, load, now),
+            }
+            tried.push(id);
+            self.result.redirected += u64::from(is_measured);
+        }
+        self.defer(routed, attempts, step);
+    }
+
+    /// Lets a request wait that a whole round of endpoints refused, or counts it as refused.
+    fn defer(&mut self, routed: DeferredRequest, attempts: u8, step: StepNumber) {
+        let is_measured = step >= self.warm_up;
+        let rounds = routed.rounds + 1;
+        if rounds >= MAX_ROUNDS {
+            self.result.refused += u64::from(is_measured);
+            return;
+        }
+        self.result.deferred += u64::from(is_measured);
+        let retry_after = Some(MIN_DEFERRAL);
+        let wait = self
+            .retries
+            .backoff_after(u32::from(rounds), retry_after, &mut self.rng);
+        self.deferred.push(Reverse(DeferredRequest {
+            due: step + self.sequence.steps(wait),
+            attempts,
+            rounds,
+            ..routed
+        }));
+    }
+
+    fn check_bound(&mut self, endpoint: usize, step: StepNumber) {
+        let now = self.fleet.time(step);
+        let limit = (self.limits.bound * self.fleet.mean(now)).ceil();
+        let load = f64::from(self.fleet.endpoints[endpoint].load().total());
+        if load > limit && step >= self.warm_up {
+            self.result.over_bound += 1;
+        }
+    }
+
+    /// Takes in what callers and entries learn from answers.
+    fn learn(&mut self, output: &StepOutput, step: StepNumber) {
+        let now = self.fleet.time(step);
+        for start in &output.started {
+            let spec = &self.sequence.requests[start.request];
+            let record = &self.fleet.endpoints[start.endpoint].record;
+            let place = WarmPlace {
+                endpoint: record.endpoint,
+                cache_epoch: record.cache_epoch,
+                tokens: reusable_tokens(spec) + spec.turn_tokens,
+            };
+            let hint = self.hints.entry(spec.chat).or_default();
+            *hint = hint.moved_to(place);
+            if step >= self.warm_up {
+                self.result.reusable_tokens += u64::from(reusable_tokens(spec));
+                let found = start.found_tokens.min(reusable_tokens(spec));
+                self.result.found_tokens += u64::from(found);
+            }
+        }
+        for (request, endpoint) in &output.ended {
+            let entry = self.sequence.requests[*request].entry;
+            let found = &self.fleet.endpoints[*endpoint];
+            let view = &mut self.plane.entries[entry];
+            view.observe_load(found.record.endpoint, found.load(), now);
+        }
+    }
+
+    fn sample(&mut self, step: StepNumber) {
+        let now = self.fleet.time(step);
+        let mean = self.fleet.mean(now);
+        let largest = self.fleet.open_loads(now).max().unwrap_or(0);
+        if mean > 0.0 {
+            let peak = f64::from(largest) / mean;
+            self.result.peaks.push(peak as f32);
+        }
+    }
+
+    fn choose(
+        &mut self,
+        spec: &RequestSpec,
+        tried: &[EndpointId],
+        step: StepNumber,
+    ) -> Option<usize> {
+        match self.chooser {
+            Chooser::Random => self.choose_random(spec, tried, step),
+            Chooser::Least => self.choose_least(spec, tried, step),
+            Chooser::Rendezvous => self.choose_preferred(spec, tried),
+            Chooser::Warm => self.choose_warm(spec, tried, step),
+            Chooser::IdealLoad => self.choose_exact(tried, step, |_| 0),
+            Chooser::IdealWarm => {
+                let fleet = &self.fleet;
+                let warmth = |endpoint: usize| {
+                    let cache = &fleet.endpoints[endpoint].cache;
+                    warm_tokens(cache, spec).min(reusable_tokens(spec))
+                };
+                self.choose_exact(tried, step, warmth)
+            }
+        }
+    }
+
+    /// The warmest open endpoint under the bound, and among equals the least loaded; when all are
+    /// at the bound, the least loaded.
+    fn choose_exact(
+        &self,
+        tried: &[EndpointId],
+        step: StepNumber,
+        warmth: impl Fn(usize) -> u32,
+    ) -> Option<usize> {
+        let now = self.fleet.time(step);
+        let open = self.fleet.open_loads(now).count().max(1) as f64;
+        let limit = (self.limits.bound * (self.fleet.mean(now) + 1.0 / open)).ceil();
+        let endpoints = self.fleet.endpoints.iter().enumerate();
+        endpoints
+            .filter(|(_, found)| found.is_open(now) && !tried.contains(&found.record.endpoint))
+            .max_by_key(|(index, found)| {
+                let load = found.load().total();
+                let has_room = f64::from(load + 1) <= limit;
+                let warm = if has_room { warmth(*index) } else { 0 };
+                (has_room, warm, Reverse(load))
+            })
+            .map(|(index, _)| index)
+    }
+
+    fn choose_random(
+        &mut self,
+        spec: &RequestSpec,
+        tried: &[EndpointId],
+        _step: StepNumber,
+    ) -> Option<usize> {
+        let view = &self.plane.entries[spec.entry];
+        let serving: Vec<EndpointId> = view.serving(tried).map(|seen| seen.endpoint).collect();
+        if serving.is_empty() {
+            return None;
+        }
+        let draw = self.rng.random_range(0..serving.len());
+        self.fleet.index(serving[draw])
+    }
+
+    fn choose_least(
+        &mut self,
+        spec: &RequestSpec,
+        tried: &[EndpointId],
+        _step: StepNumber,
+    ) -> Option<usize> {
+        let view = &self.plane.entries[spec.entry];
+        let least = view.serving(tried).min_by_key(|seen| seen.load)?;
+        self.fleet.index(least.endpoint)
+    }
+
+    fn choose_preferred(&mut self, spec: &RequestSpec, tried: &[EndpointId]) -> Option<usize> {
+        let view = &self.plane.entries[spec.entry];
+        let mut list = PreferenceList::<1>::default();
+        let seen: Vec<EndpointId> = view.serving(tried).map(|seen| seen.endpoint).collect();
+        for (row, endpoint) in (0..).zip(&seen) {
+            list.offer(affinity(spec), *endpoint, 1, row);
+        }
+        let rank = list.ranks().first()?;
+        self.fleet.index(seen[rank.row as usize])
+    }
+
+    fn choose_warm(
+        &mut self,
+        spec: &RequestSpec,
+        tried: &[EndpointId],
+        step: StepNumber,
+    ) -> Option<usize> {
+        let empty = WarmHint::default();
+        let hint = self.hints.get(&spec.chat).filter(|_| spec.has_hint);
+        let request = RouteRequest {
+            service: SERVICE,
+            model: None,
+            affinity: affinity(spec),
+            hint: hint.unwrap_or(&empty),
+            prefixes: &[],
+            tried,
+            limits: self.limits,
+        };
+        let now = self.fleet.time(step);
+        let view = &self.plane.entries[spec.entry];
+        let decision = view.choose(&request, now, &mut self.rng);
+        self.fleet.index(decision.endpoint?)
+    }
+}
+
+fn affinity(spec: &RequestSpec) -> u64 {
+    chat_key(u64::from(spec.account), &spec.chat.to_string())
+}
--- /dev/null
+++ b/crates/measure/src/workload.rs
@@ -0,0 +1,247 @@
+//! Request sequences after the deployments.
+//!
+//! One request arrives in each step. A sequence depends on its settings and seed only, so every
+//! policy is measured on the same one.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+use std::time::Duration;
+
+use rand::{Rng, RngExt};
+use rand_pcg::Pcg64Mcg;
+
+/// Number of a step, from 0.
+pub(crate) type StepNumber = u64;
+/// Number of a chat.
+pub(crate) type ChatNumber = u32;
+/// Number of a client account.
+pub(crate) type AccountNumber = u32;
+
+/// Share of capacity that the traffic takes.
+const UTILIZATION: f64 = 0.8;
+/// Requests that each endpoint runs at once.
+pub(crate) const PLACES: u32 = 32;
+/// Mean duration of a request.
+const MEAN_DURATION: Duration = Duration::from_secs(8);
+/// Endpoints above which the number of accounts grows with the service.
+const SMALL_SERVICE: usize = 16;
+/// Client accounts of a small service.
+const FEW_ACCOUNTS: u32 = 10;
+/// Client accounts of a large service.
+const MANY_ACCOUNTS: u32 = 2100;
+/// Chance that a chat goes on after an answer.
+const RETURN_CHANCE: f64 = 0.85;
+/// Chance that a return takes minutes, not hours.
+const SOON_CHANCE: f64 = 0.9;
+/// Mean gap of a return within minutes.
+const SOON_GAP: Duration = Duration::from_secs(120);
+/// Mean gap of a return within hours.
+const LATE_GAP: Duration = Duration::from_secs(2 * 60 * 60);
+/// Share of returning requests whose caller sends no hint.
+const HINTLESS_SHARE: f64 = 0.1;
+/// Tokens of an account's common prompt: smallest and range.
+const PROMPT_TOKENS: (u32, u32) = (400, 1200);
+/// Tokens that a turn adds: smallest and range.
+const TURN_TOKENS: (u32, u32) = (100, 600);
+
+/// What a sequence depends on.
+#[derive(Clone, Debug)]
+pub(crate) struct WorkloadSettings {
+    pub(crate) seed: u64,
+    pub(crate) endpoints: usize,
+    pub(crate) entries: usize,
+    /// Percent of the traffic that comes from one account.
+    pub(crate) surge: u32,
+    /// Restarts in each 1,000 requests.
+    pub(crate) churn: u32,
+    pub(crate) requests: usize,
+}
+
+/// One request of the sequence.
+#[derive(Clone, Debug)]
+pub(crate) struct RequestSpec {
+    pub(crate) entry: usize,
+    pub(crate) account: AccountNumber,
+    pub(crate) chat: ChatNumber,
+    /// Tokens of the account's common prompt.
+    pub(crate) prompt_tokens: u32,
+    /// Tokens of the chat before this turn, with the common prompt; 0 for a new chat.
+    pub(crate) context_tokens: u32,
+    /// Tokens that this turn adds.
+    pub(crate) turn_tokens: u32,
+    /// Steps from start to end, at least 1.
+    pub(crate) duration: StepNumber,
+    pub(crate) has_hint: bool,
+}
+
+/// A restart of an endpoint, which loses its work and its cache.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct RestartSpec {
+    pub(crate) step: StepNumber,
+    pub(crate) endpoint: usize,
+}
+
+/// A request in each step, and restarts.
+pub(crate) struct RequestSequence {
+    pub(crate) settings: WorkloadSettings,
+    pub(crate) requests: Vec<RequestSpec>,
+    /// In order of steps.
+    pub(crate) restarts: Vec<RestartSpec>,
+    /// Time that one step takes.
+    pub(crate) step_time: Duration,
+    /// Steps that a request takes on average.
+    pub(crate) mean_duration: f64,
+}
+
+/// A chat between two turns.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct ChatTurn {
+    due: StepNumber,
+    chat: ChatNumber,
+    account: AccountNumber,
+    tokens: u32,
+}
+
+impl RequestSequence {
+    /// Draws the sequence.
+    pub(crate) fn draw(settings: &WorkloadSettings) -> Self {
+        let mean_duration = UTILIZATION * settings.endpoints as f64 * f64::from(PLACES);
+        let step_time = MEAN_DURATION.div_f64(mean_duration);
+        let mut draw = SequenceDraw {
+            settings,
+            step_time,
+            mean_duration,
+            accounts: account_prompts(settings),
+            rng: Pcg64Mcg::new(u128::from(settings.seed) + 1),
+            returns: BinaryHeap::new(),
+            chats: 0,
+        };
+        let steps = 0..settings.requests as StepNumber;
+        let requests = steps.map(|step| draw.next_request(step)).collect();
+        let restarts = draw.restarts();
+        Self {
+            settings: settings.clone(),
+            requests,
+            restarts,
+            step_time,
+            mean_duration,
+        }
+    }
+
+    /// Steps that `time` takes, at least 1.
+    pub(crate) fn steps(&self, time: Duration) -> StepNumber {
+        steps_of(time, self.step_time)
+    }
+}
+
+struct SequenceDraw<'a> {
+    settings: &'a WorkloadSettings,
+    step_time: Duration,
+    mean_duration: f64,
+    /// Tokens of each account's common prompt.
+    accounts: Vec<u32>,
+    rng: Pcg64Mcg,
+    returns: BinaryHeap<Reverse<ChatTurn>>,
+    chats: ChatNumber,
+}
+
+impl SequenceDraw<'_> {
+    fn next_request(&mut self, step: StepNumber) -> RequestSpec {
+        let is_due = |turn: &Reverse<ChatTurn>| turn.0.due <= step;
+        let turn = match self.returns.peek() {
+            Some(turn) if is_due(turn) => self.returns.pop().map(|turn| turn.0),
+            _ => None,
+        };
+        let turn = turn.unwrap_or_else(|| self.new_chat(step));
+        let prompt_tokens = self.accounts[turn.account as usize];
+        let turn_tokens = TURN_TOKENS.0 + self.rng.random_range(0..TURN_TOKENS.1);
+        let duration = exponential(self.mean_duration, &mut self.rng).ceil() as StepNumber;
+        let duration = duration.max(1);
+        let context = turn.tokens.max(prompt_tokens) + turn_tokens;
+        self.schedule_return(step + duration, turn, context);
+        let is_hintless = self.rng.random_bool(HINTLESS_SHARE);
+        RequestSpec {
+            entry: self.rng.random_range(0..self.settings.entries),
+            account: turn.account,
+            chat: turn.chat,
+            prompt_tokens,
+            context_tokens: turn.tokens,
+            turn_tokens,
+            duration,
+            has_hint: !is_hintless,
+        }
+    }
+
+    fn new_chat(&mut self, step: StepNumber) -> ChatTurn {
+        self.chats += 1;
+        ChatTurn {
+            due: step,
+            chat: self.chats,
+            account: self.draw_account(),
+            tokens: 0,
+        }
+    }
+
+    /// Account 0 surges. The others follow Zipf's law: a few are large.
+    fn draw_account(&mut self) -> AccountNumber {
+        if self.rng.random_range(0..100) < self.settings.surge {
+            return 0;
+        }
+        let count = self.accounts.len() as f64;
+        let draw = self.rng.random_range(0.0..1.0);
+        let rank = f64::powf(count, draw) as AccountNumber;
+        rank.min(self.accounts.len() as AccountNumber - 1)
+    }
+
+    fn schedule_return(&mut self, end: StepNumber, turn: ChatTurn, tokens: u32) {
+        if !self.rng.random_bool(RETURN_CHANCE) {
+            return;
+        }
+        let is_soon = self.rng.random_bool(SOON_CHANCE);
+        let mean_gap = if is_soon { SOON_GAP } else { LATE_GAP };
+        let gap = mean_gap.mul_f64(exponential(1.0, &mut self.rng));
+        let due = end + steps_of(gap, self.step_time);
+        let turn = ChatTurn {
+            due,
+            tokens,
+            ..turn
+        };
+        self.returns.push(Reverse(turn));
+    }
+
+    fn restarts(&mut self) -> Vec<RestartSpec> {
+        let count = self.settings.requests * self.settings.churn as usize / 1000;
+        let steps = self.settings.requests as StepNumber;
+        let endpoints = self.settings.endpoints;
+        let mut restarts: Vec<RestartSpec> = (0..count)
+            .map(|_| RestartSpec {
+                step: self.rng.random_range(0..steps),
+                endpoint: self.rng.random_range(0..endpoints),
+            })
+            .collect();
+        restarts.sort_by_key(|restart| restart.step);
+        restarts
+    }
+}
+
+fn account_prompts(settings: &WorkloadSettings) -> Vec<u32> {
+    let is_small = settings.endpoints <= SMALL_SERVICE;
+    let count = if is_small {
+        FEW_ACCOUNTS
+    } else {
+        MANY_ACCOUNTS
+    };
+    let mut rng = Pcg64Mcg::new(u128::from(settings.seed));
+    let mut draw = || PROMPT_TOKENS.0 + rng.random_range(0..PROMPT_TOKENS.1);
+    (0..count).map(|_| draw()).collect()
+}
+
+fn exponential<R: Rng>(mean: f64, rng: &mut R) -> f64 {
+    -mean * f64::ln(1.0 - rng.random_range(0.0..1.0))
+}
+
+fn steps_of(time: Duration, step_time: Duration) -> StepNumber {
+    (time.as_secs_f64() / step_time.as_secs_f64())
+        .ceil()
+        .max(1.0) as StepNumber
+}
--- a/crates/member/src/flap.rs
+++ b/crates/member/src/flap.rs
@@ -17,7 +17,7 @@
     fn default() -> Self {
         Self {
             half_life: Duration::from_secs(30),
-            limit: 2.5,
+            limit: 4.0,
             release: 1.0,
         }
     }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -71,6 +71,8 @@
     Down,
     /// A connection to it failed a moment ago.
     Suspect,
+    /// It began to serve a moment ago and admits nothing yet.
+    Joining,
     /// It refused this request before.
     Tried,
     /// Its load would exceed the aim.
@@ -121,6 +123,8 @@
     /// Drawn in proportion to room.
     roomy: Option<u32>,
     least_loaded: Option<u32>,
+    /// The least loaded of those that refused the request before.
+    revisited: Option<u32>,
     admissible: u32,
     known: u32,
 }
@@ -198,22 +202,29 @@
             preferred: PreferenceList::default(),
             roomy: None,
             least_loaded: None,
+            revisited: None,
             admissible: 0,
             known: 0,
         };
         let mut total_room = 0.0;
         let mut least_load = f64::INFINITY;
+        let mut least_revisited = f64::INFINITY;
         for index in &service.rows {
             let row = &self.table.rows[*index as usize];
             scan.known += 1;
-            if self.exclusion(row).is_some() {
+            let load = self.load_with_request(row);
+            let exclusion = self.exclusion(row);
+            if exclusion == Some(Exclusion::Tried) && load < least_revisited {
+                least_revisited = load;
+                scan.revisited = Some(*index);
+            }
+            if exclusion.is_some() {
                 continue;
             }
             scan.admissible += 1;
             let affinity = self.request.affinity;
             scan.preferred
                 .offer(affinity, row.endpoint, row.weight, *index);
-            let load = self.load_with_request(row);
             if load < least_load {
                 least_load = load;
                 scan.least_loaded = Some(*index);
@@ -248,7 +259,8 @@
         if let Some(row) = scan.roomy {
             return Some((self.take(row, ChoiceReason::Room), ChoiceReason::Room));
         }
-        let row = scan.least_loaded?;
+        // An endpoint that judged by the aim may admit by the bound after enough refusals.
+        let row = scan.least_loaded.or(scan.revisited)?;
         let reason = ChoiceReason::LeastLoaded;
         Some((self.take(row, reason), reason))
     }
@@ -338,10 +350,14 @@
         if is_ahead(row.suspect_until) {
             return Some(Exclusion::Suspect);
         }
-        if self.request.tried.contains(&row.endpoint) {
-            return Some(Exclusion::Tried);
+        if is_ahead(row.joining_until) {
+            return Some(Exclusion::Joining);
+        }
+        if self.is_misplaced(row) {
+            return Some(Exclusion::Misplaced);
         }
-        self.is_misplaced(row).then_some(Exclusion::Misplaced)
+        let is_tried = self.request.tried.contains(&row.endpoint);
+        is_tried.then_some(Exclusion::Tried)
     }
 
     fn is_misplaced(&self, row: &EndpointRow) -> bool {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -20,6 +20,9 @@
     pub load_fades_after: Duration,
     /// How long an endpoint is passed over after a failed connection.
     pub suspect_for: Duration,
+    /// How long an endpoint is passed over after control said that it serves again, as it admits
+    /// nothing yet.
+    pub join_delay: Duration,
     /// How long an endpoint that said that it is leaving is passed over, whatever a digest says.
     pub leaving_for: Duration,
 }
@@ -30,6 +33,7 @@
             domain: 0,
             load_fades_after: Duration::from_secs(5),
             suspect_for: Duration::from_secs(1),
+            join_delay: Duration::from_millis(300),
             leaving_for: Duration::from_secs(10),
         }
     }
@@ -52,6 +56,16 @@
     pub(crate) pending: u32,
     pub(crate) suspect_until: Option<Instant>,
     pub(crate) leaving_until: Option<Instant>,
+    pub(crate) joining_until: Option<Instant>,
+}
+
+/// A serving endpoint as an entry sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServingEndpoint {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Requests there, as last seen.
+    pub load: u32,
 }
 
 /// The endpoints of one service.
@@ -110,6 +124,17 @@
         &self.records
     }
 
+    /// Endpoints that serve, as far as this entry knows, without those in `tried`.
+    pub fn serving(&self, tried: &[EndpointId]) -> impl Iterator<Item = ServingEndpoint> {
+        let serving = self.rows.iter().filter(move |row| {
+            row.state == EndpointState::Serving && !tried.contains(&row.endpoint)
+        });
+        serving.map(|row| ServingEndpoint {
+            endpoint: row.endpoint,
+            load: row.load.total() + row.pending,
+        })
+    }
+
     /// Restricts `model` to `endpoints`; an empty list lifts the restriction.
     pub fn place_model(&mut self, model: ModelId, mut endpoints: Vec<EndpointId>) {
         if endpoints.is_empty() {
@@ -122,8 +147,12 @@
 
     /// Takes a digest of control in.
     pub fn observe_digest(&mut self, digest: &MemberDigest, now: Instant) {
+        // The first digest describes endpoints that have served for long.
+        let is_first = self.rows.is_empty();
+        let open_at = now + self.settings.join_delay;
         for record in &digest.records {
-            self.upsert(record);
+            let joining_until = (!is_first).then_some(open_at);
+            self.upsert(record, joining_until);
         }
         for endpoint in &digest.gone {
             self.remove(*endpoint);
@@ -246,30 +275,30 @@
         Some(&mut self.rows[index])
     }
 
-    fn upsert(&mut self, record: &EndpointRecord) {
+    fn upsert(&mut self, record: &EndpointRecord, joining_until: Option<Instant>) {
         self.prefixes
             .keep_epoch(record.endpoint, record.cache_epoch);
         let search = self
             .rows
             .binary_search_by_key(&record.endpoint, |row| row.endpoint);
         match search {
-            Ok(index) => self.update(index, record),
+            Ok(index) => self.update(index, record, joining_until),
             Err(index) => {
-                self.rows.insert(index, new_row(record));
+                self.rows.insert(index, new_row(record, joining_until));
                 self.records.insert(index, record.clone());
             }
         }
     }
 
     /// Ignores a record of an earlier life.
-    fn update(&mut self, index: usize, record: &EndpointRecord) {
+    fn update(&mut self, index: usize, record: &EndpointRecord, joining_until: Option<Instant>) {
         let known = &self.records[index];
         if record.incarnation < known.incarnation {
             return;
         }
         let row = &mut self.rows[index];
         if record.incarnation > known.incarnation {
-            *row = new_row(record);
+            *row = new_row(record, joining_until);
         }
         row.cache_epoch = record.cache_epoch;
         row.service = record.service;
@@ -305,7 +334,12 @@
         if !is_current(sample.incarnation, &self.records[index]) {
             return;
         }
+        let open_at = now + self.settings.join_delay;
         let row = &mut self.rows[index];
+        let is_serving = sample.state == EndpointState::Serving;
+        if is_serving && row.state != EndpointState::Serving {
+            row.joining_until = Some(open_at);
+        }
         row.state = sample.state;
         row.load = sample.load;
         row.seen_at = Some(now);
@@ -316,7 +350,7 @@
     incarnation == record.incarnation
 }
 
-fn new_row(record: &EndpointRecord) -> EndpointRow {
+fn new_row(record: &EndpointRecord, joining_until: Option<Instant>) -> EndpointRow {
     EndpointRow {
         endpoint: record.endpoint,
         cache_epoch: record.cache_epoch,
@@ -329,5 +363,6 @@
         pending: 0,
         suspect_until: None,
         leaving_until: None,
+        joining_until,
     }
 }
