Probe only awaited answers, bound what a link holds, count its bytes

The queue is bounded by messages and by bytes, the read buffer by what has arrived, a hello by 512 bytes before anything is proved. A receiver reads before it judges silence, since it may have been frozen itself. LinkCounters counts frames and bytes by kind and direction.

--- a/crates/link/src/control_client.rs
+++ b/crates/link/src/control_client.rs
@@ -16,7 +16,9 @@
 use wire::command::{ControlCommand, ControlReply};
 use wire::message::ControlProposal;
 
-use crate::connection::{LinkReceiver, LinkSender, LinkSettings, connect};
+use crate::connection::{LinkSettings, connect};
+use crate::receiver::LinkReceiver;
+use crate::sender::LinkSender;
 
 /// Pause before the next control instance is tried.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
--- a/crates/link/src/frame.rs
+++ b/crates/link/src/frame.rs
@@ -17,6 +17,30 @@
 /// Bytes that a frame adds to its payload.
 pub const FRAME_OVERHEAD_BYTES: usize = LENGTH_BYTES + TAG_BYTES;
 
+/// First byte of a payload: what follows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+pub enum PayloadMark {
+    /// An encoded message.
+    Message = 0,
+    /// Nothing; the peer is to answer.
+    Probe = 1,
+    /// Nothing; the answer to a probe.
+    ProbeReply = 2,
+}
+
+impl PayloadMark {
+    /// The mark that `byte` stands for.
+    pub fn from_byte(byte: u8) -> Option<Self> {
+        match byte {
+            0 => Some(Self::Message),
+            1 => Some(Self::Probe),
+            2 => Some(Self::ProbeReply),
+            _ => None,
+        }
+    }
+}
+
 /// Seals the payloads of one direction of a connection.
 pub struct FrameSealer {
     key: KeyBytes,
@@ -75,6 +99,13 @@
         Ok(Some(payload))
     }
 
+    /// Bytes that are missing to the frame at the start of `buffer`.
+    pub fn missing(&self, buffer: &BytesMut) -> usize {
+        let length = buffer.first_chunk::<LENGTH_BYTES>();
+        let payload = length.map_or(0, |length| u32::from_be_bytes(*length) as usize);
+        (FRAME_OVERHEAD_BYTES + payload).saturating_sub(buffer.len())
+    }
+
     fn check(&mut self, tag: &[u8], payload: &[u8]) -> Result<()> {
         let mac = keyed_mac(&self.key).chain_update(self.number.to_be_bytes());
         let valid = mac.chain_update(payload).verify_truncated_left(tag);
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -7,22 +7,24 @@
 use std::path::Path;
 
 use hmac::{Hmac, KeyInit, Mac};
-use postcard::{from_bytes, to_stdvec};
 use serde::{Deserialize, Serialize};
 use sha2::Sha256;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 
 use crate::error::{LinkError, Result};
-use wire::codec::CodecError;
+use wire::codec;
 
 /// Version of the framing and of the messages.
 pub const LINK_VERSION: u8 = 1;
-/// Largest hello in bytes.
-const MAX_HELLO_BYTES: usize = 512;
+/// Largest hello in bytes: all that is buffered of a peer that has proved nothing.
+pub const MAX_HELLO_BYTES: usize = 512;
 /// Bytes of a proof and of a key.
 const KEY_BYTES: usize = 32;
 
+/// Bytes of version, length and proof.
+const HANDSHAKE_OVERHEAD_BYTES: usize = 1 + 2 + KEY_BYTES;
+
 /// Bytes of a key.
 pub type KeyBytes = [u8; KEY_BYTES];
 
@@ -65,10 +67,38 @@
     pub role: PeerRole,
 }
 
-#[derive(Serialize, Deserialize)]
-struct HelloFrame {
-    nonce: KeyBytes,
-    identity: LinkIdentity,
+/// What each side sends first. Nothing in it is trusted before the proofs are checked.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HelloFrame {
+    /// Random, for this connection only.
+    pub nonce: KeyBytes,
+    /// Who the sender claims to be.
+    pub identity: LinkIdentity,
+}
+
+impl HelloFrame {
+    /// Encodes the hello.
+    ///
+    /// # Errors
+    /// [`LinkError::NotAuthentic`] when the peer would refuse it for its size.
+    pub fn encode(&self) -> Result<Vec<u8>> {
+        let bytes = codec::encode(self)?;
+        if bytes.len() > MAX_HELLO_BYTES {
+            return Err(LinkError::NotAuthentic);
+        }
+        Ok(bytes)
+    }
+
+    /// Decodes a hello.
+    ///
+    /// # Errors
+    /// The bytes are too many or no hello.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        if bytes.len() > MAX_HELLO_BYTES {
+            return Err(LinkError::NotAuthentic);
+        }
+        Ok(codec::decode_as(bytes)?)
+    }
 }
 
 /// What a successful handshake yields.
@@ -79,6 +109,10 @@
     pub send_key: KeyBytes,
     /// Key of the frames that this side receives.
     pub receive_key: KeyBytes,
+    /// Bytes that this side sent.
+    pub sent_bytes: usize,
+    /// Bytes that this side received.
+    pub received_bytes: usize,
 }
 
 /// Which side of the handshake this process is on.
@@ -96,13 +130,14 @@
     secret: &LinkSecret,
 ) -> Result<HandshakeResult> {
     let nonce: KeyBytes = rand::random();
-    let own = encode_hello(&HelloFrame {
+    let hello = HelloFrame {
         nonce,
         identity: identity.clone(),
-    })?;
+    };
+    let own = hello.encode()?;
     write_hello(stream, &own).await?;
     let theirs = read_hello(stream).await?;
-    let peer = decode_hello(&theirs)?.identity;
+    let peer = HelloFrame::decode(&theirs)?.identity;
     let (first, second) = match side {
         HandshakeSide::Connecting => (&own, &theirs),
         HandshakeSide::Accepting => (&theirs, &own),
@@ -118,6 +153,8 @@
         peer,
         send_key,
         receive_key,
+        sent_bytes: own.len() + HANDSHAKE_OVERHEAD_BYTES,
+        received_bytes: theirs.len() + HANDSHAKE_OVERHEAD_BYTES,
     })
 }
 
@@ -149,14 +186,6 @@
     mac.finalize().into_bytes().into()
 }
 
-fn encode_hello(hello: &HelloFrame) -> Result<Vec<u8>> {
-    to_stdvec(hello).map_err(malformed)
-}
-
-fn decode_hello(bytes: &[u8]) -> Result<HelloFrame> {
-    from_bytes(bytes).map_err(malformed)
-}
-
 async fn write_hello(stream: &mut TcpStream, hello: &[u8]) -> Result<()> {
     let length = u16::try_from(hello.len()).map_err(|_| LinkError::NotAuthentic)?;
     stream.write_u8(LINK_VERSION).await?;
@@ -178,10 +207,3 @@
     stream.read_exact(&mut hello).await?;
     Ok(hello)
 }
-
-fn malformed(error: postcard::Error) -> LinkError {
-    CodecError::Malformed {
-        reason: error.to_string(),
-    }
-    .into()
-}
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -1,6 +1,10 @@
 //! Authenticated connections between processes of the system.
 //!
-//! * [`connection`]: a connection as a pair of sender and receiver.
+//! * [`connection`]: how connections are made.
+//! * [`sender`]: the sending half of a connection and the task that writes.
+//! * [`receiver`]: the receiving half of a connection.
+//! * [`due`]: when a connection has to be probed, and when it counts as dead.
+//! * [`counters`]: counts of frames and bytes by kind of message.
 //! * [`control_client`]: the connection of an entry or an agent to the control quorum.
 //! * [`handshake`]: mutual authentication and the keys of a connection.
 //! * [`frame`]: framing, authentication and replay protection of messages.
@@ -8,10 +12,18 @@
 
 pub mod connection;
 pub mod control_client;
+pub mod counters;
+pub mod due;
 pub mod error;
 pub mod frame;
 pub mod handshake;
+pub mod receiver;
+pub mod sender;
+mod state;
 
-pub use connection::{Link, LinkReceiver, LinkSender, LinkSettings, accept, connect};
+pub use connection::{Link, LinkSettings, accept, connect};
+pub use counters::{FrameCount, FrameDirection, LinkCounters, MessageKind};
 pub use error::{LinkError, Result};
 pub use handshake::{LinkIdentity, LinkSecret, PeerRole};
+pub use receiver::LinkReceiver;
+pub use sender::LinkSender;
--- /dev/null
+++ b/crates/link/src/receiver.rs
@@ -0,0 +1,153 @@
+//! The receiving half of a connection.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use bytes::{Bytes, BytesMut};
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::mpsc;
+use tokio::time::sleep_until;
+use wire::LinkMessage;
+use wire::codec;
+
+use crate::counters::{FrameDirection, MessageKind};
+use crate::due::DueStep;
+use crate::error::{LinkError, Result};
+use crate::frame::{FRAME_OVERHEAD_BYTES, FrameOpener, PayloadMark};
+use crate::sender::QueuedPayload;
+use crate::state::LinkState;
+
+/// Bytes that the buffer of an idle connection can take.
+const IDLE_READ_BYTES: usize = 4 * 1024;
+/// Bytes by which the buffer grows at the most while a large frame arrives. The buffer thus never
+/// exceeds twice what has arrived plus this, whatever a frame says of its length.
+const MAX_READ_BYTES: usize = 256 * 1024;
+
+/// Receives the messages of a connection. A process that does not call [`LinkReceiver::next`] for
+/// the silence limit answers no probes and counts as dead to its peer.
+pub struct LinkReceiver {
+    stream: OwnedReadHalf,
+    buffer: BytesMut,
+    opener: FrameOpener,
+    replies: mpsc::WeakSender<QueuedPayload>,
+    state: Arc<LinkState>,
+}
+
+impl LinkReceiver {
+    pub(crate) fn new(
+        stream: OwnedReadHalf,
+        opener: FrameOpener,
+        replies: mpsc::WeakSender<QueuedPayload>,
+        state: Arc<LinkState>,
+    ) -> Self {
+        Self {
+            stream,
+            buffer: BytesMut::new(),
+            opener,
+            replies,
+            state,
+        }
+    }
+
+    /// The next message. Probes on the way are answered here.
+    ///
+    /// # Errors
+    /// Why the connection ended; it is unusable then, also for its senders.
+    pub async fn next(&mut self) -> Result<LinkMessage> {
+        let message = self.next_message().await;
+        if message.is_err() {
+            self.state.close();
+        }
+        message
+    }
+
+    async fn next_message(&mut self) -> Result<LinkMessage> {
+        loop {
+            while let Some(payload) = self.opener.open(&mut self.buffer)? {
+                if let Some(message) = self.read_payload(&payload)? {
+                    return Ok(message);
+                }
+            }
+            self.fill().await?;
+        }
+    }
+
+    fn read_payload(&mut self, payload: &Bytes) -> Result<Option<LinkMessage>> {
+        let mark = payload
+            .first()
+            .and_then(|mark| PayloadMark::from_byte(*mark));
+        let (kind, message) = match mark {
+            Some(PayloadMark::Message) => {
+                let message = codec::decode(&payload.slice(1..))?;
+                self.state.watch().received(&message);
+                (MessageKind::of(&message), Some(message))
+            }
+            Some(PayloadMark::Probe) => {
+                self.enqueue(QueuedPayload::probe_reply());
+                (MessageKind::Probe, None)
+            }
+            Some(PayloadMark::ProbeReply) => (MessageKind::ProbeReply, None),
+            None => return Err(LinkError::NotAuthentic),
+        };
+        let bytes = payload.len() + FRAME_OVERHEAD_BYTES;
+        self.state
+            .counters
+            .add(FrameDirection::Received, kind, bytes);
+        Ok(message)
+    }
+
+    /// Reads some bytes, probing and giving up as the watch says.
+    async fn fill(&mut self) -> Result<()> {
+        let state = Arc::clone(&self.state);
+        loop {
+            let step = state.watch().step(Instant::now());
+            let deadline = match step {
+                DueStep::Rest => None,
+                DueStep::WaitUntil(deadline) => Some(deadline),
+                DueStep::Silent => return Err(LinkError::Silent),
+                DueStep::Probe => {
+                    self.enqueue(QueuedPayload::probe());
+                    continue;
+                }
+            };
+            // Reading goes first: a process that was frozen itself finds the reply waiting.
+            tokio::select! {
+                biased;
+                read = self.read_some() => {
+                    read?;
+                    state.watch().heard(Instant::now());
+                    return Ok(());
+                }
+                () = sleep_until_some(deadline) => {}
+                () = state.due.notified() => {}
+                () = state.until_closed() => return Err(LinkError::Closed),
+            }
+        }
+    }
+
+    async fn read_some(&mut self) -> Result<()> {
+        let missing = self.opener.missing(&self.buffer);
+        let room = missing.clamp(IDLE_READ_BYTES, MAX_READ_BYTES);
+        self.buffer.reserve(room);
+        if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            return Err(LinkError::Closed);
+        }
+        Ok(())
+    }
+
+    fn enqueue(&self, payload: QueuedPayload) {
+        if let Some(queue) = self.replies.upgrade() {
+            // A full queue is traffic enough; the peer needs no probe then.
+            let _ = queue.try_send(payload);
+        }
+    }
+}
+
+/// Sleeps until the deadline, or for good without one.
+async fn sleep_until_some(deadline: Option<Instant>) {
+    match deadline {
+        Some(deadline) => sleep_until(deadline.into()).await,
+        None => std::future::pending().await,
+    }
+}
--- /dev/null
+++ b/crates/link/src/sender.rs
@@ -0,0 +1,197 @@
+//! The sending half of a connection and the task that writes.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::BytesMut;
+use tokio::io::AsyncWriteExt;
+use tokio::net::tcp::OwnedWriteHalf;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc};
+use tokio::time::timeout;
+use wire::LinkMessage;
+use wire::codec;
+
+use crate::counters::{FrameDirection, MessageKind};
+use crate::error::{LinkError, Result};
+use crate::frame::{FRAME_OVERHEAD_BYTES, FrameSealer, PayloadMark};
+use crate::state::LinkState;
+
+/// Bytes that the writer collects before it writes.
+const WRITE_BATCH_BYTES: usize = 64 * 1024;
+
+/// An encoded payload on its way to the writer.
+pub(crate) struct QueuedPayload {
+    kind: MessageKind,
+    bytes: Vec<u8>,
+    /// The payload's part of the queue's bytes; probes have none.
+    _room: Option<OwnedSemaphorePermit>,
+}
+
+impl QueuedPayload {
+    pub(crate) fn probe() -> Self {
+        Self::bare(MessageKind::Probe, PayloadMark::Probe)
+    }
+
+    pub(crate) fn probe_reply() -> Self {
+        Self::bare(MessageKind::ProbeReply, PayloadMark::ProbeReply)
+    }
+
+    fn bare(kind: MessageKind, mark: PayloadMark) -> Self {
+        Self {
+            kind,
+            bytes: vec![mark as u8],
+            _room: None,
+        }
+    }
+}
+
+/// Sends messages on a connection. The connection closes when all senders are gone and what they
+/// queued is written, and when either side finds it dead.
+#[derive(Clone)]
+pub struct LinkSender {
+    queue: mpsc::Sender<QueuedPayload>,
+    /// Bytes of the queue that are free.
+    room: Arc<Semaphore>,
+    /// Bytes of the whole queue.
+    queue_bytes: u32,
+    state: Arc<LinkState>,
+}
+
+impl LinkSender {
+    pub(crate) fn new(
+        queue: mpsc::Sender<QueuedPayload>,
+        queue_bytes: u32,
+        state: Arc<LinkState>,
+    ) -> Self {
+        let room = Arc::new(Semaphore::new(queue_bytes as usize));
+        Self {
+            queue,
+            room,
+            queue_bytes,
+            state,
+        }
+    }
+
+    /// Sends a message, waiting while the queue is full.
+    ///
+    /// # Errors
+    /// [`LinkError::Closed`] when the connection has ended, [`LinkError::Codec`] when the message
+    /// is too large.
+    pub async fn send(&self, message: LinkMessage) -> Result<()> {
+        let bytes = encode(&message)?;
+        let room = Arc::clone(&self.room).acquire_many_owned(self.room_for(&bytes));
+        let room = tokio::select! {
+            room = room => room.map_err(|_| LinkError::Closed)?,
+            () = self.state.until_closed() => return Err(LinkError::Closed),
+        };
+        let slot = tokio::select! {
+            slot = self.queue.reserve() => slot.map_err(|_| LinkError::Closed)?,
+            () = self.state.until_closed() => return Err(LinkError::Closed),
+        };
+        self.note_sent(&message)?;
+        slot.send(payload(&message, bytes, room));
+        Ok(())
+    }
+
+    /// Sends a message if the queue has room.
+    ///
+    /// # Errors
+    /// [`LinkError::Closed`] when the queue is full or the connection has ended,
+    /// [`LinkError::Codec`] when the message is too large.
+    pub fn try_send(&self, message: LinkMessage) -> Result<()> {
+        let bytes = encode(&message)?;
+        let room = Arc::clone(&self.room).try_acquire_many_owned(self.room_for(&bytes));
+        let room = room.map_err(|_| LinkError::Closed)?;
+        let slot = self.queue.try_reserve().map_err(|_| LinkError::Closed)?;
+        self.note_sent(&message)?;
+        slot.send(payload(&message, bytes, room));
+        Ok(())
+    }
+
+    /// Whether the connection has ended.
+    pub fn is_closed(&self) -> bool {
+        self.state.is_closed() || self.queue.is_closed()
+    }
+
+    /// A message larger than the queue takes all of it.
+    fn room_for(&self, bytes: &[u8]) -> u32 {
+        u32::try_from(bytes.len()).map_or(self.queue_bytes, |size| size.min(self.queue_bytes))
+    }
+
+    fn note_sent(&self, message: &LinkMessage) -> Result<()> {
+        if self.state.is_closed() {
+            return Err(LinkError::Closed);
+        }
+        if self.state.watch().sent(Instant::now(), message) {
+            self.state.due.notify_one();
+        }
+        Ok(())
+    }
+}
+
+fn encode(message: &LinkMessage) -> Result<Vec<u8>> {
+    Ok(codec::encode(&(PayloadMark::Message as u8, message))?)
+}
+
+fn payload(message: &LinkMessage, bytes: Vec<u8>, room: OwnedSemaphorePermit) -> QueuedPayload {
+    QueuedPayload {
+        kind: MessageKind::of(message),
+        bytes,
+        _room: Some(room),
+    }
+}
+
+/// Writes queued payloads until every sender is gone, the socket fails, or the peer takes nothing
+/// for `write_limit`.
+pub(crate) async fn write_frames(
+    stream: OwnedWriteHalf,
+    mut payloads: mpsc::Receiver<QueuedPayload>,
+    sealer: FrameSealer,
+    state: Arc<LinkState>,
+    write_limit: Duration,
+) {
+    tokio::select! {
+        () = write_all(stream, &mut payloads, sealer, &state, write_limit) => {}
+        () = state.until_closed() => {}
+    }
+    state.close();
+}
+
+async fn write_all(
+    mut stream: OwnedWriteHalf,
+    payloads: &mut mpsc::Receiver<QueuedPayload>,
+    mut sealer: FrameSealer,
+    state: &LinkState,
+    write_limit: Duration,
+) {
+    let mut out = BytesMut::new();
+    while let Some(payload) = payloads.recv().await {
+        seal_payload(&payload, &mut sealer, &mut out, state);
+        while out.len() < WRITE_BATCH_BYTES {
+            let Ok(payload) = payloads.try_recv() else {
+                break;
+            };
+            seal_payload(&payload, &mut sealer, &mut out, state);
+        }
+        while !out.is_empty() {
+            // Each write that takes some bytes shows that the peer lives.
+            let written = timeout(write_limit, stream.write_buf(&mut out)).await;
+            if !matches!(written, Ok(Ok(count)) if count > 0) {
+                return;
+            }
+        }
+    }
+}
+
+fn seal_payload(
+    payload: &QueuedPayload,
+    sealer: &mut FrameSealer,
+    out: &mut BytesMut,
+    state: &LinkState,
+) {
+    sealer.seal(&payload.bytes, out);
+    let bytes = payload.bytes.len() + FRAME_OVERHEAD_BYTES;
+    state
+        .counters
+        .add(FrameDirection::Sent, payload.kind, bytes);
+}
--- /dev/null
+++ b/crates/link/src/state.rs
@@ -0,0 +1,59 @@
+//! What the sender, the receiver and the writer of one connection share.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard};
+
+use tokio::sync::Notify;
+
+use crate::counters::LinkCounters;
+use crate::due::DueWatch;
+
+/// State of one connection.
+pub(crate) struct LinkState {
+    watch: Mutex<DueWatch>,
+    /// Wakes the receiver when something becomes due.
+    pub(crate) due: Notify,
+    is_closed: AtomicBool,
+    /// Wakes the receiver and the writer when the connection ends.
+    closed: Notify,
+    pub(crate) counters: Arc<LinkCounters>,
+}
+
+impl LinkState {
+    pub(crate) fn new(watch: DueWatch, counters: Arc<LinkCounters>) -> Self {
+        Self {
+            watch: Mutex::new(watch),
+            due: Notify::new(),
+            is_closed: AtomicBool::new(false),
+            closed: Notify::new(),
+            counters,
+        }
+    }
+
+    pub(crate) fn watch(&self) -> MutexGuard<'_, DueWatch> {
+        self.watch
+            .lock()
+            .expect("no thread panics while it holds the watch")
+    }
+
+    /// Ends the connection for all who share it.
+    pub(crate) fn close(&self) {
+        self.is_closed.store(true, Ordering::Release);
+        self.closed.notify_waiters();
+    }
+
+    pub(crate) fn is_closed(&self) -> bool {
+        self.is_closed.load(Ordering::Acquire)
+    }
+
+    /// Waits until the connection ends.
+    pub(crate) async fn until_closed(&self) {
+        let closed = self.closed.notified();
+        tokio::pin!(closed);
+        // Registers before looking, so that an end in between is not missed.
+        closed.as_mut().enable();
+        if !self.is_closed() {
+            closed.await;
+        }
+    }
+}
