Bound the history in bytes and lay down the operators' JSON

The digest of a change leaves its base out: a script that reads the version again before it resends under the same id got a conflict of ids instead of the first answer.

The types of the operators' interface stand in one module for both sides.

--- a/crates/settings/src/answer.rs
+++ b/crates/settings/src/answer.rs
@@ -13,13 +13,14 @@
 /// Accepted changes whose ids are remembered. An id outlives the record of its version, and a
 /// change based on a version without record is refused, so no accepted change can be applied
 /// twice.
-pub(crate) const ACCEPTED_LIMIT: usize = 50_000;
+pub(crate) const ACCEPTED_LIMIT: usize = 20_000;
 /// Refused changes whose ids are remembered.
-pub(crate) const REFUSED_LIMIT: usize = 1_000;
+pub(crate) const REFUSED_LIMIT: usize = 500;
 
 const _: () = assert!(ACCEPTED_LIMIT > RECORD_LIMIT);
 
-/// Digest of what a change asks for.
+/// Digest of what a change asks for: its operator and its edits. The base is left out, so that a
+/// script that reads the version again before it resends gets the first answer.
 type ChangeDigest = [u8; 16];
 
 /// What a change was answered.
@@ -122,7 +123,6 @@
 
 fn digest_of(change: &SettingsChange) -> ChangeDigest {
     let mut hasher = Sha256::new();
-    hasher.update(change.base.to_be_bytes());
     update_text(&mut hasher, &change.operator);
     for edit in &change.edits {
         update_text(&mut hasher, &edit.path);
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`page`]: the page of all settings.
 //! * [`history`]: every version, and how changes are accepted.
 //! * [`holder`]: the settings that an entry or an agent holds, and their lease.
+//! * [`operator`]: what `sapphirectl` and the control instances say to each other.
 //! * [`process`]: the file that each program reads at its start.
 
 mod answer;
@@ -22,6 +23,7 @@
 pub mod history;
 pub mod holder;
 pub mod keys;
+pub mod operator;
 pub mod origin;
 mod overlap;
 pub mod page;
--- a/crates/settings/tests/history.rs
+++ b/crates/settings/tests/history.rs
@@ -88,6 +88,48 @@
     expect_that!(value, some(eq(&toml::Value::Float(1.3))));
 }
 
+#[gtest]
+fn resend_with_a_newer_base_gets_the_first_answer() {
+    let mut history = history();
+    let mut sent = change("a", 1, vec![set("load_bound", "1.6")]);
+    accept(&mut history, &sent).expect("accepted");
+    accept(
+        &mut history,
+        &change("b", 2, vec![set("load_bound", "1.7")]),
+    )
+    .expect("accepted");
+
+    sent.base = 3;
+    let answer = accept(&mut history, &sent);
+
+    expect_that!(answer, ok(eq(&2)));
+    expect_that!(history.version(), eq(3));
+}
+
+#[gtest]
+fn large_records_push_out_old_ones_and_no_answer() {
+    let mut history = history();
+    let first = change("first", 1, vec![set("endpoints.desk-1.weight", "2")]);
+    accept(&mut history, &first).expect("accepted");
+    let version = format!("\"{}\"", "v".repeat(1_000));
+    for base in 2..12 {
+        let edits = (0..200).map(|index| set(&format!("services.s{index}.kind"), "\"plain\""));
+        let edits = edits.chain((0..200).map(|index| {
+            set(
+                &format!("services.redaction.models.m{index}.version"),
+                &version,
+            )
+        }));
+        let next = change(&format!("n{base}"), base, edits.collect());
+        history.accept(&next, Duration::ZERO).expect("accepted");
+    }
+
+    let answer = accept(&mut history, &first);
+
+    expect_that!(answer, ok(eq(&2)));
+    expect_that!(history.tree_at(1), none());
+}
+
 #[gtest]
 fn racing_changes_of_one_branch_have_exactly_one_winner() {
     let mut history = history();
