--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -38,5 +38,5 @@
 pub use history::SettingsHistory;
 pub use holder::SettingsHolder;
 pub use path::SettingPath;
-pub use policy::PolicySettings;
+pub use policy::{LoadLimits, PolicySettings};
 pub use tree::{SettingFault, SettingsTree};
