Write sapphirectl

Cause: operators had no client.

A change may be sent again without harm: its id makes it count once, and the id is named when nobody answered. A rollback first looks for its own id in the history, since its edits cannot be worked out again.

Tested by goldens against a small HTTP handler that holds a real history: lost answers, a dead first instance, late instances, busy endpoints, wrong keys. The exit code of every error kind is in a golden.

The crate ctl now also uses watch, for the account of a request, and has a library beside its binary for the tests.

--- /dev/null
+++ b/crates/ctl/src/follow.rs
@@ -0,0 +1,88 @@
+//! Following decisions as they are made.
+
+use std::collections::BTreeMap;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::Serialize;
+use watch::explain::summarize;
+use watch::ring::{RingBatch, RingEntry};
+
+use crate::args::WatchArgs;
+use crate::client::OperatorClient;
+use crate::error::Result;
+use crate::print;
+use crate::read::DECISIONS;
+
+/// Pause between two looks at the entries.
+const POLL_PAUSE: Duration = Duration::from_millis(500);
+
+#[derive(Serialize)]
+struct FollowQuery<'a> {
+    after: u64,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    account: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    service: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    endpoint: Option<&'a str>,
+}
+
+/// Follows decisions until the count is reached, or for good.
+///
+/// # Errors
+/// A request or the output failed.
+pub async fn watch(
+    client: &OperatorClient,
+    command: &WatchArgs,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<()> {
+    let entries = client.entries()?;
+    let mut next: BTreeMap<SocketAddr, u64> = BTreeMap::new();
+    let mut left = command.count.unwrap_or(u64::MAX);
+    loop {
+        for entry in entries {
+            let after = next.entry(*entry).or_default();
+            let batch = read_batch(client, command, *entry, *after).await?;
+            *after = batch.next;
+            for event in &batch.entries {
+                if left == 0 {
+                    return Ok(());
+                }
+                print_event(out, event, json)?;
+                left -= 1;
+            }
+        }
+        if left == 0 || command.once {
+            return Ok(());
+        }
+        actix_rt::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+async fn read_batch(
+    client: &OperatorClient,
+    command: &WatchArgs,
+    entry: SocketAddr,
+    after: u64,
+) -> Result<RingBatch> {
+    let query = FollowQuery {
+        after,
+        account: command.account.as_deref(),
+        service: command.service.as_deref(),
+        endpoint: command.endpoint.as_deref(),
+    };
+    client.get_from(entry, DECISIONS, &query).await
+}
+
+fn print_event(out: &mut dyn Write, event: &RingEntry, json: bool) -> Result<()> {
+    if json {
+        print::json(out, event)?;
+    } else {
+        writeln!(out, "{}", summarize(&event.event))?;
+    }
+    out.flush()?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/src/key.rs
@@ -0,0 +1,88 @@
+//! Operator and account keys.
+
+use std::io::{BufRead, Write};
+use std::path::Path;
+
+use serde::Serialize;
+use settings::fleet::hash_key as digest;
+
+use crate::args::HashKeyArgs;
+use crate::error::{CtlError, Result};
+use crate::print;
+
+/// Environment variable with the operator key.
+pub const KEY_VARIABLE: &str = "SAPPHIRE_OPERATOR_KEY";
+/// Random bytes of a new key.
+const KEY_BYTES: usize = 32;
+
+/// A key and its hash.
+#[derive(Serialize)]
+struct KeyAnswer {
+    /// Only for a new key.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    key: Option<String>,
+    key_hash: String,
+}
+
+/// The operator key from a file or from the environment's value.
+///
+/// # Errors
+/// The file cannot be read or holds no key.
+pub fn operator_key(file: Option<&Path>, variable: Option<String>) -> Result<Option<String>> {
+    match file {
+        Some(path) => read_key(path).map(Some),
+        None => Ok(variable.filter(|key| !key.is_empty())),
+    }
+}
+
+/// Prints the hash of a key.
+///
+/// # Errors
+/// There is no key, or the output failed.
+pub fn hash_key(
+    command: &HashKeyArgs,
+    file: Option<&Path>,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<()> {
+    if command.generate {
+        let key = hex::encode(rand::random::<[u8; KEY_BYTES]>());
+        let key_hash = digest(&key);
+        return print_key(out, json, Some(key), key_hash);
+    }
+    let key = match file {
+        Some(path) => read_key(path)?,
+        None => first_line(&mut std::io::stdin().lock())?,
+    };
+    print_key(out, json, None, digest(&key))
+}
+
+fn print_key(out: &mut dyn Write, json: bool, key: Option<String>, key_hash: String) -> Result<()> {
+    if json {
+        return print::json(out, &KeyAnswer { key, key_hash });
+    }
+    match key {
+        Some(key) => writeln!(out, "key = {key}\nkey_hash = {key_hash}")?,
+        None => writeln!(out, "{key_hash}")?,
+    }
+    Ok(())
+}
+
+fn read_key(path: &Path) -> Result<String> {
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| CtlError::Usage(format!("{} cannot be read: {error}", path.display())))?;
+    checked(text.lines().next().unwrap_or_default())
+}
+
+fn first_line(input: &mut dyn BufRead) -> Result<String> {
+    let mut line = String::new();
+    input.read_line(&mut line)?;
+    checked(&line)
+}
+
+fn checked(line: &str) -> Result<String> {
+    match line.trim() {
+        "" => Err(CtlError::Usage("the key is empty".to_owned())),
+        key => Ok(key.to_owned()),
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/read.rs
@@ -0,0 +1,252 @@
+//! The commands that read settings, status and decisions.
+
+use std::io::Write;
+
+use serde::Serialize;
+use settings::SettingPath;
+use settings::operator::{BranchAnswer, DiffAnswer, HistoryAnswer, OriginAnswer, QuarantineAnswer};
+use watch::{DecisionRecord, FleetStatus};
+use wire::id::SettingsVersion;
+
+use crate::args::{DiffArgs, GetArgs, HistoryArgs, WhyArgs};
+use crate::client::OperatorClient;
+use crate::error::{CtlError, Result};
+use crate::print;
+
+/// Where decisions are read on an entry.
+pub const DECISIONS: &str = "/operator/decisions";
+
+/// Changes among which an earlier rollback is looked for.
+const RESEND_CHANGES: usize = 1_000;
+
+#[derive(Serialize)]
+struct SettingsQuery<'a> {
+    path: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    origin: Option<bool>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    version: Option<SettingsVersion>,
+}
+
+#[derive(Serialize)]
+struct HistoryQuery {
+    limit: usize,
+}
+
+#[derive(Serialize)]
+struct DiffQuery {
+    from: SettingsVersion,
+    to: SettingsVersion,
+}
+
+#[derive(Serialize)]
+struct WhyQuery<'a> {
+    request: &'a str,
+}
+
+/// Shows settings.
+///
+/// # Errors
+/// There is no such setting, or the request failed.
+pub async fn get(
+    client: &OperatorClient,
+    command: &GetArgs,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<()> {
+    let path = SettingPath::parse(&command.path);
+    let path = path.map_err(|fault| CtlError::Usage(fault.to_string()))?;
+    let absent = || CtlError::NotFound(format!("`{path}` is not set"));
+    if command.origin {
+        let answer: OriginAnswer = read_settings(client, command).await?;
+        if answer.values.is_empty() {
+            return Err(absent());
+        }
+        if json {
+            return print::json(out, &answer);
+        }
+        return print::origins(out, &answer.values);
+    }
+    let answer: BranchAnswer = read_settings(client, command).await?;
+    let value = answer.value.as_ref().ok_or_else(absent)?;
+    if json {
+        return print::json(out, &answer);
+    }
+    print::value(out, &path, value)
+}
+
+async fn read_settings<T: serde::de::DeserializeOwned>(
+    client: &OperatorClient,
+    command: &GetArgs,
+) -> Result<T> {
+    let query = SettingsQuery {
+        path: &command.path,
+        origin: command.origin.then_some(true),
+        version: command.version,
+    };
+    client.get("/operator/settings", &query).await
+}
+
+/// The value at a path of the current version.
+///
+/// # Errors
+/// The request failed.
+pub async fn current(client: &OperatorClient, path: &str) -> Result<BranchAnswer> {
+    let query = SettingsQuery {
+        path,
+        origin: None,
+        version: None,
+    };
+    client.get("/operator/settings", &query).await
+}
+
+/// The current version.
+///
+/// # Errors
+/// The request failed.
+pub async fn current_version(client: &OperatorClient) -> Result<SettingsVersion> {
+    let answer = read_history(client, 0).await?;
+    Ok(answer.version)
+}
+
+/// The version that an earlier change with this id made. A rollback looks here first: once it was
+/// accepted, its edits cannot be worked out again for a resend.
+///
+/// # Errors
+/// The request failed.
+pub async fn accepted_change(
+    client: &OperatorClient,
+    change_id: Option<&str>,
+) -> Result<Option<SettingsVersion>> {
+    let Some(change_id) = change_id else {
+        return Ok(None);
+    };
+    let history = read_history(client, RESEND_CHANGES).await?;
+    let mut changes = history.changes.iter();
+    let found = changes.find(|change| change.change_id == change_id);
+    Ok(found.map(|change| change.version))
+}
+
+async fn read_history(client: &OperatorClient, limit: usize) -> Result<HistoryAnswer> {
+    client
+        .get("/operator/history", &HistoryQuery { limit })
+        .await
+}
+
+/// Shows what differs between two versions.
+///
+/// # Errors
+/// A version is not kept, or the request failed.
+pub async fn diff(
+    client: &OperatorClient,
+    command: &DiffArgs,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<()> {
+    let to = match command.to {
+        Some(version) => version,
+        None => current_version(client).await?,
+    };
+    let answer = read_diff(client, command.from, to).await?;
+    if json {
+        return print::json(out, &answer);
+    }
+    print::edits(out, &answer.edits)
+}
+
+/// The edits that lead from one version to another.
+///
+/// # Errors
+/// A version is not kept, or the request failed.
+pub async fn read_diff(
+    client: &OperatorClient,
+    from: SettingsVersion,
+    to: SettingsVersion,
+) -> Result<DiffAnswer> {
+    client.get("/operator/diff", &DiffQuery { from, to }).await
+}
+
+/// Shows the last changes.
+///
+/// # Errors
+/// The request failed.
+pub async fn history(
+    client: &OperatorClient,
+    command: &HistoryArgs,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<()> {
+    let answer = read_history(client, command.limit).await?;
+    if json {
+        return print::json(out, &answer);
+    }
+    print::history(out, &answer.changes)
+}
+
+/// Shows instances, endpoints and the version in force.
+///
+/// # Errors
+/// The request failed.
+pub async fn status(client: &OperatorClient, json: bool, out: &mut dyn Write) -> Result<()> {
+    let answer = read_status(client).await?;
+    if json {
+        return print::json(out, &answer);
+    }
+    print::status(out, &answer)
+}
+
+/// What a control instance knows about the fleet.
+///
+/// # Errors
+/// The request failed.
+pub async fn read_status(client: &OperatorClient) -> Result<FleetStatus> {
+    client.get("/operator/status", &()).await
+}
+
+/// Explains where a request went, from the records of every entry named.
+///
+/// # Errors
+/// No instance has a record of it, or the requests failed.
+pub async fn why(
+    client: &OperatorClient,
+    command: &WhyArgs,
+    json: bool,
+    out: &mut dyn Write,
+) -> Result<()> {
+    let query = WhyQuery {
+        request: &command.request,
+    };
+    let mut records: Vec<DecisionRecord> = Vec::new();
+    for entry in client.entries()? {
+        let found: Vec<DecisionRecord> = client.get_from(*entry, DECISIONS, &query).await?;
+        records.extend(found);
+    }
+    if records.is_empty() {
+        let message = format!(
+            "no record of request {}: it was sampled out, is too old, or came in at an entry that \
+             is not named",
+            command.request
+        );
+        return Err(CtlError::NotFound(message));
+    }
+    if json {
+        return print::json(out, &records);
+    }
+    write!(out, "{}", watch::explain::explain(&records))?;
+    Ok(())
+}
+
+/// Lists quarantined requests.
+///
+/// # Errors
+/// The request failed.
+pub async fn quarantined(client: &OperatorClient, json: bool, out: &mut dyn Write) -> Result<()> {
+    let answer: QuarantineAnswer = client.get("/operator/quarantine", &()).await?;
+    if json {
+        return print::json(out, &answer);
+    }
+    for fingerprint in &answer.quarantined {
+        writeln!(out, "{fingerprint}")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/ctl/tests/command.rs
@@ -0,0 +1,166 @@
+//! The program against a small control instance: goldens and exit codes.
+
+mod fixture;
+
+use std::time::Duration;
+
+use ctl::error::ExitKind;
+use fixture::{FakeControl, fake_control, run_all, run_all_with_key};
+use googletest::prelude::*;
+use watch::DecisionRecord;
+use watch::record::{DecisionPart, EntryDecision};
+use wire::answer::ClassKind;
+
+fn golden(control: FakeControl, lines: &[&str]) -> String {
+    let runs = run_all(control, lines);
+    let parts: Vec<String> = lines
+        .iter()
+        .zip(&runs)
+        .map(|(line, run)| format!("$ sapphirectl {line}\n{}", run.golden()))
+        .collect();
+    parts.join("\n")
+}
+
+fn exits(control: FakeControl, lines: &[&str]) -> Vec<ExitKind> {
+    let runs = run_all(control, lines);
+    runs.iter().map(fixture::CtlRun::exit).collect()
+}
+
+fn record() -> DecisionRecord {
+    DecisionRecord {
+        request: 0xabc,
+        time: Duration::from_secs(1),
+        instance: "entry-1".to_owned(),
+        account: "quimper".to_owned(),
+        service: "redaction".to_owned(),
+        model: Some("breton".to_owned()),
+        class: ClassKind::Interactive,
+        part: DecisionPart::Entry(EntryDecision {
+            choice: Some("runner-1".to_owned()),
+            ..EntryDecision::default()
+        }),
+        outcome: fault::RunOutcome::Ran,
+        fault: None,
+        total: Duration::from_millis(20),
+    }
+}
+
+#[gtest]
+fn settings_are_read_changed_compared_and_rolled_back() {
+    let lines = [
+        "get",
+        "get services.redaction.load_aim",
+        "get endpoints.runner-1 --origin",
+        "set services.redaction.load_aim=1.3 services.redaction.when_stale=step-out --change-id a",
+        "set --unset services.redaction.load_aim --change-id b --wait",
+        "diff 1",
+        "rollback 1 --change-id c",
+        "rollback 1 --change-id c",
+        "get services --json",
+        "history --limit 2",
+    ];
+    insta::assert_snapshot!(golden(fake_control(), &lines));
+}
+
+#[gtest]
+fn refusals_tell_what_is_wrong() {
+    let lines = [
+        "set services.redaction.load_aim=9 endpoints.runner-1.servise=x --change-id a",
+        "set services.redaction.load_aim=1.3 --change-id b --base 1",
+        "set services.redaction.load_bound=1.4 --change-id c --base 1",
+        "set services.redaction.load_bound=1.4 --change-id b",
+        "get services.nothing",
+        "drain runner-9",
+        "diff 1 99",
+    ];
+    insta::assert_snapshot!(golden(fake_control(), &lines));
+}
+
+#[gtest]
+fn status_decisions_and_quarantines_are_shown() {
+    let control = FakeControl {
+        records: vec![record()],
+        running: 2,
+        ..fake_control()
+    };
+    let lines = [
+        "status",
+        "why abc",
+        "why def",
+        "watch --once",
+        "watch --count 1 --json",
+        "quarantine list",
+        "quarantine lift ff",
+        "quarantine lift nonsense",
+    ];
+    insta::assert_snapshot!(golden(control, &lines));
+}
+
+#[gtest]
+fn drain_is_a_change_that_can_be_waited_for() {
+    let lines = [
+        "drain runner-1 --change-id a --wait",
+        "get endpoints.runner-1.draining",
+        "undrain runner-1 --change-id b",
+        "get endpoints.runner-1.draining",
+    ];
+    insta::assert_snapshot!(golden(fake_control(), &lines));
+}
+
+#[gtest]
+fn waiting_ends_with_the_names_of_those_that_are_late() {
+    let stuck = FakeControl {
+        stuck_at: Some(1),
+        ..fake_control()
+    };
+    let line = "set load_bound=1.6 --change-id a --wait --wait-s 0";
+    insta::assert_snapshot!("late_instances", golden(stuck, &[line]));
+
+    let loaded = FakeControl {
+        running: 3,
+        ..fake_control()
+    };
+    let line = "drain runner-1 --change-id a --wait --wait-s 0";
+    insta::assert_snapshot!("busy_endpoint", golden(loaded, &[line]));
+}
+
+#[gtest]
+fn next_instance_is_asked_when_one_is_dead() {
+    let lines = ["get load_bound --control DEAD --control LIVE"];
+
+    expect_that!(
+        exits(fake_control(), &lines),
+        elements_are![eq(&ExitKind::Done)]
+    );
+}
+
+#[gtest]
+fn nobody_answering_is_told_with_the_id_to_send_again() {
+    let line = "set load_bound=1.6 --base 1 --change-id a --control DEAD --timeout 0";
+
+    let runs = run_all(fake_control(), &[line]);
+
+    expect_that!(runs[0].exit(), eq(ExitKind::Unreachable));
+    expect_that!(runs[0].golden(), contains_substring("--change-id a"));
+}
+
+#[gtest]
+fn lost_answer_is_asked_again_and_the_change_counts_once() {
+    let control = FakeControl {
+        lost_answers: 1,
+        ..fake_control()
+    };
+    let lines = ["set load_bound=1.6", "history --json"];
+
+    let runs = run_all(control, &lines);
+
+    expect_that!(runs[0].text, eq("version 2\n"));
+    expect_that!(runs[1].text, starts_with("{\"version\":2,"));
+}
+
+#[gtest]
+fn unknown_key_is_forbidden() {
+    let runs = run_all_with_key(fake_control(), &["get"], "wrong");
+
+    expect_that!(runs[0].exit(), eq(ExitKind::Forbidden));
+}
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -30,8 +30,8 @@
 pub struct BranchAnswer {
     /// The version.
     pub version: SettingsVersion,
-    /// The value or branch.
-    pub value: Value,
+    /// The value or branch; nothing when it is not set.
+    pub value: Option<Value>,
 }
 
 /// The resolved values at and below a path of one version.
