--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -209,6 +209,7 @@
 fn exclusion_kind(exclusion: Exclusion) -> ExclusionKind {
     match exclusion {
         Exclusion::Leaving => ExclusionKind::Leaving,
+        Exclusion::Joining => ExclusionKind::Joining,
         Exclusion::Down | Exclusion::Unknown => ExclusionKind::Down,
         Exclusion::Suspect => ExclusionKind::Failed,
         Exclusion::Tried => ExclusionKind::Refused,
--- a/crates/watch/src/record.rs
+++ b/crates/watch/src/record.rs
@@ -31,6 +31,9 @@
     /// It is leaving.
     #[display("leaving")]
     Leaving,
+    /// It joined a moment ago and takes no work yet.
+    #[display("joining")]
+    Joining,
     /// It is down or its lease lapsed.
     #[display("down")]
     Down,
