Run the control instances on the replicated log

The control program applied every command alone and forgot it at its end. Its one function to propose a command now goes through consensus and store: a follower passes it to the leader, a try that is not known to be committed is repeated, and the operator or client is refused when no quorum decides in 2.5 s.

An instance greets and confirms settings only while a quorum confirmed it within 1.5 s, by its own clock echoed by the leader: a process that was frozen may read old heartbeats from its sockets and must not take them for new ones. Entries and agents are sent away after 4 s without a quorum. Heartbeats of agents are passed on to the other instances, since each agent has one connection. The time of the commands never runs backwards in the state, whatever a new leader's clock says. The program stops through the kernel, and SIGTERM hands the leadership over.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,20 +1,30 @@
 //! The `sapphire-control` program.
 
-use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
+use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use argh::FromArgs;
+use control::disk::DiskReports;
 use control::node::ControlNode;
 use control::operator::{operator_queue, serve_http, serve_operators};
+use control::quorum::ControlQuorum;
 use control::server::{send_digests, serve_links};
+use kernel::{ServiceKernel, TaskService};
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use settings::history::SettingsHistory;
 use settings::process::{self, ControlSettings};
 use settings::tree::Result;
 use settings::{SettingFault, SettingsTree};
 use tokio::net::TcpListener;
-use wire::command::ControlCommand;
+use tokio::time::sleep;
+use watch::LogSettings;
+use wire::command::{ControlCommand, ControlReply};
+
+/// Pause between two looks at whether the quorum has a first version.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
 /// Keeps the settings, claims and fences of the fleet.
 #[derive(FromArgs)]
@@ -25,10 +35,16 @@
     /// check the settings file and exit
     #[argh(switch)]
     check: bool,
+    /// least level of the log: error, warn, info, debug or trace
+    #[argh(option)]
+    log_level: Option<String>,
+    /// text or json
+    #[argh(option)]
+    log_format: Option<String>,
 }
 
 #[actix_web::main]
-async fn main() -> std::io::Result<()> {
+async fn main() -> ExitCode {
     let args: ControlArgs = argh::from_env();
     let loaded = process::load::<ControlSettings>(&args.settings)
         .and_then(|settings| Ok((first_tree(settings.first_tree.as_deref())?, settings)));
@@ -38,37 +54,110 @@
             for fault in faults {
                 eprintln!("control: {fault}");
             }
-            std::process::exit(2);
+            return ExitCode::from(2);
         }
     };
     if args.check {
-        return Ok(());
+        return ExitCode::SUCCESS;
     }
+    let logs = LogSettings::choose(args.log_level.as_deref(), args.log_format.as_deref());
+    if let Err(error) = logs.and_then(LogSettings::install) {
+        eprintln!("control: {error}");
+        return ExitCode::from(2);
+    }
+    match build_kernel(settings, tree).await {
+        Ok(kernel) => kernel::process::run(kernel).await,
+        Err(error) => {
+            log::error!("control: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn build_kernel(
+    settings: ControlSettings,
+    tree: SettingsTree,
+) -> std::result::Result<Rc<ServiceKernel>, Box<dyn std::error::Error>> {
     let identity = LinkIdentity {
         name: settings.instance.name.clone(),
         role: PeerRole::Control,
     };
     let secret = LinkSecret::load(&settings.instance.secret_file)?;
+    let links = LinkSettings::new(identity, secret);
     let listener = TcpListener::bind(settings.link).await?;
     let http = settings.instance.http;
-    let node = Rc::new(ControlNode {
-        settings,
-        state: RefCell::default(),
-        published: RefCell::default(),
-        endpoints: RefCell::default(),
-        peers: RefCell::default(),
+    let (quorum, reports) = ControlQuorum::open(&settings, &links)?;
+    let node = Rc::new(ControlNode::new(settings, quorum));
+    let kernel = Rc::new(ServiceKernel::new());
+    let service = quorum_service(&kernel, Rc::clone(&node), reports, tree);
+    kernel.register("quorum", Rc::clone(&node), service)?;
+    let served = Rc::clone(&node);
+    let service = TaskService::new().on_start(async move {
+        actix_rt::spawn(serve_links(listener, links, Rc::clone(&served)));
+        actix_rt::spawn(send_digests(served));
+        Ok(())
     });
-    let first = SettingsHistory::first_change(&tree);
-    node.propose(ControlCommand::ChangeSettings(first)).await;
-    let (queue, requests) = operator_queue();
-    actix_rt::spawn(serve_links(
-        listener,
-        LinkSettings::new(identity, secret),
-        Rc::clone(&node),
-    ));
-    actix_rt::spawn(send_digests(Rc::clone(&node)));
-    actix_rt::spawn(serve_operators(node, requests));
-    serve_http(http, queue).await
+    kernel.register("links", Rc::clone(&node), service)?;
+    let service = operator_service(&kernel, Rc::clone(&node), http);
+    kernel.register("operators", node, service)?;
+    Ok(kernel)
+}
+
+/// Takes part in the quorum; hands the leadership over when it drains.
+fn quorum_service(
+    kernel: &Rc<ServiceKernel>,
+    node: Rc<ControlNode>,
+    reports: DiskReports,
+    tree: SettingsTree,
+) -> TaskService {
+    let kernel = Rc::clone(kernel);
+    let started = Rc::clone(&node);
+    TaskService::new()
+        .on_start(async move {
+            actix_rt::spawn(propose_first(tree, Rc::clone(&started)));
+            actix_rt::spawn(async move {
+                let reason = started.run_quorum(reports).await;
+                kernel.report_failure("quorum", reason);
+            });
+            Ok(())
+        })
+        .on_drain(async move {
+            node.hand_over().await;
+            Ok(())
+        })
+}
+
+fn operator_service(
+    kernel: &Rc<ServiceKernel>,
+    node: Rc<ControlNode>,
+    http: SocketAddr,
+) -> TaskService {
+    let kernel = Rc::clone(kernel);
+    TaskService::new().on_start(async move {
+        let (queue, requests) = operator_queue();
+        actix_rt::spawn(serve_operators(node, requests));
+        actix_rt::spawn(async move {
+            let served = serve_http(http, queue).await;
+            let reason = served.map_or_else(|error| error.to_string(), |()| "it ended".to_owned());
+            kernel.report_failure("operators", reason);
+        });
+        Ok(())
+    })
+}
+
+/// Proposes the tree of the first start while the quorum has no version.
+async fn propose_first(tree: SettingsTree, node: Rc<ControlNode>) {
+    while !node.quorum.is_confirmed() {
+        sleep(FIRST_PAUSE).await;
+    }
+    while node.state.borrow().settings.version() == 0 {
+        let first = SettingsHistory::first_change(&tree);
+        let reply = node.propose(ControlCommand::ChangeSettings(first)).await;
+        if let ControlReply::Refused(fault) = reply {
+            log::warn!("control: the first tree was refused: {fault}.");
+        }
+        sleep(FIRST_PAUSE).await;
+    }
 }
 
 /// Reads and checks the tree of the first start.
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,17 +1,16 @@
-//! What the parts of a control instance share; the one way to propose a command.
+//! What the parts of a control instance share.
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
-use std::time::{SystemTime, UNIX_EPOCH};
 
 use link::LinkSender;
 use settings::process::ControlSettings;
 use wire::LinkMessage;
-use wire::command::{ControlCommand, ControlReply, StampedCommand};
 use wire::id::{EndpointId, FingerprintHash, ServiceId, SettingsVersion};
 use wire::member::{AgentHeartbeat, EndpointState, LoadSample, MemberDigest, ServiceMean};
 use wire::message::SettingsUpdate;
 
+use crate::quorum::ControlQuorum;
 use crate::state::ControlState;
 
 /// What the open connections were last told of the agreed state.
@@ -44,20 +43,21 @@
     pub endpoints: RefCell<BTreeMap<EndpointId, AgentHeartbeat>>,
     /// Open connections of entries and agents.
     pub peers: RefCell<Vec<LinkSender>>,
+    /// This instance's member of the control quorum.
+    pub quorum: ControlQuorum,
 }
 
 impl ControlNode {
-    /// Proposes a command and waits until it is committed and applied.
-    pub async fn propose(&self, command: ControlCommand) -> ControlReply {
-        let time = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
-        let reply = self
-            .state
-            .borrow_mut()
-            .apply(&StampedCommand { time, command });
-        self.publish();
-        reply
+    /// An instance that knows nothing yet.
+    pub fn new(settings: ControlSettings, quorum: ControlQuorum) -> Self {
+        Self {
+            settings,
+            state: RefCell::default(),
+            published: RefCell::default(),
+            endpoints: RefCell::default(),
+            peers: RefCell::default(),
+            quorum,
+        }
     }
 
     /// Sends what the last applied commands changed to every open connection.
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Takes the heartbeat of an agent, which may have come by way of another instance.
+    pub fn note_heartbeat(&self, beat: AgentHeartbeat) {
+        self.endpoints.borrow_mut().insert(beat.endpoint, beat);
+    }
+
     /// Sends a message to every open connection.
     pub fn broadcast(&self, message: &LinkMessage) {
         let mut peers = self.peers.borrow_mut();
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -112,7 +112,8 @@
             "running": beat.load.running, "queued": beat.load.queued, "settings": beat.settings})
         })
         .collect();
-    json!({"version": node.state.borrow().settings.version(), "endpoints": endpoints})
+    json!({"version": node.state.borrow().settings.version(), "endpoints": endpoints,
+        "quorum": node.summarize_quorum()})
 }
 
 async fn change_settings(
--- /dev/null
+++ b/crates/control/src/quorum.rs
@@ -0,0 +1,426 @@
+//! This instance's member of the control quorum: consensus, disk and the other instances.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use fault::{Fault, FaultKind};
+use link::control_client::{ControlClient, ControlEvent};
+use link::{LinkIdentity, LinkSettings};
+use replica::id::{LogIndex, ReadTicket, TermNumber};
+use replica::{
+    EntryPayload, LogEntry, MemberKey, ReplicaAction, ReplicaCore, ReplicaError, ReplicaMessage,
+    ReplicaSettings, ReplicaStatus,
+};
+use settings::process::ControlSettings;
+use store::{DiskFolder, MemberStore};
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout};
+use wire::LinkMessage;
+use wire::codec;
+use wire::command::{ControlCommand, ControlReply, StampedCommand};
+use wire::id::{InstanceId, name_id};
+
+use crate::disk::{DiskQueue, DiskReport, DiskReports, start_disk};
+use crate::node::ControlNode;
+
+/// Time between two ticks of the consensus.
+const TICK_INTERVAL: Duration = Duration::from_millis(20);
+/// Pause before a proposal is tried again.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for the quorum's decision on a proposal, over all tries.
+const DECISION_LIMIT: Duration = Duration::from_millis(2500);
+/// Longest wait for one try at another instance or for one entry.
+const TRY_LIMIT: Duration = Duration::from_millis(1200);
+/// Age of the quorum's last confirmation up to which this instance speaks for the quorum.
+const CONFIRM_LIMIT: Duration = Duration::from_millis(1500);
+/// Longest duration of handing over the leadership.
+const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
+
+/// Position and term of a proposed entry.
+type EntryKey = (LogIndex, TermNumber);
+
+/// A try to commit a command.
+enum TryOutcome {
+    Decided(ControlReply),
+    /// Not known to be committed. Proposing again is safe for every command.
+    Again,
+}
+
+/// Consensus, disk and connections of one control instance, on one thread.
+pub struct ControlQuorum {
+    core: RefCell<ReplicaCore>,
+    disk: DiskQueue,
+    /// Every other instance of the quorum.
+    others: BTreeMap<InstanceId, Rc<ControlClient>>,
+    /// Proposals of this instance that are not applied yet.
+    waiting: RefCell<BTreeMap<EntryKey, oneshot::Sender<ControlReply>>>,
+    reads: RefCell<BTreeMap<ReadTicket, oneshot::Sender<()>>>,
+    next_ticket: Cell<ReadTicket>,
+    /// The clock of the consensus starts here.
+    started: Instant,
+}
+
+impl ControlQuorum {
+    /// Recovers the data folder and joins the quorum. Runs inside the runtime.
+    ///
+    /// # Errors
+    /// A data folder that can't be used.
+    pub fn open(
+        settings: &ControlSettings,
+        links: &LinkSettings,
+    ) -> store::Result<(Self, DiskReports)> {
+        let folder = DiskFolder::open(&settings.data)?;
+        let (store, opened) = MemberStore::open(folder, rand::random_range(1..u64::MAX))?;
+        let own = MemberKey {
+            instance: name_id(&settings.instance.name),
+            identity: opened.identity,
+        };
+        if opened.is_new {
+            log::info!("control: the data folder is empty; this is a new member.");
+        }
+        let (disk, reports) = start_disk(store);
+        let others = connect_others(settings, links);
+        let peers = others.keys().copied().chain([own.instance]).collect();
+        let core = ReplicaCore::new(
+            ReplicaSettings::default(),
+            own,
+            peers,
+            opened.recovered,
+            Duration::ZERO,
+            rand::random(),
+        );
+        let quorum = Self {
+            core: RefCell::new(core),
+            disk,
+            others,
+            waiting: RefCell::default(),
+            reads: RefCell::default(),
+            next_ticket: Cell::new(1),
+            started: Instant::now(),
+        };
+        Ok((quorum, reports))
+    }
+
+    /// This member as operators see it.
+    pub fn status(&self) -> ReplicaStatus {
+        self.core.borrow().status()
+    }
+
+    /// Whether a quorum confirmed recently that what is applied here is the latest.
+    pub fn is_confirmed(&self) -> bool {
+        let core = self.core.borrow();
+        let age = core.confirmed_age(self.now());
+        let status = core.status();
+        status.applied == status.commit && age.is_some_and(|age| age <= CONFIRM_LIMIT)
+    }
+
+    /// Sends a message to every other instance of the quorum.
+    pub fn tell_others(&self, message: &LinkMessage) {
+        for other in self.others.values() {
+            other.tell(message.clone());
+        }
+    }
+
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+}
+
+/// Opens a connection to every other instance; the messages that come back on them are answers.
+fn connect_others(
+    settings: &ControlSettings,
+    links: &LinkSettings,
+) -> BTreeMap<InstanceId, Rc<ControlClient>> {
+    let mut others = BTreeMap::new();
+    let own = &settings.instance.name;
+    for peer in settings.peers.iter().filter(|peer| peer.name != *own) {
+        let (client, events) = ControlClient::start(vec![peer.link], links.clone());
+        actix_rt::spawn(ignore_events(events));
+        others.insert(name_id(&peer.name), client);
+    }
+    others
+}
+
+async fn ignore_events(mut events: UnboundedReceiver<ControlEvent>) {
+    while events.recv().await.is_some() {}
+}
+
+impl ControlNode {
+    /// Proposes a command and waits until it is committed and applied, here or at the leader.
+    pub async fn propose(&self, command: ControlCommand) -> ControlReply {
+        let deadline = Instant::now() + DECISION_LIMIT;
+        while Instant::now() < deadline {
+            let outcome = match self.quorum.leader() {
+                Some(leader) => self.propose_at(leader, &command).await,
+                None => self.propose_here(&command).await,
+            };
+            if let TryOutcome::Decided(reply) = outcome {
+                return reply;
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+        ControlReply::Refused(no_quorum())
+    }
+
+    /// Answers a proposal that another control instance passed on. It is not passed on again.
+    pub async fn propose_as_leader(&self, command: ControlCommand) -> ControlReply {
+        match self.propose_here(&command).await {
+            TryOutcome::Decided(reply) => reply,
+            TryOutcome::Again => ControlReply::Refused(no_quorum()),
+        }
+    }
+
+    /// Waits until a quorum confirms that everything committed before is applied here.
+    ///
+    /// # Errors
+    /// [`FaultKind::ControlUnreachable`] when no quorum does in time.
+    pub async fn confirm_read(&self) -> fault::Result<()> {
+        let ticket = self.quorum.next_ticket.get();
+        self.quorum.next_ticket.set(ticket + 1);
+        let (done, confirmed) = oneshot::channel();
+        self.quorum.reads.borrow_mut().insert(ticket, done);
+        let now = self.quorum.now();
+        let started = self.quorum.core.borrow_mut().read(now, ticket);
+        self.run_actions();
+        if started.is_ok() {
+            let answer = timeout(TRY_LIMIT, confirmed).await;
+            self.quorum.reads.borrow_mut().remove(&ticket);
+            return match answer {
+                Ok(Ok(())) => Ok(()),
+                _ => Err(no_quorum()),
+            };
+        }
+        self.quorum.reads.borrow_mut().remove(&ticket);
+        if self.quorum.is_confirmed() {
+            return Ok(());
+        }
+        Err(no_quorum())
+    }
+
+    /// Takes a message of another control instance.
+    pub fn receive_replica(&self, peer: &LinkIdentity, bytes: &[u8]) {
+        let message = match ReplicaMessage::decode(bytes) {
+            Ok(message) if message.from.instance == name_id(&peer.name) => message,
+            Ok(_) => {
+                log::warn!("control: {} speaks for another instance.", peer.name);
+                return;
+            }
+            Err(error) => {
+                log::warn!("control: {} sent no message: {error}.", peer.name);
+                return;
+            }
+        };
+        let now = self.quorum.now();
+        self.quorum.core.borrow_mut().receive(now, message);
+        self.run_actions();
+    }
+
+    /// Drives the consensus until the data folder fails.
+    pub async fn run_quorum(&self, mut reports: DiskReports) -> String {
+        self.run_actions();
+        loop {
+            let report = timeout(TICK_INTERVAL, reports.recv()).await;
+            match report {
+                Ok(Some(DiskReport::Durable(number))) => {
+                    let mut core = self.quorum.core.borrow_mut();
+                    core.set_store_full(false);
+                    core.persisted(number);
+                }
+                Ok(Some(DiskReport::Full)) => {
+                    log::error!("control: the disk of the data folder is full.");
+                    self.quorum.core.borrow_mut().set_store_full(true);
+                }
+                Ok(Some(DiskReport::Failed(error))) => return error.to_string(),
+                Ok(None) => return "the disk thread ended".to_owned(),
+                Err(_) => {}
+            }
+            self.quorum.core.borrow_mut().tick(self.quorum.now());
+            self.run_actions();
+        }
+    }
+
+    /// Hands the leadership over, if it is held here, and waits until that is done.
+    pub async fn hand_over(&self) {
+        let until = Instant::now() + HAND_OVER_LIMIT;
+        while self.quorum.core.borrow().is_leader() && Instant::now() < until {
+            let now = self.quorum.now();
+            let _ = self.quorum.core.borrow_mut().hand_over(now);
+            self.run_actions();
+            sleep(TICK_INTERVAL).await;
+        }
+    }
+
+    async fn propose_at(&self, leader: InstanceId, command: &ControlCommand) -> TryOutcome {
+        let Some(client) = self.quorum.others.get(&leader) else {
+            return TryOutcome::Again;
+        };
+        let decision = timeout(TRY_LIMIT, client.propose(command.clone())).await;
+        match decision {
+            Ok(Ok(ControlReply::Refused(fault))) if fault.kind == FaultKind::ControlUnreachable => {
+                TryOutcome::Again
+            }
+            Ok(Ok(reply)) => TryOutcome::Decided(reply),
+            Ok(Err(_)) | Err(_) => TryOutcome::Again,
+        }
+    }
+
+    async fn propose_here(&self, command: &ControlCommand) -> TryOutcome {
+        let stamped = StampedCommand {
+            time: wall_clock(),
+            command: command.clone(),
+        };
+        let bytes = match codec::encode(&stamped) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                let fault = FaultKind::OversizedBody.because(error.to_string());
+                return TryOutcome::Decided(ControlReply::Refused(fault));
+            }
+        };
+        let now = self.quorum.now();
+        let proposed = self.quorum.core.borrow_mut().propose(now, bytes);
+        let key = match proposed {
+            Ok(key) => key,
+            Err(error) => return refusal(&error),
+        };
+        let (done, decided) = oneshot::channel();
+        self.quorum.waiting.borrow_mut().insert(key, done);
+        self.run_actions();
+        let reply = timeout(TRY_LIMIT, decided).await;
+        self.quorum.waiting.borrow_mut().remove(&key);
+        match reply {
+            Ok(Ok(reply)) => TryOutcome::Decided(reply),
+            _ => TryOutcome::Again,
+        }
+    }
+
+    /// Carries out what the consensus decided.
+    fn run_actions(&self) {
+        loop {
+            let actions = self.quorum.core.borrow_mut().take_actions();
+            if actions.is_empty() {
+                break;
+            }
+            for action in actions {
+                self.run_action(action);
+            }
+        }
+        self.publish();
+    }
+
+    fn run_action(&self, action: ReplicaAction) {
+        match action {
+            ReplicaAction::Send(message) => self.quorum.send(&message),
+            ReplicaAction::Persist(batch) => {
+                // A closed queue means that the disk failed, which ends the process.
+                let _ = self.quorum.disk.send(batch);
+            }
+            ReplicaAction::Restore(snapshot) => self.restore(&snapshot.state),
+            ReplicaAction::Apply(entry) => self.apply(entry),
+            ReplicaAction::TakeSnapshot(index) => self.take_snapshot(index),
+            ReplicaAction::ReadConfirmed(ticket) => {
+                if let Some(done) = self.quorum.reads.borrow_mut().remove(&ticket) {
+                    let _ = done.send(());
+                }
+            }
+            ReplicaAction::ReadFailed(ticket) => {
+                self.quorum.reads.borrow_mut().remove(&ticket);
+            }
+            ReplicaAction::RoleChanged => self.quorum.log_role(),
+        }
+    }
+
+    fn apply(&self, entry: LogEntry) {
+        let EntryPayload::Command(bytes) = entry.payload else {
+            return;
+        };
+        let stamped = match codec::decode_as::<StampedCommand>(&bytes) {
+            Ok(stamped) => stamped,
+            Err(error) => {
+                log::error!("control: entry {} is no command: {error}.", entry.index);
+                return;
+            }
+        };
+        let reply = self.state.borrow_mut().apply(&stamped);
+        let key = (entry.index, entry.term);
+        if let Some(done) = self.quorum.waiting.borrow_mut().remove(&key) {
+            let _ = done.send(reply);
+        }
+    }
+
+    fn restore(&self, bytes: &[u8]) {
+        match crate::state::ControlState::restore(bytes) {
+            Ok(state) => *self.state.borrow_mut() = state,
+            Err(error) => {
+                log::error!("control: the snapshot can't be read: {error}.");
+                std::process::exit(1);
+            }
+        }
+    }
+
+    fn take_snapshot(&self, index: LogIndex) {
+        let bytes = self.state.borrow().snapshot();
+        match bytes {
+            Ok(bytes) => {
+                let mut core = self.quorum.core.borrow_mut();
+                core.snapshot_taken(index, bytes);
+            }
+            Err(error) => log::error!("control: no snapshot was taken: {error}."),
+        }
+    }
+}
+
+impl ControlQuorum {
+    /// The leader, when it is another instance.
+    fn leader(&self) -> Option<InstanceId> {
+        let status = self.status();
+        let leader = status.leader?.instance;
+        (leader != status.own.instance).then_some(leader)
+    }
+
+    fn send(&self, message: &ReplicaMessage) {
+        let Some(other) = self.others.get(&message.to) else {
+            return;
+        };
+        match message.encode() {
+            Ok(bytes) => other.tell(LinkMessage::Replica(bytes)),
+            Err(error) => log::error!("control: a message is too large: {error}."),
+        }
+    }
+
+    fn log_role(&self) {
+        let status = self.status();
+        let leader = status.leader.map(|leader| leader.instance);
+        log::info!(
+            "control: role {:?} in term {}, leader {leader:x?}.",
+            status.role,
+            status.term
+        );
+    }
+}
+
+fn refusal(error: &ReplicaError) -> TryOutcome {
+    match error {
+        ReplicaError::NotLeader { .. } | ReplicaError::HandingOver => TryOutcome::Again,
+        ReplicaError::Congested => {
+            let fault = FaultKind::Overloaded.because(error.to_string());
+            TryOutcome::Decided(ControlReply::Refused(fault))
+        }
+        ReplicaError::StoreFull => {
+            let fault = FaultKind::StoreFull.because(error.to_string());
+            TryOutcome::Decided(ControlReply::Refused(fault))
+        }
+    }
+}
+
+fn no_quorum() -> Fault {
+    FaultKind::ControlUnreachable.because("no control quorum answered")
+}
+
+fn wall_clock() -> Duration {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default()
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,12 +1,15 @@
 //! Connections from entries and agents.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use link::{Link, LinkSender, LinkSettings, accept};
+use link::{
+    Link, LinkError, LinkIdentity, LinkReceiver, LinkSender, LinkSettings, PeerRole, accept,
+};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::interval;
+use tokio::time::{interval, sleep};
 use wire::LinkMessage;
+use wire::command::ControlReply;
 use wire::message::ControlDecision;
 
 use crate::node::ControlNode;
@@ -14,6 +17,11 @@
 /// Time between two digests.
 const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
 
+/// Time between two looks at the quorum's confirmation.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without a quorum after which entries and agents are sent away.
+const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(4);
+
 /// Accepts connections until the process ends.
 pub async fn serve_links(listener: TcpListener, settings: LinkSettings, node: Rc<ControlNode>) {
     loop {
@@ -32,7 +40,9 @@
     loop {
         ticks.tick().await;
         node.broadcast(&LinkMessage::Members(node.digest()));
-        node.broadcast(&LinkMessage::Settings(node.confirmation()));
+        if node.quorum.is_confirmed() {
+            node.broadcast(&LinkMessage::Settings(node.confirmation()));
+        }
     }
 }
 
@@ -49,25 +59,90 @@
         }
     };
     log::info!("control: {} connected", peer.name);
-    for message in node.greeting() {
-        let _ = sender.send(message).await;
+    if peer.role == PeerRole::Control {
+        let error = serve_instance(&node, &peer, &sender, &mut receiver).await;
+        log::info!("control: {} disconnected: {error}", peer.name);
+        return;
+    }
+    tokio::select! {
+        error = serve_client(&node, &sender, &mut receiver) => {
+            log::info!("control: {} disconnected: {error}", peer.name);
+        }
+        () = greet_and_watch(&node, &sender) => {
+            log::warn!("control: sending {} away: no quorum confirms this instance.", peer.name);
+        }
     }
-    node.peers.borrow_mut().push(sender.clone());
+}
+
+/// Serves another control instance until the connection ends.
+async fn serve_instance(
+    node: &Rc<ControlNode>,
+    peer: &LinkIdentity,
+    sender: &LinkSender,
+    receiver: &mut LinkReceiver,
+) -> LinkError {
     loop {
         match receiver.next().await {
-            Ok(message) => handle_message(&node, &sender, message),
-            Err(error) => {
-                log::info!("control: {} disconnected: {error}", peer.name);
-                return;
+            Ok(LinkMessage::Replica(bytes)) => node.receive_replica(peer, &bytes),
+            Ok(LinkMessage::AgentHeartbeat(beat)) => node.note_heartbeat(beat),
+            Ok(LinkMessage::Propose(proposal)) => {
+                let (node, sender) = (Rc::clone(node), sender.clone());
+                actix_rt::spawn(async move {
+                    let reply = node.propose_as_leader(proposal.command).await;
+                    send_decision(&sender, proposal.ticket, reply).await;
+                });
             }
+            Ok(other) => log::debug!("control: unexpected {other:?}"),
+            Err(error) => return error,
         }
     }
 }
 
+/// Serves an entry or an agent until the connection ends.
+async fn serve_client(
+    node: &Rc<ControlNode>,
+    sender: &LinkSender,
+    receiver: &mut LinkReceiver,
+) -> LinkError {
+    loop {
+        match receiver.next().await {
+            Ok(message) => handle_message(node, sender, message),
+            Err(error) => return error,
+        }
+    }
+}
+
+/// Sends what a new connection needs once a quorum confirms it. Ends when no quorum has for long,
+/// so that the client tries another instance.
+async fn greet_and_watch(node: &Rc<ControlNode>, sender: &LinkSender) {
+    let mut greeted = false;
+    let mut confirmed_at = Instant::now();
+    while confirmed_at.elapsed() < UNCONFIRMED_LIMIT {
+        if node.quorum.is_confirmed() {
+            confirmed_at = Instant::now();
+        }
+        if !greeted && node.quorum.is_confirmed() {
+            greeted = true;
+            for message in node.greeting() {
+                let _ = sender.send(message).await;
+            }
+            node.peers.borrow_mut().push(sender.clone());
+        }
+        sleep(CONFIRM_INTERVAL).await;
+    }
+}
+
+async fn send_decision(sender: &LinkSender, ticket: u64, reply: ControlReply) {
+    let decision = ControlDecision { ticket, reply };
+    let _ = sender.send(LinkMessage::Decided(decision)).await;
+}
+
 fn handle_message(node: &Rc<ControlNode>, sender: &LinkSender, message: LinkMessage) {
     match message {
         LinkMessage::AgentHeartbeat(beat) => {
-            node.endpoints.borrow_mut().insert(beat.endpoint, beat);
+            node.quorum
+                .tell_others(&LinkMessage::AgentHeartbeat(beat.clone()));
+            node.note_heartbeat(beat);
         }
         LinkMessage::EntryHeartbeat(beat) => {
             log::debug!("control: entry {} is alive", beat.name);
@@ -76,11 +151,7 @@
             let (node, sender) = (Rc::clone(node), sender.clone());
             actix_rt::spawn(async move {
                 let reply = node.propose(proposal.command).await;
-                let decision = ControlDecision {
-                    ticket: proposal.ticket,
-                    reply,
-                };
-                let _ = sender.send(LinkMessage::Decided(decision)).await;
+                send_decision(&sender, proposal.ticket, reply).await;
             });
         }
         other => log::debug!("control: unexpected {other:?}"),
--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -1,6 +1,7 @@
 //! The deterministic state machine behind the replicated log.
 
 use std::collections::BTreeMap;
+use std::time::Duration;
 
 use claim::{ClaimTable, SuspectTable};
 use fault::FaultKind;
@@ -21,6 +22,8 @@
     pub suspects: SuspectTable,
     /// Newest fencing number of each endpoint. Every number is taken once.
     fences: BTreeMap<EndpointId, FenceNumber>,
+    /// Time of the last command. Never runs backwards, whatever the leaders' clocks do.
+    time: Duration,
     /// Largest of `fences`.
     last_fence: FenceNumber,
 }
@@ -28,7 +31,8 @@
 impl ControlState {
     /// Applies the next command of the log.
     pub fn apply(&mut self, stamped: &StampedCommand) -> ControlReply {
-        let time = stamped.time;
+        let time = self.time.max(stamped.time);
+        self.time = time;
         self.claims.advance(time);
         self.suspects.advance(time);
         match &stamped.command {
--- /dev/null
+++ b/crates/control/tests/instances.rs
@@ -0,0 +1,143 @@
+//! Control instances as real processes: killed, frozen, stopped and repaired under changes.
+
+use std::time::Instant;
+
+use googletest::prelude::*;
+use serde_json::json;
+
+mod instances {
+    pub(crate) mod fleet;
+}
+
+use instances::fleet::{CONFLICT, ControlFleet, UNREACHABLE};
+
+const SIZE: usize = 3;
+
+/// Three instances that have accepted one change, and the leader.
+fn changed_fleet() -> (ControlFleet, usize) {
+    let mut fleet = ControlFleet::start(SIZE);
+    let leader = fleet.wait_for_leader();
+    fleet.wait_for_version(leader, 1);
+    fleet.change(leader);
+    (fleet, leader)
+}
+
+fn other_than(place: usize) -> usize {
+    (place + 1) % SIZE
+}
+
+#[gtest]
+fn changes_go_on_after_the_leader_is_killed() {
+    let (mut fleet, leader) = changed_fleet();
+    let before = fleet.change(other_than(leader));
+
+    fleet.kill(leader);
+    let started = Instant::now();
+    let version = fleet.change(other_than(leader));
+    println!(
+        "RESULT control leader_killed next_change_ms={}",
+        started.elapsed().as_millis()
+    );
+
+    expect_that!(version, eq(before + 1));
+    fleet.start_instance(leader);
+    fleet.wait_for_version(leader, version);
+}
+
+#[gtest]
+fn resent_change_gets_its_first_answer_from_the_next_leader() {
+    let (mut fleet, leader) = changed_fleet();
+    let other = other_than(leader);
+    let first = fleet.wait_for("acceptance", || {
+        let answer = fleet.send_change(leader, "resent", 2, 77)?;
+        answer.body["version"].as_u64()
+    });
+    fleet.change(leader);
+
+    fleet.kill(leader);
+    let again = fleet.wait_for("answer", || {
+        let answer = fleet.send_change(other, "resent", 2, 77)?;
+        (answer.status == 200).then_some(answer.body)
+    });
+
+    expect_that!(again["version"], eq(&json!(first)));
+}
+
+#[gtest]
+fn repaired_member_carries_the_quorum_when_a_second_is_lost() {
+    let (mut fleet, leader) = changed_fleet();
+    let repaired = other_than(leader);
+    let lost = other_than(repaired);
+    let before = fleet.wait_for("folder", || fleet.voting_folder(leader, repaired));
+    fleet.kill(repaired);
+    fleet.delete_data(repaired);
+    let mut version = fleet.change(leader);
+
+    fleet.start_instance(repaired);
+    let started = Instant::now();
+    fleet.wait_for("replacement", || {
+        let folder = fleet.voting_folder(leader, repaired)?;
+        (folder != before).then_some(())
+    });
+    println!(
+        "RESULT control repaired_ms={}",
+        started.elapsed().as_millis()
+    );
+    fleet.kill(lost);
+    fleet.delete_data(lost);
+    version = fleet.change(leader).max(version);
+
+    fleet.kill(leader);
+    fleet.start_instance(leader);
+    let last = fleet.change(repaired);
+    expect_that!(last, eq(version + 1));
+}
+
+#[gtest]
+fn frozen_leader_changes_nothing_when_it_wakes() {
+    let (mut fleet, leader) = changed_fleet();
+    let other = other_than(leader);
+
+    fleet.signal(leader, "-STOP");
+    let version = fleet.change(other);
+    fleet.signal(leader, "-CONT");
+    let rival = fleet.wait_for("answer", || {
+        let answer = fleet.send_change(leader, "rival", version - 1, 99)?;
+        (answer.status != UNREACHABLE).then_some(answer)
+    });
+
+    expect_that!(rival.status, eq(CONFLICT));
+    expect_that!(fleet.change(leader), eq(version + 1));
+}
+
+#[gtest]
+fn stopped_leader_hands_over() {
+    let (mut fleet, leader) = changed_fleet();
+
+    let status = fleet.stop(leader);
+    let started = Instant::now();
+    let version = fleet.change(other_than(leader));
+    println!(
+        "RESULT control leader_stopped next_change_ms={}",
+        started.elapsed().as_millis()
+    );
+
+    expect_that!(status.code(), some(eq(0)));
+    expect_that!(version, eq(3));
+}
+
+#[gtest]
+fn whole_quorum_restarts_with_what_was_accepted() {
+    let (mut fleet, leader) = changed_fleet();
+    let version = fleet.change(leader);
+
+    for place in 0..SIZE {
+        fleet.kill(place);
+    }
+    for place in 0..SIZE {
+        fleet.start_instance(place);
+    }
+
+    let leader = fleet.wait_for_leader();
+    expect_that!(fleet.change(leader), eq(version + 1));
+}
--- /dev/null
+++ b/crates/control/tests/instances/fleet.rs
@@ -0,0 +1,270 @@
+//! Control instances as real processes on loopback.
+
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use settings::fleet::hash_key;
+use tempfile::TempDir;
+
+/// Key of the only operator.
+const OPERATOR_KEY: &str = "operator-key";
+/// Longest wait for anything; a test that waits longer has failed.
+const PATIENCE: Duration = Duration::from_secs(60);
+/// Status of an answer when no quorum decides.
+pub(crate) const UNREACHABLE: u16 = 503;
+/// Status of an answer when the settings changed since the base version.
+pub(crate) const CONFLICT: u16 = 409;
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub(crate) struct ControlInstance {
+    pub(crate) name: String,
+    link: SocketAddr,
+    http: SocketAddr,
+    child: Option<Child>,
+}
+
+/// Ends its processes when dropped.
+pub(crate) struct ControlFleet {
+    folder: TempDir,
+    pub(crate) instances: Vec<ControlInstance>,
+    next_change: u64,
+}
+
+/// An answer of the operators' interface.
+pub(crate) struct OperatorAnswer {
+    pub(crate) status: u16,
+    pub(crate) body: Value,
+}
+
+impl ControlFleet {
+    pub(crate) fn start(size: usize) -> Self {
+        let names = (0..size).map(|number| format!("control-{number}"));
+        let instances = names.map(|name| ControlInstance {
+            name,
+            link: free_address(),
+            http: free_address(),
+            child: None,
+        });
+        let mut fleet = Self {
+            folder: tempfile::tempdir().expect("temporary folder"),
+            instances: instances.collect(),
+            next_change: 0,
+        };
+        fleet.write_files();
+        for place in 0..size {
+            fleet.start_instance(place);
+        }
+        fleet
+    }
+
+    pub(crate) fn start_instance(&mut self, place: usize) {
+        let file = self.path(&self.instances[place].name, "toml");
+        let log = self.path(&self.instances[place].name, "log");
+        let log = std::fs::File::options()
+            .create(true)
+            .append(true)
+            .open(log)
+            .expect("log file");
+        let child = Command::new(env!("CARGO_BIN_EXE_sapphire-control"))
+            .arg("--settings")
+            .arg(file)
+            .stdout(log.try_clone().expect("log file"))
+            .stderr(log)
+            .stdin(Stdio::null())
+            .spawn()
+            .expect("program starts");
+        self.instances[place].child = Some(child);
+    }
+
+    pub(crate) fn kill(&mut self, place: usize) {
+        if let Some(mut child) = self.instances[place].child.take() {
+            child.kill().expect("process is ours");
+            child.wait().expect("process ends");
+        }
+    }
+
+    pub(crate) fn signal(&self, place: usize, signal: &str) {
+        let child = self.instances[place].child.as_ref().expect("runs");
+        let status = Command::new("kill")
+            .args([signal, &child.id().to_string()])
+            .status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Asks an instance to stop and waits for its end.
+    pub(crate) fn stop(&mut self, place: usize) -> ExitStatus {
+        self.signal(place, "-TERM");
+        let mut child = self.instances[place].child.take().expect("runs");
+        child.wait().expect("process ends")
+    }
+
+    pub(crate) fn delete_data(&self, place: usize) {
+        let data = self.path(&self.instances[place].name, "data");
+        std::fs::remove_dir_all(data).expect("data folder");
+    }
+
+    /// The quorum as an instance sees it.
+    pub(crate) fn quorum(&self, place: usize) -> Option<Value> {
+        let answer = self.ask(place, "/operator/status", None)?;
+        answer.body.get("quorum").cloned()
+    }
+
+    pub(crate) fn version(&self, place: usize) -> Option<u64> {
+        let answer = self.ask(place, "/operator/status", None)?;
+        answer.body["version"].as_u64()
+    }
+
+    /// Number of the data folder that votes for an instance.
+    pub(crate) fn voting_folder(&self, asked: usize, place: usize) -> Option<String> {
+        let quorum = self.quorum(asked)?;
+        if quorum["replacing"] != json!(false) {
+            return None;
+        }
+        let voters = quorum["voters"].as_array()?.clone();
+        let name = json!(self.instances[place].name);
+        let voter = voters.iter().find(|voter| voter["instance"] == name)?;
+        Some(voter["folder"].as_str()?.to_owned())
+    }
+
+    pub(crate) fn leader(&self) -> Option<usize> {
+        (0..self.instances.len()).find(|place| {
+            let quorum = self.quorum(*place);
+            quorum.is_some_and(|quorum| {
+                quorum["role"] == json!("leader") && quorum["confirmed"] == json!(true)
+            })
+        })
+    }
+
+    pub(crate) fn wait_for_leader(&self) -> usize {
+        self.wait_for("a leader", || self.leader())
+    }
+
+    /// Waits until an instance has a version.
+    pub(crate) fn wait_for_version(&self, place: usize, version: u64) {
+        self.wait_for("a version", || {
+            (self.version(place)? >= version).then_some(())
+        });
+    }
+
+    pub(crate) fn wait_for<T>(&self, what: &str, probe: impl Fn() -> Option<T>) -> T {
+        let started = Instant::now();
+        while started.elapsed() < PATIENCE {
+            if let Some(found) = probe() {
+                return found;
+            }
+            std::thread::sleep(PAUSE);
+        }
+        panic!("no {what} in {PATIENCE:?}\n{}", self.logs());
+    }
+
+    /// Makes one change; returns its version. Resends it while no quorum answers, and makes
+    /// another one when the instance did not know the latest version yet.
+    pub(crate) fn change(&mut self, place: usize) -> u64 {
+        loop {
+            self.next_change += 1;
+            let number = self.next_change;
+            let base = self.wait_for("version", || self.version(place));
+            let answer = self.wait_for("decision", || {
+                let answer = self.send_change(place, &format!("change-{number}"), base, number)?;
+                (answer.status != UNREACHABLE).then_some(answer)
+            });
+            if let Some(version) = answer.body["version"].as_u64() {
+                return version;
+            }
+            assert_eq!(answer.status, CONFLICT, "{}", answer.body);
+        }
+    }
+
+    pub(crate) fn send_change(
+        &self,
+        place: usize,
+        change_id: &str,
+        base: u64,
+        value: u64,
+    ) -> Option<OperatorAnswer> {
+        let edit = json!({"path": "queue_limit", "value": value.to_string()});
+        let change = json!({"change_id": change_id, "base": base, "edits": [edit]});
+        self.ask(place, "/operator/changes", Some(change))
+    }
+
+    pub(crate) fn logs(&self) -> String {
+        let read = |instance: &ControlInstance| {
+            let log = std::fs::read_to_string(self.path(&instance.name, "log"));
+            format!("--- {}\n{}", instance.name, log.unwrap_or_default())
+        };
+        self.instances.iter().map(read).collect()
+    }
+
+    fn ask(&self, place: usize, path: &str, body: Option<Value>) -> Option<OperatorAnswer> {
+        let url = format!("http://{}{path}", self.instances[place].http);
+        actix_rt::System::new().block_on(async move {
+            let client = awc::Client::builder()
+                .timeout(Duration::from_secs(4))
+                .finish();
+            let key = format!("Bearer {OPERATOR_KEY}");
+            let sent = match body {
+                Some(body) => {
+                    let request = client.post(url).insert_header(("authorization", key));
+                    request.send_json(&body).await
+                }
+                None => {
+                    let request = client.get(url).insert_header(("authorization", key));
+                    request.send().await
+                }
+            };
+            let mut response = sent.ok()?;
+            let status = response.status().as_u16();
+            let body = response.json().await.ok()?;
+            Some(OperatorAnswer { status, body })
+        })
+    }
+
+    fn path(&self, name: &str, kind: &str) -> PathBuf {
+        self.folder.path().join(format!("{name}.{kind}"))
+    }
+
+    fn write_files(&self) {
+        let tree = format!(
+            "[operators.yann]\nkey_hash = \"{}\"\nrole = \"change\"\n",
+            hash_key(OPERATOR_KEY)
+        );
+        let secret = self.folder.path().join("secret");
+        let first = self.folder.path().join("tree.toml");
+        std::fs::write(&secret, "a secret for tests").expect("room");
+        std::fs::write(&first, tree).expect("room");
+        let peers = self
+            .instances
+            .iter()
+            .map(|peer| format!("{{ name = \"{}\", link = \"{}\" }}", peer.name, peer.link));
+        let peers: Vec<String> = peers.collect();
+        for instance in &self.instances {
+            let text = format!(
+                "link = \"{}\"\npeers = [{}]\ndata = {:?}\nfirst_tree = {first:?}\n\n\
+                 [instance]\nname = \"{}\"\nfailure_domain = \"rennes\"\n\
+                 secret_file = {secret:?}\nhttp = \"{}\"\n",
+                instance.link,
+                peers.join(", "),
+                self.path(&instance.name, "data"),
+                instance.name,
+                instance.http,
+            );
+            std::fs::write(self.path(&instance.name, "toml"), text).expect("room");
+        }
+    }
+}
+
+impl Drop for ControlFleet {
+    fn drop(&mut self) {
+        for place in 0..self.instances.len() {
+            self.kill(place);
+        }
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+    listener.local_addr().expect("bound")
+}
