--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -6,12 +6,15 @@
 use fault::FaultKind;
 use serde::Deserialize;
 use serde_json::json;
+use settings::fleet::OperatorRole;
 use watch::record::{DecisionPart, request_from_text};
 use watch::{DecisionRecord, RecordFilter, TEXT_CONTENT_TYPE};
 use wire::id::{RequestId, name_id};
 
 use crate::answer::fault_response;
 use crate::core::EntryCore;
+use crate::intake::header_text;
+use crate::status::fleet_status;
 
 /// Records that one request returns at most.
 const MAX_RECORDS: usize = 500;
@@ -22,6 +25,7 @@
         .route("/healthz", web::get().to(HttpResponse::Ok))
         .route("/readyz", web::get().to(get_ready))
         .route("/metrics", web::get().to(get_metrics))
+        .route("/status", web::get().to(get_status_page))
         .route("/operator/decisions", web::get().to(get_decisions));
 }
 
@@ -113,15 +117,24 @@
 /// # Errors
 /// `MissingKey` or `UnknownKey`.
 fn check_operator(core: &EntryCore, request: &HttpRequest) -> fault::Result<()> {
-    let value = request
-        .headers()
-        .get("authorization")
-        .and_then(|value| value.to_str().ok());
-    let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    let key = key.ok_or_else(|| FaultKind::MissingKey.because("an operator key is needed"))?;
-    let fleet = core.fleet.load();
-    match fleet.operator_of_key(key) {
-        Some(_) => Ok(()),
-        None => Err(FaultKind::UnknownKey.because("no operator has this key")),
+    let header = header_text(request, "authorization");
+    core.fleet
+        .load()
+        .authorize_operator(header, OperatorRole::Read)?;
+    Ok(())
+}
+
+/// The status page. A browser is asked for the key as a password.
+async fn get_status_page(core: web::Data<EntryCore>, request: HttpRequest) -> HttpResponse {
+    match check_operator(&core, &request) {
+        Ok(()) => {
+            let page = watch::page::render(&fleet_status(&core));
+            HttpResponse::Ok()
+                .content_type("text/html; charset=utf-8")
+                .body(page)
+        }
+        Err(fault) => HttpResponse::Unauthorized()
+            .insert_header(("www-authenticate", "Basic realm=\"operators\""))
+            .body(fault.message),
     }
 }
--- a/crates/kernel/src/service.rs
+++ b/crates/kernel/src/service.rs
@@ -23,6 +23,9 @@
 /// How a step ended; the error is one sentence for the log.
 pub type StepResult = std::result::Result<(), String>;
 
+/// A task that runs for as long as the process.
+pub type TaskFuture = Pin<Box<dyn Future<Output = ()>>>;
+
 type StepFuture = Pin<Box<dyn Future<Output = StepResult>>>;
 
 /// A service made of one future for each step. A step without a future succeeds at once.
@@ -39,6 +42,16 @@
         Self::default()
     }
 
+    /// A service that spawns `tasks` at its start.
+    pub fn spawning(tasks: Vec<TaskFuture>) -> Self {
+        Self::new().on_start(async move {
+            for task in tasks {
+                actix_rt::spawn(task);
+            }
+            Ok(())
+        })
+    }
+
     /// Sets what happens at the start.
     #[must_use]
     pub fn on_start(mut self, step: impl Future<Output = StepResult> + 'static) -> Self {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -125,6 +125,16 @@
         Some(row.load.total() + row.pending)
     }
 
+    /// Load of an endpoint as last reported.
+    pub fn reported_load(&self, endpoint: EndpointId) -> Option<EndpointLoad> {
+        Some(self.rows[self.find(endpoint)?].load)
+    }
+
+    /// What an endpoint does with new work, as last reported.
+    pub fn state(&self, endpoint: EndpointId) -> Option<EndpointState> {
+        Some(self.rows[self.find(endpoint)?].state)
+    }
+
     /// Records of all endpoints, sorted by id.
     pub fn records(&self) -> &[EndpointRecord] {
         &self.records
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! The settings tree, its checks, and the settings file of each program.
 //!
+//! * [`access`]: who a request comes from, by its key.
 //! * [`path`]: dotted paths into the tree.
 //! * [`tree`]: the tree as operators write it, and edits to it.
 //! * [`diff`]: the difference between two trees, as edits.
@@ -13,6 +14,7 @@
 //! * [`operator`]: what `sapphirectl` and the control instances say to each other.
 //! * [`process`]: the file that each program reads at its start.
 
+pub mod access;
 mod answer;
 mod branch;
 mod check;
