Admit warm work above cold, and keep the known mean fresh while load moves

With a mean that is 1.5 s old and an allowance for its fall, no agent could admit more than it had, all refused, and the mean stayed low. Damping and the back-off were excluded (same refusals without them). Warm work is judged by the aim, now 1.15, cold work by the lower aim.

The default of load_aim changes from 1.1 to 1.15 with its new meaning.

--- a/crates/admit/src/lib.rs
+++ b/crates/admit/src/lib.rs
@@ -4,6 +4,7 @@
 //! * [`request`]: what goes in and what comes out.
 //! * [`lane`]: weighted fair queueing of client accounts within priority classes.
 //! * [`mean`]: the service's mean load as it can be known at one endpoint.
+//! * [`warm`]: which prefixes the endpoint's cache is believed to hold.
 //! * [`account`]: use and limits of client accounts at one endpoint.
 //!
 //! Nothing here reads a clock; time comes in with each call.
@@ -13,6 +14,8 @@
 pub mod mean;
 pub mod queue;
 pub mod request;
+pub mod warm;
 
 pub use queue::AdmitQueue;
 pub use request::{AdmitAction, AdmitRequest, AdmitSettings, CancelOutcome};
+pub use warm::WarmSet;
--- a/crates/admit/src/mean.rs
+++ b/crates/admit/src/mean.rs
@@ -3,9 +3,10 @@
 //! Digests lag. The endpoint's own load is exact, so the part of the total that it contributes is
 //! kept up to date. A falling total is carried on along its slope, because a mean that is believed
 //! too high breaks the bound, while one believed too low only refuses a request that another
-//! endpoint takes.
+//! endpoint takes. After an endpoint joined, the others stand above the lowered bound and admit
+//! nothing, so for a while their load is taken to fall as fast as work ends.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use wire::member::ServiceMean;
 
@@ -13,6 +14,15 @@
 const SLOPE_GAIN: f64 = 0.5;
 /// Longest time in seconds for which a falling total is carried on.
 const MAX_CARRY_SECONDS: f64 = 2.0;
+/// Time after a join in which the others' load is taken to fall.
+const JOIN_FALL: Duration = Duration::from_secs(5);
+/// Least part of the expected mean that the lowest one is taken for, so that load can always rise
+/// again: bound times this part stays above 1.
+const MIN_LOWEST_PART: f64 = 0.85;
+/// Standard deviations of the others' load that the lowest mean allows for.
+const LOWEST_DEVIATIONS: f64 = 2.0;
+/// Largest age in seconds of the loads that a mean was built from.
+const REPORT_AGE_SECONDS: f64 = 1.0;
 
 #[derive(Clone, Copy, Debug)]
 struct MeanSample {
@@ -23,12 +33,20 @@
     at: Instant,
 }
 
+impl MeanSample {
+    fn age_seconds(&self, now: Instant) -> f64 {
+        now.saturating_duration_since(self.at).as_secs_f64()
+    }
+}
+
 /// Forecast of the service's mean load.
 #[derive(Clone, Debug, Default)]
 pub struct MeanForecast {
     sample: Option<MeanSample>,
     /// Change of the others' total per second.
     slope: f64,
+    /// End of the fall that the last join causes.
+    falls_until: Option<Instant>,
 }
 
 impl MeanForecast {
@@ -42,20 +60,43 @@
         };
         if let Some(last) = self.sample {
             self.update_slope(&last, &sample);
+            if sample.weight > last.weight {
+                self.falls_until = Some(now + JOIN_FALL);
+            }
         }
         self.sample = (mean.weight > 0).then_some(sample);
     }
 
-    /// Expected lower mean for each unit of weight with `own` requests here, or `None` when
-    /// nothing is known.
-    pub fn low_mean(&self, own: u32, now: Instant) -> Option<f64> {
+    /// Expected mean for each unit of weight with `own` requests here, or `None` when nothing is
+    /// known.
+    pub fn expected_mean(&self, own: u32, now: Instant) -> Option<f64> {
         let sample = self.sample?;
-        let age = now.saturating_duration_since(sample.at).as_secs_f64();
-        let fall = self.slope.min(0.0) * age.min(MAX_CARRY_SECONDS);
+        let fall = self.slope.min(0.0) * sample.age_seconds(now).min(MAX_CARRY_SECONDS);
         let others = (sample.total - sample.own + fall).max(0.0);
         Some((others + f64::from(own)) / sample.weight)
     }
 
+    /// Lowest mean to reckon with when requests take `duration` seconds on average.
+    pub fn lowest_mean(&self, own: u32, duration: f64, now: Instant) -> Option<f64> {
+        let expected = self.expected_mean(own, now)?;
+        let sample = self.sample?;
+        if duration <= 0.0 {
+            return Some(expected);
+        }
+        let age = sample.age_seconds(now) + REPORT_AGE_SECONDS;
+        let others = (sample.total - sample.own).max(0.0);
+        let is_falling = self.falls_until.is_some_and(|until| now < until);
+        let fallen = if is_falling {
+            others * f64::exp(-age / duration)
+        } else {
+            // Arrivals and ends within the age are independent and about as many.
+            let deviation = f64::sqrt(2.0 * others * age / duration);
+            (others - LOWEST_DEVIATIONS * deviation).max(0.0)
+        };
+        let lowest = (fallen + f64::from(own)) / sample.weight;
+        Some(lowest.clamp(MIN_LOWEST_PART * expected, expected))
+    }
+
     /// Weight of the whole service.
     pub fn total_weight(&self) -> Option<f64> {
         Some(self.sample?.weight)
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -179,19 +179,25 @@
         self.running.keys().copied()
     }
 
-    /// Largest load that an admission of a request with `hops` refusals may leave, or `None` while
-    /// the mean is unknown.
-    pub fn load_limit(&self, hops: u8, now: Instant) -> Option<u32> {
+    /// Largest load that the admission of `request` may leave, or `None` while the mean is unknown.
+    pub fn load_limit(&self, request: &AdmitRequest, now: Instant) -> Option<u32> {
         let own = self.load().total() + 1;
-        let mean = self.forecast.low_mean(own, now)?;
+        let lowest = self.forecast.lowest_mean(own, self.duration, now)?;
         let weight = f64::from(self.settings.weight.max(1));
         let limits = self.settings.limits;
-        let multiple = if hops < self.settings.soft_hops {
-            limits.reachable_aim(self.forecast.total_weight()? / weight)
+        let bound = limits.bound * lowest * weight;
+        if request.hops >= self.settings.soft_hops {
+            return Some(bound.ceil() as u32);
+        }
+        let expected = self.forecast.expected_mean(own, now)?;
+        let endpoints = self.forecast.total_weight()? / weight;
+        let aim = if request.is_warm {
+            limits.aim
         } else {
-            limits.bound
+            limits.cold_aim(endpoints)
         };
-        Some((multiple * mean * weight).ceil() as u32)
+        let aimed = aim * expected * weight;
+        Some(aimed.min(bound).ceil() as u32)
     }
 
     /// Re-checks the invariants.
@@ -267,14 +273,14 @@
         let load = self.load();
         let is_queue_full =
             load.running >= self.settings.places && load.queued >= self.settings.queue_limit;
-        let limit = self.load_limit(request.hops, now);
+        let limit = self.load_limit(request, now);
         is_queue_full || limit.is_some_and(|limit| load.total() + 1 > limit)
     }
 
     /// Makes room by refusing the newest waiting request of the account that has most for its
     /// share, if that is more than `request`'s own account would have.
     fn evict_for(&mut self, request: &AdmitRequest, now: Instant) -> Option<AdmitAction> {
-        let limit = self.load_limit(request.hops, now);
+        let limit = self.load_limit(request, now);
         if limit.is_some_and(|limit| self.load().total() > limit) {
             return None;
         }
--- a/crates/admit/src/request.rs
+++ b/crates/admit/src/request.rs
@@ -51,6 +51,9 @@
     pub deadline: Instant,
     /// Agents that refused the request before.
     pub hops: u8,
+    /// Whether the endpoint's cache is believed to hold more of the prompt than others would, as
+    /// [`WarmSet::depth`](crate::WarmSet::depth) tells.
+    pub is_warm: bool,
     /// Share of the account in the fair queue, at least 1.
     pub share: u32,
     /// Requests that the account may start per second over the whole service; 0 is unlimited.
--- /dev/null
+++ b/crates/admit/tests/warm.rs
@@ -0,0 +1,28 @@
+//! What the endpoint's cache is believed to hold.
+
+use admit::WarmSet;
+use googletest::prelude::*;
+
+#[gtest]
+fn longest_held_prefix_counts() {
+    let mut set = WarmSet::new(100);
+    set.record(&[1, 2, 3]);
+
+    expect_that!(set.depth(&[1, 2, 3, 4]), eq(3));
+    expect_that!(set.depth(&[1, 9]), eq(1));
+    expect_that!(set.depth(&[9]), eq(0));
+    set.clear();
+    expect_that!(set.depth(&[1]), eq(0));
+}
+
+#[gtest]
+fn memory_is_bounded_and_recent_prefixes_stay() {
+    let mut set = WarmSet::new(10);
+    for prefix in 0..100 {
+        set.record(&[prefix]);
+    }
+
+    let held = (0..100).filter(|prefix| set.holds(*prefix)).count();
+    expect_that!(held, le(20));
+    expect_that!((90..100).all(|prefix| set.holds(prefix)), eq(true));
+}
--- a/crates/measure/src/reuse.rs
+++ b/crates/measure/src/reuse.rs
@@ -4,7 +4,7 @@
 
 use crate::BoundVerdict;
 use crate::policy::PolicyKind;
-use crate::suite::{ServiceTrials, SuiteSettings, run_suite};
+use crate::suite::{ServiceTrials, SuiteSettings, limits_with, run_suite};
 use crate::trial::Chooser;
 
 /// measure how much of their prefixes returning chats find warm
@@ -29,6 +29,9 @@
     /// endpoint restarts, cold, in each 1,000 requests
     #[argh(option, default = "0")]
     pub(crate) churn: u32,
+    /// aimed load as a multiple of the mean, in place of the default
+    #[argh(option)]
+    pub(crate) aim: Option<f64>,
 }
 
 /// Smallest accepted share of the ideal's hits.
@@ -42,6 +45,7 @@
             endpoints: self.endpoints,
             surge: self.surge,
             churn: self.churn,
+            limits: limits_with(self.aim),
         }
     }
 }
--- a/crates/measure/src/skew.rs
+++ b/crates/measure/src/skew.rs
@@ -5,7 +5,7 @@
 
 use crate::BoundVerdict;
 use crate::policy::PolicyKind;
-use crate::suite::{ServiceTrials, SuiteSettings, run_suite};
+use crate::suite::{ServiceTrials, SuiteSettings, limits_with, run_suite};
 use crate::trial::{Chooser, TrialResult};
 
 /// measure how far the busiest endpoint sits above the mean
@@ -30,6 +30,9 @@
     /// endpoint restarts, cold, in each 1,000 requests
     #[argh(option, default = "0")]
     pub(crate) churn: u32,
+    /// aimed load as a multiple of the mean, in place of the default
+    #[argh(option)]
+    pub(crate) aim: Option<f64>,
 }
 
 /// Largest accepted share of refused requests.
@@ -45,6 +48,7 @@
             endpoints: self.endpoints,
             surge: self.surge,
             churn: self.churn,
+            limits: limits_with(self.aim),
         }
     }
 }
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -24,6 +24,7 @@
     pub(crate) endpoints: Option<usize>,
     pub(crate) surge: u32,
     pub(crate) churn: u32,
+    pub(crate) limits: LoadLimits,
 }
 
 /// The trials of every policy on one service.
@@ -68,7 +69,7 @@
     };
     let sequence = RequestSequence::draw(&workload);
     let trial = |policy| {
-        let result = run_trial(&sequence, chooser(policy, ideal), LoadLimits::default());
+        let result = run_trial(&sequence, chooser(policy, ideal), settings.limits);
         print_trial(endpoints, policy, &result);
         (policy, result)
     };
@@ -101,3 +102,12 @@
         result.hit(),
     );
 }
+
+/// The default limits, with another aim when one is given.
+pub(crate) fn limits_with(aim: Option<f64>) -> LoadLimits {
+    let limits = LoadLimits::default();
+    LoadLimits {
+        aim: aim.unwrap_or(limits.aim),
+        ..limits
+    }
+}
--- a/crates/member/src/digest.rs
+++ b/crates/member/src/digest.rs
@@ -60,7 +60,17 @@
         }
     }
 
-    /// Whether a digest should go out at once: a member changed its state, or a mean moved far.
+    /// Whether a digest is due.
+    pub fn is_digest_due(&self, now: Instant) -> bool {
+        let Some(at) = self.digest_at else {
+            return true;
+        };
+        let age = now.saturating_duration_since(at);
+        let is_allowed = age >= self.settings.min_digest_interval;
+        age >= self.settings.digest_interval || (is_allowed && self.is_urgent())
+    }
+
+    /// Whether a digest should not wait: a member changed its state, or a mean moved far.
     pub fn is_urgent(&self) -> bool {
         let is_changed = |row: &MemberRow| {
             let told = row.told.map(|told| told.state);
--- a/crates/member/src/flap.rs
+++ b/crates/member/src/flap.rs
@@ -16,8 +16,8 @@
 impl Default for FlapSettings {
     fn default() -> Self {
         Self {
-            half_life: Duration::from_secs(30),
-            limit: 4.0,
+            half_life: Duration::from_secs(15),
+            limit: 3.0,
             release: 1.0,
         }
     }
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -27,7 +27,11 @@
     pub flaps: FlapSettings,
     /// Bytes per second that loads may take in digests.
     pub load_bytes_per_second: u32,
-    /// Change of a service's mean, as a share, that calls for a digest at once.
+    /// Longest time between two digests.
+    pub digest_interval: Duration,
+    /// Shortest time between two digests.
+    pub min_digest_interval: Duration,
+    /// Change of a service's mean, as a share, that calls for a digest before the interval is over.
     pub urgent_mean_change: f64,
 }
 
@@ -39,7 +43,9 @@
             forget_after: Duration::from_secs(120),
             flaps: FlapSettings::default(),
             load_bytes_per_second: 512,
-            urgent_mean_change: 0.1,
+            digest_interval: Duration::from_millis(500),
+            min_digest_interval: Duration::from_millis(100),
+            urgent_mean_change: 0.05,
         }
     }
 }
@@ -155,14 +161,13 @@
         Some(&self.rows[self.find(endpoint)?])
     }
 
-    /// Load and weight of the live members by service, sorted by service.
+    /// Load and weight by service of the members whose endpoints serve, sorted by service.
+    ///
+    /// Damped members count: they stand empty, and a mean without them would let the others go
+    /// above the bound.
     pub fn means(&self) -> Vec<ServiceMean> {
         let mut means: Vec<ServiceMean> = Vec::new();
-        for row in self
-            .rows
-            .iter()
-            .filter(|row| row.state == MemberState::Live)
-        {
+        for row in self.rows.iter().filter(|row| row.state.is_serving()) {
             let service = row.record.service;
             let place = means.binary_search_by_key(&service, |mean| mean.service);
             let index = place.unwrap_or_else(|index| {
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -155,7 +155,7 @@
             request,
             now,
             mean: self.mean_load(service),
-            aim: request.limits.reachable_aim(service.rows.len() as f64),
+            aim: request.limits.cold_aim(service.rows.len() as f64),
             candidates: Vec::new(),
         };
         let scan = run.scan(service, rng);
@@ -273,7 +273,9 @@
             let exclusion = match row {
                 None => Some(Exclusion::Unknown),
                 Some(row) if row.cache_epoch != place.cache_epoch => Some(Exclusion::Cold),
-                Some(row) => self.exclusion(row).or_else(|| self.overload(row, self.aim)),
+                Some(row) => self
+                    .exclusion(row)
+                    .or_else(|| self.overload(row, self.request.limits.aim)),
             };
             let load = row.map_or(0.0, |row| self.load_with_request(row));
             self.candidates.push(CandidateRecord {
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -17,6 +17,8 @@
     pub longest_wait: Duration,
     /// Agents that may refuse one request before the caller is told.
     pub max_hops: u8,
+    /// Rounds of hops, with a wait between, before the caller is told.
+    pub max_rounds: u8,
 }
 
 impl Default for RetrySettings {
@@ -27,6 +29,7 @@
             first_wait: Duration::from_millis(50),
             longest_wait: Duration::from_secs(2),
             max_hops: 4,
+            max_rounds: 6,
         }
     }
 }
@@ -83,6 +86,11 @@
         self.settings.max_hops
     }
 
+    /// Rounds of hops, with a wait between, before the caller is told.
+    pub fn max_rounds(&self) -> u8 {
+        self.settings.max_rounds
+    }
+
     /// Retries left.
     pub fn left(&self) -> f64 {
         self.tokens
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -21,7 +21,8 @@
 pub struct PolicySettings {
     /// Hard limit of an endpoint's load as a multiple of the service's mean, at least 1.
     pub load_bound: f64,
-    /// Load that routing aims to stay under, as a multiple of the mean; at most `load_bound`.
+    /// Load up to which warm work is admitted at the first try, as a multiple of the mean; at most
+    /// `load_bound`. Cold work is held lower.
     pub load_aim: f64,
     /// Requests that an account may start per second, over the whole service; 0 is unlimited.
     pub rate_per_second: f64,
@@ -49,7 +50,7 @@
     fn default() -> Self {
         Self {
             load_bound: 1.25,
-            load_aim: 1.1,
+            load_aim: 1.15,
             rate_per_second: 0.0,
             concurrency: 0,
             share: 1,
@@ -74,24 +75,27 @@
     }
 }
 
+/// Largest limit for cold work at the first try, as a multiple of the mean.
+const MAX_COLD_AIM: f64 = 1.1;
+
 /// Limits of an endpoint's load as multiples of the service's mean.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LoadLimits {
     /// Hard limit, at least 1.
     pub bound: f64,
-    /// Limit that routing aims to stay under; at most `bound`.
+    /// Limit for warm work at the first try; at most `bound`.
     pub aim: f64,
 }
 
 impl LoadLimits {
-    /// The aim among `endpoints` equal endpoints.
+    /// The limit for cold work among `endpoints` equal endpoints.
     ///
     /// One cold endpoint that joins lowers the mean by its share. The aim is lowered so far that
     /// the others are still under the bound then, but never below the mean itself.
-    pub fn reachable_aim(self, endpoints: f64) -> f64 {
+    pub fn cold_aim(self, endpoints: f64) -> f64 {
         let endpoints = endpoints.max(1.0);
         let after_join = self.bound * (endpoints - 1.0) / endpoints;
-        self.aim.min(after_join).max(1.0)
+        self.aim.min(MAX_COLD_AIM).min(after_join).max(1.0)
     }
 }
 
