--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -130,10 +130,7 @@
 }
 
 fn load_limit(core: &AgentCore) -> u32 {
-    core.queue
-        .borrow()
-        .load_limit(u8::MAX, Instant::now())
-        .unwrap_or(0)
+    core.queue.borrow().hard_limit(Instant::now()).unwrap_or(0)
 }
 
 /// Gives up the claims of earlier lives, then lets the endpoint serve.
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -7,7 +7,8 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Instant;
 
-use admit::{AdmitQueue, AdmitSettings};
+use admit::warm::DEFAULT_GENERATION;
+use admit::{AdmitQueue, AdmitSettings, WarmSet};
 use arc_swap::ArcSwap;
 use claim::{AttemptLimits, AttemptTable, SuspectGate};
 use settings::FleetSettings;
@@ -73,6 +74,8 @@
     pub sessions: RefCell<BTreeMap<AttemptKey, Rc<AttemptSession>>>,
     /// Admission.
     pub queue: RefCell<AdmitQueue>,
+    /// Prefixes that the endpoint is believed to hold.
+    pub warm: RefCell<WarmSet>,
     /// Which requests run alone or are refused.
     pub gate: RefCell<SuspectGate>,
     /// Attempts that the queue started and the gate holds back.
@@ -110,6 +113,7 @@
             attempts: RefCell::new(attempts),
             sessions: RefCell::default(),
             queue: RefCell::new(AdmitQueue::new(AdmitSettings::default(), Instant::now())),
+            warm: RefCell::new(WarmSet::new(DEFAULT_GENERATION)),
             gate: RefCell::default(),
             held: RefCell::default(),
             queue_changed: Notify::new(),
--- a/crates/agent/src/report.rs
+++ b/crates/agent/src/report.rs
@@ -82,7 +82,8 @@
         let fleet = self.shared.fleet.load();
         let service = self.endpoint_settings().unwrap_or_default().service;
         let submit = &session.submit;
-        let limit = self.queue.borrow().load_limit(submit.hops, Instant::now());
+        let request = self.admit_request(submit);
+        let limit = self.queue.borrow().load_limit(&request, Instant::now());
         let part = AgentDecision {
             endpoint: self.shared.settings.endpoint.clone(),
             attempt: submit.key.attempt,
