Keep members by the member table in control

Cause: control kept the last heartbeat of each endpoint without leases, so a dead agent stayed a candidate, and told everybody everything each second. It now runs the member table: leases, damping, operators' drains, digests under a budget; agents hear only the means of their service. Agents report to every control instance, entries to one, which tells the others.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -244,6 +244,7 @@
             cache_epoch: self.cache_epoch.get(),
             service: name_id(&endpoint.service),
             domain: name_id(&settings.instance.failure_domain),
+            domain_name: settings.instance.failure_domain.clone(),
             address: settings.link,
             weight: endpoint.weight,
         }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -1,70 +1,48 @@
 //! The `sapphire-control` program.
 
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
-use argh::FromArgs;
 use control::disk::DiskReports;
 use control::node::ControlNode;
 use control::operator::{operator_queue, serve_http, serve_operators};
 use control::quorum::ControlQuorum;
 use control::server::{send_digests, serve_links};
+use kernel::program;
 use kernel::{ServiceKernel, TaskService};
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use settings::history::SettingsHistory;
-use settings::process::{self, ControlSettings};
+use settings::process::ControlSettings;
 use settings::tree::Result;
 use settings::{SettingFault, SettingsTree};
 use tokio::net::TcpListener;
 use tokio::time::sleep;
-use watch::LogSettings;
+use watch::ControlMetrics;
+use watch::label::LabelSettings;
 use wire::command::{ControlCommand, ControlReply};
 
 /// Pause between two looks at whether the quorum has a first version.
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 
-/// Keeps the settings, claims and fences of the fleet.
-#[derive(FromArgs)]
-struct ControlArgs {
-    /// settings file
-    #[argh(option)]
-    settings: PathBuf,
-    /// check the settings file and exit
-    #[argh(switch)]
-    check: bool,
-    /// least level of the log: error, warn, info, debug or trace
-    #[argh(option)]
-    log_level: Option<String>,
-    /// text or json
-    #[argh(option)]
-    log_format: Option<String>,
-}
-
 #[actix_web::main]
 async fn main() -> ExitCode {
-    let args: ControlArgs = argh::from_env();
-    let loaded = process::load::<ControlSettings>(&args.settings)
-        .and_then(|settings| Ok((first_tree(settings.first_tree.as_deref())?, settings)));
-    let (tree, settings) = match loaded {
-        Ok(loaded) => loaded,
+    let settings: ControlSettings = match program::start("control") {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let tree = match first_tree(settings.first_tree.as_deref()) {
+        Ok(tree) => tree,
         Err(faults) => {
             for fault in faults {
-                eprintln!("control: {fault}");
+                log::error!("control: {fault}.");
             }
-            return ExitCode::from(2);
+            return ExitCode::FAILURE;
         }
     };
-    if args.check {
-        return ExitCode::SUCCESS;
-    }
-    let logs = LogSettings::choose(args.log_level.as_deref(), args.log_format.as_deref());
-    if let Err(error) = logs.and_then(LogSettings::install) {
-        eprintln!("control: {error}");
-        return ExitCode::from(2);
-    }
     match build_kernel(settings, tree).await {
         Ok(kernel) => kernel::process::run(kernel).await,
         Err(error) => {
@@ -86,8 +64,9 @@
     let links = LinkSettings::new(identity, secret);
     let listener = TcpListener::bind(settings.link).await?;
     let http = settings.instance.http;
+    let metrics = Arc::new(ControlMetrics::new(LabelSettings::default())?);
     let (quorum, reports) = ControlQuorum::open(&settings, &links)?;
-    let node = Rc::new(ControlNode::new(settings, quorum));
+    let node = Rc::new(ControlNode::new(settings, quorum, metrics));
     let kernel = Rc::new(ServiceKernel::new());
     let service = quorum_service(&kernel, Rc::clone(&node), reports, tree);
     kernel.register("quorum", Rc::clone(&node), service)?;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -1,15 +1,16 @@
 //! What the parts of a control instance share.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
 
-use link::LinkSender;
 use settings::process::ControlSettings;
+use watch::ControlMetrics;
 use wire::LinkMessage;
-use wire::id::{EndpointId, FingerprintHash, ServiceId, SettingsVersion};
-use wire::member::{AgentHeartbeat, EndpointState, LoadSample, MemberDigest, ServiceMean};
+use wire::id::{FingerprintHash, SettingsVersion};
 use wire::message::SettingsUpdate;
 
+use crate::members::{MemberDesk, PeerRecord};
 use crate::quorum::ControlQuorum;
 use crate::state::ControlState;
 
@@ -39,23 +40,30 @@
     pub state: RefCell<ControlState>,
     /// What the open connections were last told.
     pub published: RefCell<Published>,
-    /// Last heartbeat of each endpoint.
-    pub endpoints: RefCell<BTreeMap<EndpointId, AgentHeartbeat>>,
+    /// Who is there.
+    pub members: MemberDesk,
     /// Open connections of entries and agents.
-    pub peers: RefCell<Vec<LinkSender>>,
+    pub peers: RefCell<Vec<Rc<PeerRecord>>>,
+    /// Metrics.
+    pub metrics: Arc<ControlMetrics>,
     /// This instance's member of the control quorum.
     pub quorum: ControlQuorum,
 }
 
 impl ControlNode {
     /// An instance that knows nothing yet.
-    pub fn new(settings: ControlSettings, quorum: ControlQuorum) -> Self {
+    pub fn new(
+        settings: ControlSettings,
+        quorum: ControlQuorum,
+        metrics: Arc<ControlMetrics>,
+    ) -> Self {
         Self {
             settings,
             state: RefCell::default(),
             published: RefCell::default(),
-            endpoints: RefCell::default(),
+            members: MemberDesk::default(),
             peers: RefCell::default(),
+            metrics,
             quorum,
         }
     }
@@ -66,6 +74,9 @@
         let before = self.published.replace(Published::of(&state));
         let now = self.published.borrow();
         if now.version != before.version {
+            let fleet = state.settings.resolved().unwrap_or_default();
+            self.members.install_fleet(&fleet);
+            self.metrics.process.set_settings_version(now.version);
             self.broadcast(&LinkMessage::Settings(
                 state.settings.update_since(before.version),
             ));
@@ -75,6 +86,7 @@
             self.broadcast(&LinkMessage::Suspects(now.suspects.clone()));
         }
         if now.quarantined != before.quarantined {
+            self.metrics.set_quarantined(now.quarantined.len());
             self.broadcast(&LinkMessage::Quarantine(now.quarantined.clone()));
         }
     }
@@ -87,7 +99,7 @@
             LinkMessage::Settings(self.confirmation()),
             LinkMessage::Suspects(state.suspects.suspects()),
             LinkMessage::Quarantine(state.suspects.quarantined()),
-            LinkMessage::Members(self.digest()),
+            LinkMessage::Members(self.members.full_digest()),
         ]
     }
 
@@ -98,62 +110,19 @@
         }
     }
 
-    /// Everything known of the endpoints.
-    pub fn digest(&self) -> MemberDigest {
-        let endpoints = self.endpoints.borrow();
-        let records = endpoints
-            .values()
-            .filter_map(|beat| beat.record.clone())
-            .collect();
-        let loads = endpoints.values().map(sample).collect();
-        MemberDigest {
-            records,
-            gone: Vec::new(),
-            loads,
-            means: self.means(),
-        }
-    }
-
-    /// Takes the heartbeat of an agent, which may have come by way of another instance.
-    pub fn note_heartbeat(&self, beat: AgentHeartbeat) {
-        self.endpoints.borrow_mut().insert(beat.endpoint, beat);
-    }
-
     /// Sends a message to every open connection.
     pub fn broadcast(&self, message: &LinkMessage) {
-        let mut peers = self.peers.borrow_mut();
-        peers.retain(|peer| !peer.is_closed());
-        for peer in peers.iter() {
-            let _ = peer.try_send(message.clone());
-        }
+        self.for_each_peer(|peer| {
+            let _ = peer.sender.try_send(message.clone());
+        });
     }
 
-    fn means(&self) -> Vec<ServiceMean> {
-        let mut means: BTreeMap<ServiceId, ServiceMean> = BTreeMap::new();
-        for beat in self.endpoints.borrow().values() {
-            let Some(record) = &beat.record else { continue };
-            if beat.state != EndpointState::Serving {
-                continue;
-            }
-            let service = record.service;
-            let empty = ServiceMean {
-                service,
-                load: 0,
-                weight: 0,
-            };
-            let mean = means.entry(service).or_insert(empty);
-            mean.load += u64::from(beat.load.total());
-            mean.weight += u64::from(record.weight);
+    /// Visits every open connection.
+    pub fn for_each_peer(&self, mut visit: impl FnMut(&PeerRecord)) {
+        let mut peers = self.peers.borrow_mut();
+        peers.retain(|peer| !peer.sender.is_closed());
+        for peer in peers.iter() {
+            visit(peer);
         }
-        means.into_values().collect()
-    }
-}
-
-fn sample(beat: &AgentHeartbeat) -> LoadSample {
-    LoadSample {
-        endpoint: beat.endpoint,
-        incarnation: beat.incarnation,
-        state: beat.state,
-        load: beat.load,
     }
 }
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -7,7 +7,7 @@
 
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use fault::{Fault, FaultKind};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::{Value, json};
 use settings::fleet::OperatorRole;
 use tokio::sync::{mpsc, oneshot};
@@ -74,7 +74,7 @@
     let (operator, role) = find_operator(node, key)?;
     match action {
         OperatorAction::Get { path } => get(node, &path),
-        OperatorAction::Status => Ok(status(node)),
+        OperatorAction::Status => json_of(&node.fleet_status()),
         OperatorAction::Change(change) => {
             if role < OperatorRole::Change {
                 return Err(FaultKind::Forbidden.because("this operator may only read"));
@@ -101,19 +101,8 @@
     Ok(json!({"version": state.settings.version(), "value": value}))
 }
 
-fn status(node: &ControlNode) -> Value {
-    let endpoints: Vec<Value> = node
-        .endpoints
-        .borrow()
-        .values()
-        .map(|beat| {
-            let name = beat.record.as_ref().map(|record| record.name.clone());
-            json!({"endpoint": name, "state": format!("{:?}", beat.state).to_lowercase(),
-            "running": beat.load.running, "queued": beat.load.queued, "settings": beat.settings})
-        })
-        .collect();
-    json!({"version": node.state.borrow().settings.version(), "endpoints": endpoints,
-        "quorum": node.summarize_quorum()})
+fn json_of<T: Serialize>(value: &T) -> Result<Value, Fault> {
+    serde_json::to_value(value).map_err(|error| FaultKind::Internal.because(error.to_string()))
 }
 
 async fn change_settings(
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -1,5 +1,6 @@
 //! Connections from entries and agents.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,10 +13,13 @@
 use wire::command::ControlReply;
 use wire::message::ControlDecision;
 
+use crate::members::PeerRecord;
 use crate::node::ControlNode;
 
-/// Time between two digests.
-const DIGEST_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at whether a digest is due.
+const DIGEST_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Time between two confirmations of the settings.
+const CONFIRMATION_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Time between two looks at the quorum's confirmation.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
@@ -34,13 +38,17 @@
     }
 }
 
-/// Sends digests until the process ends.
+/// Sends digests and confirmations until the process ends.
 pub async fn send_digests(node: Rc<ControlNode>) {
-    let mut ticks = interval(DIGEST_INTERVAL);
+    let mut ticks = interval(DIGEST_CHECK_INTERVAL);
+    let mut confirmed_at = Instant::now();
     loop {
         ticks.tick().await;
-        node.broadcast(&LinkMessage::Members(node.digest()));
-        if node.quorum.is_confirmed() {
+        if let Some(digest) = node.members.tick() {
+            node.send_digest(&digest);
+        }
+        if confirmed_at.elapsed() >= CONFIRMATION_INTERVAL && node.quorum.is_confirmed() {
+            confirmed_at = Instant::now();
             node.broadcast(&LinkMessage::Settings(node.confirmation()));
         }
     }
@@ -64,14 +72,23 @@
         log::info!("control: {} disconnected: {error}", peer.name);
         return;
     }
+    let record = Rc::new(PeerRecord {
+        name: peer.name,
+        role: peer.role,
+        sender,
+        agent: Cell::new(None),
+    });
     tokio::select! {
-        error = serve_client(&node, &sender, &mut receiver) => {
-            log::info!("control: {} disconnected: {error}", peer.name);
+        error = serve_client(&node, &record, &mut receiver) => {
+            log::info!("control: {} disconnected: {error}.", record.name);
         }
-        () = greet_and_watch(&node, &sender) => {
-            log::warn!("control: sending {} away: no quorum confirms this instance.", peer.name);
+        () = greet_and_watch(&node, &record) => {
+            log::warn!("control: sending {} away: no quorum confirms this instance.", record.name);
         }
     }
+    if let Some((endpoint, incarnation)) = record.agent.get() {
+        node.members.observe_close(endpoint, incarnation);
+    }
 }
 
 /// Serves another control instance until the connection ends.
@@ -84,7 +101,7 @@
     loop {
         match receiver.next().await {
             Ok(LinkMessage::Replica(bytes)) => node.receive_replica(peer, &bytes),
-            Ok(LinkMessage::AgentHeartbeat(beat)) => node.note_heartbeat(beat),
+            Ok(LinkMessage::EntryHeartbeat(beat)) => node.members.observe_entry(beat),
             Ok(LinkMessage::Propose(proposal)) => {
                 let (node, sender) = (Rc::clone(node), sender.clone());
                 actix_rt::spawn(async move {
@@ -101,12 +118,12 @@
 /// Serves an entry or an agent until the connection ends.
 async fn serve_client(
     node: &Rc<ControlNode>,
-    sender: &LinkSender,
+    peer: &PeerRecord,
     receiver: &mut LinkReceiver,
 ) -> LinkError {
     loop {
         match receiver.next().await {
-            Ok(message) => handle_message(node, sender, message),
+            Ok(message) => handle_message(node, peer, message),
             Err(error) => return error,
         }
     }
@@ -114,7 +131,7 @@
 
 /// Sends what a new connection needs once a quorum confirms it. Ends when no quorum has for long,
 /// so that the client tries another instance.
-async fn greet_and_watch(node: &Rc<ControlNode>, sender: &LinkSender) {
+async fn greet_and_watch(node: &Rc<ControlNode>, peer: &Rc<PeerRecord>) {
     let mut greeted = false;
     let mut confirmed_at = Instant::now();
     while confirmed_at.elapsed() < UNCONFIRMED_LIMIT {
@@ -124,9 +141,9 @@
         if !greeted && node.quorum.is_confirmed() {
             greeted = true;
             for message in node.greeting() {
-                let _ = sender.send(message).await;
+                let _ = peer.sender.send(message).await;
             }
-            node.peers.borrow_mut().push(sender.clone());
+            node.peers.borrow_mut().push(Rc::clone(peer));
         }
         sleep(CONFIRM_INTERVAL).await;
     }
@@ -137,23 +154,25 @@
     let _ = sender.send(LinkMessage::Decided(decision)).await;
 }
 
-fn handle_message(node: &Rc<ControlNode>, sender: &LinkSender, message: LinkMessage) {
+fn handle_message(node: &Rc<ControlNode>, peer: &PeerRecord, message: LinkMessage) {
     match message {
         LinkMessage::AgentHeartbeat(beat) => {
-            node.quorum
-                .tell_others(&LinkMessage::AgentHeartbeat(beat.clone()));
-            node.note_heartbeat(beat);
+            peer.agent.set(Some((beat.endpoint, beat.incarnation)));
+            node.members.observe_agent(&beat);
         }
         LinkMessage::EntryHeartbeat(beat) => {
-            log::debug!("control: entry {} is alive", beat.name);
+            // An entry reports to one control instance; any of them may be asked who is there.
+            node.quorum
+                .tell_others(&LinkMessage::EntryHeartbeat(beat.clone()));
+            node.members.observe_entry(beat);
         }
         LinkMessage::Propose(proposal) => {
-            let (node, sender) = (Rc::clone(node), sender.clone());
+            let (node, sender) = (Rc::clone(node), peer.sender.clone());
             actix_rt::spawn(async move {
                 let reply = node.propose(proposal.command).await;
                 send_decision(&sender, proposal.ticket, reply).await;
             });
         }
-        other => log::debug!("control: unexpected {other:?}"),
+        other => log::debug!("control: unexpected {}.", other.kind()),
     }
 }
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -105,6 +105,7 @@
             .tell(LinkMessage::EntryHeartbeat(EntryHeartbeat {
                 instance: name_id(&name),
                 name,
+                domain_name: self.core.settings.instance.failure_domain.clone(),
                 incarnation: self.core.incarnation,
                 settings: self.core.fleet.load().version,
             }));
--- a/crates/entry/src/status.rs
+++ b/crates/entry/src/status.rs
@@ -96,7 +96,7 @@
         EndpointStatus {
             name: record.name.clone(),
             service: service.cloned().unwrap_or_default(),
-            domain: String::new(),
+            domain: record.domain_name.clone(),
             state: table.state(record.endpoint).unwrap_or_default(),
             load,
             load_over_mean: if expected > 0.0 {
--- a/crates/entry/src/trace.rs
+++ b/crates/entry/src/trace.rs
@@ -11,7 +11,7 @@
     ExclusionKind, MAX_ATTEMPTS, MAX_CANDIDATES,
 };
 use wire::answer::{AnswerHead, AttemptKey, ClassKind};
-use wire::id::{EndpointId, RequestId, name_id};
+use wire::id::{EndpointId, RequestId};
 
 use crate::core::EntryCore;
 use crate::intake::CallRequest;
@@ -79,19 +79,13 @@
 
     /// Takes in a choice. The candidates of the last one are kept.
     pub fn record_choice(&mut self, choice: &RouteDecision, table: &RouteTable) {
-        let own_domain = &self.core.settings.instance.failure_domain;
         let kept = choice.candidates.iter().take(MAX_CANDIDATES);
         self.decision.candidates = kept
             .map(|candidate| {
                 let record = table.record(candidate.endpoint);
-                let is_near = record.is_some_and(|found| found.domain == name_id(own_domain));
                 CandidateRecord {
                     endpoint: record.map_or_else(String::new, |found| found.name.clone()),
-                    domain: if is_near {
-                        own_domain.clone()
-                    } else {
-                        "another".to_owned()
-                    },
+                    domain: record.map_or_else(String::new, |found| found.domain_name.clone()),
                     load: table.load(candidate.endpoint).unwrap_or_default(),
                     warm_tokens: candidate.warm_tokens,
                     excluded: candidate.exclusion.map(exclusion_kind),
--- a/crates/link/tests/due.rs
+++ b/crates/link/tests/due.rs
@@ -43,6 +43,7 @@
     LinkMessage::EntryHeartbeat(EntryHeartbeat {
         instance: 1,
         name: "rennes-1".to_owned(),
+        domain_name: String::new(),
         incarnation: 1,
         settings: 1,
     })
--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -335,6 +335,7 @@
         cache_epoch: 1,
         service: SERVICE,
         domain: number % DOMAINS,
+        domain_name: String::new(),
         address: ([127, 0, 0, 1], 9000).into(),
         weight: 1,
     }
--- a/crates/member/tests/table.rs
+++ b/crates/member/tests/table.rs
@@ -20,6 +20,7 @@
         cache_epoch: incarnation,
         service: 1,
         domain: 0,
+        domain_name: String::new(),
         address: ([127, 0, 0, 1], 9000).into(),
         weight: 1,
     }
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -36,6 +36,8 @@
     pub service: ServiceId,
     /// Failure domain that it runs in.
     pub domain: DomainId,
+    /// Name of the failure domain, for readers.
+    pub domain_name: String,
     /// Where entries reach its agent.
     pub address: SocketAddr,
     /// Relative capacity.
@@ -68,6 +70,8 @@
     pub instance: InstanceId,
     /// Its name.
     pub name: String,
+    /// Name of the failure domain that it runs in.
+    pub domain_name: String,
     /// Life of the entry.
     pub incarnation: IncarnationNumber,
     /// Settings in force at the entry.
--- a/crates/wire/tests/golden.rs
+++ b/crates/wire/tests/golden.rs
@@ -118,6 +118,7 @@
         cache_epoch: 3,
         service: 4,
         domain: 5,
+        domain_name: String::new(),
         address: "127.0.0.1:7001".parse().expect("an address"),
         weight: 1,
     };
@@ -144,6 +145,7 @@
         LinkMessage::EntryHeartbeat(EntryHeartbeat {
             instance: 1,
             name: "entry-1".to_owned(),
+            domain_name: String::new(),
             incarnation: 2,
             settings: 3,
         }),
