Lower the aim of warm work while endpoints are absent, and damp only where the rest can carry it

ServiceMean now says which weight is absent (additive in wire), and the aim for warm work is bound x (1 - absent share), at least 1. Refusals that were left came from damping in services of 3 and 4, where the others can't carry a damped one's load within the bound: damping now needs that they rise by at most 1.15.

Crashes have their own call now.

--- a/crates/admit/src/mean.rs
+++ b/crates/admit/src/mean.rs
@@ -28,6 +28,8 @@
 struct MeanSample {
     total: f64,
     weight: f64,
+    /// Weight of the endpoints that are expected to join.
+    absent: f64,
     /// Load of this endpoint when the sample arrived.
     own: f64,
     at: Instant,
@@ -55,6 +57,7 @@
         let sample = MeanSample {
             total: mean.load as f64,
             weight: mean.weight as f64,
+            absent: mean.absent as f64,
             own: f64::from(own),
             at: now,
         };
@@ -102,6 +105,13 @@
         Some(self.sample?.weight)
     }
 
+    /// Share of the service's weight that does not serve now and is expected to join.
+    pub fn absent_share(&self) -> f64 {
+        self.sample.map_or(0.0, |sample| {
+            sample.absent / (sample.absent + sample.weight)
+        })
+    }
+
     fn update_slope(&mut self, last: &MeanSample, next: &MeanSample) {
         let elapsed = next.at.saturating_duration_since(last.at).as_secs_f64();
         if elapsed <= 0.0 || last.weight.total_cmp(&next.weight).is_ne() {
--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -3,7 +3,7 @@
 //! The load bound counts requests, running and waiting: an agent knows them exactly and at once,
 //! whereas the tokens of a request are known when it has ended.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
 use fault::{Fault, FaultKind};
@@ -38,7 +38,7 @@
     open_at: Instant,
     waiting: LaneTable,
     /// At most `settings.places`, unless the places were reduced.
-    running: HashMap<AttemptKey, RunningRecord>,
+    running: BTreeMap<AttemptKey, RunningRecord>,
     accounts: AccountTable,
     forecast: MeanForecast,
     /// Average duration of a request in seconds; 0 when none has ended.
@@ -54,7 +54,7 @@
             state: EndpointState::Serving,
             open_at,
             waiting: LaneTable::default(),
-            running: HashMap::new(),
+            running: BTreeMap::new(),
             accounts: AccountTable::default(),
             forecast: MeanForecast::default(),
             duration: 0.0,
@@ -128,6 +128,15 @@
         self.start_waiting(now)
     }
 
+    /// Takes in that the endpoint crashed, and returns the attempts that were running.
+    pub fn fail_running(&mut self, now: Instant) -> Vec<AttemptKey> {
+        let failed = std::mem::take(&mut self.running);
+        for record in failed.values() {
+            self.accounts.use_mut(record.account, now).running -= 1;
+        }
+        failed.into_keys().collect()
+    }
+
     /// Cancels an attempt. A running one stays until [`Self::finish`].
     pub fn cancel(&mut self, key: AttemptKey) -> CancelOutcome {
         if self.running.contains_key(&key) {
@@ -192,7 +201,7 @@
         let expected = self.forecast.expected_mean(own, now)?;
         let endpoints = self.forecast.total_weight()? / weight;
         let aim = if request.is_warm {
-            limits.aim
+            limits.warm_aim(self.forecast.absent_share())
         } else {
             limits.cold_aim(endpoints)
         };
--- a/crates/admit/tests/queue.rs
+++ b/crates/admit/tests/queue.rs
@@ -58,6 +58,7 @@
         service: 1,
         load,
         weight,
+        absent: 0,
     }
 }
 
--- a/crates/member/src/row.rs
+++ b/crates/member/src/row.rs
@@ -24,11 +24,6 @@
 }
 
 impl MemberState {
-    /// Whether the endpoint serves, be it kept out or not.
-    pub fn is_serving(self) -> bool {
-        matches!(self, Self::Live | Self::Damped)
-    }
-
     /// What entries are told.
     pub fn endpoint_state(self) -> EndpointState {
         match self {
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -13,6 +13,10 @@
 use crate::list::{ListEntry, ListState};
 use crate::row::{MemberRow, MemberState};
 
+/// Largest factor by which damping may raise the load of the members that are left. It stays below
+/// the usual load bound, as damped members count in the mean.
+const MAX_DAMPED_RAISE: f64 = 1.15;
+
 /// Times and limits of membership.
 #[derive(Clone, Debug, PartialEq)]
 pub struct MemberSettings {
@@ -167,15 +171,23 @@
     /// above the bound.
     pub fn means(&self) -> Vec<ServiceMean> {
         let mut means: Vec<ServiceMean> = Vec::new();
-        for row in self.rows.iter().filter(|row| row.state.is_serving()) {
+        for row in &self.rows {
             let service = row.record.service;
             let place = means.binary_search_by_key(&service, |mean| mean.service);
             let index = place.unwrap_or_else(|index| {
                 means.insert(index, empty_mean(service));
                 index
             });
-            means[index].load += u64::from(row.load.total());
-            means[index].weight += u64::from(row.record.weight.max(1));
+            let mean = &mut means[index];
+            let weight = u64::from(row.record.weight.max(1));
+            match row.state {
+                MemberState::Live | MemberState::Damped => {
+                    mean.load += u64::from(row.load.total());
+                    mean.weight += weight;
+                }
+                MemberState::Unusable | MemberState::Lapsed => mean.absent += weight,
+                MemberState::Leaving => {}
+            }
         }
         means
     }
@@ -272,7 +284,7 @@
         self.rows[index].state = state;
     }
 
-    /// Whether at least half of the service's members are live without the one at `index`.
+    /// Whether the service's other live members can carry the load without the one at `index`.
     fn can_spare(&self, service: ServiceId, index: usize) -> bool {
         let rows = self.rows.iter().enumerate();
         let members = rows.filter(|(_, row)| row.record.service == service);
@@ -280,7 +292,7 @@
             let is_live = other != index && row.state == MemberState::Live;
             (live + u32::from(is_live), all + 1)
         });
-        2 * live >= all
+        f64::from(all) <= MAX_DAMPED_RAISE * f64::from(live)
     }
 
     fn search(&self, endpoint: EndpointId) -> Result<usize, usize> {
@@ -303,5 +315,6 @@
         service,
         load: 0,
         weight: 0,
+        absent: 0,
     }
 }
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -135,7 +135,10 @@
     request: &'a RouteRequest<'a>,
     now: Instant,
     mean: f64,
+    /// Limit for cold work.
     aim: f64,
+    /// Limit for warm work.
+    warm_aim: f64,
     candidates: Vec<CandidateRecord>,
 }
 
@@ -156,6 +159,7 @@
             now,
             mean: self.mean_load(service),
             aim: request.limits.cold_aim(service.rows.len() as f64),
+            warm_aim: request.limits.warm_aim(service.absent_share),
             candidates: Vec::new(),
         };
         let scan = run.scan(service, rng);
@@ -275,7 +279,7 @@
                 Some(row) if row.cache_epoch != place.cache_epoch => Some(Exclusion::Cold),
                 Some(row) => self
                     .exclusion(row)
-                    .or_else(|| self.overload(row, self.request.limits.aim)),
+                    .or_else(|| self.overload(row, self.warm_aim)),
             };
             let load = row.map_or(0.0, |row| self.load_with_request(row));
             self.candidates.push(CandidateRecord {
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -73,6 +73,8 @@
 pub(crate) struct ServiceRows {
     /// Mean load for each unit of weight, as control last said.
     pub(crate) mean: Option<f64>,
+    /// Share of the weight that does not serve and may join again, as control last said.
+    pub(crate) absent_share: f64,
     pub(crate) rows: Vec<u32>,
 }
 
@@ -166,6 +168,8 @@
         for mean in &digest.means {
             let service = self.services.entry(mean.service).or_default();
             service.mean = (mean.weight > 0).then(|| mean.load as f64 / mean.weight as f64);
+            let all = (mean.weight + mean.absent).max(1);
+            service.absent_share = mean.absent as f64 / all as f64;
         }
     }
 
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -53,6 +53,7 @@
             service: SERVICE,
             load: total.into(),
             weight: loads.len() as u64,
+            absent: 0,
         }],
         ..MemberDigest::default()
     };
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -88,6 +88,18 @@
 }
 
 impl LoadLimits {
+    /// The limit for warm work while `absent_share` of the service's weight does not serve.
+    ///
+    /// When the absent endpoints join again, the mean falls by their share; the others should be
+    /// under the bound then.
+    pub fn warm_aim(self, absent_share: f64) -> f64 {
+        if absent_share <= 0.0 {
+            return self.aim;
+        }
+        let after_join = self.bound * (1.0 - absent_share);
+        self.aim.min(after_join).max(1.0)
+    }
+
     /// The limit for cold work among `endpoints` equal endpoints.
     ///
     /// One cold endpoint that joins lowers the mean by its share. The aim is lowered so far that
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -96,6 +96,8 @@
     pub load: u64,
     /// Serving endpoints, by weight.
     pub weight: u64,
+    /// Endpoints that do not serve and may join again, by weight.
+    pub absent: u64,
 }
 
 /// Control to entries and agents: who is there and how loaded, as a change since the last digest
