--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -191,10 +191,9 @@
     /// Largest load that the admission of `request` may leave, or `None` while the mean is unknown.
     pub fn load_limit(&self, request: &AdmitRequest, now: Instant) -> Option<u32> {
         let own = self.load().total() + 1;
-        let lowest = self.forecast.lowest_mean(own, self.duration, now)?;
         let weight = f64::from(self.settings.weight.max(1));
         let limits = self.settings.limits;
-        let bound = limits.bound * lowest * weight;
+        let bound = self.bound(now)?;
         if request.hops >= self.settings.soft_hops {
             return Some(bound.ceil() as u32);
         }
@@ -209,6 +208,11 @@
         Some(aimed.min(bound).ceil() as u32)
     }
 
+    /// Largest load that any admission may leave, or `None` while the mean is unknown.
+    pub fn hard_limit(&self, now: Instant) -> Option<u32> {
+        Some(self.bound(now)?.ceil() as u32)
+    }
+
     /// Re-checks the invariants.
     ///
     /// # Panics
@@ -233,6 +237,14 @@
         }
     }
 
+    /// The hard bound times the lowest mean that the service may have by now.
+    fn bound(&self, now: Instant) -> Option<f64> {
+        let own = self.load().total() + 1;
+        let lowest = self.forecast.lowest_mean(own, self.duration, now)?;
+        let weight = f64::from(self.settings.weight.max(1));
+        Some(self.settings.limits.bound * lowest * weight)
+    }
+
     fn holds(&self, key: AttemptKey) -> bool {
         self.running.contains_key(&key) || self.waiting.iter().any(|request| request.key == key)
     }
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -1,3 +1,109 @@
 //! The `sapphire-agent` program.
 
-fn main() {}
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use agent::admission::watch_deadlines;
+use agent::control::{ControlLinks, abandon_claims, follow_control, send_heartbeats};
+use agent::core::{AgentCore, AgentShared};
+use agent::endpoint::watch_health;
+use agent::http::bind_server;
+use agent::orders::send_orders;
+use agent::server::serve_links;
+use kernel::program::{self, new_incarnation};
+use kernel::{ServiceKernel, TaskFuture, TaskService};
+use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
+use settings::process::AgentSettings;
+use tokio::net::TcpListener;
+use watch::AgentMetrics;
+use watch::label::LabelSettings;
+
+/// Pause between two looks at the attempts that are still active during a stop.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// Time for the last frames to leave.
+const FLUSH_GRACE: Duration = Duration::from_millis(250);
+
+#[actix_web::main]
+async fn main() -> ExitCode {
+    let settings: AgentSettings = match program::start("agent") {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    match build_kernel(settings).await {
+        Ok(kernel) => kernel::process::run(kernel).await,
+        Err(error) => {
+            log::error!("agent: {error}.");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn build_kernel(
+    settings: AgentSettings,
+) -> Result<Rc<ServiceKernel>, Box<dyn std::error::Error>> {
+    let identity = LinkIdentity {
+        name: settings.instance.name.clone(),
+        role: PeerRole::Agent,
+    };
+    let secret = LinkSecret::load(&settings.instance.secret_file)?;
+    let link_settings = LinkSettings::new(identity, secret);
+    let (links, events) = ControlLinks::start(&settings.control, &link_settings);
+    let listener = TcpListener::bind(settings.link).await?;
+    let http = settings.instance.http;
+    let metrics = AgentMetrics::new(LabelSettings::default())?;
+    let shared = Arc::new(AgentShared::new(settings, metrics));
+    let server = bind_server(http, Arc::clone(&shared))?;
+    let core = Rc::new(AgentCore::new(
+        Arc::clone(&shared),
+        new_incarnation(),
+        links,
+    ));
+
+    let kernel = Rc::new(ServiceKernel::new());
+    let handle = server.handle();
+    let failures = Rc::clone(&kernel);
+    let serve = async move {
+        if let Err(error) = server.await {
+            failures.report_failure("http", error.to_string());
+        }
+    };
+    let http_service = TaskService::spawning(vec![Box::pin(serve)]).on_stop(async move {
+        handle.stop(true).await;
+        Ok(())
+    });
+    kernel.register("http", Rc::new(shared), http_service)?;
+    let mut tasks: Vec<TaskFuture> = vec![
+        Box::pin(send_heartbeats(Rc::clone(&core))),
+        Box::pin(abandon_claims(Rc::clone(&core))),
+    ];
+    for (index, events) in events.into_iter().enumerate() {
+        tasks.push(Box::pin(follow_control(Rc::clone(&core), index, events)));
+    }
+    kernel.register("control", Rc::clone(&core), TaskService::spawning(tasks))?;
+    let tasks: Vec<TaskFuture> = vec![
+        Box::pin(watch_health(Rc::clone(&core))),
+        Box::pin(send_orders(Rc::clone(&core))),
+    ];
+    kernel.register("endpoint", Rc::clone(&core), TaskService::spawning(tasks))?;
+    let tasks: Vec<TaskFuture> = vec![
+        Box::pin(watch_deadlines(Rc::clone(&core))),
+        Box::pin(serve_links(listener, link_settings, Rc::clone(&core))),
+    ];
+    let admission = TaskService::spawning(tasks).on_drain(drain_attempts(Rc::clone(&core)));
+    kernel.register("admission", core, admission)?;
+    Ok(kernel)
+}
+
+/// Refuses new work and waits until every answer has reached its entry and every end is recorded.
+async fn drain_attempts(core: Rc<AgentCore>) -> Result<(), String> {
+    core.stop();
+    while core.has_unfinished() {
+        actix_rt::time::sleep(DRAIN_PAUSE).await;
+    }
+    // The last frames leave before the connections close.
+    actix_rt::time::sleep(FLUSH_GRACE).await;
+    Ok(())
+}
--- /dev/null
+++ b/crates/agent/src/run.rs
@@ -0,0 +1,156 @@
+//! One attempt at the endpoint.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use fault::{Fault, FaultKind, RunOutcome};
+use futures::StreamExt;
+use tokio::time::timeout;
+use wire::answer::AnswerHead;
+use wire::command::RecordedAnswer;
+
+use crate::core::AgentCore;
+use crate::endpoint::{self, EndpointResponse};
+use crate::session::AttemptSession;
+
+/// Longest pause between two parts of a stream of events, after which its connection counts as
+/// silent.
+const STREAM_SILENCE_LIMIT: Duration = Duration::from_secs(3);
+
+/// How a run ended.
+enum RunEnd {
+    /// The whole answer came.
+    Whole(RecordedAnswer),
+    /// The request never left the agent.
+    NotSent(Fault),
+    /// The endpoint's connection failed; the endpoint may have crashed.
+    Broken(Fault),
+    /// The run was stopped.
+    Stopped(Fault),
+}
+
+impl RunEnd {
+    fn outcome(&self) -> RunOutcome {
+        match self {
+            Self::Whole(_) => RunOutcome::Ran,
+            Self::NotSent(_) => RunOutcome::NotRun,
+            Self::Broken(_) | Self::Stopped(_) => RunOutcome::Unknown,
+        }
+    }
+}
+
+/// Runs an attempt that was started, and passes its answer to the session.
+pub async fn run_attempt(core: Rc<AgentCore>, session: Rc<AttemptSession>) {
+    let cache_epoch = core.cache_epoch.get();
+    let end = tokio::select! {
+        end = call_endpoint(&core, &session) => end,
+        fault = session.wait_for_stop() => RunEnd::Stopped(fault),
+    };
+    if let RunEnd::Broken(_) = end
+        && !endpoint::is_alive(&core).await
+    {
+        core.endpoint_crashed(cache_epoch);
+    }
+    settle_run(&core, &session, end, cache_epoch);
+}
+
+/// Brings all tables up to the end of a run, then tells the entry.
+fn settle_run(core: &Rc<AgentCore>, session: &Rc<AttemptSession>, end: RunEnd, cache_epoch: u64) {
+    let (key, outcome) = (session.key(), end.outcome());
+    core.attempts.borrow_mut().end(Instant::now(), key, outcome);
+    if core.cache_epoch.get() == cache_epoch {
+        core.release_gate(session, outcome);
+    }
+    core.free_place(key);
+    match end {
+        RunEnd::Whole(answer) => {
+            core.record_claim(session, outcome, Some(answer));
+            core.report_end(session, None);
+            session.push_end(outcome);
+        }
+        RunEnd::NotSent(fault) | RunEnd::Broken(fault) | RunEnd::Stopped(fault) => {
+            core.record_claim(session, outcome, None);
+            core.report_end(session, Some(&fault));
+            if session.has_head() {
+                session.push_end(outcome);
+            } else {
+                core.tell_refusal(session, fault);
+            }
+        }
+    }
+    core.retire_session(key);
+}
+
+async fn call_endpoint(core: &Rc<AgentCore>, session: &Rc<AttemptSession>) -> RunEnd {
+    let mut response = match endpoint::send(core, &session.submit).await {
+        Ok(response) => response,
+        Err(endpoint::SendFault::NotSent(fault)) => return RunEnd::NotSent(fault),
+        Err(endpoint::SendFault::Broken(fault)) => return RunEnd::Broken(fault),
+    };
+    let head = AnswerHead {
+        key: session.key(),
+        status: response.status().as_u16(),
+        headers: endpoint::passed_headers(response.headers()),
+        cached_tokens: endpoint::cached_tokens(response.headers()),
+        queue_wait: session.waited(),
+    };
+    session.push_head(head.clone());
+    core.shared
+        .metrics
+        .record_tokens(session.submit.prompt_tokens, head.cached_tokens);
+    match pass_body(core, session, &mut response).await {
+        Ok(body) => RunEnd::Whole(RecordedAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        }),
+        Err(fault) if fault.kind == FaultKind::SlowCaller => RunEnd::Stopped(fault),
+        Err(fault) => RunEnd::Broken(fault),
+    }
+}
+
+/// Passes the body on and returns it when it is small enough to be recorded.
+async fn pass_body(
+    core: &AgentCore,
+    session: &AttemptSession,
+    response: &mut EndpointResponse,
+) -> fault::Result<Option<Bytes>> {
+    let limit = if session.submit.claim.is_some() {
+        core.recorded_limit(session)
+    } else {
+        0
+    };
+    let is_stream = endpoint::is_event_stream(response.headers());
+    let mut recorded = Some(BytesMut::new());
+    while let Some(part) = next_part(response, is_stream).await? {
+        if recorded
+            .as_ref()
+            .is_some_and(|kept| kept.len() + part.len() > limit)
+        {
+            recorded = None;
+        }
+        if let Some(kept) = &mut recorded {
+            kept.extend_from_slice(&part);
+        }
+        session.push_bytes(part);
+        session.wait_for_room().await?;
+    }
+    Ok(recorded.map(BytesMut::freeze))
+}
+
+async fn next_part(
+    response: &mut EndpointResponse,
+    is_stream: bool,
+) -> fault::Result<Option<Bytes>> {
+    let next = response.next();
+    let part = if is_stream {
+        let waited = timeout(STREAM_SILENCE_LIMIT, next).await;
+        waited.map_err(|_| FaultKind::EndpointFailed.because("the endpoint's stream is silent"))?
+    } else {
+        next.await
+    };
+    let failed =
+        |error| FaultKind::EndpointFailed.because(format!("the endpoint failed midway: {error}"));
+    part.transpose().map_err(failed)
+}
