--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -7,7 +7,7 @@
 use awc::{Client, ClientRequest};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
-use settings::operator::FaultBody;
+use settings::operator::FaultReply;
 
 use crate::args::CtlArgs;
 use crate::error::{CtlError, Result};
@@ -222,7 +222,8 @@
     if status.is_success() {
         return serde_json::from_slice(body).map_err(malformed);
     }
-    let refusal: FaultBody = serde_json::from_slice(body).map_err(malformed)?;
+    let reply: FaultReply = serde_json::from_slice(body).map_err(malformed)?;
+    let refusal = reply.error;
     if status == StatusCode::SERVICE_UNAVAILABLE {
         Err(TryError::Passing(CtlError::Refused(refusal)))
     } else {
--- a/crates/ctl/src/main.rs
+++ b/crates/ctl/src/main.rs
@@ -5,6 +5,7 @@
 use ctl::args::{self, CtlArgs, PROGRAM};
 use ctl::error::{CtlError, ExitKind, Result};
 use ctl::key::{KEY_VARIABLE, operator_key};
+use settings::operator::FaultReply;
 
 #[actix_rt::main]
 async fn main() -> ExitCode {
@@ -36,7 +37,10 @@
 }
 
 fn report(error: &CtlError, json: bool) {
-    match serde_json::to_string(&error.body()) {
+    let reply = FaultReply {
+        error: error.body(),
+    };
+    match serde_json::to_string(&reply) {
         Ok(text) if json => eprintln!("{text}"),
         _ => eprintln!("{PROGRAM}: {error}"),
     }
--- a/crates/ctl/src/read.rs
+++ b/crates/ctl/src/read.rs
@@ -2,7 +2,7 @@
 
 use std::io::Write;
 
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use settings::SettingPath;
 use settings::operator::{BranchAnswer, DiffAnswer, HistoryAnswer, OriginAnswer, QuarantineAnswer};
 use watch::{DecisionRecord, FleetStatus};
@@ -44,6 +44,12 @@
     request: &'a str,
 }
 
+/// What an entry has recorded of one request.
+#[derive(Serialize, Deserialize)]
+struct WhyAnswer {
+    records: Vec<DecisionRecord>,
+}
+
 /// Shows settings.
 ///
 /// # Errors
@@ -216,10 +222,10 @@
     let query = WhyQuery {
         request: &command.request,
     };
-    let mut records: Vec<DecisionRecord> = Vec::new();
+    let mut records = Vec::new();
     for entry in client.entries()? {
-        let found: Vec<DecisionRecord> = client.get_from(*entry, DECISIONS, &query).await?;
-        records.extend(found);
+        let found: WhyAnswer = client.get_from(*entry, DECISIONS, &query).await?;
+        records.extend(found.records);
     }
     if records.is_empty() {
         let message = format!(
@@ -230,7 +236,7 @@
         return Err(CtlError::NotFound(message));
     }
     if json {
-        return print::json(out, &records);
+        return print::json(out, &WhyAnswer { records });
     }
     write!(out, "{}", watch::explain::explain(&records))?;
     Ok(())
--- a/crates/settings/src/operator.rs
+++ b/crates/settings/src/operator.rs
@@ -10,8 +10,8 @@
 //! | `GET /operator/quarantine` | [`QuarantineAnswer`] |
 //! | `DELETE /operator/quarantine/FINGERPRINT` | [`LiftReply`] |
 //!
-//! Every request carries `Authorization: Bearer KEY`. An error is a [`FaultBody`] with the HTTP
-//! status of its kind.
+//! Every request carries `Authorization: Bearer KEY`. An error is a [`FaultReply`] with the HTTP
+//! status of its kind, as callers get it too.
 
 use fault::Fault;
 use serde::{Deserialize, Serialize};
@@ -124,6 +124,13 @@
     pub lifted: String,
 }
 
+/// The body of an error.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FaultReply {
+    /// The error.
+    pub error: FaultBody,
+}
+
 /// An error.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FaultBody {
@@ -168,6 +175,13 @@
     }
 }
 
+impl From<&Fault> for FaultReply {
+    fn from(fault: &Fault) -> Self {
+        let error = FaultBody::from(fault);
+        Self { error }
+    }
+}
+
 /// The text form of a fingerprint.
 pub fn fingerprint_text(fingerprint: FingerprintHash) -> String {
     format!("{fingerprint:016x}")
