--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -9,6 +9,7 @@
 use fault::{Fault, FaultKind};
 use serde::Deserialize;
 use serde_json::json;
+use settings::fleet::OperatorRole;
 use watch::record::request_from_text;
 use watch::{RecordFilter, TEXT_CONTENT_TYPE};
 
@@ -78,17 +79,15 @@
 }
 
 fn check_operator(shared: &AgentShared, request: &HttpRequest) -> fault::Result<()> {
-    let value = request
+    let header = request
         .headers()
         .get("authorization")
         .and_then(|value| value.to_str().ok());
-    let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    let key = key.ok_or_else(|| FaultKind::MissingKey.because("an operator key is needed"))?;
-    let fleet = shared.fleet.load();
-    match fleet.operator_of_key(key) {
-        Some(_) => Ok(()),
-        None => Err(FaultKind::UnknownKey.because("no operator has this key")),
-    }
+    shared
+        .fleet
+        .load()
+        .authorize_operator(header, OperatorRole::Read)?;
+    Ok(())
 }
 
 fn fault_response(fault: &Fault) -> HttpResponse {
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -1,7 +1,6 @@
 //! From an HTTP request to a checked call.
 
 use std::str::FromStr;
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use actix_web::HttpRequest;
@@ -207,13 +206,8 @@
     }
 }
 
-fn find_account(fleet: &Arc<FleetSettings>, request: &HttpRequest) -> Result<String> {
-    let value = header_text(request, "authorization");
-    let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    let key = key.ok_or_else(|| FaultKind::MissingKey.because("an account key is needed"))?;
-    let found = fleet.account_of_key(key);
-    let (name, _) =
-        found.ok_or_else(|| FaultKind::UnknownKey.because("no client account has this key"))?;
+fn find_account(fleet: &FleetSettings, request: &HttpRequest) -> Result<String> {
+    let (name, _) = fleet.authorize_account(header_text(request, "authorization"))?;
     Ok(name.to_owned())
 }
 
@@ -326,6 +320,7 @@
     found.collect()
 }
 
-fn header_text<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
+/// The text of a header; `None` when it is absent or not visible ASCII.
+pub fn header_text<'a>(request: &'a HttpRequest, name: &str) -> Option<&'a str> {
     request.headers().get(name)?.to_str().ok()
 }
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`attempt`]: one attempt and its frames, across connections.
 //! * [`claims`]: claims of non-idempotent calls at the control quorum.
 //! * [`answer`]: from the answer of an endpoint to the HTTP response.
+//! * [`status`]: what this entry knows of the fleet, for its status page.
 //! * [`trace`]: what a call leaves behind: its decision record and metrics.
 //! * [`operator`]: decisions, status and metrics over HTTP.
 
@@ -26,4 +27,5 @@
 pub mod operator;
 pub mod pool;
 pub mod server;
+pub mod status;
 pub mod trace;
