Rebuild old versions in place and make paths only for faults

Cause: rebuilding a version cloned the whole tree for each record, and the checks built a path for every key.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -5,7 +5,7 @@
 
 use toml::{Table, Value};
 
-use crate::path::SettingPath;
+use crate::place::CheckPlace;
 use crate::schema::{BranchSpec, DefaultValue, MAX_NAME_BYTES, MAX_TEXT_BYTES, ValueForm, is_name};
 use crate::tree::SettingFault;
 
@@ -14,14 +14,14 @@
 
 /// Checks `table` and removes what is faulty, so that the rest can be read and checked further.
 pub(crate) fn clean_table(
-    path: &SettingPath,
+    place: &CheckPlace<'_>,
     table: &mut Table,
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
 ) {
-    report_missing(path, table, spec, faults);
+    report_missing(place, table, spec, faults);
     table.retain(|name, value| {
-        let child = path.child(name);
+        let child = place.child(name);
         let Some(key) = spec.key(name) else {
             faults.push(fault(&child, unknown_key(name, spec)));
             return false;
@@ -30,10 +30,10 @@
     });
 }
 
-/// A fault at `path`.
-pub(crate) fn fault(path: &SettingPath, reason: impl Into<String>) -> SettingFault {
+/// A fault at `place`.
+pub(crate) fn fault(place: &CheckPlace<'_>, reason: impl Into<String>) -> SettingFault {
     SettingFault {
-        path: path.to_string(),
+        path: place.path().to_string(),
         reason: reason.into(),
     }
 }
@@ -57,21 +57,21 @@
 }
 
 fn report_missing(
-    path: &SettingPath,
+    place: &CheckPlace<'_>,
     table: &Table,
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
 ) {
     for key in spec.keys() {
         if key.default == DefaultValue::Required && !table.contains_key(key.name) {
-            faults.push(fault(&path.child(key.name), "is missing"));
+            faults.push(fault(&place.child(key.name), "is missing"));
         }
     }
 }
 
 /// Checks one value; returns whether it is kept.
 fn clean_value(
-    path: &SettingPath,
+    place: &CheckPlace<'_>,
     value: &mut Value,
     form: ValueForm,
     faults: &mut Vec<SettingFault>,
@@ -79,23 +79,23 @@
     let found = type_name(value);
     match (form, value) {
         (ValueForm::Branches(spec), Value::Table(table)) => {
-            clean_branches(path, table, spec, faults);
+            clean_branches(place, table, spec, faults);
             true
         }
         (ValueForm::Section(spec), Value::Table(table)) => {
-            clean_table(path, table, spec, faults);
+            clean_table(place, table, spec, faults);
             true
         }
-        (ValueForm::List(spec), Value::Array(items)) => clean_list(path, items, spec, faults),
+        (ValueForm::List(spec), Value::Array(items)) => clean_list(place, items, spec, faults),
         (_, value) => match check_value(value, form) {
             Ok(()) => true,
             Err(None) => {
                 let expected = expected_form(form);
-                faults.push(fault(path, format!("is {found}, expected {expected}")));
+                faults.push(fault(place, format!("is {found}, expected {expected}")));
                 false
             }
             Err(Some(reason)) => {
-                faults.push(fault(path, reason));
+                faults.push(fault(place, reason));
                 false
             }
         },
@@ -103,13 +103,13 @@
 }
 
 fn clean_branches(
-    path: &SettingPath,
+    place: &CheckPlace<'_>,
     table: &mut Table,
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
 ) {
     table.retain(|name, value| {
-        let child = path.child(name);
+        let child = place.child(name);
         if !is_name(name) {
             faults.push(fault(&child, bad_name(name)));
             return false;
@@ -125,18 +125,19 @@
 }
 
 fn clean_list(
-    path: &SettingPath,
+    place: &CheckPlace<'_>,
     items: &mut [Value],
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
 ) -> bool {
     if items.is_empty() {
-        faults.push(fault(path, "is empty, expected at least one entry"));
+        faults.push(fault(place, "is empty, expected at least one entry"));
         return false;
     }
     let before = faults.len();
     for (index, item) in items.iter_mut().enumerate() {
-        let child = path.child(&index.to_string());
+        let key = index.to_string();
+        let child = place.child(&key);
         match item {
             Value::Table(table) => clean_table(&child, table, spec, faults),
             other => {
--- a/crates/settings/src/history.rs
+++ b/crates/settings/src/history.rs
@@ -147,7 +147,7 @@
         let mut tree = self.tree.clone();
         let later = self.records.iter().rev();
         for record in later.take_while(|record| record.version > version) {
-            tree = tree.edited(&record.undo).ok()?;
+            tree.edit(&record.undo).ok()?;
         }
         Some(tree)
     }
@@ -209,8 +209,7 @@
         let oldest = self.tree_at(self.oldest()).ok_or("undo does not apply")?;
         let mut tree = oldest;
         for record in &self.records {
-            tree = tree
-                .edited(&record.edits)
+            tree.edit(&record.edits)
                 .map_err(|_| "a record does not apply")?;
         }
         ensure(tree == self.tree, "the records do not lead to the tree")
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -30,6 +30,7 @@
 mod overlap;
 pub mod page;
 pub mod path;
+mod place;
 pub mod policy;
 pub mod process;
 pub mod schema;
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -12,7 +12,7 @@
 
 use crate::check::clean_table;
 use crate::files::{AGENT, CONTROL, ENTRY};
-use crate::path::SettingPath;
+use crate::place::CheckPlace;
 use crate::schema::BranchSpec;
 use crate::tree::{Result, SettingFault, SettingsTree, syntax_fault};
 
@@ -129,7 +129,7 @@
         .parse::<Table>()
         .map_err(|error| vec![syntax_fault(text, &error)])?;
     let mut faults = Vec::new();
-    clean_table(&SettingPath::default(), &mut table, T::SPEC, &mut faults);
+    clean_table(&CheckPlace::ROOT, &mut table, T::SPEC, &mut faults);
     if !faults.is_empty() {
         return Err(faults);
     }
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -13,6 +13,7 @@
 use crate::keys::ROOT;
 use crate::origin::{ResolvedValue, find, resolved_values};
 use crate::path::SettingPath;
+use crate::place::CheckPlace;
 use crate::whole::check_whole;
 
 /// One fault of a settings tree or file.
@@ -60,14 +61,23 @@
     /// Every edit whose path or value is faulty.
     pub fn edited(&self, edits: &[SettingEdit]) -> Result<Self> {
         let mut tree = self.clone();
+        tree.edit(edits)?;
+        Ok(tree)
+    }
+
+    /// Applies edits in place; some of them when there is a fault.
+    ///
+    /// # Errors
+    /// Every edit whose path or value is faulty.
+    pub(crate) fn edit(&mut self, edits: &[SettingEdit]) -> Result<()> {
         let mut faults = Vec::new();
         for edit in edits {
-            if let Err(fault) = tree.apply(edit) {
+            if let Err(fault) = self.apply(edit) {
                 faults.push(fault);
             }
         }
         if faults.is_empty() {
-            Ok(tree)
+            Ok(())
         } else {
             Err(faults)
         }
@@ -101,7 +111,7 @@
     pub fn resolve(&self, version: SettingsVersion) -> Result<FleetSettings> {
         let mut faults = Vec::new();
         let mut table = self.root.clone();
-        clean_table(&SettingPath::default(), &mut table, &ROOT, &mut faults);
+        clean_table(&CheckPlace::ROOT, &mut table, &ROOT, &mut faults);
         let branch: RootBranch = Value::Table(table)
             .try_into()
             .map_err(|error: toml::de::Error| one_fault("", error.message()))?;
--- a/crates/settings/src/whole.rs
+++ b/crates/settings/src/whole.rs
@@ -8,6 +8,7 @@
 use crate::check::{fault, nearest};
 use crate::fleet::{AccountSettings, FleetSettings, ModelSettings, ServiceKind, ServiceSettings};
 use crate::path::SettingPath;
+use crate::place::CheckPlace;
 use crate::policy::{PolicyOverrides, PolicySettings};
 use crate::tree::SettingFault;
 
@@ -34,7 +35,7 @@
 }
 
 impl WholeCheck<'_> {
-    fn report(&mut self, path: &SettingPath, reason: impl Into<String>) {
+    fn report(&mut self, path: &CheckPlace<'_>, reason: impl Into<String>) {
         self.faults.push(fault(path, reason));
     }
 
@@ -45,7 +46,7 @@
     }
 
     /// Reports a name that refers to no branch of the group.
-    fn reference(&mut self, path: &SettingPath, group: &str, name: &str) -> bool {
+    fn reference(&mut self, path: &CheckPlace<'_>, group: &str, name: &str) -> bool {
         if self.has(group, name) {
             return true;
         }
@@ -61,35 +62,42 @@
 
     fn limits(&mut self) {
         let fleet = self.fleet;
-        let root = SettingPath::default();
+        let root = CheckPlace::ROOT;
         self.policy(&root, &fleet.policy, None);
+        let services = root.child("services");
         for (name, service) in &fleet.services {
-            let path = root.child("services").child(name);
+            let path = services.child(name);
+            let models = path.child("models");
             self.policy(&path, &service.policy, Some(&fleet.policy));
             for (model_name, model) in &service.models {
-                let path = path.child("models").child(model_name);
-                self.policy(&path, &model.policy, Some(&service.policy));
+                self.policy(
+                    &models.child(model_name),
+                    &model.policy,
+                    Some(&service.policy),
+                );
             }
         }
+        let accounts = root.child("accounts");
         for (name, account) in &fleet.accounts {
-            let path = root.child("accounts").child(name);
+            let path = accounts.child(name);
             self.policy(&path, &account.policy, Some(&fleet.policy));
             self.account_services(&path, name, account);
         }
     }
 
-    fn account_services(&mut self, path: &SettingPath, name: &str, account: &AccountSettings) {
+    fn account_services(&mut self, path: &CheckPlace<'_>, name: &str, account: &AccountSettings) {
         let fleet = self.fleet;
         let sets_nothing = account.overrides == PolicyOverrides::default();
         let is_reported = limit_faults(&account.policy).next().is_some();
         if is_reported || (sets_nothing && account.per_service.is_empty()) {
             return;
         }
+        let per_service = path.child("per_service");
         for (service_name, service) in &fleet.services {
             let resolved = fleet.request_policy(name, service_name);
             let path = match account.per_service.get(service_name) {
-                Some(_) => path.child("per_service").child(service_name),
-                None => path.clone(),
+                Some(_) => per_service.child(service_name),
+                None => *path,
             };
             self.policy(&path, &resolved, Some(&service.policy));
         }
@@ -98,7 +106,7 @@
     /// Reports limits that contradict each other, unless the parent's already do.
     fn policy(
         &mut self,
-        path: &SettingPath,
+        path: &CheckPlace<'_>,
         policy: &PolicySettings,
         parent: Option<&PolicySettings>,
     ) {
@@ -117,11 +125,10 @@
     fn services(&mut self) {
         let fleet = self.fleet;
         let mut owners: BTreeMap<&str, &str> = BTreeMap::new();
+        let group = CheckPlace::ROOT.child("services");
         for (name, service) in &fleet.services {
-            let models = SettingPath::default()
-                .child("services")
-                .child(name)
-                .child("models");
+            let path = group.child(name);
+            let models = path.child("models");
             if service.kind == ServiceKind::Plain && !service.models.is_empty() {
                 self.report(&models, "a plain service has no models");
             }
@@ -138,7 +145,7 @@
     /// Reports a placement that fits no endpoint.
     fn placement(
         &mut self,
-        path: &SettingPath,
+        path: &CheckPlace<'_>,
         service_name: &str,
         service: &ServiceSettings,
         model: &ModelSettings,
@@ -171,27 +178,27 @@
 
     fn endpoints(&mut self) {
         let fleet = self.fleet;
+        let group = CheckPlace::ROOT.child("endpoints");
         for (name, endpoint) in &fleet.endpoints {
-            let path = SettingPath::default()
-                .child("endpoints")
-                .child(name)
-                .child("service");
+            let path = group.child(name);
             // An empty name was reported as missing or malformed.
             if !endpoint.service.is_empty() {
-                self.reference(&path, "services", &endpoint.service);
+                self.reference(&path.child("service"), "services", &endpoint.service);
             }
         }
     }
 
     fn accounts(&mut self) {
         let fleet = self.fleet;
+        let group = CheckPlace::ROOT.child("accounts");
         for (name, account) in &fleet.accounts {
-            let path = SettingPath::default().child("accounts").child(name);
+            let path = group.child(name);
+            let per_service = path.child("per_service");
             for service in &account.services {
                 self.reference(&path.child("services"), "services", service);
             }
             for service in account.per_service.keys() {
-                let path = path.child("per_service").child(service);
+                let path = per_service.child(service);
                 let is_known = self.reference(&path, "services", service);
                 let is_allowed = account.services.is_empty() || account.services.contains(service);
                 if is_known && !is_allowed {
@@ -208,19 +215,20 @@
         let accounts = accounts.map(|(name, account)| ("accounts", name, &account.key_hash));
         let operators = fleet.operators.iter();
         let operators = operators.map(|(name, operator)| ("operators", name, &operator.key_hash));
-        let mut owners: HashMap<&str, SettingPath> = HashMap::new();
+        let mut owners: HashMap<&str, (&str, &str)> = HashMap::new();
         for (group, name, hash) in accounts.chain(operators) {
             // An empty hash was reported as missing or malformed.
             if hash.is_empty() {
                 continue;
             }
-            let path = SettingPath::default().child(group).child(name);
-            if let Some(owner) = owners.get(hash.as_str()) {
-                let reason = format!("is also the key of `{owner}`");
-                self.report(&path.child("key_hash"), reason);
-            } else {
-                owners.insert(hash, path);
-            }
+            let Some((other_group, other)) = owners.insert(hash, (group, name)) else {
+                continue;
+            };
+            let owner = SettingPath::default().child(other_group).child(other);
+            let group = CheckPlace::ROOT.child(group);
+            let path = group.child(name);
+            let reason = format!("is also the key of `{owner}`");
+            self.report(&path.child("key_hash"), reason);
         }
     }
 }
