--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -72,7 +72,8 @@
         self.queue_changed.notify_one();
     }
 
-    fn admit_request(&self, submit: &SubmitRequest) -> AdmitRequest {
+    /// What the queue needs to know of a submitted attempt.
+    pub fn admit_request(&self, submit: &SubmitRequest) -> AdmitRequest {
         let fleet = self.shared.fleet.load();
         let account = self.account_name(submit.account);
         let service = self.endpoint_settings().unwrap_or_default().service;
@@ -83,12 +84,19 @@
             class: submit.class,
             deadline: Instant::now() + submit.deadline,
             hops: submit.hops,
+            is_warm: self.is_warm(submit),
             share: policy.share,
             rate_per_second: policy.rate_per_second,
             concurrency: policy.concurrency,
         }
     }
 
+    /// Whether most of the prompt is believed to be in the endpoint's cache.
+    fn is_warm(&self, submit: &SubmitRequest) -> bool {
+        let depth = self.warm.borrow().depth(&submit.prefixes);
+        depth > submit.prefixes.len() / 2
+    }
+
     /// Carries out what the queue decided.
     pub fn perform(self: &Rc<Self>, actions: Vec<AdmitAction>) {
         for action in actions {
@@ -133,6 +141,7 @@
             .borrow_mut()
             .started(key, session.submit.fingerprint);
         session.mark_started();
+        self.warm.borrow_mut().record(&session.submit.prefixes);
         self.tell_admitted(key);
         let account = self.account_name(session.submit.account);
         let wait = session.waited();
--- a/crates/watch/src/entry.rs
+++ b/crates/watch/src/entry.rs
@@ -248,7 +248,9 @@
 /// Sum of the counters whose label `service` is `service`.
 fn sum_by_service(family: &IntCounterVec, service: &str) -> u64 {
     let families = family.collect();
-    let metrics = families.iter().flat_map(|family| family.get_metric());
+    let metrics = families
+        .iter()
+        .flat_map(prometheus::proto::MetricFamily::get_metric);
     let matching = metrics.filter(|metric| {
         let labels = metric.get_label();
         labels
