Never call an attempt not run that another life may have run

A claimed run whose entry had died filled its window and held its place for good; AnswerTail::detach lets it run to its end. Each reordered frame asked for a resume; a gap is reported once now. A suspect's permit blocked its own attempt once it was cleared elsewhere. A crash that took the agent with it left no report; entries report what they had there, and a crash counts once against each request by its cache epoch.

Excluded: forgotten attempts (10 min kept, frames live 60 s at the most).

--- a/crates/claim/src/assembly.rs
+++ b/crates/claim/src/assembly.rs
@@ -26,7 +26,7 @@
     Failed(RunOutcome),
     /// The frame is late, a duplicate, or belongs to another attempt: drop it.
     Stale,
-    /// Frames are missing: resume from the offset reached.
+    /// Frames are missing: resume from the offset reached. Said once for each place.
     Gap,
     /// Length or checksum do not agree: cut the caller's answer off.
     Corrupt,
@@ -53,6 +53,8 @@
     acked: u64,
     /// Over all bytes that have arrived.
     checksum: Hasher,
+    /// Where the last gap was found; it is reported once.
+    gap: Option<(bool, u64)>,
     state: AssemblyState,
 }
 
@@ -66,6 +68,7 @@
             taken: 0,
             acked: 0,
             checksum: Hasher::new(),
+            gap: None,
             state: AssemblyState::Open,
         }
     }
@@ -107,7 +110,7 @@
             return AssemblyVerdict::Stale;
         }
         if !self.has_head || chunk.offset > self.offset {
-            return AssemblyVerdict::Gap;
+            return self.report_gap();
         }
         let old = self.offset - chunk.offset;
         if old >= chunk.bytes.len() as u64 {
@@ -129,7 +132,7 @@
             return AssemblyVerdict::Failed(end.outcome);
         }
         if !self.has_head || end.length > self.offset {
-            return AssemblyVerdict::Gap;
+            return self.report_gap();
         }
         self.state = AssemblyState::Closed;
         let is_whole = end.length == self.offset;
@@ -179,6 +182,15 @@
         )
     }
 
+    fn report_gap(&mut self) -> AssemblyVerdict {
+        let place = Some((self.has_head, self.offset));
+        if self.gap == place {
+            return AssemblyVerdict::Stale;
+        }
+        self.gap = place;
+        AssemblyVerdict::Gap
+    }
+
     fn is_awaited(&self, key: AttemptKey) -> bool {
         self.state == AssemblyState::Open && key == self.key
     }
--- a/crates/claim/src/attempts.rs
+++ b/crates/claim/src/attempts.rs
@@ -41,6 +41,9 @@
     Ended(RunOutcome),
     /// The endpoint never had it and never will.
     Refused(FaultKind),
+    /// It was resumed or cancelled without having been submitted in this life, which will not run
+    /// it. An earlier life may have, so it is never called not run.
+    Lost,
 }
 
 impl AttemptState {
@@ -130,8 +133,10 @@
     /// Takes a submitted attempt into the queue, unless it may not run.
     pub fn submit(&mut self, now: Instant, key: AttemptKey, is_idempotent: bool) -> SubmitVerdict {
         self.forget(now);
-        if let Some(state) = self.get(key) {
-            return SubmitVerdict::Known(state);
+        match self.get(key) {
+            Some(AttemptState::Lost) => return self.refuse_lost(key),
+            Some(state) => return SubmitVerdict::Known(state),
+            None => {}
         }
         if self.records.len() >= self.limits.attempts {
             // It can't be remembered, so nothing may be promised about it.
@@ -139,7 +144,7 @@
         }
         let (stop, refusal) = self.compare_siblings(key, is_idempotent);
         if let Some(kind) = refusal {
-            self.insert_refused(now, key, kind);
+            self.insert_ended(now, key, AttemptState::Refused(kind));
             return SubmitVerdict::Refuse(kind);
         }
         self.fence_earlier(now, key);
@@ -183,8 +188,8 @@
     /// Cancels an attempt, whether or not it has been submitted.
     pub fn cancel(&mut self, now: Instant, key: AttemptKey) -> CancelVerdict {
         match self.get(key) {
-            None => {
-                self.insert_refused(now, key, FaultKind::Cancelled);
+            None | Some(AttemptState::Lost) => {
+                self.insert_ended(now, key, AttemptState::Lost);
                 CancelVerdict::Lost
             }
             Some(AttemptState::Queued) => {
@@ -200,8 +205,8 @@
     /// seen is fenced.
     pub fn resume(&mut self, now: Instant, key: AttemptKey) -> ResumeVerdict {
         match self.get(key) {
-            None => {
-                self.insert_refused(now, key, FaultKind::Fenced);
+            None | Some(AttemptState::Lost) => {
+                self.insert_ended(now, key, AttemptState::Lost);
                 ResumeVerdict::Lost
             }
             Some(AttemptState::Queued) => ResumeVerdict::Wait,
@@ -288,7 +293,7 @@
             match record.state {
                 AttemptState::Running if repeats => return (None, Some(FaultKind::StillRunning)),
                 AttemptState::Running => stop = Some(*sibling),
-                AttemptState::Ended(_) if repeats => {
+                AttemptState::Ended(_) | AttemptState::Lost if repeats => {
                     return (None, Some(FaultKind::OutcomeUnknown));
                 }
                 _ => {}
@@ -313,12 +318,21 @@
             .range(numbered(AttemptNumber::MIN)..=numbered(AttemptNumber::MAX))
     }
 
-    fn insert_refused(&mut self, now: Instant, key: AttemptKey, kind: FaultKind) {
-        if self.records.len() >= self.limits.attempts {
+    /// A lost attempt is submitted after all, so it was on its way to this life and to no other.
+    fn refuse_lost(&mut self, key: AttemptKey) -> SubmitVerdict {
+        if let Some(record) = self.records.get_mut(&key) {
+            record.state = AttemptState::Refused(FaultKind::Fenced);
+        }
+        SubmitVerdict::Refuse(FaultKind::Fenced)
+    }
+
+    /// Remembers an attempt that never becomes active, unless it is known.
+    fn insert_ended(&mut self, now: Instant, key: AttemptKey, state: AttemptState) {
+        if self.records.len() >= self.limits.attempts || self.records.contains_key(&key) {
             return;
         }
         let record = AttemptRecord {
-            state: AttemptState::Refused(kind),
+            state,
             is_idempotent: true,
         };
         self.records.insert(key, record);
--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -202,7 +202,7 @@
             ),
             ClaimState::Unknown => refuse(
                 FaultKind::OutcomeUnknown,
-                "the request may have run; it is not run again",
+                "the request may have run or may still run once; it is not run again",
             ),
             ClaimState::Released => self.grant_released(request),
         }
@@ -282,6 +282,14 @@
         self.len() == 0
     }
 
+    /// Claims whose attempt may run.
+    pub fn held(&self) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|record| record.state == ClaimState::Held)
+            .count()
+    }
+
     /// Bytes of all recorded answers.
     pub fn answer_bytes(&self) -> usize {
         self.answer_bytes
--- a/crates/claim/src/gate.rs
+++ b/crates/claim/src/gate.rs
@@ -72,7 +72,10 @@
         match self.check(fingerprint) {
             GateVerdict::Refuse => false,
             GateVerdict::Alone => self.running == 0 && self.has_permit(key, fingerprint),
-            GateVerdict::Run => self.alone.is_none() && self.permits.is_empty(),
+            GateVerdict::Run => {
+                let is_free = self.permits.is_empty() || self.has_permit(key, fingerprint);
+                self.alone.is_none() && is_free
+            }
         }
     }
 
--- a/crates/claim/src/suspects.rs
+++ b/crates/claim/src/suspects.rs
@@ -83,8 +83,8 @@
     /// Latest stamp seen. Never runs backwards.
     now: Duration,
     rows: BTreeMap<FingerprintHash, SuspectRow>,
-    /// Crash reports that were counted, with the time at which they are forgotten.
-    counted: BTreeMap<(EndpointId, u64), Duration>,
+    /// What was counted of each crash, with the time at which it is forgotten.
+    counted: BTreeMap<(EndpointId, u64, FingerprintHash), Duration>,
 }
 
 impl SuspectTable {
@@ -96,8 +96,9 @@
         }
     }
 
-    /// Counts a crash of `endpoint` against the requests that were running there. A resend of a
-    /// counted report, known by the cache epoch that ended, changes nothing.
+    /// Counts a crash of `endpoint` against the requests that were running there. A crash is known
+    /// by the cache epoch that ended, and counts once against each request, also when its agent
+    /// sends the report again or several entries report what they had there.
     pub fn report_crash(
         &mut self,
         time: Duration,
@@ -107,18 +108,11 @@
     ) -> ControlReply {
         self.advance(time);
         let forget = self.now + self.limits.suspicion;
-        if self
-            .counted
-            .insert((endpoint, cache_epoch), forget)
-            .is_some()
-        {
-            return ControlReply::Recorded;
-        }
-        let mut running = suspects.to_vec();
-        running.sort_unstable();
-        running.dedup();
-        for fingerprint in running {
-            self.count_crash(fingerprint, endpoint);
+        for fingerprint in suspects {
+            let crash = (endpoint, cache_epoch, *fingerprint);
+            if self.counted.insert(crash, forget).is_none() {
+                self.count_crash(*fingerprint, endpoint);
+            }
         }
         ControlReply::Recorded
     }
@@ -156,7 +150,7 @@
         }
     }
 
-    /// Takes back the permit of an attempt that never started and never will.
+    /// Takes back the permit of an attempt that was refused or stopped, which shows nothing.
     pub fn drop_trial(
         &mut self,
         time: Duration,
--- a/crates/claim/src/tail.rs
+++ b/crates/claim/src/tail.rs
@@ -67,6 +67,8 @@
     checksum: Hasher,
     end: Option<RunOutcome>,
     cursor: SendCursor,
+    /// Whether nobody will ask for the answer any more, so that it is not kept.
+    is_detached: bool,
 }
 
 impl AnswerTail {
@@ -82,6 +84,7 @@
             checksum: Hasher::new(),
             end: None,
             cursor: SendCursor::default(),
+            is_detached: false,
         }
     }
 
@@ -94,6 +97,9 @@
 
     /// Bytes that may be pushed now. At 0 the endpoint is not read.
     pub fn room(&self) -> usize {
+        if self.is_detached {
+            return self.window;
+        }
         self.window.saturating_sub(self.kept())
     }
 
@@ -107,6 +113,16 @@
         self.checksum.update(&bytes);
         self.length += bytes.len() as u64;
         self.parts.push_back(bytes);
+        if self.is_detached {
+            self.ack(self.length);
+        }
+    }
+
+    /// Nobody will ask for the answer any more: its connection ended and its caller left. What
+    /// comes is dropped, so that an execution that has to end is not held up.
+    pub fn detach(&mut self) {
+        self.is_detached = true;
+        self.ack(self.length);
     }
 
     /// Ends the answer.
--- a/crates/wire/src/command.rs
+++ b/crates/wire/src/command.rs
@@ -117,7 +117,7 @@
         /// The one attempt that the permit is for.
         attempt: AttemptKey,
     },
-    /// Gives back the permit of an attempt that never started and never will.
+    /// Gives back the permit of an attempt that was refused or stopped.
     DropTrial {
         /// The suspect.
         fingerprint: FingerprintHash,
