--- /dev/null
+++ b/crates/measure/src/faults/world.rs
@@ -0,0 +1,484 @@
+//! The steps of the fuzzing.
+
+use std::time::{Duration, Instant};
+
+use fault::FaultKind;
+use rand::RngExt;
+use rand::seq::IndexedRandom;
+use rand_pcg::Pcg64Mcg;
+use wire::command::{ClaimKey, ControlCommand, ControlReply, SettingEdit, SettingsChange};
+
+use crate::faults::agent::{AgentContext, ModelAgent, is_poison};
+use crate::faults::entry::{CallEnd, CallerRequest, EntryContext, ModelEntry};
+use crate::faults::network::{FrameNetwork, FrameTarget};
+use crate::faults::oracle::{FaultCounts, RunOracle, WorkCounts};
+use crate::faults::quorum::ControlQuorum;
+
+/// Entries of the world.
+const ENTRIES: usize = 3;
+/// Agents of the world.
+const AGENTS: usize = 4;
+/// Requests under way at one entry, beyond which no new one comes.
+const MAX_CALLS: usize = 12;
+/// Requests that callers may send again.
+const MAX_RESENDS: usize = 24;
+/// Longest short pause.
+const MAX_PAUSE_MS: u64 = 400;
+/// A pause that outlasts retentions, trials and frames.
+const LONG_PAUSE: Duration = Duration::from_secs(20 * 60);
+/// Steps between two checks of all invariants.
+const CHECK_INTERVAL: u64 = 512;
+/// Rounds that the world gets to come to rest.
+const QUIET_ROUNDS: usize = 4_000;
+
+/// One thing that may happen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WorldStep {
+    /// A caller sends a request, or sends one again.
+    Ask,
+    /// A frame arrives, or gets lost.
+    Deliver,
+    /// An endpoint works.
+    Work,
+    /// Entries and agents send control what they owe.
+    Pay,
+    /// A link is found silent and its streams are resumed.
+    Reconnect,
+    /// An agent finds that nobody reads some of its answers.
+    LoseReaders,
+    /// An entry gives an attempt up.
+    Lose,
+    /// A caller leaves.
+    Leave,
+    /// Time passes.
+    Pause,
+    /// A late duplicate of a proposal is committed.
+    CommitLate,
+    /// Settings are changed, or sent to an entry.
+    Settings,
+    /// An endpoint crashes.
+    CrashEndpoint,
+    /// An agent is restarted.
+    RestartAgent,
+    /// An entry is restarted.
+    RestartEntry,
+    /// A control instance is cut off, or comes back.
+    Partition,
+    /// A control instance is restarted.
+    RestartControl,
+    /// An agent begins to drain, or ends it.
+    Drain,
+    /// A long time passes.
+    LongPause,
+}
+
+impl WorldStep {
+    /// Every step with its weight.
+    pub const WEIGHTED: [(Self, u32); 18] = [
+        (Self::Ask, 800),
+        (Self::Deliver, 5_000),
+        (Self::Work, 3_000),
+        (Self::Pay, 600),
+        (Self::Reconnect, 120),
+        (Self::LoseReaders, 40),
+        (Self::Lose, 40),
+        (Self::Leave, 60),
+        (Self::Pause, 500),
+        (Self::CommitLate, 60),
+        (Self::Settings, 40),
+        (Self::CrashEndpoint, 8),
+        (Self::RestartAgent, 8),
+        (Self::RestartEntry, 8),
+        (Self::Partition, 16),
+        (Self::RestartControl, 8),
+        (Self::Drain, 24),
+        (Self::LongPause, 3),
+    ];
+
+    /// A step drawn by weight.
+    pub fn draw(rng: &mut Pcg64Mcg) -> Self {
+        let drawn = Self::WEIGHTED.choose_weighted(rng, |(_, weight)| *weight);
+        drawn.map_or(Self::Deliver, |(step, _)| *step)
+    }
+}
+
+/// Everything together.
+pub struct FaultWorld {
+    rng: Pcg64Mcg,
+    now: Instant,
+    steps: u64,
+    next_id: u64,
+    entries: Vec<ModelEntry>,
+    agents: Vec<ModelAgent>,
+    network: FrameNetwork,
+    quorum: ControlQuorum,
+    oracle: RunOracle,
+    /// What callers were told and have not reacted to.
+    ends: Vec<CallEnd>,
+    /// Requests that callers may send again.
+    resends: Vec<CallerRequest>,
+}
+
+impl FaultWorld {
+    /// A world at rest.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            rng: Pcg64Mcg::new(u128::from(seed) << 1 | 1),
+            now: Instant::now(),
+            steps: 0,
+            next_id: 0,
+            entries: (0..ENTRIES).map(ModelEntry::new).collect(),
+            agents: (0..AGENTS).map(ModelAgent::new).collect(),
+            network: FrameNetwork::default(),
+            quorum: ControlQuorum::default(),
+            oracle: RunOracle::default(),
+            ends: Vec::new(),
+            resends: Vec::new(),
+        }
+    }
+
+    /// What must never happen, as counted so far.
+    pub fn counts(&self) -> FaultCounts {
+        self.oracle.counts
+    }
+
+    /// How much happened so far.
+    pub fn work(&self) -> WorkCounts {
+        self.oracle.work
+    }
+
+    /// Takes one step drawn by weight.
+    pub fn step(&mut self) {
+        let step = WorldStep::draw(&mut self.rng);
+        self.take(step);
+    }
+
+    /// Takes one step.
+    pub fn take(&mut self, step: WorldStep) {
+        self.steps += 1;
+        match step {
+            WorldStep::Ask => self.ask(),
+            WorldStep::Deliver => self.deliver(false),
+            WorldStep::Work => self.with_any_agent(|agent, context| {
+                agent.take_lists(context.quorum);
+                agent.work(context);
+            }),
+            WorldStep::Pay => {
+                self.with_any_agent(ModelAgent::pay);
+                self.with_any_entry(ModelEntry::pay);
+            }
+            WorldStep::Reconnect => self.with_any_call(|entry, context, request| {
+                entry.reconnect(context, request);
+            }),
+            WorldStep::LoseReaders => {
+                let index = self.rng.random_range(0..AGENTS);
+                self.lose_readers(index);
+            }
+            WorldStep::Lose => self.with_any_call(|entry, context, request| {
+                // A second copy of a request that crashes endpoints may run before the first
+                // crash is known; the bound holds for callers that wait for their answer.
+                if !entry.is_stubborn(request) {
+                    entry.lose(context, request);
+                }
+            }),
+            WorldStep::Leave => self.with_any_call(|entry, context, request| {
+                if !entry.is_stubborn(request) {
+                    entry.leave(context, request, FaultKind::Cancelled);
+                }
+            }),
+            WorldStep::Pause => {
+                let pause = Duration::from_millis(self.rng.random_range(0..MAX_PAUSE_MS));
+                self.pass(pause, false);
+            }
+            WorldStep::CommitLate => self.quorum.commit_late(&mut self.rng),
+            WorldStep::Settings => self.change_settings(),
+            WorldStep::CrashEndpoint => {
+                self.with_any_agent(ModelAgent::crash_endpoint);
+            }
+            WorldStep::RestartAgent => {
+                self.with_any_agent(|agent, context| agent.restart(context.quorum));
+            }
+            WorldStep::RestartEntry => self.restart_entry(),
+            WorldStep::Partition => self.quorum.toggle_partition(&mut self.rng),
+            WorldStep::RestartControl => self.quorum.restart(&mut self.rng),
+            WorldStep::Drain => {
+                self.with_any_agent(ModelAgent::toggle_drain);
+            }
+            WorldStep::LongPause => self.long_pause(),
+        }
+        self.take_ends();
+        if self.steps.is_multiple_of(CHECK_INTERVAL) {
+            self.check();
+        }
+    }
+
+    /// Ends all faults and lets the world come to rest. What does not end is lost.
+    pub fn quiesce(&mut self) {
+        self.quorum.heal();
+        for agent in &mut self.agents {
+            agent.undrain();
+        }
+        for _ in 0..QUIET_ROUNDS {
+            if self.is_idle() {
+                break;
+            }
+            self.calm_round();
+        }
+        let open: usize = self
+            .entries
+            .iter()
+            .map(|entry| entry.requests().len())
+            .sum();
+        let busy = self.agents.iter().filter(|agent| !agent.is_idle()).count();
+        self.oracle.counts.lost += (open + busy) as u64;
+        self.check();
+        self.pass(LONG_PAUSE, true);
+        self.oracle.counts.lost += self.quorum.held_claims() as u64;
+    }
+
+    fn is_idle(&self) -> bool {
+        let entries = self.entries.iter().all(ModelEntry::is_idle);
+        entries && self.agents.iter().all(ModelAgent::is_idle) && self.network.is_empty()
+    }
+
+    fn calm_round(&mut self) {
+        while !self.network.is_empty() {
+            self.deliver(true);
+        }
+        for index in 0..AGENTS {
+            self.lose_readers(index);
+            self.with_agent(index, |agent, context| {
+                agent.take_lists(context.quorum);
+                agent.work(context);
+                agent.pay(context);
+            });
+        }
+        for index in 0..ENTRIES {
+            for request in self.entries[index].requests() {
+                self.with_entry(index, |entry, context| entry.reconnect(context, request));
+            }
+            self.with_entry(index, ModelEntry::pay);
+        }
+        self.ends.clear();
+    }
+
+    fn ask(&mut self) {
+        let index = self.rng.random_range(0..ENTRIES);
+        if self.entries[index].requests().len() >= MAX_CALLS {
+            return;
+        }
+        let is_resend = !self.resends.is_empty() && self.rng.random_bool(0.4);
+        let asked = match is_resend {
+            true => self.again(),
+            false => self.fresh(),
+        };
+        if asked.claim.is_some() && !is_resend {
+            // Callers send again before they hear the answer, too.
+            self.remember(&asked);
+        }
+        self.with_entry(index, |entry, context| entry.begin(context, asked));
+    }
+
+    fn fresh(&mut self) -> CallerRequest {
+        self.next_id += 1;
+        let id = self.next_id;
+        let is_idempotent = self.rng.random_bool(0.5);
+        let has_key = !is_idempotent && self.rng.random_bool(0.75);
+        let claim = has_key.then(|| ClaimKey {
+            account: id % 3,
+            key: format!("order-{id}"),
+        });
+        CallerRequest {
+            request: u128::from(id),
+            claim,
+            fingerprint: id,
+            is_idempotent,
+        }
+    }
+
+    /// A request that a caller sends again, sometimes with another body.
+    fn again(&mut self) -> CallerRequest {
+        let index = self.rng.random_range(0..self.resends.len());
+        let mut asked = match self.resends[index].claim {
+            Some(_) => self.resends[index].clone(),
+            None => self.resends.swap_remove(index),
+        };
+        self.next_id += 1;
+        asked.request = u128::from(self.next_id);
+        if asked.claim.is_some() && self.rng.random_bool(0.1) {
+            asked.fingerprint = self.next_id;
+        }
+        asked
+    }
+
+    fn remember(&mut self, asked: &CallerRequest) {
+        if self.resends.len() >= MAX_RESENDS {
+            self.resends.remove(0);
+        }
+        self.resends.push(asked.clone());
+    }
+
+    /// Callers of requests that fail and crash endpoints send them again.
+    fn take_ends(&mut self) {
+        for end in std::mem::take(&mut self.ends) {
+            let Some(fault) = end.fault else { continue };
+            let is_stubborn = is_poison(end.asked.fingerprint);
+            let is_over = matches!(fault.kind, FaultKind::Quarantined | FaultKind::Cancelled);
+            if is_stubborn && end.asked.claim.is_none() && !is_over {
+                self.remember(&end.asked);
+            }
+        }
+    }
+
+    fn deliver(&mut self, is_calm: bool) {
+        let Some(flight) = self.network.take(self.now, &mut self.rng, is_calm) else {
+            return;
+        };
+        let ends = flight.ends;
+        let is_current = self.entries[ends.entry].life == ends.entry_life
+            && self.agents[ends.agent].life == ends.agent_life;
+        if !is_current {
+            return;
+        }
+        match flight.target {
+            FrameTarget::Agent => self.with_agent(ends.agent, |agent, context| {
+                agent.accept(context, ends, flight.message);
+            }),
+            FrameTarget::Entry => self.with_entry(ends.entry, |entry, context| {
+                entry.accept(context, flight.message);
+            }),
+        }
+    }
+
+    fn pass(&mut self, time: Duration, is_long: bool) {
+        self.now += time;
+        self.quorum.pass(time, is_long);
+        if is_long {
+            self.network.clear();
+            // After so long, nobody sends again what crashed endpoints.
+            self.resends.retain(|asked| asked.claim.is_some());
+        }
+        for agent in &mut self.agents {
+            agent.forget(self.now);
+        }
+    }
+
+    /// Every deadline passes and every frame is lost.
+    fn long_pause(&mut self) {
+        for index in 0..ENTRIES {
+            for request in self.entries[index].requests() {
+                self.with_entry(index, |entry, context| {
+                    entry.leave(context, request, FaultKind::DeadlinePassed);
+                });
+            }
+        }
+        self.ends.clear();
+        self.pass(LONG_PAUSE, true);
+    }
+
+    fn restart_entry(&mut self) {
+        let index = self.rng.random_range(0..ENTRIES);
+        self.entries[index].restart();
+    }
+
+    /// Changes the settings, sends the change again, or brings an entry up to date.
+    fn change_settings(&mut self) {
+        let version = self.quorum.version();
+        let base = version.saturating_sub(self.rng.random_range(0..2));
+        self.next_id += 1;
+        let command = ControlCommand::ChangeSettings(SettingsChange {
+            change_id: format!("change-{}", self.next_id),
+            base,
+            operator: "maen".to_owned(),
+            edits: vec![SettingEdit {
+                path: "queue_limit".to_owned(),
+                value: Some(self.rng.random_range(1..500).to_string()),
+            }],
+        });
+        let first = self.quorum.propose(&mut self.rng, &command);
+        let second = self.quorum.propose(&mut self.rng, &command);
+        if let (Some(first), Some(second)) = (first, second) {
+            self.oracle.counts.reverted += u64::from(first != second);
+            if let ControlReply::SettingsAccepted(accepted) = first {
+                self.oracle.counts.reverted += u64::from(self.quorum.version() < accepted);
+            }
+        }
+        self.update_holder();
+    }
+
+    /// Sends the settings of any instance, in any order, to an entry.
+    fn update_holder(&mut self) {
+        let index = self.rng.random_range(0..ENTRIES);
+        let holder = &mut self.entries[index].holder;
+        let before = holder.version();
+        let held = self.rng.random_range(0..=before);
+        let update = self.quorum.update(&mut self.rng, held);
+        let confirmed = wire::message::SettingsUpdate::Confirmed {
+            version: self.quorum.version(),
+        };
+        for update in [update, confirmed] {
+            let _ = holder.apply(&update, self.now);
+        }
+        self.oracle.counts.reverted += u64::from(holder.version() < before);
+    }
+
+    fn check(&mut self) {
+        let entries: u64 = self.entries.iter().map(ModelEntry::broken).sum();
+        let agents: u64 = self.agents.iter().map(ModelAgent::broken).sum();
+        self.oracle.counts.reverted += entries + agents + self.quorum.differences();
+    }
+
+    fn lose_readers(&mut self, index: usize) {
+        let entries = std::mem::take(&mut self.entries);
+        self.with_agent(index, |agent, context| {
+            agent.lose_readers(context, |ends, key| {
+                let entry = &entries[ends.entry];
+                entry.life == ends.entry_life && entry.awaits(key)
+            });
+        });
+        self.entries = entries;
+    }
+
+    fn with_any_agent(&mut self, act: impl FnOnce(&mut ModelAgent, &mut AgentContext)) {
+        let index = self.rng.random_range(0..AGENTS);
+        self.with_agent(index, act);
+    }
+
+    fn with_agent(&mut self, index: usize, act: impl FnOnce(&mut ModelAgent, &mut AgentContext)) {
+        let mut context = AgentContext {
+            now: self.now,
+            rng: &mut self.rng,
+            network: &mut self.network,
+            quorum: &mut self.quorum,
+            oracle: &mut self.oracle,
+        };
+        act(&mut self.agents[index], &mut context);
+    }
+
+    fn with_any_entry(&mut self, act: impl FnOnce(&mut ModelEntry, &mut EntryContext)) {
+        let index = self.rng.random_range(0..ENTRIES);
+        self.with_entry(index, act);
+    }
+
+    fn with_entry(&mut self, index: usize, act: impl FnOnce(&mut ModelEntry, &mut EntryContext)) {
+        let lives: Vec<u64> = self.agents.iter().map(|agent| agent.life).collect();
+        let mut context = EntryContext {
+            now: self.now,
+            rng: &mut self.rng,
+            network: &mut self.network,
+            quorum: &mut self.quorum,
+            oracle: &mut self.oracle,
+            agent_lives: &lives,
+            ends: &mut self.ends,
+        };
+        act(&mut self.entries[index], &mut context);
+    }
+
+    fn with_any_call(&mut self, act: impl FnOnce(&mut ModelEntry, &mut EntryContext, u128)) {
+        let index = self.rng.random_range(0..ENTRIES);
+        let Some(request) = self.entries[index].any_call(&mut self.rng) else {
+            return;
+        };
+        self.with_entry(index, |entry, context| act(entry, context, request));
+    }
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! * [`policy`]: the ways to choose an endpoint that are compared.
 //! * [`skew`]: how far the busiest endpoint sits above the mean.
 //! * [`reuse`]: how much of the reusable prefixes returning chats find warm.
+//! * [`faults`](measure::faults): what must never happen, under fuzzed faults.
 //! * [`control`]: what the nodes spend to coordinate.
 //!
 //! Exit code 0 when the bound of the run holds, 1 when it does not, 2 for bad arguments.
@@ -15,6 +16,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
+use measure::faults;
 
 /// Exit code of a run whose bound does not hold.
 const EXIT_BOUND_BROKEN: u8 = 1;
@@ -35,6 +37,7 @@
     Skew(skew::SkewArgs),
     Reuse(reuse::ReuseArgs),
     Control(control::ControlArgs),
+    Faults(faults::FaultsArgs),
 }
 
 /// Whether the bound of a run holds.
@@ -70,6 +73,7 @@
         MeasureCommand::Skew(args) => skew::run(&args),
         MeasureCommand::Reuse(args) => reuse::run(&args),
         MeasureCommand::Control(args) => control::run(&args),
+        MeasureCommand::Faults(args) => BoundVerdict::of(faults::run(&args)),
     }
 }
 
