--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -1,15 +1,20 @@
 //! Decisions, status and metrics over HTTP.
 
+use std::net::SocketAddr;
+
 use actix_web::{HttpRequest, HttpResponse, web};
 use fault::FaultKind;
 use serde::Deserialize;
 use serde_json::json;
-use watch::record::request_from_text;
+use settings::fleet::OperatorRole;
+use watch::record::{DecisionPart, request_from_text};
 use watch::{DecisionRecord, RecordFilter, TEXT_CONTENT_TYPE};
-use wire::id::RequestId;
+use wire::id::{RequestId, name_id};
 
 use crate::answer::fault_response;
 use crate::core::EntryCore;
+use crate::intake::header_text;
+use crate::status::fleet_status;
 
 /// Records that one request returns at most.
 const MAX_RECORDS: usize = 500;
@@ -20,6 +25,7 @@
         .route("/healthz", web::get().to(HttpResponse::Ok))
         .route("/readyz", web::get().to(get_ready))
         .route("/metrics", web::get().to(get_metrics))
+        .route("/status", web::get().to(get_status_page))
         .route("/operator/decisions", web::get().to(get_decisions));
 }
 
@@ -63,7 +69,7 @@
     let query = query.into_inner();
     match query.request {
         Some(text) => match request_from_text(&text) {
-            Some(id) => find_decisions(&core, id),
+            Some(id) => find_decisions(&core, id).await,
             None => {
                 let fault = FaultKind::MalformedRequest.because("request is no request id");
                 fault_response(&fault, rand::random())
@@ -81,26 +87,54 @@
     }
 }
 
-fn find_decisions(core: &EntryCore, id: RequestId) -> HttpResponse {
-    let ring = core.decisions();
-    let records: Vec<&DecisionRecord> = ring.find(id);
+/// The records of a request here and at the agents that it was sent to.
+async fn find_decisions(core: &EntryCore, id: RequestId) -> HttpResponse {
+    let mut records: Vec<DecisionRecord> = core.decisions().find(id).into_iter().cloned().collect();
+    let addresses = agent_addresses(core, &records);
+    for text in core.pool.ask_decisions(id, &addresses).await {
+        records.extend(serde_json::from_str::<Vec<DecisionRecord>>(&text).unwrap_or_default());
+    }
     HttpResponse::Ok().json(json!({"records": records}))
 }
 
+/// Addresses of the agents that the attempts in `records` were sent to.
+fn agent_addresses(core: &EntryCore, records: &[DecisionRecord]) -> Vec<SocketAddr> {
+    let desk = core.desk.lock();
+    let attempts = records.iter().flat_map(|record| match &record.part {
+        DecisionPart::Entry(decision) => decision.attempts.as_slice(),
+        DecisionPart::Agent(_) => &[],
+    });
+    let mut addresses: Vec<SocketAddr> = attempts
+        .filter_map(|attempt| desk.table.address(name_id(&attempt.endpoint)))
+        .collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
 /// Checks the operator key of a request.
 ///
 /// # Errors
 /// `MissingKey` or `UnknownKey`.
 fn check_operator(core: &EntryCore, request: &HttpRequest) -> fault::Result<()> {
-    let value = request
-        .headers()
-        .get("authorization")
-        .and_then(|value| value.to_str().ok());
-    let key = value.and_then(|value| value.strip_prefix("Bearer "));
-    let key = key.ok_or_else(|| FaultKind::MissingKey.because("an operator key is needed"))?;
-    let fleet = core.fleet.load();
-    match fleet.operator_of_key(key) {
-        Some(_) => Ok(()),
-        None => Err(FaultKind::UnknownKey.because("no operator has this key")),
+    let header = header_text(request, "authorization");
+    core.fleet
+        .load()
+        .authorize_operator(header, OperatorRole::Read)?;
+    Ok(())
+}
+
+/// The status page. A browser is asked for the key as a password.
+async fn get_status_page(core: web::Data<EntryCore>, request: HttpRequest) -> HttpResponse {
+    match check_operator(&core, &request) {
+        Ok(()) => {
+            let page = watch::page::render(&fleet_status(&core));
+            HttpResponse::Ok()
+                .content_type("text/html; charset=utf-8")
+                .body(page)
+        }
+        Err(fault) => HttpResponse::Unauthorized()
+            .insert_header(("www-authenticate", "Basic realm=\"operators\""))
+            .body(fault.message),
     }
 }
--- a/crates/link/src/sender.rs
+++ b/crates/link/src/sender.rs
@@ -108,6 +108,11 @@
         Ok(())
     }
 
+    /// Waits until the connection has ended.
+    pub async fn closed(&self) {
+        self.state.until_closed().await;
+    }
+
     /// Whether the connection has ended.
     pub fn is_closed(&self) -> bool {
         self.state.is_closed() || self.queue.is_closed()
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -1,5 +1,6 @@
 //! The settings tree, its checks, and the settings file of each program.
 //!
+//! * [`access`]: who a request comes from, by its key.
 //! * [`path`]: dotted paths into the tree.
 //! * [`tree`]: the tree as operators write it, and edits to it.
 //! * [`diff`]: the difference between two trees, as edits.
@@ -10,8 +11,10 @@
 //! * [`page`]: the page of all settings.
 //! * [`history`]: every version, and how changes are accepted.
 //! * [`holder`]: the settings that an entry or an agent holds, and their lease.
+//! * [`operator`]: what `sapphirectl` and the control instances say to each other.
 //! * [`process`]: the file that each program reads at its start.
 
+pub mod access;
 mod answer;
 mod branch;
 mod check;
@@ -22,6 +25,7 @@
 pub mod history;
 pub mod holder;
 pub mod keys;
+pub mod operator;
 pub mod origin;
 mod overlap;
 pub mod page;
--- a/crates/watch/src/entry.rs
+++ b/crates/watch/src/entry.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use fault::{FaultKind, RunOutcome};
+use prometheus::core::Collector;
 use prometheus::{GaugeVec, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge};
 use wire::answer::ClassKind;
 
@@ -53,6 +54,15 @@
     }
 }
 
+/// Prompt tokens of one service.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PrefixTokens {
+    /// Estimated tokens of all prompts.
+    pub prompt: u64,
+    /// Those found in prefix caches.
+    pub cached: u64,
+}
+
 /// Metrics of the entry.
 pub struct EntryMetrics {
     /// What every program measures.
@@ -188,6 +198,15 @@
         self.record_place(sample, &outcome);
     }
 
+    /// Prompt tokens of a service so far, over all models.
+    pub fn prefix_tokens(&self, service: &str) -> PrefixTokens {
+        let label = self.services.label(service);
+        PrefixTokens {
+            prompt: sum_by_service(&self.prompt_tokens, label),
+            cached: sum_by_service(&self.cached_tokens, label),
+        }
+    }
+
     /// Counts an error of a request whose account or service is not known.
     pub fn record_fault(&self, kind: FaultKind) {
         self.faults.with_label_values(&[kind.to_string()]).inc();
@@ -225,3 +244,20 @@
         cached.inc_by(u64::from(sample.cached_tokens));
     }
 }
+
+/// Sum of the counters whose label `service` is `service`.
+fn sum_by_service(family: &IntCounterVec, service: &str) -> u64 {
+    let families = family.collect();
+    let metrics = families
+        .iter()
+        .flat_map(prometheus::proto::MetricFamily::get_metric);
+    let matching = metrics.filter(|metric| {
+        let labels = metric.get_label();
+        labels
+            .iter()
+            .any(|label| label.name() == "service" && label.value() == service)
+    });
+    matching
+        .map(|metric| metric.get_counter().get_value() as u64)
+        .sum()
+}
