--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -3,6 +3,7 @@
 //! * [`policy`]: the ways to choose an endpoint that are compared.
 //! * [`skew`]: how far the busiest endpoint sits above the mean.
 //! * [`reuse`]: how much of the reusable prefixes returning chats find warm.
+//! * [`faults`](measure::faults): what must never happen, under fuzzed faults.
 //! * [`control`]: what the nodes spend to coordinate.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: one policy on one request sequence.
@@ -25,6 +26,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
+use measure::faults;
 
 /// Exit code of a run whose bound does not hold.
 const EXIT_BOUND_BROKEN: u8 = 1;
@@ -45,6 +47,7 @@
     Skew(skew::SkewArgs),
     Reuse(reuse::ReuseArgs),
     Control(control::ControlArgs),
+    Faults(faults::FaultsArgs),
 }
 
 /// Whether the bound of a run holds.
@@ -80,6 +83,7 @@
         MeasureCommand::Skew(args) => skew::run(&args),
         MeasureCommand::Reuse(args) => reuse::run(&args),
         MeasureCommand::Control(args) => control::run(&args),
+        MeasureCommand::Faults(args) => BoundVerdict::of(faults::run(&args)),
     }
 }
 
