Let an entry join the agents' decision records to its own

Cause: the agents' parts were only at the agents' own HTTP servers, whose addresses no operator knows. The entry asks the agents of the attempts over the links that it has.

--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use wire::LinkMessage;
 use wire::answer::{AttemptKey, RefuseNotice, ResumeRequest};
+use wire::message::DecisionReply;
 
 use crate::core::AgentCore;
 
@@ -64,6 +65,11 @@
             core.cancel_attempt(cancel.key, fault);
         }
         LinkMessage::Resume(resume) => resume_attempt(core, sender, &resume),
+        LinkMessage::AskDecisions(request) => {
+            let records = serde_json::to_string(&core.shared.decisions().find(request));
+            let records = records.unwrap_or_default();
+            let _ = sender.try_send(LinkMessage::Decisions(DecisionReply { request, records }));
+        }
         other => log::debug!("agent: an entry sent {}.", other.kind()),
     }
 }
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -1,12 +1,14 @@
 //! Decisions, status and metrics over HTTP.
 
+use std::net::SocketAddr;
+
 use actix_web::{HttpRequest, HttpResponse, web};
 use fault::FaultKind;
 use serde::Deserialize;
 use serde_json::json;
-use watch::record::request_from_text;
+use watch::record::{DecisionPart, request_from_text};
 use watch::{DecisionRecord, RecordFilter, TEXT_CONTENT_TYPE};
-use wire::id::RequestId;
+use wire::id::{RequestId, name_id};
 
 use crate::answer::fault_response;
 use crate::core::EntryCore;
@@ -63,7 +65,7 @@
     let query = query.into_inner();
     match query.request {
         Some(text) => match request_from_text(&text) {
-            Some(id) => find_decisions(&core, id),
+            Some(id) => find_decisions(&core, id).await,
             None => {
                 let fault = FaultKind::MalformedRequest.because("request is no request id");
                 fault_response(&fault, rand::random())
@@ -81,12 +83,32 @@
     }
 }
 
-fn find_decisions(core: &EntryCore, id: RequestId) -> HttpResponse {
-    let ring = core.decisions();
-    let records: Vec<&DecisionRecord> = ring.find(id);
+/// The records of a request here and at the agents that it was sent to.
+async fn find_decisions(core: &EntryCore, id: RequestId) -> HttpResponse {
+    let found = core.decisions().find(id).into_iter().cloned();
+    let mut records: Vec<DecisionRecord> = found.collect();
+    let addresses = agent_addresses(core, &records);
+    for text in core.pool.ask_decisions(id, &addresses).await {
+        records.extend(serde_json::from_str::<Vec<DecisionRecord>>(&text).unwrap_or_default());
+    }
     HttpResponse::Ok().json(json!({"records": records}))
 }
 
+/// Addresses of the agents that the attempts in `records` were sent to.
+fn agent_addresses(core: &EntryCore, records: &[DecisionRecord]) -> Vec<SocketAddr> {
+    let desk = core.desk.lock();
+    let attempts = records.iter().flat_map(|record| match &record.part {
+        DecisionPart::Entry(decision) => decision.attempts.as_slice(),
+        DecisionPart::Agent(_) => &[],
+    });
+    let mut addresses: Vec<SocketAddr> = attempts
+        .filter_map(|attempt| desk.table.address(name_id(&attempt.endpoint)))
+        .collect();
+    addresses.sort_unstable();
+    addresses.dedup();
+    addresses
+}
+
 /// Checks the operator key of a request.
 ///
 /// # Errors
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -7,14 +7,20 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::Duration;
 
 use link::{LinkReceiver, LinkSender, LinkSettings, connect};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::{Instant, timeout_at};
 use wire::LinkMessage;
 use wire::answer::AttemptKey;
+use wire::id::RequestId;
+use wire::message::DecisionReply;
 
 /// Requests for connections that wait for the main thread.
 const QUEUE_DIALS: usize = 1024;
+/// Longest wait for the agents' records of a request.
+const DECISION_LIMIT: Duration = Duration::from_secs(1);
 
 /// What a stream yields.
 #[derive(Debug)]
@@ -46,6 +52,8 @@
     senders: HashMap<SocketAddr, LinkSender>,
     /// Open streams.
     streams: HashMap<AttemptKey, OpenStream>,
+    /// Those who wait for the decision records of a request.
+    askers: HashMap<RequestId, mpsc::UnboundedSender<DecisionReply>>,
 }
 
 /// Connections to agents, shared by the threads of the entry.
@@ -99,6 +107,34 @@
         self.lock().streams.remove(&key);
     }
 
+    /// Asks the agents at `addresses` for their records of a request. The records are encoded as
+    /// JSON arrays; agents that don't answer in time are left out.
+    pub async fn ask_decisions(&self, request: RequestId, addresses: &[SocketAddr]) -> Vec<String> {
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        self.lock().askers.insert(request, sender);
+        let mut asked = 0;
+        for address in addresses {
+            if let Ok(sender) = self.sender(*address).await {
+                asked += usize::from(
+                    sender
+                        .send(LinkMessage::AskDecisions(request))
+                        .await
+                        .is_ok(),
+                );
+            }
+        }
+        let mut records = Vec::new();
+        let deadline = Instant::now() + DECISION_LIMIT;
+        while records.len() < asked {
+            match timeout_at(deadline, replies.recv()).await {
+                Ok(Some(reply)) => records.push(reply.records),
+                _ => break,
+            }
+        }
+        self.lock().askers.remove(&request);
+        records
+    }
+
     fn open_sender(&self, address: SocketAddr) -> Option<LinkSender> {
         let state = self.lock();
         state
@@ -109,6 +145,12 @@
     }
 
     fn deliver(&self, message: LinkMessage) {
+        if let LinkMessage::Decisions(reply) = message {
+            if let Some(asker) = self.lock().askers.get(&reply.request) {
+                let _ = asker.send(reply);
+            }
+            return;
+        }
         let Some(key) = attempt_key(&message) else {
             return;
         };
--- a/crates/link/src/counters.rs
+++ b/crates/link/src/counters.rs
@@ -74,11 +74,14 @@
     /// Message of the consensus.
     #[display("replica")]
     Replica,
+    /// Question for, or answer with, decision records.
+    #[display("decisions")]
+    Decisions,
 }
 
 impl MessageKind {
     /// Every kind, in declaration order.
-    pub const ALL: [Self; 22] = [
+    pub const ALL: [Self; 23] = [
         Self::Handshake,
         Self::Probe,
         Self::ProbeReply,
@@ -101,6 +104,7 @@
         Self::Propose,
         Self::Decided,
         Self::Replica,
+        Self::Decisions,
     ];
 
     /// The kind of a message.
@@ -125,6 +129,7 @@
             LinkMessage::Propose(_) => Self::Propose,
             LinkMessage::Decided(_) => Self::Decided,
             LinkMessage::Replica(_) => Self::Replica,
+            LinkMessage::AskDecisions(_) | LinkMessage::Decisions(_) => Self::Decisions,
         }
     }
 
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,7 +7,7 @@
     ResumeRequest, SubmitRequest,
 };
 use crate::command::{ControlCommand, ControlReply, SettingEdit};
-use crate::id::{FingerprintHash, SettingsVersion};
+use crate::id::{FingerprintHash, RequestId, SettingsVersion};
 use crate::member::{AgentHeartbeat, EntryHeartbeat, MemberDigest, WarmDigest};
 
 /// Control to entries and agents: settings that are committed.
@@ -54,6 +54,15 @@
     pub reply: ControlReply,
 }
 
+/// What an agent recorded of a request.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct DecisionReply {
+    /// The request.
+    pub request: RequestId,
+    /// Its records, encoded as a JSON array.
+    pub records: String,
+}
+
 /// Every message that a link carries.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum LinkMessage {
@@ -95,6 +104,10 @@
     Replica(Vec<u8>),
     /// Control to agent: requests that may only run alone and with a permit, the whole list.
     Suspects(Vec<FingerprintHash>),
+    /// Entry to agent: asks for the agent's decision records of a request.
+    AskDecisions(RequestId),
+    /// Agent to entry.
+    Decisions(DecisionReply),
 }
 
 impl LinkMessage {
@@ -120,6 +133,8 @@
             Self::Decided(_) => "decided",
             Self::Replica(_) => "replica",
             Self::Suspects(_) => "suspects",
+            Self::AskDecisions(_) => "ask_decisions",
+            Self::Decisions(_) => "decisions",
         }
     }
 }
