--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -114,9 +114,15 @@
         }
     }
 
-    /// Takes the heartbeat of an agent, which may have come by way of another instance.
-    pub fn note_heartbeat(&self, beat: AgentHeartbeat) {
-        self.endpoints.borrow_mut().insert(beat.endpoint, beat);
+    /// Takes the heartbeat of an agent, which may have come by way of another instance. Returns it
+    /// with the endpoint's record, which an agent does not repeat.
+    pub fn note_heartbeat(&self, mut beat: AgentHeartbeat) -> AgentHeartbeat {
+        let mut endpoints = self.endpoints.borrow_mut();
+        let known = endpoints.get(&beat.endpoint);
+        let record = known.and_then(|known| known.record.clone());
+        beat.record = beat.record.or(record);
+        endpoints.insert(beat.endpoint, beat.clone());
+        beat
     }
 
     /// Sends a message to every open connection.
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -84,7 +84,9 @@
     loop {
         match receiver.next().await {
             Ok(LinkMessage::Replica(bytes)) => node.receive_replica(peer, &bytes),
-            Ok(LinkMessage::AgentHeartbeat(beat)) => node.note_heartbeat(beat),
+            Ok(LinkMessage::AgentHeartbeat(beat)) => {
+                node.note_heartbeat(beat);
+            }
             Ok(LinkMessage::Propose(proposal)) => {
                 let (node, sender) = (Rc::clone(node), sender.clone());
                 actix_rt::spawn(async move {
@@ -140,9 +142,8 @@
 fn handle_message(node: &Rc<ControlNode>, sender: &LinkSender, message: LinkMessage) {
     match message {
         LinkMessage::AgentHeartbeat(beat) => {
-            node.quorum
-                .tell_others(&LinkMessage::AgentHeartbeat(beat.clone()));
-            node.note_heartbeat(beat);
+            let beat = node.note_heartbeat(beat);
+            node.quorum.tell_others(&LinkMessage::AgentHeartbeat(beat));
         }
         LinkMessage::EntryHeartbeat(beat) => {
             log::debug!("control: entry {} is alive", beat.name);
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -116,8 +116,7 @@
             hint: &self.call.hint,
             prefixes: &submit.prefixes,
             tried: &self.tried,
-            load_bound: self.call.policy.load_bound,
-            load_aim: self.call.policy.load_aim,
+            limits: self.call.policy.load_limits(),
         };
         let mut desk = self.core.desk.lock();
         let decision = desk.choose(&request);
@@ -145,7 +144,10 @@
         };
         match claim_call(self.core, request).await {
             Ok(ClaimVerdict::Granted) => Ok(None),
-            Ok(ClaimVerdict::Answered(answer)) => Ok(Some(answer)),
+            Ok(ClaimVerdict::Answered(answer)) => {
+                self.core.desk.lock().table.observe_unsent(endpoint);
+                Ok(Some(answer))
+            }
             Err(fault) => {
                 self.core.desk.lock().table.observe_unsent(endpoint);
                 Err(self.ledger.settle(fault))
