--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -6,7 +6,7 @@
 /// Default of `load_bound`, a multiple of the mean load.
 pub const LOAD_BOUND: f64 = 1.25;
 /// Default of `load_aim`, a multiple of the mean load.
-pub const LOAD_AIM: f64 = 1.1;
+pub const LOAD_AIM: f64 = 1.15;
 /// Default of `rate_per_second`, in requests per second; 0 is unlimited.
 pub const RATE_PER_SECOND: f64 = 0.0;
 /// Default of `concurrency`, in requests; 0 is unlimited.
