--- a/crates/store/tests/quorum/fleet.rs
+++ b/crates/store/tests/quorum/fleet.rs
@@ -275,17 +275,30 @@
         let stashed = self.members[place].stashed_identity();
         let voters = self.last_members().map_or(Vec::new(), |set| set.voters);
         let brings_voter = voters.iter().any(|voter| Some(voter.identity) == stashed);
-        if self.members.len() > 1 && (brings_voter || self.is_whole()) {
+        let mut others = self.members.iter().filter(|other| other.instance != own);
+        let none_away = others.all(|other| other.stash.is_none());
+        if self.members.len() > 1 && none_away && (brings_voter || self.is_whole()) {
             self.swaps += 1;
-            let others = self
-                .members
-                .iter_mut()
-                .filter(|other| other.instance != own);
-            others.for_each(|other| other.stash = None);
             self.members[place].swap_folder(&mut self.random);
         }
     }
 
+    /// Destroys a folder that is away, once no member counts it.
+    fn drop_stash(&mut self, place: usize) {
+        let stashed = self.members[place].stashed_identity();
+        let is_counted = self.members.iter().any(|member| {
+            let members = member
+                .running
+                .as_ref()
+                .map(|running| running.core.status().members);
+            let all = members.map_or(Vec::new(), |set| set.all());
+            all.iter().any(|key| Some(key.identity) == stashed)
+        });
+        if !is_counted && self.is_whole() {
+            self.members[place].stash = None;
+        }
+    }
+
     /// Gives every member the folder that is a voter's.
     fn return_folders(&mut self) {
         let voters = self.last_members().map_or(Vec::new(), |set| set.voters);
@@ -305,6 +318,7 @@
     }
 
     fn end_faults(&mut self, place: usize) {
+        self.drop_stash(place);
         self.cut.clear();
         self.members[place].folder.0.borrow_mut().full = false;
     }
@@ -321,7 +335,8 @@
 
     /// Destroys a data folder, but never a second one before the first is replaced.
     pub(crate) fn wipe(&mut self, place: usize) {
-        if self.members.len() > 1 && self.is_whole() {
+        let none_away = self.members.iter().all(|member| member.stash.is_none());
+        if self.members.len() > 1 && self.is_whole() && none_away {
             self.wipes += 1;
             self.members[place].wipe();
         }
