Answer the whole operators' interface in control

Cause: control answered get, set and status only, resolved the whole tree for each request, and did not know entries of other control instances.

History, diff, earlier versions, origins and quarantines are answered; a quorum confirms reads and changes, but not the status, which an operator needs most when there is no quorum. Settings are resolved once a version.

Errors have the callers' shape, also for input that cannot be read.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,10 +7,16 @@
 //! * [`summary`]: the control quorum as operators see it.
 //! * [`server`]: connections from entries and agents.
 //! * [`operator`]: the operators' HTTP interface.
+//! * [`operator_desk`]: answers operators' requests on the node's thread.
+//! * [`operator_presence`]: which entries and agents were heard of, and with which settings.
+//! * [`operator_status`]: what this instance knows about the fleet.
 
 pub mod disk;
 pub mod node;
 pub mod operator;
+pub mod operator_desk;
+pub mod operator_presence;
+pub mod operator_status;
 pub mod quorum;
 pub mod server;
 pub mod state;
--- a/crates/control/src/node.rs
+++ b/crates/control/src/node.rs
@@ -2,14 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeMap;
+use std::time::Instant;
 
 use link::LinkSender;
 use settings::process::ControlSettings;
 use wire::LinkMessage;
 use wire::id::{EndpointId, FingerprintHash, ServiceId, SettingsVersion};
-use wire::member::{AgentHeartbeat, EndpointState, LoadSample, MemberDigest, ServiceMean};
+use wire::member::{
+    AgentHeartbeat, EndpointState, EntryHeartbeat, LoadSample, MemberDigest, ServiceMean,
+};
 use wire::message::SettingsUpdate;
 
+use crate::operator_presence::PresenceTable;
 use crate::quorum::ControlQuorum;
 use crate::state::ControlState;
 
@@ -41,6 +45,8 @@
     pub published: RefCell<Published>,
     /// Last heartbeat of each endpoint.
     pub endpoints: RefCell<BTreeMap<EndpointId, AgentHeartbeat>>,
+    /// Entries and agents, wherever they are connected.
+    pub presence: RefCell<PresenceTable>,
     /// Open connections of entries and agents.
     pub peers: RefCell<Vec<LinkSender>>,
     /// This instance's member of the control quorum.
@@ -55,6 +61,7 @@
             state: RefCell::default(),
             published: RefCell::default(),
             endpoints: RefCell::default(),
+            presence: RefCell::default(),
             peers: RefCell::default(),
             quorum,
         }
@@ -116,9 +123,15 @@
 
     /// Takes the heartbeat of an agent, which may have come by way of another instance.
     pub fn note_heartbeat(&self, beat: AgentHeartbeat) {
+        self.presence.borrow_mut().note_agent(&beat, Instant::now());
         self.endpoints.borrow_mut().insert(beat.endpoint, beat);
     }
 
+    /// Takes the heartbeat of an entry, which may have come by way of another instance.
+    pub fn note_entry(&self, beat: &EntryHeartbeat) {
+        self.presence.borrow_mut().note_entry(beat, Instant::now());
+    }
+
     /// Sends a message to every open connection.
     pub fn broadcast(&self, message: &LinkMessage) {
         let mut peers = self.peers.borrow_mut();
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -1,54 +1,87 @@
 //! The operators' HTTP interface.
 //!
-//! Handlers run on the HTTP worker's thread and reach the node by [`OperatorRequest`] messages.
+//! Handlers run on the HTTP worker's thread and reach the node by [`OperatorRequest`] messages;
+//! [`crate::operator_desk`] answers them. [`settings::operator`] lists the requests.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use actix_web::error::InternalError;
+use actix_web::http::StatusCode;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use fault::{Fault, FaultKind};
 use serde::Deserialize;
-use serde_json::{Value, json};
-use settings::fleet::OperatorRole;
+use serde_json::Value;
+use settings::history::MAX_TREE_BYTES;
+use settings::operator::{ChangeRequest, DEFAULT_HISTORY_LIMIT, FaultReply, parse_fingerprint};
 use tokio::sync::{mpsc, oneshot};
-use wire::command::{ControlCommand, ControlReply, SettingEdit, SettingsChange};
+use wire::id::{FingerprintHash, SettingsVersion};
 
 use crate::node::ControlNode;
+use crate::operator_desk::OperatorDesk;
 
 /// Requests that wait for the node.
 const QUEUE_REQUESTS: usize = 64;
+/// Size of the body of a change: the largest edits, escaped as JSON.
+const MAX_CHANGE_BYTES: usize = 2 * MAX_TREE_BYTES;
 
 /// What an operator asks.
 #[derive(Debug)]
 pub enum OperatorAction {
     /// Reads a branch of the settings.
-    Get {
-        /// Dotted path.
-        path: String,
-    },
+    Get(SettingsQuery),
     /// Changes the settings.
-    Change(OperatorChange),
+    Change(ChangeRequest),
+    /// Reads the last changes.
+    History {
+        /// Changes at most.
+        limit: usize,
+    },
+    /// Compares two versions.
+    Diff(DiffQuery),
     /// Reads who is there.
     Status,
+    /// Lists the quarantined requests.
+    Quarantine,
+    /// Lifts a quarantine.
+    Lift(FingerprintHash),
+}
+
+/// Which settings are read.
+#[derive(Debug, Default, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct SettingsQuery {
+    /// Dotted path; empty for the root.
+    pub path: String,
+    /// Whether to resolve inheritance and tell where each value comes from.
+    pub origin: bool,
+    /// The version; the current one when absent.
+    pub version: Option<SettingsVersion>,
+}
+
+/// Which versions are compared.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DiffQuery {
+    /// Version to start from.
+    pub from: SettingsVersion,
+    /// Version to lead to.
+    pub to: SettingsVersion,
 }
 
-/// Body of a change.
-#[derive(Debug, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct OperatorChange {
-    /// Chosen by the client; equal for a resend.
-    pub change_id: String,
-    /// Version that the operator saw.
-    pub base: u64,
-    /// Edits.
-    pub edits: Vec<SettingEdit>,
+#[derive(Deserialize)]
+struct HistoryQuery {
+    limit: Option<usize>,
 }
 
 /// An action on its way to the node.
 pub struct OperatorRequest {
-    key: String,
-    action: OperatorAction,
-    answer: oneshot::Sender<Result<Value, Fault>>,
+    /// The `authorization` header.
+    pub(crate) authorization: Option<String>,
+    /// What is asked.
+    pub(crate) action: OperatorAction,
+    /// Takes the answer.
+    pub(crate) answer: oneshot::Sender<Result<Value, Fault>>,
 }
 
 /// Handle of the HTTP workers to the node.
@@ -61,79 +94,17 @@
 
 /// Answers operators' requests until the process ends.
 pub async fn serve_operators(node: Rc<ControlNode>, mut requests: mpsc::Receiver<OperatorRequest>) {
+    let desk = Rc::new(OperatorDesk::new(node));
     while let Some(request) = requests.recv().await {
-        let node = Rc::clone(&node);
+        let desk = Rc::clone(&desk);
         actix_rt::spawn(async move {
-            let answer = act(&node, &request.key, request.action).await;
+            let authorization = request.authorization.as_deref();
+            let answer = desk.act(authorization, request.action).await;
             let _ = request.answer.send(answer);
         });
     }
 }
 
-async fn act(node: &ControlNode, key: &str, action: OperatorAction) -> Result<Value, Fault> {
-    let (operator, role) = find_operator(node, key)?;
-    match action {
-        OperatorAction::Get { path } => get(node, &path),
-        OperatorAction::Status => Ok(status(node)),
-        OperatorAction::Change(change) => {
-            if role < OperatorRole::Change {
-                return Err(FaultKind::Forbidden.because("this operator may only read"));
-            }
-            change_settings(node, operator, change).await
-        }
-    }
-}
-
-fn find_operator(node: &ControlNode, key: &str) -> Result<(String, OperatorRole), Fault> {
-    let state = node.state.borrow();
-    let fleet = state.settings.resolved().unwrap_or_default();
-    let found = fleet.operator_of_key(key);
-    let (name, operator) =
-        found.ok_or_else(|| FaultKind::UnknownKey.because("no operator has this key"))?;
-    Ok((name.to_owned(), operator.role))
-}
-
-fn get(node: &ControlNode, path: &str) -> Result<Value, Fault> {
-    let state = node.state.borrow();
-    let found = state.settings.tree().get(path);
-    let value =
-        found.ok_or_else(|| FaultKind::MalformedRequest.because(format!("no setting {path}")))?;
-    Ok(json!({"version": state.settings.version(), "value": value}))
-}
-
-fn status(node: &ControlNode) -> Value {
-    let endpoints: Vec<Value> = node
-        .endpoints
-        .borrow()
-        .values()
-        .map(|beat| {
-            let name = beat.record.as_ref().map(|record| record.name.clone());
-            json!({"endpoint": name, "state": format!("{:?}", beat.state).to_lowercase(),
-            "running": beat.load.running, "queued": beat.load.queued, "settings": beat.settings})
-        })
-        .collect();
-    json!({"version": node.state.borrow().settings.version(), "endpoints": endpoints,
-        "quorum": node.summarize_quorum()})
-}
-
-async fn change_settings(
-    node: &ControlNode,
-    operator: String,
-    change: OperatorChange,
-) -> Result<Value, Fault> {
-    let change = SettingsChange {
-        change_id: change.change_id,
-        base: change.base,
-        operator,
-        edits: change.edits,
-    };
-    match node.propose(ControlCommand::ChangeSettings(change)).await {
-        ControlReply::SettingsAccepted(version) => Ok(json!({"version": version})),
-        ControlReply::Refused(fault) => Err(fault),
-        other => Err(FaultKind::Internal.because(format!("unexpected reply {other:?}"))),
-    }
-}
-
 /// Serves until the process ends.
 ///
 /// # Errors
@@ -142,10 +113,7 @@
     HttpServer::new(move || {
         App::new()
             .app_data(web::Data::new(queue.clone()))
-            .route("/healthz", web::get().to(HttpResponse::Ok))
-            .route("/operator/settings", web::get().to(get_settings))
-            .route("/operator/changes", web::post().to(post_change))
-            .route("/operator/status", web::get().to(get_status))
+            .configure(add_routes)
     })
     .workers(1)
     .disable_signals()
@@ -154,52 +122,94 @@
     .await
 }
 
-#[derive(Deserialize)]
-struct PathQuery {
-    #[serde(default)]
-    path: String,
+/// Adds the routes for operators.
+pub fn add_routes(config: &mut web::ServiceConfig) {
+    let json = web::JsonConfig::default()
+        .limit(MAX_CHANGE_BYTES)
+        .error_handler(|error, _| malformed(error));
+    let query = web::QueryConfig::default().error_handler(|error, _| malformed(error));
+    config
+        .app_data(json)
+        .app_data(query)
+        .route("/healthz", web::get().to(HttpResponse::Ok))
+        .route("/operator/settings", web::get().to(get_settings))
+        .route("/operator/changes", web::post().to(post_change))
+        .route("/operator/history", web::get().to(get_history))
+        .route("/operator/diff", web::get().to(get_diff))
+        .route("/operator/status", web::get().to(get_status))
+        .route("/operator/quarantine", web::get().to(get_quarantine))
+        .route(
+            "/operator/quarantine/{fingerprint}",
+            web::delete().to(delete_quarantine),
+        );
+}
+
+/// The answer to input that cannot be read.
+fn malformed(error: impl std::fmt::Display) -> actix_web::Error {
+    let fault = FaultKind::MalformedRequest.because(error.to_string());
+    let response = fault_response(&fault);
+    InternalError::from_response(fault, response).into()
 }
 
 async fn get_settings(
     request: HttpRequest,
-    query: web::Query<PathQuery>,
+    query: web::Query<SettingsQuery>,
     queue: web::Data<OperatorQueue>,
 ) -> HttpResponse {
-    ask(
-        &request,
-        &queue,
-        OperatorAction::Get {
-            path: query.into_inner().path,
-        },
-    )
-    .await
+    ask(&request, &queue, OperatorAction::Get(query.into_inner())).await
 }
 
 async fn post_change(
     request: HttpRequest,
-    change: web::Json<OperatorChange>,
+    change: web::Json<ChangeRequest>,
     queue: web::Data<OperatorQueue>,
 ) -> HttpResponse {
-    ask(
-        &request,
-        &queue,
-        OperatorAction::Change(change.into_inner()),
-    )
-    .await
+    let action = OperatorAction::Change(change.into_inner());
+    ask(&request, &queue, action).await
+}
+
+async fn get_history(
+    request: HttpRequest,
+    query: web::Query<HistoryQuery>,
+    queue: web::Data<OperatorQueue>,
+) -> HttpResponse {
+    let limit = query.limit.unwrap_or(DEFAULT_HISTORY_LIMIT);
+    ask(&request, &queue, OperatorAction::History { limit }).await
+}
+
+async fn get_diff(
+    request: HttpRequest,
+    query: web::Query<DiffQuery>,
+    queue: web::Data<OperatorQueue>,
+) -> HttpResponse {
+    ask(&request, &queue, OperatorAction::Diff(query.into_inner())).await
 }
 
 async fn get_status(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
     ask(&request, &queue, OperatorAction::Status).await
 }
 
+async fn get_quarantine(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
+    ask(&request, &queue, OperatorAction::Quarantine).await
+}
+
+async fn delete_quarantine(
+    request: HttpRequest,
+    fingerprint: web::Path<String>,
+    queue: web::Data<OperatorQueue>,
+) -> HttpResponse {
+    match parse_fingerprint(&fingerprint) {
+        Some(fingerprint) => ask(&request, &queue, OperatorAction::Lift(fingerprint)).await,
+        None => fault_response(&FaultKind::MalformedRequest.because("this is no fingerprint")),
+    }
+}
+
 async fn ask(request: &HttpRequest, queue: &OperatorQueue, action: OperatorAction) -> HttpResponse {
-    let Some(key) = bearer_key(request) else {
-        return fault_response(&FaultKind::MissingKey.because("an operator key is needed"));
-    };
+    let header = request.headers().get("authorization");
     let (answer, answered) = oneshot::channel();
     let sent = queue
         .send(OperatorRequest {
-            key,
+            authorization: header.and_then(|value| Some(value.to_str().ok()?.to_owned())),
             action,
             answer,
         })
@@ -211,20 +221,12 @@
     match result {
         Some(Ok(value)) => HttpResponse::Ok().json(value),
         Some(Err(fault)) => fault_response(&fault),
-        None => fault_response(&FaultKind::Internal.because("the node is stopping")),
+        None => fault_response(&FaultKind::Draining.because("the node is stopping")),
     }
 }
 
-fn bearer_key(request: &HttpRequest) -> Option<String> {
-    let value = request.headers().get("authorization")?.to_str().ok()?;
-    Some(value.strip_prefix("Bearer ")?.to_owned())
-}
-
 fn fault_response(fault: &Fault) -> HttpResponse {
-    let answer = fault.kind.answer();
-    let status = actix_web::http::StatusCode::from_u16(answer.status);
-    HttpResponse::build(status.unwrap_or(actix_web::http::StatusCode::INTERNAL_SERVER_ERROR)).json(
-        json!({"kind": fault.kind.to_string(), "outcome": answer.outcome.to_string(),
-            "message": fault.message}),
-    )
+    let status = StatusCode::from_u16(fault.kind.answer().status);
+    let status = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    HttpResponse::build(status).json(FaultReply::from(fault))
 }
--- /dev/null
+++ b/crates/control/src/operator_desk.rs
@@ -0,0 +1,166 @@
+//! Answers operators' requests on the node's thread.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use fault::{Fault, FaultKind};
+use serde::Serialize;
+use serde_json::Value;
+use settings::fleet::OperatorRole;
+use settings::operator::{
+    BranchAnswer, ChangeReply, ChangeRequest, DiffAnswer, HistoryAnswer, HistoryEntry, LiftReply,
+    OriginAnswer, QuarantineAnswer, fingerprint_text,
+};
+use settings::{FleetSettings, SettingsTree};
+use wire::command::{ControlCommand, ControlReply, SettingsChange};
+use wire::id::{FingerprintHash, SettingsVersion};
+
+use crate::node::ControlNode;
+use crate::operator::{DiffQuery, OperatorAction, SettingsQuery};
+use crate::operator_status::StatusReply;
+
+/// Result of an operator's request.
+pub type Result<T> = fault::Result<T>;
+
+/// Answers operators' requests.
+pub struct OperatorDesk {
+    node: Rc<ControlNode>,
+    /// The resolved settings of the version that was current at the last request.
+    fleet: RefCell<Rc<FleetSettings>>,
+}
+
+impl OperatorDesk {
+    /// A desk for this node.
+    pub fn new(node: Rc<ControlNode>) -> Self {
+        Self {
+            node,
+            fleet: RefCell::default(),
+        }
+    }
+
+    /// Checks who asks, and answers. A quorum confirms that what is read is the latest, but for
+    /// the status, which also tells what an instance without quorum knows.
+    ///
+    /// # Errors
+    /// The fault that the operator is told.
+    pub async fn act(&self, authorization: Option<&str>, action: OperatorAction) -> Result<Value> {
+        if !matches!(action, OperatorAction::Status) {
+            self.node.confirm_read().await?;
+        }
+        let operator = self.authorize(authorization, &action)?;
+        match action {
+            OperatorAction::Get(query) => self.get(&query),
+            OperatorAction::Change(request) => self.change(operator, request).await,
+            OperatorAction::History { limit } => self.history(limit),
+            OperatorAction::Diff(query) => self.diff(query),
+            OperatorAction::Status => to_json(&StatusReply::new(&self.node, &self.fleet())),
+            OperatorAction::Quarantine => self.quarantined(),
+            OperatorAction::Lift(fingerprint) => self.lift(fingerprint).await,
+        }
+    }
+
+    /// Name of the operator, when he may do this.
+    fn authorize(&self, authorization: Option<&str>, action: &OperatorAction) -> Result<String> {
+        let role = match action {
+            OperatorAction::Change(_) | OperatorAction::Lift(_) => OperatorRole::Change,
+            _ => OperatorRole::Read,
+        };
+        let fleet = self.fleet();
+        let (name, _) = fleet.authorize_operator(authorization, role)?;
+        Ok(name.to_owned())
+    }
+
+    /// The resolved settings of the current version.
+    fn fleet(&self) -> Rc<FleetSettings> {
+        let state = self.node.state.borrow();
+        let mut fleet = self.fleet.borrow_mut();
+        if fleet.version != state.settings.version() {
+            *fleet = Rc::new(state.settings.resolved().unwrap_or_default());
+        }
+        Rc::clone(&fleet)
+    }
+
+    fn get(&self, query: &SettingsQuery) -> Result<Value> {
+        let (version, tree) = self.tree(query.version)?;
+        if query.origin {
+            let values = tree.resolved_values(&query.path);
+            let values = values.into_iter().map(Into::into).collect();
+            return to_json(&OriginAnswer { version, values });
+        }
+        let value = tree.get(&query.path);
+        to_json(&BranchAnswer { version, value })
+    }
+
+    /// A version and its tree; the current one when none is asked for.
+    fn tree(&self, version: Option<SettingsVersion>) -> Result<(SettingsVersion, SettingsTree)> {
+        let state = self.node.state.borrow();
+        let version = version.unwrap_or(state.settings.version());
+        let tree = state.settings.tree_at(version);
+        let tree = tree.ok_or_else(|| not_kept(version))?;
+        Ok((version, tree))
+    }
+
+    async fn change(&self, operator: String, request: ChangeRequest) -> Result<Value> {
+        let change = SettingsChange {
+            change_id: request.change_id,
+            base: request.base,
+            operator,
+            edits: request.edits,
+        };
+        let command = ControlCommand::ChangeSettings(change);
+        match self.node.propose(command).await {
+            ControlReply::SettingsAccepted(version) => to_json(&ChangeReply { version }),
+            other => Err(refusal(other)),
+        }
+    }
+
+    fn history(&self, limit: usize) -> Result<Value> {
+        let state = self.node.state.borrow();
+        let records = state.settings.records().rev().take(limit);
+        to_json(&HistoryAnswer {
+            version: state.settings.version(),
+            changes: records.map(HistoryEntry::from).collect(),
+        })
+    }
+
+    fn diff(&self, query: DiffQuery) -> Result<Value> {
+        let DiffQuery { from, to } = query;
+        let (_, before) = self.tree(Some(from))?;
+        let (_, after) = self.tree(Some(to))?;
+        let edits = before.diff(&after);
+        to_json(&DiffAnswer { from, to, edits })
+    }
+
+    fn quarantined(&self) -> Result<Value> {
+        let state = self.node.state.borrow();
+        let fingerprints = state.suspects.quarantined();
+        let quarantined = fingerprints.into_iter().map(fingerprint_text).collect();
+        to_json(&QuarantineAnswer { quarantined })
+    }
+
+    async fn lift(&self, fingerprint: FingerprintHash) -> Result<Value> {
+        let command = ControlCommand::LiftQuarantine { fingerprint };
+        match self.node.propose(command).await {
+            ControlReply::Recorded => {
+                let lifted = fingerprint_text(fingerprint);
+                to_json(&LiftReply { lifted })
+            }
+            other => Err(refusal(other)),
+        }
+    }
+}
+
+fn refusal(reply: ControlReply) -> Fault {
+    match reply {
+        ControlReply::Refused(fault) => fault,
+        other => FaultKind::Internal.because(format!("unexpected reply {other:?}")),
+    }
+}
+
+fn not_kept(version: SettingsVersion) -> Fault {
+    FaultKind::MalformedRequest.because(format!("version {version} does not exist or is not kept"))
+}
+
+fn to_json(answer: &impl Serialize) -> Result<Value> {
+    serde_json::to_value(answer).map_err(|error| FaultKind::Internal.because(error.to_string()))
+}
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -85,6 +85,7 @@
         match receiver.next().await {
             Ok(LinkMessage::Replica(bytes)) => node.receive_replica(peer, &bytes),
             Ok(LinkMessage::AgentHeartbeat(beat)) => node.note_heartbeat(beat),
+            Ok(LinkMessage::EntryHeartbeat(beat)) => node.note_entry(&beat),
             Ok(LinkMessage::Propose(proposal)) => {
                 let (node, sender) = (Rc::clone(node), sender.clone());
                 actix_rt::spawn(async move {
@@ -145,7 +146,8 @@
             node.note_heartbeat(beat);
         }
         LinkMessage::EntryHeartbeat(beat) => {
-            log::debug!("control: entry {} is alive", beat.name);
+            node.note_entry(&beat);
+            node.quorum.tell_others(&LinkMessage::EntryHeartbeat(beat));
         }
         LinkMessage::Propose(proposal) => {
             let (node, sender) = (Rc::clone(node), sender.clone());
