--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,6 +1,7 @@
 //! The control program: replicated settings, claims, fences and membership digests.
 //!
 //! * [`state`]: the deterministic state machine behind the replicated log.
+//! * [`members`]: who is there, as this instance knows it, and who is told.
 //! * [`node`]: what the parts of a control instance share.
 //! * [`quorum`]: consensus with the other control instances; the one way to propose a command.
 //! * [`disk`]: the thread that writes the data folder.
@@ -8,14 +9,13 @@
 //! * [`server`]: connections from entries and agents.
 //! * [`operator`]: the operators' HTTP interface.
 //! * [`operator_desk`]: answers operators' requests on the node's thread.
-//! * [`operator_presence`]: which entries and agents were heard of, and with which settings.
-//! * [`operator_status`]: what this instance knows about the fleet.
+//! * [`operator_status`]: what this instance tells operators about the fleet.
 
 pub mod disk;
+pub mod members;
 pub mod node;
 pub mod operator;
 pub mod operator_desk;
-pub mod operator_presence;
 pub mod operator_status;
 pub mod quorum;
 pub mod server;
--- a/crates/control/src/operator_desk.rs
+++ b/crates/control/src/operator_desk.rs
@@ -53,7 +53,7 @@
             OperatorAction::Change(request) => self.change(operator, request).await,
             OperatorAction::History { limit } => self.history(limit),
             OperatorAction::Diff(query) => self.diff(query),
-            OperatorAction::Status => to_json(&StatusReply::new(&self.node, &self.fleet())),
+            OperatorAction::Status => to_json(&StatusReply::of(&self.node)),
             OperatorAction::Quarantine => self.quarantined(),
             OperatorAction::Lift(fingerprint) => self.lift(fingerprint).await,
         }
--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -183,6 +183,12 @@
     /// id of the change; a resend under the same id gets the first answer
     #[argh(option)]
     pub change_id: Option<String>,
+    /// wait until the endpoints take work
+    #[argh(switch)]
+    pub wait: bool,
+    /// how long to wait, in seconds; default 8
+    #[argh(option, default = "8")]
+    pub wait_s: u64,
 }
 
 /// Show instances, endpoints and the version in force.
--- a/crates/ctl/src/change.rs
+++ b/crates/ctl/src/change.rs
@@ -118,7 +118,7 @@
 /// Lets endpoints take work again.
 ///
 /// # Errors
-/// There is no such endpoint, or the change was refused.
+/// There is no such endpoint, the change was refused, or the endpoints take no work in time.
 pub async fn undrain(
     client: &OperatorClient,
     command: &UndrainArgs,
@@ -127,6 +127,10 @@
 ) -> Result<()> {
     let change_id = command.change_id.as_deref();
     let version = set_draining(client, &command.endpoints, false, change_id).await?;
+    if command.wait {
+        let limit = Duration::from_secs(command.wait_s);
+        wait_until(client, limit, |status| idle(status, &command.endpoints)).await?;
+    }
     report(client, version, None, json, out).await
 }
 
@@ -276,6 +280,18 @@
         .collect()
 }
 
+/// The endpoints that take no work.
+fn idle(status: &FleetStatus, names: &[String]) -> Vec<String> {
+    let serves = |name: &str| {
+        let mut endpoints = status.endpoints.iter();
+        endpoints.any(|it| it.name == name && it.state == EndpointState::Serving)
+    };
+    let waiting = names.iter().filter(|name| !serves(name));
+    waiting
+        .map(|name| format!("{name} takes no work"))
+        .collect()
+}
+
 /// The endpoints that have work or take new work.
 fn busy(status: &FleetStatus, names: &[String]) -> Vec<String> {
     let endpoints = status
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -26,6 +26,7 @@
         cache_epoch: 1,
         service: SERVICE,
         domain: number % 3,
+        domain_name: String::new(),
         address: ([127, 0, 0, 1], 9000).into(),
         weight: 1,
     }
@@ -53,6 +54,7 @@
             service: SERVICE,
             load: total.into(),
             weight: loads.len() as u64,
+            absent: 0,
         }],
         ..MemberDigest::default()
     };
--- a/crates/wire/src/member.rs
+++ b/crates/wire/src/member.rs
@@ -36,6 +36,8 @@
     pub service: ServiceId,
     /// Failure domain that it runs in.
     pub domain: DomainId,
+    /// Name of the failure domain, for readers.
+    pub domain_name: String,
     /// Where entries reach its agent.
     pub address: SocketAddr,
     /// Relative capacity.
@@ -68,6 +70,8 @@
     pub instance: InstanceId,
     /// Its name.
     pub name: String,
+    /// Name of the failure domain that it runs in.
+    pub domain_name: String,
     /// Life of the entry.
     pub incarnation: IncarnationNumber,
     /// Settings in force at the entry.
@@ -96,6 +100,8 @@
     pub load: u64,
     /// Serving endpoints, by weight.
     pub weight: u64,
+    /// Endpoints that do not serve and may join again, by weight.
+    pub absent: u64,
 }
 
 /// Control to entries and agents: who is there and how loaded, as a change since the last digest
