--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use link::{LinkSender, PeerRole};
-use member::{MemberSettings, MemberTable};
+use member::{MemberSettings, MemberState, MemberTable};
 use settings::FleetSettings;
 use watch::InstanceRole;
 use watch::status::{EndpointStatus, FleetStatus, InstanceStatus, ServiceStatus};
@@ -138,7 +138,9 @@
             silence: row.heard_at.elapsed(),
         });
         let table = self.table.borrow();
-        let agent_rows = table.rows().iter().map(|row| InstanceStatus {
+        let rows = table.rows().iter();
+        let live = rows.filter(|row| row.state != MemberState::Lapsed);
+        let agent_rows = live.map(|row| InstanceStatus {
             name: row.record.name.clone(),
             role: InstanceRole::Agent,
             domain: row.record.domain_name.clone(),
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -101,8 +101,9 @@
     let lines = [
         "drain runner-1 --change-id a --wait",
         "get endpoints.runner-1.draining",
-        "undrain runner-1 --change-id b",
+        "undrain runner-1 --change-id b --wait",
         "get endpoints.runner-1.draining",
+        "undrain runner-2 --change-id c --wait --wait-s 0",
     ];
     insta::assert_snapshot!(golden(fake_control(), &lines));
 }
