Give each test of control instances a loopback host of its own

One run of five had a fleet without a leader in 60 s, the others passed. Its logs were not kept, so the cause is a guess: a port that was free when it was chosen and taken by an outgoing connection when the instance bound it.

--- a/crates/control/tests/instances/fleet.rs
+++ b/crates/control/tests/instances/fleet.rs
@@ -1,6 +1,6 @@
 //! Control instances as real processes on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -264,7 +264,11 @@
     }
 }
 
+/// An address that nothing else uses. Outgoing connections come from 127.0.0.1, so a host of its
+/// own keeps them from taking the port before the instance does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, high.max(1), low, 1);
+    let listener = TcpListener::bind((host, 0)).expect("free port");
     listener.local_addr().expect("bound")
 }
