--- a/crates/control/tests/instances.rs
+++ b/crates/control/tests/instances.rs
@@ -12,6 +12,8 @@
 use instances::fleet::{CONFLICT, ControlFleet, UNREACHABLE};
 
 const SIZE: usize = 3;
+/// Changes that an instance misses while it is down.
+const MISSED_CHANGES: u64 = 1000;
 
 /// Three instances that have accepted one change, and the leader.
 fn changed_fleet() -> (ControlFleet, usize) {
@@ -110,6 +112,24 @@
     expect_that!(fleet.change(leader), eq(version + 1));
 }
 
+#[gtest]
+fn instance_catches_up_after_many_changes() {
+    let (mut fleet, leader) = changed_fleet();
+    let behind = other_than(leader);
+    fleet.kill(behind);
+    let version = fleet.change_often(leader, MISSED_CHANGES);
+
+    fleet.start_instance(behind);
+    let started = Instant::now();
+    fleet.wait_for_version(behind, version);
+    println!(
+        "RESULT control missed_changes={MISSED_CHANGES} caught_up_ms={}",
+        started.elapsed().as_millis()
+    );
+
+    expect_that!(fleet.change(behind), eq(version + 1));
+}
+
 #[gtest]
 fn stopped_leader_hands_over() {
     let (mut fleet, leader) = changed_fleet();
--- a/crates/control/tests/instances/fleet.rs
+++ b/crates/control/tests/instances/fleet.rs
@@ -178,6 +178,21 @@
         }
     }
 
+    /// Makes many changes in a row at the leader; returns the last version.
+    pub(crate) fn change_often(&self, leader: usize, count: u64) -> u64 {
+        let mut version = self.wait_for("version", || self.version(leader));
+        for _ in 0..count {
+            let answer = self.wait_for("decision", || {
+                let id = format!("often-{version}");
+                let answer = self.send_change(leader, &id, version, version)?;
+                (answer.status != UNREACHABLE).then_some(answer)
+            });
+            assert_eq!(answer.body["version"], json!(version + 1));
+            version += 1;
+        }
+        version
+    }
+
     pub(crate) fn send_change(
         &self,
         place: usize,
