Stop proposing a first tree that is refused

An idle quorum whose file names no first tree wrote 76 kB of log in 36 s: the empty first change is refused, and every instance proposed it again each 100 ms. A refusal without a time to come back is final now.

--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -152,11 +152,13 @@
     }
     while node.state.borrow().settings.version() == 0 {
         let first = SettingsHistory::first_change(&tree);
-        let reply = node.propose(ControlCommand::ChangeSettings(first)).await;
-        if let ControlReply::Refused(fault) = reply {
-            log::warn!("control: the first tree was refused: {fault}.");
+        match node.propose(ControlCommand::ChangeSettings(first)).await {
+            ControlReply::Refused(fault) if fault.kind.answer().retry_after.is_none() => {
+                log::warn!("control: the first tree was refused: {fault}.");
+                return;
+            }
+            _ => sleep(FIRST_PAUSE).await,
         }
-        sleep(FIRST_PAUSE).await;
     }
 }
 
