--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -46,7 +46,7 @@
 enum TryOutcome {
     Decided(ControlReply),
     /// Not known to be committed. Proposing again is safe for every command.
-    Again,
+    Again(Fault),
 }
 
 /// Consensus, disk and connections of one control instance, on one thread.
@@ -152,24 +152,26 @@
     /// Proposes a command and waits until it is committed and applied, here or at the leader.
     pub async fn propose(&self, command: ControlCommand) -> ControlReply {
         let deadline = Instant::now() + DECISION_LIMIT;
-        while Instant::now() < deadline {
+        loop {
             let outcome = match self.quorum.leader() {
                 Some(leader) => self.propose_at(leader, &command).await,
                 None => self.propose_here(&command).await,
             };
-            if let TryOutcome::Decided(reply) = outcome {
-                return reply;
+            match outcome {
+                TryOutcome::Decided(reply) => return reply,
+                TryOutcome::Again(fault) if Instant::now() >= deadline => {
+                    return ControlReply::Refused(fault);
+                }
+                TryOutcome::Again(_) => sleep(RETRY_PAUSE).await,
             }
-            sleep(RETRY_PAUSE).await;
         }
-        ControlReply::Refused(no_quorum())
     }
 
     /// Answers a proposal that another control instance passed on. It is not passed on again.
     pub async fn propose_as_leader(&self, command: ControlCommand) -> ControlReply {
         match self.propose_here(&command).await {
             TryOutcome::Decided(reply) => reply,
-            TryOutcome::Again => ControlReply::Refused(no_quorum()),
+            TryOutcome::Again(fault) => ControlReply::Refused(fault),
         }
     }
 
@@ -255,15 +257,15 @@
 
     async fn propose_at(&self, leader: InstanceId, command: &ControlCommand) -> TryOutcome {
         let Some(client) = self.quorum.others.get(&leader) else {
-            return TryOutcome::Again;
+            return TryOutcome::Again(no_quorum());
         };
         let decision = timeout(TRY_LIMIT, client.propose(command.clone())).await;
         match decision {
-            Ok(Ok(ControlReply::Refused(fault))) if fault.kind == FaultKind::ControlUnreachable => {
-                TryOutcome::Again
+            Ok(Ok(ControlReply::Refused(fault))) if may_pass(fault.kind) => {
+                TryOutcome::Again(fault)
             }
             Ok(Ok(reply)) => TryOutcome::Decided(reply),
-            Ok(Err(_)) | Err(_) => TryOutcome::Again,
+            Ok(Err(_)) | Err(_) => TryOutcome::Again(no_quorum()),
         }
     }
 
@@ -292,7 +294,7 @@
         self.quorum.waiting.borrow_mut().remove(&key);
         match reply {
             Ok(Ok(reply)) => TryOutcome::Decided(reply),
-            _ => TryOutcome::Again,
+            _ => TryOutcome::Again(no_quorum()),
         }
     }
 
@@ -402,17 +404,20 @@
 }
 
 fn refusal(error: &ReplicaError) -> TryOutcome {
-    match error {
-        ReplicaError::NotLeader { .. } | ReplicaError::HandingOver => TryOutcome::Again,
-        ReplicaError::Congested => {
-            let fault = FaultKind::Overloaded.because(error.to_string());
-            TryOutcome::Decided(ControlReply::Refused(fault))
-        }
-        ReplicaError::StoreFull => {
-            let fault = FaultKind::StoreFull.because(error.to_string());
-            TryOutcome::Decided(ControlReply::Refused(fault))
-        }
-    }
+    let kind = match error {
+        ReplicaError::NotLeader { .. } | ReplicaError::HandingOver => FaultKind::ControlUnreachable,
+        ReplicaError::Congested => FaultKind::Overloaded,
+        ReplicaError::StoreFull => FaultKind::StoreFull,
+    };
+    TryOutcome::Again(kind.because(error.to_string()))
+}
+
+/// Whether another leader, or the same one a little later, may decide otherwise.
+fn may_pass(kind: FaultKind) -> bool {
+    matches!(
+        kind,
+        FaultKind::ControlUnreachable | FaultKind::Overloaded | FaultKind::StoreFull
+    )
 }
 
 fn no_quorum() -> Fault {
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -226,10 +226,10 @@
     /// When this member can't take the command; the command has no effect then.
     pub fn propose(&mut self, now: Duration, command: Vec<u8>) -> Result<(LogIndex, TermNumber)> {
         self.advance(now);
-        self.check_leading()?;
-        if self.store_full {
+        if self.is_leader() && self.store_full {
             return Err(ReplicaError::StoreFull);
         }
+        self.check_leading()?;
         if self.log.last_index() - self.commit >= self.settings.waiting_entries {
             return Err(ReplicaError::Congested);
         }
@@ -249,8 +249,13 @@
         Ok(())
     }
 
-    /// The caller can't write, or can again.
+    /// The caller can't write, or can again. A leader that can't write hands over, and a member
+    /// that can't write leaves elections to others for longer.
     pub fn set_store_full(&mut self, full: bool) {
+        if full && !self.store_full {
+            self.store_full = true;
+            self.reset_election();
+        }
         self.store_full = full;
     }
 
@@ -412,7 +417,10 @@
     pub(crate) fn reset_election(&mut self) {
         let spread = self.settings.election_max - self.settings.election_min;
         let share: f64 = self.generator.random_range(0.0..1.0);
-        let wait = self.settings.election_min + self.settings.election_delay;
+        let mut wait = self.settings.election_min + self.settings.election_delay;
+        if self.store_full {
+            wait += 2 * self.settings.election_max;
+        }
         self.election_at = self.now + wait + spread.mul_f64(share);
     }
 
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -5,7 +5,7 @@
 
 use crate::action::ReplicaAction;
 use crate::core::{ReplicaCore, ReplicaRole};
-use crate::error::Result;
+use crate::error::{ReplicaError, Result};
 use crate::id::{LogIndex, MemberKey, ReadTicket, RoundNumber};
 use crate::log::{EntryPayload, LogEntry};
 use crate::message::{ClockStamp, MessageBody};
@@ -19,17 +19,22 @@
     /// When this member does not lead.
     pub fn hand_over(&mut self, now: Duration) -> Result<()> {
         self.tick(now);
+        if !self.is_leader() {
+            let leader = self.leader;
+            return Err(ReplicaError::NotLeader { leader });
+        }
+        self.start_hand_over();
+        Ok(())
+    }
+
+    fn start_hand_over(&mut self) {
         let until = self.now + self.settings.election_max;
         if let ReplicaRole::Leader(state) = &mut self.role {
             state
                 .hand_over
                 .get_or_insert(HandOver { until, asked: None });
             self.continue_hand_over();
-            return Ok(());
         }
-        Err(crate::ReplicaError::NotLeader {
-            leader: self.leader,
-        })
     }
 
     pub(crate) fn become_leader(&mut self) {
@@ -69,6 +74,9 @@
         if now >= state.heartbeat_at {
             self.start_round();
             self.replace_lost_voter();
+            if self.store_full {
+                self.start_hand_over();
+            }
             self.continue_hand_over();
         }
     }
--- a/crates/store/tests/quorum.rs
+++ b/crates/store/tests/quorum.rs
@@ -65,6 +65,9 @@
     expect_that!(wipes, ge(SEEDS as u32 / 10));
 }
 
+/// Changes after which a hand-over is over.
+const QUIET_CHANGES: usize = 100;
+
 fn settled_fleet(seed: u64) -> Fleet {
     let mut fleet = Fleet::new(3, seed);
     fleet.settle();
@@ -94,7 +97,7 @@
         let accepted = fleet.oracle.accepted.len();
 
         fleet.isolate(old);
-        fleet.run_others(old);
+        fleet.run_others(Some(old));
         fleet.propose(old);
         fleet.read(old);
 
@@ -103,3 +106,20 @@
         fleet.settle();
     }
 }
+
+#[gtest]
+fn leader_with_a_full_disk_hands_over() {
+    for seed in 0..20 {
+        let mut fleet = settled_fleet(seed);
+        let old = fleet.leader().expect("settled fleet has a leader");
+
+        fleet.fill_disk(old);
+        let handed_over = (0..QUIET_CHANGES).any(|_| {
+            fleet.run_others(None);
+            fleet.leader() != Some(old)
+        });
+
+        expect_that!(handed_over, eq(true));
+        expect_that!(fleet.run_others(None), eq(true));
+    }
+}
--- a/crates/store/tests/quorum/fleet.rs
+++ b/crates/store/tests/quorum/fleet.rs
@@ -119,11 +119,11 @@
         panic!("fleet does not settle: {statuses:#?}");
     }
 
-    /// Runs all members but one until they accept a change.
-    pub(crate) fn run_others(&mut self, idle: usize) {
+    /// Runs all members but the idle one until they accept a change.
+    pub(crate) fn run_others(&mut self, idle: Option<usize>) -> bool {
         let value = self.next_value;
         for _ in 0..QUIET_ROUNDS {
-            for place in (0..self.members.len()).filter(|place| *place != idle) {
+            for place in (0..self.members.len()).filter(|place| Some(*place) != idle) {
                 self.tick(place);
                 self.flush(place);
                 self.propose(place);
@@ -132,9 +132,10 @@
                 self.deliver(message);
             }
             if self.oracle.accepted.values().any(|known| *known >= value) {
-                return;
+                return true;
             }
         }
+        false
     }
 
     /// The leader of the latest term.
@@ -313,7 +314,7 @@
         }
     }
 
-    fn fill_disk(&mut self, place: usize) {
+    pub(crate) fn fill_disk(&mut self, place: usize) {
         self.members[place].folder.0.borrow_mut().full = true;
     }
 
