--- /dev/null
+++ b/crates/store/tests/quorum.rs
@@ -0,0 +1,93 @@
+//! Stateful fuzzing of consensus and store against an oracle.
+
+use googletest::prelude::*;
+
+mod quorum {
+    pub(crate) mod fleet;
+    pub(crate) mod folder;
+    pub(crate) mod member;
+}
+
+use quorum::fleet::Fleet;
+
+const SEEDS: u64 = 120;
+const STEPS: usize = 12_000;
+
+fn run_seed(seed: u64) -> Fleet {
+    let size = [3, 3, 5, 1, 7][seed as usize % 5];
+    let mut fleet = Fleet::new(size, seed);
+    for _ in 0..STEPS {
+        fleet.step();
+    }
+    fleet.settle();
+    fleet
+}
+
+#[gtest]
+fn nothing_accepted_is_lost_reordered_or_reverted() {
+    let mut accepted = 0;
+    let mut wipes = 0;
+    let mut swaps = 0;
+    let mut crashes = 0;
+
+    for seed in 0..SEEDS {
+        let fleet = run_seed(seed);
+
+        let values = &fleet.members[0].running.as_ref().unwrap().values;
+        let mut known = values.iter();
+        for value in fleet.oracle.accepted.values() {
+            assert!(
+                known.any(|other| other == value),
+                "seed {seed}: {value} lost"
+            );
+        }
+        accepted += fleet.oracle.accepted.len();
+        wipes += fleet.wipes;
+        swaps += fleet.swaps;
+        crashes += fleet.crashes;
+    }
+
+    println!(
+        "RESULT quorum seeds={SEEDS} accepted={accepted} wipes={wipes} swaps={swaps} crashes={crashes} lost=0 reverted=0"
+    );
+    expect_that!(wipes, ge(SEEDS as u32 / 10));
+}
+
+fn settled_fleet(seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(3, seed);
+    fleet.settle();
+    fleet
+}
+
+#[gtest]
+fn loss_right_after_a_repair_loses_nothing() {
+    for seed in 0..20 {
+        let mut fleet = settled_fleet(seed);
+
+        for round in 0..6 {
+            fleet.wipe(round % 3);
+            fleet.settle();
+        }
+
+        expect_that!(fleet.wipes, eq(6));
+        expect_that!(fleet.oracle.accepted.len(), ge(7));
+    }
+}
+
+#[gtest]
+fn isolated_leader_changes_and_confirms_nothing() {
+    for seed in 0..20 {
+        let mut fleet = settled_fleet(seed);
+        let old = fleet.leader().expect("settled fleet has a leader");
+        let accepted = fleet.oracle.accepted.len();
+
+        fleet.isolate(old);
+        fleet.run_others(old);
+        fleet.propose(old);
+        fleet.read(old);
+
+        expect_that!(fleet.leader(), not(some(eq(old))));
+        expect_that!(fleet.oracle.accepted.len(), gt(accepted));
+        fleet.settle();
+    }
+}
--- /dev/null
+++ b/crates/store/tests/quorum/fleet.rs
@@ -0,0 +1,397 @@
+//! Members, the messages between them, and the oracle.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64;
+use replica::{EntryPayload, MemberKey, MemberSet, ReplicaMessage, RoleKind};
+
+use super::member::{FakeMember, MemberEvent, encode_values};
+
+const MOST_MESSAGES: usize = 400;
+const QUIET_ROUNDS: usize = 2000;
+
+/// What must hold whatever happens.
+#[derive(Default)]
+pub(crate) struct Oracle {
+    /// Every entry that any member applied.
+    pub(crate) applied: BTreeMap<u64, (u64, EntryPayload)>,
+    leaders: BTreeMap<u64, MemberKey>,
+    /// Proposed value by position and term.
+    proposed: BTreeMap<(u64, u64), u64>,
+    /// Values that a leader reported as accepted, by position.
+    pub(crate) accepted: BTreeMap<u64, u64>,
+    /// Last accepted position when a read began.
+    reads: BTreeMap<u64, u64>,
+}
+
+pub(crate) struct Fleet {
+    pub(crate) members: Vec<FakeMember>,
+    peers: Vec<u64>,
+    messages: Vec<ReplicaMessage>,
+    cut: BTreeSet<(u64, u64)>,
+    pub(crate) random: Pcg64,
+    pub(crate) oracle: Oracle,
+    next_value: u64,
+    pub(crate) wipes: u32,
+    pub(crate) swaps: u32,
+    pub(crate) crashes: u32,
+}
+
+impl Fleet {
+    pub(crate) fn new(size: u64, seed: u64) -> Self {
+        let peers: Vec<u64> = (1..=size).collect();
+        let mut random = Pcg64::seed_from_u64(seed);
+        let mut member = |peer: &u64| {
+            let pace = Duration::from_millis(random.random_range(5..40));
+            FakeMember::new(*peer, pace)
+        };
+        let members = peers.iter().map(&mut member).collect();
+        let mut fleet = Self {
+            members,
+            peers,
+            messages: Vec::new(),
+            cut: BTreeSet::new(),
+            random,
+            oracle: Oracle::default(),
+            next_value: 1,
+            wipes: 0,
+            swaps: 0,
+            crashes: 0,
+        };
+        for place in 0..fleet.members.len() {
+            fleet.start(place);
+        }
+        fleet
+    }
+
+    /// One random step.
+    pub(crate) fn step(&mut self) {
+        let place = self.random.random_range(0..self.members.len());
+        match self.random.random_range(0..1000) {
+            0..560 => self.deliver_any(),
+            560..700 => self.tick(place),
+            700..890 => self.flush(place),
+            890..950 => self.propose(place),
+            950..970 => self.read(place),
+            970..984 => self.start(place),
+            984..987 => self.end_faults(place),
+            987..988 => self.swap_folder(place),
+            988..990 => self.crash(place),
+            990..992 => self.crash_in_write(place),
+            992..993 => self.cut_links(place),
+            993..995 => self.isolate(place),
+            995..997 => self.wipe(place),
+            997..998 => self.fill_disk(place),
+            998..999 => self.hand_over(place),
+            _ => self.freeze(place),
+        }
+    }
+
+    /// Ends all faults and runs until every member has applied everything.
+    pub(crate) fn settle(&mut self) {
+        self.cut.clear();
+        self.return_folders();
+        let value = self.next_value;
+        for _ in 0..QUIET_ROUNDS {
+            for place in 0..self.members.len() {
+                self.members[place].folder.0.borrow_mut().full = false;
+                self.start(place);
+                self.tick(place);
+                self.flush(place);
+                if !self.oracle.accepted.values().any(|known| *known >= value) {
+                    self.propose(place);
+                }
+            }
+            for message in std::mem::take(&mut self.messages) {
+                self.deliver(message);
+            }
+            if self.is_settled(value) {
+                return;
+            }
+        }
+        let statuses = self.members.iter().map(|member| {
+            let running = member.running.as_ref();
+            running.map(|running| running.core.status())
+        });
+        let statuses: Vec<_> = statuses.collect();
+        panic!("fleet does not settle: {statuses:#?}");
+    }
+
+    /// Runs all members but one until they accept a change.
+    pub(crate) fn run_others(&mut self, idle: usize) {
+        let value = self.next_value;
+        for _ in 0..QUIET_ROUNDS {
+            for place in (0..self.members.len()).filter(|place| *place != idle) {
+                self.tick(place);
+                self.flush(place);
+                self.propose(place);
+            }
+            for message in std::mem::take(&mut self.messages) {
+                self.deliver(message);
+            }
+            if self.oracle.accepted.values().any(|known| *known >= value) {
+                return;
+            }
+        }
+    }
+
+    /// The leader of the latest term.
+    pub(crate) fn leader(&self) -> Option<usize> {
+        let leads = |place: &usize| {
+            let running = self.members[*place].running.as_ref();
+            running.is_some_and(|running| running.core.is_leader())
+        };
+        let leaders = (0..self.members.len()).filter(leads);
+        leaders.max_by_key(|place| {
+            let running = self.members[*place].running.as_ref();
+            running.map(|running| running.core.status().term)
+        })
+    }
+
+    fn is_settled(&self, value: u64) -> bool {
+        let last = self.oracle.applied.keys().last();
+        let same = self.members.iter().all(|member| {
+            let running = member.running.as_ref();
+            running.is_some_and(|running| Some(&running.applied) == last && running.core.is_voter())
+        });
+        same && self.is_whole() && self.oracle.accepted.values().any(|known| *known >= value)
+    }
+
+    pub(crate) fn start(&mut self, place: usize) {
+        if self.members[place].running.is_none() {
+            let peers = self.peers.clone();
+            let events = self.members[place].start(&peers, &mut self.random);
+            self.take(place, events);
+        }
+    }
+
+    pub(crate) fn tick(&mut self, place: usize) {
+        let events = self.members[place].tick();
+        self.take(place, events);
+    }
+
+    /// The process stands still while time passes.
+    fn freeze(&mut self, place: usize) {
+        self.members[place].now += Duration::from_secs(3);
+    }
+
+    fn flush(&mut self, place: usize) {
+        let most = self.random.random_range(1..6);
+        let events = self.members[place].flush(most, &mut self.random);
+        self.take(place, events);
+    }
+
+    fn deliver_any(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let number = self.random.random_range(0..self.messages.len().min(40));
+        match self.random.random_range(0..20) {
+            0 => drop(self.messages.remove(number)),
+            1 => self.deliver(self.messages[number].clone()),
+            _ => {
+                let message = self.messages.remove(number);
+                self.deliver(message);
+            }
+        }
+    }
+
+    fn deliver(&mut self, message: ReplicaMessage) {
+        if self.cut.contains(&(message.from.instance, message.to)) {
+            return;
+        }
+        let bytes = message.encode().expect("message is small");
+        let message = ReplicaMessage::decode(&bytes).expect("message is sound");
+        let place = message.to as usize - 1;
+        let events = self.members[place].receive(message);
+        self.take(place, events);
+    }
+
+    pub(crate) fn propose(&mut self, place: usize) {
+        let member = &mut self.members[place];
+        let now = member.now;
+        let Some(running) = &mut member.running else {
+            return;
+        };
+        let command = encode_values(&[self.next_value]);
+        let Ok(position) = running.core.propose(now, command) else {
+            return;
+        };
+        self.oracle.proposed.insert(position, self.next_value);
+        self.next_value += 1;
+        let events = self.members[place].drain();
+        self.take(place, events);
+    }
+
+    pub(crate) fn read(&mut self, place: usize) {
+        let member = &mut self.members[place];
+        let now = member.now;
+        let Some(running) = &mut member.running else {
+            return;
+        };
+        let ticket = self.random.random();
+        let last = self.oracle.accepted.keys().last().copied().unwrap_or(0);
+        if running.core.read(now, ticket).is_ok() {
+            self.oracle.reads.insert(ticket, last);
+        }
+        let events = self.members[place].drain();
+        self.take(place, events);
+    }
+
+    fn crash(&mut self, place: usize) {
+        self.crashes += 1;
+        self.members[place].crash(&mut self.random);
+    }
+
+    fn crash_in_write(&mut self, place: usize) {
+        let after = self.random.random_range(0..8);
+        self.members[place].folder.0.borrow_mut().crash_in = Some(after);
+    }
+
+    fn cut_links(&mut self, place: usize) {
+        let own = self.peers[place];
+        for other in self.peers.clone() {
+            if self.random.random() {
+                self.cut.insert((own, other));
+                self.cut.insert((other, own));
+            }
+        }
+    }
+
+    pub(crate) fn isolate(&mut self, place: usize) {
+        let own = self.peers[place];
+        for other in &self.peers {
+            self.cut.insert((own, *other));
+            self.cut.insert((*other, own));
+        }
+    }
+
+    /// Takes a folder away, or brings it back. One sound folder at most is away.
+    fn swap_folder(&mut self, place: usize) {
+        let own = self.peers[place];
+        let is_away = self.members[place].stashed_identity().is_some();
+        if self.members.len() > 1 && (is_away || self.is_whole()) {
+            self.swaps += 1;
+            let others = self
+                .members
+                .iter_mut()
+                .filter(|other| other.instance != own);
+            others.for_each(|other| other.stash = None);
+            self.members[place].swap_folder(&mut self.random);
+        }
+    }
+
+    /// Gives every member the folder that is a voter's.
+    fn return_folders(&mut self) {
+        let voters = self.last_members().map_or(Vec::new(), |set| set.voters);
+        for place in 0..self.members.len() {
+            let member = &mut self.members[place];
+            let identities: Vec<u64> = voters.iter().map(|voter| voter.identity).collect();
+            let is_voter = identities.contains(&member.identity);
+            let stashed = member.stashed_identity();
+            if !is_voter && stashed.is_some_and(|identity| identities.contains(&identity)) {
+                member.swap_folder(&mut self.random);
+            }
+        }
+    }
+
+    fn fill_disk(&mut self, place: usize) {
+        self.members[place].folder.0.borrow_mut().full = true;
+    }
+
+    fn end_faults(&mut self, place: usize) {
+        self.cut.clear();
+        self.members[place].folder.0.borrow_mut().full = false;
+    }
+
+    fn hand_over(&mut self, place: usize) {
+        let member = &mut self.members[place];
+        let now = member.now;
+        if let Some(running) = &mut member.running {
+            let _ = running.core.hand_over(now);
+        }
+        let events = self.members[place].drain();
+        self.take(place, events);
+    }
+
+    /// Destroys a data folder, but never a second one before the first is replaced.
+    pub(crate) fn wipe(&mut self, place: usize) {
+        if self.members.len() > 1 && self.is_whole() {
+            self.wipes += 1;
+            self.members[place].wipe();
+        }
+    }
+
+    /// Whether the last committed voters are exactly the data folders there are.
+    fn is_whole(&self) -> bool {
+        let keys: Vec<MemberKey> = self.members.iter().map(FakeMember::key).collect();
+        self.last_members()
+            .is_some_and(|set| !set.is_joint() && set.voters == keys)
+    }
+
+    fn last_members(&self) -> Option<MemberSet> {
+        let mut entries = self.oracle.applied.values().rev();
+        entries.find_map(|(_, payload)| match payload {
+            EntryPayload::Members(set) => Some(set.clone()),
+            _ => None,
+        })
+    }
+
+    fn take(&mut self, place: usize, events: Vec<MemberEvent>) {
+        for event in events {
+            match event {
+                MemberEvent::Sent(message) => {
+                    self.messages.push(message);
+                    if self.messages.len() > MOST_MESSAGES {
+                        self.messages.remove(0);
+                    }
+                }
+                MemberEvent::Applied(entry) => self.check_applied(entry),
+                MemberEvent::Restored(index, values) => self.check_restored(index, &values),
+                MemberEvent::ReadConfirmed(ticket) => self.check_read(place, ticket),
+            }
+        }
+        self.check_leader(place);
+    }
+
+    fn check_applied(&mut self, entry: replica::LogEntry) {
+        let key = (entry.index, entry.term);
+        let content = (entry.term, entry.payload);
+        let known = self.oracle.applied.entry(entry.index);
+        let first = known.or_insert_with(|| content.clone());
+        assert_eq!(*first, content, "entry {} was reverted", entry.index);
+        if let Some(value) = self.oracle.proposed.get(&key) {
+            self.oracle.accepted.insert(entry.index, *value);
+        }
+    }
+
+    fn check_restored(&self, index: u64, values: &[u64]) {
+        let entries = self.oracle.applied.range(..=index);
+        let commands = entries.filter_map(|(_, (_, payload))| match payload {
+            EntryPayload::Command(bytes) => Some(bytes.clone()),
+            _ => None,
+        });
+        let expected: Vec<u8> = commands.flatten().collect();
+        assert_eq!(encode_values(values), expected, "snapshot is another state");
+    }
+
+    fn check_read(&self, place: usize, ticket: u64) {
+        let running = self.members[place].running.as_ref().expect("member runs");
+        let last = self.oracle.reads[&ticket];
+        assert!(running.applied >= last, "read misses an accepted change");
+    }
+
+    fn check_leader(&mut self, place: usize) {
+        let member = &self.members[place];
+        let Some(running) = &member.running else {
+            return;
+        };
+        let status = running.core.status();
+        if status.role == RoleKind::Leader {
+            let first = self.oracle.leaders.entry(status.term).or_insert(status.own);
+            assert_eq!(*first, status.own, "two leaders in term {}", status.term);
+        }
+    }
+}
