--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -1,27 +1,69 @@
-//! What the nodes spend to coordinate.
+//! What the nodes spend to coordinate, counted from encoded messages.
+//!
+//! Agents and entries send and hear what the product sends and hears at the given size: heartbeats
+//! paced by load, one digest for all entries, the service's mean for each agent, settings
+//! confirmations. Each message counts with its frame at its sender and at its receiver.
+
+use std::time::{Duration, Instant};
 
 use argh::FromArgs;
+use link::frame::FRAME_OVERHEAD_BYTES;
+use member::{HeartbeatPacer, MemberSettings, MemberTable, PacerSettings};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use wire::answer::EndpointLoad;
+use wire::codec::encode;
+use wire::id::{EndpointId, name_id};
+use wire::member::{AgentHeartbeat, EndpointRecord, EndpointState, EntryHeartbeat, MemberDigest};
+use wire::message::{LinkMessage, SettingsUpdate};
 
 use crate::BoundVerdict;
 use crate::policy::PolicyKind;
 
+/// Largest accepted control traffic of a node in bytes per second.
+const MAX_BYTES_PER_SECOND: f64 = 1024.0;
+/// Entries at the target's size.
+const TARGET_ENTRIES: usize = 320;
+/// Endpoints at the target's size.
+const TARGET_ENDPOINTS: usize = 720;
+/// Endpoints of one service.
+const SERVICE_ENDPOINTS: usize = 80;
+/// Instances of the control quorum that share the connections.
+const CONTROL_INSTANCES: usize = 7;
+/// Time that is measured, after as much warm-up.
+const MEASURED_TIME: Duration = Duration::from_secs(120);
+/// Time that one step takes.
+const STEP_TIME: Duration = Duration::from_millis(100);
+/// Steps between two heartbeats of an entry, and between two settings confirmations.
+const CONFIRM_STEPS: u64 = 10;
+/// Mean load of an endpoint.
+const MEAN_LOAD: f64 = 25.6;
+/// Mean duration of a request.
+const MEAN_DURATION: Duration = Duration::from_secs(8);
+/// Requests that each endpoint serves per second, for the scale of restarts.
+const REQUESTS_PER_ENDPOINT: f64 = 14_000.0 / 720.0;
+/// Time that a restart takes.
+const RESTART_TIME: Duration = Duration::from_secs(2);
+/// First Unix time in milliseconds that incarnations are drawn from.
+const FIRST_INCARNATION: u64 = 1_790_000_000_000;
+
 /// measure what the nodes spend to coordinate
 #[derive(FromArgs)]
 #[argh(subcommand, name = "control")]
 pub(crate) struct ControlArgs {
-    /// seed of the request sequence
+    /// seed of the changes of load
     #[argh(option, default = "7")]
     pub(crate) seed: u64,
-    /// random, least, rendezvous, warm or ideal
+    /// random, least, rendezvous, warm or ideal: whose knowledge is paid for
     #[argh(option, default = "PolicyKind::default()")]
     pub(crate) policy: PolicyKind,
-    /// entries, each with a view of its own
-    #[argh(option)]
-    pub(crate) entries: Option<usize>,
-    /// endpoints of one service; without it, the services of both deployments are measured
-    #[argh(option)]
-    pub(crate) endpoints: Option<usize>,
-    /// percent of the traffic that comes from one account
+    /// entries
+    #[argh(option, default = "TARGET_ENTRIES")]
+    pub(crate) entries: usize,
+    /// endpoints, each with its agent
+    #[argh(option, default = "TARGET_ENDPOINTS")]
+    pub(crate) endpoints: usize,
+    /// percent of the traffic that comes from one account; its surge begins with the measured time
     #[argh(option, default = "0")]
     pub(crate) surge: u32,
     /// endpoint restarts, cold, in each 1,000 requests
@@ -31,14 +73,251 @@
 
 /// Runs the measurement and prints its result.
 pub(crate) fn run(args: &ControlArgs) -> BoundVerdict {
+    let mut measured = None;
+    for policy in PolicyKind::ALL {
+        let bytes = ControlRun::new(args, policy).measure();
+        println!(
+            "trial policy={policy} entry={:.0} agent_max={:.0} agent_mean={:.0} control={:.0}",
+            bytes.entry, bytes.agent_max, bytes.agent_mean, bytes.control
+        );
+        if policy == args.policy {
+            measured = Some(bytes);
+        }
+    }
+    let bytes = measured.expect("every policy is tried");
+    let (entries, endpoints) = (args.entries as f64, args.endpoints as f64);
+    let total = bytes.entry * entries + bytes.agent_mean * endpoints;
+    let worst = bytes.entry.max(bytes.agent_max);
     println!(
-        "RESULT control policy={} seed={} entries={} endpoints={} surge={} churn={} measured=no",
+        "RESULT control policy={} seed={} entries={} endpoints={} surge={} churn={} \
+         bytes_per_second_per_node_max={worst:.0} bytes_per_second_per_node_mean={:.0} \
+         bytes_per_second_per_control={:.0}",
         args.policy,
         args.seed,
-        args.entries.unwrap_or_default(),
-        args.endpoints.unwrap_or_default(),
+        args.entries,
+        args.endpoints,
         args.surge,
         args.churn,
+        total / (entries + endpoints),
+        bytes.control,
     );
-    BoundVerdict::of(false)
+    BoundVerdict::of(worst <= MAX_BYTES_PER_SECOND)
+}
+
+/// Bytes per second, sent and received.
+#[derive(Clone, Copy, Debug)]
+struct ControlBytes {
+    /// Of an entry.
+    entry: f64,
+    /// Of the agent that spends most.
+    agent_max: f64,
+    /// Of the average agent.
+    agent_mean: f64,
+    /// Of one control instance.
+    control: f64,
+}
+
+/// One agent with the load of its endpoint.
+struct AgentRun {
+    record: EndpointRecord,
+    load: u32,
+    state: EndpointState,
+    serves_at: Option<Instant>,
+    sequence: u64,
+    pacer: HeartbeatPacer,
+    /// Bytes sent and received.
+    bytes: u64,
+}
+
+struct ControlRun<'a> {
+    args: &'a ControlArgs,
+    policy: PolicyKind,
+    agents: Vec<AgentRun>,
+    table: MemberTable,
+    rng: Pcg64Mcg,
+    start: Instant,
+    /// Bytes sent and received by each entry.
+    entry_bytes: u64,
+    confirmation: u64,
+    entry_heartbeat: u64,
+}
+
+impl<'a> ControlRun<'a> {
+    fn new(args: &'a ControlArgs, policy: PolicyKind) -> Self {
+        let load_bytes_per_second = match policy {
+            PolicyKind::Random | PolicyKind::Rendezvous => 0,
+            PolicyKind::Least | PolicyKind::Ideal => u32::MAX,
+            PolicyKind::Warm => MemberSettings::default().load_bytes_per_second,
+        };
+        let settings = MemberSettings {
+            load_bytes_per_second,
+            ..MemberSettings::default()
+        };
+        let confirmation = SettingsUpdate::Confirmed { version: 100_000 };
+        Self {
+            args,
+            policy,
+            agents: (0..args.endpoints).map(new_agent).collect(),
+            table: MemberTable::new(settings),
+            rng: Pcg64Mcg::new(u128::from(args.seed)),
+            start: Instant::now(),
+            entry_bytes: 0,
+            confirmation: frame_bytes(&LinkMessage::Settings(confirmation)),
+            entry_heartbeat: frame_bytes(&entry_heartbeat()),
+        }
+    }
+
+    fn measure(mut self) -> ControlBytes {
+        let steps = (MEASURED_TIME.as_secs_f64() / STEP_TIME.as_secs_f64()) as u64;
+        for step in 0..steps {
+            self.step(step, 1.0);
+        }
+        self.entry_bytes = 0;
+        for agent in &mut self.agents {
+            agent.bytes = 0;
+        }
+        // Surging traffic comes on top of the others'.
+        let rise = 100.0 / (100.0 - f64::from(self.args.surge.min(99)));
+        for step in steps..2 * steps {
+            self.step(step, rise);
+        }
+        self.result()
+    }
+
+    fn result(&self) -> ControlBytes {
+        let seconds = MEASURED_TIME.as_secs_f64();
+        let agents = self.agents.iter().map(|agent| agent.bytes);
+        let agent_sum: u64 = agents.clone().sum();
+        let all = agent_sum + self.entry_bytes * self.args.entries as u64;
+        ControlBytes {
+            entry: self.entry_bytes as f64 / seconds,
+            agent_max: agents.max().unwrap_or(0) as f64 / seconds,
+            agent_mean: agent_sum as f64 / seconds / self.args.endpoints.max(1) as f64,
+            control: all as f64 / seconds / CONTROL_INSTANCES as f64,
+        }
+    }
+
+    fn step(&mut self, step: u64, rise: f64) {
+        let now = self.start + STEP_TIME * step as u32;
+        for index in 0..self.agents.len() {
+            self.change_load(index, rise, now);
+            self.send_heartbeat(index, now);
+        }
+        if self.table.is_digest_due(now) {
+            self.table.tick(now);
+            let digest = self.table.next_digest(now);
+            self.send_digest(&digest);
+        }
+        if step.is_multiple_of(CONFIRM_STEPS) {
+            self.entry_bytes += self.confirmation + self.entry_heartbeat;
+            for agent in &mut self.agents {
+                agent.bytes += self.confirmation;
+            }
+        }
+    }
+
+    /// Requests come and go, and endpoints restart.
+    fn change_load(&mut self, index: usize, rise: f64, now: Instant) {
+        let step = STEP_TIME.as_secs_f64();
+        let end_chance = step / MEAN_DURATION.as_secs_f64();
+        let restart_rate = f64::from(self.args.churn) / 1000.0 * REQUESTS_PER_ENDPOINT;
+        let is_restarting = self.rng.random_bool((restart_rate * step).min(1.0));
+        let agent = &mut self.agents[index];
+        if agent.serves_at.is_some_and(|at| now >= at) {
+            agent.serves_at = None;
+            agent.state = EndpointState::Serving;
+        }
+        if is_restarting && agent.state == EndpointState::Serving {
+            agent.state = EndpointState::Down;
+            agent.load = 0;
+            agent.record.cache_epoch += 1;
+            agent.serves_at = Some(now + RESTART_TIME);
+        }
+        if agent.state != EndpointState::Serving {
+            return;
+        }
+        let ended = (0..agent.load).filter(|_| self.rng.random_bool(end_chance));
+        agent.load -= ended.count() as u32;
+        let arrivals = MEAN_LOAD * rise * end_chance;
+        let whole = arrivals.floor();
+        agent.load += whole as u32 + u32::from(self.rng.random_bool(arrivals - whole));
+    }
+
+    fn send_heartbeat(&mut self, index: usize, now: Instant) {
+        let agent = &mut self.agents[index];
+        let load = EndpointLoad {
+            running: agent.load.min(crate::workload::PLACES),
+            queued: agent.load.saturating_sub(crate::workload::PLACES),
+        };
+        if !agent.pacer.is_due(load, agent.state, now) {
+            return;
+        }
+        agent.pacer.record_sent(load, agent.state, now);
+        agent.sequence += 1;
+        let known = self.table.get(agent.record.endpoint);
+        let is_new = known.is_none_or(|row| row.record != agent.record);
+        let heartbeat = AgentHeartbeat {
+            record: is_new.then(|| agent.record.clone()),
+            endpoint: agent.record.endpoint,
+            incarnation: agent.record.incarnation,
+            sequence: agent.sequence,
+            state: agent.state,
+            load,
+            settings: 100_000,
+        };
+        self.table.observe_heartbeat(&heartbeat, now);
+        let bytes = frame_bytes(&LinkMessage::AgentHeartbeat(heartbeat));
+        agent.bytes += bytes;
+        if self.policy == PolicyKind::Ideal {
+            self.entry_bytes += bytes;
+        }
+    }
+
+    fn send_digest(&mut self, digest: &MemberDigest) {
+        self.entry_bytes += frame_bytes(&LinkMessage::Members(digest.clone()));
+        for agent in &mut self.agents {
+            let digest = MemberTable::agent_digest(&digest.means, agent.record.service);
+            if !digest.means.is_empty() {
+                agent.bytes += frame_bytes(&LinkMessage::Members(digest));
+            }
+        }
+    }
+}
+
+fn frame_bytes(message: &LinkMessage) -> u64 {
+    let encoded = encode(message).expect("control messages are below the limit");
+    (encoded.len() + FRAME_OVERHEAD_BYTES) as u64
+}
+
+fn new_agent(number: usize) -> AgentRun {
+    let name = format!("runner-{number}");
+    let endpoint: EndpointId = name_id(&name);
+    let service = number / SERVICE_ENDPOINTS;
+    AgentRun {
+        record: EndpointRecord {
+            endpoint,
+            name,
+            incarnation: FIRST_INCARNATION + number as u64,
+            cache_epoch: FIRST_INCARNATION,
+            service: name_id(&format!("service-{service}")),
+            domain: name_id(&format!("domain-{}", number % 4)),
+            address: ([10, 0, 0, 1], 9000).into(),
+            weight: 8,
+        },
+        load: MEAN_LOAD as u32,
+        state: EndpointState::Serving,
+        serves_at: None,
+        sequence: 0,
+        pacer: HeartbeatPacer::new(PacerSettings::default()),
+        bytes: 0,
+    }
+}
+
+fn entry_heartbeat() -> LinkMessage {
+    LinkMessage::EntryHeartbeat(EntryHeartbeat {
+        instance: name_id("entry-1"),
+        name: "entry-1".to_owned(),
+        incarnation: FIRST_INCARNATION,
+        settings: 100_000,
+    })
 }
