--- a/crates/measure/src/control.rs
+++ b/crates/measure/src/control.rs
@@ -301,6 +301,7 @@
             cache_epoch: FIRST_INCARNATION,
             service: name_id(&format!("service-{service}")),
             domain: name_id(&format!("domain-{}", number % 4)),
+            domain_name: format!("domain-{}", number % 4),
             address: ([10, 0, 0, 1], 9000).into(),
             weight: 8,
         },
