--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,7 +3,8 @@
 //! * [`state`]: the deterministic state machine behind the replicated log.
 //! * [`members`]: who is there, as this instance knows it, and who is told.
 //! * [`node`]: what the parts of a control instance share.
-//! * [`quorum`]: consensus with the other control instances; the one way to propose a command.
+//! * [`quorum`]: consensus with the other control instances.
+//! * [`propose`]: the one way to propose a command.
 //! * [`disk`]: the thread that writes the data folder.
 //! * [`summary`]: the control quorum as operators see it.
 //! * [`server`]: connections from entries and agents.
@@ -17,6 +18,7 @@
 pub mod operator;
 pub mod operator_desk;
 pub mod operator_status;
+pub mod propose;
 pub mod quorum;
 pub mod server;
 pub mod state;
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -3,15 +3,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
 use fault::{Fault, FaultKind};
 use link::control_client::{ControlClient, ControlEvent};
 use link::{LinkIdentity, LinkSettings};
 use replica::id::{LogIndex, ReadTicket, TermNumber};
 use replica::{
-    EntryPayload, LogEntry, MemberKey, ReplicaAction, ReplicaCore, ReplicaError, ReplicaMessage,
-    ReplicaSettings, ReplicaStatus,
+    EntryPayload, LogEntry, MemberKey, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings,
+    ReplicaStatus,
 };
 use settings::process::ControlSettings;
 use store::{DiskFolder, MemberStore};
@@ -20,7 +20,7 @@
 use tokio::time::{sleep, timeout};
 use wire::LinkMessage;
 use wire::codec;
-use wire::command::{ControlCommand, ControlReply, StampedCommand};
+use wire::command::{ControlReply, StampedCommand};
 use wire::id::{InstanceId, name_id};
 
 use crate::disk::{DiskQueue, DiskReport, DiskReports, start_disk};
@@ -28,35 +28,24 @@
 
 /// Time between two ticks of the consensus.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
-/// Pause before a proposal is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Longest wait for the quorum's decision on a proposal, over all tries.
-const DECISION_LIMIT: Duration = Duration::from_millis(2500);
 /// Longest wait for one try at another instance or for one entry.
-const TRY_LIMIT: Duration = Duration::from_millis(1200);
+pub(crate) const TRY_LIMIT: Duration = Duration::from_millis(1200);
 /// Age of the quorum's last confirmation up to which this instance speaks for the quorum.
 const CONFIRM_LIMIT: Duration = Duration::from_millis(1500);
 /// Longest duration of handing over the leadership.
 const HAND_OVER_LIMIT: Duration = Duration::from_secs(2);
 
 /// Position and term of a proposed entry.
-type EntryKey = (LogIndex, TermNumber);
-
-/// A try to commit a command.
-enum TryOutcome {
-    Decided(ControlReply),
-    /// Not known to be committed. Proposing again is safe for every command.
-    Again(Fault),
-}
+pub(crate) type EntryKey = (LogIndex, TermNumber);
 
 /// Consensus, disk and connections of one control instance, on one thread.
 pub struct ControlQuorum {
-    core: RefCell<ReplicaCore>,
+    pub(crate) core: RefCell<ReplicaCore>,
     disk: DiskQueue,
     /// Every other instance of the quorum.
-    others: BTreeMap<InstanceId, Rc<ControlClient>>,
+    pub(crate) others: BTreeMap<InstanceId, Rc<ControlClient>>,
     /// Proposals of this instance that are not applied yet.
-    waiting: RefCell<BTreeMap<EntryKey, oneshot::Sender<ControlReply>>>,
+    pub(crate) waiting: RefCell<BTreeMap<EntryKey, oneshot::Sender<ControlReply>>>,
     reads: RefCell<BTreeMap<ReadTicket, oneshot::Sender<()>>>,
     next_ticket: Cell<ReadTicket>,
     /// The clock of the consensus starts here.
@@ -124,7 +113,7 @@
         }
     }
 
-    fn now(&self) -> Duration {
+    pub(crate) fn now(&self) -> Duration {
         self.started.elapsed()
     }
 }
@@ -149,32 +138,6 @@
 }
 
 impl ControlNode {
-    /// Proposes a command and waits until it is committed and applied, here or at the leader.
-    pub async fn propose(&self, command: ControlCommand) -> ControlReply {
-        let deadline = Instant::now() + DECISION_LIMIT;
-        loop {
-            let outcome = match self.quorum.leader() {
-                Some(leader) => self.propose_at(leader, &command).await,
-                None => self.propose_here(&command).await,
-            };
-            match outcome {
-                TryOutcome::Decided(reply) => return reply,
-                TryOutcome::Again(fault) if Instant::now() >= deadline => {
-                    return ControlReply::Refused(fault);
-                }
-                TryOutcome::Again(_) => sleep(RETRY_PAUSE).await,
-            }
-        }
-    }
-
-    /// Answers a proposal that another control instance passed on. It is not passed on again.
-    pub async fn propose_as_leader(&self, command: ControlCommand) -> ControlReply {
-        match self.propose_here(&command).await {
-            TryOutcome::Decided(reply) => reply,
-            TryOutcome::Again(fault) => ControlReply::Refused(fault),
-        }
-    }
-
     /// Waits until a quorum confirms that everything committed before is applied here.
     ///
     /// # Errors
@@ -255,51 +218,8 @@
         }
     }
 
-    async fn propose_at(&self, leader: InstanceId, command: &ControlCommand) -> TryOutcome {
-        let Some(client) = self.quorum.others.get(&leader) else {
-            return TryOutcome::Again(no_quorum());
-        };
-        let decision = timeout(TRY_LIMIT, client.propose(command.clone())).await;
-        match decision {
-            Ok(Ok(ControlReply::Refused(fault))) if may_pass(fault.kind) => {
-                TryOutcome::Again(fault)
-            }
-            Ok(Ok(reply)) => TryOutcome::Decided(reply),
-            Ok(Err(_)) | Err(_) => TryOutcome::Again(no_quorum()),
-        }
-    }
-
-    async fn propose_here(&self, command: &ControlCommand) -> TryOutcome {
-        let stamped = StampedCommand {
-            time: wall_clock(),
-            command: command.clone(),
-        };
-        let bytes = match codec::encode(&stamped) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                let fault = FaultKind::OversizedBody.because(error.to_string());
-                return TryOutcome::Decided(ControlReply::Refused(fault));
-            }
-        };
-        let now = self.quorum.now();
-        let proposed = self.quorum.core.borrow_mut().propose(now, bytes);
-        let key = match proposed {
-            Ok(key) => key,
-            Err(error) => return refusal(&error),
-        };
-        let (done, decided) = oneshot::channel();
-        self.quorum.waiting.borrow_mut().insert(key, done);
-        self.run_actions();
-        let reply = timeout(TRY_LIMIT, decided).await;
-        self.quorum.waiting.borrow_mut().remove(&key);
-        match reply {
-            Ok(Ok(reply)) => TryOutcome::Decided(reply),
-            _ => TryOutcome::Again(no_quorum()),
-        }
-    }
-
     /// Carries out what the consensus decided.
-    fn run_actions(&self) {
+    pub(crate) fn run_actions(&self) {
         loop {
             let actions = self.quorum.core.borrow_mut().take_actions();
             if actions.is_empty() {
@@ -375,13 +295,6 @@
 }
 
 impl ControlQuorum {
-    /// The leader, when it is another instance.
-    fn leader(&self) -> Option<InstanceId> {
-        let status = self.status();
-        let leader = status.leader?.instance;
-        (leader != status.own.instance).then_some(leader)
-    }
-
     fn send(&self, message: &ReplicaMessage) {
         let Some(other) = self.others.get(&message.to) else {
             return;
@@ -403,29 +316,6 @@
     }
 }
 
-fn refusal(error: &ReplicaError) -> TryOutcome {
-    let kind = match error {
-        ReplicaError::NotLeader { .. } | ReplicaError::HandingOver => FaultKind::ControlUnreachable,
-        ReplicaError::Congested => FaultKind::Overloaded,
-        ReplicaError::StoreFull => FaultKind::StoreFull,
-    };
-    TryOutcome::Again(kind.because(error.to_string()))
-}
-
-/// Whether another leader, or the same one a little later, may decide otherwise.
-fn may_pass(kind: FaultKind) -> bool {
-    matches!(
-        kind,
-        FaultKind::ControlUnreachable | FaultKind::Overloaded | FaultKind::StoreFull
-    )
-}
-
-fn no_quorum() -> Fault {
+pub(crate) fn no_quorum() -> Fault {
     FaultKind::ControlUnreachable.because("no control quorum answered")
 }
-
-fn wall_clock() -> Duration {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .unwrap_or_default()
-}
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -13,7 +13,6 @@
     LogIndex, MemberIdentity, MemberKey, PersistNumber, ProbeNumber, ReadTicket, TermNumber,
 };
 use crate::log::{EntryPayload, ReplicaLog};
-use crate::member::MemberSet;
 use crate::message::{MessageBody, ReplicaMessage};
 use crate::persist::PersistQueue;
 use crate::progress::LeaderState;
@@ -42,42 +41,6 @@
     Leader(Box<LeaderState>),
 }
 
-/// The kind of a member's role.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RoleKind {
-    /// Belongs to no log yet, or catches up without a vote.
-    Joining,
-    /// Follows a leader or waits for one.
-    Follower,
-    /// Seeks election.
-    Candidate,
-    /// Leads.
-    Leader,
-}
-
-/// A member as operators see it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReplicaStatus {
-    /// This member.
-    pub own: MemberKey,
-    /// Its role.
-    pub role: RoleKind,
-    /// Its term.
-    pub term: TermNumber,
-    /// The leader that it knows.
-    pub leader: Option<MemberKey>,
-    /// The voters.
-    pub members: MemberSet,
-    /// Last entry that it holds.
-    pub last_index: LogIndex,
-    /// Last entry that it knows to be committed.
-    pub commit: LogIndex,
-    /// Last entry that it applied.
-    pub applied: LogIndex,
-    /// First entry that only the snapshot holds is at or before this one.
-    pub start_index: LogIndex,
-}
-
 /// One member of the control quorum, without any input or output of its own.
 #[derive(Clone, Debug)]
 pub struct ReplicaCore {
@@ -203,22 +166,6 @@
         }
     }
 
-    /// Takes a message of another member.
-    pub fn receive(&mut self, now: Duration, message: ReplicaMessage) {
-        self.advance(now);
-        if message.to != self.own.instance || message.from.instance == self.own.instance {
-            return;
-        }
-        match message.body {
-            MessageBody::Probe { probe } => self.on_probe(&message, probe),
-            MessageBody::ProbeReply { probe, formed } => {
-                self.on_probe_reply(message.from, probe, formed);
-            }
-            _ if message.identity == self.own.identity => self.receive_own(message),
-            _ => {}
-        }
-    }
-
     /// Appends a command to the log if this member leads. Returns its position and term; the
     /// command is accepted when exactly that entry is applied.
     ///
@@ -281,27 +228,6 @@
         at.map(|at| now.saturating_sub(at))
     }
 
-    /// This member as operators see it.
-    pub fn status(&self) -> ReplicaStatus {
-        let role = match &self.role {
-            _ if !self.is_voter() => RoleKind::Joining,
-            ReplicaRole::Follower => RoleKind::Follower,
-            ReplicaRole::PreCandidate { .. } | ReplicaRole::Candidate { .. } => RoleKind::Candidate,
-            ReplicaRole::Leader(_) => RoleKind::Leader,
-        };
-        ReplicaStatus {
-            own: self.own,
-            role,
-            term: self.hard.term,
-            leader: self.leader,
-            members: self.log.members().1.clone(),
-            last_index: self.log.last_index(),
-            commit: self.commit,
-            applied: self.applied,
-            start_index: self.log.start_index(),
-        }
-    }
-
     /// Whether the membership in a log is durable. A founder that let others join before that
     /// could forget the log that they belong to.
     fn is_founded(&self) -> bool {
@@ -320,96 +246,7 @@
         }
     }
 
-    /// Takes a message for this member's own data folder.
-    fn receive_own(&mut self, message: ReplicaMessage) {
-        if self.hard.cluster == 0 {
-            self.hard.cluster = message.cluster;
-        }
-        if message.cluster == 0 || message.cluster != self.hard.cluster {
-            return;
-        }
-        if self.must_ignore(&message) {
-            return;
-        }
-        let is_question = matches!(message.body, MessageBody::PreVote { .. });
-        if message.term > self.hard.term && !is_question {
-            self.enter_term(message.term);
-        }
-        if message.term < self.hard.term && !self.accepts_old(&message.body) {
-            self.answer_old(&message);
-            return;
-        }
-        self.dispatch(message);
-    }
-
-    /// Whether a vote request comes while the leader is alive.
-    fn must_ignore(&self, message: &ReplicaMessage) -> bool {
-        match message.body {
-            MessageBody::Vote { handed_over, .. } => !handed_over && self.hears_leader(),
-            _ => false,
-        }
-    }
-
-    /// Messages that mean the same in a later term.
-    fn accepts_old(&self, body: &MessageBody) -> bool {
-        matches!(body, MessageBody::PreVoteReply { .. })
-    }
-
-    /// Tells the sender of an outdated message about the term.
-    fn answer_old(&mut self, message: &ReplicaMessage) {
-        let body = match &message.body {
-            MessageBody::PreVote { election, .. } => MessageBody::PreVoteReply {
-                election: *election,
-                granted: false,
-            },
-            MessageBody::Vote { .. }
-            | MessageBody::Append { .. }
-            | MessageBody::SnapshotChunk { .. } => MessageBody::VoteReply { granted: false },
-            _ => return,
-        };
-        self.send_held(message.from, body);
-    }
-
-    fn dispatch(&mut self, message: ReplicaMessage) {
-        let from = message.from;
-        match message.body {
-            MessageBody::Probe { .. } | MessageBody::ProbeReply { .. } => {}
-            MessageBody::PreVote {
-                election,
-                last_index,
-                last_term,
-            } => self.on_pre_vote(from, election, (last_term, last_index)),
-            MessageBody::PreVoteReply { election, granted } => {
-                self.on_pre_vote_reply(from, election, granted);
-            }
-            MessageBody::Vote {
-                last_index,
-                last_term,
-                ..
-            } => self.on_vote(from, (last_term, last_index)),
-            MessageBody::VoteReply { granted } => self.on_vote_reply(from, granted),
-            MessageBody::Append { .. } => self.on_append(from, message.body),
-            MessageBody::AppendReply {
-                index,
-                round,
-                stamp,
-            } => self.on_append_reply(from, index, round, stamp),
-            MessageBody::AppendReject {
-                prev_index,
-                hint,
-                round,
-            } => self.on_append_reject(from, prev_index, hint, round),
-            MessageBody::SnapshotChunk { .. } => self.on_snapshot_chunk(from, message.body),
-            MessageBody::SnapshotReply {
-                index,
-                offset,
-                round,
-            } => self.on_snapshot_reply(from, index, offset, round),
-            MessageBody::HandOver => self.on_hand_over(),
-        }
-    }
-
-    fn advance(&mut self, now: Duration) {
+    pub(crate) fn advance(&mut self, now: Duration) {
         self.now = self.now.max(now);
     }
 
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -9,12 +9,14 @@
 //! * [`log`]: the entries that a member holds.
 //! * [`record`]: what a member keeps on disk.
 //! * [`message`]: what members send to each other.
+//! * [`status`]: a member as operators see it.
 //! * [`action`]: what the caller must do.
 //! * [`settings`]: times and sizes.
 //! * [`error`]: why a call is refused.
 //!
-//! The other modules hold the parts of [`ReplicaCore`]: founding of the first log, elections, the
-//! leader's and the follower's side of replication, snapshots, writes and invariants.
+//! The other modules hold the parts of [`ReplicaCore`]: receiving, founding of the first log,
+//! elections, the leader's and the follower's side of replication, replacement of members, snapshots,
+//! writes and invariants.
 
 pub mod action;
 pub mod core;
@@ -25,6 +27,7 @@
 pub mod message;
 pub mod record;
 pub mod settings;
+pub mod status;
 
 mod election;
 mod follow;
@@ -32,12 +35,13 @@
 mod lead;
 mod persist;
 mod progress;
+mod receive;
 mod replace;
 mod snapshot;
 mod verify;
 
 pub use action::ReplicaAction;
-pub use core::{ReplicaCore, ReplicaStatus, RoleKind};
+pub use core::ReplicaCore;
 pub use error::{ReplicaError, Result};
 pub use id::MemberKey;
 pub use log::{EntryPayload, LogEntry};
@@ -47,3 +51,4 @@
     AppendRecord, HardState, PersistBatch, PersistOrder, RecoveredState, SnapshotRecord,
 };
 pub use settings::ReplicaSettings;
+pub use status::{ReplicaStatus, RoleKind};
--- /dev/null
+++ b/crates/replica/src/receive.rs
@@ -0,0 +1,113 @@
+//! Which messages a member takes, and where they go.
+
+use std::time::Duration;
+
+use crate::core::ReplicaCore;
+use crate::message::{MessageBody, ReplicaMessage};
+
+impl ReplicaCore {
+    /// Takes a message of another member.
+    pub fn receive(&mut self, now: Duration, message: ReplicaMessage) {
+        self.advance(now);
+        if message.to != self.own.instance || message.from.instance == self.own.instance {
+            return;
+        }
+        match message.body {
+            MessageBody::Probe { probe } => self.on_probe(&message, probe),
+            MessageBody::ProbeReply { probe, formed } => {
+                self.on_probe_reply(message.from, probe, formed);
+            }
+            _ if message.identity == self.own.identity => self.receive_own(message),
+            _ => {}
+        }
+    }
+
+    /// Takes a message for this member's own data folder.
+    fn receive_own(&mut self, message: ReplicaMessage) {
+        if self.hard.cluster == 0 {
+            self.hard.cluster = message.cluster;
+        }
+        if message.cluster == 0 || message.cluster != self.hard.cluster {
+            return;
+        }
+        if self.must_ignore(&message) {
+            return;
+        }
+        let is_question = matches!(message.body, MessageBody::PreVote { .. });
+        if message.term > self.hard.term && !is_question {
+            self.enter_term(message.term);
+        }
+        if message.term < self.hard.term && !self.accepts_old(&message.body) {
+            self.answer_old(&message);
+            return;
+        }
+        self.dispatch(message);
+    }
+
+    /// Whether a vote request comes while the leader is alive.
+    fn must_ignore(&self, message: &ReplicaMessage) -> bool {
+        match message.body {
+            MessageBody::Vote { handed_over, .. } => !handed_over && self.hears_leader(),
+            _ => false,
+        }
+    }
+
+    /// Messages that mean the same in a later term.
+    fn accepts_old(&self, body: &MessageBody) -> bool {
+        matches!(body, MessageBody::PreVoteReply { .. })
+    }
+
+    /// Tells the sender of an outdated message about the term.
+    fn answer_old(&mut self, message: &ReplicaMessage) {
+        let body = match &message.body {
+            MessageBody::PreVote { election, .. } => MessageBody::PreVoteReply {
+                election: *election,
+                granted: false,
+            },
+            MessageBody::Vote { .. }
+            | MessageBody::Append { .. }
+            | MessageBody::SnapshotChunk { .. } => MessageBody::VoteReply { granted: false },
+            _ => return,
+        };
+        self.send_held(message.from, body);
+    }
+
+    fn dispatch(&mut self, message: ReplicaMessage) {
+        let from = message.from;
+        match message.body {
+            MessageBody::Probe { .. } | MessageBody::ProbeReply { .. } => {}
+            MessageBody::PreVote {
+                election,
+                last_index,
+                last_term,
+            } => self.on_pre_vote(from, election, (last_term, last_index)),
+            MessageBody::PreVoteReply { election, granted } => {
+                self.on_pre_vote_reply(from, election, granted);
+            }
+            MessageBody::Vote {
+                last_index,
+                last_term,
+                ..
+            } => self.on_vote(from, (last_term, last_index)),
+            MessageBody::VoteReply { granted } => self.on_vote_reply(from, granted),
+            MessageBody::Append { .. } => self.on_append(from, message.body),
+            MessageBody::AppendReply {
+                index,
+                round,
+                stamp,
+            } => self.on_append_reply(from, index, round, stamp),
+            MessageBody::AppendReject {
+                prev_index,
+                hint,
+                round,
+            } => self.on_append_reject(from, prev_index, hint, round),
+            MessageBody::SnapshotChunk { .. } => self.on_snapshot_chunk(from, message.body),
+            MessageBody::SnapshotReply {
+                index,
+                offset,
+                round,
+            } => self.on_snapshot_reply(from, index, offset, round),
+            MessageBody::HandOver => self.on_hand_over(),
+        }
+    }
+}
