Race two operators, and leave a leader alone, with real processes

A leader whose followers are stopped refuses a change and shows itself unconfirmed; resent to another instance later, the change is accepted once.

--- a/crates/control/tests/instances.rs
+++ b/crates/control/tests/instances.rs
@@ -12,6 +12,8 @@
 use instances::fleet::{CONFLICT, ControlFleet, UNREACHABLE};
 
 const SIZE: usize = 3;
+/// Races between two operators.
+const RACES: u64 = 20;
 /// Changes that an instance misses while it is down.
 const MISSED_CHANGES: u64 = 1000;
 
@@ -130,6 +132,54 @@
     expect_that!(fleet.change(behind), eq(version + 1));
 }
 
+#[gtest]
+fn leader_without_a_quorum_accepts_nothing() {
+    let (mut fleet, leader) = changed_fleet();
+    let others = [other_than(leader), other_than(other_than(leader))];
+    let version = fleet.change(leader);
+
+    for other in others {
+        fleet.signal(other, "-STOP");
+    }
+    let refused = fleet.wait_for("answer", || fleet.send_change(leader, "alone", version, 50));
+    let quorum = fleet.wait_for("quorum", || fleet.quorum(leader));
+    for other in others {
+        fleet.signal(other, "-CONT");
+    }
+
+    expect_that!(refused.status, eq(UNREACHABLE));
+    expect_that!(quorum["confirmed"], eq(&json!(false)));
+    let again = fleet.wait_for("answer", || {
+        let answer = fleet.send_change(others[0], "alone", version, 50)?;
+        (answer.status != UNREACHABLE).then_some(answer)
+    });
+    expect_that!(again.body["version"], eq(&json!(version + 1)));
+}
+
+#[gtest]
+fn of_two_racing_changes_one_wins() {
+    let (fleet, leader) = changed_fleet();
+    let others = [other_than(leader), other_than(other_than(leader))];
+
+    for round in 0..RACES {
+        let version = fleet.wait_for("version", || fleet.version(leader));
+        let send = |place: usize| {
+            let id = format!("race-{round}-{place}");
+            let value = 1000 + round * 10 + place as u64;
+            fleet.wait_for("answer", || {
+                let answer = fleet.send_change(place, &id, version, value)?;
+                (answer.status != UNREACHABLE).then_some(answer.status)
+            })
+        };
+        let mut statuses = std::thread::scope(|scope| {
+            let racers = others.map(|place| scope.spawn(move || send(place)));
+            racers.map(|racer| racer.join().expect("racer ends"))
+        });
+        statuses.sort_unstable();
+        expect_that!(statuses, eq([200, CONFLICT]));
+    }
+}
+
 #[gtest]
 fn stopped_leader_hands_over() {
     let (mut fleet, leader) = changed_fleet();
--- a/crates/store/tests/quorum.rs
+++ b/crates/store/tests/quorum.rs
@@ -6,6 +6,7 @@
     pub(crate) mod fleet;
     pub(crate) mod folder;
     pub(crate) mod member;
+    pub(crate) mod oracle;
 }
 
 use quorum::fleet::Fleet;
--- a/crates/store/tests/quorum/fleet.rs
+++ b/crates/store/tests/quorum/fleet.rs
@@ -1,31 +1,18 @@
-//! Members, the messages between them, and the oracle.
+//! Members, the messages between them, and their faults.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use replica::{EntryPayload, MemberKey, MemberSet, ReplicaMessage, RoleKind};
+use replica::{MemberKey, ReplicaMessage};
 
 use super::member::{FakeMember, MemberEvent, encode_values};
+use super::oracle::Oracle;
 
 const MOST_MESSAGES: usize = 400;
 const QUIET_ROUNDS: usize = 2000;
 
-/// What must hold whatever happens.
-#[derive(Default)]
-pub(crate) struct Oracle {
-    /// Every entry that any member applied.
-    pub(crate) applied: BTreeMap<u64, (u64, EntryPayload)>,
-    leaders: BTreeMap<u64, MemberKey>,
-    /// Proposed value by position and term.
-    proposed: BTreeMap<(u64, u64), u64>,
-    /// Values that a leader reported as accepted, by position.
-    pub(crate) accepted: BTreeMap<u64, u64>,
-    /// Last accepted position when a read began.
-    reads: BTreeMap<u64, u64>,
-}
-
 pub(crate) struct Fleet {
     pub(crate) members: Vec<FakeMember>,
     peers: Vec<u64>,
@@ -274,7 +261,10 @@
     fn swap_folder(&mut self, place: usize) {
         let own = self.peers[place];
         let stashed = self.members[place].stashed_identity();
-        let voters = self.last_members().map_or(Vec::new(), |set| set.voters);
+        let voters = self
+            .oracle
+            .last_members()
+            .map_or(Vec::new(), |set| set.voters);
         let brings_voter = voters.iter().any(|voter| Some(voter.identity) == stashed);
         let mut others = self.members.iter().filter(|other| other.instance != own);
         let none_away = others.all(|other| other.stash.is_none());
@@ -302,7 +292,10 @@
 
     /// Gives every member the folder that is a voter's.
     fn return_folders(&mut self) {
-        let voters = self.last_members().map_or(Vec::new(), |set| set.voters);
+        let voters = self
+            .oracle
+            .last_members()
+            .map_or(Vec::new(), |set| set.voters);
         for place in 0..self.members.len() {
             let member = &mut self.members[place];
             let identities: Vec<u64> = voters.iter().map(|voter| voter.identity).collect();
@@ -346,18 +339,11 @@
     /// Whether the last committed voters are exactly the data folders there are.
     fn is_whole(&self) -> bool {
         let keys: Vec<MemberKey> = self.members.iter().map(FakeMember::key).collect();
-        self.last_members()
+        self.oracle
+            .last_members()
             .is_some_and(|set| !set.is_joint() && set.voters == keys)
     }
 
-    fn last_members(&self) -> Option<MemberSet> {
-        let mut entries = self.oracle.applied.values().rev();
-        entries.find_map(|(_, payload)| match payload {
-            EntryPayload::Members(set) => Some(set.clone()),
-            _ => None,
-        })
-    }
-
     fn take(&mut self, place: usize, events: Vec<MemberEvent>) {
         for event in events {
             match event {
@@ -367,35 +353,14 @@
                         self.messages.remove(0);
                     }
                 }
-                MemberEvent::Applied(entry) => self.check_applied(entry),
-                MemberEvent::Restored(index, values) => self.check_restored(index, &values),
+                MemberEvent::Applied(entry) => self.oracle.check_applied(entry),
+                MemberEvent::Restored(index, values) => self.oracle.check_restored(index, &values),
                 MemberEvent::ReadConfirmed(ticket) => self.check_read(place, ticket),
             }
         }
         self.check_leader(place);
     }
 
-    fn check_applied(&mut self, entry: replica::LogEntry) {
-        let key = (entry.index, entry.term);
-        let content = (entry.term, entry.payload);
-        let known = self.oracle.applied.entry(entry.index);
-        let first = known.or_insert_with(|| content.clone());
-        assert_eq!(*first, content, "entry {} was reverted", entry.index);
-        if let Some(value) = self.oracle.proposed.get(&key) {
-            self.oracle.accepted.insert(entry.index, *value);
-        }
-    }
-
-    fn check_restored(&self, index: u64, values: &[u64]) {
-        let entries = self.oracle.applied.range(..=index);
-        let commands = entries.filter_map(|(_, (_, payload))| match payload {
-            EntryPayload::Command(bytes) => Some(bytes.clone()),
-            _ => None,
-        });
-        let expected: Vec<u8> = commands.flatten().collect();
-        assert_eq!(encode_values(values), expected, "snapshot is another state");
-    }
-
     fn check_read(&self, place: usize, ticket: u64) {
         let running = self.members[place].running.as_ref().expect("member runs");
         let last = self.oracle.reads[&ticket];
@@ -403,14 +368,8 @@
     }
 
     fn check_leader(&mut self, place: usize) {
-        let member = &self.members[place];
-        let Some(running) = &member.running else {
-            return;
-        };
-        let status = running.core.status();
-        if status.role == RoleKind::Leader {
-            let first = self.oracle.leaders.entry(status.term).or_insert(status.own);
-            assert_eq!(*first, status.own, "two leaders in term {}", status.term);
+        if let Some(running) = &self.members[place].running {
+            self.oracle.check_leader(&running.core.status());
         }
     }
 }
--- /dev/null
+++ b/crates/store/tests/quorum/oracle.rs
@@ -0,0 +1,60 @@
+//! What must hold whatever happens.
+
+use std::collections::BTreeMap;
+
+use replica::{EntryPayload, LogEntry, MemberKey, MemberSet, ReplicaStatus, RoleKind};
+
+use super::member::encode_values;
+
+/// Everything that was accepted, and who led.
+#[derive(Default)]
+pub(crate) struct Oracle {
+    /// Every entry that any member applied.
+    pub(crate) applied: BTreeMap<u64, (u64, EntryPayload)>,
+    leaders: BTreeMap<u64, MemberKey>,
+    /// Proposed value by position and term.
+    pub(crate) proposed: BTreeMap<(u64, u64), u64>,
+    /// Values that a leader reported as accepted, by position.
+    pub(crate) accepted: BTreeMap<u64, u64>,
+    /// Last accepted position when a read began.
+    pub(crate) reads: BTreeMap<u64, u64>,
+}
+
+impl Oracle {
+    pub(crate) fn check_applied(&mut self, entry: LogEntry) {
+        let key = (entry.index, entry.term);
+        let content = (entry.term, entry.payload);
+        let known = self.applied.entry(entry.index);
+        let first = known.or_insert_with(|| content.clone());
+        assert_eq!(*first, content, "entry {} was reverted", entry.index);
+        if let Some(value) = self.proposed.get(&key) {
+            self.accepted.insert(entry.index, *value);
+        }
+    }
+
+    pub(crate) fn check_restored(&self, index: u64, values: &[u64]) {
+        let entries = self.applied.range(..=index);
+        let commands = entries.filter_map(|(_, (_, payload))| match payload {
+            EntryPayload::Command(bytes) => Some(bytes.clone()),
+            _ => None,
+        });
+        let expected: Vec<u8> = commands.flatten().collect();
+        assert_eq!(encode_values(values), expected, "snapshot is another state");
+    }
+
+    pub(crate) fn check_leader(&mut self, status: &ReplicaStatus) {
+        if status.role == RoleKind::Leader {
+            let first = self.leaders.entry(status.term).or_insert(status.own);
+            assert_eq!(*first, status.own, "two leaders in term {}", status.term);
+        }
+    }
+
+    /// The last committed voters.
+    pub(crate) fn last_members(&self) -> Option<MemberSet> {
+        let mut entries = self.applied.values().rev();
+        entries.find_map(|(_, payload)| match payload {
+            EntryPayload::Members(set) => Some(set.clone()),
+            _ => None,
+        })
+    }
+}
