--- a/crates/control/src/state.rs
+++ b/crates/control/src/state.rs
@@ -82,9 +82,9 @@
     /// The state as bytes, for a snapshot.
     ///
     /// # Errors
-    /// The state exceeds the limit of an encoded value.
+    /// The state has no encoding.
     pub fn snapshot(&self) -> codec::Result<Vec<u8>> {
-        codec::encode(self)
+        codec::encode_state(self)
     }
 
     /// The state that [`Self::snapshot`] encoded.
@@ -92,7 +92,7 @@
     /// # Errors
     /// The bytes hold no state, or one that breaks an invariant.
     pub fn restore(bytes: &[u8]) -> codec::Result<Self> {
-        let state: Self = codec::decode_as(bytes)?;
+        let state: Self = codec::decode_state(bytes)?;
         state
             .verify()
             .map_err(|reason| CodecError::Malformed { reason })?;
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -81,6 +81,8 @@
     /// Empty members that answered in the current round of probes.
     pub(crate) unformed: BTreeMap<InstanceId, MemberIdentity>,
     pub(crate) incoming: Option<IncomingSnapshot>,
+    /// Bytes of the entries applied since the last snapshot.
+    pub(crate) applied_bytes: usize,
     /// Snapshot that the caller was asked for.
     pub(crate) wanted_snapshot: Option<LogIndex>,
     /// Whether the data folder refuses more data.
@@ -129,6 +131,7 @@
             probe: 0,
             unformed: BTreeMap::new(),
             incoming: None,
+            applied_bytes: 0,
             wanted_snapshot: None,
             store_full: false,
             actions: Vec::new(),
--- a/crates/replica/src/log.rs
+++ b/crates/replica/src/log.rs
@@ -186,7 +186,8 @@
     }
 }
 
-fn entry_bytes(entry: &LogEntry) -> usize {
+/// Bytes that an entry takes in a message or on disk, at most.
+pub(crate) fn entry_bytes(entry: &LogEntry) -> usize {
     match &entry.payload {
         EntryPayload::Command(bytes) => bytes.len() + ENTRY_OVERHEAD_BYTES,
         EntryPayload::Empty | EntryPayload::Members(_) => ENTRY_OVERHEAD_BYTES,
--- a/crates/replica/src/persist.rs
+++ b/crates/replica/src/persist.rs
@@ -5,7 +5,7 @@
 use crate::action::ReplicaAction;
 use crate::core::{ReplicaCore, ReplicaRole};
 use crate::id::{LogIndex, MemberKey, PersistNumber};
-use crate::log::LogEntry;
+use crate::log::{LogEntry, entry_bytes};
 use crate::message::{MessageBody, ReplicaMessage};
 use crate::record::{AppendRecord, HardState, PersistBatch, PersistOrder};
 
@@ -190,6 +190,7 @@
             };
             let entry = entry.clone();
             self.applied += 1;
+            self.applied_bytes += entry_bytes(&entry);
             self.actions.push(ReplicaAction::Apply(entry));
         }
         self.confirm_reads();
@@ -200,6 +201,7 @@
         if let Some(snapshot) = self.log.snapshot().cloned() {
             self.applied = snapshot.index;
             self.wanted_snapshot = None;
+            self.applied_bytes = 0;
             self.actions.push(ReplicaAction::Restore(snapshot));
         }
     }
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -22,7 +22,7 @@
     pub window_entries: u64,
     /// Entries that may wait for the quorum before proposals are refused.
     pub waiting_entries: u64,
-    /// Applied entries after which a snapshot is taken.
+    /// Least number of applied entries after which a snapshot is taken.
     pub snapshot_entries: u64,
     /// Entries before the snapshot that stay in the log for members that lag.
     pub kept_entries: u64,
--- a/crates/replica/src/snapshot.rs
+++ b/crates/replica/src/snapshot.rs
@@ -33,15 +33,19 @@
             members: self.log.members_at(index),
             state,
         };
+        self.applied_bytes = 0;
         self.log
             .compact(Arc::new(snapshot), self.settings.kept_entries);
         self.persist_all(LogIndex::MAX);
     }
 
-    /// Asks the caller for a snapshot when enough entries were applied since the last.
+    /// Asks the caller for a snapshot when enough entries were applied since the last, and they
+    /// are as large as it was: a large state is then written no more often than its changes are.
     pub(crate) fn want_snapshot(&mut self) {
         let since = self.applied.saturating_sub(self.log.snapshot_index());
-        if since < self.settings.snapshot_entries || self.wanted_snapshot.is_some() {
+        let last_bytes = self.log.snapshot().map_or(0, |last| last.state.len());
+        let is_due = since >= self.settings.snapshot_entries && self.applied_bytes >= last_bytes;
+        if !is_due || self.wanted_snapshot.is_some() {
             return;
         }
         if !self.store_full {
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -41,6 +41,28 @@
     Ok(bytes)
 }
 
+/// Encodes a value of any size, for a file or for sending in parts.
+///
+/// # Errors
+/// [`CodecError::Malformed`] for a value that has no encoding.
+pub fn encode_state<T: Serialize>(state: &T) -> Result<Vec<u8>> {
+    postcard::to_stdvec(state).map_err(malformed)
+}
+
+/// Decodes a value of any size that fills `bytes`.
+///
+/// # Errors
+/// [`CodecError::Malformed`] when the bytes are malformed or have a rest.
+pub fn decode_state<'a, T: Deserialize<'a>>(bytes: &'a [u8]) -> Result<T> {
+    let (state, rest) = postcard::take_from_bytes(bytes).map_err(malformed)?;
+    if !rest.is_empty() {
+        return Err(CodecError::Malformed {
+            reason: format!("{} bytes too many", rest.len()),
+        });
+    }
+    Ok(state)
+}
+
 /// Decodes one link message that fills `bytes`.
 ///
 /// # Errors
@@ -57,13 +79,7 @@
     if bytes.len() > MAX_MESSAGE_BYTES {
         return Err(CodecError::Oversized { size: bytes.len() });
     }
-    let (message, rest) = postcard::take_from_bytes(bytes).map_err(malformed)?;
-    if !rest.is_empty() {
-        return Err(CodecError::Malformed {
-            reason: format!("{} bytes too many", rest.len()),
-        });
-    }
-    Ok(message)
+    decode_state(bytes)
 }
 
 fn malformed(error: postcard::Error) -> CodecError {
