Pace heartbeats by load, and charge the retry budget for failures alone

Cause: in the quickstart 12 calls at once were still refused as overloaded: the redirects of the first round alone used up the budget of 20 retries, which is there for failures. Refusals are bounded by hops, rounds and back-off.

Excluded: the digests, whose means moved within 0.2 s once agents report a moved load at once, which they now do.

--- a/crates/agent/src/control.rs
+++ b/crates/agent/src/control.rs
@@ -11,6 +11,7 @@
 use fault::FaultKind;
 use link::LinkSettings;
 use link::control_client::{ControlClient, ControlEvent};
+use member::pacer::{HeartbeatPacer, PacerSettings};
 use settings::holder::{HolderError, UpdateOutcome};
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::time::{interval, sleep};
@@ -22,8 +23,8 @@
 
 use crate::core::AgentCore;
 
-/// Time between two heartbeats.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(1);
+/// Time between two looks at whether a heartbeat is due.
+const HEARTBEAT_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 /// Pause between two tries of a command that must be recorded.
 const RECORD_PAUSE: Duration = Duration::from_millis(500);
 
@@ -119,13 +120,18 @@
     }
 }
 
-/// Reports the endpoint's state until the process ends.
+/// Reports the endpoint's state, sooner when it moved, until the process ends.
 pub async fn send_heartbeats(core: Rc<AgentCore>) {
-    let mut ticks = interval(HEARTBEAT_INTERVAL);
+    let mut ticks = interval(HEARTBEAT_CHECK_INTERVAL);
+    let mut pacer = HeartbeatPacer::new(PacerSettings::default());
     loop {
         ticks.tick().await;
-        core.send_heartbeats();
-        core.shared.metrics.set_load(core.load(), load_limit(&core));
+        let (load, state, now) = (core.load(), core.endpoint_state(), Instant::now());
+        if pacer.is_due(load, state, now) {
+            pacer.record_sent(load, state, now);
+            core.send_heartbeats();
+            core.shared.metrics.set_load(load, load_limit(&core));
+        }
     }
 }
 
--- a/crates/entry/src/desk.rs
+++ b/crates/entry/src/desk.rs
@@ -3,6 +3,7 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use fault::FaultKind;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use route::{RetryBudget, RetrySettings, RouteDecision, RouteRequest, RouteSettings, RouteTable};
@@ -30,6 +31,16 @@
         decision
     }
 
+    /// Whether a call that met `kind` may be offered again. A refusal costs its agent next to
+    /// nothing and is bounded by hops, rounds and back-off; anything else takes a retry from the
+    /// budget.
+    pub fn may_go_on(&mut self, kind: FaultKind) -> bool {
+        match kind {
+            FaultKind::Overloaded | FaultKind::Draining => true,
+            _ => self.budget.try_retry(),
+        }
+    }
+
     /// Wait before retry number `retry` after a refusal that asked for `retry_after`.
     pub fn wait_before(&mut self, retry: u32, retry_after: Option<Duration>) -> Duration {
         self.budget.backoff_after(retry, retry_after, &mut self.rng)
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -140,7 +140,7 @@
         }
         let wait = desk.wait_before(u32::from(round), last.retry_after);
         let has_time = Instant::now() + wait < self.deadline;
-        (has_time && desk.budget.try_retry()).then_some(wait)
+        (has_time && desk.may_go_on(last.kind)).then_some(wait)
     }
 
     fn choose(&mut self) -> Option<AttemptTarget> {
