--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -45,9 +45,9 @@
         Self {
             keys: 500_000,
             answer_bytes: 64 * 1024 * 1024,
-            one_answer_bytes: 256 * 1024,
+            one_answer_bytes: 1024 * 1024 + 64 * 1024,
             min_retention: Duration::from_secs(10 * 60),
-            max_retention: Duration::from_secs(7 * 24 * 60 * 60),
+            max_retention: Duration::from_secs(366 * 24 * 60 * 60),
             spent_for: Duration::from_secs(24 * 60 * 60),
         }
     }
