Tell a failure after its crash is recorded, and a refusal again on resume

Cause, found in review of the agent against docs/design/poison.md: a run that broke with its endpoint was told to the entry at once, while the report of the crash was still on its way, so an entry's retry could meet an endpoint that knew of no suspicion and a third one after it. A refusal of a started attempt that was lost with its connection was not repeated on resume, and the entry waited for its deadline.

Now the failure waits for the report, for 5 s at the most. No test of the agent's shell covers this; the rule itself is in the fault model, where telling first is a guard of over_crashed.

--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -88,6 +88,10 @@
     pub clients: EndpointClients,
     /// Ends of claimed attempts that control has not recorded yet.
     pub records_pending: Cell<usize>,
+    /// Crashes of the endpoint that control has not recorded yet.
+    pub crash_reports: Cell<usize>,
+    /// Told when control recorded one.
+    pub crash_recorded: Notify,
     /// Whether the endpoint answers its health check.
     pub is_endpoint_up: Cell<bool>,
     /// Whether claims of earlier lives were given up, which must precede the first admission.
@@ -120,6 +124,8 @@
             cache_epoch: Cell::new(incarnation),
             clients: EndpointClients::new(),
             records_pending: Cell::new(0),
+            crash_reports: Cell::new(0),
+            crash_recorded: Notify::new(),
             is_endpoint_up: Cell::new(false),
             has_abandoned: Cell::new(false),
             is_stopping: Cell::new(false),
--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -35,6 +35,8 @@
 const HEALTH_TRIES: u32 = 2;
 /// Longest duration of opening a connection.
 const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+/// How long a failure is held back until control has recorded the crash behind it.
+const CRASH_REPORT_LIMIT: Duration = Duration::from_secs(5);
 /// How long a crash report counts as on its way after it is recorded, until control's lists have
 /// arrived.
 const LIST_DELAY: Duration = Duration::from_secs(1);
@@ -210,9 +212,23 @@
         self.attempts.borrow_mut().fail_running(Instant::now());
         self.is_endpoint_up.set(false);
         self.refresh_state();
+        self.crash_reports.set(self.crash_reports.get() + 1);
         actix_rt::spawn(report_crash(Rc::clone(self), cache_epoch, suspects));
     }
 
+    /// Waits until control has recorded the crashes of the endpoint, so that a request that is sent
+    /// again meets its suspicion everywhere. Gives up when control stays unreachable.
+    pub async fn wait_for_crash_reports(&self) {
+        let recorded = async {
+            while self.crash_reports.get() > 0 {
+                self.crash_recorded.notified().await;
+            }
+        };
+        if timeout(CRASH_REPORT_LIMIT, recorded).await.is_err() {
+            log::warn!("agent: control has not recorded a crash; failures are told without it.");
+        }
+    }
+
     fn running_fingerprints(&self) -> Vec<FingerprintHash> {
         let attempts = self.attempts.borrow();
         let running = attempts.in_state(AttemptState::Running);
@@ -231,6 +247,8 @@
         suspects,
     };
     core.control.record(command).await;
+    core.crash_reports.set(core.crash_reports.get() - 1);
+    core.crash_recorded.notify_waiters();
     sleep(LIST_DELAY).await;
     core.gate.borrow_mut().report_recorded();
     core.start_held();
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -52,6 +52,9 @@
     {
         core.endpoint_crashed(cache_epoch);
     }
+    if let RunEnd::Broken(_) = end {
+        core.wait_for_crash_reports().await;
+    }
     settle_run(&core, &session, end, cache_epoch);
 }
 
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -39,8 +39,8 @@
     started: Cell<Option<Instant>>,
     cached_tokens: Cell<u32>,
     has_head: Cell<bool>,
-    /// Whether the entry was told of a refusal or failure instead of an answer.
-    is_refused: Cell<bool>,
+    /// What the entry was told instead of an answer.
+    refusal: RefCell<Option<RefuseNotice>>,
     tail: RefCell<AnswerTail>,
     /// Connection of the entry, while there is one.
     sender: RefCell<Option<LinkSender>>,
@@ -66,7 +66,7 @@
             started: Cell::new(None),
             cached_tokens: Cell::new(0),
             has_head: Cell::new(false),
-            is_refused: Cell::new(false),
+            refusal: RefCell::default(),
             sender: RefCell::new(Some(sender)),
             changed: Notify::new(),
             acknowledged: Notify::new(),
@@ -112,7 +112,7 @@
 
     /// Whether the entry has everything that there is to tell.
     pub fn is_delivered(&self) -> bool {
-        self.is_refused.get() || self.tail.borrow().is_acknowledged()
+        self.refusal.borrow().is_some() || self.tail.borrow().is_acknowledged()
     }
 
     /// Takes the head of the answer.
@@ -161,6 +161,10 @@
     pub fn resume(&self, request: &ResumeRequest, sender: LinkSender) -> claim::tail::Result<()> {
         self.tail.borrow_mut().resume(request)?;
         *self.sender.borrow_mut() = Some(sender);
+        // A refusal may have been lost with the connection before.
+        if let Some(notice) = self.refusal.borrow().clone() {
+            self.tell(LinkMessage::Refused(notice));
+        }
         self.changed.notify_one();
         Ok(())
     }
@@ -252,12 +256,12 @@
 
     /// Tells the entry that an attempt was refused or failed.
     pub fn tell_refusal(&self, session: &AttemptSession, fault: Fault) {
-        session.is_refused.set(true);
         let notice = RefuseNotice {
             key: session.key(),
             fault,
             load: self.load(),
         };
+        *session.refusal.borrow_mut() = Some(notice.clone());
         session.tell(LinkMessage::Refused(notice));
     }
 }
