--- a/crates/wire/tests/golden.rs
+++ b/crates/wire/tests/golden.rs
@@ -157,6 +157,7 @@
                 service: 4,
                 load: 12,
                 weight: 3,
+                absent: 1,
             }],
         }),
         LinkMessage::Warm(WarmDigest {
