--- a/crates/link/src/due.rs
+++ b/crates/link/src/due.rs
@@ -4,20 +4,14 @@
 //! heartbeat. A connection on which nothing is awaited stays silent and costs nothing. Arrivals
 //! of any kind show that the connection lives, so a flowing answer costs no probes either.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::{Duration, Instant};
 
 use wire::LinkMessage;
 use wire::answer::AttemptKey;
 
-/// Something that the peer owes.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum DueItem {
-    /// The end of an attempt's answer.
-    Answer(AttemptKey),
-    /// The decision on a proposal, by its ticket.
-    Decision(u64),
-}
+/// Time after which nobody waits for a decision any more.
+const DECISION_LIMIT: Duration = Duration::from_secs(10);
 
 /// What the receiver does next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,7 +31,10 @@
 pub struct DueWatch {
     probe_after: Duration,
     silence_limit: Duration,
-    items: BTreeSet<DueItem>,
+    /// Attempts whose answer has not ended.
+    answers: BTreeSet<AttemptKey>,
+    /// Tickets of proposals without a decision, with the time at which they were sent.
+    decisions: BTreeMap<u64, Instant>,
     /// Whether a heartbeat awaits any arrival.
     is_reaction_due: bool,
     /// Start of the silence: the last arrival, or when the first thing became due.
@@ -56,7 +53,8 @@
         Self {
             probe_after,
             silence_limit,
-            items: BTreeSet::new(),
+            answers: BTreeSet::new(),
+            decisions: BTreeMap::new(),
             is_reaction_due: false,
             since: now,
             has_probed: false,
@@ -67,10 +65,18 @@
     pub fn sent(&mut self, now: Instant, message: &LinkMessage) -> bool {
         let was_due = self.is_due();
         match message {
-            LinkMessage::Submit(submit) => self.await_item(DueItem::Answer(submit.key)),
-            LinkMessage::Resume(resume) => self.await_item(DueItem::Answer(resume.key)),
-            LinkMessage::Propose(proposal) => self.await_item(DueItem::Decision(proposal.ticket)),
-            LinkMessage::Cancel(cancel) => self.settle_item(DueItem::Answer(cancel.key)),
+            LinkMessage::Submit(submit) => {
+                self.answers.insert(submit.key);
+            }
+            LinkMessage::Resume(resume) => {
+                self.answers.insert(resume.key);
+            }
+            LinkMessage::Propose(proposal) => {
+                self.decisions.insert(proposal.ticket, now);
+            }
+            LinkMessage::Cancel(cancel) => {
+                self.answers.remove(&cancel.key);
+            }
             LinkMessage::AgentHeartbeat(_) | LinkMessage::EntryHeartbeat(_) => {
                 self.is_reaction_due = true;
             }
@@ -86,10 +92,14 @@
     /// A message arrived.
     pub fn received(&mut self, message: &LinkMessage) {
         match message {
-            LinkMessage::End(end) => self.settle_item(DueItem::Answer(end.key)),
-            LinkMessage::Refused(notice) => self.settle_item(DueItem::Answer(notice.key)),
+            LinkMessage::End(end) => {
+                self.answers.remove(&end.key);
+            }
+            LinkMessage::Refused(notice) => {
+                self.answers.remove(&notice.key);
+            }
             LinkMessage::Decided(decision) => {
-                self.settle_item(DueItem::Decision(decision.ticket));
+                self.decisions.remove(&decision.ticket);
             }
             _ => {}
         }
@@ -103,6 +113,8 @@
 
     /// What to do at `now`.
     pub fn step(&mut self, now: Instant) -> DueStep {
+        self.decisions
+            .retain(|_, sent| now.saturating_duration_since(*sent) < DECISION_LIMIT);
         if !self.is_due() {
             return DueStep::Rest;
         }
@@ -125,19 +137,11 @@
 
     /// Whether the peer owes anything.
     pub fn is_due(&self) -> bool {
-        self.is_reaction_due || !self.items.is_empty()
+        self.is_reaction_due || !self.answers.is_empty() || !self.decisions.is_empty()
     }
 
     fn begin_silence(&mut self, now: Instant) {
         self.since = now;
         self.has_probed = false;
     }
-
-    fn await_item(&mut self, item: DueItem) {
-        self.items.insert(item);
-    }
-
-    fn settle_item(&mut self, item: DueItem) {
-        self.items.remove(&item);
-    }
 }
--- a/crates/link/tests/due.rs
+++ b/crates/link/tests/due.rs
@@ -182,6 +182,24 @@
     expect_that!(watch.is_due(), eq(false));
 }
 
+#[gtest]
+fn a_decision_that_never_comes_is_not_awaited_for_good() {
+    let start = Instant::now();
+    let mut watch = watch(start);
+    watch.sent(
+        start,
+        &LinkMessage::Propose(ControlProposal {
+            ticket: 3,
+            command: ControlCommand::TakeFence { endpoint: 1 },
+        }),
+    );
+
+    let step = watch.step(start + Duration::from_secs(10));
+
+    expect_that!(step, eq(DueStep::Rest));
+    expect_that!(watch.is_due(), eq(false));
+}
+
 #[gtest]
 fn any_arrival_answers_a_heartbeat() {
     let start = Instant::now();
