--- a/crates/measure/src/faults/agent.rs
+++ b/crates/measure/src/faults/agent.rs
@@ -384,7 +384,7 @@
         };
         context
             .oracle
-            .start(key, run.is_idempotent, run.claim.as_ref());
+            .start(key, fingerprint, run.is_idempotent, run.claim.as_ref());
         run.tail.set_head(AnswerHead {
             key,
             status: 200,
--- a/crates/measure/src/faults/entry.rs
+++ b/crates/measure/src/faults/entry.rs
@@ -282,7 +282,9 @@
         match context.quorum.propose(context.rng, &command) {
             Some(ControlReply::ClaimGranted) => Ok(()),
             Some(ControlReply::ClaimAnswered(answer)) => {
-                context.oracle.replay(&claim, &answer);
+                context
+                    .oracle
+                    .replay(&claim, call.asked.fingerprint, &answer);
                 context.oracle.tell(call.asked.request, RunOutcome::Ran);
                 Err(None)
             }
--- a/crates/measure/src/faults/oracle.rs
+++ b/crates/measure/src/faults/oracle.rs
@@ -62,7 +62,7 @@
     pub work: WorkCounts,
     started: BTreeSet<AttemptKey>,
     /// The first execution of each non-idempotent request, by key or else by request.
-    once: BTreeMap<(Option<ClaimKey>, RequestId), AttemptKey>,
+    once: BTreeMap<(Option<ClaimKey>, RequestId), (AttemptKey, FingerprintHash)>,
     ran: BTreeSet<RequestId>,
     told_not_run: BTreeSet<RequestId>,
     /// Keys whose answer a caller has.
@@ -79,12 +79,18 @@
 
 impl RunOracle {
     /// An endpoint begins to execute an attempt.
-    pub fn start(&mut self, key: AttemptKey, is_idempotent: bool, claim: Option<&ClaimKey>) {
+    pub fn start(
+        &mut self,
+        key: AttemptKey,
+        fingerprint: FingerprintHash,
+        is_idempotent: bool,
+        claim: Option<&ClaimKey>,
+    ) {
         self.work.executions += 1;
         let mut is_double = !self.started.insert(key);
         if !is_idempotent {
             let name = claim.map_or((None, key.request), |claim| (Some(claim.clone()), 0));
-            is_double |= self.once.insert(name, key).is_some();
+            is_double |= self.once.insert(name, (key, fingerprint)).is_some();
         }
         self.counts.doubled += u64::from(is_double);
         self.counts.false_not_run += u64::from(self.told_not_run.contains(&key.request));
@@ -117,12 +123,18 @@
         self.counts.lost += u64::from(length != answer_of(key).len());
     }
 
-    /// A caller gets the recorded answer of its key.
-    pub fn replay(&mut self, claim: &ClaimKey, answer: &RecordedAnswer) {
+    /// A caller gets the recorded answer of its key, for the work that it asked for.
+    pub fn replay(
+        &mut self,
+        claim: &ClaimKey,
+        fingerprint: FingerprintHash,
+        answer: &RecordedAnswer,
+    ) {
         self.work.answers_replayed += 1;
-        let key = self.once.get(&(Some(claim.clone()), 0));
-        let own = key.map(|key| answer_of(*key));
-        let is_own = answer.body.is_none() || answer.body == own;
+        let first = self.once.get(&(Some(claim.clone()), 0));
+        let own = first.filter(|(_, work)| *work == fingerprint);
+        let own = own.map(|(key, _)| answer_of(*key));
+        let is_own = own.is_some() && (answer.body.is_none() || answer.body == own);
         self.counts.crossed += u64::from(!is_own);
         self.settle(claim);
     }
