Read settings without copies and compare limits only where they are set

Cause: resolving cloned the tree, buffered every branch in serde and compared the limits of every account at every service.

Reading now takes values straight from the tree; a value of the wrong type counts as not set and is reported by the checks. A test sets every key of the tables to another value and sees the resolved form change.

--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -12,22 +12,21 @@
 /// Least similarity, from 0 to 1, of a known key that is suggested for an unknown one.
 const LEAST_SIMILARITY: f64 = 0.7;
 
-/// Checks `table` and removes what is faulty, so that the rest can be read and checked further.
-pub(crate) fn clean_table(
+/// Checks `table` and everything below it.
+pub(crate) fn check_table(
     place: &CheckPlace<'_>,
-    table: &mut Table,
+    table: &Table,
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
 ) {
     report_missing(place, table, spec, faults);
-    table.retain(|name, value| {
+    for (name, value) in table {
         let child = place.child(name);
-        let Some(key) = spec.key(name) else {
-            faults.push(fault(&child, unknown_key(name, spec)));
-            return false;
-        };
-        clean_value(&child, value, key.form, faults)
-    });
+        match spec.key(name) {
+            Some(key) => check_child(&child, value, key.form, faults),
+            None => faults.push(fault(&child, unknown_key(name, spec))),
+        }
+    }
 }
 
 /// A fault at `place`.
@@ -69,84 +68,71 @@
     }
 }
 
-/// Checks one value; returns whether it is kept.
-fn clean_value(
+/// Checks one value and everything below it.
+fn check_child(
     place: &CheckPlace<'_>,
-    value: &mut Value,
+    value: &Value,
     form: ValueForm,
     faults: &mut Vec<SettingFault>,
-) -> bool {
-    let found = type_name(value);
+) {
     match (form, value) {
         (ValueForm::Branches(spec), Value::Table(table)) => {
-            clean_branches(place, table, spec, faults);
-            true
+            check_branches(place, table, spec, faults);
         }
         (ValueForm::Section(spec), Value::Table(table)) => {
-            clean_table(place, table, spec, faults);
-            true
+            check_table(place, table, spec, faults);
         }
-        (ValueForm::List(spec), Value::Array(items)) => clean_list(place, items, spec, faults),
-        (_, value) => match check_value(value, form) {
-            Ok(()) => true,
+        (ValueForm::List(spec), Value::Array(items)) => check_list(place, items, spec, faults),
+        _ => match check_value(value, form) {
+            Ok(()) => {}
             Err(None) => {
-                let expected = expected_form(form);
+                let (found, expected) = (type_name(value), expected_form(form));
                 faults.push(fault(place, format!("is {found}, expected {expected}")));
-                false
-            }
-            Err(Some(reason)) => {
-                faults.push(fault(place, reason));
-                false
             }
+            Err(Some(reason)) => faults.push(fault(place, reason)),
         },
     }
 }
 
-fn clean_branches(
+fn check_branches(
     place: &CheckPlace<'_>,
-    table: &mut Table,
+    table: &Table,
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
 ) {
-    table.retain(|name, value| {
+    for (name, value) in table {
         let child = place.child(name);
-        if !is_name(name) {
-            faults.push(fault(&child, bad_name(name)));
-            return false;
+        match value {
+            _ if !is_name(name) => faults.push(fault(&child, bad_name(name))),
+            Value::Table(branch) => check_table(&child, branch, spec, faults),
+            other => {
+                let found = type_name(other);
+                faults.push(fault(&child, format!("is {found}, expected a branch")));
+            }
         }
-        let Value::Table(branch) = value else {
-            let found = type_name(value);
-            faults.push(fault(&child, format!("is {found}, expected a branch")));
-            return false;
-        };
-        clean_table(&child, branch, spec, faults);
-        true
-    });
+    }
 }
 
-fn clean_list(
+fn check_list(
     place: &CheckPlace<'_>,
-    items: &mut [Value],
+    items: &[Value],
     spec: &BranchSpec,
     faults: &mut Vec<SettingFault>,
-) -> bool {
+) {
     if items.is_empty() {
         faults.push(fault(place, "is empty, expected at least one entry"));
-        return false;
     }
-    let before = faults.len();
-    for (index, item) in items.iter_mut().enumerate() {
+    for (index, item) in items.iter().enumerate() {
         let key = index.to_string();
         let child = place.child(&key);
         match item {
-            Value::Table(table) => clean_table(&child, table, spec, faults),
+            Value::Table(table) => check_table(&child, table, spec, faults),
             other => {
                 let found = type_name(other);
                 faults.push(fault(&child, format!("is {found}, expected a table")));
             }
         }
     }
-    faults.len() == before
 }
 
 /// Checks a plain value. `Err(None)` means that its type is wrong.
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -16,7 +16,6 @@
 
 pub mod access;
 mod answer;
-mod branch;
 mod check;
 pub mod defaults;
 pub mod diff;
@@ -33,6 +32,7 @@
 mod place;
 pub mod policy;
 pub mod process;
+mod resolve;
 pub mod schema;
 pub mod tree;
 mod whole;
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -120,7 +120,7 @@
 }
 
 /// The values that one branch sets itself. `None` inherits.
-#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct PolicyOverrides {
     /// Overrides [`PolicySettings::load_bound`].
     pub load_bound: Option<f64>,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -10,7 +10,7 @@
 use serde::de::DeserializeOwned;
 use toml::{Table, Value};
 
-use crate::check::clean_table;
+use crate::check::check_table;
 use crate::files::{AGENT, CONTROL, ENTRY};
 use crate::place::CheckPlace;
 use crate::schema::BranchSpec;
@@ -125,11 +125,11 @@
 /// # Errors
 /// Every fault with its path.
 pub fn parse<T: ProcessFile>(text: &str) -> Result<T> {
-    let mut table = text
+    let table = text
         .parse::<Table>()
         .map_err(|error| vec![syntax_fault(text, &error)])?;
     let mut faults = Vec::new();
-    clean_table(&CheckPlace::ROOT, &mut table, T::SPEC, &mut faults);
+    check_table(&CheckPlace::ROOT, &table, T::SPEC, &mut faults);
     if !faults.is_empty() {
         return Err(faults);
     }
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -6,14 +6,14 @@
 use wire::command::SettingEdit;
 use wire::id::SettingsVersion;
 
-use crate::branch::RootBranch;
-use crate::check::clean_table;
+use crate::check::check_table;
 use crate::diff::diff_tables;
 use crate::fleet::FleetSettings;
 use crate::keys::ROOT;
 use crate::origin::{ResolvedValue, find, resolved_values};
 use crate::path::SettingPath;
 use crate::place::CheckPlace;
+use crate::resolve::resolve_fleet;
 use crate::whole::check_whole;
 
 /// One fault of a settings tree or file.
@@ -110,12 +110,8 @@
     /// Every fault with its path.
     pub fn resolve(&self, version: SettingsVersion) -> Result<FleetSettings> {
         let mut faults = Vec::new();
-        let mut table = self.root.clone();
-        clean_table(&CheckPlace::ROOT, &mut table, &ROOT, &mut faults);
-        let branch: RootBranch = Value::Table(table)
-            .try_into()
-            .map_err(|error: toml::de::Error| one_fault("", error.message()))?;
-        let fleet = branch.resolve(version);
+        check_table(&CheckPlace::ROOT, &self.root, &ROOT, &mut faults);
+        let fleet = resolve_fleet(&self.root, version);
         faults.extend(check_whole(&fleet, &self.root));
         if faults.is_empty() {
             Ok(fleet)
@@ -207,7 +203,3 @@
         reason: reason.to_owned(),
     }
 }
-
-fn one_fault(path: &str, reason: &str) -> Vec<SettingFault> {
-    vec![fault(path, reason)]
-}
--- a/crates/settings/src/whole.rs
+++ b/crates/settings/src/whole.rs
@@ -87,9 +87,9 @@
 
     fn account_services(&mut self, path: &CheckPlace<'_>, name: &str, account: &AccountSettings) {
         let fleet = self.fleet;
-        let sets_nothing = account.overrides == PolicyOverrides::default();
+        let mut branches = account.per_service.values().chain([&account.overrides]);
         let is_reported = limit_faults(&account.policy).next().is_some();
-        if is_reported || (sets_nothing && account.per_service.is_empty()) {
+        if is_reported || !branches.any(sets_limit) {
             return;
         }
         let per_service = path.child("per_service");
@@ -233,6 +233,11 @@
     }
 }
 
+/// Whether an account sets one of the values that [`limit_faults`] compares.
+fn sets_limit(overrides: &PolicyOverrides) -> bool {
+    overrides.deadline_ms.is_some() || overrides.retention_s.is_some()
+}
+
 /// Limits of one branch that contradict each other: the key to report and the reason.
 fn limit_faults(policy: &PolicySettings) -> impl Iterator<Item = (&'static str, String)> + use<> {
     let PolicySettings {
--- a/crates/settings/tests/checks.rs
+++ b/crates/settings/tests/checks.rs
@@ -1,7 +1,8 @@
 //! Checks of the tree: every fault at once, each with its path.
 
 use googletest::prelude::*;
-use settings::{FleetSettings, SettingsTree};
+use settings::schema::{DefaultValue, KeySpec, ValueForm};
+use settings::{FleetSettings, SettingsTree, keys};
 use wire::command::SettingEdit;
 
 const SOUND: &str = r#"
@@ -223,3 +224,56 @@
     let lines: Vec<String> = faults.iter().map(ToString::to_string).collect();
     insta::assert_snapshot!(lines.join("\n"));
 }
+
+/// A valid value of this form that is not the default.
+fn other_value(key: &KeySpec) -> Option<String> {
+    let value = match (key.form, key.default) {
+        (ValueForm::Whole { .. }, DefaultValue::Whole(number)) => (number + 7).to_string(),
+        (ValueForm::Decimal { .. }, _) => "1.2".to_owned(),
+        (ValueForm::Flag, DefaultValue::Flag(flag)) => (!flag).to_string(),
+        (ValueForm::Choice(words), DefaultValue::Text(word)) => {
+            let other = words.iter().find(|other| **other != word)?;
+            format!("\"{other}\"")
+        }
+        (ValueForm::Text, _) => "\"other\"".to_owned(),
+        (ValueForm::Methods, _) => "[\"PATCH\"]".to_owned(),
+        (ValueForm::KeyHash, _) => format!("\"{}\"", "4".repeat(64)),
+        _ => return None,
+    };
+    Some(value)
+}
+
+#[gtest]
+fn every_key_of_the_tables_is_read() {
+    let base = "services.p.share = 3\nservices.s.models.m.adapter = 'a'\n\
+                endpoints.e.service = 's'\nendpoints.f.service = 'p'\n\
+                accounts.a.key_hash = '1111111111111111111111111111111111111111111111111111111111111111'\n\
+                accounts.a.per_service.s.share = 3\n\
+                operators.o.key_hash = '2222222222222222222222222222222222222222222222222222222222222222'\n";
+    let places = [
+        (&keys::ROOT, ""),
+        (&keys::SERVICE, "services.p."),
+        (&keys::MODEL, "services.s.models.m."),
+        (&keys::ENDPOINT, "endpoints.e."),
+        (&keys::ACCOUNT, "accounts.a."),
+        (&keys::ACCOUNT_SERVICE, "accounts.a.per_service.s."),
+        (&keys::OPERATOR, "operators.o."),
+    ];
+    let before = resolved(base);
+    for (spec, place) in places {
+        for key in spec.keys() {
+            let Some(value) = other_value(key) else {
+                continue;
+            };
+            let edit = SettingEdit {
+                path: format!("{place}{}", key.name),
+                value: Some(value),
+            };
+            let tree = tree(base).edited(std::slice::from_ref(&edit));
+            let after = tree.expect("the edit applies").resolve(1);
+
+            expect_that!(after.as_ref().err(), none(), "{edit:?}");
+            expect_that!(after.ok().as_ref() != Some(&before), eq(true), "{edit:?}");
+        }
+    }
+}
