--- a/crates/control/tests/instances/fleet.rs
+++ b/crates/control/tests/instances/fleet.rs
@@ -1,6 +1,6 @@
 //! Control instances as real processes on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
@@ -178,6 +178,21 @@
         }
     }
 
+    /// Makes many changes in a row at the leader; returns the last version.
+    pub(crate) fn change_often(&self, leader: usize, count: u64) -> u64 {
+        let mut version = self.wait_for("version", || self.version(leader));
+        for _ in 0..count {
+            let answer = self.wait_for("decision", || {
+                let id = format!("often-{version}");
+                let answer = self.send_change(leader, &id, version, version)?;
+                (answer.status != UNREACHABLE).then_some(answer)
+            });
+            assert_eq!(answer.body["version"], json!(version + 1));
+            version += 1;
+        }
+        version
+    }
+
     pub(crate) fn send_change(
         &self,
         place: usize,
@@ -264,7 +279,11 @@
     }
 }
 
+/// An address that nothing else uses. Outgoing connections come from 127.0.0.1, so a host of its
+/// own keeps them from taking the port before the instance does.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("free port");
+    let [.., high, low] = std::process::id().to_be_bytes();
+    let host = Ipv4Addr::new(127, high.max(1), low, 1);
+    let listener = TcpListener::bind((host, 0)).expect("free port");
     listener.local_addr().expect("bound")
 }
