Plan exports when an endpoint leaves, and send its chats where the plan says

Chats whose warm places are gone now follow their preference order, which the export plan can foresee; before they were spread over the room, so no export could have met them. Chats whose place is only loaded still spread. A holder of a shared prefix that the chat also prefers goes first. The record of a choice moves to a file of its own.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -1,20 +1,21 @@
 //! The choice of an endpoint and its record.
 //!
-//! In order: the warm places of the hint, the preferred endpoints of the chat, the holders of the
-//! longest shared prefix, and any endpoint in proportion to its room. The first that stays under
+//! In order: the warm places of the hint, the holders of the longest shared prefix, the preferred
+//! endpoints of the chat unless it overflows, and any endpoint in proportion to its room. The first that stays under
 //! the aimed load is taken. The aim lies under the hard bound of the agents because work that ends
 //! elsewhere lowers the mean under an endpoint that is already full.
 
 use std::time::Instant;
 
 use rand::{Rng, RngExt};
-use serde::{Deserialize, Serialize};
 use settings::LoadLimits;
 use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
 use wire::member::EndpointState;
 
+use crate::decision::{CandidateRecord, ChoiceReason, Exclusion, RouteDecision};
 use crate::hint::WarmHint;
 use crate::preference::{AffinityKey, PreferenceList};
+use crate::prefix::PrefixHolders;
 use crate::table::{EndpointRow, RouteTable, ServiceRows};
 
 /// Preferred endpoints that are considered.
@@ -43,80 +44,6 @@
     pub limits: LoadLimits,
 }
 
-/// Why an endpoint was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum ChoiceReason {
-    /// The hint names it and it has room.
-    Warm,
-    /// It is preferred by the chat and has room.
-    Preferred,
-    /// It holds the longest known prefix of the prompt and has room.
-    SharedPrefix,
-    /// It was drawn in proportion to its room.
-    Room,
-    /// Nobody has room; it is the least loaded.
-    LeastLoaded,
-    /// No endpoint can be tried.
-    NoneLeft,
-}
-
-/// Why an endpoint was passed over.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Exclusion {
-    /// It is draining or said that it is leaving.
-    Leaving,
-    /// Control says that it is down: its lease lapsed or its agent finds it unusable.
-    Down,
-    /// A connection to it failed a moment ago.
-    Suspect,
-    /// It began to serve a moment ago and admits nothing yet.
-    Joining,
-    /// It refused this request before.
-    Tried,
-    /// Its load would exceed the aim.
-    Loaded,
-    /// It serves another service, or does not carry the model.
-    Misplaced,
-    /// Its cache was lost since the hint was given.
-    Cold,
-    /// The hint names it, but no digest does.
-    Unknown,
-}
-
-/// One endpoint that was considered.
-#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
-pub struct CandidateRecord {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Its load with the request, as a multiple of the mean.
-    pub load: f64,
-    /// Tokens that are believed warm there.
-    pub warm_tokens: u32,
-    /// Why it was considered.
-    pub reason: ChoiceReason,
-    /// Why it was passed over; `None` for the chosen one.
-    pub exclusion: Option<Exclusion>,
-}
-
-/// The choice and its record.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct RouteDecision {
-    /// The endpoint, or `None` when none can be tried.
-    pub endpoint: Option<EndpointId>,
-    /// Why it was chosen.
-    pub reason: ChoiceReason,
-    /// Endpoints in the order in which they were considered.
-    pub candidates: Vec<CandidateRecord>,
-    /// Mean load for each unit of weight that the loads are measured by.
-    pub mean: f64,
-    /// Endpoints that could be tried.
-    pub admissible: u32,
-    /// Endpoints of the service.
-    pub known: u32,
-}
-
 /// What one pass over the endpoints of a service finds.
 struct ServiceScan {
     preferred: PreferenceList<PREFERENCE_DEPTH>,
@@ -151,7 +78,7 @@
         rng: &mut R,
     ) -> RouteDecision {
         let Some(service) = self.services.get(&request.service) else {
-            return no_decision();
+            return RouteDecision::none();
         };
         let mut run = ChoiceRun {
             table: self,
@@ -189,15 +116,11 @@
     }
 }
 
-fn no_decision() -> RouteDecision {
-    RouteDecision {
-        endpoint: None,
-        reason: ChoiceReason::NoneLeft,
-        candidates: Vec::new(),
-        mean: 0.0,
-        admissible: 0,
-        known: 0,
-    }
+/// Whether a place of the hint is gone for good.
+fn is_place_lost(candidate: &CandidateRecord) -> bool {
+    use Exclusion as E;
+    let lost = [E::Leaving, E::Down, E::Cold, E::Unknown, E::Misplaced];
+    candidate.exclusion.is_some_and(|why| lost.contains(&why))
 }
 
 impl ChoiceRun<'_> {
@@ -252,14 +175,17 @@
         if let Some(endpoint) = self.pick_warm() {
             return Some((endpoint, ChoiceReason::Warm));
         }
-        if self.request.hint.is_empty()
-            && let Some(endpoint) = self.pick_preferred(scan)
+        // A chat whose warm places are only loaded is overflow, which spreads.
+        let is_homeless = self.candidates.iter().all(is_place_lost);
+        let holders = self.table.prefixes.holders(self.request.prefixes);
+        if let Some(holders) = holders
+            && let Some(endpoint) = self.pick_holder(scan, &holders, rng)
         {
-            return Some((endpoint, ChoiceReason::Preferred));
-        }
-        if let Some(endpoint) = self.pick_holder(rng) {
             return Some((endpoint, ChoiceReason::SharedPrefix));
         }
+        if is_homeless && let Some(endpoint) = self.pick_preferred(scan) {
+            return Some((endpoint, ChoiceReason::Preferred));
+        }
         if let Some(row) = scan.roomy {
             return Some((self.take(row, ChoiceReason::Room), ChoiceReason::Room));
         }
@@ -309,22 +235,34 @@
         None
     }
 
-    fn pick_holder<R: Rng>(&mut self, rng: &mut R) -> Option<EndpointId> {
-        let holders = self.table.prefixes.holders(self.request.prefixes)?;
-        for _ in 0..HOLDER_SAMPLES {
-            let draw = rng.random_range(0..holders.endpoints.len());
-            let Some(index) = self.table.find(holders.endpoints[draw]) else {
-                continue;
-            };
-            let row = &self.table.rows[index];
-            let exclusion = self.exclusion(row).or_else(|| self.overload(row, self.aim));
-            let endpoint = row.endpoint;
-            self.record(index as u32, ChoiceReason::SharedPrefix, exclusion);
-            if exclusion.is_none() {
-                return Some(endpoint);
-            }
-        }
-        None
+    /// A holder of the prefix, a preferred one if there is.
+    fn pick_holder<R: Rng>(
+        &mut self,
+        scan: &ServiceScan,
+        holders: &PrefixHolders,
+        rng: &mut R,
+    ) -> Option<EndpointId> {
+        let ranks = scan.preferred.ranks().iter();
+        let preferred = ranks.map(|rank| self.table.rows[rank.row as usize].endpoint);
+        let draws = (0..HOLDER_SAMPLES).map(|_| rng.random_range(0..holders.endpoints.len()));
+        let sampled = draws.map(|draw| holders.endpoints[draw]);
+        let tried: Vec<EndpointId> = preferred
+            .filter(|endpoint| holders.endpoints.binary_search(endpoint).is_ok())
+            .chain(sampled)
+            .collect();
+        tried
+            .into_iter()
+            .find(|endpoint| self.try_holder(*endpoint))
+    }
+
+    fn try_holder(&mut self, endpoint: EndpointId) -> bool {
+        let Some(index) = self.table.find(endpoint) else {
+            return false;
+        };
+        let row = &self.table.rows[index];
+        let exclusion = self.exclusion(row).or_else(|| self.overload(row, self.aim));
+        self.record(index as u32, ChoiceReason::SharedPrefix, exclusion);
+        exclusion.is_none()
     }
 
     fn take(&mut self, row: u32, reason: ChoiceReason) -> EndpointId {
@@ -367,16 +305,7 @@
     }
 
     fn is_misplaced(&self, row: &EndpointRow) -> bool {
-        if row.service != self.request.service {
-            return true;
-        }
-        let Some(model) = self.request.model else {
-            return false;
-        };
-        let Some(endpoints) = self.table.placement.get(&model) else {
-            return false;
-        };
-        endpoints.binary_search(&row.endpoint).is_err()
+        row.service != self.request.service || !self.table.carries(row.endpoint, self.request.model)
     }
 
     fn overload(&self, row: &EndpointRow, limit: f64) -> Option<Exclusion> {
--- /dev/null
+++ b/crates/route/src/export.rs
@@ -0,0 +1,125 @@
+//! Which cached prefixes move where when an endpoint leaves.
+//!
+//! The plan names, within a byte budget, the prefixes whose loss would cost most and the endpoints
+//! that get their chats by the order of preference once the leaving one is gone. Steps are handed
+//! out only while no live work waits.
+
+use std::collections::VecDeque;
+
+use wire::answer::EndpointLoad;
+use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
+
+use crate::preference::{AffinityKey, PreferenceList};
+use crate::table::RouteTable;
+use wire::member::EndpointState;
+
+/// A prefix that the leaving endpoint holds.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ExportCandidate {
+    /// The prefix.
+    pub prefix: PrefixHash,
+    /// What its requests want to be close to.
+    pub affinity: AffinityKey,
+    /// Model that computed it.
+    pub model: Option<ModelId>,
+    /// Tokens that a cold endpoint would have to compute.
+    pub tokens: u32,
+    /// Size of its cached state in bytes.
+    pub bytes: u64,
+    /// Expected uses in the time for which a cache holds it.
+    pub expected_uses: f64,
+}
+
+impl ExportCandidate {
+    /// Tokens that the export is expected to spare for each byte moved.
+    fn value(&self) -> f64 {
+        f64::from(self.tokens) * self.expected_uses / self.bytes.max(1) as f64
+    }
+}
+
+/// One prefix to move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ExportStep {
+    /// The prefix.
+    pub prefix: PrefixHash,
+    /// Where to.
+    pub target: EndpointId,
+    /// Bytes that it takes.
+    pub bytes: u64,
+}
+
+/// The prefixes to move, most valuable first.
+#[derive(Clone, Debug, Default)]
+pub struct ExportPlan {
+    /// The sum of their bytes is at most the budget.
+    steps: VecDeque<ExportStep>,
+}
+
+impl ExportPlan {
+    /// Takes the next step, unless live work waits at the leaving endpoint.
+    pub fn next_step(&mut self, load: EndpointLoad) -> Option<ExportStep> {
+        if load.queued > 0 {
+            return None;
+        }
+        self.steps.pop_front()
+    }
+
+    /// Steps that are left, next one first.
+    pub fn steps(&self) -> impl Iterator<Item = &ExportStep> {
+        self.steps.iter()
+    }
+}
+
+impl RouteTable {
+    /// Plans the export of `candidates` from `leaving`, at most `budget` bytes.
+    pub fn plan_export(
+        &self,
+        service: ServiceId,
+        leaving: EndpointId,
+        candidates: &[ExportCandidate],
+        budget: u64,
+    ) -> ExportPlan {
+        let mut ordered: Vec<&ExportCandidate> = candidates.iter().collect();
+        ordered.sort_by(|left, right| {
+            let by_value = right.value().total_cmp(&left.value());
+            by_value.then(left.prefix.cmp(&right.prefix))
+        });
+        let mut left = budget;
+        let mut steps = VecDeque::new();
+        for candidate in ordered {
+            if candidate.bytes > left {
+                continue;
+            }
+            let Some(target) = self.heir(service, leaving, candidate) else {
+                continue;
+            };
+            left -= candidate.bytes;
+            steps.push_back(ExportStep {
+                prefix: candidate.prefix,
+                target,
+                bytes: candidate.bytes,
+            });
+        }
+        ExportPlan { steps }
+    }
+
+    /// The endpoint that is preferred once `leaving` is gone.
+    fn heir(
+        &self,
+        service: ServiceId,
+        leaving: EndpointId,
+        candidate: &ExportCandidate,
+    ) -> Option<EndpointId> {
+        let service = self.services.get(&service)?;
+        let mut list = PreferenceList::<1>::default();
+        for index in &service.rows {
+            let row = &self.rows[*index as usize];
+            let is_serving = row.state == EndpointState::Serving && row.endpoint != leaving;
+            if is_serving && self.carries(row.endpoint, candidate.model) {
+                list.offer(candidate.affinity, row.endpoint, row.weight, *index);
+            }
+        }
+        let rank = list.ranks().first()?;
+        Some(self.rows[rank.row as usize].endpoint)
+    }
+}
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -291,6 +291,12 @@
         assert_eq!(listed, self.rows.len());
     }
 
+    /// Whether `endpoint` carries `model`.
+    pub(crate) fn carries(&self, endpoint: EndpointId, model: Option<ModelId>) -> bool {
+        let placed = model.and_then(|model| self.placement.get(&model));
+        placed.is_none_or(|endpoints| endpoints.binary_search(&endpoint).is_ok())
+    }
+
     pub(crate) fn find(&self, endpoint: EndpointId) -> Option<usize> {
         self.rows
             .binary_search_by_key(&endpoint, |row| row.endpoint)
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -1,90 +1,17 @@
 //! The choice of endpoint.
 
+mod common;
+
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
+use common::{SEED, choose, record, request, sample, table_of, warm_at};
 use fault::FaultKind;
 use googletest::prelude::*;
 use rand_pcg::Pcg64Mcg;
-use route::{ChoiceReason, Exclusion, RouteDecision, RouteRequest, RouteSettings, RouteTable};
-use route::{WarmHint, WarmPlace};
-use settings::LoadLimits;
+use route::{ChoiceReason, Exclusion, RouteRequest, RouteSettings, RouteTable, WarmHint};
 use wire::answer::EndpointLoad;
-use wire::id::name_id;
-use wire::member::{
-    EndpointRecord, EndpointState, LoadSample, MemberDigest, ServiceMean, WarmDigest,
-};
-
-const SERVICE: u64 = 5;
-const SEED: u128 = 0xcafe_f00d_d15e_a5e5;
-
-fn record(number: u64) -> EndpointRecord {
-    EndpointRecord {
-        endpoint: name_id(&format!("runner-{number}")),
-        name: format!("runner-{number}"),
-        incarnation: 1,
-        cache_epoch: 1,
-        service: SERVICE,
-        domain: number % 3,
-        address: ([127, 0, 0, 1], 9000).into(),
-        weight: 1,
-    }
-}
-
-fn sample(number: u64, state: EndpointState, running: u32) -> LoadSample {
-    LoadSample {
-        endpoint: record(number).endpoint,
-        incarnation: 1,
-        state,
-        load: EndpointLoad { running, queued: 0 },
-    }
-}
-
-fn table_of(loads: &[u32], now: Instant) -> RouteTable {
-    let mut table = RouteTable::new(RouteSettings::default());
-    let numbers = 0..loads.len() as u64;
-    let total: u32 = loads.iter().sum();
-    let digest = MemberDigest {
-        records: numbers.clone().map(record).collect(),
-        loads: numbers
-            .map(|number| sample(number, EndpointState::Serving, loads[number as usize]))
-            .collect(),
-        means: vec![ServiceMean {
-            service: SERVICE,
-            load: total.into(),
-            weight: loads.len() as u64,
-            absent: 0,
-        }],
-        ..MemberDigest::default()
-    };
-    table.observe_digest(&digest, now);
-    table.verify();
-    table
-}
-
-fn request(affinity: u64, hint: &WarmHint) -> RouteRequest<'_> {
-    RouteRequest {
-        service: SERVICE,
-        model: None,
-        affinity,
-        hint,
-        prefixes: &[],
-        tried: &[],
-        limits: LoadLimits::default(),
-    }
-}
-
-fn choose(table: &RouteTable, request: &RouteRequest, now: Instant) -> RouteDecision {
-    table.choose(request, now, &mut Pcg64Mcg::new(SEED))
-}
-
-fn warm_at(number: u64) -> WarmHint {
-    WarmHint::default().moved_to(WarmPlace {
-        endpoint: record(number).endpoint,
-        cache_epoch: 1,
-        tokens: 4000,
-    })
-}
+use wire::member::{EndpointRecord, EndpointState, MemberDigest, WarmDigest};
 
 #[gtest]
 fn preference_ignores_list_order_and_moves_few_chats() {
