Prefer an endpoint to cold work only up to the mean

Cause of the redirects: cold chats filled preferred endpoints up to the aim on a stale view, and the agents refused. Up to the mean, the room above it is left to warm work.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -20,6 +20,9 @@
 
 /// Preferred endpoints that are considered.
 pub const PREFERENCE_DEPTH: usize = 3;
+/// Largest load of a preferred endpoint, as a multiple of the mean: nothing is warm there yet, and
+/// the room above the mean is kept for what is.
+const PREFERRED_LIMIT: f64 = 1.0;
 /// Holders of a shared prefix that are considered.
 const HOLDER_SAMPLES: usize = 4;
 /// Factor on the room of endpoints in the entry's own failure domain.
@@ -225,7 +228,7 @@
     fn pick_preferred(&mut self, scan: &ServiceScan) -> Option<EndpointId> {
         for rank in scan.preferred.ranks() {
             let row = &self.table.rows[rank.row as usize];
-            let exclusion = self.overload(row, self.aim);
+            let exclusion = self.overload(row, PREFERRED_LIMIT);
             let endpoint = row.endpoint;
             self.record(rank.row, ChoiceReason::Preferred, exclusion);
             if exclusion.is_none() {
