--- a/crates/measure/src/reuse.rs
+++ b/crates/measure/src/reuse.rs
@@ -32,6 +32,9 @@
     /// aimed load as a multiple of the mean, in place of the default
     #[argh(option)]
     pub(crate) aim: Option<f64>,
+    /// requests of each trial, in place of a number that grows with the service
+    #[argh(option)]
+    pub(crate) requests: Option<usize>,
 }
 
 /// Smallest accepted share of the ideal's hits.
@@ -46,6 +49,7 @@
             surge: self.surge,
             churn: self.churn,
             limits: limits_with(self.aim),
+            requests: self.requests,
         }
     }
 }
--- a/crates/measure/src/skew.rs
+++ b/crates/measure/src/skew.rs
@@ -33,6 +33,9 @@
     /// aimed load as a multiple of the mean, in place of the default
     #[argh(option)]
     pub(crate) aim: Option<f64>,
+    /// requests of each trial, in place of a number that grows with the service
+    #[argh(option)]
+    pub(crate) requests: Option<usize>,
 }
 
 /// Largest accepted share of refused requests.
@@ -49,6 +52,7 @@
             surge: self.surge,
             churn: self.churn,
             limits: limits_with(self.aim),
+            requests: self.requests,
         }
     }
 }
--- a/crates/measure/src/suite.rs
+++ b/crates/measure/src/suite.rs
@@ -25,6 +25,7 @@
     pub(crate) surge: u32,
     pub(crate) churn: u32,
     pub(crate) limits: LoadLimits,
+    pub(crate) requests: Option<usize>,
 }
 
 /// The trials of every policy on one service.
@@ -59,13 +60,14 @@
     ideal: Chooser,
 ) -> ServiceTrials {
     let places = endpoints * crate::workload::PLACES as usize;
+    let requests = MIN_REQUESTS.max(places * REQUESTS_PER_PLACE);
     let workload = WorkloadSettings {
         seed: settings.seed.wrapping_mul(16).wrapping_add(number),
         endpoints,
         entries: settings.entries.unwrap_or(DEPLOYED_ENTRIES),
         surge: settings.surge,
         churn: settings.churn,
-        requests: MIN_REQUESTS.max(places * REQUESTS_PER_PLACE),
+        requests: settings.requests.unwrap_or(requests),
     };
     let sequence = RequestSequence::draw(&workload);
     let trial = |policy| {
