Confirm reads at a follower by a round that began after them

A follower answered reads when a quorum had confirmed it within 1.5 s, so an operator who changed the settings at one instance could read the older version at another. The follower now waits until the leader tells it of a round that began after the read.

--- a/crates/control/src/operator_desk.rs
+++ b/crates/control/src/operator_desk.rs
@@ -39,13 +39,17 @@
     }
 
     /// Checks who asks, and answers. A quorum confirms that what is read is the latest, but for
-    /// the status, which also tells what an instance without quorum knows.
+    /// the status, which also tells what an instance without quorum knows. A change is decided by
+    /// the quorum anyway; for it a recent confirmation of the operators' list is enough.
     ///
     /// # Errors
     /// The fault that the operator is told.
     pub async fn act(&self, authorization: Option<&str>, action: OperatorAction) -> Result<Value> {
-        if !matches!(action, OperatorAction::Status) {
-            self.node.confirm_read().await?;
+        match action {
+            OperatorAction::Status => {}
+            OperatorAction::Change(_) | OperatorAction::Lift(_)
+                if self.node.quorum.is_confirmed() => {}
+            _ => self.node.confirm_read().await?,
         }
         let operator = self.authorize(authorization, &action)?;
         match action {
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -100,10 +100,15 @@
 
     /// Whether a quorum confirmed recently that what is applied here is the latest.
     pub fn is_confirmed(&self) -> bool {
+        self.confirmed_age().is_some_and(|age| age <= CONFIRM_LIMIT)
+    }
+
+    /// Time since a quorum confirmed that what is applied here is the latest, at most.
+    fn confirmed_age(&self) -> Option<Duration> {
         let core = self.core.borrow();
-        let age = core.confirmed_age(self.now());
         let status = core.status();
-        status.applied == status.commit && age.is_some_and(|age| age <= CONFIRM_LIMIT)
+        let age = core.confirmed_age(self.now());
+        age.filter(|_| status.applied == status.commit)
     }
 
     /// Sends a message to every other instance of the quorum.
@@ -150,19 +155,28 @@
         let now = self.quorum.now();
         let started = self.quorum.core.borrow_mut().read(now, ticket);
         self.run_actions();
-        if started.is_ok() {
-            let answer = timeout(TRY_LIMIT, confirmed).await;
-            self.quorum.reads.borrow_mut().remove(&ticket);
-            return match answer {
-                Ok(Ok(())) => Ok(()),
-                _ => Err(no_quorum()),
-            };
-        }
+        let is_confirmed = match started {
+            Ok(()) => matches!(timeout(TRY_LIMIT, confirmed).await, Ok(Ok(()))),
+            Err(_) => self.wait_for_confirmation(now).await,
+        };
         self.quorum.reads.borrow_mut().remove(&ticket);
-        if self.quorum.is_confirmed() {
-            return Ok(());
+        if is_confirmed {
+            Ok(())
+        } else {
+            Err(no_quorum())
+        }
+    }
+
+    /// Waits until the leader told this follower of a round that began at `since` or later.
+    async fn wait_for_confirmation(&self, since: Duration) -> bool {
+        while self.quorum.now() < since + TRY_LIMIT {
+            let age = self.quorum.confirmed_age();
+            if age.is_some_and(|age| self.quorum.now().saturating_sub(age) >= since) {
+                return true;
+            }
+            sleep(TICK_INTERVAL).await;
         }
-        Err(no_quorum())
+        false
     }
 
     /// Takes a message of another control instance.
--- a/crates/control/tests/instances.rs
+++ b/crates/control/tests/instances.rs
@@ -12,6 +12,8 @@
 use instances::fleet::{CONFLICT, ControlFleet, UNREACHABLE};
 
 const SIZE: usize = 3;
+/// Changes that are read back at every instance.
+const READS: u64 = 10;
 /// Races between two operators.
 const RACES: u64 = 20;
 /// Changes that an instance misses while it is down.
@@ -156,6 +158,19 @@
     expect_that!(again.body["version"], eq(&json!(version + 1)));
 }
 
+#[gtest]
+fn every_instance_reads_what_was_accepted_before() {
+    let (mut fleet, leader) = changed_fleet();
+
+    for _ in 0..READS {
+        let version = fleet.change(leader);
+        for place in 0..SIZE {
+            let read = fleet.wait_for("read", || fleet.read_version(place));
+            expect_that!(read, eq(version));
+        }
+    }
+}
+
 #[gtest]
 fn of_two_racing_changes_one_wins() {
     let (fleet, leader) = changed_fleet();
--- a/crates/control/tests/instances/fleet.rs
+++ b/crates/control/tests/instances/fleet.rs
@@ -117,6 +117,12 @@
         answer.body["version"].as_u64()
     }
 
+    /// Version that an instance reads with the quorum's confirmation.
+    pub(crate) fn read_version(&self, place: usize) -> Option<u64> {
+        let answer = self.ask(place, "/operator/settings?path=queue_limit", None)?;
+        answer.body["version"].as_u64()
+    }
+
     /// Number of the data folder that votes for an instance.
     pub(crate) fn voting_folder(&self, asked: usize, place: usize) -> Option<String> {
         let quorum = self.quorum(asked)?;
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -163,6 +163,25 @@
     expect_that!(core.status().members.voters.len(), eq(3));
 }
 
+#[gtest]
+fn founder_seeks_votes_only_once_its_log_is_durable() {
+    let mut core = empty_member(1, vec![1, 2, 3]);
+    core.tick(Duration::ZERO);
+    let probe = probe_number(&mut core);
+    core.receive(Duration::ZERO, probe_reply(2, 1, probe, false));
+    core.receive(Duration::ZERO, probe_reply(3, 1, probe, false));
+    let number = writes(&core.take_actions()).last().unwrap().number;
+
+    core.tick(Duration::from_secs(5));
+    expect_that!(sent(&core.take_actions()), is_empty());
+
+    core.persisted(number);
+    core.tick(Duration::from_secs(10));
+    let actions = core.take_actions();
+    let asks = |message: &&&ReplicaMessage| matches!(message.body, MessageBody::PreVote { .. });
+    expect_that!(sent(&actions).iter().filter(asks).count(), eq(2));
+}
+
 #[gtest]
 fn emptied_member_founds_no_second_log() {
     let mut core = empty_member(1, vec![1, 2, 3]);
