--- /dev/null
+++ b/crates/fake/src/fleet/caller.rs
@@ -0,0 +1,258 @@
+//! Blocking HTTP calls of callers and operators.
+//!
+//! The bytes are read here and not by `awc`, which takes a connection that closes in the middle
+//! of a body for its end; a caller of the tests has to see the difference.
+
+use std::io::{BufRead, BufReader, Error, ErrorKind, Read, Result, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::mpsc::{Receiver, Sender, channel};
+use std::thread::{self, JoinHandle};
+use std::time::Duration;
+
+use serde_json::Value;
+use wire::id::name_id;
+
+/// Longest silence of an answer.
+const ANSWER_LIMIT: Duration = Duration::from_secs(60);
+/// Pause before a refused request is sent again.
+const REPETITION_PAUSE: Duration = Duration::from_millis(100);
+/// Repetitions of a refused request.
+const REPETITION_LIMIT: u32 = 200;
+/// Last event of a whole streamed completion.
+const LAST_EVENT: &str = "data: [DONE]\n\n";
+
+/// One HTTP request.
+#[derive(Clone, Debug)]
+pub struct HttpCall {
+    method: &'static str,
+    http: SocketAddr,
+    path: String,
+    headers: Vec<(String, String)>,
+    body: Vec<u8>,
+}
+
+/// What came back.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerAnswer {
+    /// HTTP status; 0 when there was no answer.
+    pub status: u16,
+    /// Headers by lower-case name.
+    pub headers: Vec<(String, String)>,
+    /// Bytes that arrived.
+    pub body: Vec<u8>,
+    /// Why the answer ended before its end, if it did.
+    pub error: Option<String>,
+}
+
+/// A call under way on a thread of its own.
+pub struct PendingCall {
+    thread: JoinHandle<CallerAnswer>,
+    first: Receiver<()>,
+}
+
+impl HttpCall {
+    /// A GET request.
+    pub fn get(http: SocketAddr, path: &str) -> Self {
+        Self {
+            method: "GET",
+            http,
+            path: path.to_owned(),
+            headers: Vec::new(),
+            body: Vec::new(),
+        }
+    }
+
+    /// A POST request with a JSON body.
+    pub fn post(http: SocketAddr, path: &str, body: &Value) -> Self {
+        Self {
+            method: "POST",
+            body: body.to_string().into_bytes(),
+            ..Self::get(http, path)
+        }
+        .header("content-type", "application/json")
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Adds the bearer key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        self.header("authorization", &format!("Bearer {key}"))
+    }
+
+    /// Sends the request and reads the answer to its end.
+    pub fn send(&self) -> CallerAnswer {
+        let (first, _ignored) = channel();
+        self.run(&first)
+    }
+
+    /// Sends the request on a thread of its own, again while it is refused for now as not run.
+    pub fn spawn(self) -> PendingCall {
+        let (sender, first) = channel();
+        let thread = thread::spawn(move || self.run_admitted(&sender));
+        PendingCall { thread, first }
+    }
+
+    fn run_admitted(&self, first: &Sender<()>) -> CallerAnswer {
+        let mut answer = self.run(first);
+        for _ in 0..REPETITION_LIMIT {
+            if answer.status != 503 || answer.outcome() != "not-run" {
+                break;
+            }
+            thread::sleep(REPETITION_PAUSE);
+            answer = self.run(first);
+        }
+        answer
+    }
+
+    fn run(&self, first: &Sender<()>) -> CallerAnswer {
+        let mut answer = CallerAnswer::default();
+        if let Err(error) = self.exchange(&mut answer, first) {
+            answer.error = Some(error.to_string());
+        }
+        answer
+    }
+
+    fn exchange(&self, answer: &mut CallerAnswer, first: &Sender<()>) -> Result<()> {
+        let mut stream = TcpStream::connect(self.http)?;
+        stream.set_read_timeout(Some(ANSWER_LIMIT))?;
+        stream.write_all(&self.encode())?;
+        let mut reader = BufReader::new(stream);
+        read_head(&mut reader, answer)?;
+        if answer.header("transfer-encoding") == "chunked" {
+            return read_chunks(&mut reader, answer, first);
+        }
+        let length = answer.header("content-length").parse().unwrap_or(0);
+        answer.body.resize(length, 0);
+        reader.read_exact(&mut answer.body)
+    }
+
+    fn encode(&self) -> Vec<u8> {
+        let mut head = format!(
+            "{} {} HTTP/1.1\r\nhost: {}\r\nconnection: close\r\ncontent-length: {}\r\n",
+            self.method,
+            self.path,
+            self.http,
+            self.body.len(),
+        );
+        for (name, value) in &self.headers {
+            head.push_str(&format!("{name}: {value}\r\n"));
+        }
+        head.push_str("\r\n");
+        [head.as_bytes(), &self.body].concat()
+    }
+}
+
+/// Reads the status line and the headers.
+fn read_head(reader: &mut impl BufRead, answer: &mut CallerAnswer) -> Result<()> {
+    let status = read_line(reader)?;
+    let code = status.split(' ').nth(1).and_then(|text| text.parse().ok());
+    answer.status = code.ok_or_else(|| faulty("no status"))?;
+    loop {
+        let line = read_line(reader)?;
+        let Some((name, value)) = line.split_once(": ") else {
+            return Ok(());
+        };
+        let header = (name.to_ascii_lowercase(), value.to_owned());
+        answer.headers.push(header);
+    }
+}
+
+/// Reads a chunked body up to its last chunk.
+fn read_chunks(
+    reader: &mut impl BufRead,
+    answer: &mut CallerAnswer,
+    first: &Sender<()>,
+) -> Result<()> {
+    loop {
+        let line = read_line(reader)?;
+        let length = usize::from_str_radix(&line, 16).map_err(|_| faulty("no chunk length"))?;
+        let mut chunk = vec![0; length];
+        reader.read_exact(&mut chunk)?;
+        read_line(reader)?;
+        if length == 0 {
+            return Ok(());
+        }
+        answer.body.extend_from_slice(&chunk);
+        let _ = first.send(());
+    }
+}
+
+/// Reads one line; the end of the connection is an error.
+fn read_line(reader: &mut impl BufRead) -> Result<String> {
+    let mut line = String::new();
+    reader.read_line(&mut line)?;
+    match line.strip_suffix("\r\n") {
+        Some(content) => Ok(content.to_owned()),
+        None => Err(ErrorKind::UnexpectedEof.into()),
+    }
+}
+
+fn faulty(reason: &str) -> Error {
+    Error::new(ErrorKind::InvalidData, reason)
+}
+
+impl PendingCall {
+    /// Waits until the first bytes of the body have arrived or the call has ended.
+    pub fn wait_first(&self) {
+        let _ = self.first.recv();
+    }
+
+    /// Waits for the end.
+    pub fn finish(self) -> CallerAnswer {
+        self.thread
+            .join()
+            .expect("the caller's thread doesn't panic")
+    }
+}
+
+impl CallerAnswer {
+    /// Value of a header; empty when it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        let found = self.headers.iter().find(|(found, _)| found == name);
+        found.map_or("", |(_, value)| value.as_str())
+    }
+
+    /// What the answer says about execution.
+    pub fn outcome(&self) -> &str {
+        self.header("x-outcome")
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON; null when it is none.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Whether a streamed completion arrived to its last event.
+    pub fn is_whole(&self) -> bool {
+        self.status == 200 && self.error.is_none() && self.text().ends_with(LAST_EVENT)
+    }
+
+    /// Whether a streamed completion holds exactly the tokens of `prompt` in order, or the first
+    /// of them when it is not whole.
+    pub fn is_own(&self, prompt: &str, tokens: u64) -> bool {
+        let mark = format!("{:016x}", name_id(prompt));
+        let text = self.text();
+        let events: Vec<Value> = text
+            .split("\n\n")
+            .filter_map(|event| serde_json::from_str(event.strip_prefix("data: ")?).ok())
+            .collect();
+        let is_count_right = events.len() as u64 == tokens || !self.is_whole();
+        let mut numbered = events.iter().enumerate();
+        is_count_right
+            && numbered.all(|(index, event)| {
+                let content = &event["choices"][0]["delta"]["content"];
+                content == &format!("w{} ", index + 1) && event["prompt"] == mark
+            })
+    }
+}
--- /dev/null
+++ b/crates/fake/src/fleet/forward.rs
@@ -0,0 +1,142 @@
+//! A TCP forwarder that stalls or cuts the connections through it.
+
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::Duration;
+
+use crate::fleet::process::free_address;
+
+/// Bytes read at once.
+const BUFFER_BYTES: usize = 16 * 1024;
+/// Pause of a stalled connection between two looks at its state.
+const STALL_STEP: Duration = Duration::from_millis(5);
+
+/// What happens to the bytes of one connection.
+#[derive(Default)]
+struct ConnectionState {
+    /// Bytes are no longer passed on, without a sign to either end.
+    is_stalled: AtomicBool,
+    /// Both ends were closed.
+    is_cut: AtomicBool,
+}
+
+struct ForwardState {
+    target: SocketAddr,
+    connections: Mutex<Vec<Arc<ConnectionState>>>,
+    refuses: AtomicBool,
+    accepted: AtomicU64,
+}
+
+/// A forwarder from an address of its own to a target. Its threads end with their connections.
+pub struct TcpForwarder {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<ForwardState>,
+}
+
+impl TcpForwarder {
+    /// Listens on a free address.
+    pub fn start(target: SocketAddr) -> Self {
+        Self::listen(free_address(), target)
+    }
+
+    /// Listens on `address`.
+    pub fn listen(address: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(address).expect("the address is free");
+        let state = Arc::new(ForwardState {
+            target,
+            connections: Mutex::default(),
+            refuses: AtomicBool::new(false),
+            accepted: AtomicU64::new(0),
+        });
+        let shared = Arc::clone(&state);
+        thread::spawn(move || accept_all(&listener, &shared));
+        Self { address, state }
+    }
+
+    /// Swallows the bytes of all open connections from now on; new connections work.
+    pub fn stall_open(&self) {
+        for connection in self.open_connections() {
+            connection.is_stalled.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Closes all open connections.
+    pub fn cut_open(&self) {
+        for connection in self.open_connections() {
+            connection.is_cut.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// Sets whether new connections are closed at once.
+    pub fn refuse_new(&self, refuses: bool) {
+        self.state.refuses.store(refuses, Ordering::SeqCst);
+    }
+
+    /// Connections accepted so far.
+    pub fn accepted(&self) -> u64 {
+        self.state.accepted.load(Ordering::SeqCst)
+    }
+
+    fn open_connections(&self) -> Vec<Arc<ConnectionState>> {
+        let connections = self.state.connections.lock();
+        connections.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+fn accept_all(listener: &TcpListener, state: &ForwardState) {
+    for accepted in listener.incoming() {
+        let Ok(near) = accepted else { continue };
+        if state.refuses.load(Ordering::SeqCst) {
+            continue;
+        }
+        if let Ok(far) = TcpStream::connect(state.target) {
+            state.accepted.fetch_add(1, Ordering::SeqCst);
+            let _ = open_connection(state, &near, &far);
+        }
+    }
+}
+
+fn open_connection(state: &ForwardState, near: &TcpStream, far: &TcpStream) -> std::io::Result<()> {
+    let connection = Arc::new(ConnectionState::default());
+    let mut connections = state
+        .connections
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner);
+    connections.push(Arc::clone(&connection));
+    for (from, to) in [(near, far), (far, near)] {
+        let (from, to) = (from.try_clone()?, to.try_clone()?);
+        from.set_read_timeout(Some(STALL_STEP))?;
+        let _ = to.set_nodelay(true);
+        let connection = Arc::clone(&connection);
+        thread::spawn(move || copy_bytes(from, to, &connection));
+    }
+    Ok(())
+}
+
+fn copy_bytes(mut from: TcpStream, mut to: TcpStream, connection: &ConnectionState) {
+    let mut buffer = [0; BUFFER_BYTES];
+    while !connection.is_cut.load(Ordering::SeqCst) {
+        if connection.is_stalled.load(Ordering::SeqCst) {
+            thread::sleep(STALL_STEP);
+            continue;
+        }
+        match from.read(&mut buffer) {
+            Ok(0) => break,
+            Ok(_) if connection.is_stalled.load(Ordering::SeqCst) => {}
+            Ok(count) if to.write_all(&buffer[..count]).is_ok() => {}
+            Err(error) if is_timeout(&error) => {}
+            _ => break,
+        }
+    }
+    let _ = from.shutdown(Shutdown::Both);
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+fn is_timeout(error: &std::io::Error) -> bool {
+    use std::io::ErrorKind::{TimedOut, WouldBlock};
+    matches!(error.kind(), TimedOut | WouldBlock)
+}
--- /dev/null
+++ b/crates/fake/src/fleet/plan.rs
@@ -0,0 +1,269 @@
+//! The files of a fleet.
+
+use std::fs;
+use std::net::SocketAddr;
+use std::path::Path;
+
+use settings::fleet::hash_key;
+
+use crate::fleet::forward::TcpForwarder;
+use crate::fleet::process::{ProcessCommand, free_address};
+
+/// The model of the service `redaction`.
+pub const MODEL: &str = "bulletin";
+/// Key of the client account `mairie`.
+pub const ACCOUNT_KEY: &str = "mairie-key";
+/// Key of the operator `sysop`.
+pub const OPERATOR_KEY: &str = "sysop-key";
+/// Failure domains, taken in turn.
+const DOMAINS: [&str; 3] = ["rennes", "brest", "vannes"];
+
+/// How large a fleet is and how its stand-ins behave.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Control instances.
+    pub controls: usize,
+    /// Entries.
+    pub entries: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Pause of an engine between two tokens, in milliseconds.
+    pub token_ms: u64,
+    /// Prompt text that ends an engine.
+    pub poison: Option<String>,
+    /// Lines at the root of the settings tree.
+    pub tree: String,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            controls: 1,
+            entries: 1,
+            engines: 2,
+            token_ms: 5,
+            poison: None,
+            tree: String::new(),
+        }
+    }
+}
+
+/// One instance that is to be started.
+pub struct InstanceFile {
+    /// Its name.
+    pub name: String,
+    /// Its HTTP address.
+    pub http: SocketAddr,
+    /// How it is started.
+    pub command: ProcessCommand,
+    /// Its ways to the control instances.
+    pub control: Vec<TcpForwarder>,
+}
+
+/// An endpoint and its agent that are to be started.
+pub struct EndpointFiles {
+    /// The stand-in.
+    pub endpoint: InstanceFile,
+    /// Its agent.
+    pub agent: InstanceFile,
+    /// The agent's way to the stand-in.
+    pub path: TcpForwarder,
+}
+
+/// All instances that are to be started.
+pub struct FleetFiles {
+    /// Control instances.
+    pub controls: Vec<InstanceFile>,
+    /// Entries.
+    pub entries: Vec<InstanceFile>,
+    /// Engines.
+    pub engines: Vec<EndpointFiles>,
+    /// The plain service.
+    pub plain: EndpointFiles,
+}
+
+/// Addresses of one control instance.
+struct ControlAddress {
+    name: String,
+    http: SocketAddr,
+    link: SocketAddr,
+}
+
+/// Writes the files of one fleet.
+struct FileWriter<'a> {
+    folder: &'a Path,
+    controls: Vec<ControlAddress>,
+}
+
+impl FleetPlan {
+    /// Writes all files into `folder` and opens the forwarders.
+    pub fn write(&self, folder: &Path) -> FleetFiles {
+        let controls = (0..self.controls).map(|index| ControlAddress {
+            name: format!("control-{index}"),
+            http: free_address(),
+            link: free_address(),
+        });
+        let writer = FileWriter {
+            folder,
+            controls: controls.collect(),
+        };
+        writer.write("secret", "secret of the tests, 32 bytes or more");
+        writer.write("tree.toml", &self.tree_text());
+        let engines = (0..self.engines).map(|index| self.engine(&writer, index));
+        let entries = (0..self.entries).map(|index| writer.entry(index));
+        FleetFiles {
+            controls: (0..self.controls)
+                .map(|index| writer.control(index))
+                .collect(),
+            entries: entries.collect(),
+            engines: engines.collect(),
+            plain: writer.endpoint("plain-0", self.engines, &["plain"]),
+        }
+    }
+
+    fn engine(&self, writer: &FileWriter, index: usize) -> EndpointFiles {
+        let token = self.token_ms.to_string();
+        let mut arguments = vec!["engine", "--token-ms", &token];
+        if let Some(poison) = &self.poison {
+            arguments.extend(["--poison", poison]);
+        }
+        writer.endpoint(&format!("engine-{index}"), index, &arguments)
+    }
+
+    fn tree_text(&self) -> String {
+        let mut text = format!(
+            "{}\n[services.redaction]\nkind = \"model\"\n[services.redaction.models.{MODEL}]\n\
+             [services.guichet]\nkind = \"plain\"\nnon_idempotent_methods = [\"POST\"]\n\
+             [accounts.mairie]\nkey_hash = \"{}\"\n\
+             [operators.sysop]\nkey_hash = \"{}\"\nrole = \"change\"\n\
+             [endpoints.plain-0]\nservice = \"guichet\"\n",
+            self.tree,
+            hash_key(ACCOUNT_KEY),
+            hash_key(OPERATOR_KEY),
+        );
+        for index in 0..self.engines {
+            text.push_str(&format!(
+                "[endpoints.engine-{index}]\nservice = \"redaction\"\n"
+            ));
+        }
+        text
+    }
+}
+
+impl FileWriter<'_> {
+    fn control(&self, index: usize) -> InstanceFile {
+        let own = &self.controls[index];
+        let mut text = format!(
+            "link = \"{}\"\ndata = \"{}\"\nfirst_tree = \"{}\"\n{}",
+            own.link,
+            self.path(&format!("{}.data", own.name)),
+            self.path("tree.toml"),
+            self.instance(&own.name, index, own.http),
+        );
+        for peer in &self.controls {
+            let table = format!(
+                "[[peers]]\nname = \"{}\"\nlink = \"{}\"\n",
+                peer.name, peer.link
+            );
+            text.push_str(&table);
+        }
+        self.program("sapphire-control", &own.name, own.http, &text, Vec::new())
+    }
+
+    fn entry(&self, index: usize) -> InstanceFile {
+        let name = format!("entry-{index}");
+        let http = free_address();
+        let control = self.control_forwarders();
+        let text = format!(
+            "control = {}\n{}",
+            address_list(&control),
+            self.instance(&name, index, http)
+        );
+        self.program("sapphire-entry", &name, http, &text, control)
+    }
+
+    /// A stand-in with these arguments, and its agent.
+    fn endpoint(&self, name: &str, index: usize, arguments: &[&str]) -> EndpointFiles {
+        let http = free_address();
+        let mut arguments: Vec<String> = arguments.iter().map(|text| (*text).to_owned()).collect();
+        arguments.extend(["--http".to_owned(), http.to_string()]);
+        let path = TcpForwarder::start(http);
+        let agent_name = format!("agent-{name}");
+        let agent_http = free_address();
+        let control = self.control_forwarders();
+        let text = format!(
+            "control = {}\nlink = \"{}\"\nendpoint = \"{name}\"\nendpoint_http = \"{}\"\n{}",
+            address_list(&control),
+            free_address(),
+            path.address,
+            self.instance(&agent_name, index, agent_http),
+        );
+        EndpointFiles {
+            endpoint: InstanceFile {
+                name: name.to_owned(),
+                http,
+                command: self.command("sapphire-fake", name, arguments),
+                control: Vec::new(),
+            },
+            agent: self.program("sapphire-agent", &agent_name, agent_http, &text, control),
+            path,
+        }
+    }
+
+    fn instance(&self, name: &str, index: usize, http: SocketAddr) -> String {
+        format!(
+            "[instance]\nname = \"{name}\"\nfailure_domain = \"{}\"\n\
+             secret_file = \"{}\"\nhttp = \"{http}\"\n",
+            DOMAINS[index % DOMAINS.len()],
+            self.path("secret"),
+        )
+    }
+
+    fn control_forwarders(&self) -> Vec<TcpForwarder> {
+        let links = self.controls.iter().map(|control| control.link);
+        links.map(TcpForwarder::start).collect()
+    }
+
+    fn program(
+        &self,
+        program: &'static str,
+        name: &str,
+        http: SocketAddr,
+        text: &str,
+        control: Vec<TcpForwarder>,
+    ) -> InstanceFile {
+        let file = format!("{name}.toml");
+        self.write(&file, text);
+        let arguments = vec!["--settings".to_owned(), self.path(&file)];
+        InstanceFile {
+            name: name.to_owned(),
+            http,
+            command: self.command(program, name, arguments),
+            control,
+        }
+    }
+
+    fn command(&self, program: &'static str, name: &str, arguments: Vec<String>) -> ProcessCommand {
+        ProcessCommand {
+            program,
+            arguments,
+            log: self.folder.join(format!("{name}.log")),
+        }
+    }
+
+    fn write(&self, file: &str, text: &str) {
+        fs::write(self.folder.join(file), text).expect("the folder can be written");
+    }
+
+    fn path(&self, file: &str) -> String {
+        self.folder.join(file).display().to_string()
+    }
+}
+
+fn address_list(forwarders: &[TcpForwarder]) -> String {
+    let texts: Vec<String> = forwarders
+        .iter()
+        .map(|forwarder| format!("\"{}\"", forwarder.address))
+        .collect();
+    format!("[{}]", texts.join(", "))
+}
--- /dev/null
+++ b/crates/fake/tests/stops.rs
@@ -0,0 +1,124 @@
+//! Planned stops and settings changes on real processes.
+
+use fake::fleet::TestFleet;
+use fake::fleet::caller::PendingCall;
+use fake::fleet::plan::FleetPlan;
+use fake::fleet::process::SignalKind;
+use googletest::prelude::*;
+
+/// Tokens of a stream that is still running when the stop comes.
+const LONG_STREAM: u64 = 200;
+
+fn start_streams(fleet: &TestFleet, count: usize) -> Vec<PendingCall> {
+    let calls: Vec<PendingCall> = (0..count)
+        .map(|index| fleet.chat(0, &format!("chat {index}"), LONG_STREAM).spawn())
+        .collect();
+    for call in &calls {
+        call.wait_first();
+    }
+    calls
+}
+
+/// Ends every stream and returns how many were whole and own.
+fn whole_count(calls: Vec<PendingCall>) -> usize {
+    let is_whole = |(index, call): (usize, PendingCall)| {
+        let answer = call.finish();
+        answer.is_whole() && answer.is_own(&format!("chat {index}"), LONG_STREAM)
+    };
+    let results = calls.into_iter().enumerate().map(is_whole);
+    results.filter(|is_whole| *is_whole).count()
+}
+
+#[gtest]
+fn a_drain_cuts_no_stream_and_takes_no_new_work() {
+    let fleet = TestFleet::start(&FleetPlan::default());
+    let calls = start_streams(&fleet, 8);
+
+    let version = fleet.set("drain-1", "endpoints.engine-0.draining", "true");
+    fleet.wait_version(version);
+    let before = fleet.engine_count(0, "runs");
+    let later: Vec<bool> = (0..10)
+        .map(|index| {
+            fleet
+                .chat(0, &format!("later {index}"), 2)
+                .send()
+                .is_whole()
+        })
+        .collect();
+    let after = fleet.engine_count(0, "runs");
+
+    expect_that!(later, each(eq(&true)), "{}", fleet.logs());
+    expect_that!(after, eq(before));
+    expect_that!(whole_count(calls), eq(8), "{}", fleet.logs());
+}
+
+#[gtest]
+fn a_terminated_entry_finishes_its_streams() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    let calls = start_streams(&fleet, 6);
+
+    fleet.entries[0].process.signal(SignalKind::Terminate);
+    let whole = whole_count(calls);
+    let status = fleet.entries[0].process.wait_exit();
+
+    expect_that!(whole, eq(6), "{}", fleet.logs());
+    expect_that!(status.code(), some(eq(0)), "{}", fleet.logs());
+}
+
+#[gtest]
+fn a_terminated_agent_finishes_its_streams() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    let calls = start_streams(&fleet, 6);
+
+    fleet.engines[0].agent.process.signal(SignalKind::Terminate);
+    let whole = whole_count(calls);
+    let status = fleet.engines[0].agent.process.wait_exit();
+
+    expect_that!(whole, eq(6), "{}", fleet.logs());
+    expect_that!(status.code(), some(eq(0)), "{}", fleet.logs());
+}
+
+#[gtest]
+fn a_change_is_in_force_everywhere_and_outlives_restarts() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+
+    let version = fleet.set("change-1", "services.redaction.queue_limit", "7");
+    fleet.wait_version(version);
+    fleet.engines[1].agent.restart();
+    fleet.wait_version(version);
+    let resent = fleet.set("change-1", "services.redaction.queue_limit", "7");
+
+    expect_that!(resent, eq(version));
+}
+
+#[gtest]
+fn an_order_that_was_refused_as_not_run_was_not_run() {
+    let fleet = TestFleet::start(&FleetPlan::default());
+    let version = fleet.set("drain-2", "endpoints.plain-0.draining", "true");
+    fleet.wait_version(version);
+
+    let refused = fleet.order(0, "postage").send();
+
+    expect_that!(refused.status, eq(503), "{}", fleet.logs());
+    expect_that!(refused.outcome(), eq("not-run"));
+    expect_that!(fleet.placed_orders(), eq(0));
+}
+
+#[gtest]
+fn an_order_resent_under_its_key_runs_once() {
+    let fleet = TestFleet::start(&FleetPlan {
+        entries: 2,
+        ..FleetPlan::default()
+    });
+    let order = |entry: usize| {
+        let call = fleet.order(entry, "postage");
+        call.header("idempotency-key", "letter-1")
+    };
+
+    let first = order(0).send();
+    let again = order(1).send();
+
+    expect_that!(first.status, eq(201), "{}", fleet.logs());
+    expect_that!(again.body, eq(&first.body), "{}", fleet.logs());
+    expect_that!(fleet.placed_orders(), eq(1));
+}
