Never pass a broken body of an endpoint for a whole answer

Cause: an engine that was killed in the middle of a stream left its callers with a few tokens and a proper end, outcome ran. awc takes a connection that closes in the middle of a body for the body's end: its payload stream yields None both at the last chunk and at the end of the connection.

Excluded: the link and the entry; the agent itself sent an end whose checksum fitted the bytes that it had read. Excluded as a mend: a transport that reports the end of the connection as an error; it needs connector crates that the workspace doesn't have.

The agent now holds the body against its content-length, or against the last event of a streamed completion.

Left open: a chunked body that is no streamed completion has no such sign and still counts as whole when it breaks off between two chunks.

--- /dev/null
+++ b/crates/agent/src/body.rs
@@ -0,0 +1,69 @@
+//! Whether the body of an endpoint's answer has come to its end.
+//!
+//! The HTTP client takes a connection that closes in the middle of a body for the body's end. What
+//! the answer says about its own length decides here: its `content-length`, or the last event of
+//! a streamed completion. A chunked body of another type has no such sign and counts as whole.
+
+use awc::http::header::{CONTENT_LENGTH, HeaderMap};
+use awc::http::{Method, StatusCode};
+use fault::FaultKind;
+use wire::answer::SubmitRequest;
+
+use crate::endpoint::is_event_stream;
+
+/// Last event of a streamed completion.
+const LAST_EVENT: &[u8] = b"data: [DONE]";
+/// Bytes of the last event and of the white space after it.
+const TAIL_BYTES: usize = LAST_EVENT.len() + 8;
+
+/// Follows one body.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct BodyCheck {
+    /// Bytes that the answer announced.
+    announced: Option<u64>,
+    /// Whether the body has to end with [`LAST_EVENT`].
+    needs_last_event: bool,
+    /// Bytes that have come.
+    length: u64,
+    /// Last bytes that have come, at most [`TAIL_BYTES`].
+    tail: Vec<u8>,
+}
+
+impl BodyCheck {
+    /// The check of the answer to `submit`.
+    pub fn new(submit: &SubmitRequest, status: StatusCode, headers: &HeaderMap) -> Self {
+        let is_empty = submit.method == Method::HEAD.as_str()
+            || status == StatusCode::NO_CONTENT
+            || status == StatusCode::NOT_MODIFIED;
+        let length = headers.get(CONTENT_LENGTH);
+        let announced = length.and_then(|value| value.to_str().ok()?.parse().ok());
+        Self {
+            announced: announced.filter(|_| !is_empty),
+            needs_last_event: submit.model.is_some() && is_event_stream(headers),
+            ..Self::default()
+        }
+    }
+
+    /// Takes the next bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
+        self.length += bytes.len() as u64;
+        if self.needs_last_event {
+            self.tail.extend_from_slice(bytes);
+            let surplus = self.tail.len().saturating_sub(TAIL_BYTES);
+            self.tail.drain(..surplus);
+        }
+    }
+
+    /// Checks a body that takes no more bytes.
+    ///
+    /// # Errors
+    /// `EndpointFailed` when bytes are missing.
+    pub fn finish(&self) -> fault::Result<()> {
+        let is_long_enough = self.announced.is_none_or(|length| length == self.length);
+        let has_last_event = self.tail.trim_ascii_end().ends_with(LAST_EVENT);
+        if is_long_enough && (has_last_event || !self.needs_last_event) {
+            return Ok(());
+        }
+        Err(FaultKind::EndpointFailed.because("the endpoint's answer breaks off"))
+    }
+}
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -6,12 +6,14 @@
 //! * [`admission`]: from a submitted attempt to its start or refusal.
 //! * [`session`]: the answer of one attempt on its way to the entry.
 //! * [`run`]: one attempt at the endpoint.
+//! * [`body`]: whether the body of an answer has come to its end.
 //! * [`endpoint`]: the endpoint itself: calls, health, crashes.
 //! * [`orders`]: fenced orders to the endpoint.
 //! * [`report`]: what an attempt leaves behind: claim, decision record, metrics.
 //! * [`http`]: health, metrics and decisions.
 
 pub mod admission;
+pub mod body;
 pub mod control;
 pub mod core;
 pub mod endpoint;
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -10,6 +10,7 @@
 use wire::answer::AnswerHead;
 use wire::command::RecordedAnswer;
 
+use crate::body::BodyCheck;
 use crate::core::AgentCore;
 use crate::endpoint::{self, EndpointResponse};
 use crate::session::AttemptSession;
@@ -122,8 +123,10 @@
         0
     };
     let is_stream = endpoint::is_event_stream(response.headers());
+    let mut check = BodyCheck::new(&session.submit, response.status(), response.headers());
     let mut recorded = Some(BytesMut::new());
     while let Some(part) = next_part(response, is_stream).await? {
+        check.push(&part);
         if recorded
             .as_ref()
             .is_some_and(|kept| kept.len() + part.len() > limit)
@@ -136,6 +139,7 @@
         session.push_bytes(part);
         session.wait_for_room().await?;
     }
+    check.finish()?;
     Ok(recorded.map(BytesMut::freeze))
 }
 
