--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -15,6 +15,8 @@
 use settings::history::MAX_TREE_BYTES;
 use settings::operator::{ChangeRequest, DEFAULT_HISTORY_LIMIT, FaultReply, parse_fingerprint};
 use tokio::sync::{mpsc, oneshot};
+use watch::FleetStatus;
+use watch::page::{PAGE_CONTENT_TYPE, PAGE_POLICY, render};
 use wire::id::{FingerprintHash, SettingsVersion};
 
 use crate::node::ControlNode;
@@ -137,6 +139,7 @@
         .route("/operator/history", web::get().to(get_history))
         .route("/operator/diff", web::get().to(get_diff))
         .route("/operator/status", web::get().to(get_status))
+        .route("/status", web::get().to(get_status_page))
         .route("/operator/quarantine", web::get().to(get_quarantine))
         .route(
             "/operator/quarantine/{fingerprint}",
@@ -189,6 +192,22 @@
     ask(&request, &queue, OperatorAction::Status).await
 }
 
+/// The status page. A browser is asked for the key as a password.
+async fn get_status_page(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
+    let answer = ask_node(&request, &queue, OperatorAction::Status).await;
+    let status = answer.map(serde_json::from_value::<FleetStatus>);
+    match status {
+        Ok(Ok(status)) => HttpResponse::Ok()
+            .content_type(PAGE_CONTENT_TYPE)
+            .insert_header(("content-security-policy", PAGE_POLICY))
+            .body(render(&status)),
+        Ok(Err(error)) => fault_response(&FaultKind::Internal.because(error.to_string())),
+        Err(fault) => HttpResponse::Unauthorized()
+            .insert_header(("www-authenticate", "Basic realm=\"operators\""))
+            .body(fault.message),
+    }
+}
+
 async fn get_quarantine(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
     ask(&request, &queue, OperatorAction::Quarantine).await
 }
@@ -205,6 +224,17 @@
 }
 
 async fn ask(request: &HttpRequest, queue: &OperatorQueue, action: OperatorAction) -> HttpResponse {
+    match ask_node(request, queue, action).await {
+        Ok(value) => HttpResponse::Ok().json(value),
+        Err(fault) => fault_response(&fault),
+    }
+}
+
+async fn ask_node(
+    request: &HttpRequest,
+    queue: &OperatorQueue,
+    action: OperatorAction,
+) -> fault::Result<Value> {
     let header = request.headers().get("authorization");
     let (answer, answered) = oneshot::channel();
     let sent = queue
@@ -214,15 +244,9 @@
             answer,
         })
         .await;
-    let result = match sent {
-        Ok(()) => answered.await.ok(),
-        Err(_) => None,
-    };
-    match result {
-        Some(Ok(value)) => HttpResponse::Ok().json(value),
-        Some(Err(fault)) => fault_response(&fault),
-        None => fault_response(&FaultKind::Draining.because("the node is stopping")),
-    }
+    let stopping = || FaultKind::Draining.because("the node is stopping");
+    sent.map_err(|_| stopping())?;
+    answered.await.map_err(|_| stopping())?
 }
 
 fn fault_response(fault: &Fault) -> HttpResponse {
--- a/crates/entry/src/operator.rs
+++ b/crates/entry/src/operator.rs
@@ -130,7 +130,8 @@
         Ok(()) => {
             let page = watch::page::render(&fleet_status(&core));
             HttpResponse::Ok()
-                .content_type("text/html; charset=utf-8")
+                .content_type(watch::page::PAGE_CONTENT_TYPE)
+                .insert_header(("content-security-policy", watch::page::PAGE_POLICY))
                 .body(page)
         }
         Err(fault) => HttpResponse::Unauthorized()
