--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -124,7 +124,13 @@
     }
     state.runs.fetch_add(1, Ordering::Relaxed);
     let (cached, total) = touch_cache(&state, &prompt);
-    let run = EngineRun::new(state, &request, cached * BLOCK_TOKENS, total * BLOCK_TOKENS);
+    let run = EngineRun::new(
+        state,
+        &request,
+        &prompt,
+        cached * BLOCK_TOKENS,
+        total * BLOCK_TOKENS,
+    );
     let mut response = HttpResponse::Ok();
     response.insert_header(("x-cached-tokens", run.cached_tokens.to_string()));
     if request.stream {
@@ -140,6 +146,8 @@
 struct EngineRun {
     state: web::Data<EngineState>,
     model: String,
+    /// Hash of the prompt, by which a caller knows its own answer.
+    prompt: String,
     tokens: u64,
     sent: u64,
     is_done: bool,
@@ -151,6 +159,7 @@
     fn new(
         state: web::Data<EngineState>,
         request: &ChatRequest,
+        prompt: &str,
         cached_tokens: u64,
         prompt_tokens: u64,
     ) -> Self {
@@ -158,6 +167,7 @@
         Self {
             state,
             model: request.model.clone(),
+            prompt: format!("{:016x}", name_id(prompt)),
             tokens: request.max_tokens.unwrap_or(16),
             sent: 0,
             is_done: false,
@@ -188,7 +198,7 @@
         self.sent += 1;
         let choice = json!({"index": 0, "delta": {"content": format!("w{} ", self.sent)}});
         let event = json!({"object": "chat.completion.chunk", "model": self.model,
-            "choices": [choice]});
+            "prompt": self.prompt, "choices": [choice]});
         Some(Bytes::from(format!("data: {event}\n\n")))
     }
 
--- a/crates/fake/tests/stops.rs
+++ b/crates/fake/tests/stops.rs
@@ -1,8 +1,8 @@
 //! Planned stops and settings changes on real processes.
 
 use fake::fleet::TestFleet;
-use fake::fleet::caller::PendingCall;
-use fake::fleet::plan::FleetPlan;
+use fake::fleet::caller::{HttpCall, PendingCall};
+use fake::fleet::plan::{ACCOUNT_KEY, FleetPlan, OPERATOR_KEY};
 use fake::fleet::process::SignalKind;
 use googletest::prelude::*;
 
@@ -39,10 +39,8 @@
     let before = fleet.engine_count(0, "runs");
     let later: Vec<bool> = (0..10)
         .map(|index| {
-            fleet
-                .chat(0, &format!("later {index}"), 2)
-                .send()
-                .is_whole()
+            let later = fleet.chat(0, &format!("later {index}"), 2);
+            later.spawn().finish().is_whole()
         })
         .collect();
     let after = fleet.engine_count(0, "runs");
@@ -122,3 +120,19 @@
     expect_that!(again.body, eq(&first.body), "{}", fleet.logs());
     expect_that!(fleet.placed_orders(), eq(1));
 }
+
+#[gtest]
+fn status_pages_need_an_operator_key() {
+    let fleet = TestFleet::start(&FleetPlan::default());
+
+    for http in [fleet.entries[0].http, fleet.controls[0].http] {
+        let page = HttpCall::get(http, "/status").key(OPERATOR_KEY).send();
+        let refused = HttpCall::get(http, "/status").key(ACCOUNT_KEY).send();
+
+        expect_that!(page.status, eq(200), "{}", fleet.logs());
+        expect_that!(page.text(), contains_substring("engine-0"));
+        expect_that!(page.header("content-security-policy"), not(eq("")));
+        expect_that!(refused.status, eq(401));
+        expect_that!(refused.text(), not(contains_substring("engine-0")));
+    }
+}
--- a/crates/watch/src/usage.rs
+++ b/crates/watch/src/usage.rs
@@ -24,10 +24,19 @@
 }
 
 impl ProcessUsage {
-    /// Reads the usage from the proc file system; zero where it has none.
+    /// Usage of this process from the proc file system; zero where it has none.
     pub fn read() -> Self {
-        let stat = fs::read_to_string("/proc/self/stat").unwrap_or_default();
-        let status = fs::read_to_string("/proc/self/status").unwrap_or_default();
+        Self::of_folder("/proc/self")
+    }
+
+    /// Usage of another process.
+    pub fn of_process(id: u32) -> Self {
+        Self::of_folder(&format!("/proc/{id}"))
+    }
+
+    fn of_folder(folder: &str) -> Self {
+        let stat = fs::read_to_string(format!("{folder}/stat")).unwrap_or_default();
+        let status = fs::read_to_string(format!("{folder}/status")).unwrap_or_default();
         Self {
             processor_time: parse_processor_time(&stat).unwrap_or_default(),
             resident_bytes: parse_resident_bytes(&status).unwrap_or_default(),
