Publish and look at the quorum only when there is something new

Every tick and message cloned the set of voters and the published lists, and each connection looked ten times a second. What is committed is published when it is applied; a greeted connection looks once a second.

--- a/crates/control/src/propose.rs
+++ b/crates/control/src/propose.rs
@@ -99,9 +99,9 @@
 impl ControlQuorum {
     /// The leader, when it is another instance.
     fn leader(&self) -> Option<InstanceId> {
-        let status = self.status();
-        let leader = status.leader?.instance;
-        (leader != status.own.instance).then_some(leader)
+        let core = self.core.borrow();
+        let leader = core.leader()?.instance;
+        self.others.contains_key(&leader).then_some(leader)
     }
 }
 
--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -105,10 +105,7 @@
 
     /// Time since a quorum confirmed that what is applied here is the latest, at most.
     fn confirmed_age(&self) -> Option<Duration> {
-        let core = self.core.borrow();
-        let status = core.status();
-        let age = core.confirmed_age(self.now());
-        age.filter(|_| status.applied == status.commit)
+        self.core.borrow().confirmed_age(self.now())
     }
 
     /// Sends a message to every other instance of the quorum.
@@ -234,16 +231,20 @@
 
     /// Carries out what the consensus decided.
     pub(crate) fn run_actions(&self) {
+        let mut changed = false;
         loop {
             let actions = self.quorum.core.borrow_mut().take_actions();
             if actions.is_empty() {
                 break;
             }
             for action in actions {
+                changed |= changes_state(&action);
                 self.run_action(action);
             }
         }
-        self.publish();
+        if changed {
+            self.publish();
+        }
     }
 
     fn run_action(&self, action: ReplicaAction) {
@@ -330,6 +331,10 @@
     }
 }
 
+fn changes_state(action: &ReplicaAction) -> bool {
+    matches!(action, ReplicaAction::Apply(_) | ReplicaAction::Restore(_))
+}
+
 pub(crate) fn no_quorum() -> Fault {
     FaultKind::ControlUnreachable.because("no control quorum answered")
 }
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -21,8 +21,10 @@
 /// Time between two confirmations of the settings.
 const CONFIRMATION_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Time between two looks at the quorum's confirmation.
+/// Time between two looks at the quorum's confirmation before a connection is greeted.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(100);
+/// Time between two looks at it afterwards.
+const WATCH_INTERVAL: Duration = Duration::from_secs(1);
 /// Time without a quorum after which entries and agents are sent away.
 const UNCONFIRMED_LIMIT: Duration = Duration::from_secs(4);
 
@@ -145,7 +147,12 @@
             }
             node.peers.borrow_mut().push(Rc::clone(peer));
         }
-        sleep(CONFIRM_INTERVAL).await;
+        let pause = if greeted {
+            WATCH_INTERVAL
+        } else {
+            CONFIRM_INTERVAL
+        };
+        sleep(pause).await;
     }
 }
 
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -219,8 +219,21 @@
         self.log.members().1.contains(self.own)
     }
 
-    /// Time since a quorum confirmed that what this member has committed is the latest, at most.
+    /// The leader that this member knows.
+    pub fn leader(&self) -> Option<MemberKey> {
+        self.leader
+    }
+
+    /// Time since a quorum confirmed that what this member has applied is the latest, at most.
     pub fn confirmed_age(&self, now: Duration) -> Option<Duration> {
+        if self.applied < self.commit {
+            return None;
+        }
+        self.commit_age(now)
+    }
+
+    /// Time since a quorum confirmed that what this member knows to be committed is the latest.
+    pub(crate) fn commit_age(&self, now: Duration) -> Option<Duration> {
         let at = match &self.role {
             ReplicaRole::Leader(state) if self.commit >= state.first_index => {
                 Some(state.confirmed.1)
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -152,7 +152,7 @@
             entries,
             commit: self.commit,
             round: state.round,
-            confirmed_age: self.confirmed_age(self.now),
+            confirmed_age: self.commit_age(self.now),
             echo: peer.stamp,
         };
         if let Some(peer) = self.peer(member) {
