--- a/crates/control/src/propose.rs
+++ b/crates/control/src/propose.rs
@@ -6,7 +6,7 @@
 use replica::ReplicaError;
 use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout};
-use wire::codec;
+use wire::codec::{self, MAX_MESSAGE_BYTES};
 use wire::command::{ControlCommand, ControlReply, StampedCommand};
 use wire::id::InstanceId;
 
@@ -18,6 +18,9 @@
 /// Longest wait for the quorum's decision on a proposal, over all tries.
 const DECISION_LIMIT: Duration = Duration::from_millis(2500);
 
+/// Largest encoded command. An entry must fit into a message between the instances.
+const MAX_COMMAND_BYTES: usize = MAX_MESSAGE_BYTES / 2;
+
 /// A try to commit a command.
 enum TryOutcome {
     Decided(ControlReply),
@@ -72,11 +75,9 @@
             command: command.clone(),
         };
         let bytes = match codec::encode(&stamped) {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                let fault = FaultKind::OversizedBody.because(error.to_string());
-                return TryOutcome::Decided(ControlReply::Refused(fault));
-            }
+            Ok(bytes) if bytes.len() <= MAX_COMMAND_BYTES => bytes,
+            Ok(bytes) => return oversized(format!("the command has {} bytes", bytes.len())),
+            Err(error) => return oversized(error.to_string()),
         };
         let now = self.quorum.now();
         let proposed = self.quorum.core.borrow_mut().propose(now, bytes);
@@ -105,6 +106,12 @@
     }
 }
 
+fn oversized(reason: String) -> TryOutcome {
+    TryOutcome::Decided(ControlReply::Refused(
+        FaultKind::OversizedBody.because(reason),
+    ))
+}
+
 fn refusal(error: &ReplicaError) -> TryOutcome {
     let kind = match error {
         ReplicaError::NotLeader { .. } | ReplicaError::HandingOver => FaultKind::ControlUnreachable,
