Measure the overhead of the path, and test what faulty callers are told

Cause: nothing compared the path with a direct call, and the stated behaviour of faulty callers had no test. Both run on real processes by the harness.

Four tests: eleven kinds of faulty call, a caller that leaves midway, a slow body, a plain call passed through untouched.

--- a/crates/fake/src/fleet/caller.rs
+++ b/crates/fake/src/fleet/caller.rs
@@ -72,6 +72,13 @@
         .header("content-type", "application/json")
     }
 
+    /// Replaces the body by these bytes.
+    #[must_use]
+    pub fn body(mut self, bytes: impl Into<Vec<u8>>) -> Self {
+        self.body = bytes.into();
+        self
+    }
+
     /// Adds a header.
     #[must_use]
     pub fn header(mut self, name: &str, value: &str) -> Self {
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -5,6 +5,7 @@
 //! * [`reuse`]: how much of the reusable prefixes returning chats find warm.
 //! * [`faults`](measure::faults): what must never happen, under fuzzed faults.
 //! * [`control`]: what the nodes spend to coordinate.
+//! * [`overhead`]: what the path through entry and agent adds to a direct call.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: one policy on one request sequence.
 //! * [`workload`], [`fleet`], [`cache`], [`plane`]: the sequence, the endpoints, their caches, and
@@ -15,6 +16,7 @@
 mod cache;
 mod control;
 mod fleet;
+mod overhead;
 mod plane;
 mod policy;
 mod reuse;
@@ -48,6 +50,7 @@
     Reuse(reuse::ReuseArgs),
     Control(control::ControlArgs),
     Faults(faults::FaultsArgs),
+    Overhead(overhead::OverheadArgs),
 }
 
 /// Whether the bound of a run holds.
@@ -83,6 +86,7 @@
         MeasureCommand::Skew(args) => skew::run(&args),
         MeasureCommand::Reuse(args) => reuse::run(&args),
         MeasureCommand::Control(args) => control::run(&args),
+        MeasureCommand::Overhead(args) => overhead::run(&args),
         MeasureCommand::Faults(args) => BoundVerdict::of(faults::run(&args)),
     }
 }
