Apply changes in place, with the edits that undo them

Cause: accepting a change cloned the tree, compared all of it to find the undo edits and dropped the old one. Each edit now gives its inverse as it is applied; a change that is refused by the checks is undone.

--- a/crates/settings/src/diff.rs
+++ b/crates/settings/src/diff.rs
@@ -4,6 +4,7 @@
 use wire::command::SettingEdit;
 
 use crate::path::SettingPath;
+use crate::tree::edit_of;
 
 /// The edits that lead from `old` to `new`, in the order of their paths.
 ///
@@ -17,7 +18,7 @@
 
 fn collect(path: &SettingPath, old: &Table, new: &Table, edits: &mut Vec<SettingEdit>) {
     for key in old.keys().filter(|key| !new.contains_key(*key)) {
-        edits.push(edit(&path.child(key), None));
+        edits.push(edit_of(&path.child(key), None));
     }
     for (key, value) in new {
         let child = path.child(key);
@@ -26,18 +27,11 @@
             (Some(Value::Table(before)), Value::Table(after)) => {
                 collect(&child, before, after, edits);
             }
-            _ => edits.push(edit(&child, Some(value))),
+            _ => edits.push(edit_of(&child, Some(value))),
         }
     }
 }
 
-fn edit(path: &SettingPath, value: Option<&Value>) -> SettingEdit {
-    SettingEdit {
-        path: path.to_string(),
-        value: value.map(ToString::to_string),
-    }
-}
-
 /// One line for an edit, for example `services.redaction.load_bound = 1.5`.
 pub fn edit_line(edit: &SettingEdit) -> String {
     match &edit.value {
--- a/crates/settings/src/history.rs
+++ b/crates/settings/src/history.rs
@@ -132,7 +132,7 @@
         }
         let decision = self.decide(change);
         let answer = match decision {
-            Ok(tree) => ChangeAnswer::Accepted(self.commit(change, tree, time)),
+            Ok(undo) => ChangeAnswer::Accepted(self.commit(change, undo, time)),
             Err(fault) => ChangeAnswer::Refused(shortened(fault)),
         };
         self.answers.record(change, answer.clone());
@@ -215,15 +215,25 @@
         ensure(tree == self.tree, "the records do not lead to the tree")
     }
 
-    fn decide(&self, change: &SettingsChange) -> Result<SettingsTree> {
+    /// Changes the tree, or leaves it as it is; returns the edits that undo the change.
+    fn decide(&mut self, change: &SettingsChange) -> Result<Vec<SettingEdit>> {
         self.check_base(change)?;
-        let tree = self.tree.edited(&change.edits).map_err(invalid)?;
-        tree.resolve(self.version + 1).map_err(invalid)?;
-        if tree.to_text().len() > MAX_TREE_BYTES {
+        let undo = self.tree.edit(&change.edits).map_err(invalid)?;
+        if let Err(fault) = self.check_tree() {
+            let restored = self.tree.edit(&undo);
+            debug_assert!(restored.is_ok(), "a change can be undone");
+            return Err(fault);
+        }
+        Ok(undo)
+    }
+
+    fn check_tree(&self) -> Result<()> {
+        self.tree.resolve(self.version + 1).map_err(invalid)?;
+        if self.tree.to_text().len() > MAX_TREE_BYTES {
             let message = format!("the tree would exceed {MAX_TREE_BYTES} bytes");
             return Err(FaultKind::InvalidSettings.because(message));
         }
-        Ok(tree)
+        Ok(())
     }
 
     /// Refuses a change that was based on something that is not so any more.
@@ -252,12 +262,10 @@
     fn commit(
         &mut self,
         change: &SettingsChange,
-        tree: SettingsTree,
+        undo: Vec<SettingEdit>,
         time: Duration,
     ) -> SettingsVersion {
-        let undo = tree.diff(&self.tree);
         self.version += 1;
-        self.tree = tree;
         let record = ChangeRecord {
             version: self.version,
             base: change.base,
--- a/crates/settings/src/tree.rs
+++ b/crates/settings/src/tree.rs
@@ -65,22 +65,28 @@
         Ok(tree)
     }
 
-    /// Applies edits in place; some of them when there is a fault.
+    /// Applies all edits in place, or none, and returns the edits that undo them.
     ///
     /// # Errors
     /// Every edit whose path or value is faulty.
-    pub(crate) fn edit(&mut self, edits: &[SettingEdit]) -> Result<()> {
+    pub(crate) fn edit(&mut self, edits: &[SettingEdit]) -> Result<Vec<SettingEdit>> {
+        let mut undo = Vec::new();
         let mut faults = Vec::new();
         for edit in edits {
-            if let Err(fault) = self.apply(edit) {
-                faults.push(fault);
+            match self.apply(edit) {
+                Ok(inverse) => undo.push(inverse),
+                Err(fault) => faults.push(fault),
             }
         }
+        undo.reverse();
         if faults.is_empty() {
-            Ok(())
-        } else {
-            Err(faults)
+            return Ok(undo);
+        }
+        for inverse in &undo {
+            let restored = self.apply(inverse);
+            debug_assert!(restored.is_ok(), "an edit can be undone");
         }
+        Err(faults)
     }
 
     /// The edits that lead from this tree to `other`.
@@ -120,52 +126,60 @@
         }
     }
 
-    fn apply(&mut self, edit: &SettingEdit) -> std::result::Result<(), SettingFault> {
+    /// Applies one edit and returns the one that undoes it; a faulty one changes nothing.
+    fn apply(&mut self, edit: &SettingEdit) -> std::result::Result<SettingEdit, SettingFault> {
         let path = SettingPath::parse(&edit.path)?;
         let Some((last, parents)) = path.split_last() else {
             return Err(fault(&edit.path, "names no value or branch"));
         };
         match &edit.value {
-            None => self.remove(&edit.path, last, parents),
-            Some(literal) => self.insert(&edit.path, last, parents, literal),
+            None => self.remove(&path, last, parents),
+            Some(literal) => self.insert(&path, last, parents, literal),
         }
     }
 
     fn remove(
         &mut self,
-        path: &str,
+        path: &SettingPath,
         last: &str,
         parents: &[String],
-    ) -> std::result::Result<(), SettingFault> {
-        let absent = || fault(path, "is not set, so that it cannot be removed");
+    ) -> std::result::Result<SettingEdit, SettingFault> {
+        let absent = || path_fault(path, "is not set, so that it cannot be removed");
         let mut table = &mut self.root;
         for key in parents {
             let next = table.get_mut(key).ok_or_else(absent)?;
             table = next.as_table_mut().ok_or_else(absent)?;
         }
-        table.remove(last).map(|_| ()).ok_or_else(absent)
+        let value = table.remove(last).ok_or_else(absent)?;
+        Ok(edit_of(path, Some(&value)))
     }
 
     fn insert(
         &mut self,
-        path: &str,
+        path: &SettingPath,
         last: &str,
         parents: &[String],
         literal: &str,
-    ) -> std::result::Result<(), SettingFault> {
+    ) -> std::result::Result<SettingEdit, SettingFault> {
         let value = parse_literal(literal)
-            .ok_or_else(|| fault(path, &format!("`{literal}` is no TOML value")))?;
+            .ok_or_else(|| path_fault(path, format!("`{literal}` is no TOML value")))?;
+        // The topmost branch that this edit makes.
+        let mut made = None;
         let mut table = &mut self.root;
-        for key in parents {
-            let next = table
-                .entry(key.as_str())
-                .or_insert_with(|| Value::Table(Table::new()));
+        for (depth, key) in parents.iter().enumerate() {
+            let next = table.entry(key.as_str()).or_insert_with(|| {
+                made.get_or_insert(depth + 1);
+                Value::Table(Table::new())
+            });
             table = next
                 .as_table_mut()
-                .ok_or_else(|| fault(path, &format!("`{key}` is a value, not a branch")))?;
+                .ok_or_else(|| path_fault(path, format!("`{key}` is a value, not a branch")))?;
         }
-        table.insert(last.to_owned(), value);
-        Ok(())
+        let before = table.insert(last.to_owned(), value);
+        Ok(match made {
+            Some(depth) => edit_of(&path.prefix(depth), None),
+            None => edit_of(path, before.as_ref()),
+        })
     }
 }
 
@@ -197,6 +211,21 @@
     table.is_empty().then_some(value)
 }
 
+/// The edit that sets or removes the value at `path`.
+pub(crate) fn edit_of(path: &SettingPath, value: Option<&Value>) -> SettingEdit {
+    SettingEdit {
+        path: path.to_string(),
+        value: value.map(ToString::to_string),
+    }
+}
+
+fn path_fault(path: &SettingPath, reason: impl Into<String>) -> SettingFault {
+    SettingFault {
+        path: path.to_string(),
+        reason: reason.into(),
+    }
+}
+
 fn fault(path: &str, reason: &str) -> SettingFault {
     SettingFault {
         path: path.to_owned(),
--- a/crates/settings/tests/checks.rs
+++ b/crates/settings/tests/checks.rs
@@ -1,9 +1,12 @@
 //! Checks of the tree: every fault at once, each with its path.
 
+use std::time::Duration;
+
+use fault::FaultKind;
 use googletest::prelude::*;
 use settings::schema::{DefaultValue, KeySpec, ValueForm};
-use settings::{FleetSettings, SettingsTree, keys};
-use wire::command::SettingEdit;
+use settings::{FleetSettings, SettingsHistory, SettingsTree, keys};
+use wire::command::{SettingEdit, SettingsChange};
 
 const SOUND: &str = r#"
 load_aim = 1.2
@@ -225,6 +228,45 @@
     insta::assert_snapshot!(lines.join("\n"));
 }
 
+#[gtest]
+fn refused_change_leaves_the_tree_as_it_was() {
+    let mut history = SettingsHistory::default();
+    let first = SettingsHistory::first_change(&tree(SOUND));
+    history.accept(&first, Duration::ZERO).expect("accepted");
+    let edit = |path: &str, value: Option<&str>| SettingEdit {
+        path: path.to_owned(),
+        value: value.map(str::to_owned),
+    };
+    let faulty = vec![
+        edit("services.new.models.m.version", Some("'1'")),
+        edit("services.new.models.m.version", Some("'2'")),
+        edit("accounts.quimper", None),
+        edit("accounts.quimper.concurrency", Some("3")),
+        edit("load_aim", Some("1.3")),
+        edit("load_aim", None),
+    ];
+    let mut unfit = faulty.clone();
+    unfit.push(edit("services.gone", None));
+
+    for (id, edits) in [("faulty", faulty), ("unfit", unfit)] {
+        let change = SettingsChange {
+            change_id: id.to_owned(),
+            base: 1,
+            operator: "anna".to_owned(),
+            edits,
+        };
+        let answer = history.accept(&change, Duration::ZERO);
+
+        expect_that!(
+            answer.expect_err("refused").kind,
+            eq(FaultKind::InvalidSettings),
+            "{id}"
+        );
+        expect_that!(history.tree(), eq(&tree(SOUND)), "{id}");
+        expect_that!(history.verify(), ok(anything()), "{id}");
+    }
+}
+
 /// A valid value of this form that is not the default.
 fn other_value(key: &KeySpec) -> Option<String> {
     let value = match (key.form, key.default) {
