--- a/crates/control/tests/race.rs
+++ b/crates/control/tests/race.rs
@@ -58,7 +58,7 @@
         let threads: Vec<_> = (0..OPERATORS)
             .map(|operator| scope.spawn(move || send(operator)))
             .collect();
-        let answers = threads.into_iter().map(|thread| thread.join());
+        let answers = threads.into_iter().map(thread::ScopedJoinHandle::join);
         answers.map(|answer| answer.expect("no panic")).collect()
     })
 }
