--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -23,11 +23,18 @@
 
 use crate::error::{Result, ensure};
 
-/// Bounds of the table. Equal at every replica: they travel with the snapshot.
+/// Longest idempotency key in bytes.
+pub const MAX_KEY_BYTES: usize = 255;
+/// Bytes that a record takes in a snapshot beside its key, which may stand there twice.
+const RECORD_BYTES: usize = 160;
+/// Bytes that a spent key takes in a snapshot.
+const SPENT_BYTES: usize = 40;
+
+/// Bounds of the table, such that it fits into a snapshot together with the settings. Equal at every replica: they travel with the snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimLimits {
-    /// Keys kept, spent ones included. New keys are refused beyond.
-    pub keys: usize,
+    /// Bytes of all keys kept, spent ones included. New keys are refused beyond.
+    pub key_bytes: usize,
     /// Bytes of recorded answers together. The oldest bodies are dropped beyond.
     pub answer_bytes: usize,
     /// Bytes of one recorded answer. A larger one is recorded without its body.
@@ -43,8 +50,8 @@
 impl Default for ClaimLimits {
     fn default() -> Self {
         Self {
-            keys: 500_000,
-            answer_bytes: 64 * 1024 * 1024,
+            key_bytes: 6 * 1024 * 1024,
+            answer_bytes: 4 * 1024 * 1024,
             one_answer_bytes: 1024 * 1024 + 64 * 1024,
             min_retention: Duration::from_secs(10 * 60),
             max_retention: Duration::from_secs(366 * 24 * 60 * 60),
@@ -104,6 +111,8 @@
     bodies: VecDeque<ClaimKey>,
     /// Bytes of all recorded answers.
     answer_bytes: usize,
+    /// Bytes of all keys in `records`.
+    record_bytes: usize,
 }
 
 /// What a snapshot holds; the rest of the table follows from it.
@@ -138,6 +147,7 @@
                 .map(|(key, r)| (r.due, key.clone()))
                 .collect(),
             answer_bytes: records.values().map(ClaimRecord::answer_bytes).sum(),
+            record_bytes: records.keys().map(record_bytes).sum(),
             spent_due: spent.iter().map(|(key, due)| (*due, *key)).collect(),
             limits: snapshot.limits,
             now: snapshot.now,
@@ -163,6 +173,10 @@
     header_bytes + answer.body.as_ref().map_or(0, Bytes::len)
 }
 
+fn record_bytes(claim: &ClaimKey) -> usize {
+    RECORD_BYTES + 2 * claim.key.len()
+}
+
 impl ClaimTable {
     /// An empty table with these bounds.
     pub fn new(limits: ClaimLimits) -> Self {
@@ -290,6 +304,11 @@
             .count()
     }
 
+    /// Bytes of all keys kept, spent ones included.
+    pub fn key_bytes(&self) -> usize {
+        self.record_bytes + SPENT_BYTES * self.spent.len()
+    }
+
     /// Bytes of all recorded answers.
     pub fn answer_bytes(&self) -> usize {
         self.answer_bytes
@@ -321,7 +340,12 @@
         }
         let bytes: usize = self.records.values().map(ClaimRecord::answer_bytes).sum();
         ensure(bytes == self.answer_bytes, "recorded bytes are counted")?;
-        ensure(self.len() <= self.limits.keys, "keys are bounded")?;
+        let kept: usize = self.records.keys().map(record_bytes).sum();
+        ensure(kept == self.record_bytes, "bytes of keys are counted")?;
+        ensure(
+            self.key_bytes() <= self.limits.key_bytes,
+            "keys are bounded",
+        )?;
         ensure(
             bytes <= self.limits.answer_bytes,
             "recorded bytes are bounded",
@@ -329,9 +353,17 @@
     }
 
     fn grant_new(&mut self, request: &ClaimRequest) -> ControlReply {
-        if self.len() >= self.limits.keys {
+        if request.claim.key.len() > MAX_KEY_BYTES {
+            return refuse(
+                FaultKind::MalformedRequest,
+                "the idempotency key is too long",
+            );
+        }
+        let cost = record_bytes(&request.claim);
+        if self.key_bytes() + cost > self.limits.key_bytes {
             return refuse(FaultKind::StoreFull, "too many idempotency keys are kept");
         }
+        self.record_bytes += cost;
         let (min, max) = (self.limits.min_retention, self.limits.max_retention);
         let retention = request.retention.clamp(min, max);
         let record = ClaimRecord {
@@ -391,9 +423,10 @@
                 self.due.insert((record.due, claim.clone()));
                 self.records.insert(claim, record);
             }
-            ClaimState::Released => {}
+            ClaimState::Released => self.record_bytes -= record_bytes(&claim),
             ClaimState::Ran(_) | ClaimState::Unknown => {
                 self.answer_bytes -= record.answer_bytes();
+                self.record_bytes -= record_bytes(&claim);
                 let key = spent_key(&claim);
                 let forget = due + self.limits.spent_for;
                 self.spent.insert(key, forget);
--- a/crates/claim/src/suspects.rs
+++ b/crates/claim/src/suspects.rs
@@ -28,6 +28,9 @@
 /// Crashes held against a request whose quarantine is over: the next one leads back.
 const CRASHES_AFTER_QUARANTINE: u32 = CRASHES_TO_QUARANTINE - 1;
 
+/// Counted crashes that are remembered for each recorded request.
+const COUNTED_FACTOR: usize = 4;
+
 /// Bounds of the table. Equal at every replica: they travel with the snapshot.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SuspectLimits {
@@ -113,6 +116,10 @@
             if self.counted.insert(crash, forget).is_none() {
                 self.count_crash(*fingerprint, endpoint);
             }
+            if self.counted.len() > COUNTED_FACTOR * self.limits.requests {
+                // Endpoints crash without end: a resent report may count again then.
+                self.counted.pop_first();
+            }
         }
         ControlReply::Recorded
     }
@@ -231,6 +238,8 @@
                 "a request that crashed often enough is quarantined",
             )?;
         }
+        let counted = COUNTED_FACTOR * self.limits.requests;
+        ensure(self.counted.len() <= counted, "counted crashes are bounded")?;
         ensure(
             self.rows.len() <= self.limits.requests,
             "requests are bounded",
--- a/crates/claim/tests/claims.rs
+++ b/crates/claim/tests/claims.rs
@@ -208,7 +208,8 @@
 #[gtest]
 fn keys_and_answers_are_bounded() {
     let limits = ClaimLimits {
-        keys: 3,
+        // A key of one letter takes 162 bytes.
+        key_bytes: 3 * 162,
         answer_bytes: 100,
         one_answer_bytes: 60,
         ..ClaimLimits::default()
@@ -239,6 +240,53 @@
     expect_that!(table.verify(), ok(anything()));
 }
 
+#[gtest]
+fn an_oversized_key_is_refused() {
+    let mut table = ClaimTable::default();
+    let long = ClaimRequest {
+        claim: ClaimKey {
+            account: 1,
+            key: "x".repeat(256),
+        },
+        ..request(1, 1)
+    };
+
+    let reply = table.claim(START, &long);
+
+    expect_that!(kind(&reply), some(eq(FaultKind::MalformedRequest)));
+    expect_that!(table.is_empty(), eq(true));
+}
+
+#[gtest]
+fn a_full_table_leaves_room_for_the_settings_in_a_snapshot() {
+    let mut table = ClaimTable::default();
+    let mut index: u128 = 0;
+    loop {
+        index += 1;
+        let claim = ClaimRequest {
+            claim: ClaimKey {
+                account: u64::MAX,
+                key: format!("{index:036}"),
+            },
+            attempt: attempt(u128::MAX - index, u32::MAX),
+            fingerprint: u64::MAX,
+            endpoint: u64::MAX,
+            ..request(index, 1)
+        };
+        if table.claim(START, &claim) != ControlReply::ClaimGranted {
+            break;
+        }
+        let body = Some(answer(200));
+        table.finish(START, &claim.claim, claim.attempt, RunOutcome::Ran, body);
+    }
+
+    let snapshot = postcard::to_stdvec(&table).unwrap();
+
+    expect_that!(index, gt(20_000));
+    expect_that!(snapshot.len(), lt(wire::codec::MAX_MESSAGE_BYTES * 2 / 3));
+    expect_that!(table.verify(), ok(anything()));
+}
+
 #[gtest]
 fn a_snapshot_keeps_everything() {
     let mut table = finished(RunOutcome::Ran);
--- a/crates/measure/src/faults/quorum.rs
+++ b/crates/measure/src/faults/quorum.rs
@@ -5,12 +5,11 @@
 
 use std::time::Duration;
 
-use claim::{ClaimLimits, ClaimTable, SuspectTable};
+use claim::{ClaimLimits, ClaimTable};
+use control::state::ControlState;
 use fault::Fault;
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
-use serde::{Deserialize, Serialize};
-use settings::SettingsHistory;
 use wire::command::{ControlCommand, ControlReply, StampedCommand};
 use wire::id::SettingsVersion;
 
@@ -20,87 +19,23 @@
 const LOSS_SHARE: f64 = 0.08;
 /// Share of proposals of which a duplicate arrives much later.
 const LATE_SHARE: f64 = 0.05;
-/// Keys that the quorum keeps.
-const KEY_LIMIT: usize = 20_000;
 /// Bytes of recorded answers that the quorum keeps.
 const ANSWER_BYTES: usize = 200_000;
 
-/// What one instance has applied.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-struct InstanceState {
-    claims: ClaimTable,
-    suspects: SuspectTable,
-    history: SettingsHistory,
-    /// Commands applied.
-    applied: usize,
-}
-
-impl InstanceState {
-    fn new() -> Self {
-        let limits = ClaimLimits {
-            keys: KEY_LIMIT,
-            answer_bytes: ANSWER_BYTES,
-            ..ClaimLimits::default()
-        };
-        Self {
-            claims: ClaimTable::new(limits),
-            suspects: SuspectTable::default(),
-            history: SettingsHistory::default(),
-            applied: 0,
-        }
-    }
-
-    fn apply(&mut self, stamped: &StampedCommand) -> ControlReply {
-        self.applied += 1;
-        let time = stamped.time;
-        match &stamped.command {
-            ControlCommand::ChangeSettings(change) => match self.history.accept(change, time) {
-                Ok(version) => ControlReply::SettingsAccepted(version),
-                Err(fault) => ControlReply::Refused(fault),
-            },
-            ControlCommand::ClaimRequest(request) => self.claims.claim(time, request),
-            ControlCommand::FinishClaim {
-                claim,
-                attempt,
-                outcome,
-                answer,
-            } => self
-                .claims
-                .finish(time, claim, *attempt, *outcome, answer.clone()),
-            ControlCommand::AbandonClaims { endpoint } => {
-                self.claims.abandon(time, *endpoint);
-                ControlReply::Recorded
-            }
-            ControlCommand::ReportCrash {
-                endpoint,
-                cache_epoch,
-                suspects,
-            } => self
-                .suspects
-                .report_crash(time, *endpoint, *cache_epoch, suspects),
-            ControlCommand::ClearSuspect { fingerprint } => self.suspects.clear(time, *fingerprint),
-            ControlCommand::LiftQuarantine { fingerprint } => {
-                self.suspects.lift(time, *fingerprint)
-            }
-            ControlCommand::TrySuspect {
-                fingerprint,
-                endpoint,
-                attempt,
-            } => self
-                .suspects
-                .try_suspect(time, *fingerprint, *endpoint, *attempt),
-            ControlCommand::DropTrial {
-                fingerprint,
-                attempt,
-            } => self.suspects.drop_trial(time, *fingerprint, *attempt),
-            ControlCommand::TakeFence { .. } => ControlReply::Recorded,
-        }
-    }
+/// An instance that has applied nothing.
+fn empty_state() -> ControlState {
+    let limits = ClaimLimits {
+        answer_bytes: ANSWER_BYTES,
+        ..ClaimLimits::default()
+    };
+    let mut state = ControlState::default();
+    state.claims = ClaimTable::new(limits);
+    state
 }
 
 /// The control quorum.
 pub struct ControlQuorum {
-    instances: Vec<InstanceState>,
+    instances: Vec<ControlState>,
     /// The instance that is cut off.
     partitioned: Option<usize>,
     /// Commands that the partitioned instance missed.
@@ -114,7 +49,7 @@
 impl Default for ControlQuorum {
     fn default() -> Self {
         Self {
-            instances: (0..INSTANCES).map(|_| InstanceState::new()).collect(),
+            instances: (0..INSTANCES).map(|_| empty_state()).collect(),
             partitioned: None,
             missed: Vec::new(),
             late: Vec::new(),
@@ -191,13 +126,13 @@
 
     /// Version of the settings.
     pub fn version(&self) -> SettingsVersion {
-        self.leader().history.version()
+        self.leader().settings.version()
     }
 
     /// The settings as any instance, also a partitioned one, would send them.
     pub fn update(&self, rng: &mut Pcg64Mcg, held: u64) -> wire::message::SettingsUpdate {
         let index = rng.random_range(0..INSTANCES);
-        self.instances[index].history.update_since(held)
+        self.instances[index].settings.update_since(held)
     }
 
     /// Claims that are held.
@@ -213,7 +148,7 @@
     /// Replicas that differ from the leader, and broken invariants.
     pub fn differences(&self) -> u64 {
         let leader = self.leader();
-        let same = |(index, instance): (usize, &InstanceState)| {
+        let same = |(index, instance): (usize, &ControlState)| {
             Some(index) == self.partitioned || instance == leader
         };
         let differ = self
@@ -222,9 +157,8 @@
             .enumerate()
             .filter(|pair| !same(*pair));
         let mut faults = differ.count() as u64;
-        faults += u64::from(leader.claims.verify().is_err());
-        faults += u64::from(leader.suspects.verify().is_err());
-        faults + u64::from(leader.history.verify().is_err())
+        faults += u64::from(leader.verify().is_err());
+        faults
     }
 
     fn commit(&mut self, command: &ControlCommand) -> ControlReply {
@@ -256,7 +190,7 @@
         }
     }
 
-    fn leader(&self) -> &InstanceState {
+    fn leader(&self) -> &ControlState {
         let index = (0..INSTANCES).find(|index| self.partitioned != Some(*index));
         &self.instances[index.unwrap_or(0)]
     }
@@ -267,7 +201,7 @@
 }
 
 /// The state as it comes back from a snapshot.
-fn reread(state: &InstanceState) -> InstanceState {
-    let bytes = postcard::to_stdvec(state).expect("a state can be encoded");
-    postcard::from_bytes(&bytes).expect("a snapshot can be decoded")
+fn reread(state: &ControlState) -> ControlState {
+    let bytes = state.snapshot().expect("a state can be encoded");
+    ControlState::restore(&bytes).expect("a snapshot can be decoded")
 }
