Split the claim record and the fault model's larger modules

Moves only: the record and its bounds leave the claim table, the steps leave the world, the execution at the endpoint leaves the agent. Tests unchanged but for two paths of imports.

--- a/crates/claim/src/lib.rs
+++ b/crates/claim/src/lib.rs
@@ -3,6 +3,7 @@
 //! Time and messages come in, verdicts go out; nothing here waits, sends or reads a clock.
 //!
 //! * [`claims`]: control's replicated record of non-idempotent requests.
+//! * [`record`]: one claimed request and the bounds of the table that keeps it.
 //! * [`ledger`]: entry: what may still be done, and said, about one request.
 //! * [`attempts`]: agent: which attempts were submitted, may run, or never will.
 //! * [`tail`]: agent: the part of an answer that the entry has not acknowledged.
@@ -17,14 +18,16 @@
 pub mod error;
 pub mod gate;
 pub mod ledger;
+pub mod record;
 pub mod suspects;
 pub mod tail;
 
 pub use assembly::{AnswerAssembly, AssemblyVerdict};
 pub use attempts::{AttemptLimits, AttemptTable, CancelVerdict, ResumeVerdict, SubmitVerdict};
-pub use claims::{ClaimLimits, ClaimTable};
+pub use claims::ClaimTable;
 pub use error::{InvariantFault, Result};
 pub use gate::{GateVerdict, SuspectGate};
 pub use ledger::CallLedger;
+pub use record::{ClaimLimits, ClaimRecord, ClaimState};
 pub use suspects::{SuspectLimits, SuspectRow, SuspectStage, SuspectTable};
 pub use tail::{AnswerTail, TailFault};
--- a/crates/measure/src/faults.rs
+++ b/crates/measure/src/faults.rs
@@ -9,14 +9,18 @@
 //! * [`network`]: frames on their way.
 //! * [`quorum`]: control: a committed log applied by three instances.
 //! * [`agent`]: an agent and its endpoint.
+//! * [`execution`]: what an agent lets its endpoint execute.
 //! * [`entry`]: an entry and its calls.
-//! * [`world`]: the steps.
+//! * [`step`]: what may happen in one step, with its weight.
+//! * [`world`]: everything together.
 
 pub mod agent;
 pub mod entry;
+mod execution;
 pub mod network;
 pub mod oracle;
 pub mod quorum;
+pub mod step;
 pub mod world;
 
 use argh::FromArgs;
--- a/crates/measure/src/faults/agent.rs
+++ b/crates/measure/src/faults/agent.rs
@@ -12,9 +12,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use wire::LinkMessage;
-use wire::answer::{
-    AdmitNotice, AnswerHead, AttemptKey, EndpointLoad, RefuseNotice, SubmitRequest,
-};
+use wire::answer::{AdmitNotice, AttemptKey, EndpointLoad, RefuseNotice, SubmitRequest};
 use wire::command::{ClaimKey, ControlCommand, ControlReply, RecordedAnswer};
 use wire::id::FingerprintHash;
 
@@ -22,12 +20,8 @@
 use crate::faults::oracle::{RunOracle, answer_of};
 use crate::faults::quorum::ControlQuorum;
 
-/// Places of the endpoint.
-const PLACES: usize = 4;
 /// Window of an answer's tail in bytes.
 const WINDOW_BYTES: usize = 64;
-/// Most bytes that an endpoint yields at once.
-const MAX_YIELD_BYTES: usize = 40;
 /// Share of submitted requests that are refused for load.
 const OVERLOAD_SHARE: f64 = 0.05;
 /// Every so many fingerprints belongs to a request that crashes its endpoint.
@@ -39,14 +33,14 @@
 }
 
 /// An attempt as the agent knows it.
-struct AgentRun {
-    fingerprint: FingerprintHash,
-    is_idempotent: bool,
-    claim: Option<ClaimKey>,
-    ends: ConnectionEnds,
-    tail: AnswerTail,
+pub(super) struct AgentRun {
+    pub(super) fingerprint: FingerprintHash,
+    pub(super) is_idempotent: bool,
+    pub(super) claim: Option<ClaimKey>,
+    pub(super) ends: ConnectionEnds,
+    pub(super) tail: AnswerTail,
     /// Bytes that the endpoint has yielded.
-    yielded: usize,
+    pub(super) yielded: usize,
 }
 
 /// What the agent shares with the rest of the world for one step.
@@ -66,21 +60,21 @@
 /// One life of an agent after the other, and its endpoint.
 pub struct ModelAgent {
     /// Index of the agent; its endpoint's id is one more.
-    index: usize,
+    pub(super) index: usize,
     /// The agent's life.
     pub life: u64,
     /// The endpoint's life.
-    epoch: u64,
-    table: AttemptTable,
-    gate: SuspectGate,
-    runs: BTreeMap<AttemptKey, AgentRun>,
-    queue: VecDeque<AttemptKey>,
-    running: Vec<AttemptKey>,
+    pub(super) epoch: u64,
+    pub(super) table: AttemptTable,
+    pub(super) gate: SuspectGate,
+    pub(super) runs: BTreeMap<AttemptKey, AgentRun>,
+    pub(super) queue: VecDeque<AttemptKey>,
+    pub(super) running: Vec<AttemptKey>,
     /// Commands that control has not decided, in order.
-    owed: VecDeque<ControlCommand>,
+    pub(super) owed: VecDeque<ControlCommand>,
     /// Attempts whose failure is told once the crash is recorded.
-    failed: Vec<AttemptKey>,
-    is_draining: bool,
+    pub(super) failed: Vec<AttemptKey>,
+    pub(super) is_draining: bool,
 }
 
 impl ModelAgent {
@@ -343,122 +337,7 @@
         self.pump(context, key);
     }
 
-    fn start_next(&mut self, context: &mut AgentContext) {
-        let Some(key) = self.queue.front().copied() else {
-            return;
-        };
-        let Some(run) = self.runs.get(&key) else {
-            self.queue.pop_front();
-            return;
-        };
-        let fingerprint = run.fingerprint;
-        if self.table.get(key) != Some(AttemptState::Queued) {
-            self.queue.pop_front();
-            return;
-        }
-        match self.gate.check(fingerprint) {
-            GateVerdict::Refuse => {
-                self.queue.pop_front();
-                self.refuse_queued(context, key, FaultKind::Quarantined);
-                return;
-            }
-            GateVerdict::Alone if !self.gate.has_permit(key, fingerprint) => {
-                self.ask_permit(context, key, fingerprint);
-                return;
-            }
-            _ => {}
-        }
-        let is_full = self.running.len() >= PLACES;
-        if is_full || !self.gate.may_start(key, fingerprint) || !self.table.start(key) {
-            return;
-        }
-        self.queue.pop_front();
-        self.start(context, key, fingerprint);
-    }
-
-    fn start(&mut self, context: &mut AgentContext, key: AttemptKey, fingerprint: FingerprintHash) {
-        self.gate.started(key, fingerprint);
-        self.running.push(key);
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
-        context
-            .oracle
-            .start(key, fingerprint, run.is_idempotent, run.claim.as_ref());
-        run.tail.set_head(AnswerHead {
-            key,
-            status: 200,
-            headers: Vec::new(),
-            cached_tokens: 0,
-            queue_wait: std::time::Duration::ZERO,
-        });
-        if is_poison(fingerprint) {
-            context.oracle.crash(fingerprint);
-            self.crash_endpoint(context);
-            return;
-        }
-        self.pump(context, key);
-    }
-
-    fn ask_permit(
-        &mut self,
-        context: &mut AgentContext,
-        key: AttemptKey,
-        fingerprint: FingerprintHash,
-    ) {
-        let command = ControlCommand::TrySuspect {
-            fingerprint,
-            endpoint: Self::endpoint(self.index),
-            attempt: key,
-        };
-        match context.quorum.propose(context.rng, &command) {
-            Some(ControlReply::Recorded) => self.gate.permit(key, fingerprint),
-            Some(ControlReply::Refused(fault)) => {
-                self.queue.pop_front();
-                self.refuse_queued(context, key, fault.kind);
-            }
-            _ => {}
-        }
-    }
-
-    /// The endpoint yields some bytes of an answer, or its end.
-    fn advance(&mut self, context: &mut AgentContext, key: AttemptKey) {
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
-        let answer = answer_of(key);
-        if run.yielded < answer.len() {
-            let most = run.tail.room().min(MAX_YIELD_BYTES);
-            if most == 0 {
-                return;
-            }
-            let size = context.rng.random_range(1..=most);
-            let end = answer.len().min(run.yielded + size);
-            run.tail.push(answer.slice(run.yielded..end));
-            run.yielded = end;
-        } else {
-            self.end(context.now, key);
-        }
-        self.pump(context, key);
-    }
-
-    /// The endpoint has answered whole.
-    fn end(&mut self, now: Instant, key: AttemptKey) {
-        let Some(run) = self.runs.get_mut(&key) else {
-            return;
-        };
-        let fingerprint = run.fingerprint;
-        run.tail.finish(RunOutcome::Ran);
-        self.running.retain(|other| *other != key);
-        self.table.end(now, key, RunOutcome::Ran);
-        if self.gate.ended(fingerprint) {
-            self.owed
-                .push_back(ControlCommand::ClearSuspect { fingerprint });
-        }
-        self.finish_claim(key, RunOutcome::Ran);
-    }
-
-    fn finish_claim(&mut self, key: AttemptKey, outcome: RunOutcome) {
+    pub(super) fn finish_claim(&mut self, key: AttemptKey, outcome: RunOutcome) {
         let claim = self.runs.get(&key).and_then(|run| run.claim.clone());
         let answer = (outcome == RunOutcome::Ran).then(|| RecordedAnswer {
             status: 200,
@@ -476,7 +355,12 @@
     }
 
     /// Refuses an attempt that waits; nothing is said if it does not.
-    fn refuse_queued(&mut self, context: &mut AgentContext, key: AttemptKey, kind: FaultKind) {
+    pub(super) fn refuse_queued(
+        &mut self,
+        context: &mut AgentContext,
+        key: AttemptKey,
+        kind: FaultKind,
+    ) {
         if self.table.refuse(context.now, key, kind) {
             self.settle_refused(context, key, kind);
         }
@@ -509,7 +393,7 @@
     }
 
     /// Sends what the answer has for its connection.
-    fn pump(&mut self, context: &mut AgentContext, key: AttemptKey) {
+    pub(super) fn pump(&mut self, context: &mut AgentContext, key: AttemptKey) {
         let Some(run) = self.runs.get_mut(&key) else {
             return;
         };
--- /dev/null
+++ b/crates/measure/src/faults/execution.rs
@@ -0,0 +1,137 @@
+//! What an agent lets its endpoint execute.
+
+use std::time::Instant;
+
+use claim::GateVerdict;
+use claim::attempts::AttemptState;
+use fault::{FaultKind, RunOutcome};
+use rand::RngExt;
+use wire::answer::{AnswerHead, AttemptKey};
+use wire::command::{ControlCommand, ControlReply};
+use wire::id::FingerprintHash;
+
+use crate::faults::agent::{AgentContext, ModelAgent, is_poison};
+use crate::faults::oracle::answer_of;
+
+/// Places of the endpoint.
+const PLACES: usize = 4;
+/// Most bytes that an endpoint yields at once.
+const MAX_YIELD_BYTES: usize = 40;
+
+impl ModelAgent {
+    /// Starts the first attempt that waits, if it may start.
+    pub(super) fn start_next(&mut self, context: &mut AgentContext) {
+        let Some(key) = self.queue.front().copied() else {
+            return;
+        };
+        let Some(run) = self.runs.get(&key) else {
+            self.queue.pop_front();
+            return;
+        };
+        let fingerprint = run.fingerprint;
+        if self.table.get(key) != Some(AttemptState::Queued) {
+            self.queue.pop_front();
+            return;
+        }
+        match self.gate.check(fingerprint) {
+            GateVerdict::Refuse => {
+                self.queue.pop_front();
+                self.refuse_queued(context, key, FaultKind::Quarantined);
+                return;
+            }
+            GateVerdict::Alone if !self.gate.has_permit(key, fingerprint) => {
+                self.ask_permit(context, key, fingerprint);
+                return;
+            }
+            _ => {}
+        }
+        let is_full = self.running.len() >= PLACES;
+        if is_full || !self.gate.may_start(key, fingerprint) || !self.table.start(key) {
+            return;
+        }
+        self.queue.pop_front();
+        self.start(context, key, fingerprint);
+    }
+
+    fn start(&mut self, context: &mut AgentContext, key: AttemptKey, fingerprint: FingerprintHash) {
+        self.gate.started(key, fingerprint);
+        self.running.push(key);
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        context
+            .oracle
+            .start(key, fingerprint, run.is_idempotent, run.claim.as_ref());
+        run.tail.set_head(AnswerHead {
+            key,
+            status: 200,
+            headers: Vec::new(),
+            cached_tokens: 0,
+            queue_wait: std::time::Duration::ZERO,
+        });
+        if is_poison(fingerprint) {
+            context.oracle.crash(fingerprint);
+            self.crash_endpoint(context);
+            return;
+        }
+        self.pump(context, key);
+    }
+
+    fn ask_permit(
+        &mut self,
+        context: &mut AgentContext,
+        key: AttemptKey,
+        fingerprint: FingerprintHash,
+    ) {
+        let command = ControlCommand::TrySuspect {
+            fingerprint,
+            endpoint: Self::endpoint(self.index),
+            attempt: key,
+        };
+        match context.quorum.propose(context.rng, &command) {
+            Some(ControlReply::Recorded) => self.gate.permit(key, fingerprint),
+            Some(ControlReply::Refused(fault)) => {
+                self.queue.pop_front();
+                self.refuse_queued(context, key, fault.kind);
+            }
+            _ => {}
+        }
+    }
+
+    /// The endpoint yields some bytes of an answer, or its end.
+    pub(super) fn advance(&mut self, context: &mut AgentContext, key: AttemptKey) {
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        let answer = answer_of(key);
+        if run.yielded < answer.len() {
+            let most = run.tail.room().min(MAX_YIELD_BYTES);
+            if most == 0 {
+                return;
+            }
+            let size = context.rng.random_range(1..=most);
+            let end = answer.len().min(run.yielded + size);
+            run.tail.push(answer.slice(run.yielded..end));
+            run.yielded = end;
+        } else {
+            self.end(context.now, key);
+        }
+        self.pump(context, key);
+    }
+
+    /// The endpoint has answered whole.
+    fn end(&mut self, now: Instant, key: AttemptKey) {
+        let Some(run) = self.runs.get_mut(&key) else {
+            return;
+        };
+        let fingerprint = run.fingerprint;
+        run.tail.finish(RunOutcome::Ran);
+        self.running.retain(|other| *other != key);
+        self.table.end(now, key, RunOutcome::Ran);
+        if self.gate.ended(fingerprint) {
+            self.owed
+                .push_back(ControlCommand::ClearSuspect { fingerprint });
+        }
+        self.finish_claim(key, RunOutcome::Ran);
+    }
+}
--- a/crates/measure/tests/faults.rs
+++ b/crates/measure/tests/faults.rs
@@ -2,7 +2,8 @@
 
 use googletest::prelude::*;
 use measure::faults::oracle::FaultCounts;
-use measure::faults::world::{FaultWorld, WorldStep};
+use measure::faults::step::WorldStep;
+use measure::faults::world::FaultWorld;
 use proptest::prelude::*;
 use proptest::strategy::Union;
 use proptest::test_runner::{Config, RngSeed};
