Let a claimed run end whole when nobody reads its answer

Cause: a non-idempotent run whose caller had left, or whose entry stayed away for 30 s, filled its window of 256 KiB, and after 30 s more it was stopped as a slow caller's: unknown in place of a recorded answer. It is detached now. No test drives the agent's shell through it.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -216,10 +216,12 @@
                 self.free_place(key);
             }
             CancelVerdict::Stop => {
-                if let Some(session) = self.session(key)
-                    && session.submit.idempotent
-                {
-                    session.stop(fault);
+                if let Some(session) = self.session(key) {
+                    if session.submit.idempotent {
+                        session.stop(fault);
+                    } else {
+                        session.detach();
+                    }
                 }
             }
             CancelVerdict::Ended(_) | CancelVerdict::Lost => {}
--- a/crates/agent/src/session.rs
+++ b/crates/agent/src/session.rs
@@ -177,6 +177,12 @@
         }
     }
 
+    /// Nobody will read the answer any more: the run goes on to its end without a window.
+    pub fn detach(&self) {
+        self.tail.borrow_mut().detach();
+        self.acknowledged.notify_one();
+    }
+
     /// Asks the run to stop.
     pub fn stop(&self, fault: Fault) {
         self.stop_fault.borrow_mut().get_or_insert(fault);
@@ -235,10 +241,15 @@
     {
         return;
     }
-    if session.submit.idempotent && session.sender.borrow().is_none() {
+    if session.sender.borrow().is_some() {
+        return;
+    }
+    if session.submit.idempotent {
         let message = "the entry is gone";
         core.cancel_attempt(session.key(), FaultKind::ConnectionLost.because(message));
         session.close();
+    } else {
+        session.detach();
     }
 }
 
