Look for room in a sample, and read the preference order from a flat list of keys

Now the warm place comes first, preference reads 16 bytes for each endpoint, and room is sought among 32 drawn endpoints (all in services up to that size). Reports of little load fade after 1 s instead of 5 s: every entry that heard one sends work there.

--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -1,10 +1,11 @@
 //! The choice of an endpoint and its record.
 //!
 //! In order: the warm places of the hint, the holders of the longest shared prefix, the preferred
-//! endpoints of the chat unless it overflows, and any endpoint in proportion to its room. The first that stays under
-//! the aimed load is taken. The aim lies under the hard bound of the agents because work that ends
+//! endpoints of the chat unless it overflows, and any endpoint in proportion to its room. The first
+//! that stays under the aimed load is taken. The aim lies under the hard bound of the agents because work that ends
 //! elsewhere lowers the mean under an endpoint that is already full.
 
+use std::borrow::Cow;
 use std::time::Instant;
 
 use rand::{Rng, RngExt};
@@ -20,6 +21,11 @@
 
 /// Preferred endpoints that are considered.
 pub const PREFERENCE_DEPTH: usize = 3;
+/// Endpoints at the head of the order among which the preferred ones are sought. More than those are
+/// hardly ever unusable at once, short of the loss of a failure domain.
+const PREFERENCE_CANDIDATES: usize = 8;
+/// Endpoints that are looked at for room.
+const ROOM_SAMPLES: usize = 32;
 /// Largest load of a preferred endpoint, as a multiple of the mean: nothing is warm there yet, and
 /// the room above the mean is kept for what is.
 const PREFERRED_LIMIT: f64 = 1.0;
@@ -47,16 +53,14 @@
     pub limits: LoadLimits,
 }
 
-/// What one pass over the endpoints of a service finds.
-struct ServiceScan {
-    preferred: PreferenceList<PREFERENCE_DEPTH>,
+/// What a pass over endpoints finds.
+#[derive(Default)]
+struct RoomScan {
     /// Drawn in proportion to room.
     roomy: Option<u32>,
     least_loaded: Option<u32>,
     /// The least loaded of those that refused the request before.
     revisited: Option<u32>,
-    admissible: u32,
-    known: u32,
 }
 
 /// One choice in progress.
@@ -92,18 +96,27 @@
             warm_aim: request.limits.warm_aim(service.absent_share),
             candidates: Vec::new(),
         };
-        let scan = run.scan(service, rng);
-        let choice = run.pick(&scan, rng);
+        let pool = self.pool(service, request.model);
+        let choice = run.pick(&pool, rng);
         RouteDecision {
             endpoint: choice.map(|(endpoint, _)| endpoint),
             reason: choice.map_or(ChoiceReason::NoneLeft, |(_, reason)| reason),
             candidates: run.candidates,
             mean: run.mean,
-            admissible: scan.admissible,
-            known: scan.known,
+            known: pool.len() as u32,
         }
     }
 
+    /// Rows of the endpoints that carry `model`.
+    fn pool<'a>(&'a self, service: &'a ServiceRows, model: Option<ModelId>) -> Cow<'a, [u32]> {
+        let placed = model.and_then(|model| self.placement.get(&model));
+        let Some(endpoints) = placed else {
+            return Cow::Borrowed(&service.rows);
+        };
+        let rows = endpoints.iter().filter_map(|endpoint| self.find(*endpoint));
+        Cow::Owned(rows.map(|row| row as u32).collect())
+    }
+
     /// Mean load for each unit of weight: control's word, or else what this entry saw itself.
     fn mean_load(&self, service: &ServiceRows) -> f64 {
         if let Some(mean) = service.mean {
@@ -127,21 +140,69 @@
 }
 
 impl ChoiceRun<'_> {
-    fn scan<R: Rng>(&self, service: &ServiceRows, rng: &mut R) -> ServiceScan {
-        let mut scan = ServiceScan {
-            preferred: PreferenceList::default(),
-            roomy: None,
-            least_loaded: None,
-            revisited: None,
-            admissible: 0,
-            known: 0,
-        };
+    fn pick<R: Rng>(&mut self, pool: &[u32], rng: &mut R) -> Option<(EndpointId, ChoiceReason)> {
+        if let Some(endpoint) = self.pick_warm() {
+            return Some((endpoint, ChoiceReason::Warm));
+        }
+        // A chat whose warm places are only loaded is overflow, which spreads.
+        let is_homeless = self.candidates.iter().all(is_place_lost);
+        let holders = self.table.prefixes.holders(self.request.prefixes);
+        if is_homeless || holders.is_some() {
+            let preferred = self.preferred(pool);
+            if let Some(holders) = holders
+                && let Some(endpoint) = self.pick_holder(&preferred, &holders, rng)
+            {
+                return Some((endpoint, ChoiceReason::SharedPrefix));
+            }
+            if is_homeless && let Some(endpoint) = self.pick_preferred(&preferred) {
+                return Some((endpoint, ChoiceReason::Preferred));
+            }
+        }
+        let scan = self.scan_room(pool, rng);
+        if let Some(row) = scan.roomy {
+            return Some((self.take(row, ChoiceReason::Room), ChoiceReason::Room));
+        }
+        // An endpoint that judged by the aim may admit by the bound after enough refusals.
+        let row = scan.least_loaded.or(scan.revisited)?;
+        let reason = ChoiceReason::LeastLoaded;
+        Some((self.take(row, reason), reason))
+    }
+
+    /// Rows of the preferred endpoints that can be tried, nearest first.
+    fn preferred(&self, pool: &[u32]) -> Vec<u32> {
+        let mut list = PreferenceList::<PREFERENCE_CANDIDATES>::default();
+        for index in pool {
+            let key = &self.table.keys[*index as usize];
+            list.offer(self.request.affinity, key.endpoint, key.weight, *index);
+        }
+        let rows = list.ranks().iter().map(|rank| rank.row);
+        rows.filter(|row| self.exclusion(&self.table.rows[*row as usize]).is_none())
+            .take(PREFERENCE_DEPTH)
+            .collect()
+    }
+
+    /// Looks for room among a sample of `pool`, or among all of it when that is small or the
+    /// sample has none that can be tried.
+    fn scan_room<R: Rng>(&self, pool: &[u32], rng: &mut R) -> RoomScan {
+        if pool.len() > ROOM_SAMPLES {
+            let draws = std::array::from_fn::<u32, ROOM_SAMPLES, _>(|_| {
+                pool[rng.random_range(0..pool.len())]
+            });
+            let scan = self.scan_rows(&draws, rng);
+            if scan.least_loaded.is_some() {
+                return scan;
+            }
+        }
+        self.scan_rows(pool, rng)
+    }
+
+    fn scan_rows<R: Rng>(&self, rows: &[u32], rng: &mut R) -> RoomScan {
+        let mut scan = RoomScan::default();
         let mut total_room = 0.0;
         let mut least_load = f64::INFINITY;
         let mut least_revisited = f64::INFINITY;
-        for index in &service.rows {
+        for index in rows {
             let row = &self.table.rows[*index as usize];
-            scan.known += 1;
             let load = self.load_with_request(row);
             let exclusion = self.exclusion(row);
             if exclusion == Some(Exclusion::Tried) && load < least_revisited {
@@ -151,10 +212,6 @@
             if exclusion.is_some() {
                 continue;
             }
-            scan.admissible += 1;
-            let affinity = self.request.affinity;
-            scan.preferred
-                .offer(affinity, row.endpoint, row.weight, *index);
             if load < least_load {
                 least_load = load;
                 scan.least_loaded = Some(*index);
@@ -170,34 +227,6 @@
         scan
     }
 
-    fn pick<R: Rng>(
-        &mut self,
-        scan: &ServiceScan,
-        rng: &mut R,
-    ) -> Option<(EndpointId, ChoiceReason)> {
-        if let Some(endpoint) = self.pick_warm() {
-            return Some((endpoint, ChoiceReason::Warm));
-        }
-        // A chat whose warm places are only loaded is overflow, which spreads.
-        let is_homeless = self.candidates.iter().all(is_place_lost);
-        let holders = self.table.prefixes.holders(self.request.prefixes);
-        if let Some(holders) = holders
-            && let Some(endpoint) = self.pick_holder(scan, &holders, rng)
-        {
-            return Some((endpoint, ChoiceReason::SharedPrefix));
-        }
-        if is_homeless && let Some(endpoint) = self.pick_preferred(scan) {
-            return Some((endpoint, ChoiceReason::Preferred));
-        }
-        if let Some(row) = scan.roomy {
-            return Some((self.take(row, ChoiceReason::Room), ChoiceReason::Room));
-        }
-        // An endpoint that judged by the aim may admit by the bound after enough refusals.
-        let row = scan.least_loaded.or(scan.revisited)?;
-        let reason = ChoiceReason::LeastLoaded;
-        Some((self.take(row, reason), reason))
-    }
-
     fn pick_warm(&mut self) -> Option<EndpointId> {
         let hint = self.request.hint;
         for place in hint.places() {
@@ -225,12 +254,12 @@
         None
     }
 
-    fn pick_preferred(&mut self, scan: &ServiceScan) -> Option<EndpointId> {
-        for rank in scan.preferred.ranks() {
-            let row = &self.table.rows[rank.row as usize];
+    fn pick_preferred(&mut self, preferred: &[u32]) -> Option<EndpointId> {
+        for index in preferred {
+            let row = &self.table.rows[*index as usize];
             let exclusion = self.overload(row, PREFERRED_LIMIT);
             let endpoint = row.endpoint;
-            self.record(rank.row, ChoiceReason::Preferred, exclusion);
+            self.record(*index, ChoiceReason::Preferred, exclusion);
             if exclusion.is_none() {
                 return Some(endpoint);
             }
@@ -241,12 +270,12 @@
     /// A holder of the prefix, a preferred one if there is.
     fn pick_holder<R: Rng>(
         &mut self,
-        scan: &ServiceScan,
+        preferred: &[u32],
         holders: &PrefixHolders,
         rng: &mut R,
     ) -> Option<EndpointId> {
-        let ranks = scan.preferred.ranks().iter();
-        let preferred = ranks.map(|rank| self.table.rows[rank.row as usize].endpoint);
+        let rows = preferred.iter();
+        let preferred = rows.map(|row| self.table.rows[*row as usize].endpoint);
         let draws = (0..HOLDER_SAMPLES).map(|_| rng.random_range(0..holders.endpoints.len()));
         let sampled = draws.map(|draw| holders.endpoints[draw]);
         let tried: Vec<EndpointId> = preferred
@@ -317,21 +346,26 @@
 
     /// Load of `row` with the request added, as a multiple of the mean with the request added.
     fn load_with_request(&self, row: &EndpointRow) -> f64 {
-        let weight = f64::from(row.weight);
-        let expected = self.mean * weight;
-        let load = expected + (f64::from(row.load.total()) - expected) * self.trust(row);
-        let load = load + f64::from(row.pending) + 1.0;
-        load / (expected + 1.0)
+        let expected = self.mean * f64::from(row.weight);
+        let load = expected + self.deviation(row, expected);
+        (load + f64::from(row.pending) + 1.0) / (expected + 1.0)
     }
 
-    /// Weight of the reported load against the mean, falling with its age.
-    fn trust(&self, row: &EndpointRow) -> f64 {
+    /// Deviation of the reported load from the expected one, fading with its age. A report of
+    /// little load fades sooner, because every entry that heard it sends work there.
+    fn deviation(&self, row: &EndpointRow, expected: f64) -> f64 {
         let Some(seen_at) = row.seen_at else {
             return 0.0;
         };
+        let deviation = f64::from(row.load.total()) - expected;
+        let settings = &self.table.settings;
+        let fades_after = if deviation < 0.0 {
+            settings.room_fades_after
+        } else {
+            settings.load_fades_after
+        };
         let age = self.now.saturating_duration_since(seen_at).as_secs_f64();
-        let fades_after = self.table.settings.load_fades_after.as_secs_f64();
-        (1.0 - age / fades_after).max(0.0)
+        deviation * (1.0 - age / fades_after.as_secs_f64()).max(0.0)
     }
 
     /// Requests that fit under the aim, more for endpoints nearby.
--- a/crates/route/src/decision.rs
+++ b/crates/route/src/decision.rs
@@ -71,9 +71,7 @@
     pub candidates: Vec<CandidateRecord>,
     /// Mean load for each unit of weight that the loads are measured by.
     pub mean: f64,
-    /// Endpoints that could be tried.
-    pub admissible: u32,
-    /// Endpoints of the service.
+    /// Endpoints that carry the model.
     pub known: u32,
 }
 
@@ -85,7 +83,6 @@
             reason: ChoiceReason::NoneLeft,
             candidates: Vec::new(),
             mean: 0.0,
-            admissible: 0,
             known: 0,
         }
     }
--- a/crates/route/src/table.rs
+++ b/crates/route/src/table.rs
@@ -18,6 +18,8 @@
     pub domain: DomainId,
     /// Age at which a reported load says no more than the mean.
     pub load_fades_after: Duration,
+    /// Age at which a reported load below the mean says no more than the mean.
+    pub room_fades_after: Duration,
     /// How long an endpoint is passed over after a failed connection.
     pub suspect_for: Duration,
     /// How long an endpoint is passed over after control said that it serves again, as it admits
@@ -32,6 +34,7 @@
         Self {
             domain: 0,
             load_fades_after: Duration::from_secs(5),
+            room_fades_after: Duration::from_secs(1),
             suspect_for: Duration::from_secs(1),
             join_delay: Duration::from_millis(300),
             leaving_for: Duration::from_secs(10),
@@ -68,6 +71,13 @@
     pub load: u32,
 }
 
+/// What the order of preference depends on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PreferenceKey {
+    pub(crate) endpoint: EndpointId,
+    pub(crate) weight: u32,
+}
+
 /// The endpoints of one service.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct ServiceRows {
@@ -85,6 +95,8 @@
     /// Sorted by endpoint, parallel to `records`.
     pub(crate) rows: Vec<EndpointRow>,
     records: Vec<EndpointRecord>,
+    /// Derived from `rows` and parallel to them; what the order of preference reads.
+    pub(crate) keys: Vec<PreferenceKey>,
     /// Derived from `rows`.
     pub(crate) services: HashMap<ServiceId, ServiceRows>,
     /// Endpoints that carry a model, sorted; a model without an entry is carried by all.
@@ -283,6 +295,7 @@
             assert_eq!(row.endpoint, record.endpoint);
             assert!(row.weight >= 1);
         }
+        assert_eq!(self.rows.len(), self.keys.len());
         let listed: usize = self
             .services
             .values()
@@ -350,6 +363,11 @@
     }
 
     fn rebuild_services(&mut self) {
+        let keys = self.rows.iter().map(|row| PreferenceKey {
+            endpoint: row.endpoint,
+            weight: row.weight,
+        });
+        self.keys = keys.collect();
         for service in self.services.values_mut() {
             service.rows.clear();
         }
--- a/crates/route/tests/common/mod.rs
+++ b/crates/route/tests/common/mod.rs
@@ -22,6 +22,7 @@
         cache_epoch: 1,
         service: SERVICE,
         domain: number % 3,
+        domain_name: format!("domain-{}", number % 3),
         address: ([127, 0, 0, 1], 9000).into(),
         weight: 1,
     }
