Bound the account labels of the metrics by a setting

Cause: the bound of 100 labels was a constant of crate watch; an operator with few accounts or much memory could not change it. instance.account_labels in the file of each program, default 100, from 0 to 10,000.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -53,7 +53,10 @@
     let (links, events) = ControlLinks::start(&settings.control, &link_settings);
     let listener = TcpListener::bind(settings.link).await?;
     let http = settings.instance.http;
-    let metrics = AgentMetrics::new(LabelSettings::default())?;
+    let metrics = AgentMetrics::new(LabelSettings {
+        accounts: settings.instance.account_labels,
+        ..LabelSettings::default()
+    })?;
     let shared = Arc::new(AgentShared::new(settings, metrics));
     let server = bind_server(http, Arc::clone(&shared))?;
     let core = Rc::new(AgentCore::new(
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -64,7 +64,10 @@
     let links = LinkSettings::new(identity, secret);
     let listener = TcpListener::bind(settings.link).await?;
     let http = settings.instance.http;
-    let metrics = Arc::new(ControlMetrics::new(LabelSettings::default())?);
+    let metrics = Arc::new(ControlMetrics::new(LabelSettings {
+        accounts: settings.instance.account_labels,
+        ..LabelSettings::default()
+    })?);
     let (quorum, reports) = ControlQuorum::open(&settings, &links)?;
     let node = Rc::new(ControlNode::new(settings, quorum, metrics));
     let kernel = Rc::new(ServiceKernel::new());
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -15,6 +15,7 @@
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use settings::process::EntrySettings;
 use watch::EntryMetrics;
+use watch::label::LabelSettings;
 
 /// Pause between two looks at the calls that are still active during a stop.
 const DRAIN_PAUSE: Duration = Duration::from_millis(50);
@@ -47,7 +48,10 @@
     let (pool, dials) = LinkPool::new();
     let (proposals, requests) = ProposalQueue::new();
     let http = settings.instance.http;
-    let metrics = EntryMetrics::new(watch::label::LabelSettings::default())?;
+    let metrics = EntryMetrics::new(LabelSettings {
+        accounts: settings.instance.account_labels,
+        ..LabelSettings::default()
+    })?;
     let core = EntryCore::new(
         settings,
         new_incarnation(),
--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -31,3 +31,5 @@
 pub const PLACES: u32 = 32;
 /// Default of `checks_fence`.
 pub const CHECKS_FENCE: bool = false;
+/// Default of `account_labels`.
+pub const ACCOUNT_LABELS: usize = 100;
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -1,6 +1,7 @@
 //! The key tables of the programs' files. docs/SETTINGS.md is generated from them.
 
-use crate::keys::key;
+use crate::defaults as d;
+use crate::keys::{key, whole};
 use crate::schema::{BranchSpec, DefaultValue, KeySpec, ValueForm};
 
 /// The file of each program, in the order of the page.
@@ -59,6 +60,13 @@
         ValueForm::Address,
         "Address of the HTTP server: callers and operators, `/healthz`, `/readyz`, `/metrics`.",
     ),
+    key(
+        "account_labels",
+        whole(0, 10_000),
+        DefaultValue::Whole(d::ACCOUNT_LABELS as u64),
+        "Client accounts with a label of their own in the metrics; all others share `other`. Each \
+         costs about 15 kB.",
+    ),
 ];
 
 const CONTROL_ADDRESSES: &[KeySpec] = &[required(
--- a/crates/settings/src/keys.rs
+++ b/crates/settings/src/keys.rs
@@ -39,7 +39,7 @@
     }
 }
 
-const fn whole(least: u64, most: u64) -> ValueForm {
+pub(crate) const fn whole(least: u64, most: u64) -> ValueForm {
     ValueForm::Whole { least, most }
 }
 
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -11,6 +11,7 @@
 use toml::{Table, Value};
 
 use crate::check::check_table;
+use crate::defaults;
 use crate::files::{AGENT, CONTROL, ENTRY};
 use crate::place::CheckPlace;
 use crate::schema::BranchSpec;
@@ -31,6 +32,13 @@
     pub secret_file: PathBuf,
     /// Address of the HTTP server.
     pub http: SocketAddr,
+    /// Client accounts with a label of their own in the metrics.
+    #[serde(default = "default_account_labels")]
+    pub account_labels: usize,
+}
+
+fn default_account_labels() -> usize {
+    defaults::ACCOUNT_LABELS
 }
 
 /// File of the entry program.
