Let the streams of the stop tests outlast the server's own grace

Cause: in a trial with the entry's wait for its streams taken out, the test of a terminated entry still passed, because the HTTP server waits up to 5 s for open connections and the streams ended before that.

--- a/crates/fake/tests/stops.rs
+++ b/crates/fake/tests/stops.rs
@@ -6,8 +6,9 @@
 use fake::fleet::process::SignalKind;
 use googletest::prelude::*;
 
-/// Tokens of a stream that is still running when the stop comes.
-const LONG_STREAM: u64 = 200;
+/// Tokens of a stream that is still running when the stop comes. It lasts longer than the grace
+/// that the HTTP server itself gives open connections.
+const LONG_STREAM: u64 = 1600;
 
 fn start_streams(fleet: &TestFleet, count: usize) -> Vec<PendingCall> {
     let calls: Vec<PendingCall> = (0..count)
--- a/crates/fake/tests/streams.rs
+++ b/crates/fake/tests/streams.rs
@@ -132,7 +132,7 @@
     let calls = start_streams(&fleet, 0, 4);
 
     fleet.entries[0].process.signal(SignalKind::Freeze);
-    let elsewhere = fleet.chat(1, "another entry", 3).send();
+    let elsewhere = fleet.chat(1, "another entry", 3).spawn().finish();
     fleet.entries[0].process.signal(SignalKind::Thaw);
     let answers = finish_streams(calls);
 
