--- a/crates/claim/src/claims.rs
+++ b/crates/claim/src/claims.rs
@@ -14,74 +14,16 @@
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
 
-use bytes::Bytes;
 use fault::{FaultKind, RunOutcome};
 use serde::{Deserialize, Serialize};
 use wire::answer::AttemptKey;
 use wire::command::{ClaimKey, ClaimRequest, ControlReply, RecordedAnswer};
-use wire::id::{AccountId, EndpointId, FingerprintHash, name_id};
+use wire::id::{AccountId, EndpointId, name_id};
 
 use crate::error::{Result, ensure};
-
-/// Bounds of the table. Equal at every replica: they travel with the snapshot.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimLimits {
-    /// Keys kept, spent ones included. New keys are refused beyond.
-    pub keys: usize,
-    /// Bytes of recorded answers together. The oldest bodies are dropped beyond.
-    pub answer_bytes: usize,
-    /// Bytes of one recorded answer. A larger one is recorded without its body.
-    pub one_answer_bytes: usize,
-    /// Shortest retention; outlives every deadline and every frame on its way.
-    pub min_retention: Duration,
-    /// Longest retention.
-    pub max_retention: Duration,
-    /// Time for which a key is refused as expired after its retention.
-    pub spent_for: Duration,
-}
-
-impl Default for ClaimLimits {
-    fn default() -> Self {
-        Self {
-            keys: 500_000,
-            answer_bytes: 64 * 1024 * 1024,
-            one_answer_bytes: 1024 * 1024 + 64 * 1024,
-            min_retention: Duration::from_secs(10 * 60),
-            max_retention: Duration::from_secs(366 * 24 * 60 * 60),
-            spent_for: Duration::from_secs(24 * 60 * 60),
-        }
-    }
-}
-
-/// How far a claimed request has come.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ClaimState {
-    /// The attempt may run.
-    Held,
-    /// The attempt ran.
-    Ran(Option<RecordedAnswer>),
-    /// The attempt may have run. It is never repeated.
-    Unknown,
-    /// The attempt did not run and never will; another one may.
-    Released,
-}
-
-/// One claimed request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ClaimRecord {
-    /// The work; another one under the same key is a conflict.
-    pub fingerprint: FingerprintHash,
-    /// The one attempt that may run.
-    pub attempt: AttemptKey,
-    /// The one endpoint that may run it.
-    pub endpoint: EndpointId,
-    /// How far it has come.
-    pub state: ClaimState,
-    /// How long the record is kept after its last change of state.
-    retention: Duration,
-    /// When the record leaves its state by itself.
-    due: Duration,
-}
+use crate::record::{
+    ClaimLimits, ClaimRecord, ClaimState, MAX_KEY_BYTES, SPENT_BYTES, answer_bytes, record_bytes,
+};
 
 /// A key past its retention: the account and the hash of the key.
 type SpentKey = (AccountId, u64);
@@ -104,6 +46,8 @@
     bodies: VecDeque<ClaimKey>,
     /// Bytes of all recorded answers.
     answer_bytes: usize,
+    /// Bytes of all keys in `records`.
+    record_bytes: usize,
 }
 
 /// What a snapshot holds; the rest of the table follows from it.
@@ -138,6 +82,7 @@
                 .map(|(key, r)| (r.due, key.clone()))
                 .collect(),
             answer_bytes: records.values().map(ClaimRecord::answer_bytes).sum(),
+            record_bytes: records.keys().map(record_bytes).sum(),
             spent_due: spent.iter().map(|(key, due)| (*due, *key)).collect(),
             limits: snapshot.limits,
             now: snapshot.now,
@@ -148,21 +93,6 @@
     }
 }
 
-impl ClaimRecord {
-    fn answer_bytes(&self) -> usize {
-        match &self.state {
-            ClaimState::Ran(Some(answer)) => answer_bytes(answer),
-            _ => 0,
-        }
-    }
-}
-
-fn answer_bytes(answer: &RecordedAnswer) -> usize {
-    let headers = answer.headers.iter();
-    let header_bytes: usize = headers.map(|h| h.name.len() + h.value.len()).sum();
-    header_bytes + answer.body.as_ref().map_or(0, Bytes::len)
-}
-
 impl ClaimTable {
     /// An empty table with these bounds.
     pub fn new(limits: ClaimLimits) -> Self {
@@ -290,6 +220,11 @@
             .count()
     }
 
+    /// Bytes of all keys kept, spent ones included.
+    pub fn key_bytes(&self) -> usize {
+        self.record_bytes + SPENT_BYTES * self.spent.len()
+    }
+
     /// Bytes of all recorded answers.
     pub fn answer_bytes(&self) -> usize {
         self.answer_bytes
@@ -321,7 +256,12 @@
         }
         let bytes: usize = self.records.values().map(ClaimRecord::answer_bytes).sum();
         ensure(bytes == self.answer_bytes, "recorded bytes are counted")?;
-        ensure(self.len() <= self.limits.keys, "keys are bounded")?;
+        let kept: usize = self.records.keys().map(record_bytes).sum();
+        ensure(kept == self.record_bytes, "bytes of keys are counted")?;
+        ensure(
+            self.key_bytes() <= self.limits.key_bytes,
+            "keys are bounded",
+        )?;
         ensure(
             bytes <= self.limits.answer_bytes,
             "recorded bytes are bounded",
@@ -329,9 +269,17 @@
     }
 
     fn grant_new(&mut self, request: &ClaimRequest) -> ControlReply {
-        if self.len() >= self.limits.keys {
+        if request.claim.key.len() > MAX_KEY_BYTES {
+            return refuse(
+                FaultKind::MalformedRequest,
+                "the idempotency key is too long",
+            );
+        }
+        let cost = record_bytes(&request.claim);
+        if self.key_bytes() + cost > self.limits.key_bytes {
             return refuse(FaultKind::StoreFull, "too many idempotency keys are kept");
         }
+        self.record_bytes += cost;
         let (min, max) = (self.limits.min_retention, self.limits.max_retention);
         let retention = request.retention.clamp(min, max);
         let record = ClaimRecord {
@@ -391,9 +339,10 @@
                 self.due.insert((record.due, claim.clone()));
                 self.records.insert(claim, record);
             }
-            ClaimState::Released => {}
+            ClaimState::Released => self.record_bytes -= record_bytes(&claim),
             ClaimState::Ran(_) | ClaimState::Unknown => {
                 self.answer_bytes -= record.answer_bytes();
+                self.record_bytes -= record_bytes(&claim);
                 let key = spent_key(&claim);
                 let forget = due + self.limits.spent_for;
                 self.spent.insert(key, forget);
