Follow the platform's list, and refuse past the settings lease at agents too

Cause: control read no platform list, so an instance that the platform takes away was only seen by its own word; and a service that steps out past its lease stepped out at entries alone.

A line that turns to leaving is about the life at the reading before, so that a lagging list touches no new life.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -52,6 +52,10 @@
         let session = Rc::new(AttemptSession::new(submit, self.load(), sender));
         self.sessions.borrow_mut().insert(key, Rc::clone(&session));
         actix_rt::spawn(send_answer(Rc::clone(self), session));
+        if let Err(fault) = self.check_lease() {
+            self.refuse_attempt(key, fault);
+            return;
+        }
         let verdict = self.gate.borrow().check(fingerprint);
         match verdict {
             GateVerdict::Run => self.offer(key),
@@ -62,6 +66,13 @@
         }
     }
 
+    /// Whether new work may start: settings are in force, and within their lease where the
+    /// service steps out past it.
+    fn check_lease(&self) -> fault::Result<()> {
+        let service = self.endpoint_settings().unwrap_or_default().service;
+        self.holder.borrow().check_lease(&service, Instant::now())
+    }
+
     fn offer(self: &Rc<Self>, key: AttemptKey) {
         let Some(session) = self.session(key) else {
             return;
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`state`]: the deterministic state machine behind the replicated log.
 //! * [`members`]: who is there, as this instance knows it, and who is told.
 //! * [`node`]: what the parts of a control instance share.
+//! * [`platform`]: the platform's list of instances.
 //! * [`quorum`]: consensus with the other control instances.
 //! * [`propose`]: the one way to propose a command.
 //! * [`disk`]: the thread that writes the data folder.
@@ -18,6 +19,7 @@
 pub mod operator;
 pub mod operator_desk;
 pub mod operator_status;
+pub mod platform;
 pub mod propose;
 pub mod quorum;
 pub mod server;
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -10,6 +10,7 @@
 use control::disk::DiskReports;
 use control::node::ControlNode;
 use control::operator::{operator_queue, serve_http, serve_operators};
+use control::platform::follow_list;
 use control::quorum::ControlQuorum;
 use control::server::{send_digests, serve_links};
 use kernel::program;
@@ -76,6 +77,9 @@
     let served = Rc::clone(&node);
     let service = TaskService::new().on_start(async move {
         actix_rt::spawn(serve_links(listener, links, Rc::clone(&served)));
+        if let Some(address) = served.settings.platform_list {
+            actix_rt::spawn(follow_list(Rc::clone(&served), address));
+        }
         actix_rt::spawn(send_digests(served));
         Ok(())
     });
--- a/crates/control/src/members.rs
+++ b/crates/control/src/members.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use link::{LinkSender, PeerRole};
+use member::list::ListEntry;
 use member::{MemberSettings, MemberState, MemberTable};
 use settings::FleetSettings;
 use watch::InstanceRole;
@@ -14,6 +15,7 @@
 use wire::member::{AgentHeartbeat, EntryHeartbeat, MemberDigest, ServiceMean};
 
 use crate::node::ControlNode;
+use crate::platform::LifeMap;
 
 /// Time without heartbeats after which an entry is forgotten.
 const ENTRY_LEASE: Duration = Duration::from_secs(5);
@@ -85,6 +87,21 @@
             .observe_close(endpoint, incarnation, Instant::now());
     }
 
+    /// The lives of the members.
+    pub fn lives(&self) -> LifeMap {
+        let table = self.table.borrow();
+        let rows = table.rows().iter();
+        rows.map(|row| (row.record.endpoint, row.record.incarnation))
+            .collect()
+    }
+
+    /// Takes in which lives the platform calls leaving.
+    pub fn observe_list(&self, entries: &[ListEntry]) {
+        self.table
+            .borrow_mut()
+            .observe_list(entries, Instant::now());
+    }
+
     /// Takes over which endpoints operators drain.
     pub fn install_fleet(&self, fleet: &FleetSettings) {
         let drained = fleet
