Let chats of one prompt share a few endpoints of a large service

The order of preference is now of two levels: the 8 endpoints nearest to the first block of the prompt, ordered by the chat. It costs no control traffic, and in services of up to 8 endpoints nothing changes.

While endpoints are absent, warm work stays half of the way under what their return allows, and the allowance for a falling mean covers 3 standard deviations.

--- a/crates/admit/src/mean.rs
+++ b/crates/admit/src/mean.rs
@@ -20,7 +20,7 @@
 /// again: bound times this part stays above 1.
 const MIN_LOWEST_PART: f64 = 0.85;
 /// Standard deviations of the others' load that the lowest mean allows for.
-const LOWEST_DEVIATIONS: f64 = 2.0;
+const LOWEST_DEVIATIONS: f64 = 3.0;
 /// Largest age in seconds of the loads that a mean was built from.
 const REPORT_AGE_SECONDS: f64 = 1.0;
 
--- a/crates/measure/src/trial.rs
+++ b/crates/measure/src/trial.rs
@@ -10,7 +10,7 @@
 use route::preference::{PreferenceList, chat_key};
 use route::{RetryBudget, RetrySettings, RouteRequest, WarmHint, WarmPlace};
 use settings::LoadLimits;
-use wire::id::EndpointId;
+use wire::id::{EndpointId, name_id};
 
 use crate::fleet::{
     Fleet, NO_LIMITS, OfferReply, OfferSpec, SERVICE, StepOutput, agent_settings, reusable_tokens,
@@ -419,13 +419,14 @@
         step: StepNumber,
     ) -> Option<usize> {
         let empty = WarmHint::default();
+        let prefixes = [name_id(&format!("prompt-{}", spec.account))];
         let hint = self.hints.get(&spec.chat).filter(|_| spec.has_hint);
         let request = RouteRequest {
             service: SERVICE,
             model: None,
             affinity: affinity(spec),
             hint: hint.unwrap_or(&empty),
-            prefixes: &[],
+            prefixes: &prefixes,
             tried,
             limits: self.limits,
         };
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -21,8 +21,8 @@
 
 /// Preferred endpoints that are considered.
 pub const PREFERENCE_DEPTH: usize = 3;
-/// Endpoints at the head of the order among which the preferred ones are sought. More than those are
-/// hardly ever unusable at once, short of the loss of a failure domain.
+/// Endpoints that the chats of one shared prefix prefer. In a small service that is nearly all of
+/// it; in a large one, the prefix is warm at these.
 const PREFERENCE_CANDIDATES: usize = 8;
 /// Endpoints that are looked at for room.
 const ROOM_SAMPLES: usize = 32;
@@ -117,6 +117,32 @@
         Cow::Owned(rows.map(|row| row as u32).collect())
     }
 
+    /// Rows of `pool` in the order in which a chat prefers them: of the endpoints nearest to the
+    /// prefix that it shares with others, those nearest to the chat first. Without a shared prefix,
+    /// the chat decides alone.
+    pub(crate) fn preference_order(
+        &self,
+        pool: &[u32],
+        affinity: AffinityKey,
+        shared: Option<PrefixHash>,
+    ) -> Vec<u32> {
+        let nearest = self.nearest(pool, shared.unwrap_or(affinity));
+        if shared.is_none() {
+            return nearest;
+        }
+        self.nearest(&nearest, affinity)
+    }
+
+    /// The rows of `pool` nearest to `key`, nearest first.
+    fn nearest(&self, pool: &[u32], key: AffinityKey) -> Vec<u32> {
+        let mut list = PreferenceList::<PREFERENCE_CANDIDATES>::default();
+        for index in pool {
+            let found = &self.keys[*index as usize];
+            list.offer(key, found.endpoint, found.weight, *index);
+        }
+        list.ranks().iter().map(|rank| rank.row).collect()
+    }
+
     /// Mean load for each unit of weight: control's word, or else what this entry saw itself.
     fn mean_load(&self, service: &ServiceRows) -> f64 {
         if let Some(mean) = service.mean {
@@ -170,12 +196,11 @@
 
     /// Rows of the preferred endpoints that can be tried, nearest first.
     fn preferred(&self, pool: &[u32]) -> Vec<u32> {
-        let mut list = PreferenceList::<PREFERENCE_CANDIDATES>::default();
-        for index in pool {
-            let key = &self.table.keys[*index as usize];
-            list.offer(self.request.affinity, key.endpoint, key.weight, *index);
-        }
-        let rows = list.ranks().iter().map(|rank| rank.row);
+        let shared = self.request.prefixes.first().copied();
+        let order = self
+            .table
+            .preference_order(pool, self.request.affinity, shared);
+        let rows = order.into_iter();
         rows.filter(|row| self.exclusion(&self.table.rows[*row as usize]).is_none())
             .take(PREFERENCE_DEPTH)
             .collect()
--- a/crates/route/src/export.rs
+++ b/crates/route/src/export.rs
@@ -9,7 +9,7 @@
 use wire::answer::EndpointLoad;
 use wire::id::{EndpointId, ModelId, PrefixHash, ServiceId};
 
-use crate::preference::{AffinityKey, PreferenceList};
+use crate::preference::AffinityKey;
 use crate::table::RouteTable;
 use wire::member::EndpointState;
 
@@ -20,6 +20,8 @@
     pub prefix: PrefixHash,
     /// What its requests want to be close to.
     pub affinity: AffinityKey,
+    /// First of the prefixes of its requests.
+    pub shared: Option<PrefixHash>,
     /// Model that computed it.
     pub model: Option<ModelId>,
     /// Tokens that a cold endpoint would have to compute.
@@ -111,15 +113,14 @@
         candidate: &ExportCandidate,
     ) -> Option<EndpointId> {
         let service = self.services.get(&service)?;
-        let mut list = PreferenceList::<1>::default();
-        for index in &service.rows {
+        let is_heir = |index: &u32| {
             let row = &self.rows[*index as usize];
             let is_serving = row.state == EndpointState::Serving && row.endpoint != leaving;
-            if is_serving && self.carries(row.endpoint, candidate.model) {
-                list.offer(candidate.affinity, row.endpoint, row.weight, *index);
-            }
-        }
-        let rank = list.ranks().first()?;
-        Some(self.rows[rank.row as usize].endpoint)
+            is_serving && self.carries(row.endpoint, candidate.model)
+        };
+        let pool: Vec<u32> = service.rows.iter().copied().filter(is_heir).collect();
+        let order = self.preference_order(&pool, candidate.affinity, candidate.shared);
+        let row = order.first()?;
+        Some(self.rows[*row as usize].endpoint)
     }
 }
--- a/crates/route/tests/choice.rs
+++ b/crates/route/tests/choice.rs
@@ -241,6 +241,27 @@
     expect_that!(decision.endpoint, some(eq(record(4).endpoint)));
 }
 
+#[gtest]
+fn new_chats_of_one_prompt_share_few_endpoints_of_a_large_service() {
+    let now = Instant::now();
+    let table = table_of(&[20; 200], now);
+    let hint = WarmHint::default();
+    let mut rng = Pcg64Mcg::new(SEED);
+
+    let mut counts = BTreeMap::new();
+    for chat in 0..400 {
+        let request = RouteRequest {
+            prefixes: &[99],
+            ..request(chat, &hint)
+        };
+        let decision = table.choose(&request, now, &mut rng);
+        *counts.entry(decision.endpoint).or_insert(0) += 1;
+    }
+
+    expect_that!(counts.len(), eq(8));
+    expect_that!(counts.values().all(|count| *count > 20), eq(true));
+}
+
 #[gtest]
 fn model_is_served_only_where_it_is_placed() {
     let now = Instant::now();
--- a/crates/route/tests/export.rs
+++ b/crates/route/tests/export.rs
@@ -14,6 +14,7 @@
     ExportCandidate {
         prefix,
         affinity: prefix,
+        shared: None,
         model: None,
         tokens,
         bytes,
--- a/crates/settings/src/policy.rs
+++ b/crates/settings/src/policy.rs
@@ -93,13 +93,14 @@
     /// The limit for warm work while `absent_share` of the service's weight does not serve.
     ///
     /// When the absent endpoints join again, the mean falls by their share; the others should be
-    /// under the bound then.
+    /// under the bound then, with half of the way left for work that ends elsewhere.
     pub fn warm_aim(self, absent_share: f64) -> f64 {
         if absent_share <= 0.0 {
             return self.aim;
         }
         let after_join = self.bound * (1.0 - absent_share);
-        self.aim.min(after_join).max(1.0)
+        let halfway = 1.0 + (after_join - 1.0) / 2.0;
+        self.aim.min(halfway).max(1.0)
     }
 
     /// The limit for cold work among `endpoints` equal endpoints.
