--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -81,6 +81,8 @@
     /// Empty members that answered in the current round of probes.
     pub(crate) unformed: BTreeMap<InstanceId, MemberIdentity>,
     pub(crate) incoming: Option<IncomingSnapshot>,
+    /// Bytes of the entries applied since the last snapshot.
+    pub(crate) applied_bytes: usize,
     /// Snapshot that the caller was asked for.
     pub(crate) wanted_snapshot: Option<LogIndex>,
     /// Whether the data folder refuses more data.
@@ -129,6 +131,7 @@
             probe: 0,
             unformed: BTreeMap::new(),
             incoming: None,
+            applied_bytes: 0,
             wanted_snapshot: None,
             store_full: false,
             actions: Vec::new(),
@@ -216,8 +219,21 @@
         self.log.members().1.contains(self.own)
     }
 
-    /// Time since a quorum confirmed that what this member has committed is the latest, at most.
+    /// The leader that this member knows.
+    pub fn leader(&self) -> Option<MemberKey> {
+        self.leader
+    }
+
+    /// Time since a quorum confirmed that what this member has applied is the latest, at most.
     pub fn confirmed_age(&self, now: Duration) -> Option<Duration> {
+        if self.applied < self.commit {
+            return None;
+        }
+        self.commit_age(now)
+    }
+
+    /// Time since a quorum confirmed that what this member knows to be committed is the latest.
+    pub(crate) fn commit_age(&self, now: Duration) -> Option<Duration> {
         let at = match &self.role {
             ReplicaRole::Leader(state) if self.commit >= state.first_index => {
                 Some(state.confirmed.1)
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -163,6 +163,25 @@
     expect_that!(core.status().members.voters.len(), eq(3));
 }
 
+#[gtest]
+fn founder_seeks_votes_only_once_its_log_is_durable() {
+    let mut core = empty_member(1, vec![1, 2, 3]);
+    core.tick(Duration::ZERO);
+    let probe = probe_number(&mut core);
+    core.receive(Duration::ZERO, probe_reply(2, 1, probe, false));
+    core.receive(Duration::ZERO, probe_reply(3, 1, probe, false));
+    let number = writes(&core.take_actions()).last().unwrap().number;
+
+    core.tick(Duration::from_secs(5));
+    expect_that!(sent(&core.take_actions()), is_empty());
+
+    core.persisted(number);
+    core.tick(Duration::from_secs(10));
+    let actions = core.take_actions();
+    let asks = |message: &&&ReplicaMessage| matches!(message.body, MessageBody::PreVote { .. });
+    expect_that!(sent(&actions).iter().filter(asks).count(), eq(2));
+}
+
 #[gtest]
 fn emptied_member_founds_no_second_log() {
     let mut core = empty_member(1, vec![1, 2, 3]);
@@ -208,8 +227,8 @@
     core.verify();
 }
 
-/// The leader of term 3 on three members, with an entry of term 2 that is not committed.
-fn leader_with_old_entry() -> ReplicaCore {
+/// A voter on three members, with an entry of term 2 that is not committed.
+fn voter_with_old_entry() -> ReplicaCore {
     let voters = vec![key(1), key(2), key(3)];
     let entry = |index, term, payload| LogEntry {
         index,
@@ -231,7 +250,12 @@
     let settings = ReplicaSettings::default();
     let peers = vec![1, 2, 3];
     let start = Duration::ZERO;
-    let mut core = ReplicaCore::new(settings, key(1), peers, recovered, start, 5);
+    ReplicaCore::new(settings, key(1), peers, recovered, start, 5)
+}
+
+/// The same member, elected in term 3.
+fn leader_with_old_entry() -> ReplicaCore {
+    let mut core = voter_with_old_entry();
     let now = Duration::from_secs(1);
     core.tick(now);
     let reply = MessageBody::PreVoteReply {
@@ -271,3 +295,25 @@
     core.receive(now, append_reply(3));
     expect_that!(core.status().commit, eq(3));
 }
+
+#[gtest]
+fn member_with_a_full_disk_leaves_the_election_to_others() {
+    let settings = ReplicaSettings::default();
+    let mut core = voter_with_old_entry();
+    expect_that!(core.next_tick(), le(settings.election_max));
+
+    core.set_store_full(true);
+
+    expect_that!(core.next_tick(), ge(2 * settings.election_max));
+}
+
+#[gtest]
+fn leader_with_a_full_disk_takes_no_command() {
+    let mut core = leader_with_old_entry();
+    let now = Duration::from_secs(1);
+
+    core.set_store_full(true);
+
+    let refused = core.propose(now, b"change".to_vec());
+    expect_that!(refused, err(eq(&replica::ReplicaError::StoreFull)));
+}
