Give redirects a budget of their own

A redirect costs no work at an endpoint, so it draws on 2.0 of first attempts; failures stay at 0.2. Wired into the entry.

--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -6,7 +6,7 @@
 
 use claim::CallLedger;
 use fault::{Fault, FaultKind, RunOutcome};
-use route::{RouteRequest, WarmPlace};
+use route::{RetryBudget, RouteRequest, WarmPlace};
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use watch::record::AttemptResult;
 use wire::answer::{AnswerHead, EndpointLoad, SubmitRequest};
@@ -354,7 +354,18 @@
             && has_hops
             && has_time
             && self.ledger.may_send()
-            && desk.budget.try_retry()
+            && takes_from_budget(&mut desk.budget, fault.kind)
+    }
+}
+
+/// Takes the next attempt from the budget that it belongs to: a redirect after a refusal, which ran
+/// nothing, or a retry.
+fn takes_from_budget(budget: &mut RetryBudget, kind: FaultKind) -> bool {
+    match kind {
+        FaultKind::Overloaded | FaultKind::Draining | FaultKind::NoEndpoint => {
+            budget.try_redirect()
+        }
+        _ => budget.try_retry(),
     }
 }
 
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -9,6 +9,9 @@
 pub struct RetrySettings {
     /// Retries that each first attempt adds to the budget.
     pub ratio: f64,
+    /// Redirects that each first attempt adds to their own budget. A redirect follows a refusal by
+    /// an agent that ran nothing, and costs no work at the endpoint.
+    pub redirect_ratio: f64,
     /// Largest budget, which is also the budget at the start.
     pub burst: f64,
     /// Upper end of the first wait.
@@ -25,6 +28,7 @@
     fn default() -> Self {
         Self {
             ratio: 0.2,
+            redirect_ratio: 2.0,
             burst: 20.0,
             first_wait: Duration::from_millis(50),
             longest_wait: Duration::from_secs(2),
@@ -38,20 +42,30 @@
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     settings: RetrySettings,
-    /// Between 0 and `settings.burst`.
+    /// Retries left, between 0 and `settings.burst`.
     tokens: f64,
+    /// Redirects left, between 0 and the same share of the burst as of the ratio.
+    redirects: f64,
 }
 
 impl RetryBudget {
     /// A full budget.
     pub fn new(settings: RetrySettings) -> Self {
         let tokens = settings.burst;
-        Self { settings, tokens }
+        let redirects = redirect_burst(&settings);
+        Self {
+            settings,
+            tokens,
+            redirects,
+        }
     }
 
     /// Counts a first attempt.
     pub fn record_first(&mut self) {
-        self.tokens = (self.tokens + self.settings.ratio).min(self.settings.burst);
+        let settings = &self.settings;
+        self.tokens = (self.tokens + settings.ratio).min(settings.burst);
+        let redirects = self.redirects + settings.redirect_ratio;
+        self.redirects = redirects.min(redirect_burst(settings));
     }
 
     /// Takes one retry out of the budget, or says that there is none.
@@ -63,6 +77,15 @@
         true
     }
 
+    /// Takes one redirect out of its budget, or says that there is none.
+    pub fn try_redirect(&mut self) -> bool {
+        if self.redirects < 1.0 {
+            return false;
+        }
+        self.redirects -= 1.0;
+        true
+    }
+
     /// Wait before retry number `retry`, from 1: uniform up to a limit that doubles.
     pub fn backoff<R: Rng>(&self, retry: u32, rng: &mut R) -> Duration {
         let factor = 1_u32 << retry.saturating_sub(1).min(16);
@@ -96,3 +119,7 @@
         self.tokens
     }
 }
+
+fn redirect_burst(settings: &RetrySettings) -> f64 {
+    settings.burst * settings.redirect_ratio / settings.ratio
+}
--- a/crates/route/tests/retry.rs
+++ b/crates/route/tests/retry.rs
@@ -24,6 +24,25 @@
     expect_that!(retries, le(settings.burst + 1000.0 * settings.ratio));
 }
 
+#[gtest]
+fn redirects_have_a_budget_of_their_own() {
+    let settings = RetrySettings::default();
+    let mut budget = RetryBudget::new(settings.clone());
+    while budget.try_retry() {}
+
+    let mut redirects = 0.0;
+    for _ in 0..1000 {
+        budget.record_first();
+        while budget.try_redirect() {
+            redirects += 1.0;
+        }
+    }
+
+    let burst = settings.burst * settings.redirect_ratio / settings.ratio;
+    expect_that!(redirects, ge(1000.0 * settings.redirect_ratio));
+    expect_that!(redirects, le(burst + 1000.0 * settings.redirect_ratio));
+}
+
 #[gtest]
 fn backoff_doubles_up_to_its_limit_and_is_jittered() {
     let budget = RetryBudget::new(RetrySettings::default());
