Expose readiness and metrics of control instances

Cause: /readyz and /metrics answered 404 there, so neither the platform nor an upgrade by the operators' page could tell whether one serves. Ready means that a quorum confirms what is applied here.

--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,10 +10,12 @@
 //! * [`summary`]: the control quorum as operators see it.
 //! * [`server`]: connections from entries and agents.
 //! * [`operator`]: the operators' HTTP interface.
+//! * [`gauges`]: the metrics, brought up to date when they are read.
 //! * [`operator_desk`]: answers operators' requests on the node's thread.
 //! * [`operator_status`]: what this instance tells operators about the fleet.
 
 pub mod disk;
+pub mod gauges;
 pub mod members;
 pub mod node;
 pub mod operator;
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -15,8 +15,8 @@
 use settings::history::MAX_TREE_BYTES;
 use settings::operator::{ChangeRequest, DEFAULT_HISTORY_LIMIT, FaultReply, parse_fingerprint};
 use tokio::sync::{mpsc, oneshot};
-use watch::FleetStatus;
 use watch::page::{PAGE_CONTENT_TYPE, PAGE_POLICY, render};
+use watch::{FleetStatus, TEXT_CONTENT_TYPE};
 use wire::id::{FingerprintHash, SettingsVersion};
 
 use crate::node::ControlNode;
@@ -43,6 +43,10 @@
     Diff(DiffQuery),
     /// Reads who is there.
     Status,
+    /// Reads whether this instance serves. Needs no key.
+    Ready,
+    /// Reads the metrics. Needs no key.
+    Metrics,
     /// Lists the quarantined requests.
     Quarantine,
     /// Lifts a quarantine.
@@ -140,6 +144,8 @@
         .route("/operator/diff", web::get().to(get_diff))
         .route("/operator/status", web::get().to(get_status))
         .route("/status", web::get().to(get_status_page))
+        .route("/readyz", web::get().to(get_ready))
+        .route("/metrics", web::get().to(get_metrics))
         .route("/operator/quarantine", web::get().to(get_quarantine))
         .route(
             "/operator/quarantine/{fingerprint}",
@@ -192,6 +198,20 @@
     ask(&request, &queue, OperatorAction::Status).await
 }
 
+async fn get_ready(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
+    ask(&request, &queue, OperatorAction::Ready).await
+}
+
+async fn get_metrics(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
+    match ask_node(&request, &queue, OperatorAction::Metrics).await {
+        Ok(Value::String(text)) => HttpResponse::Ok()
+            .content_type(TEXT_CONTENT_TYPE)
+            .body(text),
+        Ok(_) => fault_response(&FaultKind::Internal.because("metrics are no text")),
+        Err(fault) => fault_response(&fault),
+    }
+}
+
 /// The status page. A browser is asked for the key as a password.
 async fn get_status_page(request: HttpRequest, queue: web::Data<OperatorQueue>) -> HttpResponse {
     let answer = ask_node(&request, &queue, OperatorAction::Status).await;
--- a/crates/control/src/operator_desk.rs
+++ b/crates/control/src/operator_desk.rs
@@ -46,6 +46,8 @@
     /// The fault that the operator is told.
     pub async fn act(&self, authorization: Option<&str>, action: OperatorAction) -> Result<Value> {
         match action {
+            OperatorAction::Ready => return self.ready(),
+            OperatorAction::Metrics => return self.node.expose_metrics().map(Value::String),
             OperatorAction::Status => {}
             OperatorAction::Change(_) | OperatorAction::Lift(_)
                 if self.node.quorum.is_confirmed() => {}
@@ -59,10 +61,19 @@
             OperatorAction::Diff(query) => self.diff(query),
             OperatorAction::Status => to_json(&StatusReply::of(&self.node)),
             OperatorAction::Quarantine => self.quarantined(),
+            OperatorAction::Ready | OperatorAction::Metrics => Ok(Value::Null),
             OperatorAction::Lift(fingerprint) => self.lift(fingerprint).await,
         }
     }
 
+    /// Ready while a quorum confirms that this instance holds the latest.
+    fn ready(&self) -> Result<Value> {
+        if self.node.quorum.is_confirmed() {
+            return Ok(Value::String("ready".to_owned()));
+        }
+        Err(FaultKind::ControlUnreachable.because("no quorum confirms this instance"))
+    }
+
     /// Name of the operator, when he may do this.
     fn authorize(&self, authorization: Option<&str>, action: &OperatorAction) -> Result<String> {
         let role = match action {
--- a/crates/fake/tests/stops.rs
+++ b/crates/fake/tests/stops.rs
@@ -5,6 +5,7 @@
 use fake::fleet::plan::{ACCOUNT_KEY, FleetPlan, OPERATOR_KEY};
 use fake::fleet::process::SignalKind;
 use googletest::prelude::*;
+use watch::TEXT_CONTENT_TYPE;
 
 /// Tokens of a stream that is still running when the stop comes. It lasts longer than the grace
 /// that the HTTP server itself gives open connections.
@@ -137,3 +138,22 @@
         expect_that!(refused.text(), not(contains_substring("engine-0")));
     }
 }
+
+#[gtest]
+fn every_program_tells_its_readiness_and_metrics() {
+    let fleet = TestFleet::start(&FleetPlan::default());
+    let agent = fleet.engines[0].agent.http;
+
+    for http in [fleet.entries[0].http, fleet.controls[0].http, agent] {
+        let ready = HttpCall::get(http, "/readyz").send();
+        let metrics = HttpCall::get(http, "/metrics").send();
+
+        expect_that!(ready.status, eq(200), "{}", fleet.logs());
+        expect_that!(metrics.status, eq(200));
+        expect_that!(metrics.header("content-type"), eq(TEXT_CONTENT_TYPE));
+        expect_that!(
+            metrics.text(),
+            contains_substring("\nsapphire_settings_version 1\n")
+        );
+    }
+}
--- a/crates/watch/src/control.rs
+++ b/crates/watch/src/control.rs
@@ -20,8 +20,8 @@
     pub is_leader: bool,
     /// Index of the last committed entry.
     pub commit: u64,
-    /// Entries since the last snapshot.
-    pub log_entries: u64,
+    /// Entries that are stored here and not known to be committed.
+    pub pending_entries: u64,
 }
 
 /// Metrics of a control instance.
@@ -39,7 +39,7 @@
     term: IntGauge,
     is_leader: IntGauge,
     commit: IntGauge,
-    log_entries: IntGauge,
+    pending_entries: IntGauge,
     quarantined: IntGauge,
 }
 
@@ -109,10 +109,10 @@
                 "sapphire_control_commit_index",
                 "Index of the last committed entry.",
             )?,
-            log_entries: whole_gauge(
+            pending_entries: whole_gauge(
                 registry,
-                "sapphire_control_log_entries",
-                "Entries since the last snapshot.",
+                "sapphire_control_pending_entries",
+                "Entries that are stored here and not known to be committed.",
             )?,
             quarantined: whole_gauge(
                 registry,
@@ -165,7 +165,7 @@
         self.term.set(clamp(sample.term));
         self.is_leader.set(i64::from(sample.is_leader));
         self.commit.set(clamp(sample.commit));
-        self.log_entries.set(clamp(sample.log_entries));
+        self.pending_entries.set(clamp(sample.pending_entries));
     }
 
     /// Sets the number of requests in quarantine.
--- a/crates/watch/tests/metrics.rs
+++ b/crates/watch/tests/metrics.rs
@@ -90,7 +90,7 @@
         term: 3,
         is_leader: true,
         commit: 40,
-        log_entries: 12,
+        pending_entries: 12,
     });
     text_of(&metrics.process)
 }
