--- a/crates/measure/src/fleet.rs
+++ b/crates/measure/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The endpoints of one service: admission, running work, caches, restarts.
 
 use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::{BinaryHeap, HashMap};
 use std::time::{Duration, Instant};
 
 use admit::{AdmitAction, AdmitQueue, AdmitRequest, AdmitSettings};
@@ -105,6 +105,8 @@
 pub(crate) struct Fleet<'a> {
     sequence: &'a RequestSequence,
     pub(crate) endpoints: Vec<FleetEndpoint>,
+    /// Index of each endpoint by its id.
+    indexes: HashMap<EndpointId, usize>,
     due: BinaryHeap<Reverse<(StepNumber, DueKind)>>,
     next_restart: usize,
     settings: AdmitSettings,
@@ -122,7 +124,7 @@
             join_delay: Duration::ZERO,
             ..settings.clone()
         };
-        let endpoints = (0..sequence.settings.endpoints as u64)
+        let endpoints: Vec<FleetEndpoint> = (0..sequence.settings.endpoints as u64)
             .map(|number| FleetEndpoint {
                 record: endpoint_record(number),
                 queue: AdmitQueue::new(opened.clone(), start),
@@ -130,9 +132,14 @@
                 open_at: start,
             })
             .collect();
+        let numbered = endpoints.iter().enumerate();
+        let indexes = numbered
+            .map(|(index, found)| (found.record.endpoint, index))
+            .collect();
         Self {
             sequence,
             endpoints,
+            indexes,
             due: BinaryHeap::new(),
             next_restart: 0,
             settings,
@@ -147,8 +154,7 @@
 
     /// Index of the endpoint with this id.
     pub(crate) fn index(&self, endpoint: EndpointId) -> Option<usize> {
-        let mut endpoints = self.endpoints.iter();
-        endpoints.position(|found| found.record.endpoint == endpoint)
+        self.indexes.get(&endpoint).copied()
     }
 
     /// Lets everything happen that is due at `step`.
--- a/crates/measure/src/trial.rs
+++ b/crates/measure/src/trial.rs
@@ -8,7 +8,7 @@
 use rand::RngExt;
 use rand_pcg::Pcg64Mcg;
 use route::preference::{PreferenceList, chat_key};
-use route::{RetryBudget, RetrySettings, RouteRequest, WarmHint, WarmPlace};
+use route::{RetryBudget, RetrySettings, RouteDecision, RouteRequest, WarmHint, WarmPlace};
 use settings::LoadLimits;
 use wire::id::{EndpointId, name_id};
 
@@ -418,7 +418,7 @@
             .collect();
         let begun = Instant::now();
         for spec in &specs {
-            self.choose_warm(spec, &[], step);
+            self.decide(spec, &[], step);
         }
         self.result.decision_time = Some(begun.elapsed() / specs.len().max(1) as u32);
     }
@@ -439,6 +439,16 @@
         tried: &[EndpointId],
         step: StepNumber,
     ) -> Option<usize> {
+        let decision = self.decide(spec, tried, step);
+        self.fleet.index(decision.endpoint?)
+    }
+
+    fn decide(
+        &mut self,
+        spec: &RequestSpec,
+        tried: &[EndpointId],
+        step: StepNumber,
+    ) -> RouteDecision {
         let empty = WarmHint::default();
         let prefixes = [name_id(&format!("prompt-{}", spec.account))];
         let hint = self.hints.get(&spec.chat).filter(|_| spec.has_hint);
@@ -453,8 +463,7 @@
         };
         let now = self.fleet.time(step);
         let view = &self.plane.entries[spec.entry];
-        let decision = view.choose(&request, now, &mut self.rng);
-        self.fleet.index(decision.endpoint?)
+        view.choose(&request, now, &mut self.rng)
     }
 }
 
--- a/crates/route/src/choice.rs
+++ b/crates/route/src/choice.rs
@@ -21,6 +21,8 @@
 
 /// Preferred endpoints that are considered.
 pub const PREFERENCE_DEPTH: usize = 3;
+/// Refusals after which preferred endpoints are not tried any more.
+const PREFERENCE_TRIES: usize = 2;
 /// Endpoints that the chats of one shared prefix prefer. In a small service that is nearly all of
 /// it; in a large one, the prefix is warm at these.
 const PREFERENCE_CANDIDATES: usize = 8;
@@ -170,8 +172,10 @@
         if let Some(endpoint) = self.pick_warm() {
             return Some((endpoint, ChoiceReason::Warm));
         }
-        // A chat whose warm places are only loaded is overflow, which spreads.
-        let is_homeless = self.candidates.iter().all(is_place_lost);
+        // A chat whose warm places are only loaded is overflow, which spreads, and so is one that
+        // preferred endpoints refused.
+        let is_homeless = self.candidates.iter().all(is_place_lost)
+            && self.request.tried.len() < PREFERENCE_TRIES;
         let holders = self.table.prefixes.holders(self.request.prefixes);
         if is_homeless || holders.is_some() {
             let preferred = self.preferred(pool);
