--- a/crates/measure/src/skew.rs
+++ b/crates/measure/src/skew.rs
@@ -93,7 +93,8 @@
     } else {
         MAX_OF_IDEAL * ideal
     };
-    result.over_bound == 0
+    result.requests > 0
+        && result.over_bound == 0
         && result.max_over_mean() <= limit
         && result.refused_share() < MAX_REFUSED
 }
--- a/crates/measure/tests/policies.rs
+++ b/crates/measure/tests/policies.rs
@@ -87,6 +87,18 @@
     );
 }
 
+#[gtest]
+fn run_that_ends_within_its_warm_up_proves_nothing() {
+    let output = measure(&["skew", "--endpoints", "3", "--requests", "100"]);
+
+    expect_that!(
+        output.status.code(),
+        some(eq(1)),
+        "{}",
+        result_line(&output)
+    );
+}
+
 #[gtest]
 fn broken_bound_exits_with_1() {
     let output = measure(&["control", "--policy", "least", "--endpoints", "200"]);
