Show what the links count as metrics

Cause: links counted frames and bytes by kind, and the metrics had their own counters that nothing fed, so sapphire_link_bytes_total was always empty. The metrics now follow the counters of the links, which entry and agent keep apart by the role of the peer; a control instance has one set for all peers, shown as any, since it learns the role only in the handshake.

sapphire_link_messages_total is named sapphire_link_frames_total, as probes and handshakes are counted too.

--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -17,8 +17,8 @@
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use settings::process::AgentSettings;
 use tokio::net::TcpListener;
-use watch::AgentMetrics;
 use watch::label::LabelSettings;
+use watch::{AgentMetrics, InstanceRole};
 
 /// Pause between two looks at the attempts that are still active during a stop.
 const DRAIN_PAUSE: Duration = Duration::from_millis(50);
@@ -49,7 +49,8 @@
         role: PeerRole::Agent,
     };
     let secret = LinkSecret::load(&settings.instance.secret_file)?;
-    let link_settings = LinkSettings::new(identity, secret);
+    let link_settings = LinkSettings::new(identity.clone(), secret.clone());
+    let entry_settings = LinkSettings::new(identity, secret);
     let (links, events) = ControlLinks::start(&settings.control, &link_settings);
     let listener = TcpListener::bind(settings.link).await?;
     let http = settings.instance.http;
@@ -57,6 +58,12 @@
         accounts: settings.instance.account_labels,
         ..LabelSettings::default()
     })?;
+    let traffic = &metrics.process.traffic;
+    traffic.follow(Some(InstanceRole::Control), link_settings.counters);
+    traffic.follow(
+        Some(InstanceRole::Entry),
+        Arc::clone(&entry_settings.counters),
+    );
     let shared = Arc::new(AgentShared::new(settings, metrics));
     let server = bind_server(http, Arc::clone(&shared))?;
     let core = Rc::new(AgentCore::new(
@@ -93,7 +100,7 @@
     kernel.register("endpoint", Rc::clone(&core), TaskService::spawning(tasks))?;
     let tasks: Vec<TaskFuture> = vec![
         Box::pin(watch_deadlines(Rc::clone(&core))),
-        Box::pin(serve_links(listener, link_settings, Rc::clone(&core))),
+        Box::pin(serve_links(listener, entry_settings, Rc::clone(&core))),
     ];
     let admission = TaskService::spawning(tasks).on_drain(drain_attempts(Rc::clone(&core)));
     kernel.register("admission", core, admission)?;
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -70,6 +70,8 @@
         ..LabelSettings::default()
     })?);
     let (quorum, reports) = ControlQuorum::open(&settings, &links)?;
+    let traffic = &metrics.process.traffic;
+    traffic.follow(None, Arc::clone(&links.counters));
     let node = Rc::new(ControlNode::new(settings, quorum, metrics));
     let kernel = Rc::new(ServiceKernel::new());
     let service = quorum_service(&kernel, Rc::clone(&node), reports, tree);
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -14,8 +14,8 @@
 use link::control_client::ControlClient;
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use settings::process::EntrySettings;
-use watch::EntryMetrics;
 use watch::label::LabelSettings;
+use watch::{EntryMetrics, InstanceRole};
 
 /// Pause between two looks at the calls that are still active during a stop.
 const DRAIN_PAUSE: Duration = Duration::from_millis(50);
@@ -43,7 +43,8 @@
         role: PeerRole::Entry,
     };
     let secret = LinkSecret::load(&settings.instance.secret_file)?;
-    let link_settings = LinkSettings::new(identity, secret);
+    let link_settings = LinkSettings::new(identity.clone(), secret.clone());
+    let agent_settings = LinkSettings::new(identity, secret);
     let (client, events) = ControlClient::start(settings.control.clone(), link_settings.clone());
     let (pool, dials) = LinkPool::new();
     let (proposals, requests) = ProposalQueue::new();
@@ -52,6 +53,12 @@
         accounts: settings.instance.account_labels,
         ..LabelSettings::default()
     })?;
+    let traffic = &metrics.process.traffic;
+    traffic.follow(Some(InstanceRole::Control), link_settings.counters);
+    traffic.follow(
+        Some(InstanceRole::Agent),
+        Arc::clone(&agent_settings.counters),
+    );
     let core = EntryCore::new(
         settings,
         new_incarnation(),
@@ -70,7 +77,7 @@
         client,
         TaskService::spawning(vec![Box::pin(follow), Box::pin(propose)]),
     )?;
-    let dial = serve_dials(pool.clone(), link_settings, dials);
+    let dial = serve_dials(pool.clone(), agent_settings, dials);
     kernel.register(
         "links",
         Rc::new(pool),
--- a/crates/fake/tests/stops.rs
+++ b/crates/fake/tests/stops.rs
@@ -155,5 +155,9 @@
             metrics.text(),
             contains_substring("\nsapphire_settings_version 1\n")
         );
+        expect_that!(
+            metrics.text(),
+            contains_substring("\nsapphire_link_bytes_total{")
+        );
     }
 }
--- a/crates/watch/src/process.rs
+++ b/crates/watch/src/process.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Debug)]
 pub struct ProcessMetrics {
     pub(crate) registry: Registry,
-    /// Messages and bytes on links.
+    /// Frames and bytes on links.
     pub traffic: TrafficMetrics,
     usage: UsageMetrics,
     settings_version: IntGauge,
@@ -48,6 +48,7 @@
     /// A family that the format can't express.
     pub fn expose(&self) -> Result<String> {
         self.usage.update();
+        self.traffic.update();
         expose(&self.registry)
     }
 }
--- a/crates/watch/src/traffic.rs
+++ b/crates/watch/src/traffic.rs
@@ -1,27 +1,30 @@
-//! Bytes between the processes by kind of message.
+//! Frames and bytes between the processes by kind of message.
 
-use derive_more::Display;
-use prometheus::{IntCounterVec, Registry};
+use std::sync::{Arc, Mutex, PoisonError};
+
+use link::{FrameDirection, LinkCounters, MessageKind};
+use prometheus::{IntCounter, IntCounterVec, Registry};
 
 use crate::metric::{Result, counter_family};
 use crate::role::InstanceRole;
 
-/// Which way a message went.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, Hash)]
-pub enum TrafficDirection {
-    /// From this process.
-    #[display("sent")]
-    Sent,
-    /// To this process.
-    #[display("received")]
-    Received,
+/// Label of the role when one set of counters holds the links to peers of every role.
+const ANY_ROLE: &str = "any";
+
+/// Counters of the links to one role.
+#[derive(Clone, Debug)]
+struct RoleCounters {
+    role: Option<InstanceRole>,
+    counters: Arc<LinkCounters>,
 }
 
-/// Messages and bytes on the links of this process.
+/// Frames and bytes on the links of this process.
 #[derive(Clone, Debug)]
 pub struct TrafficMetrics {
     bytes: IntCounterVec,
-    messages: IntCounterVec,
+    frames: IntCounterVec,
+    /// At most one for each role.
+    sources: Arc<Mutex<Vec<RoleCounters>>>,
 }
 
 impl TrafficMetrics {
@@ -38,30 +41,52 @@
                 "Bytes of frames on links, by kind of message, role of the peer and direction.",
                 &labels,
             )?,
-            messages: counter_family(
+            frames: counter_family(
                 registry,
-                "sapphire_link_messages_total",
-                "Messages on links, by kind of message, role of the peer and direction.",
+                "sapphire_link_frames_total",
+                "Frames on links, by kind of message, role of the peer and direction.",
                 &labels,
             )?,
+            sources: Arc::default(),
         })
     }
 
-    /// Counts one message of `bytes` on the wire.
-    pub fn record(
-        &self,
-        kind: &'static str,
-        peer: InstanceRole,
-        direction: TrafficDirection,
-        bytes: usize,
-    ) {
-        let peer = peer.to_string();
-        let direction = direction.to_string();
-        let labels = [kind, peer.as_str(), direction.as_str()];
-        self.messages.with_label_values(&labels).inc();
-        self.bytes.with_label_values(&labels).inc_by(bytes as u64);
+    /// Shows these counters from now on; `None` when they count peers of every role.
+    pub fn follow(&self, role: Option<InstanceRole>, counters: Arc<LinkCounters>) {
+        let mut sources = self.sources.lock().unwrap_or_else(PoisonError::into_inner);
+        debug_assert!(sources.iter().all(|source| source.role != role));
+        sources.push(RoleCounters { role, counters });
+    }
+
+    /// Brings the metrics up to what the links counted.
+    pub fn update(&self) {
+        let sources = self.sources.lock().unwrap_or_else(PoisonError::into_inner);
+        for source in sources.iter() {
+            for kind in MessageKind::ALL {
+                for direction in [FrameDirection::Sent, FrameDirection::Received] {
+                    self.update_one(source, kind, direction);
+                }
+            }
+        }
+    }
+
+    fn update_one(&self, source: &RoleCounters, kind: MessageKind, direction: FrameDirection) {
+        let count = source.counters.get(direction, kind);
+        if count.frames == 0 {
+            return;
+        }
+        let role = source.role.map(|role| role.to_string());
+        let labels = [
+            kind.to_string(),
+            role.unwrap_or_else(|| ANY_ROLE.to_owned()),
+            direction.to_string(),
+        ];
+        raise_to(&self.frames.with_label_values(&labels), count.frames);
+        raise_to(&self.bytes.with_label_values(&labels), count.bytes);
     }
 }
 
-/// Kind of a probe of an idle link and of its reply.
-pub const PROBE_KIND: &str = "probe";
+/// Raises a counter to a total that was counted elsewhere.
+fn raise_to(counter: &IntCounter, total: u64) {
+    counter.inc_by(total.saturating_sub(counter.get()));
+}
--- a/crates/watch/tests/metrics.rs
+++ b/crates/watch/tests/metrics.rs
@@ -1,17 +1,17 @@
 //! Metrics: the published text format, naming, and the bound on label values.
 
 use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
 use std::time::Duration;
 
 use fault::{FaultKind, RunOutcome};
 use googletest::prelude::*;
+use link::{FrameDirection, LinkCounters, MessageKind};
 use watch::control::ReplicaSample;
 use watch::entry::AnswerSample;
 use watch::label::{LabelBound, LabelSettings};
-use watch::traffic::TrafficDirection;
 use watch::usage::{parse_processor_time, parse_resident_bytes};
 use watch::{AgentMetrics, ControlMetrics, EntryMetrics, InstanceRole, ProcessMetrics};
-use wire::LinkMessage;
 use wire::answer::{ClassKind, EndpointLoad};
 
 use exposition::{FamilyText, parse};
@@ -53,9 +53,11 @@
     metrics.set_load_over_mean("redaction", 1.2);
     metrics.set_in_flight(3);
     metrics.process.set_settings_version(9);
-    let kind = LinkMessage::Quarantine(Vec::new()).kind();
+    let counters = Arc::new(LinkCounters::default());
+    counters.add(FrameDirection::Received, MessageKind::Quarantine, 120);
     let traffic = &metrics.process.traffic;
-    traffic.record(kind, InstanceRole::Control, TrafficDirection::Received, 120);
+    traffic.follow(Some(InstanceRole::Control), counters);
+    traffic.update();
     text_of(&metrics.process)
 }
 
