--- a/crates/control/tests/instances/fleet.rs
+++ b/crates/control/tests/instances/fleet.rs
@@ -3,6 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use serde_json::{Value, json};
@@ -285,11 +286,19 @@
     }
 }
 
-/// An address that nothing else uses. Outgoing connections come from 127.0.0.1, so a host of its
-/// own keeps them from taking the port before the instance does.
+/// First port that is handed out. All lie below the ports of outgoing connections, which would
+/// otherwise take one between here and the start of its instance.
+const FIRST_PORT: u16 = 10_000;
+
+/// An address that nothing else uses: a host for each test process, a port for each call.
 fn free_address() -> SocketAddr {
+    static NEXT_PORT: AtomicU16 = AtomicU16::new(FIRST_PORT);
     let [.., high, low] = std::process::id().to_be_bytes();
     let host = Ipv4Addr::new(127, high.max(1), low, 1);
-    let listener = TcpListener::bind((host, 0)).expect("free port");
-    listener.local_addr().expect("bound")
+    loop {
+        let address = SocketAddr::from((host, NEXT_PORT.fetch_add(1, Ordering::Relaxed)));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
