Join waiting parts of an answer, and acknowledge again behind a resume

Parts that wait for the connection now share a frame of up to 32 KiB, and the first part leaves before the next are read. A reader that keeps up still gets each part by itself.

Every resume is now followed by the acknowledgement.

The overhead is measured without the engine's prefill, which both paths share.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use fault::{Fault, FaultKind, RunOutcome};
 use futures::StreamExt;
+use tokio::task::yield_now;
 use tokio::time::timeout;
 use wire::answer::AnswerHead;
 use wire::command::RecordedAnswer;
@@ -128,6 +129,7 @@
     let is_stream = endpoint::is_event_stream(response.headers());
     let mut check = BodyCheck::new(&session.submit, response.status(), response.headers());
     let mut recorded = Some(BytesMut::new());
+    let mut is_first = true;
     while let Some(part) = next_part(response, is_stream).await? {
         check.push(&part);
         if recorded
@@ -140,6 +142,11 @@
             kept.extend_from_slice(&part);
         }
         session.push_bytes(part);
+        if is_first {
+            // The first part leaves before the next ones are read, however many have come.
+            is_first = false;
+            yield_now().await;
+        }
         session.wait_for_room().await?;
     }
     check.finish()?;
--- a/crates/claim/src/assembly.rs
+++ b/crates/claim/src/assembly.rs
@@ -169,6 +169,17 @@
         }
     }
 
+    /// Acknowledges again what the caller has taken. Belongs behind every resume: the earlier
+    /// acknowledgement may be lost with its connection, and an agent whose window is full sends
+    /// nothing that would bring about another.
+    pub fn repeat_ack(&mut self) -> AckNotice {
+        self.acked = self.taken;
+        AckNotice {
+            key: self.key,
+            offset: self.acked,
+        }
+    }
+
     /// Checks the invariants.
     ///
     /// # Errors
--- a/crates/claim/src/tail.rs
+++ b/crates/claim/src/tail.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use crc32fast::Hasher;
 use derive_more::{Display, Error};
 use fault::RunOutcome;
@@ -225,26 +225,45 @@
         )
     }
 
+    /// The bytes that were not given yet, in one chunk as far as they fit. A reader that keeps up
+    /// gets each part by itself; one that lags gets fewer, larger frames.
     fn next_chunk(&mut self) -> AnswerChunk {
-        let (part, skip) = self.part_at(self.cursor.offset);
-        let size = (part.len() - skip).min(CHUNK_BYTES);
+        let (index, skip) = self.part_at(self.cursor.offset);
+        let first = self.parts[index].slice(skip..);
+        let bytes = match self.parts.len() - index {
+            1 => first.slice(..first.len().min(CHUNK_BYTES)),
+            _ => self.joined(first, index + 1),
+        };
         let chunk = AnswerChunk {
             key: self.key,
             offset: self.cursor.offset,
-            bytes: part.slice(skip..skip + size),
+            bytes,
         };
-        self.cursor.offset += size as u64;
+        self.cursor.offset += chunk.bytes.len() as u64;
         chunk
     }
 
-    /// The part that holds the byte at `offset`, and its place there. Searches from the back,
-    /// where the unsent bytes are.
-    fn part_at(&self, offset: u64) -> (&Bytes, usize) {
+    /// `first` and the parts from `next` on, at most [`CHUNK_BYTES`].
+    fn joined(&self, first: Bytes, next: usize) -> Bytes {
+        let mut joined = BytesMut::from(&first[..first.len().min(CHUNK_BYTES)]);
+        for part in self.parts.range(next..) {
+            let room = CHUNK_BYTES - joined.len();
+            joined.extend_from_slice(&part[..part.len().min(room)]);
+            if part.len() >= room {
+                break;
+            }
+        }
+        joined.freeze()
+    }
+
+    /// Index of the part that holds the byte at `offset`, and its place there. Searches from the
+    /// back, where the unsent bytes are.
+    fn part_at(&self, offset: u64) -> (usize, usize) {
         let mut start = self.length;
-        for part in self.parts.iter().rev() {
+        for (index, part) in self.parts.iter().enumerate().rev() {
             start -= part.len() as u64;
             if start <= offset {
-                return (part, (offset - start) as usize);
+                return (index, (offset - start) as usize);
             }
         }
         unreachable!("the cursor is never before the base");
--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -149,7 +149,9 @@
             if let Ok(sender) = self.pool.sender(self.address).await {
                 self.sender = sender;
                 let resume = LinkMessage::Resume(self.assembly.resume_request());
-                if self.sender.send(resume).await.is_ok() {
+                let ack = LinkMessage::Ack(self.assembly.repeat_ack());
+                let is_sent = self.sender.send(resume).await.is_ok();
+                if is_sent && self.sender.send(ack).await.is_ok() {
                     return None;
                 }
             }
--- a/crates/fake/src/fleet/plan.rs
+++ b/crates/fake/src/fleet/plan.rs
@@ -27,6 +27,8 @@
     pub entries: usize,
     /// Engines.
     pub engines: usize,
+    /// Pause of an engine before the first token of a cold prompt, in milliseconds.
+    pub prefill_ms: u64,
     /// Pause of an engine between two tokens, in milliseconds.
     pub token_ms: u64,
     /// Prompt text that ends an engine.
@@ -41,6 +43,7 @@
             controls: 1,
             entries: 1,
             engines: 2,
+            prefill_ms: 20,
             token_ms: 5,
             poison: None,
             tree: String::new(),
@@ -123,7 +126,8 @@
 
     fn engine(&self, writer: &FileWriter, index: usize) -> EndpointFiles {
         let token = self.token_ms.to_string();
-        let mut arguments = vec!["engine", "--token-ms", &token];
+        let prefill = self.prefill_ms.to_string();
+        let mut arguments = vec!["engine", "--token-ms", &token, "--prefill-ms", &prefill];
         if let Some(poison) = &self.poison {
             arguments.extend(["--poison", poison]);
         }
--- a/crates/measure/src/faults/entry.rs
+++ b/crates/measure/src/faults/entry.rs
@@ -142,6 +142,8 @@
         sent.ends.agent_life = context.agent_lives[sent.ends.agent];
         let resume = sent.assembly.resume_request();
         send(context, sent.ends, LinkMessage::Resume(resume));
+        let ack = sent.assembly.repeat_ack();
+        send(context, sent.ends, LinkMessage::Ack(ack));
     }
 
     /// Gives up waiting for the attempt of a call.
--- a/crates/measure/src/overhead.rs
+++ b/crates/measure/src/overhead.rs
@@ -99,6 +99,7 @@
 pub(crate) fn run(args: &OverheadArgs) -> BoundVerdict {
     let plan = FleetPlan {
         engines: 1,
+        prefill_ms: 0,
         token_ms: 0,
         ..FleetPlan::default()
     };
