Keep one connection to each agent, and tell only its own streams when it ends

Calls that met no connection each dialled one; when an extra one closed, every stream at that agent was told so and resumed, and its resume raced its acknowledgement on another connection.

Excluded: joined frames and the tail's resume, which the fault model passes. Change: one dial at a time for an address; a stream knows the connection it is attached to. A submit that could not be queued is refused as not run, since it never left.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -66,7 +66,7 @@
             FaultKind::NoEndpoint.because(format!("the agent is unreachable: {error}"))
         })?;
         let events = pool.open_stream(key, address);
-        let stream = Self {
+        let mut stream = Self {
             pool: pool.clone(),
             address,
             sender,
@@ -74,11 +74,14 @@
             assembly: AnswerAssembly::new(key),
             is_over: false,
         };
-        // A failed send may have left the process; resuming finds out.
-        let _ = stream
+        let submitted = stream
             .sender
             .send(LinkMessage::Submit(Box::new(submit)))
             .await;
+        if submitted.is_err() {
+            stream.is_over = true;
+            return Err(FaultKind::NoEndpoint.because("the connection to the agent ended"));
+        }
         Ok(stream)
     }
 
@@ -148,6 +151,7 @@
         for _ in 0..RESUME_TRIES {
             if let Ok(sender) = self.pool.sender(self.address).await {
                 self.sender = sender;
+                self.pool.attach_stream(self.key());
                 let resume = LinkMessage::Resume(self.assembly.resume_request());
                 let ack = LinkMessage::Ack(self.assembly.repeat_ack());
                 let is_sent = self.sender.send(resume).await.is_ok();
--- a/crates/entry/src/pool.rs
+++ b/crates/entry/src/pool.rs
@@ -40,22 +40,38 @@
     opened: oneshot::Sender<link::Result<LinkSender>>,
 }
 
+/// Numbers the connections of an entry, in the order in which they were opened.
+type LinkNumber = u64;
+
 /// A stream that is open on some connection.
 struct OpenStream {
     address: SocketAddr,
+    /// The connection that it was last attached to.
+    link: LinkNumber,
     events: mpsc::UnboundedSender<StreamEvent>,
 }
 
 #[derive(Default)]
 struct PoolState {
-    /// Open connections by agent address.
-    senders: HashMap<SocketAddr, LinkSender>,
+    /// Open connections by agent address, at most one for each.
+    senders: HashMap<SocketAddr, (LinkNumber, LinkSender)>,
+    /// Number of the last connection.
+    last_link: LinkNumber,
+    /// Those who wait for a connection that is being opened.
+    dialing: HashMap<SocketAddr, Vec<oneshot::Sender<link::Result<LinkSender>>>>,
     /// Open streams.
     streams: HashMap<AttemptKey, OpenStream>,
     /// Those who wait for the decision records of a request.
     askers: HashMap<RequestId, mpsc::UnboundedSender<DecisionReply>>,
 }
 
+impl PoolState {
+    /// Number of the connection to `address`; 0 when there is none.
+    fn link_number(&self, address: SocketAddr) -> LinkNumber {
+        self.senders.get(&address).map_or(0, |(number, _)| *number)
+    }
+}
+
 /// Connections to agents, shared by the threads of the entry.
 #[derive(Clone)]
 pub struct LinkPool {
@@ -96,12 +112,31 @@
     /// Opens the stream of an attempt that is sent to `address`.
     pub fn open_stream(&self, key: AttemptKey, address: SocketAddr) -> StreamReceiver {
         let (events, receiver) = mpsc::unbounded_channel();
-        self.lock()
-            .streams
-            .insert(key, OpenStream { address, events });
+        let mut state = self.lock();
+        let link = state.link_number(address);
+        state.streams.insert(
+            key,
+            OpenStream {
+                address,
+                link,
+                events,
+            },
+        );
         receiver
     }
 
+    /// Attaches the stream of an attempt to the connection that is open now.
+    pub fn attach_stream(&self, key: AttemptKey) {
+        let mut state = self.lock();
+        let Some(address) = state.streams.get(&key).map(|stream| stream.address) else {
+            return;
+        };
+        let link = state.link_number(address);
+        if let Some(stream) = state.streams.get_mut(&key) {
+            stream.link = link;
+        }
+    }
+
     /// Closes the stream of an attempt; later messages of it are dropped.
     pub fn close_stream(&self, key: AttemptKey) {
         self.lock().streams.remove(&key);
@@ -140,6 +175,7 @@
         state
             .senders
             .get(&address)
+            .map(|(_, sender)| sender)
             .filter(|sender| !sender.is_closed())
             .cloned()
     }
@@ -160,14 +196,50 @@
         }
     }
 
-    fn drop_link(&self, address: SocketAddr) {
+    /// Takes a request for a connection. Returns the address when a dial has to begin: one is
+    /// under way at a time, so that there is one connection to each agent.
+    fn enqueue_dial(&self, request: DialRequest) -> Option<SocketAddr> {
+        let address = request.address;
+        if let Some(sender) = self.open_sender(address) {
+            let _ = request.opened.send(Ok(sender));
+            return None;
+        }
         let mut state = self.lock();
-        state.senders.remove(&address);
-        for stream in state
-            .streams
-            .values()
-            .filter(|stream| stream.address == address)
+        let waiting = state.dialing.entry(address).or_default();
+        waiting.push(request.opened);
+        (waiting.len() == 1).then_some(address)
+    }
+
+    fn install_link(&self, address: SocketAddr, sender: LinkSender) -> LinkNumber {
+        let mut state = self.lock();
+        state.last_link += 1;
+        let number = state.last_link;
+        for waiting in state.dialing.remove(&address).unwrap_or_default() {
+            let _ = waiting.send(Ok(sender.clone()));
+        }
+        state.senders.insert(address, (number, sender));
+        number
+    }
+
+    fn fail_dial(&self, address: SocketAddr) {
+        let waiting = self.lock().dialing.remove(&address);
+        for opened in waiting.unwrap_or_default() {
+            let _ = opened.send(Err(link::LinkError::Closed));
+        }
+    }
+
+    /// Tells the streams of a connection that it ended. Those of a later one go on.
+    fn drop_link(&self, address: SocketAddr, number: LinkNumber) {
+        let mut state = self.lock();
+        if state
+            .senders
+            .get(&address)
+            .is_some_and(|(current, _)| *current == number)
         {
+            state.senders.remove(&address);
+        }
+        let streams = state.streams.values();
+        for stream in streams.filter(|stream| stream.address == address && stream.link <= number) {
             let _ = stream.events.send(StreamEvent::LinkLost);
         }
     }
@@ -198,36 +270,38 @@
     mut requests: mpsc::Receiver<DialRequest>,
 ) {
     while let Some(request) = requests.recv().await {
-        actix_rt::spawn(dial(pool.clone(), settings.clone(), request));
+        if let Some(address) = pool.enqueue_dial(request) {
+            actix_rt::spawn(dial(pool.clone(), settings.clone(), address));
+        }
     }
 }
 
-async fn dial(pool: LinkPool, settings: LinkSettings, request: DialRequest) {
-    if let Some(sender) = pool.open_sender(request.address) {
-        let _ = request.opened.send(Ok(sender));
-        return;
-    }
-    match connect(request.address, &settings).await {
+/// Opens the one connection to `address`, then reads it until it ends.
+async fn dial(pool: LinkPool, settings: LinkSettings, address: SocketAddr) {
+    match connect(address, &settings).await {
         Ok(link) => {
-            pool.lock()
-                .senders
-                .insert(request.address, link.sender.clone());
-            let _ = request.opened.send(Ok(link.sender));
-            read_link(&pool, request.address, link.receiver).await;
+            let number = pool.install_link(address, link.sender);
+            read_link(&pool, address, number, link.receiver).await;
         }
         Err(error) => {
-            let _ = request.opened.send(Err(error));
+            log::info!("entry: no connection to {address}: {error}.");
+            pool.fail_dial(address);
         }
     }
 }
 
-async fn read_link(pool: &LinkPool, address: SocketAddr, mut receiver: LinkReceiver) {
+async fn read_link(
+    pool: &LinkPool,
+    address: SocketAddr,
+    number: LinkNumber,
+    mut receiver: LinkReceiver,
+) {
     loop {
         match receiver.next().await {
             Ok(message) => pool.deliver(message),
             Err(error) => {
-                log::info!("entry: connection to {address} ended: {error}");
-                pool.drop_link(address);
+                log::info!("entry: connection to {address} ended: {error}.");
+                pool.drop_link(address, number);
                 return;
             }
         }
--- a/crates/measure/tests/sessions.rs
+++ b/crates/measure/tests/sessions.rs
@@ -63,14 +63,18 @@
     }
 }
 
-fn tail_of(key: AttemptKey, parts: &[&'static str]) -> AnswerTail {
+/// The tail of an answer, and its frames for a reader that keeps up.
+fn answer_of(key: AttemptKey, parts: &[&'static str]) -> (AnswerTail, Vec<LinkMessage>) {
     let mut tail = AnswerTail::new(key, 1024);
     tail.set_head(head(key));
+    let mut sent = frames(&mut tail);
     for part in parts {
         tail.push(Bytes::from_static(part.as_bytes()));
+        sent.extend(frames(&mut tail));
     }
     tail.finish(RunOutcome::Ran);
-    tail
+    sent.extend(frames(&mut tail));
+    (tail, sent)
 }
 
 fn frames(tail: &mut AnswerTail) -> Vec<LinkMessage> {
@@ -156,8 +160,8 @@
     let mut log = SessionLog::default();
     let mut secretary = AnswerAssembly::new(key(1, 1));
     let mut dispatcher = AnswerAssembly::new(key(2, 1));
-    let first = frames(&mut tail_of(key(1, 1), &["Mass ", "at ten"]));
-    let second = frames(&mut tail_of(key(2, 1), &["Lat ", "47.6"]));
+    let (_, first) = answer_of(key(1, 1), &["Mass ", "at ten"]);
+    let (_, second) = answer_of(key(2, 1), &["Lat ", "47.6"]);
 
     // Every frame reaches both, in turn, as if the connection had mixed them up.
     for (left, right) in first.into_iter().zip(second) {
@@ -249,7 +253,7 @@
 fn a_link_falls_silent() {
     let now = Instant::now();
     let mut log = SessionLog::default();
-    let mut tail = tail_of(key(1, 1), &["Lanndreger, ", "Gwened, ", "Naoned"]);
+    let (mut tail, sent) = answer_of(key(1, 1), &["Lanndreger, ", "Gwened, ", "Naoned"]);
     let mut assembly = AnswerAssembly::new(key(1, 1));
     let mut agent = AttemptTable::new(1, AttemptLimits::default());
     agent.submit(now, key(1, 1), false);
@@ -263,7 +267,7 @@
     log.note("agent", "start", is_started);
 
     // The third frame and all after it get lost.
-    for frame in frames(&mut tail).into_iter().take(2) {
+    for frame in sent.into_iter().take(2) {
         feed(&mut log, "entry", &mut assembly, frame);
     }
     let resume = assembly.resume_request();
