--- /dev/null
+++ b/crates/catalog/src/check.rs
@@ -0,0 +1,151 @@
+//! What makes a catalog invalid.
+
+use std::collections::HashSet;
+
+use derive_more::{Display, Error};
+
+use crate::catalog::{RouteCatalog, RouteRule};
+
+/// Why a catalog is refused.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum CatalogFault {
+    /// A route names a service that the catalog does not hold.
+    #[display("route {route} names the unknown service {service}")]
+    UnknownService {
+        /// The route.
+        route: String,
+        /// The service.
+        service: String,
+    },
+    /// Two routes have the same host and prefix.
+    #[display("routes {first} and {second} share host and prefix")]
+    SharedPlace {
+        /// One of them.
+        first: String,
+        /// The other.
+        second: String,
+    },
+    /// The prefix of a route does not begin and end with a slash.
+    #[display("the prefix of route {route} does not begin and end with a slash")]
+    MalformedPrefix {
+        /// The route.
+        route: String,
+    },
+    /// No service of a route has a weight above zero.
+    #[display("the weights of route {route} add up to 0")]
+    Weightless {
+        /// The route.
+        route: String,
+    },
+    /// A route gives its requests no time.
+    #[display("the timeout of route {route} is 0")]
+    NoTimeout {
+        /// The route.
+        route: String,
+    },
+    /// Two services have the same name.
+    #[display("service {service} is given twice")]
+    RepeatedService {
+        /// The service.
+        service: String,
+    },
+    /// Two client accounts have the same name.
+    #[display("client account {account} is given twice")]
+    RepeatedAccount {
+        /// The account.
+        account: String,
+    },
+    /// Two client accounts have the same key.
+    #[display("client accounts {first} and {second} share a key")]
+    SharedKey {
+        /// One of them.
+        first: String,
+        /// The other.
+        second: String,
+    },
+}
+
+/// Result of checking a catalog.
+pub type Result<T> = std::result::Result<T, CatalogFault>;
+
+/// Checks a catalog as a whole.
+///
+/// # Errors
+/// The first fault.
+pub fn check(catalog: &RouteCatalog) -> Result<()> {
+    let services = check_services(catalog)?;
+    for route in &catalog.routes {
+        check_route(route, &services)?;
+    }
+    check_places(&catalog.routes)?;
+    check_accounts(catalog)
+}
+
+fn check_services(catalog: &RouteCatalog) -> Result<HashSet<&str>> {
+    let mut names = HashSet::new();
+    for service in &catalog.services {
+        if !names.insert(service.name.as_str()) {
+            return Err(CatalogFault::RepeatedService {
+                service: service.name.clone(),
+            });
+        }
+    }
+    Ok(names)
+}
+
+fn check_route(route: &RouteRule, services: &HashSet<&str>) -> Result<()> {
+    let name = || route.name.clone();
+    if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+        return Err(CatalogFault::MalformedPrefix { route: name() });
+    }
+    if route.timeout.is_zero() {
+        return Err(CatalogFault::NoTimeout { route: name() });
+    }
+    let mut shares = route.services.iter();
+    if let Some(share) = shares.find(|share| !services.contains(share.service.as_str())) {
+        return Err(CatalogFault::UnknownService {
+            route: name(),
+            service: share.service.clone(),
+        });
+    }
+    if route.services.iter().all(|share| share.weight == 0) {
+        return Err(CatalogFault::Weightless { route: name() });
+    }
+    Ok(())
+}
+
+fn check_places(routes: &[RouteRule]) -> Result<()> {
+    let mut places = std::collections::HashMap::new();
+    for route in routes {
+        let place = (route.host.as_str(), route.prefix.as_str());
+        if let Some(first) = places.insert(place, &route.name) {
+            return Err(CatalogFault::SharedPlace {
+                first: first.clone(),
+                second: route.name.clone(),
+            });
+        }
+    }
+    Ok(())
+}
+
+fn check_accounts(catalog: &RouteCatalog) -> Result<()> {
+    let mut names = HashSet::new();
+    let mut holders = std::collections::HashMap::new();
+    for account in &catalog.accounts {
+        if !names.insert(account.name.as_str()) {
+            return Err(CatalogFault::RepeatedAccount {
+                account: account.name.clone(),
+            });
+        }
+        for key in &account.keys {
+            let first = holders.insert(key.as_str(), account.name.as_str());
+            if let Some(first) = first.filter(|first| *first != account.name) {
+                return Err(CatalogFault::SharedKey {
+                    first: first.to_owned(),
+                    second: account.name.clone(),
+                });
+            }
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/catalog/tests/catalog.rs
@@ -0,0 +1,165 @@
+//! Checks, route look-up and keys.
+
+use std::time::Duration;
+
+use catalog::check::check;
+use catalog::{
+    AccountRule, CallKind, CatalogFault, CatalogIndex, KeyMatch, RouteCatalog, RouteRule,
+    ServiceRule, ServiceShare,
+};
+use googletest::prelude::*;
+
+fn service(name: &str) -> ServiceRule {
+    ServiceRule {
+        name: name.to_owned(),
+        health_path: "/healthz".to_owned(),
+        connections: 10,
+        engine: None,
+    }
+}
+
+fn route(name: &str, prefix: &str) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: prefix.to_owned(),
+        kind: CallKind::Safe,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        pause: None,
+        priority: 1,
+        services: vec![ServiceShare {
+            service: "plain".to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        is_public: false,
+        has_prompt: false,
+    }
+}
+
+fn account(name: &str, keys: &[&str]) -> AccountRule {
+    AccountRule {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        priority: None,
+    }
+}
+
+fn sound_catalog() -> RouteCatalog {
+    RouteCatalog {
+        version: 3,
+        routes: vec![route("wide", "/x/"), route("narrow", "/x/y/")],
+        services: vec![service("plain")],
+        accounts: vec![account("one", &["k1", "k2"]), account("two", &["k3"])],
+        ..RouteCatalog::default()
+    }
+}
+
+#[gtest]
+fn longest_prefix_of_the_host_wins() {
+    let index = CatalogIndex::new(sound_catalog());
+
+    let name = |host, path| index.find_route(host, path).map(|route| route.name.clone());
+
+    expect_that!(name("a.example", "/x/y/z"), some(eq("narrow")));
+    expect_that!(name("A.example:80", "/x/z"), some(eq("wide")));
+    expect_that!(name("a.example", "/x"), none());
+    expect_that!(name("b.example", "/x/y/z"), none());
+}
+
+#[gtest]
+fn each_key_of_an_account_is_found() {
+    let index = CatalogIndex::new(sound_catalog());
+
+    let holder = |key: &str| match index.find_account(Some(key.as_bytes())) {
+        KeyMatch::Account(account) => Some(account.name.clone()),
+        _ => None,
+    };
+
+    expect_that!(holder("k2"), some(eq("one")));
+    expect_that!(holder("k3"), some(eq("two")));
+    expect_that!(index.find_account(Some(b"k4")), eq(KeyMatch::Unknown));
+    expect_that!(index.find_account(None), eq(KeyMatch::Unknown));
+}
+
+#[gtest]
+fn without_accounts_no_key_is_needed() {
+    let catalog = RouteCatalog {
+        accounts: Vec::new(),
+        ..sound_catalog()
+    };
+
+    let index = CatalogIndex::new(catalog);
+
+    expect_that!(index.find_account(None), eq(KeyMatch::Open));
+}
+
+#[gtest]
+fn faults_are_named() {
+    let sound = sound_catalog();
+    let with_routes = |routes| RouteCatalog {
+        routes,
+        ..sound_catalog()
+    };
+    let lost = RouteRule {
+        services: vec![ServiceShare {
+            service: "lost".to_owned(),
+            weight: 1,
+        }],
+        ..route("a", "/a/")
+    };
+    let weightless = RouteRule {
+        services: vec![ServiceShare {
+            service: "plain".to_owned(),
+            weight: 0,
+        }],
+        ..route("a", "/a/")
+    };
+    let timeless = RouteRule {
+        timeout: Duration::ZERO,
+        ..route("a", "/a/")
+    };
+    let shared = RouteCatalog {
+        accounts: vec![account("one", &["k1"]), account("two", &["k1"])],
+        ..sound_catalog()
+    };
+
+    expect_that!(check(&sound), ok(anything()));
+    expect_that!(
+        check(&with_routes(vec![lost])),
+        err(pat!(CatalogFault::UnknownService { .. }))
+    );
+    expect_that!(
+        check(&with_routes(vec![weightless])),
+        err(pat!(CatalogFault::Weightless { .. }))
+    );
+    expect_that!(
+        check(&with_routes(vec![timeless])),
+        err(pat!(CatalogFault::NoTimeout { .. }))
+    );
+    expect_that!(
+        check(&with_routes(vec![route("a", "/x/"), route("b", "/x/")])),
+        err(pat!(CatalogFault::SharedPlace { .. }))
+    );
+    expect_that!(check(&shared), err(pat!(CatalogFault::SharedKey { .. })));
+}
+
+#[gtest]
+fn weights_split_a_route() {
+    let mut split = route("split", "/s/");
+    split.services = vec![
+        ServiceShare {
+            service: "a".to_owned(),
+            weight: 9,
+        },
+        ServiceShare {
+            service: "b".to_owned(),
+            weight: 1,
+        },
+    ];
+
+    let chosen = (0..100).filter(|draw| split.choose_service(*draw) == Some("b"));
+
+    expect_that!(chosen.count(), eq(10));
+}
--- a/crates/fault/src/answer.rs
+++ b/crates/fault/src/answer.rs
@@ -48,6 +48,7 @@
             K::OutcomeUnknown => row(409, Unknown, None, Level::Warn),
             K::KeyExpired => row(410, Unknown, None, Level::Info),
             K::Quarantined => row(422, NotRun, None, Level::Warn),
+            K::Suspected => row(503, NotRun, Some(5), Level::Warn),
             K::EndpointFailed => row(502, Unknown, None, Level::Error),
             K::ConnectionLost => row(502, Unknown, None, Level::Error),
             K::SettingsStale => row(503, NotRun, Some(5), Level::Error),
--- a/crates/fault/src/kind.rs
+++ b/crates/fault/src/kind.rs
@@ -77,6 +77,9 @@
     /// The request is quarantined because it crashed endpoints.
     #[display("quarantined")]
     Quarantined,
+    /// The request is held back because endpoints that ran it broke off.
+    #[display("suspected")]
+    Suspected,
     /// The endpoint failed while the request was running.
     #[display("endpoint-failed")]
     EndpointFailed,
@@ -105,7 +108,7 @@
 
 impl FaultKind {
     /// Every kind, in declaration order.
-    pub const ALL: [Self; 30] = [
+    pub const ALL: [Self; 31] = [
         Self::MissingKey,
         Self::UnknownKey,
         Self::Forbidden,
@@ -128,6 +131,7 @@
         Self::OutcomeUnknown,
         Self::KeyExpired,
         Self::Quarantined,
+        Self::Suspected,
         Self::EndpointFailed,
         Self::ConnectionLost,
         Self::SettingsStale,
--- /dev/null
+++ b/crates/gateway/src/beats.rs
@@ -0,0 +1,117 @@
+//! The gateway's heartbeat.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{MissedTickBehavior, interval};
+use wire::gateway::{GatewayBeat, GatewayDatagram, StorageState, address_of};
+use wire::id::{InstanceId, name_id};
+
+use crate::founding::{FoundingView, may_found};
+use crate::node::GatewayNode;
+
+/// Time between two heartbeats.
+const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Gateways that one heartbeat names at most.
+const NAMED_GATEWAYS: usize = 40;
+/// Endpoints that one heartbeat tells the load of at most.
+const TOLD_LOADS: usize = 64;
+
+/// Sends heartbeats until the process ends.
+pub async fn send_beats(node: Rc<GatewayNode>) {
+    let mut ticks = interval(BEAT_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = node.now();
+    loop {
+        ticks.tick().await;
+        let now = node.now();
+        node.forget_silent(last, now);
+        last = now;
+        node.decide_founding(now);
+        let beat = GatewayDatagram::Beat(Box::new(node.own_beat(now)));
+        let seeds = node.seeds();
+        let told = {
+            let mut directory = node.directory.borrow_mut();
+            directory.name(now, seeds);
+            directory.told(now)
+        };
+        for instance in told {
+            node.send_datagram(instance, &beat);
+        }
+        node.desk.pool.expire(now);
+    }
+}
+
+impl GatewayNode {
+    fn own_beat(&self, now: Duration) -> GatewayBeat {
+        let directory = self.directory.borrow();
+        let live = directory.live(now).map(|(instance, _)| instance);
+        let mut loads = self.desk.table.borrow().own_loads();
+        loads.truncate(TOLD_LOADS);
+        GatewayBeat {
+            incarnation: self.incarnation,
+            domain: name_id(&self.settings.borrow().failure_domain),
+            storage: self.storage(),
+            is_leaving: self.desk.phase() > relay::desk::ServingPhase::Serving,
+            catalog: self.version(),
+            leader: self.quorum().and_then(|quorum| quorum.leader()),
+            known: live.take(NAMED_GATEWAYS).collect(),
+            loads,
+            crashes: self.desk.crashes.borrow_mut().reports_to_tell(now),
+        }
+    }
+
+    fn storage(&self) -> StorageState {
+        let Some(quorum) = self.quorum() else {
+            return StorageState::None;
+        };
+        if quorum.is_formed() {
+            StorageState::Formed
+        } else if self.settings.borrow().first_start {
+            StorageState::Founding
+        } else {
+            StorageState::Joining
+        }
+    }
+
+    /// Drops what silent gateways told of their load.
+    fn forget_silent(&self, since: Duration, now: Duration) {
+        let silent = self.directory.borrow().fallen_silent(since, now);
+        for instance in silent {
+            log::info!(peer = address_of(instance).to_string().as_str(); "gateway: lost a gateway");
+            self.desk.table.borrow_mut().set_share(instance, Vec::new());
+        }
+        let sharers = self.directory.borrow().sharers();
+        self.desk.budget.borrow_mut().set_instances(sharers);
+    }
+
+    /// Tells the quorum which gateways may hold a member, and whether it may found a log.
+    fn decide_founding(&self, now: Duration) {
+        let Some(quorum) = self.quorum() else {
+            return;
+        };
+        let directory = self.directory.borrow();
+        let state_of = |wanted: StorageState| {
+            let live = directory.live(now).filter(move |(_, beat)| beat.storage == wanted);
+            live.map(|(instance, _)| instance).collect::<Vec<InstanceId>>()
+        };
+        let seeds = self.seeds();
+        let is_heard = |seed: &&InstanceId| {
+            **seed == self.own || directory.live(now).any(|(instance, _)| instance == **seed)
+        };
+        let view = FoundingView {
+            is_first_start: self.settings.borrow().first_start,
+            since_start: now,
+            since_change: now.saturating_sub(directory.storage_changed_at()),
+            seeds: seeds.len(),
+            seeds_heard: seeds.iter().filter(is_heard).count(),
+            has_log: !state_of(StorageState::Formed).is_empty(),
+        };
+        let may_found = !quorum.is_formed() && may_found(&view);
+        let peers = match may_found {
+            true => state_of(StorageState::Founding),
+            false => directory.storing(),
+        };
+        quorum.set_peers(peers, may_found);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/changes.rs
@@ -0,0 +1,119 @@
+//! Replacing and reading the catalog, from any gateway.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::time::{Instant, sleep};
+use wire::gateway::{CatalogText, GatewayAsk, GatewayReply, address_of};
+use wire::id::InstanceId;
+
+use crate::node::GatewayNode;
+
+/// Time that an operator's call takes at most; callers turn to another gateway after a second.
+const CALL_LIMIT: Duration = Duration::from_millis(950);
+/// Longest wait for the answer of one gateway.
+const TRY_LIMIT: Duration = Duration::from_millis(420);
+/// Pause before another gateway is asked.
+const TRY_PAUSE: Duration = Duration::from_millis(60);
+
+impl GatewayNode {
+    /// Makes a catalog the newest. `false` when no quorum confirmed it in time; it may be in force
+    /// all the same.
+    pub async fn replace_catalog(self: &Rc<Self>, text: CatalogText) -> bool {
+        if text.version <= self.version() {
+            return true;
+        }
+        let ask = GatewayAsk::Replace(text);
+        self.ask_leader(&ask).await == Some(GatewayReply::Done)
+    }
+
+    /// The newest catalog, confirmed by a quorum.
+    pub async fn read_catalog(self: &Rc<Self>) -> Option<CatalogText> {
+        match self.ask_leader(&GatewayAsk::ReadLatest).await? {
+            GatewayReply::Catalog(text) if text.version > 0 => {
+                self.install(text.clone(), "read");
+                Some(text)
+            }
+            _ => None,
+        }
+    }
+
+    /// Asks the leader, wherever it is, until the time is up.
+    async fn ask_leader(self: &Rc<Self>, ask: &GatewayAsk) -> Option<GatewayReply> {
+        let until = Instant::now() + CALL_LIMIT;
+        let mut hint = None;
+        let mut round = 0;
+        while Instant::now() < until {
+            let leader = self.leader_to_try(hint.take(), round);
+            round += 1;
+            let reply = match leader {
+                Some(leader) => self.ask_one(leader, ask, until).await,
+                None => None,
+            };
+            match reply {
+                Some(GatewayReply::NotLeader(other)) => hint = other,
+                Some(GatewayReply::NoQuorum) | None => {}
+                answered => return answered,
+            }
+            sleep(TRY_PAUSE).await;
+        }
+        None
+    }
+
+    async fn ask_one(
+        self: &Rc<Self>,
+        leader: InstanceId,
+        ask: &GatewayAsk,
+        until: Instant,
+    ) -> Option<GatewayReply> {
+        if leader == self.own {
+            return Some(match ask.clone() {
+                GatewayAsk::Replace(text) => self.replace_here(text).await,
+                _ => self.read_here().await,
+            });
+        }
+        let limit = TRY_LIMIT.min(until.saturating_duration_since(Instant::now()));
+        match self.ask(leader, ask, limit).await {
+            Ok(reply) => Some(reply),
+            Err(error) => {
+                log::info!(peer = address_of(leader).to_string().as_str(); "gateway: the leader does not answer: {error}");
+                None
+            }
+        }
+    }
+
+    /// Who may lead: whoever was named, this gateway's own view, what others tell, then any gateway
+    /// with a data folder.
+    fn leader_to_try(&self, hint: Option<InstanceId>, round: usize) -> Option<InstanceId> {
+        let own = self.quorum().and_then(|quorum| quorum.leader());
+        let own = own.map(|(_, leader)| leader);
+        let told = self.directory.borrow().leader(self.now());
+        let known = hint.or(own).or(told);
+        if round < 2 || hint.is_some() {
+            return known;
+        }
+        let storing = self.directory.borrow().storing();
+        let any = storing.get(round % storing.len().max(1)).copied();
+        any.or(known)
+    }
+
+    /// Fetches a newer catalog that another gateway tells of.
+    pub fn fetch_if_behind(self: &Rc<Self>) {
+        let version = self.version();
+        let ahead = self.directory.borrow().ahead_of(self.now(), version);
+        let Some(source) = ahead.filter(|_| !self.is_fetching.get()) else {
+            return;
+        };
+        self.is_fetching.set(true);
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let ask = GatewayAsk::FetchAbove(version);
+            match node.ask(source, &ask, TRY_LIMIT).await {
+                Ok(GatewayReply::Catalog(text)) => node.install(text, "gateway"),
+                Ok(_) => log::warn!("gateway: {} sent no catalog", address_of(source)),
+                Err(error) => log::debug!("gateway: no catalog fetched: {error}"),
+            }
+            node.is_fetching.set(false);
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/datagrams.rs
@@ -0,0 +1,95 @@
+//! Heartbeats, parts of the list and small messages of the consensus.
+
+use std::net::{SocketAddr, SocketAddrV4};
+use std::rc::Rc;
+
+use replica::ReplicaMessage;
+use wire::codec;
+use wire::gateway::{GatewayBeat, GatewayDatagram, ListPart, MAX_DATAGRAM_BYTES, address_of, instance_at};
+use wire::id::InstanceId;
+
+use crate::node::GatewayNode;
+
+/// Bytes of the receive buffer.
+const BUFFER_BYTES: usize = 4096;
+
+impl GatewayNode {
+    /// Sends a datagram. What does not fit or is not taken is dropped; the next one makes up for
+    /// it.
+    pub fn send_datagram(&self, to: InstanceId, datagram: &GatewayDatagram) -> bool {
+        let Ok(payload) = codec::encode(datagram) else {
+            return false;
+        };
+        if payload.len() > MAX_DATAGRAM_BYTES {
+            return false;
+        }
+        let sealed = self.seal.seal(&payload);
+        let sent = self.socket.try_send_to(&sealed, SocketAddr::V4(address_of(to)));
+        if let Err(error) = &sent {
+            log::debug!("gateway: datagram to {} failed: {error}", address_of(to));
+        }
+        true
+    }
+
+    fn take_datagram(self: &Rc<Self>, from: SocketAddrV4, bytes: &[u8]) {
+        let Some(payload) = self.seal.open(bytes) else {
+            return;
+        };
+        let datagram = match codec::decode_as::<GatewayDatagram>(payload) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                log::warn!("gateway: {from} sent no datagram of this version: {error}");
+                return;
+            }
+        };
+        let from = instance_at(from);
+        match datagram {
+            GatewayDatagram::Beat(beat) => self.take_beat(from, *beat),
+            GatewayDatagram::List(part) => self.take_list_part(from, part),
+            GatewayDatagram::Replica(bytes) => self.take_replica(&bytes),
+        }
+    }
+
+    fn take_beat(self: &Rc<Self>, from: InstanceId, beat: GatewayBeat) {
+        let now = self.now();
+        for report in &beat.crashes {
+            self.desk.crashes.borrow_mut().note(now, *report);
+        }
+        self.desk.table.borrow_mut().set_share(from, beat.loads.clone());
+        let is_new = self.directory.borrow_mut().hear(now, from, beat);
+        if is_new {
+            log::info!(peer = address_of(from).to_string().as_str(); "gateway: hears a gateway");
+        }
+        self.fetch_if_behind();
+    }
+
+    fn take_list_part(&self, from: InstanceId, part: ListPart) {
+        let whole = self.readings.borrow_mut().take_part(self.now(), from, part);
+        if let Some(endpoints) = whole {
+            self.take_reading(&endpoints);
+        }
+    }
+
+    /// Takes a message of the consensus.
+    pub fn take_replica(self: &Rc<Self>, bytes: &[u8]) {
+        let Some(quorum) = self.quorum() else {
+            return;
+        };
+        match ReplicaMessage::decode(bytes) {
+            Ok(message) => self.receive_replica(&quorum, message),
+            Err(error) => log::warn!("gateway: a message of the consensus is unreadable: {error}"),
+        }
+    }
+}
+
+/// Receives datagrams until the process ends.
+pub async fn receive_datagrams(node: Rc<GatewayNode>) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        match node.socket.recv_from(&mut buffer).await {
+            Ok((length, SocketAddr::V4(from))) => node.take_datagram(from, &buffer[..length]),
+            Ok((_, from)) => log::debug!("gateway: datagram from {from} ignored"),
+            Err(error) => log::debug!("gateway: receiving failed: {error}"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/http.rs
@@ -0,0 +1,138 @@
+//! Operators and readiness.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::{Method, ServiceConfig, StatusCode};
+use bytes::Bytes;
+use platform::paths::{READ_CATALOG, READINESS, REPLACE_CATALOG};
+use relay::session::{self, IncomingCall, SessionLimits};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+use wire::gateway::CatalogText;
+
+use crate::node::GatewayNode;
+
+/// What operators and the balancer may send.
+const LIMITS: SessionLimits = SessionLimits {
+    header_bytes: 16 * 1024,
+    body_bytes: 8 * 1024 * 1024,
+    header_timeout: Duration::from_secs(5),
+    body_timeout: Duration::from_secs(5),
+};
+/// Time for which a connection may be idle.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time after which an operator should come back, in seconds.
+const RETRY_SECONDS: &str = "0.3";
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer.
+struct HttpAnswer {
+    status: StatusCode,
+    body: Bytes,
+}
+
+impl HttpAnswer {
+    fn text(status: StatusCode, text: impl std::fmt::Display) -> Self {
+        let body = format!("{{\"message\":\"{text}\"}}");
+        Self {
+            status,
+            body: Bytes::from(body),
+        }
+    }
+}
+
+/// Serves operators and the balancer until the process ends.
+pub async fn serve_http(listener: TcpListener, node: Rc<GatewayNode>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                actix_rt::spawn(serve_connection(stream, Rc::clone(&node)));
+            }
+            Err(error) => {
+                log::warn!("gateway: accepting an operator failed: {error}");
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, node: Rc<GatewayNode>) {
+    if let Err(error) = serve_requests(stream, &node).await {
+        log::debug!("gateway: an operator's connection ended: {error}");
+    }
+}
+
+async fn serve_requests(stream: TcpStream, node: &Rc<GatewayNode>) -> session::Result<()> {
+    let (mut reader, mut writer) = session::open(stream, &ServiceConfig::default())?;
+    loop {
+        let arrived = timeout(IDLE_TIMEOUT, reader.wait_for_bytes()).await;
+        if !arrived.unwrap_or(Ok(false))? {
+            return Ok(());
+        }
+        let incoming = reader.read_call(&mut writer, &LIMITS).await?;
+        let answer = node.answer_http(&incoming).await;
+        let mut headers = HeaderMap::new();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
+        }
+        writer.send_whole(answer.status, headers, answer.body, false).await?;
+        if !writer.is_kept() {
+            return Ok(());
+        }
+    }
+}
+
+impl GatewayNode {
+    async fn answer_http(self: &Rc<Self>, incoming: &IncomingCall) -> HttpAnswer {
+        let path = incoming.head.path();
+        match (incoming.head.method(), path) {
+            (&Method::GET, READINESS) => self.answer_readiness(),
+            (&Method::POST, REPLACE_CATALOG) => self.answer_replace(&incoming.body).await,
+            (&Method::GET, READ_CATALOG) => self.answer_read().await,
+            _ => HttpAnswer::text(StatusCode::NOT_FOUND, "no such path"),
+        }
+    }
+
+    fn answer_readiness(&self) -> HttpAnswer {
+        match self.is_ready() {
+            true => HttpAnswer::text(StatusCode::OK, "ready"),
+            false => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+        }
+    }
+
+    async fn answer_replace(self: &Rc<Self>, body: &Bytes) -> HttpAnswer {
+        let catalog = match platform::catalog_body::read_catalog(body) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log::info!("gateway: catalog refused: {error}");
+                let text = error.to_string().replace(['"', '\\'], "'");
+                return HttpAnswer::text(StatusCode::BAD_REQUEST, text);
+            }
+        };
+        let version = catalog.version;
+        let text = CatalogText {
+            version,
+            body: body.to_vec(),
+        };
+        let is_done = self.replace_catalog(text).await;
+        log::info!(version = version, acknowledged = is_done; "gateway: catalog offered");
+        match is_done {
+            true => HttpAnswer::text(StatusCode::OK, "in force"),
+            false => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum"),
+        }
+    }
+
+    async fn answer_read(self: &Rc<Self>) -> HttpAnswer {
+        match self.read_catalog().await {
+            Some(text) => HttpAnswer {
+                status: StatusCode::OK,
+                body: Bytes::from(text.body),
+            },
+            None => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/main.rs
@@ -0,0 +1,156 @@
+//! The `sapphire-gateway` program.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use gateway::asks::serve_asks;
+use gateway::beats::send_beats;
+use gateway::datagrams::receive_datagrams;
+use gateway::http::serve_http;
+use gateway::list::follow_list;
+use gateway::node::GatewayNode;
+use gateway::quorum::open_quorum;
+use gateway::reload::follow_settings;
+use kernel::{ServiceKernel, TaskService, program};
+use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
+use platform::PlatformDialect;
+use relay::budget::BudgetSettings;
+use relay::desk::{RelayDesk, RelaySettings, ServingPhase};
+use relay::server::serve_callers;
+use settings::process::GatewaySettings;
+use tokio::net::{TcpListener, UdpSocket};
+use tokio::time::sleep;
+use wire::id::name_id;
+
+/// Time from the begin of a drain until callers have been sent elsewhere and idle connections are
+/// closed.
+const REROUTE_TIME: Duration = Duration::from_millis(3200);
+/// Time before the end of the grace at which the process ends, whatever still runs.
+const GRACE_MARGIN: Duration = Duration::from_millis(400);
+/// Time between two looks at whether all calls have ended.
+const DRAIN_CHECK: Duration = Duration::from_millis(50);
+/// Longest duration of making a link.
+const LINK_LIMIT: Duration = Duration::from_millis(500);
+
+type BoxedError = Box<dyn std::error::Error>;
+
+#[actix_web::main]
+async fn main() -> ExitCode {
+    let (settings, path) = match program::start_file::<GatewaySettings>("gateway") {
+        Ok(started) => started,
+        Err(code) => return code,
+    };
+    match build_kernel(settings, path).await {
+        Ok(kernel) => kernel::process::run(kernel).await,
+        Err(error) => {
+            log::error!("gateway: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn build_kernel(
+    settings: GatewaySettings,
+    path: PathBuf,
+) -> Result<Rc<ServiceKernel>, BoxedError> {
+    log::info!(name = settings.name.as_str(), first_start = settings.first_start; "gateway: starting");
+    let callers = TcpListener::bind(settings.callers).await?;
+    let readiness = TcpListener::bind(settings.readiness).await?;
+    let operators = TcpListener::bind(settings.operators).await?;
+    let asks = TcpListener::bind(SocketAddr::V4(settings.link)).await?;
+    let socket = UdpSocket::bind(SocketAddr::V4(settings.link)).await?;
+    let desk = Rc::new(RelayDesk::new(
+        relay_settings(&settings),
+        Rc::new(PlatformDialect),
+    ));
+    let links = link_settings(&settings)?;
+    let data = settings.data.clone();
+    let grace = Duration::from_millis(settings.grace_ms);
+    let incarnation = program::new_incarnation();
+    let node = GatewayNode::new(settings, incarnation, Rc::clone(&desk), socket, links);
+    let node = Rc::new(node);
+    let kernel = Rc::new(ServiceKernel::new());
+    let shared = || Rc::clone(&node);
+    let peers = TaskService::spawning(vec![
+        Box::pin(receive_datagrams(shared())),
+        Box::pin(serve_asks(asks, shared())),
+        Box::pin(send_beats(shared())),
+        Box::pin(follow_settings(shared(), path)),
+    ]);
+    kernel.register("peers", shared(), peers)?;
+    let quorum = quorum_service(&kernel, shared(), data);
+    kernel.register("quorum", shared(), quorum)?;
+    let list = TaskService::spawning(vec![Box::pin(follow_list(shared()))]);
+    kernel.register("list", shared(), list)?;
+    let operators = TaskService::spawning(vec![
+        Box::pin(serve_http(operators, shared())),
+        Box::pin(serve_http(readiness, shared())),
+    ]);
+    kernel.register("operators", shared(), operators)?;
+    let relay = TaskService::spawning(vec![Box::pin(serve_callers(callers, Rc::clone(&desk)))]);
+    let relay = relay.on_drain(drain(node, grace));
+    kernel.register("relay", desk, relay)?;
+    Ok(kernel)
+}
+
+fn quorum_service(
+    kernel: &Rc<ServiceKernel>,
+    node: Rc<GatewayNode>,
+    data: Option<PathBuf>,
+) -> TaskService {
+    let Some(data) = data else {
+        return TaskService::new();
+    };
+    let kernel = Rc::clone(kernel);
+    TaskService::spawning(vec![Box::pin(async move {
+        if let Err(reason) = open_quorum(node, data).await {
+            kernel.report_failure("quorum", reason);
+        }
+    })])
+}
+
+fn relay_settings(settings: &GatewaySettings) -> RelaySettings {
+    RelaySettings {
+        domain: name_id(&settings.failure_domain),
+        budget: BudgetSettings {
+            ratio: settings.retries.ratio,
+            extra: settings.retries.extra,
+            window: Duration::from_millis(settings.retries.window_ms),
+        },
+        ..RelaySettings::default()
+    }
+}
+
+fn link_settings(settings: &GatewaySettings) -> Result<LinkSettings, BoxedError> {
+    let secret = match &settings.secret_file {
+        Some(path) => LinkSecret::load(path)?,
+        None => LinkSecret::new(Vec::new()),
+    };
+    let identity = LinkIdentity {
+        name: settings.name.clone(),
+        role: PeerRole::Control,
+    };
+    Ok(LinkSettings {
+        connect_limit: LINK_LIMIT,
+        ..LinkSettings::new(identity, secret)
+    })
+}
+
+/// Sends callers elsewhere and lets their calls end.
+async fn drain(node: Rc<GatewayNode>, grace: Duration) -> kernel::service::StepResult {
+    let started = Instant::now();
+    let desk = Rc::clone(&node.desk);
+    desk.enter(ServingPhase::Draining);
+    node.hand_over().await;
+    let latest = grace.saturating_sub(GRACE_MARGIN);
+    sleep(REROUTE_TIME.min(latest).saturating_sub(started.elapsed())).await;
+    desk.enter(ServingPhase::Closing);
+    while desk.active_calls.get() > 0 && started.elapsed() < latest {
+        sleep(DRAIN_CHECK).await;
+    }
+    log::info!(cut = desk.active_calls.get(); "gateway: drained");
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/node.rs
@@ -0,0 +1,127 @@
+//! What the services of one gateway share.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::CatalogIndex;
+use link::{DatagramSeal, Link, LinkSettings};
+use relay::desk::RelayDesk;
+use settings::process::GatewaySettings;
+use tokio::net::UdpSocket;
+use wire::gateway::{CatalogText, instance_at};
+use wire::id::{IncarnationNumber, InstanceId};
+
+use crate::directory::GatewayDirectory;
+use crate::quorum::GatewayQuorum;
+use crate::readings::ReadingBoard;
+
+/// One gateway, on one thread.
+pub struct GatewayNode {
+    /// Its settings; replaced when the file changes.
+    pub settings: RefCell<GatewaySettings>,
+    /// Its id.
+    pub own: InstanceId,
+    /// This life of it.
+    pub incarnation: IncarnationNumber,
+    /// What its calls share.
+    pub desk: Rc<RelayDesk>,
+    /// The other gateways.
+    pub directory: RefCell<GatewayDirectory>,
+    /// Readings of the list.
+    pub readings: RefCell<ReadingBoard>,
+    /// Number of its latest reading.
+    pub reading_number: Cell<u64>,
+    /// Its member of the quorum; none without a data folder, or while that opens.
+    pub quorum: RefCell<Option<Rc<GatewayQuorum>>>,
+    /// The newest catalog that it knows a quorum to hold.
+    newest: RefCell<CatalogText>,
+    /// Whether a catalog is being fetched.
+    pub is_fetching: Cell<bool>,
+    /// Sends and receives datagrams.
+    pub socket: UdpSocket,
+    /// Authenticates datagrams.
+    pub seal: DatagramSeal,
+    /// How links are made.
+    pub links: LinkSettings,
+    /// Idle links to other gateways.
+    pub idle_links: RefCell<HashMap<InstanceId, Vec<Link>>>,
+}
+
+impl GatewayNode {
+    /// A gateway that knows nothing yet.
+    pub fn new(
+        settings: GatewaySettings,
+        incarnation: IncarnationNumber,
+        desk: Rc<RelayDesk>,
+        socket: UdpSocket,
+        links: LinkSettings,
+    ) -> Self {
+        let own = instance_at(settings.link);
+        Self {
+            settings: RefCell::new(settings),
+            own,
+            incarnation,
+            desk,
+            directory: RefCell::new(GatewayDirectory::new(own)),
+            readings: RefCell::default(),
+            reading_number: Cell::new(0),
+            quorum: RefCell::default(),
+            newest: RefCell::default(),
+            is_fetching: Cell::new(false),
+            socket,
+            seal: DatagramSeal::new(&links.secret),
+            links,
+            idle_links: RefCell::default(),
+        }
+    }
+
+    /// Time since the start.
+    pub fn now(&self) -> Duration {
+        self.desk.now()
+    }
+
+    /// The seeds' ids.
+    pub fn seeds(&self) -> Vec<InstanceId> {
+        let links = self.settings.borrow().seed_links();
+        links.into_iter().map(instance_at).collect()
+    }
+
+    /// The newest catalog.
+    pub fn newest(&self) -> CatalogText {
+        self.newest.borrow().clone()
+    }
+
+    /// Version of the newest catalog; 0 for none.
+    pub fn version(&self) -> u64 {
+        self.newest.borrow().version
+    }
+
+    /// This gateway's member of the quorum.
+    pub fn quorum(&self) -> Option<Rc<GatewayQuorum>> {
+        self.quorum.borrow().clone()
+    }
+
+    /// Puts a catalog in force that a quorum holds, unless a newer one is.
+    pub fn install(&self, text: CatalogText, source: &str) {
+        let held = self.version();
+        if text.version <= held {
+            return;
+        }
+        match platform::catalog_body::read_catalog(&text.body) {
+            Ok(catalog) => {
+                log::info!(version = text.version, held = held, source = source; "gateway: catalog in force");
+                self.desk.set_catalog(CatalogIndex::new(catalog));
+            }
+            Err(error) => log::error!("gateway: catalog {} is unreadable: {error}", text.version),
+        }
+        *self.newest.borrow_mut() = text;
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        let is_serving = self.desk.phase() == relay::desk::ServingPhase::Serving;
+        is_serving && self.desk.catalog().is_some() && !self.desk.table.borrow().is_empty()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/quorum.rs
@@ -0,0 +1,355 @@
+//! The gateway's member of the quorum.
+//!
+//! The state that the quorum keeps is the newest catalog. Small messages of the consensus travel as
+//! datagrams; larger ones over links, one after the other for each gateway.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use control::disk::{DiskQueue, DiskReport, DiskReports, start_disk};
+use replica::id::{LogIndex, ReadTicket, TermNumber};
+use replica::{
+    EntryPayload, LogEntry, MemberKey, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings,
+};
+use store::{DiskFolder, MemberStore, OpenedMember};
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::{sleep, timeout};
+use wire::codec;
+use wire::gateway::{CatalogText, GatewayAsk, GatewayDatagram, GatewayReply, StorageState, address_of};
+use wire::id::InstanceId;
+
+use crate::node::GatewayNode;
+
+/// Time between two ticks of the consensus.
+const TICK_INTERVAL: Duration = Duration::from_millis(25);
+/// Voters at most.
+const MAX_VOTERS: usize = 7;
+/// Messages that wait for a link to one gateway; more are dropped, and sent again later.
+const LANE_MESSAGES: usize = 16;
+/// Longest wait for the receipt of a large message.
+const LANE_LIMIT: Duration = Duration::from_millis(600);
+/// Longest wait for an entry to be committed, or a read to be confirmed.
+const COMMIT_LIMIT: Duration = Duration::from_millis(900);
+/// Longest wait for a catalog to be taken in by another gateway.
+const INSTALL_LIMIT: Duration = Duration::from_millis(600);
+/// Longest duration of handing over the leadership.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
+
+type EntryKey = (LogIndex, TermNumber);
+
+/// Consensus and disk of one gateway, on one thread.
+pub struct GatewayQuorum {
+    core: RefCell<ReplicaCore>,
+    disk: DiskQueue,
+    /// Proposals that are not applied yet.
+    waiting: RefCell<BTreeMap<EntryKey, oneshot::Sender<()>>>,
+    reads: RefCell<BTreeMap<ReadTicket, oneshot::Sender<()>>>,
+    next_ticket: Cell<ReadTicket>,
+    lanes: RefCell<HashMap<InstanceId, mpsc::Sender<Vec<u8>>>>,
+    /// The clock of the consensus starts here.
+    started: Instant,
+}
+
+/// Opens a data folder on a thread of its own, as a disk may hang, and joins the quorum.
+pub async fn open_quorum(node: Rc<GatewayNode>, data: std::path::PathBuf) -> Result<(), String> {
+    let opened = actix_rt::task::spawn_blocking(move || open_store(&data)).await;
+    let opened = opened.map_err(|error| error.to_string())?;
+    let (store, opened) = opened.map_err(|error| error.to_string())?;
+    let own = MemberKey {
+        instance: node.own,
+        identity: opened.identity,
+    };
+    log::info!(is_new = opened.is_new, cut_bytes = opened.cut_bytes; "gateway: data folder open");
+    let (disk, reports) = start_disk(store);
+    let settings = ReplicaSettings {
+        max_voters: MAX_VOTERS,
+        ..ReplicaSettings::default()
+    };
+    let mut core = ReplicaCore::new(
+        settings,
+        own,
+        vec![own.instance],
+        opened.recovered,
+        Duration::ZERO,
+        rand::random(),
+    );
+    core.set_founding(false);
+    let quorum = Rc::new(GatewayQuorum {
+        core: RefCell::new(core),
+        disk,
+        waiting: RefCell::default(),
+        reads: RefCell::default(),
+        next_ticket: Cell::new(1),
+        lanes: RefCell::default(),
+        started: Instant::now(),
+    });
+    *node.quorum.borrow_mut() = Some(Rc::clone(&quorum));
+    Err(node.run_quorum(&quorum, reports).await)
+}
+
+fn open_store(data: &Path) -> store::Result<(MemberStore<DiskFolder>, OpenedMember)> {
+    let folder = DiskFolder::open(data)?;
+    MemberStore::open(folder, rand::random_range(1..u64::MAX))
+}
+
+impl GatewayQuorum {
+    fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// Whether the member belongs to a log.
+    pub fn is_formed(&self) -> bool {
+        self.core.borrow().is_formed()
+    }
+
+    /// Whether the member leads.
+    pub fn is_leader(&self) -> bool {
+        self.core.borrow().is_leader()
+    }
+
+    /// The leader that the member knows, with its term.
+    pub fn leader(&self) -> Option<(u64, InstanceId)> {
+        let status = self.core.borrow().status();
+        let leader = status.leader?;
+        Some((status.term, leader.instance))
+    }
+
+    /// Sets the gateways that may hold a member, and whether this one may found a log.
+    pub fn set_peers(&self, peers: Vec<InstanceId>, may_found: bool) {
+        let mut core = self.core.borrow_mut();
+        core.set_peers(peers);
+        core.set_founding(may_found);
+    }
+}
+
+impl GatewayNode {
+    /// Drives the consensus until the data folder fails.
+    async fn run_quorum(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>, mut reports: DiskReports) -> String {
+        self.run_actions(quorum);
+        loop {
+            match timeout(TICK_INTERVAL, reports.recv()).await {
+                Ok(Some(DiskReport::Durable(number))) => {
+                    let mut core = quorum.core.borrow_mut();
+                    core.set_store_full(false);
+                    core.persisted(number);
+                }
+                Ok(Some(DiskReport::Full)) => {
+                    log::error!("gateway: the disk of the data folder is full");
+                    quorum.core.borrow_mut().set_store_full(true);
+                }
+                Ok(Some(DiskReport::Failed(error))) => return error.to_string(),
+                Ok(None) => return "the disk thread ended".to_owned(),
+                Err(_) => {}
+            }
+            quorum.core.borrow_mut().tick(quorum.now());
+            self.run_actions(quorum);
+        }
+    }
+
+    /// Takes a message of another member.
+    pub fn receive_replica(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>, message: ReplicaMessage) {
+        quorum.core.borrow_mut().receive(quorum.now(), message);
+        self.run_actions(quorum);
+    }
+
+    /// Makes a catalog the newest, if this gateway leads.
+    pub async fn replace_here(self: &Rc<Self>, text: CatalogText) -> GatewayReply {
+        let Some(quorum) = self.quorum() else {
+            return GatewayReply::NotLeader(self.directory.borrow().leader(self.now()));
+        };
+        if text.version <= self.version() {
+            return GatewayReply::Done;
+        }
+        let command = match codec::encode(&text) {
+            Ok(command) => command,
+            Err(error) => {
+                log::error!("gateway: catalog {} can't be stored: {error}", text.version);
+                return GatewayReply::NoQuorum;
+            }
+        };
+        let proposed = quorum.core.borrow_mut().propose(quorum.now(), command);
+        let key = match proposed {
+            Ok(key) => key,
+            Err(error) => {
+                log::info!(version = text.version; "gateway: catalog not proposed: {error}");
+                return not_leader(&quorum);
+            }
+        };
+        let (done, applied) = oneshot::channel();
+        quorum.waiting.borrow_mut().insert(key, done);
+        self.run_actions(&quorum);
+        let outcome = timeout(COMMIT_LIMIT, applied).await;
+        quorum.waiting.borrow_mut().remove(&key);
+        match outcome {
+            Ok(Ok(())) => {
+                self.push_newest();
+                GatewayReply::Done
+            }
+            _ => GatewayReply::NoQuorum,
+        }
+    }
+
+    /// The newest catalog, confirmed by a quorum, if this gateway leads.
+    pub async fn read_here(self: &Rc<Self>) -> GatewayReply {
+        let Some(quorum) = self.quorum() else {
+            return GatewayReply::NotLeader(self.directory.borrow().leader(self.now()));
+        };
+        let ticket = quorum.next_ticket.replace(quorum.next_ticket.get() + 1);
+        let (done, confirmed) = oneshot::channel();
+        quorum.reads.borrow_mut().insert(ticket, done);
+        let started = quorum.core.borrow_mut().read(quorum.now(), ticket);
+        self.run_actions(&quorum);
+        if started.is_err() {
+            quorum.reads.borrow_mut().remove(&ticket);
+            return not_leader(&quorum);
+        }
+        let outcome = timeout(COMMIT_LIMIT, confirmed).await;
+        quorum.reads.borrow_mut().remove(&ticket);
+        match outcome {
+            Ok(Ok(())) => GatewayReply::Catalog(self.newest()),
+            _ => GatewayReply::NoQuorum,
+        }
+    }
+
+    /// Hands the leadership over, if it is held here, and waits until that is done.
+    pub async fn hand_over(self: &Rc<Self>) {
+        let Some(quorum) = self.quorum() else {
+            return;
+        };
+        let until = Instant::now() + HAND_OVER_LIMIT;
+        while quorum.is_leader() && Instant::now() < until {
+            if let Err(error) = quorum.core.borrow_mut().hand_over(quorum.now()) {
+                log::debug!("gateway: leadership not handed over: {error}");
+            }
+            self.run_actions(&quorum);
+            sleep(TICK_INTERVAL).await;
+        }
+    }
+
+    /// Carries out what the consensus decided.
+    fn run_actions(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>) {
+        loop {
+            let actions = quorum.core.borrow_mut().take_actions();
+            if actions.is_empty() {
+                return;
+            }
+            for action in actions {
+                self.run_action(quorum, action);
+            }
+        }
+    }
+
+    fn run_action(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>, action: ReplicaAction) {
+        match action {
+            ReplicaAction::Send(message) => self.send_replica(quorum, &message),
+            ReplicaAction::Persist(batch) => {
+                // A closed queue means that the disk failed, which ends the process.
+                let _ = quorum.disk.send(batch);
+            }
+            ReplicaAction::Restore(snapshot) => match codec::decode_state(&snapshot.state) {
+                Ok(text) => self.install(text, "snapshot"),
+                Err(error) => log::error!("gateway: the snapshot is unreadable: {error}"),
+            },
+            ReplicaAction::Apply(entry) => self.apply(quorum, entry),
+            ReplicaAction::TakeSnapshot(index) => match codec::encode_state(&self.newest()) {
+                Ok(state) => quorum.core.borrow_mut().snapshot_taken(index, state),
+                Err(error) => log::error!("gateway: no snapshot was taken: {error}"),
+            },
+            ReplicaAction::ReadConfirmed(ticket) => {
+                if let Some(done) = quorum.reads.borrow_mut().remove(&ticket) {
+                    // Whoever asked may have given up.
+                    let _ = done.send(());
+                }
+            }
+            ReplicaAction::ReadFailed(ticket) => {
+                quorum.reads.borrow_mut().remove(&ticket);
+            }
+            ReplicaAction::RoleChanged => log_role(quorum),
+        }
+    }
+
+    fn apply(&self, quorum: &GatewayQuorum, entry: LogEntry) {
+        if let EntryPayload::Command(bytes) = &entry.payload {
+            match codec::decode_as::<CatalogText>(bytes) {
+                Ok(text) => self.install(text, "log"),
+                Err(error) => log::error!("gateway: entry {} is unreadable: {error}", entry.index),
+            }
+        }
+        let waiting = quorum.waiting.borrow_mut().remove(&(entry.index, entry.term));
+        if let Some(done) = waiting {
+            // Whoever proposed may have given up.
+            let _ = done.send(());
+        }
+    }
+
+    /// Sends the newest catalog to the live gateways that don't follow the log.
+    fn push_newest(self: &Rc<Self>) {
+        let text = self.newest();
+        let directory = self.directory.borrow();
+        let behind = directory.live(self.now()).filter(|(_, beat)| {
+            beat.storage != StorageState::Formed && beat.catalog < text.version
+        });
+        for (instance, _) in behind {
+            let (node, ask) = (Rc::clone(self), GatewayAsk::Install(text.clone()));
+            actix_rt::spawn(async move {
+                if let Err(error) = node.ask(instance, &ask, INSTALL_LIMIT).await {
+                    log::debug!("gateway: {} took no catalog: {error}", address_of(instance));
+                }
+            });
+        }
+    }
+
+    fn send_replica(self: &Rc<Self>, quorum: &GatewayQuorum, message: &ReplicaMessage) {
+        let bytes = match message.encode() {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("gateway: a message of the consensus is too large: {error}");
+                return;
+            }
+        };
+        let datagram = GatewayDatagram::Replica(bytes);
+        if self.send_datagram(message.to, &datagram) {
+            return;
+        }
+        let GatewayDatagram::Replica(bytes) = datagram else {
+            return;
+        };
+        let mut lanes = quorum.lanes.borrow_mut();
+        let lane = lanes.entry(message.to).or_insert_with(|| self.open_lane(message.to));
+        // A full lane drops the message, as a lossy network would.
+        let _ = lane.try_send(bytes);
+    }
+
+    fn open_lane(self: &Rc<Self>, to: InstanceId) -> mpsc::Sender<Vec<u8>> {
+        let (sender, mut messages) = mpsc::channel::<Vec<u8>>(LANE_MESSAGES);
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            while let Some(bytes) = messages.recv().await {
+                let ask = GatewayAsk::Replica(bytes);
+                if let Err(error) = node.ask(to, &ask, LANE_LIMIT).await {
+                    log::debug!("gateway: {} took no message: {error}", address_of(to));
+                }
+            }
+        });
+        sender
+    }
+}
+
+fn not_leader(quorum: &GatewayQuorum) -> GatewayReply {
+    GatewayReply::NotLeader(quorum.leader().map(|(_, leader)| leader))
+}
+
+fn log_role(quorum: &GatewayQuorum) {
+    let status = quorum.core.borrow().status();
+    let leader = status.leader.map(|leader| address_of(leader.instance).to_string());
+    log::info!(
+        role = format!("{:?}", status.role).as_str(),
+        term = status.term,
+        leader = leader.as_deref().unwrap_or("-"),
+        voters = status.members.voters.len();
+        "gateway: role changed"
+    );
+}
--- a/crates/kernel/src/program.rs
+++ b/crates/kernel/src/program.rs
@@ -35,6 +35,14 @@
 /// The exit code when the process has to end now: success after `--check`, failure after faults,
 /// which are printed with the name of `part`.
 pub fn start<T: ProcessFile>(part: &str) -> Result<T, ExitCode> {
+    start_file(part).map(|(settings, _)| settings)
+}
+
+/// Like [`start`], for a program that follows its settings file: returns the file's path too.
+///
+/// # Errors
+/// Those of [`start`].
+pub fn start_file<T: ProcessFile>(part: &str) -> Result<(T, PathBuf), ExitCode> {
     let args: ProgramArgs = argh::from_env();
     let settings = process::check::<T>(&args.settings).map_err(|faults| {
         for fault in faults {
@@ -50,7 +58,7 @@
         eprintln!("{part}: {error}");
         ExitCode::from(USAGE_EXIT_CODE)
     })?;
-    Ok(settings)
+    Ok((settings, args.settings))
 }
 
 /// A number that grows from one life of this instance to the next.
--- a/crates/link/src/counters.rs
+++ b/crates/link/src/counters.rs
@@ -77,11 +77,14 @@
     /// Question for, or answer with, decision records.
     #[display("decisions")]
     Decisions,
+    /// Question of one gateway to another, or its answer.
+    #[display("gateway")]
+    Gateway,
 }
 
 impl MessageKind {
     /// Every kind, in declaration order.
-    pub const ALL: [Self; 23] = [
+    pub const ALL: [Self; 24] = [
         Self::Handshake,
         Self::Probe,
         Self::ProbeReply,
@@ -105,6 +108,7 @@
         Self::Decided,
         Self::Replica,
         Self::Decisions,
+        Self::Gateway,
     ];
 
     /// The kind of a message.
@@ -130,6 +134,7 @@
             LinkMessage::Decided(_) => Self::Decided,
             LinkMessage::Replica(_) => Self::Replica,
             LinkMessage::AskDecisions(_) | LinkMessage::Decisions(_) => Self::Decisions,
+            LinkMessage::GatewayAsk(_) | LinkMessage::GatewayReply(_) => Self::Gateway,
         }
     }
 
--- a/crates/link/src/lib.rs
+++ b/crates/link/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`connection`]: how connections are made.
 //! * [`sender`]: the sending half of a connection and the task that writes.
 //! * [`receiver`]: the receiving half of a connection.
+//! * [`datagram`]: authenticated datagrams.
 //! * [`due`]: when a connection has to be probed, and when it counts as dead.
 //! * [`counters`]: counts of frames and bytes by kind of message.
 //! * [`control_client`]: the connection of an entry or an agent to the control quorum.
@@ -13,6 +14,7 @@
 pub mod connection;
 pub mod control_client;
 pub mod counters;
+pub mod datagram;
 pub mod due;
 pub mod error;
 pub mod frame;
@@ -23,6 +25,7 @@
 
 pub use connection::{Link, LinkSettings, accept, connect};
 pub use counters::{FrameCount, FrameDirection, LinkCounters, MessageKind};
+pub use datagram::DatagramSeal;
 pub use error::{LinkError, Result};
 pub use handshake::{LinkIdentity, LinkSecret, PeerRole};
 pub use receiver::LinkReceiver;
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,308 @@
+//! One try of a call at one endpoint.
+
+use std::rc::Rc;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Request, ResponseHead, StatusCode};
+use bytes::{Bytes, BytesMut};
+use catalog::{AccountRule, RouteRule};
+use tokio::time::Instant;
+use wire::gateway::CrashReport;
+use wire::id::{EndpointId, FingerprintHash};
+
+use crate::call::{AnswerNotes, CallNotes, ForwardNotes};
+use crate::desk::{OccupiedSlot, RelayDesk};
+use crate::endpoint::{self, EndpointConnection, EndpointError};
+use crate::events::EventSplitter;
+use crate::health::CallSign;
+use crate::session::{SessionError, SessionWriter};
+use crate::verdict::AttemptEnd;
+
+/// A call that was let in.
+pub struct RelayCall<'a> {
+    /// Its head as it came in.
+    pub head: &'a Request,
+    /// Its body.
+    pub body: &'a Bytes,
+    /// What the head tells.
+    pub notes: CallNotes,
+    /// Its route.
+    pub route: &'a RouteRule,
+    /// The client account.
+    pub account: Option<&'a AccountRule>,
+    /// What makes two calls the same work.
+    pub fingerprint: FingerprintHash,
+    /// When it arrived.
+    pub started: Instant,
+    /// When the caller or the route gives up.
+    pub deadline: Instant,
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its head for the caller.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// How a try ended.
+#[derive(Debug)]
+pub enum AttemptResult {
+    /// The caller has the whole answer.
+    Delivered(StatusCode),
+    /// No good answer. The endpoint's failure comes along, if there is one to pass on.
+    Ended(AttemptEnd, Option<WholeAnswer>),
+    /// The caller's connection failed.
+    CallerLost,
+}
+
+/// What the tries of a call leave behind, also when they are cut short.
+#[derive(Default)]
+pub struct CallProgress {
+    /// Events of the stream so far.
+    pub events: EventSplitter,
+    /// The endpoint that has the call and has not answered yet.
+    pub unanswered: Option<EndpointId>,
+    /// Whether bytes of the call may have left for the endpoint that has it.
+    pub may_run: bool,
+    /// Why the last try ended, for the log.
+    pub last_error: Option<String>,
+}
+
+/// Tries a call at an endpoint.
+pub async fn run_attempt(
+    desk: &Rc<RelayDesk>,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    progress: &mut CallProgress,
+    writer: &mut SessionWriter,
+) -> AttemptResult {
+    let slot = desk.occupy(endpoint);
+    progress.unanswered = Some(endpoint);
+    progress.may_run = false;
+    let opened = open_answer(desk, call, endpoint, progress).await;
+    progress.unanswered = None;
+    let result = match opened {
+        Ok(answer) => take_answer(desk, call, endpoint, answer, progress, writer).await,
+        Err(error) => {
+            let may_run = progress.may_run;
+            Err(broken(desk, call, endpoint, progress, &error, may_run))
+        }
+    };
+    drop::<OccupiedSlot>(slot);
+    result.unwrap_or_else(|ended| ended)
+}
+
+/// An answer of which the head has arrived.
+struct OpenAnswer {
+    connection: EndpointConnection,
+    head: ResponseHead,
+    notes: AnswerNotes,
+}
+
+async fn open_answer(
+    desk: &RelayDesk,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    progress: &mut CallProgress,
+) -> endpoint::Result<OpenAnswer> {
+    let (address, name) = {
+        let table = desk.table.borrow();
+        let row = table.row(endpoint).ok_or(EndpointError::ConnectTimeout)?;
+        (row.address, row.name.clone())
+    };
+    let mut connection = match desk.pool.take(desk.now(), endpoint) {
+        Some(connection) => connection,
+        None => EndpointConnection::open(address, desk.settings.connect_limit).await?,
+    };
+    let notes = ForwardNotes {
+        time_left: call.deadline.saturating_duration_since(Instant::now()),
+        endpoint: &name,
+        account: call.account.map(|account| account.name.as_str()),
+        resume_after: progress.events.last_id().or(call.notes.resume_after.as_deref()),
+    };
+    let headers = desk.dialect.forward_call(call.head.head().headers(), &notes);
+    let method = call.head.method().clone();
+    let head = endpoint::request_head(method, call.head.uri().clone(), headers);
+    progress.may_run = true;
+    let exchanged = connection.exchange(head, call.body).await;
+    progress.may_run = connection.has_sent;
+    let head = exchanged?;
+    let notes = desk.dialect.read_answer(head.headers());
+    if notes.attempt.is_some() && notes.attempt != call.notes.attempt {
+        return Err(EndpointError::Misdelivered);
+    }
+    if let Some(load) = notes.load {
+        let now = desk.now();
+        desk.table.borrow_mut().note_report(now, endpoint, load);
+    }
+    Ok(OpenAnswer {
+        connection,
+        head,
+        notes,
+    })
+}
+
+async fn take_answer(
+    desk: &Rc<RelayDesk>,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    mut answer: OpenAnswer,
+    progress: &mut CallProgress,
+    writer: &mut SessionWriter,
+) -> Result<AttemptResult, AttemptResult> {
+    let is_good = answer.head.status.is_success() && !answer.notes.is_not_run;
+    if is_good && !answer.notes.is_signed {
+        let error = EndpointError::Unsigned;
+        return Err(broken(desk, call, endpoint, progress, &error, true));
+    }
+    if is_good && call.route.kind.is_stream() {
+        return pass_stream(desk, call, endpoint, answer, progress, writer).await;
+    }
+    let body = match read_whole(desk, &mut answer.connection).await {
+        Ok(body) => body,
+        Err(_) if answer.notes.is_not_run => Bytes::new(),
+        Err(error) => return Err(broken(desk, call, endpoint, progress, &error, true)),
+    };
+    let now = desk.now();
+    let keep_alive = answer.notes.keep_alive;
+    desk.pool.put(now, endpoint, answer.connection, keep_alive);
+    let status = answer.head.status;
+    if answer.notes.is_not_run {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            desk.table.borrow_mut().note_misplaced(endpoint);
+            desk.pool.close(endpoint);
+        }
+        progress.last_error = Some(format!("not run, status {}", status.as_u16()));
+        return Err(AttemptResult::Ended(AttemptEnd::NotRun, None));
+    }
+    let whole = WholeAnswer {
+        status,
+        headers: desk.dialect.forward_answer(answer.head.headers()),
+        body,
+    };
+    if status.is_server_error() || promises_no_run(status) {
+        desk.table.borrow_mut().note(now, endpoint, CallSign::Failed);
+        progress.last_error = Some(format!("status {}", status.as_u16()));
+        let passed = (!promises_no_run(status)).then_some(whole);
+        return Err(AttemptResult::Ended(AttemptEnd::Failed, passed));
+    }
+    let sign = CallSign::Served(call.started.elapsed());
+    desk.table.borrow_mut().note(now, endpoint, sign);
+    Ok(deliver_whole(desk, whole, writer).await)
+}
+
+/// Whether callers take a status as the promise that the call did not run. An endpoint that gives
+/// it without saying so itself may have run the call.
+fn promises_no_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+/// Hands a whole answer to the caller.
+pub async fn deliver_whole(
+    desk: &RelayDesk,
+    answer: WholeAnswer,
+    writer: &mut SessionWriter,
+) -> AttemptResult {
+    let close = desk.phase() > crate::desk::ServingPhase::Serving;
+    let status = answer.status;
+    let sent = writer.send_whole(status, answer.headers, answer.body, close);
+    match sent.await {
+        Ok(()) => AttemptResult::Delivered(status),
+        Err(_) => AttemptResult::CallerLost,
+    }
+}
+
+async fn read_whole(
+    desk: &RelayDesk,
+    connection: &mut EndpointConnection,
+) -> endpoint::Result<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = connection.next_chunk().await? {
+        if body.len() + chunk.len() > desk.settings.whole_answer_bytes {
+            return Err(EndpointError::Oversized);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+async fn pass_stream(
+    desk: &Rc<RelayDesk>,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    mut answer: OpenAnswer,
+    progress: &mut CallProgress,
+    writer: &mut SessionWriter,
+) -> Result<AttemptResult, AttemptResult> {
+    let status = answer.head.status;
+    let started = writer.has_started;
+    let mut has_first = false;
+    loop {
+        let chunk = match answer.connection.next_chunk().await {
+            Ok(chunk) => chunk,
+            Err(error) => {
+                progress.events.drop_partial();
+                return Err(broken(desk, call, endpoint, progress, &error, true));
+            }
+        };
+        let is_end = chunk.is_none();
+        let bytes = match &chunk {
+            Some(chunk) => progress.events.push(chunk),
+            None => Some(progress.events.take_rest()),
+        };
+        let Some(bytes) = bytes else {
+            continue;
+        };
+        if !has_first {
+            has_first = true;
+            let sign = CallSign::Served(call.started.elapsed());
+            desk.table.borrow_mut().note(desk.now(), endpoint, sign);
+        }
+        if !writer.has_started && !started {
+            let headers = desk.dialect.forward_answer(answer.head.headers());
+            let close = desk.phase() > crate::desk::ServingPhase::Serving;
+            lost(writer.put_stream_head(status, headers, close))?;
+        }
+        lost(writer.send_bytes(bytes).await)?;
+        if is_end {
+            lost(writer.finish().await)?;
+            let keep_alive = answer.notes.keep_alive;
+            desk.pool.put(desk.now(), endpoint, answer.connection, keep_alive);
+            return Ok(AttemptResult::Delivered(status));
+        }
+    }
+}
+
+fn lost(sent: Result<(), SessionError>) -> Result<(), AttemptResult> {
+    sent.map_err(|_| AttemptResult::CallerLost)
+}
+
+/// Notes that an endpoint could not be reached or broke off.
+fn broken(
+    desk: &RelayDesk,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    progress: &mut CallProgress,
+    error: &EndpointError,
+    may_run: bool,
+) -> AttemptResult {
+    let now = desk.now();
+    progress.last_error = Some(error.to_string());
+    desk.table.borrow_mut().note(now, endpoint, CallSign::Broken);
+    if !may_run {
+        return AttemptResult::Ended(AttemptEnd::NotSent, None);
+    }
+    if matches!(error, EndpointError::Closed | EndpointError::Socket(_)) {
+        let report = CrashReport {
+            fingerprint: call.fingerprint,
+            endpoint,
+        };
+        desk.crashes.borrow_mut().note_own(now, report);
+    }
+    AttemptResult::Ended(AttemptEnd::Broken, None)
+}
--- /dev/null
+++ b/crates/relay/src/desk.rs
@@ -0,0 +1,164 @@
+//! What the calls of one instance share.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use actix_http::ServiceConfig;
+use catalog::CatalogIndex;
+use tokio::sync::Notify;
+use wire::id::{DomainId, EndpointId};
+
+use crate::budget::{BudgetSettings, RetryBudget};
+use crate::call::CallDialect;
+use crate::crash::CrashLedger;
+use crate::placement::PlacementSettings;
+use crate::pool::ConnectionPool;
+use crate::table::EndpointTable;
+
+/// Settings of the path of a call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelaySettings {
+    /// Failure domain of this instance.
+    pub domain: DomainId,
+    /// Choice of endpoints.
+    pub placement: PlacementSettings,
+    /// Budget of repeats.
+    pub budget: BudgetSettings,
+    /// Longest wait for a connection to an endpoint.
+    pub connect_limit: Duration,
+    /// Largest answer that is kept whole before it is sent on, in bytes.
+    pub whole_answer_bytes: usize,
+    /// Connections of callers at most.
+    pub connections: usize,
+}
+
+impl Default for RelaySettings {
+    fn default() -> Self {
+        Self {
+            domain: 0,
+            placement: PlacementSettings::default(),
+            budget: BudgetSettings::default(),
+            connect_limit: Duration::from_millis(350),
+            whole_answer_bytes: 4 * 1024 * 1024,
+            connections: 2500,
+        }
+    }
+}
+
+/// Whether an instance takes calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum ServingPhase {
+    /// It takes calls.
+    Serving,
+    /// It is about to stop: it takes calls that arrive, and asks callers to go elsewhere.
+    Draining,
+    /// It closes connections as soon as they are idle.
+    Closing,
+}
+
+/// State that the calls of one instance share, on one thread.
+pub struct RelayDesk {
+    /// The settings.
+    pub settings: RelaySettings,
+    /// How the platform writes calls and answers.
+    pub dialect: Rc<dyn CallDialect>,
+    /// The catalog in force; none before the first.
+    catalog: RefCell<Option<Rc<CatalogIndex>>>,
+    /// The endpoints.
+    pub table: RefCell<EndpointTable>,
+    /// The budget of repeats.
+    pub budget: RefCell<RetryBudget>,
+    /// Calls that crash endpoints.
+    pub crashes: RefCell<CrashLedger>,
+    /// Idle connections to endpoints.
+    pub pool: ConnectionPool,
+    /// Settings of the HTTP codec.
+    pub http: ServiceConfig,
+    phase: Cell<ServingPhase>,
+    phase_changed: Notify,
+    /// Calls that are being served.
+    pub active_calls: Cell<usize>,
+    /// Open connections of callers.
+    pub open_connections: Cell<usize>,
+    started: Instant,
+}
+
+impl RelayDesk {
+    /// A desk without catalog and endpoints.
+    pub fn new(settings: RelaySettings, dialect: Rc<dyn CallDialect>) -> Self {
+        Self {
+            budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
+            settings,
+            dialect,
+            catalog: RefCell::default(),
+            table: RefCell::default(),
+            crashes: RefCell::default(),
+            pool: ConnectionPool::default(),
+            http: ServiceConfig::default(),
+            phase: Cell::new(ServingPhase::Serving),
+            phase_changed: Notify::new(),
+            active_calls: Cell::new(0),
+            open_connections: Cell::new(0),
+            started: Instant::now(),
+        }
+    }
+
+    /// Time since the desk was set up.
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The catalog in force.
+    pub fn catalog(&self) -> Option<Rc<CatalogIndex>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Puts a catalog in force. Calls that are under way keep theirs.
+    pub fn set_catalog(&self, catalog: CatalogIndex) {
+        *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+    }
+
+    /// The phase.
+    pub fn phase(&self) -> ServingPhase {
+        self.phase.get()
+    }
+
+    /// Enters a later phase.
+    pub fn enter(&self, phase: ServingPhase) {
+        self.phase.set(self.phase.get().max(phase));
+        self.phase_changed.notify_waiters();
+    }
+
+    /// Waits until connections are to be closed when idle.
+    pub async fn until_closing(&self) {
+        loop {
+            let changed = self.phase_changed.notified();
+            if self.phase() == ServingPhase::Closing {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Marks a call at an endpoint for as long as the guard lives.
+    pub fn occupy(self: &Rc<Self>, endpoint: EndpointId) -> OccupiedSlot {
+        self.table.borrow_mut().start(self.now(), endpoint);
+        OccupiedSlot {
+            desk: Rc::clone(self),
+            endpoint,
+        }
+    }
+}
+
+/// A call that an endpoint runs.
+pub struct OccupiedSlot {
+    desk: Rc<RelayDesk>,
+    endpoint: EndpointId,
+}
+
+impl Drop for OccupiedSlot {
+    fn drop(&mut self) {
+        self.desk.table.borrow_mut().finish(self.endpoint);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,40 @@
+//! The path of a call from a caller's connection to an endpoint and back.
+//!
+//! Decisions, without any input or output:
+//!
+//! * [`table`]: the endpoints of the list, with their load and health.
+//! * [`health`]: what the own calls tell about an endpoint.
+//! * [`placement`]: which endpoint runs a call.
+//! * [`budget`]: how many repeats a service takes.
+//! * [`crash`]: calls that crash the endpoints that run them.
+//! * [`verdict`]: what follows from the end of an attempt.
+//! * [`refusal`]: when a refused caller is told to come back.
+//! * [`events`]: the events of a stream.
+//!
+//! Input and output:
+//!
+//! * [`call`]: calls and answers as the dialect of a platform reads them.
+//! * [`session`]: one connection of a caller.
+//! * [`endpoint`]: one connection to an endpoint.
+//! * [`pool`]: idle connections to endpoints.
+//! * [`attempt`]: one try of a call at one endpoint.
+//! * [`forward`]: the tries of one call.
+//! * [`desk`]: what the calls of one instance share.
+//! * [`server`]: listening for callers.
+
+pub mod attempt;
+pub mod budget;
+pub mod call;
+pub mod crash;
+pub mod desk;
+pub mod endpoint;
+pub mod events;
+pub mod forward;
+pub mod health;
+pub mod placement;
+pub mod pool;
+pub mod refusal;
+pub mod server;
+pub mod session;
+pub mod table;
+pub mod verdict;
--- /dev/null
+++ b/crates/relay/src/table.rs
@@ -0,0 +1,184 @@
+//! The endpoints of the list, with their load and health.
+
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use wire::gateway::ListedEndpoint;
+use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
+
+use crate::call::LoadReport;
+use crate::health::{CallSign, EndpointHealth};
+
+/// Age at which an endpoint's own report no longer counts.
+const REPORT_LIMIT: Duration = Duration::from_millis(400);
+
+/// One endpoint.
+#[derive(Clone, Debug)]
+pub struct EndpointRow {
+    /// Its name.
+    pub name: String,
+    /// Address of its HTTP server.
+    pub address: SocketAddrV4,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it takes no new work.
+    pub is_draining: bool,
+    /// Requests of this instance that it runs.
+    pub own_running: u32,
+    /// Requests of all other instances that it runs.
+    pub others_running: u32,
+    /// What it told of itself, and when.
+    report: Option<(LoadReport, Duration)>,
+    /// What the own calls tell.
+    pub health: EndpointHealth,
+    /// Whether it said that another endpoint holds its address.
+    is_misplaced: bool,
+}
+
+impl EndpointRow {
+    fn new(listed: &ListedEndpoint) -> Self {
+        Self {
+            name: listed.name.clone(),
+            address: listed.address,
+            domain: listed.domain,
+            slots: u32::from(listed.slots),
+            is_draining: listed.is_draining,
+            own_running: 0,
+            others_running: 0,
+            report: None,
+            health: EndpointHealth::default(),
+            is_misplaced: false,
+        }
+    }
+
+    /// Whether a call may go there now.
+    pub fn is_usable(&self, now: Duration) -> bool {
+        !self.is_draining && !self.is_misplaced && self.health.is_usable(now)
+    }
+
+    /// Requests that it holds: what all instances know of, or what it told lately if that is more.
+    pub fn load(&self, now: Duration) -> u32 {
+        let known = self.own_running + self.others_running;
+        let fresh = self.report.filter(|(_, at)| now.saturating_sub(*at) <= REPORT_LIMIT);
+        fresh.map_or(known, |(report, _)| known.max(report.running + report.waiting))
+    }
+}
+
+/// Every endpoint that this instance knows.
+#[derive(Debug, Default)]
+pub struct EndpointTable {
+    rows: HashMap<EndpointId, EndpointRow>,
+    services: HashMap<ServiceId, Vec<EndpointId>>,
+    /// Running requests that other instances reported, by instance.
+    shares: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
+}
+
+impl EndpointTable {
+    /// Takes over a reading of the list. What is known of endpoints that stay is kept.
+    pub fn replace(&mut self, listed: &[ListedEndpoint]) {
+        let mut rows = HashMap::new();
+        self.services.clear();
+        for endpoint in listed {
+            let id = endpoint.id();
+            let mut row = match self.rows.remove(&id) {
+                Some(row) if row.address == endpoint.address => row,
+                _ => EndpointRow::new(endpoint),
+            };
+            row.is_draining = endpoint.is_draining;
+            rows.insert(id, row);
+            let service = self.services.entry(endpoint.service_id()).or_default();
+            service.push(id);
+        }
+        self.rows = rows;
+        self.sum_shares();
+    }
+
+    /// Whether no endpoint is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// An endpoint.
+    pub fn row(&self, id: EndpointId) -> Option<&EndpointRow> {
+        self.rows.get(&id)
+    }
+
+    /// The endpoints of a service.
+    pub fn of_service(
+        &self,
+        service: ServiceId,
+    ) -> impl Iterator<Item = (EndpointId, &EndpointRow)> {
+        let ids = self.services.get(&service).into_iter().flatten();
+        ids.filter_map(|id| Some((*id, self.rows.get(id)?)))
+    }
+
+    /// A call goes to an endpoint.
+    pub fn start(&mut self, now: Duration, id: EndpointId) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.own_running += 1;
+            row.health.start(now);
+        }
+    }
+
+    /// A call has ended at an endpoint.
+    pub fn finish(&mut self, id: EndpointId) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.own_running = row.own_running.saturating_sub(1);
+        }
+    }
+
+    /// Notes what a call told about an endpoint.
+    pub fn note(&mut self, now: Duration, id: EndpointId, sign: CallSign) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.health.note(now, sign);
+        }
+    }
+
+    /// Notes what an endpoint told of itself.
+    pub fn note_report(&mut self, now: Duration, id: EndpointId, report: LoadReport) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.report = Some((report, now));
+        }
+    }
+
+    /// Another endpoint holds this one's address.
+    pub fn note_misplaced(&mut self, id: EndpointId) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.is_misplaced = true;
+        }
+    }
+
+    /// Running requests of this instance, by endpoint.
+    pub fn own_loads(&self) -> Vec<(EndpointId, u16)> {
+        let busy = self.rows.iter().filter(|(_, row)| row.own_running > 0);
+        let mut loads: Vec<(EndpointId, u16)> = busy
+            .map(|(id, row)| (*id, u16::try_from(row.own_running).unwrap_or(u16::MAX)))
+            .collect();
+        loads.sort_unstable();
+        loads
+    }
+
+    /// Takes over the running requests that another instance reports; none when it is gone.
+    pub fn set_share(&mut self, instance: InstanceId, loads: Vec<(EndpointId, u16)>) {
+        if loads.is_empty() {
+            self.shares.remove(&instance);
+        } else {
+            self.shares.insert(instance, loads);
+        }
+        self.sum_shares();
+    }
+
+    fn sum_shares(&mut self) {
+        for row in self.rows.values_mut() {
+            row.others_running = 0;
+        }
+        for (id, running) in self.shares.values().flatten() {
+            if let Some(row) = self.rows.get_mut(id) {
+                row.others_running += u32::from(*running);
+            }
+        }
+    }
+}
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -48,6 +48,8 @@
     pub(crate) own: MemberKey,
     /// Every instance that may hold a member, this one included.
     pub(crate) peers: Vec<InstanceId>,
+    /// Whether this member may found a log.
+    pub(crate) may_found: bool,
     pub(crate) generator: Pcg64,
     /// Random number of this process.
     pub(crate) life: u64,
@@ -111,6 +113,7 @@
             settings,
             own,
             peers,
+            may_found: true,
             generator,
             life,
             now,
@@ -209,6 +212,27 @@
         self.store_full = full;
     }
 
+    /// Replaces the instances that may hold a member; this one is among them in any case.
+    pub fn set_peers(&mut self, mut peers: Vec<InstanceId>) {
+        if !peers.contains(&self.own.instance) {
+            peers.push(self.own.instance);
+        }
+        peers.sort_unstable();
+        peers.dedup();
+        self.peers = peers;
+    }
+
+    /// Allows or forbids this member to found a log. Who learns of the other instances only while
+    /// it runs must forbid it until it knows all that may found one.
+    pub fn set_founding(&mut self, allowed: bool) {
+        self.may_found = allowed;
+    }
+
+    /// Whether this member belongs to a log.
+    pub fn is_formed(&self) -> bool {
+        self.hard.cluster != 0
+    }
+
     /// Whether this member leads.
     pub fn is_leader(&self) -> bool {
         matches!(self.role, ReplicaRole::Leader(_))
--- a/crates/replica/src/found.rs
+++ b/crates/replica/src/found.rs
@@ -58,6 +58,9 @@
     }
 
     fn found_if_first(&mut self) {
+        if !self.may_found {
+            return;
+        }
         let own = self.own.instance;
         let is_first = self.peers.iter().all(|peer| *peer >= own);
         let answered = |peer: &u64| *peer == own || self.unformed.contains_key(peer);
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -73,7 +73,8 @@
         }
         if now >= state.heartbeat_at {
             self.start_round();
-            self.replace_lost_voter();
+            self.change_voters();
+            self.forget_silent_learners();
             if self.store_full {
                 self.start_hand_over();
             }
--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -15,7 +15,7 @@
 //! * [`error`]: why a call is refused.
 //!
 //! The other modules hold the parts of [`ReplicaCore`]: receiving, founding of the first log,
-//! elections, the leader's and the follower's side of replication, replacement of members, snapshots,
+//! elections, the leader's and the follower's side of replication, changes of the voters, snapshots,
 //! writes and invariants.
 
 pub mod action;
@@ -45,7 +45,7 @@
 pub use error::{ReplicaError, Result};
 pub use id::MemberKey;
 pub use log::{EntryPayload, LogEntry};
-pub use member::MemberSet;
+pub use member::{MemberSet, VoterChange};
 pub use message::{MessageBody, ReplicaMessage};
 pub use record::{
     AppendRecord, HardState, PersistBatch, PersistOrder, RecoveredState, SnapshotRecord,
--- a/crates/replica/src/member.rs
+++ b/crates/replica/src/member.rs
@@ -5,6 +5,33 @@
 
 use crate::id::{LogIndex, MemberKey};
 
+/// A change of the voters, by one member at the most in each direction.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum VoterChange {
+    /// A member becomes a voter.
+    Add(MemberKey),
+    /// A member takes the place of a voter.
+    Replace {
+        /// The voter.
+        old: MemberKey,
+        /// The member.
+        new: MemberKey,
+    },
+    /// A voter loses its vote.
+    Remove(MemberKey),
+}
+
+impl VoterChange {
+    /// The voter that leaves and the member that joins.
+    fn parts(self) -> (Option<MemberKey>, Option<MemberKey>) {
+        match self {
+            Self::Add(new) => (None, Some(new)),
+            Self::Replace { old, new } => (Some(old), Some(new)),
+            Self::Remove(old) => (Some(old), None),
+        }
+    }
+}
+
 /// The members that count towards quorums.
 ///
 /// During a change both groups must agree, so that no quorum before the change misses one after.
@@ -66,11 +93,13 @@
         }
     }
 
-    /// The joint set in which `new` takes the place of `old`.
-    pub fn replacing(&self, old: MemberKey, new: MemberKey) -> Self {
+    /// The joint set that begins `change`.
+    pub fn changing(&self, change: VoterChange) -> Self {
         debug_assert!(!self.is_joint(), "one change at a time");
-        let kept = self.voters.iter().copied().filter(|voter| *voter != old);
-        let voters = kept.chain([new]).collect();
+        let (old, new) = change.parts();
+        let kept = self.voters.iter().copied();
+        let kept = kept.filter(|voter| Some(*voter) != old);
+        let voters = kept.chain(new).collect();
         Self {
             outgoing: self.voters.clone(),
             ..Self::new(voters)
--- a/crates/replica/src/replace.rs
+++ b/crates/replica/src/replace.rs
@@ -1,13 +1,17 @@
-//! Replacement of a voter whose data folder was lost.
+//! Changes of the voters: a data folder that was lost, instances that come and go.
 //!
-//! The new member catches up without a vote. Only then does a joint change of the voters put it in
-//! the place of the old one, so it counts towards no quorum before it holds what is committed.
+//! A new member catches up without a vote. Only then does a joint change of the voters make it one,
+//! so it counts towards no quorum before it holds what is committed.
 
 use crate::core::{ReplicaCore, ReplicaRole};
 use crate::id::MemberKey;
 use crate::log::EntryPayload;
+use crate::member::VoterChange;
 use crate::progress::PeerProgress;
 
+/// Voters that a removal leaves at least.
+const MIN_VOTERS: usize = 3;
+
 impl ReplicaCore {
     /// Leader: starts to send the log to a member that has no vote.
     pub(crate) fn admit_learner(&mut self, member: MemberKey) {
@@ -29,17 +33,17 @@
         state.progress.entry(member).or_insert_with(fresh);
     }
 
-    /// Leader: puts a caught-up member in the place of a silent voter of the same instance.
-    pub(crate) fn replace_lost_voter(&mut self) {
-        let Some((old, new)) = self.due_replacement() else {
+    /// Leader: begins the change of the voters that is due, if any.
+    pub(crate) fn change_voters(&mut self) {
+        let Some(change) = self.due_change() else {
             return;
         };
-        let members = self.log.members().1.replacing(old, new);
+        let members = self.log.members().1.changing(change);
         self.append_own(EntryPayload::Members(members));
         self.send_appends();
     }
 
-    fn due_replacement(&self) -> Option<(MemberKey, MemberKey)> {
+    fn due_change(&self) -> Option<VoterChange> {
         let ReplicaRole::Leader(state) = &self.role else {
             return None;
         };
@@ -48,16 +52,60 @@
         if !is_settled || self.commit < state.first_index {
             return None;
         }
-        let silent = |peer: &PeerProgress| self.now > peer.heard_at + self.settings.replace_after;
-        let caught_up = |peer: &PeerProgress| peer.matched >= self.commit && !silent(peer);
-        state.progress.iter().find_map(|(new, peer)| {
-            if members.contains(*new) || !caught_up(peer) {
-                return None;
+        let silence = |peer: &PeerProgress| self.now.saturating_sub(peer.heard_at);
+        let replace_after = self.settings.replace_after;
+        let newcomers = state.progress.iter().filter(|(member, peer)| {
+            let caught_up = peer.matched >= self.commit && peer.round > 0;
+            !members.contains(**member) && caught_up && silence(peer) <= replace_after
+        });
+        let silent_voter = |after| {
+            let mut voters = members.voters.iter().copied();
+            voters.find(|voter| state.progress.get(voter).is_some_and(|peer| silence(peer) > after))
+        };
+        for (new, _) in newcomers {
+            let change = match members.voter_of(new.instance) {
+                Some(old) => {
+                    let is_silent = |peer| silence(peer) > replace_after;
+                    let old_is_silent = state.progress.get(&old).is_some_and(is_silent);
+                    old_is_silent.then_some(VoterChange::Replace { old, new: *new })
+                }
+                None => self.admission(*new, silent_voter(self.settings.swap_after)),
+            };
+            if change.is_some() {
+                return change;
             }
-            let old = members.voter_of(new.instance)?;
-            let old_is_silent = state.progress.get(&old).is_some_and(silent);
-            old_is_silent.then_some((old, *new))
-        })
+        }
+        self.removal(silent_voter(self.settings.remove_after))
+    }
+
+    /// How a caught-up member of an instance without a vote becomes a voter.
+    fn admission(&self, new: MemberKey, silent: Option<MemberKey>) -> Option<VoterChange> {
+        let voters = self.log.members().1.voters.len();
+        match silent {
+            _ if self.settings.max_voters == 0 => None,
+            Some(old) => Some(VoterChange::Replace { old, new }),
+            None if voters < self.settings.max_voters => Some(VoterChange::Add(new)),
+            None => None,
+        }
+    }
+
+    /// Removes a voter that is gone for good, so that it no longer enlarges the quorum.
+    fn removal(&self, silent: Option<MemberKey>) -> Option<VoterChange> {
+        let voters = self.log.members().1.voters.len();
+        let may_shrink = self.settings.max_voters > 0 && voters > MIN_VOTERS;
+        silent.filter(|_| may_shrink).map(VoterChange::Remove)
+    }
+
+    /// Leader: stops sending to members without a vote that are gone.
+    pub(crate) fn forget_silent_learners(&mut self) {
+        let members = self.log.members().1.clone();
+        let limit = self.now.saturating_sub(self.settings.remove_after);
+        if let ReplicaRole::Leader(state) = &mut self.role {
+            let is_kept = |member: &MemberKey, peer: &PeerProgress| {
+                members.contains(*member) || peer.heard_at >= limit
+            };
+            state.progress.retain(|member, peer| is_kept(member, peer));
+        }
     }
 
     /// Leader: ends a change of the voters whose joint entry is committed.
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -16,6 +16,14 @@
     pub heartbeat: Duration,
     /// Silence of a voter after which a caught-up member of the same instance may replace it.
     pub replace_after: Duration,
+    /// Voters up to which caught-up members of other instances join. 0 keeps the instances that
+    /// founded the log.
+    pub max_voters: usize,
+    /// Silence of a voter after which a caught-up member of another instance may replace it.
+    pub swap_after: Duration,
+    /// Silence after which a voter without a successor is removed, as long as three remain, and
+    /// after which a member without a vote is forgotten.
+    pub remove_after: Duration,
     /// Largest payload of one append message in bytes; a single larger entry goes alone.
     pub append_bytes: usize,
     /// Entries that may be on their way to one member.
@@ -38,6 +46,9 @@
             election_delay: Duration::ZERO,
             heartbeat: Duration::from_millis(100),
             replace_after: Duration::from_secs(2),
+            max_voters: 0,
+            swap_after: Duration::from_secs(4),
+            remove_after: Duration::from_secs(12),
             append_bytes: 256 * 1024,
             window_entries: 1024,
             waiting_entries: 16 * 1024,
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -5,7 +5,16 @@
 use crate::schema::{BranchSpec, DefaultValue, KeySpec, ValueForm};
 
 /// The file of each program, in the order of the page.
-pub static FILES: &[&BranchSpec] = &[&ENTRY, &AGENT, &CONTROL, &PEER, &INSTANCE];
+pub static FILES: &[&BranchSpec] = &[
+    &ENTRY,
+    &AGENT,
+    &CONTROL,
+    &GATEWAY,
+    &PEER,
+    &INSTANCE,
+    &LIST,
+    &RETRIES,
+];
 
 pub(crate) static ENTRY: BranchSpec = BranchSpec {
     place: "file of sapphire-entry",
@@ -25,6 +34,24 @@
     groups: &[INSTANCE_SECTION, CONTROL_KEYS],
 };
 
+pub(crate) static GATEWAY: BranchSpec = BranchSpec {
+    place: "file of sapphire-gateway",
+    help: "One gateway, which takes calls on routes and forwards them straight to endpoints.",
+    groups: &[GATEWAY_KEYS],
+};
+
+static LIST: BranchSpec = BranchSpec {
+    place: "list",
+    help: "The platform's list of endpoints, in the file of `sapphire-gateway`.",
+    groups: &[LIST_KEYS],
+};
+
+static RETRIES: BranchSpec = BranchSpec {
+    place: "retries",
+    help: "The budget of repeats of a service, in the file of `sapphire-gateway`.",
+    groups: &[RETRY_KEYS],
+};
+
 static INSTANCE: BranchSpec = BranchSpec {
     place: "instance",
     help: "The instance itself, in the file of every program.",
@@ -119,6 +146,118 @@
     ),
 ];
 
+const GATEWAY_KEYS: &[KeySpec] = &[
+    required("name", ValueForm::Name, "Unique name of this instance."),
+    required(
+        "failure_domain",
+        ValueForm::Name,
+        "Failure domain that it runs in.",
+    ),
+    required(
+        "callers",
+        ValueForm::Address,
+        "Address on which callers reach it.",
+    ),
+    required(
+        "readiness",
+        ValueForm::Address,
+        "Address on which the balancer asks whether it is ready.",
+    ),
+    required(
+        "operators",
+        ValueForm::Address,
+        "Address on which operators reach it.",
+    ),
+    required(
+        "link",
+        ValueForm::Address,
+        "Address on which the other gateways reach it, by TCP and UDP. IPv4.",
+    ),
+    required(
+        "seeds",
+        ValueForm::Addresses,
+        "Gateways that it asks for the others. This one may be among them.",
+    ),
+    key(
+        "seed_link_port",
+        whole(1, 65_535),
+        DefaultValue::Absent,
+        "Port of the link at every seed, when the seeds are given by another address.",
+    ),
+    key(
+        "data",
+        ValueForm::File,
+        DefaultValue::Absent,
+        "Data folder. A gateway with one stores the catalog and votes.",
+    ),
+    key(
+        "first_start",
+        ValueForm::Flag,
+        DefaultValue::Flag(false),
+        "Whether the whole fleet starts for the first time, so that a first log may be founded.",
+    ),
+    key(
+        "secret_file",
+        ValueForm::File,
+        DefaultValue::Absent,
+        "File with the secret that authenticates the gateways to each other. Without one, any \
+         process that reaches the link may join.",
+    ),
+    key(
+        "grace_ms",
+        whole(0, 600_000),
+        DefaultValue::Whole(d::GRACE_MS),
+        "Milliseconds from SIGTERM to SIGKILL; calls end before.",
+    ),
+    required(
+        "list",
+        ValueForm::Section(&LIST),
+        "The platform's list of endpoints.",
+    ),
+    required(
+        "retries",
+        ValueForm::Section(&RETRIES),
+        "The budget of repeats.",
+    ),
+];
+
+const LIST_KEYS: &[KeySpec] = &[
+    required("address", ValueForm::Address, "Address of the list."),
+    key(
+        "interval_ms",
+        whole(100, 60_000),
+        DefaultValue::Whole(d::LIST_INTERVAL_MS),
+        "Milliseconds between two readings. One gateway reads for all.",
+    ),
+];
+
+const RETRY_KEYS: &[KeySpec] = &[
+    key(
+        "ratio",
+        ValueForm::Decimal {
+            least: 0.0,
+            most: 10.0,
+        },
+        DefaultValue::Decimal(d::RETRY_RATIO),
+        "Repeats for each request of a service within the window.",
+    ),
+    key(
+        "extra",
+        ValueForm::Decimal {
+            least: 0.0,
+            most: 1_000_000.0,
+        },
+        DefaultValue::Decimal(d::RETRY_EXTRA),
+        "Repeats within the window beyond that, of all gateways together.",
+    ),
+    key(
+        "window_ms",
+        whole(100, 600_000),
+        DefaultValue::Whole(d::RETRY_WINDOW_MS),
+        "Length of the sliding window in milliseconds.",
+    ),
+];
+
 const PEER_KEYS: &[KeySpec] = &[
     required("name", ValueForm::Name, "Its name."),
     required("link", ValueForm::Address, "Its link address."),
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -3,7 +3,7 @@
 //! Checked like the settings tree: every fault at once, each with its path.
 
 use std::collections::HashSet;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 
 use serde::Deserialize;
@@ -12,7 +12,7 @@
 
 use crate::check::check_table;
 use crate::defaults;
-use crate::files::{AGENT, CONTROL, ENTRY};
+use crate::files::{AGENT, CONTROL, ENTRY, GATEWAY};
 use crate::place::CheckPlace;
 use crate::schema::BranchSpec;
 use crate::tree::{Result, SettingFault, SettingsTree, syntax_fault};
@@ -95,6 +95,93 @@
     pub platform_list: Option<SocketAddr>,
 }
 
+/// File of the gateway program.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct GatewaySettings {
+    /// Unique name of this instance.
+    pub name: String,
+    /// Failure domain that it runs in.
+    pub failure_domain: String,
+    /// Address on which callers reach it.
+    pub callers: SocketAddr,
+    /// Address on which the balancer asks whether it is ready.
+    pub readiness: SocketAddr,
+    /// Address on which operators reach it.
+    pub operators: SocketAddr,
+    /// Address on which the other gateways reach it.
+    pub link: SocketAddrV4,
+    /// Gateways that it asks for the others.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Port of the link at every seed, when the seeds are given by another address.
+    pub seed_link_port: Option<u16>,
+    /// Data folder.
+    pub data: Option<PathBuf>,
+    /// Whether the whole fleet starts for the first time.
+    #[serde(default)]
+    pub first_start: bool,
+    /// File with the secret that authenticates the gateways to each other.
+    pub secret_file: Option<PathBuf>,
+    /// Milliseconds from SIGTERM to SIGKILL.
+    #[serde(default = "default_grace_ms")]
+    pub grace_ms: u64,
+    /// The platform's list of endpoints.
+    pub list: ListSettings,
+    /// The budget of repeats.
+    pub retries: RetrySettings,
+}
+
+/// The platform's list of endpoints.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct ListSettings {
+    /// Address of the list.
+    pub address: SocketAddr,
+    /// Milliseconds between two readings.
+    #[serde(default = "default_list_interval_ms")]
+    pub interval_ms: u64,
+}
+
+/// The budget of repeats of a service.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct RetrySettings {
+    /// Repeats for each request within the window.
+    pub ratio: f64,
+    /// Repeats within the window beyond that, of all gateways together.
+    pub extra: f64,
+    /// Length of the sliding window in milliseconds.
+    pub window_ms: u64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            ratio: defaults::RETRY_RATIO,
+            extra: defaults::RETRY_EXTRA,
+            window_ms: defaults::RETRY_WINDOW_MS,
+        }
+    }
+}
+
+fn default_grace_ms() -> u64 {
+    defaults::GRACE_MS
+}
+
+fn default_list_interval_ms() -> u64 {
+    defaults::LIST_INTERVAL_MS
+}
+
+impl GatewaySettings {
+    /// Link addresses of the seeds.
+    pub fn seed_links(&self) -> Vec<SocketAddrV4> {
+        let link_of = |seed: &SocketAddrV4| {
+            SocketAddrV4::new(*seed.ip(), self.seed_link_port.unwrap_or(seed.port()))
+        };
+        self.seeds.iter().map(link_of).collect()
+    }
+}
+
 /// A program's file: its keys, and what they must satisfy together.
 pub trait ProcessFile: DeserializeOwned {
     /// The keys of the file.
@@ -237,6 +324,26 @@
     }
 }
 
+impl ProcessFile for GatewaySettings {
+    const SPEC: &'static BranchSpec = &GATEWAY;
+
+    fn whole_faults(&self) -> Vec<SettingFault> {
+        let own = [self.callers, self.readiness, self.operators];
+        let is_shared = |(index, address): (usize, &SocketAddr)| own[..index].contains(address);
+        if own.iter().enumerate().any(is_shared) {
+            let reason = "`callers`, `readiness` and `operators` share an address";
+            return vec![plain_fault("callers", reason)];
+        }
+        Vec::new()
+    }
+
+    fn needed_files(&self) -> Vec<NeededFile<'_>> {
+        let secret = self.secret_file.as_deref();
+        let needed = secret.map(|path| NeededFile::Secret("secret_file", path));
+        needed.into_iter().collect()
+    }
+}
+
 fn secret_of(instance: &InstanceSettings) -> NeededFile<'_> {
     NeededFile::Secret("instance.secret_file", &instance.secret_file)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! * [`id`]: ids and how they derive from names.
 //! * [`answer`]: entry and agent: a request and its answer stream.
+//! * [`gateway`]: gateways: who is there, what they list and share.
 //! * [`member`]: agents, entries and control: who is there and how loaded.
 //! * [`command`]: what goes through the control quorum.
 //! * [`message`]: the one envelope that a link carries.
@@ -11,6 +12,7 @@
 mod chunk;
 pub mod codec;
 pub mod command;
+pub mod gateway;
 pub mod id;
 pub mod member;
 pub mod message;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -7,6 +7,7 @@
     ResumeRequest, SubmitRequest,
 };
 use crate::command::{ControlCommand, ControlReply, SettingEdit};
+use crate::gateway::{GatewayAsk, GatewayReply};
 use crate::id::{FingerprintHash, RequestId, SettingsVersion};
 use crate::member::{AgentHeartbeat, EntryHeartbeat, MemberDigest, WarmDigest};
 
@@ -108,6 +109,10 @@
     AskDecisions(RequestId),
     /// Agent to entry.
     Decisions(DecisionReply),
+    /// Gateway to gateway.
+    GatewayAsk(GatewayAsk),
+    /// Gateway to gateway: the answer to the question before it on the connection.
+    GatewayReply(GatewayReply),
 }
 
 impl LinkMessage {
@@ -135,6 +140,8 @@
             Self::Suspects(_) => "suspects",
             Self::AskDecisions(_) => "ask_decisions",
             Self::Decisions(_) => "decisions",
+            Self::GatewayAsk(_) => "gateway_ask",
+            Self::GatewayReply(_) => "gateway_reply",
         }
     }
 }
