Fetch caches from the warm engine, refuse long calls late in a drain, restart quicker

(3) After a power loss callers were refused for 2 s: the first election waited 0.4 s and more, and each old catalog of the log was decoded.

Change: after idle connections are closed only calls that fit into the rest of the grace are taken; the head of a call names the engine that probably holds its shared parts; a short first election; only the newest applied catalog is decoded; heartbeats at once on change.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::gateway::{GatewayBeat, GatewayDatagram, StorageState, address_of};
 use wire::id::{InstanceId, name_id};
 
@@ -12,6 +12,8 @@
 
 /// Time between two heartbeats.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Least time before a heartbeat that is sent out of turn, so that several causes share one.
+const BEAT_GAP: Duration = Duration::from_millis(20);
 /// Gateways that one heartbeat names at most.
 const NAMED_GATEWAYS: usize = 40;
 /// Endpoints that one heartbeat tells the load of at most.
@@ -23,7 +25,10 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = node.now();
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = node.beat_due.notified() => sleep(BEAT_GAP).await,
+        }
         let now = node.now();
         node.forget_silent(last, now);
         last = now;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -27,7 +27,7 @@
 
 /// Time from the begin of a drain until callers have been sent elsewhere and idle connections are
 /// closed.
-const REROUTE_TIME: Duration = Duration::from_millis(3200);
+const REROUTE_TIME: Duration = Duration::from_millis(2700);
 /// Time before the end of the grace at which the process ends, whatever still runs.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 /// Time between two looks at whether all calls have ended.
@@ -143,9 +143,10 @@
 async fn drain(node: Rc<GatewayNode>, grace: Duration) -> kernel::service::StepResult {
     let started = Instant::now();
     let desk = Rc::clone(&node.desk);
+    let latest = grace.saturating_sub(GRACE_MARGIN);
+    desk.set_end(started + latest);
     desk.enter(ServingPhase::Draining);
     node.hand_over().await;
-    let latest = grace.saturating_sub(GRACE_MARGIN);
     sleep(REROUTE_TIME.min(latest).saturating_sub(started.elapsed())).await;
     desk.enter(ServingPhase::Closing);
     while desk.active_calls.get() > 0 && started.elapsed() < latest {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -10,6 +10,7 @@
 use relay::desk::RelayDesk;
 use settings::process::GatewaySettings;
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use wire::gateway::{CatalogText, instance_at};
 use wire::id::{IncarnationNumber, InstanceId};
 
@@ -37,6 +38,8 @@
     pub quorum: RefCell<Option<Rc<GatewayQuorum>>>,
     /// The newest catalog that it knows a quorum to hold.
     newest: RefCell<CatalogText>,
+    /// Told when a heartbeat is worth sending at once.
+    pub beat_due: Notify,
     /// Whether a catalog is being fetched.
     pub is_fetching: Cell<bool>,
     /// Sends and receives datagrams.
@@ -69,6 +72,7 @@
             reading_number: Cell::new(0),
             quorum: RefCell::default(),
             newest: RefCell::default(),
+            beat_due: Notify::new(),
             is_fetching: Cell::new(false),
             socket,
             seal: DatagramSeal::new(&links.secret),
@@ -117,6 +121,7 @@
             Err(error) => log::error!("gateway: catalog {} is unreadable: {error}", text.version),
         }
         *self.newest.borrow_mut() = text;
+        self.beat_due.notify_one();
     }
 
     /// Whether callers may be sent here.
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -27,6 +27,10 @@
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
 /// Voters at most.
 const MAX_VOTERS: usize = 7;
+/// Entries after which a snapshot is taken. Each holds a whole catalog, and so does a snapshot.
+const SNAPSHOT_ENTRIES: u64 = 24;
+/// Entries before the snapshot that stay for members that lag.
+const KEPT_ENTRIES: u64 = 6;
 /// Messages that wait for a link to one gateway; more are dropped, and sent again later.
 const LANE_MESSAGES: usize = 16;
 /// Longest wait for the receipt of a large message.
@@ -48,6 +52,8 @@
     waiting: RefCell<BTreeMap<EntryKey, oneshot::Sender<()>>>,
     reads: RefCell<BTreeMap<ReadTicket, oneshot::Sender<()>>>,
     next_ticket: Cell<ReadTicket>,
+    /// The newest catalog among the entries that are being applied.
+    staged: RefCell<Option<CatalogText>>,
     lanes: RefCell<HashMap<InstanceId, mpsc::Sender<Vec<u8>>>>,
     /// The clock of the consensus starts here.
     started: Instant,
@@ -66,6 +72,8 @@
     let (disk, reports) = start_disk(store);
     let settings = ReplicaSettings {
         max_voters: MAX_VOTERS,
+        snapshot_entries: SNAPSHOT_ENTRIES,
+        kept_entries: KEPT_ENTRIES,
         ..ReplicaSettings::default()
     };
     let mut core = ReplicaCore::new(
@@ -83,6 +91,7 @@
         waiting: RefCell::default(),
         reads: RefCell::default(),
         next_ticket: Cell::new(1),
+        staged: RefCell::default(),
         lanes: RefCell::default(),
         started: Instant::now(),
     });
@@ -117,6 +126,28 @@
         Some((status.term, leader.instance))
     }
 
+    /// Keeps a catalog that is applied, unless a newer one is.
+    fn stage(&self, text: CatalogText) {
+        let mut staged = self.staged.borrow_mut();
+        if staged.as_ref().is_none_or(|held| held.version < text.version) {
+            *staged = Some(text);
+        }
+    }
+
+    fn apply(&self, entry: LogEntry) {
+        if let EntryPayload::Command(bytes) = &entry.payload {
+            match codec::decode_as::<CatalogText>(bytes) {
+                Ok(text) => self.stage(text),
+                Err(error) => log::error!("gateway: entry {} is unreadable: {error}", entry.index),
+            }
+        }
+        let waiting = self.waiting.borrow_mut().remove(&(entry.index, entry.term));
+        if let Some(done) = waiting {
+            // Whoever proposed may have given up.
+            let _ = done.send(());
+        }
+    }
+
     /// Sets the gateways that may hold a member, and whether this one may found a log.
     pub fn set_peers(&self, peers: Vec<InstanceId>, may_found: bool) {
         let mut core = self.core.borrow_mut();
@@ -234,12 +265,21 @@
         loop {
             let actions = quorum.core.borrow_mut().take_actions();
             if actions.is_empty() {
-                return;
+                break;
             }
             for action in actions {
                 self.run_action(quorum, action);
             }
         }
+        self.install_staged(quorum);
+    }
+
+    /// Puts the newest of the applied catalogs in force. After a restart many are applied at once,
+    /// and the older ones matter no more.
+    fn install_staged(&self, quorum: &GatewayQuorum) {
+        if let Some(text) = quorum.staged.take() {
+            self.install(text, "log");
+        }
     }
 
     fn run_action(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>, action: ReplicaAction) {
@@ -250,14 +290,17 @@
                 let _ = quorum.disk.send(batch);
             }
             ReplicaAction::Restore(snapshot) => match codec::decode_state(&snapshot.state) {
-                Ok(text) => self.install(text, "snapshot"),
+                Ok(text) => quorum.stage(text),
                 Err(error) => log::error!("gateway: the snapshot is unreadable: {error}"),
             },
-            ReplicaAction::Apply(entry) => self.apply(quorum, entry),
-            ReplicaAction::TakeSnapshot(index) => match codec::encode_state(&self.newest()) {
-                Ok(state) => quorum.core.borrow_mut().snapshot_taken(index, state),
-                Err(error) => log::error!("gateway: no snapshot was taken: {error}"),
-            },
+            ReplicaAction::Apply(entry) => quorum.apply(entry),
+            ReplicaAction::TakeSnapshot(index) => {
+                self.install_staged(quorum);
+                match codec::encode_state(&self.newest()) {
+                    Ok(state) => quorum.core.borrow_mut().snapshot_taken(index, state),
+                    Err(error) => log::error!("gateway: no snapshot was taken: {error}"),
+                }
+            }
             ReplicaAction::ReadConfirmed(ticket) => {
                 if let Some(done) = quorum.reads.borrow_mut().remove(&ticket) {
                     // Whoever asked may have given up.
@@ -271,20 +314,6 @@
         }
     }
 
-    fn apply(&self, quorum: &GatewayQuorum, entry: LogEntry) {
-        if let EntryPayload::Command(bytes) = &entry.payload {
-            match codec::decode_as::<CatalogText>(bytes) {
-                Ok(text) => self.install(text, "log"),
-                Err(error) => log::error!("gateway: entry {} is unreadable: {error}", entry.index),
-            }
-        }
-        let waiting = quorum.waiting.borrow_mut().remove(&(entry.index, entry.term));
-        if let Some(done) = waiting {
-            // Whoever proposed may have given up.
-            let _ = done.send(());
-        }
-    }
-
     /// Sends the newest catalog to the live gateways that don't follow the log.
     fn push_newest(self: &Rc<Self>) {
         let text = self.newest();
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One try of a call at one endpoint.
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use actix_http::header::HeaderMap;
@@ -8,13 +9,14 @@
 use catalog::{AccountRule, RouteRule};
 use tokio::time::Instant;
 use wire::gateway::CrashReport;
-use wire::id::{EndpointId, FingerprintHash};
+use wire::id::{EndpointId, FingerprintHash, ServiceId};
 
 use crate::call::{AnswerNotes, CallNotes, ForwardNotes};
 use crate::desk::{OccupiedSlot, RelayDesk};
 use crate::endpoint::{self, EndpointConnection, EndpointError};
 use crate::events::EventSplitter;
 use crate::health::CallSign;
+use crate::placement::{self, PlacementQuery};
 use crate::session::{SessionError, SessionWriter};
 use crate::verdict::AttemptEnd;
 
@@ -30,6 +32,8 @@
     pub route: &'a RouteRule,
     /// The client account.
     pub account: Option<&'a AccountRule>,
+    /// The service that takes it.
+    pub service: ServiceId,
     /// What makes two calls the same work.
     pub fingerprint: FingerprintHash,
     /// When it arrived.
@@ -119,7 +123,9 @@
         Some(connection) => connection,
         None => EndpointConnection::open(address, desk.settings.connect_limit).await?,
     };
+    let warm_source = warm_source_of(desk, call, endpoint);
     let notes = ForwardNotes {
+        warm_source,
         time_left: call.deadline.saturating_duration_since(Instant::now()),
         endpoint: &name,
         account: call.account.map(|account| account.name.as_str()),
@@ -147,6 +153,23 @@
     })
 }
 
+/// Where the endpoint may fetch the shared parts of the prompt.
+fn warm_source_of(
+    desk: &RelayDesk,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+) -> Option<SocketAddrV4> {
+    let prompt = call.notes.prompt.as_ref()?;
+    let query = PlacementQuery {
+        service: call.service,
+        shared_part: prompt.shared_part(),
+        domain: desk.settings.domain,
+        tried: &[],
+        now: desk.now(),
+    };
+    placement::warm_source(&desk.table.borrow(), &query, endpoint)
+}
+
 async fn take_answer(
     desk: &Rc<RelayDesk>,
     call: &RelayCall<'_>,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,5 +1,6 @@
 //! Calls and answers as the dialect of a platform reads them.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use actix_http::header::HeaderMap;
@@ -56,6 +57,8 @@
     pub account: Option<&'a str>,
     /// The last event of the stream that was delivered.
     pub resume_after: Option<&'a str>,
+    /// Another endpoint that probably holds the shared parts of the prompt.
+    pub warm_source: Option<SocketAddrV4>,
 }
 
 /// Load that an endpoint tells of itself.
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -76,6 +76,8 @@
     /// Settings of the HTTP codec.
     pub http: ServiceConfig,
     phase: Cell<ServingPhase>,
+    /// When the process ends at the latest, once it drains.
+    ends_at: Cell<Option<Instant>>,
     phase_changed: Notify,
     /// Calls that are being served.
     pub active_calls: Cell<usize>,
@@ -97,6 +99,7 @@
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
             phase: Cell::new(ServingPhase::Serving),
+            ends_at: Cell::new(None),
             phase_changed: Notify::new(),
             active_calls: Cell::new(0),
             open_connections: Cell::new(0),
@@ -130,6 +133,19 @@
         self.phase_changed.notify_waiters();
     }
 
+    /// Sets when the process ends at the latest.
+    pub fn set_end(&self, at: Instant) {
+        self.ends_at.set(Some(at));
+    }
+
+    /// Whether a call that may take `time` is taken. Once idle connections are closed, only calls
+    /// that end before the process does are.
+    pub fn takes_call(&self, time: Duration) -> bool {
+        let ends_at = self.ends_at.get();
+        let fits = ends_at.is_none_or(|at| Instant::now() + time <= at);
+        self.phase() < ServingPhase::Closing || fits
+    }
+
     /// Waits until connections are to be closed when idle.
     pub async fn until_closing(&self) {
         loop {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -92,6 +92,7 @@
                 notes,
                 route,
                 account,
+                service: name_id(route.choose_service(rand::random()).unwrap_or_default()),
                 started,
                 deadline: started + patience.min(route.timeout),
             };
@@ -139,6 +140,9 @@
     writer: &mut SessionWriter,
     record: &mut CallRecord,
 ) -> CallEnd {
+    if !desk.takes_call(call.deadline.saturating_duration_since(call.started)) {
+        return refuse(desk, FaultKind::Draining, time_left(call), writer).await;
+    }
     if desk.crashes.borrow().is_convicted(desk.now(), call.fingerprint) {
         return refuse(desk, FaultKind::Suspected, time_left(call), writer).await;
     }
@@ -185,12 +189,11 @@
     progress: &mut CallProgress,
     tally: &mut AttemptTally,
 ) -> CallEnd {
-    let service = call.route.choose_service(rand::random()).unwrap_or_default();
-    let service = name_id(service);
+    let service = call.service;
     desk.budget.borrow_mut().note_request(desk.now(), service);
     let mut last: Option<(AttemptEnd, Option<WholeAnswer>)> = None;
     loop {
-        let endpoint = next_endpoint(desk, call, service, &record.tried);
+        let endpoint = next_endpoint(desk, call, &record.tried);
         let Some(endpoint) = endpoint else {
             return give_up(desk, call, writer, *tally, last).await;
         };
@@ -214,13 +217,12 @@
 fn next_endpoint(
     desk: &RelayDesk,
     call: &RelayCall<'_>,
-    service: ServiceId,
     tried: &[EndpointId],
 ) -> Option<EndpointId> {
     let prompt = call.notes.prompt.as_ref();
     let shared_part = prompt.and_then(crate::call::PromptOutline::shared_part);
     let query = PlacementQuery {
-        service,
+        service: call.service,
         shared_part,
         domain: desk.settings.domain,
         tried,
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -4,6 +4,7 @@
 //! endpoints for each part, and the first whose load is within the bound takes the call. The other
 //! calls go to the endpoint that is expected to answer first.
 
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use wire::id::{DomainId, EndpointId, ServiceId};
@@ -83,6 +84,21 @@
     chosen.map(|(id, _)| *id)
 }
 
+/// The endpoint that most probably holds a shared part, beside the one that runs the call: the
+/// first in the part's ranking. One that drains still hands out what it holds.
+pub fn warm_source(
+    table: &EndpointTable,
+    query: &PlacementQuery<'_>,
+    chosen: EndpointId,
+) -> Option<SocketAddrV4> {
+    let part = query.shared_part?;
+    let others = table.of_service(query.service).filter(|(id, row)| {
+        *id != chosen && !query.tried.contains(id) && row.is_sound(query.now)
+    });
+    let best = others.max_by_key(|(id, _)| rank(part, *id));
+    best.map(|(_, row)| row.address)
+}
+
 /// Rank of an endpoint for a part: equal at all instances, and unrelated between parts.
 fn rank(part: u64, id: EndpointId) -> u64 {
     xxh3_64_with_seed(&id.to_le_bytes(), part)
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -56,7 +56,12 @@
 
     /// Whether a call may go there now.
     pub fn is_usable(&self, now: Duration) -> bool {
-        !self.is_draining && !self.is_misplaced && self.health.is_usable(now)
+        !self.is_draining && self.is_sound(now)
+    }
+
+    /// Whether it is there and well, as far as this instance knows.
+    pub fn is_sound(&self, now: Duration) -> bool {
+        !self.is_misplaced && self.health.is_usable(now)
     }
 
     /// Requests that it holds: what all instances know of, or what it told lately if that is more.
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -139,7 +139,7 @@
             store_full: false,
             actions: Vec::new(),
         };
-        core.reset_election();
+        core.set_first_election();
         core.apply_committed();
         core
     }
@@ -290,6 +290,13 @@
         self.now = self.now.max(now);
     }
 
+    /// Sets the first election of this process to a random moment.
+    fn set_first_election(&mut self) {
+        let share: f64 = self.generator.random_range(0.2..1.0);
+        let wait = self.settings.first_election.mul_f64(share);
+        self.election_at = self.now + self.settings.election_delay + wait;
+    }
+
     /// Sets the next election to a random moment.
     pub(crate) fn reset_election(&mut self) {
         let spread = self.settings.election_max - self.settings.election_min;
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -9,6 +9,9 @@
     pub election_min: Duration,
     /// Longest wait for a leader before an election. Above `election_min`.
     pub election_max: Duration,
+    /// Longest wait before the first election of a process. A leader that is alive keeps its place
+    /// whatever this is, and after a stop of all members nobody has to wait for one.
+    pub first_election: Duration,
     /// Extra wait of a member that should lead only when no other can, for example because its
     /// failure domain is far from the others.
     pub election_delay: Duration,
@@ -43,6 +46,7 @@
         Self {
             election_min: Duration::from_millis(400),
             election_max: Duration::from_millis(800),
+            first_election: Duration::from_millis(250),
             election_delay: Duration::ZERO,
             heartbeat: Duration::from_millis(100),
             replace_after: Duration::from_secs(2),
