--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -6,7 +6,7 @@
 use replica::message::ClockStamp;
 use replica::{
     EntryPayload, HardState, LogEntry, MemberKey, MemberSet, MessageBody, PersistBatch,
-    RecoveredState, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings, RoleKind,
+    RecoveredState, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings, RoleKind, VoterChange,
 };
 
 const CLUSTER: u64 = 100;
@@ -80,7 +80,10 @@
         identity: 7,
     };
 
-    let joint = members.replacing(key(1), fresh);
+    let joint = members.changing(VoterChange::Replace {
+        old: key(1),
+        new: fresh,
+    });
 
     let agrees = |group: &[MemberKey]| joint.has_quorum(|member| group.contains(&member));
     expect_that!(agrees(&[key(1), key(2)]), eq(false));
@@ -317,3 +320,17 @@
     let refused = core.propose(now, b"change".to_vec());
     expect_that!(refused, err(eq(&replica::ReplicaError::StoreFull)));
 }
+
+#[gtest]
+fn member_that_may_not_found_waits_for_a_log() {
+    let mut core = empty_member(1, vec![1]);
+    core.set_founding(false);
+
+    core.tick(Duration::from_secs(1));
+    let is_formed_before = core.is_formed();
+    core.set_founding(true);
+    core.tick(Duration::from_secs(2));
+
+    expect_that!(is_formed_before, eq(false));
+    expect_that!(core.is_formed(), eq(true));
+}
--- a/crates/store/tests/quorum.rs
+++ b/crates/store/tests/quorum.rs
@@ -105,6 +105,80 @@
     }
 }
 
+#[gtest]
+fn newcomers_become_voters_and_outlive_the_founders() {
+    for seed in 0..20 {
+        let _note = SeedNote(seed);
+        let mut fleet = Fleet::growing(1, 7, seed);
+        fleet.settle();
+
+        for _ in 0..2 {
+            fleet.join();
+            fleet.settle();
+        }
+        fleet.leave(0);
+        fleet.join();
+        fleet.settle();
+
+        let founder_is_gone = fleet.leader().is_some_and(|leader| leader != 0);
+        expect_that!(founder_is_gone, eq(true));
+        expect_that!(fleet.oracle.accepted.len(), ge(4));
+    }
+}
+
+#[gtest]
+fn voters_are_replaced_at_other_addresses_without_loss() {
+    for seed in 0..20 {
+        let _note = SeedNote(seed);
+        let mut fleet = Fleet::growing(3, 7, seed);
+        fleet.settle();
+
+        for round in 0..4 {
+            fleet.leave(round);
+            fleet.join();
+            fleet.settle();
+        }
+
+        expect_that!(fleet.members.len(), eq(7));
+        expect_that!(fleet.oracle.accepted.len(), ge(5));
+    }
+}
+
+#[gtest]
+fn growth_under_random_faults_loses_nothing() {
+    for seed in 1000..1030 {
+        let _note = SeedNote(seed);
+        let mut fleet = Fleet::growing(3, 5, seed);
+        for step in 0..8_000 {
+            fleet.step();
+            if step == 2_000 || step == 5_000 {
+                fleet.join();
+            }
+        }
+
+        fleet.settle();
+
+        let values = &fleet.members[0].running.as_ref().unwrap().values;
+        let mut known = values.iter();
+        for value in fleet.oracle.accepted.values() {
+            assert!(known.any(|other| other == value), "seed {seed}: {value} lost");
+        }
+    }
+}
+
+#[gtest]
+fn fleet_without_growth_keeps_its_founders() {
+    let mut fleet = Fleet::growing(3, 0, 1);
+    fleet.settle();
+
+    fleet.join();
+    fleet.run_others(None);
+
+    let leader = fleet.leader().expect("settled fleet has a leader");
+    let running = fleet.members[leader].running.as_ref().unwrap();
+    expect_that!(running.core.status().members.voters.len(), eq(3));
+}
+
 #[gtest]
 fn isolated_leader_changes_and_confirms_nothing() {
     for seed in 0..20 {
--- a/crates/store/tests/quorum/fleet.rs
+++ b/crates/store/tests/quorum/fleet.rs
@@ -12,10 +12,14 @@
 
 const MOST_MESSAGES: usize = 400;
 const QUIET_ROUNDS: usize = 2000;
+/// Least time of a tick in a fleet that grows: a lost voter is removed within the quiet rounds.
+const GROWING_PACE: Duration = Duration::from_millis(15);
 
 pub(crate) struct Fleet {
     pub(crate) members: Vec<FakeMember>,
     peers: Vec<u64>,
+    /// Members that left for good.
+    pub(crate) gone: BTreeSet<usize>,
     messages: Vec<ReplicaMessage>,
     cut: BTreeSet<(u64, u64)>,
     pub(crate) random: Pcg64,
@@ -38,6 +42,7 @@
         let mut fleet = Self {
             members,
             peers,
+            gone: BTreeSet::new(),
             messages: Vec::new(),
             cut: BTreeSet::new(),
             random,
@@ -53,6 +58,44 @@
         fleet
     }
 
+    /// A fleet whose first `founders` members found the log; the others join when they start.
+    pub(crate) fn growing(founders: u64, most: usize, seed: u64) -> Self {
+        let mut fleet = Self::new(founders, seed);
+        for member in &mut fleet.members {
+            member.settings.max_voters = most;
+            member.pace = member.pace.max(GROWING_PACE);
+            member.running = None;
+            member.folder = super::folder::FakeFolder::default();
+        }
+        fleet.messages.clear();
+        for place in 0..fleet.members.len() {
+            fleet.start(place);
+        }
+        fleet
+    }
+
+    /// Adds a member with an empty folder, and tells all members of it.
+    pub(crate) fn join(&mut self) -> usize {
+        let place = self.members.len();
+        self.peers.push(place as u64 + 1);
+        let mut member = FakeMember::new(place as u64 + 1, GROWING_PACE);
+        member.settings = self.members[0].settings.clone();
+        self.members.push(member);
+        for member in &mut self.members {
+            if let Some(running) = &mut member.running {
+                running.core.set_peers(self.peers.clone());
+            }
+        }
+        self.start(place);
+        place
+    }
+
+    /// Takes a member away for good.
+    pub(crate) fn leave(&mut self, place: usize) {
+        self.members[place].wipe();
+        self.gone.insert(place);
+    }
+
     /// One random step.
     pub(crate) fn step(&mut self) {
         let place = self.random.random_range(0..self.members.len());
@@ -143,9 +186,15 @@
         })
     }
 
+    fn present(&self) -> impl Iterator<Item = &FakeMember> {
+        let members = self.members.iter().enumerate();
+        let present = members.filter(|(place, _)| !self.gone.contains(place));
+        present.map(|(_, member)| member)
+    }
+
     fn is_settled(&self, value: u64) -> bool {
         let last = self.oracle.applied.keys().last();
-        let same = self.members.iter().all(|member| {
+        let same = self.present().all(|member| {
             let running = member.running.as_ref();
             running.is_some_and(|running| Some(&running.applied) == last && running.core.is_voter())
         });
@@ -153,7 +202,7 @@
     }
 
     pub(crate) fn start(&mut self, place: usize) {
-        if self.members[place].running.is_none() {
+        if self.members[place].running.is_none() && !self.gone.contains(&place) {
             let peers = self.peers.clone();
             let events = self.members[place].start(&peers, &mut self.random);
             self.take(place, events);
@@ -343,7 +392,7 @@
 
     /// Whether the last committed voters are exactly the data folders there are.
     fn is_whole(&self) -> bool {
-        let keys: Vec<MemberKey> = self.members.iter().map(FakeMember::key).collect();
+        let keys: Vec<MemberKey> = self.present().map(FakeMember::key).collect();
         self.oracle
             .last_members()
             .is_some_and(|set| !set.is_joint() && set.voters == keys)
--- a/crates/store/tests/quorum/member.rs
+++ b/crates/store/tests/quorum/member.rs
@@ -39,6 +39,8 @@
     pub(crate) now: Duration,
     /// Time that passes at a tick; clocks of members run at different speeds.
     pub(crate) pace: Duration,
+    /// Times and sizes of its consensus.
+    pub(crate) settings: ReplicaSettings,
     /// A sound folder that was taken away, with its identity.
     pub(crate) stash: Option<(FakeFolder, u64)>,
 }
@@ -63,6 +65,7 @@
             running: None,
             now: Duration::ZERO,
             pace,
+            settings: fuzz_settings(),
             stash: None,
         }
     }
@@ -87,7 +90,7 @@
         };
         self.identity = opened.identity;
         let core = ReplicaCore::new(
-            fuzz_settings(),
+            self.settings.clone(),
             self.key(),
             peers.to_vec(),
             opened.recovered,
