Test routing decisions, decoders and what gateways know of each other

Each load pattern that a decision answers is replayed: a hot prompt, angry callers at every instance, slow and failing endpoints, flapping ones. Decoders are fuzzed.

--- /dev/null
+++ b/crates/relay/tests/decisions.rs
@@ -0,0 +1,228 @@
+//! Decisions of the path of a call, each under the load that it answers.
+
+use std::time::Duration;
+
+use catalog::CallKind;
+use fault::FaultKind;
+use googletest::prelude::*;
+use relay::budget::{BudgetSettings, RetryBudget};
+use relay::crash::CrashLedger;
+use relay::events::EventSplitter;
+use relay::health::{CallSign, EndpointHealth};
+use relay::refusal::wait_before_retry;
+use relay::verdict::{AttemptEnd, AttemptTally, MAX_TRIES, NextStep, next_step};
+use wire::gateway::CrashReport;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn after(ends: &[AttemptEnd]) -> AttemptTally {
+    let mut tally = AttemptTally::default();
+    for end in ends {
+        tally.count(*end);
+    }
+    tally
+}
+
+#[gtest]
+fn unsafe_call_is_never_tried_again_once_it_may_have_run() {
+    for kind in [CallKind::Unsafe, CallKind::Stream] {
+        for end in [AttemptEnd::Broken, AttemptEnd::Failed] {
+            let step = next_step(kind, 3, after(&[end]), end);
+
+            expect_that!(step, not(eq(NextStep::TryAnother)), "{kind:?} {end:?}");
+        }
+    }
+}
+
+#[gtest]
+fn call_that_did_not_run_goes_to_another_endpoint() {
+    for end in [AttemptEnd::NotRun, AttemptEnd::NotSent] {
+        let step = next_step(CallKind::Unsafe, 1, after(&[end]), end);
+
+        expect_that!(step, eq(NextStep::TryAnother));
+    }
+}
+
+#[gtest]
+fn safe_call_runs_at_most_as_often_as_its_route_allows() {
+    let once = after(&[AttemptEnd::Failed]);
+    let twice = after(&[AttemptEnd::Failed, AttemptEnd::Failed]);
+
+    let first = next_step(CallKind::Safe, 2, once, AttemptEnd::Failed);
+    let second = next_step(CallKind::Safe, 2, twice, AttemptEnd::Failed);
+
+    expect_that!(first, eq(NextStep::TryAnother));
+    expect_that!(second, eq(NextStep::PassFailure));
+}
+
+#[gtest]
+fn refusals_by_every_endpoint_end_in_a_promise() {
+    let ends = vec![AttemptEnd::NotRun; MAX_TRIES as usize];
+
+    let step = next_step(CallKind::Unsafe, 1, after(&ends), AttemptEnd::NotRun);
+
+    expect_that!(step, eq(NextStep::Answer(FaultKind::Overloaded)));
+    expect_that!(FaultKind::Overloaded.answer().status, eq(503));
+}
+
+#[gtest]
+fn refusal_after_a_broken_run_promises_nothing() {
+    let mut ends = vec![AttemptEnd::Broken];
+    ends.extend(vec![AttemptEnd::NotRun; MAX_TRIES as usize - 1]);
+
+    let step = next_step(CallKind::Safe, 5, after(&ends), AttemptEnd::NotRun);
+
+    expect_that!(step, eq(NextStep::Answer(FaultKind::ConnectionLost)));
+    expect_that!(FaultKind::ConnectionLost.answer().status, eq(502));
+}
+
+#[gtest]
+fn repeats_of_all_instances_stay_within_the_budget() {
+    // Angry callers repeat at every instance at once, while every call fails.
+    let settings = BudgetSettings::default();
+    let instances = 7;
+    let mut repeats = 0;
+    let mut requests = 0;
+    for _ in 0..instances {
+        let mut budget = RetryBudget::new(settings.clone());
+        budget.set_instances(instances);
+        for step in 0..1000_u32 {
+            let now = settings.window * step / 1000;
+            if step % 7 == 0 {
+                budget.note_request(now, 1);
+                requests += 1;
+            }
+            repeats += u32::from(budget.take_repeat(now, 1));
+        }
+    }
+
+    let limit = settings.ratio * f64::from(requests) + settings.extra;
+    expect_that!(f64::from(repeats), le(limit));
+    expect_that!(f64::from(repeats), ge(limit / 2.0));
+}
+
+#[gtest]
+fn spent_budget_comes_back_after_the_window() {
+    let mut budget = RetryBudget::new(BudgetSettings {
+        extra: 2.0,
+        ..BudgetSettings::default()
+    });
+
+    let first = budget.take_repeat(Duration::ZERO, 1);
+    let second = budget.take_repeat(SECOND, 1);
+    let later = budget.take_repeat(11 * SECOND, 1);
+
+    expect_that!((first, second, later), eq((true, false, true)));
+}
+
+#[gtest]
+fn endpoint_that_breaks_is_left_out_for_longer_each_time() {
+    let mut health = EndpointHealth::default();
+    health.note(Duration::ZERO, CallSign::Broken);
+    let pause_of = |health: &EndpointHealth, from: Duration| {
+        let millis = (0..10_000).find(|millis| health.is_usable(from + Duration::from_millis(*millis)));
+        millis.unwrap_or(u64::MAX)
+    };
+
+    let first = pause_of(&health, Duration::ZERO);
+    health.note(SECOND, CallSign::Broken);
+    let second = pause_of(&health, SECOND);
+
+    expect_that!(first, gt(0));
+    expect_that!(second, gt(first));
+}
+
+#[gtest]
+fn one_call_tries_an_endpoint_that_broke_and_the_others_wait_for_it() {
+    let mut health = EndpointHealth::default();
+    health.note(Duration::ZERO, CallSign::Broken);
+
+    health.start(SECOND);
+    let others_may = health.is_usable(SECOND);
+    health.note(SECOND, CallSign::Served(Duration::from_millis(20)));
+
+    expect_that!(others_may, eq(false));
+    expect_that!(health.is_usable(SECOND), eq(true));
+}
+
+#[gtest]
+fn call_is_refused_after_it_crashed_three_endpoints() {
+    let mut ledger = CrashLedger::default();
+    let report = |endpoint| CrashReport {
+        fingerprint: 7,
+        endpoint,
+    };
+
+    for endpoint in [1, 1, 2] {
+        ledger.note(SECOND, report(endpoint));
+    }
+    let after_two = ledger.is_convicted(SECOND, 7);
+    ledger.note_own(SECOND, report(3));
+
+    expect_that!(after_two, eq(false));
+    expect_that!(ledger.is_convicted(SECOND, 7), eq(true));
+    expect_that!(ledger.is_convicted(SECOND, 8), eq(false));
+    expect_that!(ledger.is_convicted(120 * SECOND, 7), eq(false));
+    expect_that!(ledger.reports_to_tell(SECOND), elements_are![eq(&report(3))]);
+}
+
+#[gtest]
+fn refused_callers_come_back_spread_and_within_their_time() {
+    let left = Some(Duration::from_millis(300));
+
+    let soon = wait_before_retry(FaultKind::Overloaded, None, 0.0);
+    let late = wait_before_retry(FaultKind::Overloaded, None, 1.0);
+    let bounded = wait_before_retry(FaultKind::NoEndpoint, left, 1.0);
+
+    expect_that!(late, ge(soon * 2));
+    expect_that!(bounded, le(Duration::from_millis(100)));
+}
+
+#[gtest]
+fn events_are_passed_on_whole() {
+    let mut splitter = EventSplitter::default();
+
+    let first = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
+    let second = splitter.push(b"ta: b\n");
+    let third = splitter.push(b"\n");
+
+    expect_that!(first.as_deref(), some(eq(b"id: 1\ndata: a\n\n".as_slice())));
+    expect_that!(second, none());
+    expect_that!(third.as_deref(), some(eq(b"id: 2\ndata: b\n\n".as_slice())));
+    expect_that!(splitter.last_id(), some(eq("2")));
+}
+
+#[gtest]
+fn event_that_broke_off_leaves_nothing() {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda");
+
+    splitter.drop_partial();
+    let next = splitter.push(b"id: 2\r\ndata: b\r\n\r\n");
+
+    expect_that!(
+        next.as_deref(),
+        some(eq(b"id: 2\r\ndata: b\r\n\r\n".as_slice()))
+    );
+}
+
+proptest::proptest! {
+    #[test]
+    fn splitting_keeps_every_byte_of_whole_events(cuts in proptest::collection::vec(1_usize..9, 1..60)) {
+        let whole: Vec<u8> = (0..20).flat_map(|id| format!("id: {id}\ndata: {id}\n\n").into_bytes()).collect();
+        let mut splitter = EventSplitter::default();
+        let mut passed = Vec::new();
+        let mut at = 0;
+        for cut in cuts.iter().cycle() {
+            let end = (at + cut).min(whole.len());
+            if let Some(bytes) = splitter.push(&whole[at..end]) {
+                passed.extend_from_slice(&bytes);
+            }
+            at = end;
+            if at == whole.len() {
+                break;
+            }
+        }
+        proptest::prop_assert_eq!(passed, whole);
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/placement.rs
@@ -0,0 +1,177 @@
+//! Choice of endpoints under load.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use relay::health::CallSign;
+use relay::placement::{PlacementQuery, PlacementSettings, choose, warm_source};
+use relay::table::EndpointTable;
+use wire::gateway::ListedEndpoint;
+use wire::id::{EndpointId, name_id};
+
+const SERVICE: &str = "drafts";
+
+fn listed(number: u8) -> ListedEndpoint {
+    ListedEndpoint {
+        name: format!("endpoint-{number}"),
+        service: SERVICE.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 80),
+        domain: u64::from(number % 3),
+        slots: 64,
+        is_draining: false,
+    }
+}
+
+fn table_of(endpoints: u8) -> EndpointTable {
+    let mut table = EndpointTable::default();
+    let listed: Vec<ListedEndpoint> = (1..=endpoints).map(listed).collect();
+    table.replace(&listed);
+    table
+}
+
+fn query(shared_part: Option<u64>) -> PlacementQuery<'static> {
+    PlacementQuery {
+        service: name_id(SERVICE),
+        shared_part,
+        domain: 0,
+        tried: &[],
+        now: Duration::ZERO,
+    }
+}
+
+fn place(table: &EndpointTable, part: u64) -> EndpointId {
+    let settings = PlacementSettings::default();
+    choose(&settings, table, &query(Some(part))).expect("an endpoint is usable")
+}
+
+#[gtest]
+fn calls_of_one_prompt_share_an_endpoint_until_it_is_loaded() {
+    let mut table = table_of(9);
+    let home = place(&table, 7);
+
+    let mut spilled_at = None;
+    for running in 1..40_u32 {
+        table.start(Duration::ZERO, home);
+        if place(&table, 7) != home {
+            spilled_at = Some(running);
+            break;
+        }
+    }
+
+    expect_that!(spilled_at, some(ge(2)));
+}
+
+#[gtest]
+fn hot_prompt_loads_no_endpoint_beyond_the_bound() {
+    // A third of all calls are about one prompt, and none of them ends.
+    let settings = PlacementSettings::default();
+    let mut table = table_of(9);
+    let mut loads: BTreeMap<EndpointId, u32> = BTreeMap::new();
+    for call in 0..450_u64 {
+        let part = if call % 3 == 0 { 1 } else { 100 + call % 50 };
+        let chosen = place(&table, part);
+        table.start(Duration::ZERO, chosen);
+        *loads.entry(chosen).or_default() += 1;
+    }
+
+    let most = f64::from(*loads.values().max().unwrap());
+    let mean = 450.0 / 9.0;
+    expect_that!(most, le(mean * settings.load_factor + settings.load_slack + 1.0));
+    expect_that!(most, le(mean * 2.0 + 3.0));
+}
+
+#[gtest]
+fn loads_of_other_instances_count() {
+    let mut table = table_of(9);
+    let home = place(&table, 7);
+
+    table.set_share(1, vec![(home, 30)]);
+    let crowded = place(&table, 7);
+    table.set_share(1, Vec::new());
+    let free = place(&table, 7);
+
+    expect_that!(crowded, not(eq(home)));
+    expect_that!(free, eq(home));
+}
+
+#[gtest]
+fn new_endpoint_takes_its_part_of_the_prompts_and_no_more() {
+    let before = table_of(9);
+    let after = table_of(10);
+
+    let moved = (0..1000).filter(|part| place(&before, *part) != place(&after, *part));
+
+    expect_that!(moved.count(), all!(ge(60), le(140)));
+}
+
+#[gtest]
+fn call_away_from_its_warm_endpoint_names_it() {
+    let mut table = table_of(9);
+    let home = place(&table, 7);
+    let home_address = table.row(home).unwrap().address;
+    let away = (1..=9)
+        .map(|number| listed(number).id())
+        .find(|id| *id != home)
+        .unwrap();
+
+    let source = warm_source(&table, &query(Some(7)), away);
+    table.note(Duration::ZERO, home, CallSign::Broken);
+    let without = warm_source(&table, &query(Some(7)), away);
+
+    expect_that!(source, some(eq(home_address)));
+    expect_that!(without, not(some(eq(home_address))));
+}
+
+#[gtest]
+fn draining_endpoint_takes_nothing_and_still_hands_out_its_cache() {
+    let mut table = table_of(9);
+    let home = place(&table, 7);
+    let mut list: Vec<ListedEndpoint> = (1..=9).map(listed).collect();
+    for endpoint in &mut list {
+        endpoint.is_draining = endpoint.id() == home;
+    }
+
+    table.replace(&list);
+    let chosen = place(&table, 7);
+    let source = warm_source(&table, &query(Some(7)), chosen);
+
+    expect_that!(chosen, not(eq(home)));
+    expect_that!(source, some(eq(table.row(home).unwrap().address)));
+}
+
+#[gtest]
+fn slow_and_failing_endpoints_get_fewer_calls() {
+    // Three plain endpoints; one answers six times slower, one fails every second call.
+    let mut table = table_of(3);
+    let ids: Vec<EndpointId> = (1..=3).map(|number| listed(number).id()).collect();
+    for _ in 0..40 {
+        table.note(Duration::ZERO, ids[0], CallSign::Served(Duration::from_millis(180)));
+        table.note(Duration::ZERO, ids[1], CallSign::Served(Duration::from_millis(30)));
+        table.note(Duration::ZERO, ids[1], CallSign::Failed);
+        table.note(Duration::ZERO, ids[2], CallSign::Served(Duration::from_millis(30)));
+    }
+
+    let settings = PlacementSettings::default();
+    let mut counts = BTreeMap::new();
+    for _ in 0..30 {
+        let chosen = choose(&settings, &table, &query(None)).unwrap();
+        table.start(Duration::ZERO, chosen);
+        *counts.entry(chosen).or_insert(0) += 1;
+    }
+
+    expect_that!(counts[&ids[2]], gt(counts.get(&ids[0]).copied().unwrap_or(0)));
+    expect_that!(counts[&ids[2]], gt(counts.get(&ids[1]).copied().unwrap_or(0)));
+}
+
+#[gtest]
+fn endpoint_whose_address_another_holds_is_left_out() {
+    let mut table = table_of(2);
+    let ids: Vec<EndpointId> = (1..=2).map(|number| listed(number).id()).collect();
+
+    table.note_misplaced(ids[0]);
+    let chosen = choose(&PlacementSettings::default(), &table, &query(None));
+
+    expect_that!(chosen, some(eq(ids[1])));
+}
