Pack catalogs, and spread fetches over all that have the newest one

Ruled out: lost heartbeats (the versions they told of were seen), a guard that stays set. Change: catalogs travel and are stored deflated; who is behind asks any holder; 1.2 s a fetch.

--- a/crates/gateway/src/changes.rs
+++ b/crates/gateway/src/changes.rs
@@ -13,6 +13,8 @@
 const CALL_LIMIT: Duration = Duration::from_millis(950);
 /// Longest wait for the answer of one gateway.
 const TRY_LIMIT: Duration = Duration::from_millis(420);
+/// Longest wait for a catalog that is fetched.
+const FETCH_LIMIT: Duration = Duration::from_millis(1200);
 /// Pause before another gateway is asked.
 const TRY_PAUSE: Duration = Duration::from_millis(60);
 
@@ -101,14 +103,16 @@
     pub fn fetch_if_behind(self: &Rc<Self>) {
         let version = self.version();
         let ahead = self.directory.borrow().ahead_of(self.now(), version);
-        let Some(source) = ahead.filter(|_| !self.is_fetching.get()) else {
+        if ahead.is_empty() || self.is_fetching.get() {
             return;
-        };
+        }
+        // Any of them, so that not all who are behind ask the same one.
+        let source = ahead[rand::random_range(0..ahead.len())];
         self.is_fetching.set(true);
         let node = Rc::clone(self);
         actix_rt::spawn(async move {
             let ask = GatewayAsk::FetchAbove(version);
-            match node.ask(source, &ask, TRY_LIMIT).await {
+            match node.ask(source, &ask, FETCH_LIMIT).await {
                 Ok(GatewayReply::Catalog(text)) => node.install(text, "gateway"),
                 Ok(_) => log::warn!("gateway: {} sent no catalog", address_of(source)),
                 Err(error) => log::debug!("gateway: no catalog fetched: {error}"),
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -128,9 +128,13 @@
         told.max().map(|(_, leader)| leader)
     }
 
-    /// A live gateway with a catalog above `version`, the newest first.
-    pub fn ahead_of(&self, now: Duration, version: u64) -> Option<InstanceId> {
-        let ahead = self.live(now).filter(|(_, beat)| beat.catalog > version);
-        ahead.max_by_key(|(_, beat)| beat.catalog).map(|(instance, _)| instance)
+    /// The live gateways with the newest catalog, if that is above `version`.
+    pub fn ahead_of(&self, now: Duration, version: u64) -> Vec<InstanceId> {
+        let newest = self.live(now).map(|(_, beat)| beat.catalog).max();
+        let Some(newest) = newest.filter(|newest| *newest > version) else {
+            return Vec::new();
+        };
+        let holders = self.live(now).filter(|(_, beat)| beat.catalog == newest);
+        holders.map(|(instance, _)| instance).collect()
     }
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -10,9 +10,9 @@
 use relay::session::{self, IncomingCall, SessionLimits};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
-use wire::gateway::CatalogText;
 
 use crate::node::GatewayNode;
+use crate::packing::{pack, unpack};
 
 /// What operators and the balancer may send.
 const LIMITS: SessionLimits = SessionLimits {
@@ -114,9 +114,12 @@
             }
         };
         let version = catalog.version;
-        let text = CatalogText {
-            version,
-            body: body.to_vec(),
+        let text = match pack(version, body) {
+            Ok(text) => text,
+            Err(error) => {
+                log::error!("gateway: catalog {version} can't be packed: {error}");
+                return HttpAnswer::text(StatusCode::INTERNAL_SERVER_ERROR, "not packed");
+            }
         };
         let is_done = self.replace_catalog(text).await;
         log::info!(version = version, acknowledged = is_done; "gateway: catalog offered");
@@ -127,10 +130,16 @@
     }
 
     async fn answer_read(self: &Rc<Self>) -> HttpAnswer {
-        match self.read_catalog().await {
-            Some(text) => HttpAnswer {
+        let text = self.read_catalog().await;
+        let body = text.as_ref().map(unpack).transpose();
+        let body = body.unwrap_or_else(|error| {
+            log::error!("gateway: the newest catalog can't be unpacked: {error}");
+            None
+        });
+        match body {
+            Some(body) => HttpAnswer {
                 status: StatusCode::OK,
-                body: Bytes::from(text.body),
+                body: Bytes::from(body),
             },
             None => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum"),
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`datagrams`]: heartbeats, parts of the list and small messages of the consensus.
 //! * [`asks`]: questions among gateways over links.
 //! * [`beats`]: the gateway's heartbeat.
+//! * [`packing`]: catalogs as they are stored and sent.
 //! * [`list`]: reading the platform's list.
 //! * [`quorum`]: the gateway's member of the quorum.
 //! * [`changes`]: replacing and reading the catalog, from any gateway.
@@ -27,6 +28,7 @@
 pub mod http;
 pub mod list;
 pub mod node;
+pub mod packing;
 pub mod quorum;
 pub mod readings;
 pub mod reload;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -15,6 +15,7 @@
 use wire::id::{IncarnationNumber, InstanceId};
 
 use crate::directory::GatewayDirectory;
+use crate::packing::read_packed;
 use crate::quorum::GatewayQuorum;
 use crate::readings::ReadingBoard;
 
@@ -113,7 +114,7 @@
         if text.version <= held {
             return;
         }
-        match platform::catalog_body::read_catalog(&text.body) {
+        match read_packed(&text) {
             Ok(catalog) => {
                 log::info!(version = text.version, held = held, source = source; "gateway: catalog in force");
                 self.desk.set_catalog(CatalogIndex::new(catalog));
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -38,7 +38,7 @@
 /// Longest wait for an entry to be committed, or a read to be confirmed.
 const COMMIT_LIMIT: Duration = Duration::from_millis(900);
 /// Longest wait for a catalog to be taken in by another gateway.
-const INSTALL_LIMIT: Duration = Duration::from_millis(600);
+const INSTALL_LIMIT: Duration = Duration::from_millis(1000);
 /// Longest duration of handing over the leadership.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
 
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -134,13 +134,13 @@
     Replica(Vec<u8>),
 }
 
-/// A catalog as the operator sent it.
+/// A catalog as the operator sent it, compressed.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CatalogText {
     /// Its version; 0 for none.
     pub version: u64,
-    /// The operator's bytes.
-    pub body: Vec<u8>,
+    /// The operator's bytes, compressed by deflate.
+    pub packed: Vec<u8>,
 }
 
 /// What one gateway asks of another over a link.
