Hold calls for a moment while an instance sets itself up

Cause: after a power loss of all instances callers were refused for 0.5 s per instance until the first catalog and reading were there, and had no try left afterwards. Change: a call waits for them for 0.8 s or a quarter of its patience at most, then is refused.

--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -129,7 +129,7 @@
 
     /// Obeys a reading.
     pub fn take_reading(&self, endpoints: &[ListedEndpoint]) {
-        self.desk.table.borrow_mut().replace(endpoints);
+        self.desk.set_endpoints(endpoints);
     }
 }
 
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -128,6 +128,6 @@
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
         let is_serving = self.desk.phase() == relay::desk::ServingPhase::Serving;
-        is_serving && self.desk.catalog().is_some() && !self.desk.table.borrow().is_empty()
+        is_serving && self.desk.is_set_up()
     }
 }
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -7,6 +7,7 @@
 use actix_http::ServiceConfig;
 use catalog::CatalogIndex;
 use tokio::sync::Notify;
+use wire::gateway::ListedEndpoint;
 use wire::id::{DomainId, EndpointId};
 
 use crate::budget::{BudgetSettings, RetryBudget};
@@ -79,6 +80,7 @@
     /// When the process ends at the latest, once it drains.
     ends_at: Cell<Option<Instant>>,
     phase_changed: Notify,
+    set_up: Notify,
     /// Calls that are being served.
     pub active_calls: Cell<usize>,
     /// Open connections of callers.
@@ -101,6 +103,7 @@
             phase: Cell::new(ServingPhase::Serving),
             ends_at: Cell::new(None),
             phase_changed: Notify::new(),
+            set_up: Notify::new(),
             active_calls: Cell::new(0),
             open_connections: Cell::new(0),
             started: Instant::now(),
@@ -120,6 +123,32 @@
     /// Puts a catalog in force. Calls that are under way keep theirs.
     pub fn set_catalog(&self, catalog: CatalogIndex) {
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        self.set_up.notify_waiters();
+    }
+
+    /// Takes over a reading of the list.
+    pub fn set_endpoints(&self, listed: &[ListedEndpoint]) {
+        self.table.borrow_mut().replace(listed);
+        self.set_up.notify_waiters();
+    }
+
+    /// Whether there is a catalog, and an endpoint.
+    pub fn is_set_up(&self) -> bool {
+        self.catalog.borrow().is_some() && !self.table.borrow().is_empty()
+    }
+
+    /// Waits until there is a catalog and an endpoint. An instance that has just started has them
+    /// within a moment, and a call that waits for them needs no second try.
+    pub async fn until_set_up(&self) {
+        loop {
+            let changed = self.set_up.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
+            if self.is_set_up() {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// The phase.
@@ -150,6 +179,8 @@
     pub async fn until_closing(&self) {
         loop {
             let changed = self.phase_changed.notified();
+            tokio::pin!(changed);
+            changed.as_mut().enable();
             if self.phase() == ServingPhase::Closing {
                 return;
             }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use catalog::{AccountRule, CatalogIndex, KeyMatch, RouteRule};
 use fault::FaultKind;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use wire::id::{EndpointId, FingerprintHash, ServiceId, name_id};
 use xxhash_rust::xxh3::Xxh3;
 
@@ -25,6 +25,11 @@
 /// Longest wait of a caller that names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
 
+/// Longest wait for the first catalog and the first endpoint of an instance.
+const SET_UP_LIMIT: Duration = Duration::from_millis(800);
+/// Part of the caller's patience that it waits for them at most.
+const SET_UP_PART: u32 = 4;
+
 /// How a call ended, as the caller sees it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CallEnd {
@@ -77,6 +82,12 @@
         end: CallEnd::CallerLost,
         elapsed: Duration::ZERO,
     };
+    if !desk.is_set_up() {
+        let patience = notes.patience.unwrap_or(DEFAULT_PATIENCE) / SET_UP_PART;
+        let limit = patience.min(SET_UP_LIMIT);
+        // Without a catalog the call is refused below.
+        let _ = timeout(limit, desk.until_set_up()).await;
+    }
     let catalog = desk.catalog();
     let admitted = admit(catalog.as_deref(), incoming, &notes);
     record.end = match admitted {
