--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -27,8 +27,8 @@
 impl Default for PlacementSettings {
     fn default() -> Self {
         Self {
-            load_factor: 1.4,
-            load_slack: 2.0,
+            load_factor: 1.6,
+            load_slack: 2.8,
             distance: 0.5,
         }
     }
