--- a/crates/catalog/src/split.rs
+++ b/crates/catalog/src/split.rs
@@ -6,7 +6,11 @@
     /// The service that takes a request, by the weights of the route. `draw` is uniform over all
     /// of `u64`.
     pub fn choose_service(&self, draw: u64) -> Option<&str> {
-        let total: u64 = self.services.iter().map(|share| u64::from(share.weight)).sum();
+        let total: u64 = self
+            .services
+            .iter()
+            .map(|share| u64::from(share.weight))
+            .sum();
         if total == 0 {
             return None;
         }
--- a/crates/gateway/src/asks.rs
+++ b/crates/gateway/src/asks.rs
@@ -69,7 +69,9 @@
         mut link: Link,
         ask: &GatewayAsk,
     ) -> Result<GatewayReply> {
-        link.sender.send(LinkMessage::GatewayAsk(ask.clone())).await?;
+        link.sender
+            .send(LinkMessage::GatewayAsk(ask.clone()))
+            .await?;
         match link.receiver.next().await? {
             LinkMessage::GatewayReply(reply) => {
                 self.keep_idle_link(to, link);
--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -97,8 +97,11 @@
         };
         let directory = self.directory.borrow();
         let state_of = |wanted: StorageState| {
-            let live = directory.live(now).filter(move |(_, beat)| beat.storage == wanted);
-            live.map(|(instance, _)| instance).collect::<Vec<InstanceId>>()
+            let live = directory
+                .live(now)
+                .filter(move |(_, beat)| beat.storage == wanted);
+            live.map(|(instance, _)| instance)
+                .collect::<Vec<InstanceId>>()
         };
         let seeds = self.seeds();
         let is_heard = |seed: &&InstanceId| {
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -5,7 +5,9 @@
 
 use replica::ReplicaMessage;
 use wire::codec;
-use wire::gateway::{GatewayBeat, GatewayDatagram, ListPart, MAX_DATAGRAM_BYTES, address_of, instance_at};
+use wire::gateway::{
+    GatewayBeat, GatewayDatagram, ListPart, MAX_DATAGRAM_BYTES, address_of, instance_at,
+};
 use wire::id::InstanceId;
 
 use crate::node::GatewayNode;
@@ -24,7 +26,9 @@
             return false;
         }
         let sealed = self.seal.seal(&payload);
-        let sent = self.socket.try_send_to(&sealed, SocketAddr::V4(address_of(to)));
+        let sent = self
+            .socket
+            .try_send_to(&sealed, SocketAddr::V4(address_of(to)));
         if let Err(error) = &sent {
             log::debug!("gateway: datagram to {} failed: {error}", address_of(to));
         }
@@ -55,7 +59,10 @@
         for report in &beat.crashes {
             self.desk.crashes.borrow_mut().note(now, *report);
         }
-        self.desk.table.borrow_mut().set_share(from, beat.loads.clone());
+        self.desk
+            .table
+            .borrow_mut()
+            .set_share(from, beat.loads.clone());
         let is_new = self.directory.borrow_mut().hear(now, from, beat);
         if is_new {
             log::info!(peer = address_of(from).to_string().as_str(); "gateway: hears a gateway");
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -82,7 +82,10 @@
 
     /// Gateways that are told of this one.
     pub fn told(&self, now: Duration) -> Vec<InstanceId> {
-        let known = self.rows.iter().filter(|(_, row)| now <= row.known_at + MEMORY);
+        let known = self
+            .rows
+            .iter()
+            .filter(|(_, row)| now <= row.known_at + MEMORY);
         known.map(|(instance, _)| *instance).collect()
     }
 
@@ -108,7 +111,9 @@
 
     /// Position of this gateway among the live ones, in order of their ids.
     pub fn own_rank(&self, now: Duration) -> usize {
-        self.live(now).filter(|(instance, _)| *instance < self.own).count()
+        self.live(now)
+            .filter(|(instance, _)| *instance < self.own)
+            .count()
     }
 
     /// Gateways that share what holds over all of them, this one included. Those that are silent
--- a/crates/gateway/src/founding.rs
+++ b/crates/gateway/src/founding.rs
@@ -34,7 +34,7 @@
 pub fn may_found(view: &FoundingView) -> bool {
     let has_settled = view.since_start >= SETTLE_TIME && view.since_change >= QUIET_TIME;
     let hears_most = view.seeds_heard * 2 > view.seeds;
-    let hears_enough = view.seeds_heard == view.seeds
-        || (hears_most && view.since_start >= PATIENCE);
+    let hears_enough =
+        view.seeds_heard == view.seeds || (hears_most && view.since_start >= PATIENCE);
     view.is_first_start && !view.has_log && has_settled && hears_enough
 }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -10,6 +10,7 @@
 use relay::session::{self, IncomingCall, SessionLimits};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use watch::TEXT_CONTENT_TYPE;
 
 use crate::node::GatewayNode;
 use crate::packing::{pack, unpack};
@@ -21,6 +22,10 @@
     header_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
 };
+/// Path of the metrics.
+const METRICS: &str = "/metrics";
+/// Content type of all answers but the metrics.
+const JSON_CONTENT_TYPE: &str = "application/json";
 /// Time for which a connection may be idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after which an operator should come back, in seconds.
@@ -31,6 +36,7 @@
 /// An answer.
 struct HttpAnswer {
     status: StatusCode,
+    content_type: &'static str,
     body: Bytes,
 }
 
@@ -39,6 +45,7 @@
         let body = format!("{{\"message\":\"{text}\"}}");
         Self {
             status,
+            content_type: JSON_CONTENT_TYPE,
             body: Bytes::from(body),
         }
     }
@@ -75,11 +82,13 @@
         let incoming = reader.read_call(&mut writer, &LIMITS).await?;
         let answer = node.answer_http(&incoming).await;
         let mut headers = HeaderMap::new();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static(answer.content_type));
         if answer.status == StatusCode::SERVICE_UNAVAILABLE {
             headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
         }
-        writer.send_whole(answer.status, headers, answer.body, false).await?;
+        writer
+            .send_whole(answer.status, headers, answer.body, false)
+            .await?;
         if !writer.is_kept() {
             return Ok(());
         }
@@ -93,6 +102,7 @@
             (&Method::GET, READINESS) => self.answer_readiness(),
             (&Method::POST, REPLACE_CATALOG) => self.answer_replace(&incoming.body).await,
             (&Method::GET, READ_CATALOG) => self.answer_read().await,
+            (&Method::GET, METRICS) => self.answer_metrics(),
             _ => HttpAnswer::text(StatusCode::NOT_FOUND, "no such path"),
         }
     }
@@ -104,6 +114,21 @@
         }
     }
 
+    fn answer_metrics(&self) -> HttpAnswer {
+        let metrics = &self.desk.metrics;
+        metrics.process.set_settings_version(self.version());
+        let live = self.directory.borrow().live(self.now()).count();
+        metrics.set_gateways(live + 1);
+        match metrics.process.expose() {
+            Ok(text) => HttpAnswer {
+                status: StatusCode::OK,
+                content_type: TEXT_CONTENT_TYPE,
+                body: Bytes::from(text),
+            },
+            Err(error) => HttpAnswer::text(StatusCode::INTERNAL_SERVER_ERROR, error),
+        }
+    }
+
     async fn answer_replace(self: &Rc<Self>, body: &Bytes) -> HttpAnswer {
         let catalog = match platform::catalog_body::read_catalog(body) {
             Ok(catalog) => catalog,
@@ -139,6 +164,7 @@
         match body {
             Some(body) => HttpAnswer {
                 status: StatusCode::OK,
+                content_type: JSON_CONTENT_TYPE,
                 body: Bytes::from(body),
             },
             None => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum"),
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -84,7 +84,8 @@
             let query = page.map_or_else(String::new, |page| format!("?{PAGE_PARAMETER}={page}"));
             let url = format!("http://{address}{ENDPOINT_LIST}{query}");
             let body = fetch(client, &url).await?;
-            let read = read_page(&body).map_err(|error| ReadError::Unreadable(error.to_string()))?;
+            let read =
+                read_page(&body).map_err(|error| ReadError::Unreadable(error.to_string()))?;
             if read.skipped > 0 {
                 log::warn!(skipped = read.skipped; "gateway: entries of the list are unreadable");
             }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -14,7 +14,7 @@
 use gateway::node::GatewayNode;
 use gateway::quorum::open_quorum;
 use gateway::reload::follow_settings;
-use kernel::{ServiceKernel, TaskService, program};
+use kernel::{ServiceKernel, TaskFuture, TaskService, program};
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use platform::PlatformDialect;
 use relay::budget::BudgetSettings;
@@ -23,6 +23,8 @@
 use settings::process::GatewaySettings;
 use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
+use watch::GatewayMetrics;
+use watch::label::LabelSettings;
 use wire::id::name_id;
 
 /// Time from the begin of a drain until callers have been sent elsewhere and idle connections are
@@ -65,8 +67,13 @@
     let desk = Rc::new(RelayDesk::new(
         relay_settings(&settings),
         Rc::new(PlatformDialect),
+        GatewayMetrics::new(LabelSettings::default())?,
     ));
     let links = link_settings(&settings)?;
+    let metrics = match settings.metrics {
+        Some(address) => Some(TcpListener::bind(address).await?),
+        None => None,
+    };
     let data = settings.data.clone();
     let grace = Duration::from_millis(settings.grace_ms);
     let incarnation = program::new_incarnation();
@@ -85,10 +92,14 @@
     kernel.register("quorum", shared(), quorum)?;
     let list = TaskService::spawning(vec![Box::pin(follow_list(shared()))]);
     kernel.register("list", shared(), list)?;
-    let operators = TaskService::spawning(vec![
+    let mut served: Vec<TaskFuture> = vec![
         Box::pin(serve_http(operators, shared())),
         Box::pin(serve_http(readiness, shared())),
-    ]);
+    ];
+    if let Some(metrics) = metrics {
+        served.push(Box::pin(serve_http(metrics, shared())));
+    }
+    let operators = TaskService::spawning(served);
     kernel.register("operators", shared(), operators)?;
     let relay = TaskService::spawning(vec![Box::pin(serve_callers(callers, Rc::clone(&desk)))]);
     let relay = relay.on_drain(drain(node, grace));
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -18,7 +18,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
 use wire::codec;
-use wire::gateway::{CatalogText, GatewayAsk, GatewayDatagram, GatewayReply, StorageState, address_of};
+use wire::gateway::{
+    CatalogText, GatewayAsk, GatewayDatagram, GatewayReply, StorageState, address_of,
+};
 use wire::id::InstanceId;
 
 use crate::node::GatewayNode;
@@ -129,7 +131,10 @@
     /// Keeps a catalog that is applied, unless a newer one is.
     fn stage(&self, text: CatalogText) {
         let mut staged = self.staged.borrow_mut();
-        if staged.as_ref().is_none_or(|held| held.version < text.version) {
+        if staged
+            .as_ref()
+            .is_none_or(|held| held.version < text.version)
+        {
             *staged = Some(text);
         }
     }
@@ -158,7 +163,11 @@
 
 impl GatewayNode {
     /// Drives the consensus until the data folder fails.
-    async fn run_quorum(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>, mut reports: DiskReports) -> String {
+    async fn run_quorum(
+        self: &Rc<Self>,
+        quorum: &Rc<GatewayQuorum>,
+        mut reports: DiskReports,
+    ) -> String {
         self.run_actions(quorum);
         loop {
             match timeout(TICK_INTERVAL, reports.recv()).await {
@@ -347,7 +356,9 @@
             return;
         };
         let mut lanes = quorum.lanes.borrow_mut();
-        let lane = lanes.entry(message.to).or_insert_with(|| self.open_lane(message.to));
+        let lane = lanes
+            .entry(message.to)
+            .or_insert_with(|| self.open_lane(message.to));
         // A full lane drops the message, as a lossy network would.
         let _ = lane.try_send(bytes);
     }
@@ -373,7 +384,9 @@
 
 fn log_role(quorum: &GatewayQuorum) {
     let status = quorum.core.borrow().status();
-    let leader = status.leader.map(|leader| address_of(leader.instance).to_string());
+    let leader = status
+        .leader
+        .map(|leader| address_of(leader.instance).to_string());
     log::info!(
         role = format!("{:?}", status.role).as_str(),
         term = status.term,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -36,7 +36,7 @@
         endpoints: vec![ListedEndpoint {
             name: format!("e{part}"),
             service: "s".to_owned(),
-            address: "10.0.0.1:80".parse().unwrap(),
+            address: "10.0.0.1:80".parse().expect("an address"),
             domain: 1,
             slots: 1,
             is_draining: false,
--- a/crates/kernel/src/process.rs
+++ b/crates/kernel/src/process.rs
@@ -12,13 +12,15 @@
 ///
 /// Returns failure when a service fails, after a line in the log that names it.
 pub async fn run(kernel: Rc<ServiceKernel>) -> ExitCode {
-    match run_services(&kernel).await {
+    let code = match run_services(&kernel).await {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             log::error!("kernel: {error}.");
             ExitCode::FAILURE
         }
-    }
+    };
+    log::logger().flush();
+    code
 }
 
 async fn run_services(kernel: &ServiceKernel) -> Result<()> {
--- a/crates/link/src/handshake.rs
+++ b/crates/link/src/handshake.rs
@@ -178,7 +178,12 @@
     Hmac::<Sha256>::new_from_slice(key).expect("HMAC takes keys of any length")
 }
 
-pub(crate) fn derive_key(secret: &LinkSecret, purpose: &str, first: &[u8], second: &[u8]) -> KeyBytes {
+pub(crate) fn derive_key(
+    secret: &LinkSecret,
+    purpose: &str,
+    first: &[u8],
+    second: &[u8],
+) -> KeyBytes {
     let mac = keyed_mac(&secret.0)
         .chain_update(purpose)
         .chain_update(first)
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::header::HeaderMap;
 use actix_http::{Request, ResponseHead, StatusCode};
@@ -73,6 +74,8 @@
     pub unanswered: Option<EndpointId>,
     /// Whether bytes of the call may have left for the endpoint that has it.
     pub may_run: bool,
+    /// Time from the arrival of the call to the first byte of an answer.
+    pub first_byte: Option<Duration>,
     /// Why the last try ended, for the log.
     pub last_error: Option<String>,
 }
@@ -129,9 +132,14 @@
         time_left: call.deadline.saturating_duration_since(Instant::now()),
         endpoint: &name,
         account: call.account.map(|account| account.name.as_str()),
-        resume_after: progress.events.last_id().or(call.notes.resume_after.as_deref()),
+        resume_after: progress
+            .events
+            .last_id()
+            .or(call.notes.resume_after.as_deref()),
     };
-    let headers = desk.dialect.forward_call(call.head.head().headers(), &notes);
+    let headers = desk
+        .dialect
+        .forward_call(call.head.head().headers(), &notes);
     let method = call.head.method().clone();
     let head = endpoint::request_head(method, call.head.uri().clone(), headers);
     progress.may_run = true;
@@ -209,13 +217,15 @@
         body,
     };
     if status.is_server_error() || promises_no_run(status) {
-        desk.table.borrow_mut().note(now, endpoint, CallSign::Failed);
-        progress.last_error = Some(format!("status {}", status.as_u16()));
+        let reason = format!("status {}", status.as_u16());
+        desk.note_health(endpoint, CallSign::Failed, &reason);
+        progress.last_error = Some(reason);
         let passed = (!promises_no_run(status)).then_some(whole);
         return Err(AttemptResult::Ended(AttemptEnd::Failed, passed));
     }
-    let sign = CallSign::Served(call.started.elapsed());
-    desk.table.borrow_mut().note(now, endpoint, sign);
+    let first_byte = call.started.elapsed();
+    progress.first_byte.get_or_insert(first_byte);
+    desk.note_health(endpoint, CallSign::Served(first_byte), "");
     Ok(deliver_whole(desk, whole, writer).await)
 }
 
@@ -283,8 +293,9 @@
         };
         if !has_first {
             has_first = true;
-            let sign = CallSign::Served(call.started.elapsed());
-            desk.table.borrow_mut().note(desk.now(), endpoint, sign);
+            let first_byte = call.started.elapsed();
+            progress.first_byte.get_or_insert(first_byte);
+            desk.note_health(endpoint, CallSign::Served(first_byte), "");
         }
         if !writer.has_started && !started {
             let headers = desk.dialect.forward_answer(answer.head.headers());
@@ -295,7 +306,8 @@
         if is_end {
             lost(writer.finish().await)?;
             let keep_alive = answer.notes.keep_alive;
-            desk.pool.put(desk.now(), endpoint, answer.connection, keep_alive);
+            desk.pool
+                .put(desk.now(), endpoint, answer.connection, keep_alive);
             return Ok(AttemptResult::Delivered(status));
         }
     }
@@ -315,8 +327,9 @@
     may_run: bool,
 ) -> AttemptResult {
     let now = desk.now();
-    progress.last_error = Some(error.to_string());
-    desk.table.borrow_mut().note(now, endpoint, CallSign::Broken);
+    let reason = error.to_string();
+    desk.note_health(endpoint, CallSign::Broken, &reason);
+    progress.last_error = Some(reason);
     if !may_run {
         return AttemptResult::Ended(AttemptEnd::NotSent, None);
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -45,7 +45,8 @@
     /// Takes over a report, of this instance or another.
     pub fn note(&mut self, now: Duration, report: CrashReport) {
         if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects.retain(|_, suspect| now < suspect.seen_at + MEMORY);
+            self.suspects
+                .retain(|_, suspect| now < suspect.seen_at + MEMORY);
         }
         if self.suspects.len() >= MAX_SUSPECTS {
             return;
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -7,12 +7,14 @@
 use actix_http::ServiceConfig;
 use catalog::CatalogIndex;
 use tokio::sync::Notify;
+use watch::GatewayMetrics;
 use wire::gateway::ListedEndpoint;
 use wire::id::{DomainId, EndpointId};
 
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
 use crate::crash::CrashLedger;
+use crate::health::{CallSign, HealthChange};
 use crate::placement::PlacementSettings;
 use crate::pool::ConnectionPool;
 use crate::table::EndpointTable;
@@ -66,8 +68,12 @@
     pub dialect: Rc<dyn CallDialect>,
     /// The catalog in force; none before the first.
     catalog: RefCell<Option<Rc<CatalogIndex>>>,
+    /// What is measured.
+    pub metrics: GatewayMetrics,
     /// The endpoints.
     pub table: RefCell<EndpointTable>,
+    /// When the latest reading of the list came.
+    listed_at: Cell<Option<Duration>>,
     /// The budget of repeats.
     pub budget: RefCell<RetryBudget>,
     /// Calls that crash endpoints.
@@ -90,13 +96,19 @@
 
 impl RelayDesk {
     /// A desk without catalog and endpoints.
-    pub fn new(settings: RelaySettings, dialect: Rc<dyn CallDialect>) -> Self {
+    pub fn new(
+        settings: RelaySettings,
+        dialect: Rc<dyn CallDialect>,
+        metrics: GatewayMetrics,
+    ) -> Self {
         Self {
+            metrics,
             budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
             settings,
             dialect,
             catalog: RefCell::default(),
             table: RefCell::default(),
+            listed_at: Cell::new(None),
             crashes: RefCell::default(),
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
@@ -128,10 +140,27 @@
 
     /// Takes over a reading of the list.
     pub fn set_endpoints(&self, listed: &[ListedEndpoint]) {
-        self.table.borrow_mut().replace(listed);
+        let change = self.table.borrow_mut().replace(listed);
+        self.listed_at.set(Some(self.now()));
+        self.metrics.set_endpoints(listed.len());
+        if !change.is_empty() {
+            log::info!(
+                joined = change.joined.join(",").as_str(),
+                left = change.left.join(",").as_str(),
+                draining = change.draining.join(",").as_str(),
+                endpoints = listed.len();
+                "relay: the list changed"
+            );
+        }
         self.set_up.notify_waiters();
     }
 
+    /// Age of the latest reading of the list.
+    pub fn list_age(&self) -> Option<Duration> {
+        let at = self.listed_at.get()?;
+        Some(self.now().saturating_sub(at))
+    }
+
     /// Whether there is a catalog, and an endpoint.
     pub fn is_set_up(&self) -> bool {
         self.catalog.borrow().is_some() && !self.table.borrow().is_empty()
@@ -188,6 +217,22 @@
         }
     }
 
+    /// Notes what a call told about an endpoint, and why.
+    pub fn note_health(&self, endpoint: EndpointId, sign: CallSign, reason: &str) {
+        let now = self.now();
+        let mut table = self.table.borrow_mut();
+        let change = table.note(now, endpoint, sign);
+        let name = table.row(endpoint).map_or("-", |row| row.name.as_str());
+        match change {
+            HealthChange::None => {}
+            HealthChange::LeftOut { breaks, pause } => log::warn!(
+                endpoint = name, breaks = breaks, pause_ms = pause.as_millis() as u64, reason = reason;
+                "relay: an endpoint is left out"
+            ),
+            HealthChange::Back => log::info!(endpoint = name; "relay: an endpoint is back"),
+        }
+    }
+
     /// Marks a call at an endpoint for as long as the guard lives.
     pub fn occupy(self: &Rc<Self>, endpoint: EndpointId) -> OccupiedSlot {
         self.table.borrow_mut().start(self.now(), endpoint);
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -130,7 +130,10 @@
             0 => BodySize::None,
             length => BodySize::Sized(length as u64),
         };
-        codec.encode(Message::Item((RequestHeadType::from(head), size)), &mut outbox)?;
+        codec.encode(
+            Message::Item((RequestHeadType::from(head), size)),
+            &mut outbox,
+        )?;
         if !body.is_empty() {
             codec.encode(Message::Chunk(Some(body.clone())), &mut outbox)?;
         }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -17,6 +17,7 @@
 };
 use crate::call::CallNotes;
 use crate::desk::{RelayDesk, ServingPhase};
+use crate::health::CallSign;
 use crate::placement::{PlacementQuery, choose};
 use crate::refusal::wait_before_retry;
 use crate::session::{IncomingCall, SessionWriter};
@@ -43,6 +44,19 @@
     CallerLost,
 }
 
+/// One try of a call at an endpoint.
+#[derive(Debug)]
+pub struct CallTry {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its name.
+    pub name: String,
+    /// Requests that it held, as far as this instance knew.
+    pub load: u32,
+    /// How the try ended, one of a closed set of words.
+    pub end: &'static str,
+}
+
 /// What is told of a call in the log.
 #[derive(Debug)]
 pub struct CallRecord {
@@ -54,8 +68,12 @@
     pub account: String,
     /// Version of the catalog that it was judged by; 0 for none.
     pub catalog: u64,
-    /// Endpoints that were tried, in order.
-    pub tried: Vec<EndpointId>,
+    /// Age of the reading of the list that it was placed by.
+    pub list_age: Option<Duration>,
+    /// The tries, in order.
+    pub tries: Vec<CallTry>,
+    /// Time to the first byte of an endpoint's answer.
+    pub first_byte: Option<Duration>,
     /// Why the last try failed.
     pub last_error: Option<String>,
     /// How it ended.
@@ -77,7 +95,9 @@
         route: String::new(),
         account: String::new(),
         catalog: 0,
-        tried: Vec::new(),
+        list_age: None,
+        tries: Vec::new(),
+        first_byte: None,
         last_error: None,
         end: CallEnd::CallerLost,
         elapsed: Duration::ZERO,
@@ -89,12 +109,13 @@
         let _ = timeout(limit, desk.until_set_up()).await;
     }
     let catalog = desk.catalog();
+    record.catalog = catalog.as_ref().map_or(0, |index| index.catalog().version);
+    record.list_age = desk.list_age();
     let admitted = admit(catalog.as_deref(), incoming, &notes);
     record.end = match admitted {
         Ok((route, account)) => {
             record.route.clone_from(&route.name);
             record.account = account.map_or_else(String::new, |account| account.name.clone());
-            record.catalog = catalog.as_ref().map_or(0, |index| index.catalog().version);
             let patience = notes.patience.unwrap_or(DEFAULT_PATIENCE);
             let call = RelayCall {
                 head: &incoming.head,
@@ -154,7 +175,11 @@
     if !desk.takes_call(call.deadline.saturating_duration_since(call.started)) {
         return refuse(desk, FaultKind::Draining, time_left(call), writer).await;
     }
-    if desk.crashes.borrow().is_convicted(desk.now(), call.fingerprint) {
+    if desk
+        .crashes
+        .borrow()
+        .is_convicted(desk.now(), call.fingerprint)
+    {
         return refuse(desk, FaultKind::Suspected, time_left(call), writer).await;
     }
     let mut progress = CallProgress::default();
@@ -162,6 +187,7 @@
     let tries = try_endpoints(desk, call, writer, record, &mut progress, &mut tally);
     let end = timeout_at(call.deadline, tries).await;
     record.last_error = progress.last_error.take();
+    record.first_byte = progress.first_byte;
     match end {
         Ok(end) => end,
         Err(_) => time_out(desk, call, writer, &progress, tally).await,
@@ -177,8 +203,7 @@
     tally: AttemptTally,
 ) -> CallEnd {
     if let Some(endpoint) = progress.unanswered {
-        let mut table = desk.table.borrow_mut();
-        table.note(desk.now(), endpoint, crate::health::CallSign::Broken);
+        desk.note_health(endpoint, CallSign::Broken, "no answer until the deadline");
         desk.pool.close(endpoint);
     }
     if writer.has_started {
@@ -204,12 +229,13 @@
     desk.budget.borrow_mut().note_request(desk.now(), service);
     let mut last: Option<(AttemptEnd, Option<WholeAnswer>)> = None;
     loop {
-        let endpoint = next_endpoint(desk, call, &record.tried);
-        let Some(endpoint) = endpoint else {
+        let tried: Vec<EndpointId> = record.tries.iter().map(|tried| tried.endpoint).collect();
+        let Some(endpoint) = next_endpoint(desk, call, &tried) else {
             return give_up(desk, call, writer, *tally, last).await;
         };
-        record.tried.push(endpoint);
+        record.tries.push(begin_try(desk, endpoint));
         let result = run_attempt(desk, call, endpoint, progress, writer).await;
+        end_try(desk, record, &result);
         let (end, answer) = match result {
             AttemptResult::Delivered(status) => return CallEnd::Answered(status),
             AttemptResult::CallerLost => return CallEnd::CallerLost,
@@ -224,6 +250,32 @@
     }
 }
 
+fn begin_try(desk: &RelayDesk, endpoint: EndpointId) -> CallTry {
+    let table = desk.table.borrow();
+    let row = table.row(endpoint);
+    CallTry {
+        endpoint,
+        name: row.map_or_else(String::new, |row| row.name.clone()),
+        load: row.map_or(0, |row| row.load(desk.now())),
+        end: "unfinished",
+    }
+}
+
+fn end_try(desk: &RelayDesk, record: &mut CallRecord, result: &AttemptResult) {
+    let end = match result {
+        AttemptResult::Delivered(_) => "served",
+        AttemptResult::CallerLost => "caller-lost",
+        AttemptResult::Ended(AttemptEnd::NotSent, _) => "not-sent",
+        AttemptResult::Ended(AttemptEnd::NotRun, _) => "not-run",
+        AttemptResult::Ended(AttemptEnd::Failed, _) => "failed",
+        AttemptResult::Ended(AttemptEnd::Broken, _) => "broken",
+    };
+    desk.metrics.count_attempt(end);
+    if let Some(last) = record.tries.last_mut() {
+        last.end = end;
+    }
+}
+
 /// The next endpoint. A call that has tried them all may return to one that did not run it.
 fn next_endpoint(
     desk: &RelayDesk,
@@ -298,7 +350,10 @@
     }
     let body = format!("{{\"kind\":\"{kind}\",\"outcome\":\"{}\"}}", row.outcome);
     let close = desk.phase() > ServingPhase::Serving;
-    match writer.send_whole(status, headers, Bytes::from(body), close).await {
+    match writer
+        .send_whole(status, headers, Bytes::from(body), close)
+        .await
+    {
         Ok(()) => CallEnd::Refused(kind),
         Err(_) => CallEnd::CallerLost,
     }
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -26,6 +26,22 @@
     Broken,
 }
 
+/// What a call changed in the view of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HealthChange {
+    /// Nothing that matters.
+    None,
+    /// The endpoint is left out.
+    LeftOut {
+        /// Breaks in a row.
+        breaks: u32,
+        /// For how long.
+        pause: Duration,
+    },
+    /// The endpoint answers again.
+    Back,
+}
+
 /// Health of one endpoint, as this instance sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointHealth {
@@ -41,21 +57,26 @@
 
 impl EndpointHealth {
     /// Notes how a call ended.
-    pub fn note(&mut self, now: Duration, sign: CallSign) {
+    pub fn note(&mut self, now: Duration, sign: CallSign) -> HealthChange {
         match sign {
             CallSign::Served(latency) => {
-                self.recover();
                 self.average_latency(latency);
                 self.failures += (0.0 - self.failures) * AVERAGE_WEIGHT;
+                self.recover()
             }
             CallSign::Failed => {
-                self.recover();
                 self.failures += (1.0 - self.failures) * AVERAGE_WEIGHT;
+                self.recover()
             }
             CallSign::Broken => {
                 let pause = FIRST_PAUSE * 2u32.saturating_pow(self.breaks.min(8));
+                let pause = pause.min(LONGEST_PAUSE);
                 self.breaks += 1;
-                self.left_out_until = Some(now + pause.min(LONGEST_PAUSE));
+                self.left_out_until = Some(now + pause);
+                HealthChange::LeftOut {
+                    breaks: self.breaks,
+                    pause,
+                }
             }
         }
     }
@@ -82,9 +103,12 @@
         self.failures
     }
 
-    fn recover(&mut self) {
-        self.breaks = 0;
+    fn recover(&mut self) -> HealthChange {
         self.left_out_until = None;
+        match std::mem::take(&mut self.breaks) {
+            0 => HealthChange::None,
+            _ => HealthChange::Back,
+        }
     }
 
     fn average_latency(&mut self, latency: Duration) {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -92,9 +92,9 @@
     chosen: EndpointId,
 ) -> Option<SocketAddrV4> {
     let part = query.shared_part?;
-    let others = table.of_service(query.service).filter(|(id, row)| {
-        *id != chosen && !query.tried.contains(id) && row.is_sound(query.now)
-    });
+    let others = table
+        .of_service(query.service)
+        .filter(|(id, row)| *id != chosen && !query.tried.contains(id) && row.is_sound(query.now));
     let best = others.max_by_key(|(id, _)| rank(part, *id));
     best.map(|(_, row)| row.address)
 }
@@ -130,8 +130,10 @@
         let load = f64::from(row.load(query.now)) + 1.0 + away;
         (load * pace.sqrt() / served, *id)
     };
-    let cheapest = usable
-        .iter()
-        .min_by(|a, b| cost(a).partial_cmp(&cost(b)).unwrap_or(std::cmp::Ordering::Equal));
+    let cheapest = usable.iter().min_by(|a, b| {
+        cost(a)
+            .partial_cmp(&cost(b))
+            .unwrap_or(std::cmp::Ordering::Equal)
+    });
     cheapest.map(|(id, _)| *id)
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -6,6 +6,7 @@
 use fault::FaultKind;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
+use watch::CallSample;
 
 use crate::desk::RelayDesk;
 use crate::forward::{CallEnd, CallRecord, refuse, serve_call};
@@ -36,6 +37,7 @@
 
 async fn serve_caller(stream: TcpStream, desk: Rc<RelayDesk>) {
     desk.open_connections.set(desk.open_connections.get() + 1);
+    desk.metrics.set_connections(desk.open_connections.get());
     if let Err(error) = serve_calls(stream, &desk).await {
         log::debug!("relay: a caller's connection ended: {error}");
     }
@@ -56,7 +58,7 @@
         let Some(record) = serve_watched(desk, &incoming, &mut reader, &mut writer).await else {
             return Ok(());
         };
-        log_call(&record);
+        note_call(desk, &record);
         let is_over = matches!(record.end, CallEnd::Cut | CallEnd::CallerLost);
         if is_over || !writer.is_kept() {
             return Ok(());
@@ -127,16 +129,49 @@
     Ok(())
 }
 
-fn log_call(record: &CallRecord) {
-    let tried: Vec<String> = record.tried.iter().map(|id| format!("{id:x}")).collect();
+/// One line for each call: what decided where it went, and how it ended.
+fn note_call(desk: &RelayDesk, record: &CallRecord) {
+    let word = end_word(record.end);
+    desk.metrics.observe_call(&CallSample {
+        account: &record.account,
+        route: &record.route,
+        outcome: word,
+        first_byte: record.first_byte,
+        total: record.elapsed,
+    });
+    let tries = record.tries.iter();
+    let tries: Vec<String> = tries
+        .map(|tried| format!("{}:{}:{}", tried.name, tried.load, tried.end))
+        .collect();
     log::info!(
         call = record.attempt.as_deref().unwrap_or("-"),
+        outcome = word,
+        answer = answer_text(record.end).as_str(),
         route = record.route.as_str(),
         account = record.account.as_str(),
         catalog = record.catalog,
-        tried = tried.join(",").as_str(),
+        list_age_ms = record.list_age.map_or(-1, |age| age.as_millis() as i64),
+        tries = tries.join(",").as_str(),
         error = record.last_error.as_deref().unwrap_or(""),
         elapsed_ms = record.elapsed.as_millis() as u64;
-        "relay: {:?}", record.end
+        "relay: call"
     );
 }
+
+fn end_word(end: CallEnd) -> &'static str {
+    match end {
+        CallEnd::Answered(status) if status.is_server_error() => "failure-passed",
+        CallEnd::Answered(_) => "answered",
+        CallEnd::Refused(_) => "refused",
+        CallEnd::Cut => "cut",
+        CallEnd::CallerLost => "caller-lost",
+    }
+}
+
+fn answer_text(end: CallEnd) -> String {
+    match end {
+        CallEnd::Answered(status) => status.as_u16().to_string(),
+        CallEnd::Refused(kind) => kind.to_string(),
+        CallEnd::Cut | CallEnd::CallerLost => String::new(),
+    }
+}
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -225,7 +225,8 @@
     ) -> Result<()> {
         self.put_head(status, headers, BodySize::Sized(body.len() as u64), close)?;
         if !body.is_empty() {
-            self.codec.encode(Message::Chunk(Some(body)), &mut self.outbox)?;
+            self.codec
+                .encode(Message::Chunk(Some(body)), &mut self.outbox)?;
         }
         self.codec.encode(Message::Chunk(None), &mut self.outbox)?;
         self.flush().await
@@ -250,7 +251,8 @@
     /// The socket's error.
     pub async fn send_bytes(&mut self, bytes: Bytes) -> Result<()> {
         if !bytes.is_empty() {
-            self.codec.encode(Message::Chunk(Some(bytes)), &mut self.outbox)?;
+            self.codec
+                .encode(Message::Chunk(Some(bytes)), &mut self.outbox)?;
         }
         self.flush().await
     }
@@ -276,12 +278,15 @@
         if close {
             answer.head_mut().set_connection_type(ConnectionType::Close);
         }
-        self.codec.encode(Message::Item((answer, size)), &mut self.outbox)?;
+        self.codec
+            .encode(Message::Item((answer, size)), &mut self.outbox)?;
         Ok(())
     }
 
     async fn send_continue(&mut self) -> Result<()> {
-        self.half.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+        self.half
+            .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .await?;
         Ok(())
     }
 
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -8,7 +8,7 @@
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
 
 use crate::call::LoadReport;
-use crate::health::{CallSign, EndpointHealth};
+use crate::health::{CallSign, EndpointHealth, HealthChange};
 
 /// Age at which an endpoint's own report no longer counts.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
@@ -67,8 +67,30 @@
     /// Requests that it holds: what all instances know of, or what it told lately if that is more.
     pub fn load(&self, now: Duration) -> u32 {
         let known = self.own_running + self.others_running;
-        let fresh = self.report.filter(|(_, at)| now.saturating_sub(*at) <= REPORT_LIMIT);
-        fresh.map_or(known, |(report, _)| known.max(report.running + report.waiting))
+        let fresh = self
+            .report
+            .filter(|(_, at)| now.saturating_sub(*at) <= REPORT_LIMIT);
+        fresh.map_or(known, |(report, _)| {
+            known.max(report.running + report.waiting)
+        })
+    }
+}
+
+/// Endpoints that a reading of the list changed, by name.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ListChange {
+    /// New ones.
+    pub joined: Vec<String>,
+    /// Those that are listed no more.
+    pub left: Vec<String>,
+    /// Those that drain now.
+    pub draining: Vec<String>,
+}
+
+impl ListChange {
+    /// Whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.joined.is_empty() && self.left.is_empty() && self.draining.is_empty()
     }
 }
 
@@ -83,22 +105,31 @@
 
 impl EndpointTable {
     /// Takes over a reading of the list. What is known of endpoints that stay is kept.
-    pub fn replace(&mut self, listed: &[ListedEndpoint]) {
+    pub fn replace(&mut self, listed: &[ListedEndpoint]) -> ListChange {
+        let mut change = ListChange::default();
         let mut rows = HashMap::new();
         self.services.clear();
         for endpoint in listed {
             let id = endpoint.id();
             let mut row = match self.rows.remove(&id) {
                 Some(row) if row.address == endpoint.address => row,
-                _ => EndpointRow::new(endpoint),
+                _ => {
+                    change.joined.push(endpoint.name.clone());
+                    EndpointRow::new(endpoint)
+                }
             };
+            if endpoint.is_draining && !row.is_draining {
+                change.draining.push(endpoint.name.clone());
+            }
             row.is_draining = endpoint.is_draining;
             rows.insert(id, row);
             let service = self.services.entry(endpoint.service_id()).or_default();
             service.push(id);
         }
-        self.rows = rows;
+        let left = std::mem::replace(&mut self.rows, rows);
+        change.left = left.into_values().map(|row| row.name).collect();
         self.sum_shares();
+        change
     }
 
     /// Whether no endpoint is known.
@@ -136,9 +167,10 @@
     }
 
     /// Notes what a call told about an endpoint.
-    pub fn note(&mut self, now: Duration, id: EndpointId, sign: CallSign) {
-        if let Some(row) = self.rows.get_mut(&id) {
-            row.health.note(now, sign);
+    pub fn note(&mut self, now: Duration, id: EndpointId, sign: CallSign) -> HealthChange {
+        match self.rows.get_mut(&id) {
+            Some(row) => row.health.note(now, sign),
+            None => HealthChange::None,
         }
     }
 
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -120,7 +120,8 @@
     let mut health = EndpointHealth::default();
     health.note(Duration::ZERO, CallSign::Broken);
     let pause_of = |health: &EndpointHealth, from: Duration| {
-        let millis = (0..10_000).find(|millis| health.is_usable(from + Duration::from_millis(*millis)));
+        let millis =
+            (0..10_000).find(|millis| health.is_usable(from + Duration::from_millis(*millis)));
         millis.unwrap_or(u64::MAX)
     };
 
@@ -163,7 +164,10 @@
     expect_that!(ledger.is_convicted(SECOND, 7), eq(true));
     expect_that!(ledger.is_convicted(SECOND, 8), eq(false));
     expect_that!(ledger.is_convicted(120 * SECOND, 7), eq(false));
-    expect_that!(ledger.reports_to_tell(SECOND), elements_are![eq(&report(3))]);
+    expect_that!(
+        ledger.reports_to_tell(SECOND),
+        elements_are![eq(&report(3))]
+    );
 }
 
 #[gtest]
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -78,7 +78,10 @@
 
     let most = f64::from(*loads.values().max().unwrap());
     let mean = 450.0 / 9.0;
-    expect_that!(most, le(mean * settings.load_factor + settings.load_slack + 1.0));
+    expect_that!(
+        most,
+        le(mean * settings.load_factor + settings.load_slack + 1.0)
+    );
     expect_that!(most, le(mean * 2.0 + 3.0));
 }
 
@@ -147,10 +150,22 @@
     let mut table = table_of(3);
     let ids: Vec<EndpointId> = (1..=3).map(|number| listed(number).id()).collect();
     for _ in 0..40 {
-        table.note(Duration::ZERO, ids[0], CallSign::Served(Duration::from_millis(180)));
-        table.note(Duration::ZERO, ids[1], CallSign::Served(Duration::from_millis(30)));
+        table.note(
+            Duration::ZERO,
+            ids[0],
+            CallSign::Served(Duration::from_millis(180)),
+        );
+        table.note(
+            Duration::ZERO,
+            ids[1],
+            CallSign::Served(Duration::from_millis(30)),
+        );
         table.note(Duration::ZERO, ids[1], CallSign::Failed);
-        table.note(Duration::ZERO, ids[2], CallSign::Served(Duration::from_millis(30)));
+        table.note(
+            Duration::ZERO,
+            ids[2],
+            CallSign::Served(Duration::from_millis(30)),
+        );
     }
 
     let settings = PlacementSettings::default();
@@ -161,8 +176,14 @@
         *counts.entry(chosen).or_insert(0) += 1;
     }
 
-    expect_that!(counts[&ids[2]], gt(counts.get(&ids[0]).copied().unwrap_or(0)));
-    expect_that!(counts[&ids[2]], gt(counts.get(&ids[1]).copied().unwrap_or(0)));
+    expect_that!(
+        counts[&ids[2]],
+        gt(counts.get(&ids[0]).copied().unwrap_or(0))
+    );
+    expect_that!(
+        counts[&ids[2]],
+        gt(counts.get(&ids[1]).copied().unwrap_or(0))
+    );
 }
 
 #[gtest]
--- a/crates/replica/src/replace.rs
+++ b/crates/replica/src/replace.rs
@@ -60,7 +60,12 @@
         });
         let silent_voter = |after| {
             let mut voters = members.voters.iter().copied();
-            voters.find(|voter| state.progress.get(voter).is_some_and(|peer| silence(peer) > after))
+            voters.find(|voter| {
+                state
+                    .progress
+                    .get(voter)
+                    .is_some_and(|peer| silence(peer) > after)
+            })
         };
         for (new, _) in newcomers {
             let change = match members.voter_of(new.instance) {
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -6,7 +6,8 @@
 use replica::message::ClockStamp;
 use replica::{
     EntryPayload, HardState, LogEntry, MemberKey, MemberSet, MessageBody, PersistBatch,
-    RecoveredState, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings, RoleKind, VoterChange,
+    RecoveredState, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings, RoleKind,
+    VoterChange,
 };
 
 const CLUSTER: u64 = 100;
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -6,14 +6,7 @@
 
 /// The file of each program, in the order of the page.
 pub static FILES: &[&BranchSpec] = &[
-    &ENTRY,
-    &AGENT,
-    &CONTROL,
-    &GATEWAY,
-    &PEER,
-    &INSTANCE,
-    &LIST,
-    &RETRIES,
+    &ENTRY, &AGENT, &CONTROL, &GATEWAY, &PEER, &INSTANCE, &LIST, &RETRIES,
 ];
 
 pub(crate) static ENTRY: BranchSpec = BranchSpec {
@@ -168,6 +161,12 @@
         ValueForm::Address,
         "Address on which operators reach it.",
     ),
+    key(
+        "metrics",
+        ValueForm::Address,
+        DefaultValue::Absent,
+        "Address that serves `/metrics`. Without one, the operators' address does alone.",
+    ),
     required(
         "link",
         ValueForm::Address,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -109,6 +109,8 @@
     pub readiness: SocketAddr,
     /// Address on which operators reach it.
     pub operators: SocketAddr,
+    /// Address that serves the metrics.
+    pub metrics: Option<SocketAddr>,
     /// Address on which the other gateways reach it.
     pub link: SocketAddrV4,
     /// Gateways that it asks for the others.
--- a/crates/store/tests/quorum.rs
+++ b/crates/store/tests/quorum.rs
@@ -161,7 +161,10 @@
         let values = &fleet.members[0].running.as_ref().unwrap().values;
         let mut known = values.iter();
         for value in fleet.oracle.accepted.values() {
-            assert!(known.any(|other| other == value), "seed {seed}: {value} lost");
+            assert!(
+                known.any(|other| other == value),
+                "seed {seed}: {value} lost"
+            );
         }
     }
 }
--- /dev/null
+++ b/crates/watch/src/gateway.rs
@@ -0,0 +1,130 @@
+//! Metrics of the gateway.
+
+use std::time::Duration;
+
+use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+
+use crate::label::{LabelBound, LabelSettings};
+use crate::metric::{Result, SpanKind, clamp, counter_family, observe, span_family, whole_gauge};
+use crate::process::ProcessMetrics;
+
+/// One finished call, as the gateway measures it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallSample<'a> {
+    /// Name of the client account; empty for none.
+    pub account: &'a str,
+    /// Name of the route; empty for none.
+    pub route: &'a str,
+    /// How it ended, one of a closed set of words.
+    pub outcome: &'a str,
+    /// Time from arrival to the first byte of an endpoint's answer; `None` when none came.
+    pub first_byte: Option<Duration>,
+    /// Time from arrival to the end.
+    pub total: Duration,
+}
+
+/// Metrics of the gateway.
+pub struct GatewayMetrics {
+    /// What every program measures.
+    pub process: ProcessMetrics,
+    accounts: LabelBound,
+    routes: LabelBound,
+    calls: IntCounterVec,
+    attempts: IntCounterVec,
+    first_byte: HistogramVec,
+    answer: HistogramVec,
+    gateways: IntGauge,
+    endpoints: IntGauge,
+    connections: IntGauge,
+}
+
+impl GatewayMetrics {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// A name that is taken; never in a released build.
+    pub fn new(labels: LabelSettings) -> Result<Self> {
+        let process = ProcessMetrics::new()?;
+        let registry = &process.registry;
+        let place = ["account", "route"];
+        Ok(Self {
+            accounts: LabelBound::new(labels.accounts),
+            routes: LabelBound::new(labels.services),
+            calls: counter_family(
+                registry,
+                "sapphire_gateway_calls_total",
+                "Calls of callers, by how they ended.",
+                &["outcome"],
+            )?,
+            attempts: counter_family(
+                registry,
+                "sapphire_gateway_attempts_total",
+                "Tries of calls at endpoints, by how they ended.",
+                &["end"],
+            )?,
+            first_byte: span_family(
+                registry,
+                SpanKind::FirstToken,
+                "sapphire_gateway_first_byte_seconds",
+                "Time from the arrival of a call to the first byte of an endpoint's answer.",
+                &place,
+            )?,
+            answer: span_family(
+                registry,
+                SpanKind::Answer,
+                "sapphire_gateway_answer_seconds",
+                "Time from the arrival of a call to its end.",
+                &place,
+            )?,
+            gateways: whole_gauge(
+                registry,
+                "sapphire_gateway_live_gateways",
+                "Gateways that were heard lately, this one included.",
+            )?,
+            endpoints: whole_gauge(
+                registry,
+                "sapphire_gateway_endpoints",
+                "Endpoints of the list in force.",
+            )?,
+            connections: whole_gauge(
+                registry,
+                "sapphire_gateway_connections",
+                "Open connections of callers.",
+            )?,
+            process,
+        })
+    }
+
+    /// Counts a finished call.
+    pub fn observe_call(&self, sample: &CallSample<'_>) {
+        self.calls.with_label_values(&[sample.outcome]).inc();
+        let labels = [
+            self.accounts.label(sample.account),
+            self.routes.label(sample.route),
+        ];
+        observe(&self.answer, &labels, sample.total);
+        if let Some(first) = sample.first_byte {
+            observe(&self.first_byte, &labels, first);
+        }
+    }
+
+    /// Counts a try at an endpoint.
+    pub fn count_attempt(&self, end: &str) {
+        self.attempts.with_label_values(&[end]).inc();
+    }
+
+    /// Sets how many gateways are live.
+    pub fn set_gateways(&self, count: usize) {
+        self.gateways.set(clamp(count as u64));
+    }
+
+    /// Sets how many endpoints the list holds.
+    pub fn set_endpoints(&self, count: usize) {
+        self.endpoints.set(clamp(count as u64));
+    }
+
+    /// Sets how many connections of callers are open.
+    pub fn set_connections(&self, count: usize) {
+        self.connections.set(clamp(count as u64));
+    }
+}
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -1,12 +1,13 @@
 //! Logs, metrics, decision records and the status page.
 //!
 //! * [`logging`]: sets up `log` by logforth, as text or JSON.
+//! * [`output`]: log lines on standard output that never block.
 //! * [`record`]: why one request went where it went, as seen by an entry or an agent.
 //! * [`ring`]: the bounded store of records and notices of one instance.
 //! * [`filter`]: which records a reader follows.
 //! * [`explain`]: the readable account of one request.
 //! * [`label`]: the bound on the label values of metrics.
-//! * [`entry`], [`agent`], [`control`]: the metrics of each program.
+//! * [`entry`], [`agent`], [`control`], [`gateway`]: the metrics of each program.
 //! * [`process`]: the metrics that every program has.
 //! * [`traffic`]: bytes between the processes by kind of message.
 //! * [`usage`]: processor time and memory of this process.
@@ -21,10 +22,12 @@
 pub mod explain;
 pub mod exposition;
 pub mod filter;
+pub mod gateway;
 pub mod label;
 pub mod logging;
 mod metric;
 mod millis;
+pub mod output;
 pub mod page;
 pub mod process;
 pub mod record;
@@ -39,6 +42,7 @@
 pub use entry::EntryMetrics;
 pub use exposition::TEXT_CONTENT_TYPE;
 pub use filter::RecordFilter;
+pub use gateway::{CallSample, GatewayMetrics};
 pub use logging::LogSettings;
 pub use metric::{MetricError, Result};
 pub use process::ProcessMetrics;
--- a/crates/watch/src/logging.rs
+++ b/crates/watch/src/logging.rs
@@ -1,17 +1,18 @@
 //! Sets up `log` by logforth.
 //!
 //! Every message is a short sentence after a fixed prefix of its part, for example
-//! `entry: listening on 127.0.0.1:8080`. Logs go to the standard error stream.
+//! `entry: listening on 127.0.0.1:8080`. Logs go to standard output.
 
 use std::env;
 use std::str::FromStr;
 
 use derive_more::{Display, Error};
 use log::LevelFilter;
-use logforth::append::Stderr;
 use logforth::filter::rustlog::RustLogFilter;
 use logforth::layout::{JsonLayout, TextLayout};
 
+use crate::output::BoundedOutput;
+
 /// Environment variable with the level, when the argument is absent.
 pub const LEVEL_VARIABLE: &str = "SAPPHIRE_LOG";
 /// Environment variable with the format, when the argument is absent.
@@ -102,8 +103,8 @@
     /// [`LogError::Repeated`] when one is installed.
     pub fn install(self) -> Result<()> {
         let append = match self.format {
-            LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
-            LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+            LogFormat::Text => BoundedOutput::start(TextLayout::default().no_color()),
+            LogFormat::Json => BoundedOutput::start(JsonLayout::default()),
         };
         let filter = RustLogFilter::from(self.level.as_str().to_lowercase().as_str());
         let starter = logforth::starter_log::builder()
--- /dev/null
+++ b/crates/watch/src/output.rs
@@ -0,0 +1,165 @@
+//! Log lines on standard output that never block the process.
+//!
+//! Lines are handed to a thread that writes. When the reader of the output is slow, or more lines
+//! come than the budget allows, lines are dropped and counted; a later line tells how many.
+
+use std::io::Write;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, TrySendError, sync_channel};
+use std::sync::{Arc, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use logforth::record::Level;
+use logforth::{Append, Diagnostic, Error, Layout};
+
+/// Lines that wait for the writer at most.
+const QUEUE_LINES: usize = 2048;
+/// Lines a second that are written over time; warnings and errors don't count.
+const LINES_PER_SECOND: f64 = 250.0;
+/// Lines that may come at once after a quiet time.
+const BURST_LINES: f64 = 1000.0;
+/// Time between two reports of dropped lines.
+const REPORT_INTERVAL: Duration = Duration::from_secs(5);
+/// Longest wait for the writer at the end of the process.
+const FLUSH_LIMIT: Duration = Duration::from_millis(300);
+
+/// What the writer gets.
+enum OutputItem {
+    Line(Vec<u8>),
+    /// Everything before is to be written; the sender waits for the receipt.
+    Flush(SyncSender<()>),
+}
+
+/// Budget of lines: refilled over time up to a burst.
+#[derive(Debug)]
+pub struct LineBudget {
+    lines: f64,
+    refilled_at: Instant,
+}
+
+impl LineBudget {
+    /// A full budget.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            lines: BURST_LINES,
+            refilled_at: now,
+        }
+    }
+
+    /// Takes a line of the budget, if there is one.
+    pub fn take(&mut self, now: Instant) -> bool {
+        let elapsed = now.saturating_duration_since(self.refilled_at);
+        self.refilled_at = now;
+        let refilled = self.lines + elapsed.as_secs_f64() * LINES_PER_SECOND;
+        self.lines = refilled.min(BURST_LINES);
+        let has_line = self.lines >= 1.0;
+        if has_line {
+            self.lines -= 1.0;
+        }
+        has_line
+    }
+}
+
+/// Appends log lines to standard output through a bounded queue.
+#[derive(Debug)]
+pub struct BoundedOutput {
+    layout: Box<dyn Layout>,
+    queue: SyncSender<OutputItem>,
+    budget: Mutex<LineBudget>,
+    dropped: Arc<AtomicU64>,
+}
+
+impl std::fmt::Debug for OutputItem {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Line(line) => write!(formatter, "line of {} bytes", line.len()),
+            Self::Flush(_) => formatter.write_str("flush"),
+        }
+    }
+}
+
+impl BoundedOutput {
+    /// Starts the writer.
+    pub fn start(layout: impl Into<Box<dyn Layout>>) -> Self {
+        let (queue, items) = sync_channel(QUEUE_LINES);
+        let dropped = Arc::new(AtomicU64::new(0));
+        let counted = Arc::clone(&dropped);
+        thread::spawn(move || write_items(&items, &counted));
+        Self {
+            layout: layout.into(),
+            queue,
+            budget: Mutex::new(LineBudget::new(Instant::now())),
+            dropped,
+        }
+    }
+
+    fn is_within_budget(&self, level: Level) -> bool {
+        if level >= Level::Warn {
+            return true;
+        }
+        let mut budget = self.budget.lock().unwrap_or_else(PoisonError::into_inner);
+        budget.take(Instant::now())
+    }
+
+    fn drop_line(&self) {
+        self.dropped.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+impl Append for BoundedOutput {
+    fn append(
+        &self,
+        record: &logforth::record::Record,
+        diagnostics: &[Box<dyn Diagnostic>],
+    ) -> Result<(), Error> {
+        if !self.is_within_budget(record.level()) {
+            self.drop_line();
+            return Ok(());
+        }
+        let mut line = self.layout.format(record, diagnostics)?;
+        line.push(b'\n');
+        if let Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) =
+            self.queue.try_send(OutputItem::Line(line))
+        {
+            self.drop_line();
+        }
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        let (receipt, written) = sync_channel(1);
+        if self.queue.try_send(OutputItem::Flush(receipt)).is_ok() {
+            // A reader that takes nothing must not hold the end of the process up.
+            let _ = written.recv_timeout(FLUSH_LIMIT);
+        }
+        Ok(())
+    }
+}
+
+fn write_items(items: &Receiver<OutputItem>, dropped: &AtomicU64) {
+    let mut reported_at = Instant::now();
+    let mut output = std::io::stdout();
+    loop {
+        // A closed output leaves nobody to tell.
+        match items.recv_timeout(REPORT_INTERVAL) {
+            Ok(OutputItem::Line(line)) => {
+                let _ = output.write_all(&line);
+            }
+            Ok(OutputItem::Flush(receipt)) => {
+                let _ = output.flush();
+                let _ = receipt.send(());
+            }
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        if reported_at.elapsed() >= REPORT_INTERVAL {
+            reported_at = Instant::now();
+            let count = dropped.swap(0, Ordering::Relaxed);
+            if count > 0 {
+                log::warn!(dropped = count; "watch: log lines were dropped");
+            }
+        }
+    }
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -7,9 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{
-    DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId,
-};
+use crate::id::{DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId};
 
 /// Largest payload of one datagram in bytes, below the usual size of a packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
