--- /dev/null
+++ b/crates/gateway/tests/forwarding.rs
@@ -0,0 +1,524 @@
+//! Calls through a relay to scripted endpoints on loopback. Waits are for conditions.
+
+use std::future::Future;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::{
+    AccountRule, CallKind, CatalogIndex, RouteCatalog, RouteRule, ServiceRule, ServiceShare,
+};
+use googletest::prelude::*;
+use platform::PlatformDialect;
+use relay::desk::{RelayDesk, RelaySettings, ServingPhase};
+use relay::server::serve_callers;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::timeout;
+use watch::GatewayMetrics;
+use watch::label::LabelSettings;
+use wire::gateway::ListedEndpoint;
+
+mod stand;
+
+use stand::{
+    GENEROUS, LAST_CHUNK, ScriptedReply, SeenAnswer, StandEndpoint, call, call_on, chunk, event,
+    good_answer, not_run_answer, request, signed_answer, stream_head,
+};
+
+const SERVICE: &str = "plain";
+
+struct StandRelay {
+    desk: Rc<RelayDesk>,
+    address: SocketAddrV4,
+}
+
+fn run<T>(test: impl Future<Output = T>) -> T {
+    actix_rt::System::new()
+        .block_on(async { timeout(GENEROUS, test).await.expect("loopback works") })
+}
+
+fn route(name: &str, kind: CallKind, timeout_ms: u64) -> RouteRule {
+    RouteRule {
+        name: name.to_owned(),
+        host: "a.example".to_owned(),
+        prefix: format!("/{name}/"),
+        kind,
+        timeout: Duration::from_millis(timeout_ms),
+        objective: Duration::from_millis(200),
+        pause: None,
+        priority: 1,
+        services: vec![ServiceShare {
+            service: SERVICE.to_owned(),
+            weight: 1,
+        }],
+        attempts: 2,
+        is_public: false,
+        has_prompt: false,
+    }
+}
+
+fn sound_catalog() -> RouteCatalog {
+    RouteCatalog {
+        version: 3,
+        routes: vec![
+            route("safe", CallKind::Safe, 4000),
+            route("unsafe", CallKind::Unsafe, 4000),
+            route("stream", CallKind::Stream, 4000),
+            route("resumable", CallKind::ResumableStream, 4000),
+            route("short", CallKind::Unsafe, 150),
+        ],
+        services: vec![ServiceRule {
+            name: SERVICE.to_owned(),
+            health_path: "/healthz".to_owned(),
+            connections: 10,
+            engine: None,
+        }],
+        accounts: vec![AccountRule {
+            name: "one".to_owned(),
+            keys: vec!["k1".to_owned()],
+            priority: None,
+        }],
+        ..RouteCatalog::default()
+    }
+}
+
+fn empty_desk() -> Rc<RelayDesk> {
+    let metrics = GatewayMetrics::new(LabelSettings::default()).expect("names are free");
+    Rc::new(RelayDesk::new(
+        RelaySettings::default(),
+        Rc::new(PlatformDialect),
+        metrics,
+    ))
+}
+
+async fn serve(desk: Rc<RelayDesk>) -> StandRelay {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("loopback works");
+    let address = listener.local_addr().expect("loopback works").to_string();
+    actix_rt::spawn(serve_callers(listener, Rc::clone(&desk)));
+    StandRelay {
+        desk,
+        address: address.parse().expect("an IPv4 address"),
+    }
+}
+
+/// A relay before these endpoints, of which the first is tried first.
+async fn relay_before(endpoints: &[&Rc<StandEndpoint>]) -> StandRelay {
+    let desk = empty_desk();
+    desk.set_catalog(CatalogIndex::new(sound_catalog()));
+    let listed = endpoints
+        .iter()
+        .enumerate()
+        .map(|(place, endpoint)| ListedEndpoint {
+            name: endpoint.name.clone(),
+            service: SERVICE.to_owned(),
+            address: endpoint.address,
+            domain: u64::from(place > 0),
+            slots: 4,
+            is_draining: false,
+        });
+    desk.set_endpoints(&listed.collect::<Vec<_>>());
+    serve(desk).await
+}
+
+async fn one_call(
+    path: &str,
+    first: Vec<ScriptedReply>,
+    second: Vec<ScriptedReply>,
+) -> (SeenAnswer, usize, usize) {
+    let first = StandEndpoint::start("e1", first).await;
+    let second = StandEndpoint::start("e2", second).await;
+    let relay = relay_before(&[&first, &second]).await;
+    let answer = call(relay.address, &request(path, "body")).await;
+    (answer, first.runs(), second.runs())
+}
+
+fn stream_of(ids: std::ops::RangeInclusive<u32>) -> String {
+    ids.map(|id| chunk(&event(id))).collect()
+}
+
+#[gtest]
+fn call_reaches_the_named_endpoint_as_it_came() {
+    let (answer, received) = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let answer = call(relay.address, &request("/safe/x/2f?q=%20a", "the body")).await;
+        let received = endpoint.received.borrow().join("");
+        (answer, received.to_ascii_lowercase())
+    });
+
+    expect_that!(answer.status(), eq(200));
+    expect_that!(answer.text.as_str(), ends_with("again"));
+    expect_that!(received, starts_with("post /safe/x/2f?q=%20a http/1.1"));
+    expect_that!(received, ends_with("the body"));
+    expect_that!(received, contains_substring("x-expect-instance: e1"));
+    expect_that!(received, contains_substring("x-tenant: one"));
+    expect_that!(received, not(contains_substring("api-key")));
+}
+
+#[gtest]
+fn chunked_body_arrives_whole() {
+    let received = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let head =
+            request("/unsafe/x", "").replace("Content-Length: 0", "Transfer-Encoding: chunked");
+        call(
+            relay.address,
+            &(head + "3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n"),
+        )
+        .await;
+        endpoint.received.borrow().join("")
+    });
+
+    expect_that!(received, ends_with("abcdefg"));
+}
+
+#[gtest]
+fn call_that_did_not_run_goes_to_another_endpoint() {
+    let reply = vec![ScriptedReply::Keep(not_run_answer())];
+    let (answer, _, second) = run(one_call("/unsafe/x", reply, vec![]));
+
+    expect_that!(answer.status(), eq(200));
+    expect_that!(second, eq(1));
+}
+
+#[gtest]
+fn unsafe_call_whose_answer_is_lost_runs_once_and_gets_no_promise() {
+    for reply in [
+        ScriptedReply::Close(String::new()),
+        ScriptedReply::Reset(String::new()),
+        ScriptedReply::Close(good_answer("cut").replace("Length: 3", "Length: 30")),
+        ScriptedReply::Close("no answer at all\r\n\r\n".to_owned()),
+        ScriptedReply::Keep(good_answer("another's").replace("a1", "a2")),
+        ScriptedReply::Keep(good_answer("unsigned").replace("X-Server-Stamp", "X-Other")),
+        ScriptedReply::Keep(signed_answer(503, "may have run")),
+    ] {
+        let (answer, first, second) = run(one_call("/unsafe/x", vec![reply.clone()], vec![]));
+
+        expect_that!(answer.status(), eq(502), "{reply:?}");
+        expect_that!((first, second), eq((1, 0)), "{reply:?}");
+    }
+}
+
+#[gtest]
+fn safe_call_whose_answer_is_lost_runs_again_elsewhere() {
+    let lost = vec![ScriptedReply::Reset(String::new())];
+    let failed = vec![ScriptedReply::Keep(signed_answer(500, "failed"))];
+    for reply in [lost, failed] {
+        let (answer, first, second) = run(one_call("/safe/x", reply, vec![]));
+
+        expect_that!(answer.status(), eq(200));
+        expect_that!((first, second), eq((1, 1)));
+    }
+}
+
+#[gtest]
+fn failure_of_the_last_endpoint_is_passed_on_as_it_is() {
+    let failed = || vec![ScriptedReply::Keep(signed_answer(500, "why"))];
+    let (answer, _, _) = run(one_call("/safe/x", failed(), failed()));
+
+    expect_that!(answer.status(), eq(500));
+    expect_that!(answer.text.as_str(), ends_with("why"));
+}
+
+#[gtest]
+fn every_endpoint_full_is_a_refusal_with_a_time_to_come_back() {
+    let full = || vec![ScriptedReply::Keep(not_run_answer())];
+    let (answer, _, _) = run(one_call("/unsafe/x", full(), full()));
+
+    expect_that!(answer.status(), eq(503));
+    expect_that!(
+        answer.text.to_ascii_lowercase(),
+        contains_substring("retry-after: 0.")
+    );
+}
+
+#[gtest]
+fn answer_without_a_length_ends_with_its_connection() {
+    let unframed = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s1\r\n\r\nwhole";
+    let whole = ScriptedReply::Close(unframed.to_owned());
+    let (answer, _, _) = run(one_call("/unsafe/x", vec![whole], vec![]));
+    let reset = ScriptedReply::Reset(unframed.to_owned());
+    let (broken, _, _) = run(one_call("/unsafe/x", vec![reset], vec![]));
+
+    expect_that!(answer.status(), eq(200));
+    expect_that!(answer.text.as_str(), ends_with("whole"));
+    expect_that!(broken.status(), eq(502));
+}
+
+#[gtest]
+fn early_answer_is_taken_and_its_connection_used_no_more() {
+    let (first, second) = run(async {
+        let early = ScriptedReply::Early(good_answer("early"));
+        let endpoint = StandEndpoint::start("e1", vec![early]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let body = "b".repeat(3_000_000);
+        let first = call(relay.address, &request("/unsafe/x", &body)).await;
+        let second = call(relay.address, &request("/unsafe/x", "next")).await;
+        (first, second)
+    });
+
+    expect_that!(first.text.as_str(), ends_with("early"));
+    expect_that!(second.text.as_str(), ends_with("again"));
+}
+
+#[gtest]
+fn bytes_after_an_answer_belong_to_no_call() {
+    let extra = good_answer("one") + &good_answer("two");
+    let (first, second, connections) = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![ScriptedReply::Keep(extra)]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let first = call(relay.address, &request("/unsafe/x", "b")).await;
+        let second = call(relay.address, &request("/unsafe/x", "b")).await;
+        let connections = *endpoint.connections.borrow();
+        (first, second, connections)
+    });
+
+    expect_that!(first.text.as_str(), ends_with("one"));
+    expect_that!(second.text.as_str(), ends_with("again"));
+    expect_that!(connections, eq(2));
+}
+
+#[gtest]
+fn kept_connections_are_used_again() {
+    let connections = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut stream = TcpStream::connect(relay.address)
+            .await
+            .expect("loopback works");
+        for _ in 0..5 {
+            call_on(&mut stream, &request("/unsafe/x", "b")).await;
+        }
+        *endpoint.connections.borrow()
+    });
+
+    expect_that!(connections, eq(1));
+}
+
+#[gtest]
+fn whole_stream_is_passed_on() {
+    let stream = stream_head() + &stream_of(1..=4) + LAST_CHUNK;
+    let (answer, _, _) = run(one_call(
+        "/stream/x",
+        vec![ScriptedReply::Keep(stream)],
+        vec![],
+    ));
+
+    expect_that!(answer.is_whole, eq(true));
+    expect_that!(answer.events().len(), eq(4));
+}
+
+#[gtest]
+fn broken_stream_does_not_look_complete_and_runs_once() {
+    let part = stream_head() + &stream_of(1..=2) + &chunk("id: 3\nda");
+    let reply = vec![ScriptedReply::Close(part)];
+    let (answer, first, second) = run(one_call("/stream/x", reply, vec![]));
+
+    expect_that!(answer.is_whole, eq(false));
+    expect_that!((first, second), eq((1, 0)));
+}
+
+#[gtest]
+fn resumable_stream_goes_on_at_another_endpoint_without_gap_or_repeat() {
+    let part = stream_head() + &stream_of(1..=2) + &chunk("id: 3\nda");
+    let rest = stream_head() + &stream_of(3..=4) + LAST_CHUNK;
+    let (answer, asked) = run(async {
+        let first = StandEndpoint::start("e1", vec![ScriptedReply::Close(part)]).await;
+        let second = StandEndpoint::start("e2", vec![ScriptedReply::Keep(rest)]).await;
+        let relay = relay_before(&[&first, &second]).await;
+        let answer = call(relay.address, &request("/resumable/x", "b")).await;
+        let asked = second.received.borrow().join("").to_ascii_lowercase();
+        (answer, asked)
+    });
+
+    expect_that!(answer.is_whole, eq(true));
+    expect_that!(answer.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
+    expect_that!(asked, contains_substring("last-event-id: 2"));
+}
+
+#[gtest]
+fn endpoint_is_freed_when_its_caller_leaves() {
+    run(async {
+        let endpoint = StandEndpoint::start("e1", vec![ScriptedReply::Hold]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut stream = TcpStream::connect(relay.address)
+            .await
+            .expect("loopback works");
+        let call = request("/unsafe/x", "b");
+        stream
+            .write_all(call.as_bytes())
+            .await
+            .expect("loopback works");
+        while endpoint.runs() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+
+        drop(stream);
+
+        // Ends only once the endpoint saw its connection close.
+        endpoint.left.notified().await;
+    });
+}
+
+#[gtest]
+fn route_timeout_ends_a_call_that_may_have_run_without_a_promise() {
+    let (answer, _, second) = run(one_call("/short/x", vec![ScriptedReply::Hold], vec![]));
+
+    expect_that!(answer.status(), eq(504));
+    expect_that!(second, eq(0));
+}
+
+#[gtest]
+fn unknown_keys_and_places_are_told_apart() {
+    let statuses = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let good = request("/safe/x", "b");
+        let calls = [
+            good.replace("k1", "k9"),
+            good.replace("Api-Key: k1\r\n", ""),
+            good.replace("/safe/", "/none/"),
+            good.replace("a.example", "b.example"),
+        ];
+        let mut statuses = Vec::new();
+        for request in calls {
+            statuses.push(call(relay.address, &request).await.status());
+        }
+        (statuses, endpoint.runs())
+    });
+
+    expect_that!(statuses, eq(&(vec![401, 401, 404, 404], 0)));
+}
+
+#[gtest]
+fn instance_without_a_catalog_refuses_and_judges_no_key() {
+    let answer = run(async {
+        let relay = serve(empty_desk()).await;
+        call(
+            relay.address,
+            &request("/safe/x", "b").replace("5000", "200"),
+        )
+        .await
+    });
+
+    expect_that!(answer.status(), eq(503));
+}
+
+#[gtest]
+fn call_waits_for_the_catalog_of_an_instance_that_starts() {
+    let answer = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let sound = relay_before(&[&endpoint]).await;
+        let desk = empty_desk();
+        let relay = serve(Rc::clone(&desk)).await;
+        let address = relay.address;
+        let pending = actix_rt::spawn(async move { call(address, &request("/safe/x", "b")).await });
+        while desk.open_connections.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        let row = ListedEndpoint {
+            name: endpoint.name.clone(),
+            service: SERVICE.to_owned(),
+            address: endpoint.address,
+            domain: 0,
+            slots: 4,
+            is_draining: false,
+        };
+        desk.set_endpoints(&[row]);
+        desk.set_catalog(CatalogIndex::new(sound_catalog()));
+        drop(sound);
+        pending.await.expect("the caller ends")
+    });
+
+    expect_that!(answer.status(), eq(200));
+}
+
+#[gtest]
+fn long_call_is_refused_late_in_a_drain_and_a_short_one_served() {
+    let (long, short) = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut first = TcpStream::connect(relay.address)
+            .await
+            .expect("loopback works");
+        let mut second = TcpStream::connect(relay.address)
+            .await
+            .expect("loopback works");
+        for stream in [&mut first, &mut second] {
+            call_on(stream, &request("/safe/x", "b")).await;
+        }
+        let end = std::time::Instant::now() + Duration::from_secs(2);
+        relay.desk.set_end(end);
+        first.write_all(b"P").await.expect("loopback works");
+        second.write_all(b"P").await.expect("loopback works");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        relay.desk.enter(ServingPhase::Closing);
+        let long = call_on(&mut first, &request("/stream/x", "b")[1..]).await;
+        let short = call_on(&mut second, &request("/short/x", "b")[1..]).await;
+        (long, short)
+    });
+
+    expect_that!(long.status(), eq(503));
+    expect_that!(short.status(), eq(200));
+    expect_that!(
+        short.text.to_ascii_lowercase(),
+        contains_substring("connection: close")
+    );
+}
+
+#[gtest]
+fn oversized_body_is_refused() {
+    let answer = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut catalog = sound_catalog();
+        catalog.limits.body_bytes = 10;
+        relay.desk.set_catalog(CatalogIndex::new(catalog));
+        call(relay.address, &request("/safe/x", "more than ten bytes")).await
+    });
+
+    expect_that!(answer.status(), eq(413));
+}
+
+#[gtest]
+fn unreachable_endpoint_is_left_out_and_its_calls_go_elsewhere() {
+    let (statuses, runs) = run(async {
+        let gone = StandEndpoint::start("e1", vec![]).await;
+        let sound = StandEndpoint::start("e2", vec![]).await;
+        let relay = relay_before(&[&gone, &sound]).await;
+        let free = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback works");
+        let nowhere = free.local_addr().expect("loopback works").to_string();
+        drop(free);
+        let listed = [
+            (&gone, nowhere.parse().expect("an address")),
+            (&sound, sound.address),
+        ];
+        let listed = listed.map(|(endpoint, address)| ListedEndpoint {
+            name: endpoint.name.clone(),
+            service: SERVICE.to_owned(),
+            address,
+            domain: u64::from(endpoint.name == "e2"),
+            slots: 4,
+            is_draining: false,
+        });
+        relay.desk.set_endpoints(&listed);
+        let mut statuses = Vec::new();
+        for _ in 0..4 {
+            statuses.push(
+                call(relay.address, &request("/unsafe/x", "b"))
+                    .await
+                    .status(),
+            );
+        }
+        (statuses, sound.runs())
+    });
+
+    expect_that!(statuses, eq(&vec![200; 4]));
+    expect_that!(runs, eq(4));
+}
