Leave endpoints out for silence, not for a deadline that passed

Change: an endpoint counts as silent while it runs calls and nothing comes from it for 0.7 s; safe calls and resumable streams leave a silent one; with no sound endpoint left the best of the rest is tried instead of refusing.

--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -12,6 +12,7 @@
 use platform::PlatformDialect;
 use relay::desk::{RelayDesk, RelaySettings, ServingPhase};
 use relay::server::serve_callers;
+use relay::table::EndpointStanding;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -522,3 +523,45 @@
     expect_that!(statuses, eq(&vec![200; 4]));
     expect_that!(runs, eq(4));
 }
+
+#[gtest]
+fn safe_call_at_a_silent_endpoint_goes_elsewhere() {
+    let (answer, first, second) = run(one_call("/safe/x", vec![ScriptedReply::Hold], vec![]));
+
+    expect_that!(answer.status(), eq(200));
+    expect_that!((first, second), eq((1, 1)));
+}
+
+#[gtest]
+fn resumable_stream_on_a_silent_connection_goes_on_elsewhere() {
+    let part = stream_head() + &stream_of(1..=2);
+    let rest = stream_head() + &stream_of(3..=4) + LAST_CHUNK;
+    let answer = run(async {
+        let first = StandEndpoint::start("e1", vec![ScriptedReply::Keep(part)]).await;
+        let second = StandEndpoint::start("e2", vec![ScriptedReply::Keep(rest)]).await;
+        let relay = relay_before(&[&first, &second]).await;
+        call(relay.address, &request("/resumable/x", "b")).await
+    });
+
+    expect_that!(answer.is_whole, eq(true));
+    expect_that!(answer.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
+}
+
+#[gtest]
+fn deadline_of_one_call_leaves_no_endpoint_out_that_answers_others() {
+    let (timed_out, runs) = run(async {
+        let only = StandEndpoint::start("e1", vec![ScriptedReply::Hold]).await;
+        let relay = relay_before(&[&only]).await;
+        let timed_out = call(relay.address, &request("/short/x", "b")).await;
+        call(relay.address, &request("/unsafe/x", "b")).await;
+        let table = relay.desk.table.borrow();
+        let row = table
+            .row(wire::id::name_id("e1"))
+            .expect("the endpoint is listed");
+        let standing = row.standing(relay.desk.now());
+        ((timed_out.status(), standing), only.runs())
+    });
+
+    expect_that!(timed_out, eq((504, Some(EndpointStanding::Sound))));
+    expect_that!(runs, eq(2));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,7 +8,7 @@
 use actix_http::{Request, ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use catalog::{AccountRule, RouteRule};
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout};
 use wire::gateway::CrashReport;
 use wire::id::{EndpointId, FingerprintHash, ServiceId};
 
@@ -74,6 +74,10 @@
     pub unanswered: Option<EndpointId>,
     /// Whether bytes of the call may have left for the endpoint that has it.
     pub may_run: bool,
+    /// When the current try began, by the clock of the desk.
+    pub tried_at: Duration,
+    /// How long the current try may be silent.
+    pub silence_limit: Option<Duration>,
     /// Time from the arrival of the call to the first byte of an answer.
     pub first_byte: Option<Duration>,
     /// Why the last try ended, for the log.
@@ -91,6 +95,7 @@
     let slot = desk.occupy(endpoint);
     progress.unanswered = Some(endpoint);
     progress.may_run = false;
+    progress.tried_at = desk.now();
     let opened = open_answer(desk, call, endpoint, progress).await;
     progress.unanswered = None;
     let result = match opened {
@@ -143,9 +148,10 @@
     let method = call.head.method().clone();
     let head = endpoint::request_head(method, call.head.uri().clone(), headers);
     progress.may_run = true;
-    let exchanged = connection.exchange(head, call.body).await;
+    let exchanged = within(progress.silence_limit, connection.exchange(head, call.body)).await;
     progress.may_run = connection.has_sent;
     let head = exchanged?;
+    desk.table.borrow_mut().hear(desk.now(), endpoint);
     let notes = desk.dialect.read_answer(head.headers());
     if notes.attempt.is_some() && notes.attempt != call.notes.attempt {
         return Err(EndpointError::Misdelivered);
@@ -161,6 +167,19 @@
     })
 }
 
+/// Bounds a wait for the endpoint, if the call may be tried elsewhere.
+async fn within<T>(
+    limit: Option<Duration>,
+    wait: impl Future<Output = endpoint::Result<T>>,
+) -> endpoint::Result<T> {
+    match limit {
+        Some(limit) => timeout(limit, wait)
+            .await
+            .unwrap_or(Err(EndpointError::Silent)),
+        None => wait.await,
+    }
+}
+
 /// Where the endpoint may fetch the shared parts of the prompt.
 fn warm_source_of(
     desk: &RelayDesk,
@@ -194,7 +213,12 @@
     if is_good && call.route.kind.is_stream() {
         return pass_stream(desk, call, endpoint, answer, progress, writer).await;
     }
-    let body = match read_whole(desk, &mut answer.connection).await {
+    let read = within(
+        progress.silence_limit,
+        read_whole(desk, &mut answer.connection),
+    )
+    .await;
+    let body = match read {
         Ok(body) => body,
         Err(_) if answer.notes.is_not_run => Bytes::new(),
         Err(error) => return Err(broken(desk, call, endpoint, progress, &error, true)),
@@ -276,13 +300,15 @@
     let started = writer.has_started;
     let mut has_first = false;
     loop {
-        let chunk = match answer.connection.next_chunk().await {
+        let chunk = within(progress.silence_limit, answer.connection.next_chunk()).await;
+        let chunk = match chunk {
             Ok(chunk) => chunk,
             Err(error) => {
                 progress.events.drop_partial();
                 return Err(broken(desk, call, endpoint, progress, &error, true));
             }
         };
+        desk.table.borrow_mut().hear(desk.now(), endpoint);
         let is_end = chunk.is_none();
         let bytes = match &chunk {
             Some(chunk) => progress.events.push(chunk),
@@ -328,7 +354,10 @@
 ) -> AttemptResult {
     let now = desk.now();
     let reason = error.to_string();
-    desk.note_health(endpoint, CallSign::Broken, &reason);
+    let is_silent_call = matches!(error, EndpointError::Silent);
+    if !is_silent_call || desk.is_silent(endpoint) {
+        desk.note_health(endpoint, CallSign::Broken, &reason);
+    }
     progress.last_error = Some(reason);
     if !may_run {
         return AttemptResult::Ended(AttemptEnd::NotSent, None);
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -217,6 +217,13 @@
         }
     }
 
+    /// Whether nothing comes from an endpoint that runs requests of this instance.
+    pub fn is_silent(&self, endpoint: EndpointId) -> bool {
+        let table = self.table.borrow();
+        let row = table.row(endpoint);
+        row.is_some_and(|row| row.is_silent(self.now()))
+    }
+
     /// Notes what a call told about an endpoint, and why.
     pub fn note_health(&self, endpoint: EndpointId, sign: CallSign, reason: &str) {
         let now = self.now();
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -38,6 +38,10 @@
     #[display("no connection in time")]
     #[from(skip)]
     ConnectTimeout,
+    /// Nothing came for longer than the call waits.
+    #[display("nothing came in time")]
+    #[from(skip)]
+    Silent,
     /// The endpoint closed the connection before the end of the answer.
     #[display("closed before the end of the answer")]
     #[from(skip)]
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,7 +21,7 @@
 use crate::placement::{PlacementQuery, choose};
 use crate::refusal::wait_before_retry;
 use crate::session::{IncomingCall, SessionWriter};
-use crate::verdict::{AttemptEnd, AttemptTally, NextStep, last_step, next_step};
+use crate::verdict::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
 
 /// Longest wait of a caller that names none.
 const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
@@ -202,7 +202,13 @@
     progress: &CallProgress,
     tally: AttemptTally,
 ) -> CallEnd {
-    if let Some(endpoint) = progress.unanswered {
+    // A deadline that passes tells nothing of an endpoint that answers others.
+    let was_silent = |endpoint: &EndpointId| {
+        let table = desk.table.borrow();
+        let row = table.row(*endpoint);
+        row.is_some_and(|row| row.was_silent(progress.tried_at, desk.now()))
+    };
+    if let Some(endpoint) = progress.unanswered.filter(was_silent) {
         desk.note_health(endpoint, CallSign::Broken, "no answer until the deadline");
         desk.pool.close(endpoint);
     }
@@ -234,6 +240,7 @@
             return give_up(desk, call, writer, *tally, last).await;
         };
         record.tries.push(begin_try(desk, endpoint));
+        progress.silence_limit = silence_limit(call.route, *tally);
         let result = run_attempt(desk, call, endpoint, progress, writer).await;
         end_try(desk, record, &result);
         let (end, answer) = match result {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -55,16 +55,27 @@
     table: &EndpointTable,
     query: &PlacementQuery<'_>,
 ) -> Option<EndpointId> {
-    let usable: Vec<_> = table
-        .of_service(query.service)
-        .filter(|(id, row)| row.is_usable(query.now) && !query.tried.contains(id))
-        .collect();
+    let usable = best_standing(table, query);
     match query.shared_part {
         Some(part) => choose_warm(settings, &usable, part, query.now),
         None => choose_fast(settings, &usable, query),
     }
 }
 
+/// The untried endpoints with the best standing that any of them has. A call is placed badly rather
+/// than not at all.
+fn best_standing<'a>(table: &'a EndpointTable, query: &PlacementQuery<'_>) -> Vec<Candidate<'a>> {
+    let untried = table.of_service(query.service);
+    let untried = untried.filter(|(id, _)| !query.tried.contains(id));
+    let standing = untried.filter_map(|(id, row)| Some((row.standing(query.now)?, (id, row))));
+    let standing: Vec<_> = standing.collect();
+    let best = standing.iter().map(|(standing, _)| *standing).min();
+    let of_best = standing
+        .into_iter()
+        .filter(|(standing, _)| Some(*standing) == best);
+    of_best.map(|(_, candidate)| candidate).collect()
+}
+
 type Candidate<'a> = (EndpointId, &'a EndpointRow);
 
 fn choose_warm(
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -10,9 +10,23 @@
 use crate::call::LoadReport;
 use crate::health::{CallSign, EndpointHealth, HealthChange};
 
+/// Silence of an endpoint that runs requests, after which calls avoid it. Several times what a slow
+/// endpoint takes for an answer or between two events.
+const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 /// Age at which an endpoint's own report no longer counts.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
 
+/// How well a call is placed at an endpoint, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EndpointStanding {
+    /// Nothing speaks against it.
+    Sound,
+    /// Requests run there and nothing comes back.
+    Silent,
+    /// It broke off or could not be reached lately.
+    LeftOut,
+}
+
 /// One endpoint.
 #[derive(Clone, Debug)]
 pub struct EndpointRow {
@@ -34,6 +48,10 @@
     report: Option<(LoadReport, Duration)>,
     /// What the own calls tell.
     pub health: EndpointHealth,
+    /// Since when it has run requests of this instance without a pause.
+    busy_since: Option<Duration>,
+    /// When anything came from it last.
+    heard_at: Option<Duration>,
     /// Whether it said that another endpoint holds its address.
     is_misplaced: bool,
 }
@@ -50,18 +68,42 @@
             others_running: 0,
             report: None,
             health: EndpointHealth::default(),
+            busy_since: None,
+            heard_at: None,
             is_misplaced: false,
         }
     }
 
-    /// Whether a call may go there now.
-    pub fn is_usable(&self, now: Duration) -> bool {
-        !self.is_draining && self.is_sound(now)
+    /// How well a call would be placed there; `None` when it must not go there.
+    pub fn standing(&self, now: Duration) -> Option<EndpointStanding> {
+        if self.is_draining || self.is_misplaced {
+            return None;
+        }
+        Some(match (self.health.is_usable(now), self.is_silent(now)) {
+            (false, _) => EndpointStanding::LeftOut,
+            (true, true) => EndpointStanding::Silent,
+            (true, false) => EndpointStanding::Sound,
+        })
+    }
+
+    /// Whether it runs requests of this instance and nothing came from it for a while. A hung or
+    /// unreachable endpoint shows so before its connections end.
+    pub fn is_silent(&self, now: Duration) -> bool {
+        let since = self
+            .busy_since
+            .map(|at| at.max(self.heard_at.unwrap_or_default()));
+        since.is_some_and(|since| now >= since + SILENCE_LIMIT)
     }
 
     /// Whether it is there and well, as far as this instance knows.
     pub fn is_sound(&self, now: Duration) -> bool {
-        !self.is_misplaced && self.health.is_usable(now)
+        !self.is_misplaced && self.health.is_usable(now) && !self.is_silent(now)
+    }
+
+    /// Whether nothing came from it from `since` to `now`, for longer than a slow endpoint takes.
+    pub fn was_silent(&self, since: Duration, now: Duration) -> bool {
+        let has_come = self.heard_at.is_some_and(|at| at >= since);
+        !has_come && now >= since + SILENCE_LIMIT
     }
 
     /// Requests that it holds: what all instances know of, or what it told lately if that is more.
@@ -155,6 +197,7 @@
     pub fn start(&mut self, now: Duration, id: EndpointId) {
         if let Some(row) = self.rows.get_mut(&id) {
             row.own_running += 1;
+            row.busy_since.get_or_insert(now);
             row.health.start(now);
         }
     }
@@ -163,6 +206,16 @@
     pub fn finish(&mut self, id: EndpointId) {
         if let Some(row) = self.rows.get_mut(&id) {
             row.own_running = row.own_running.saturating_sub(1);
+            if row.own_running == 0 {
+                row.busy_since = None;
+            }
+        }
+    }
+
+    /// Something came from an endpoint.
+    pub fn hear(&mut self, now: Duration, id: EndpointId) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            row.heard_at = Some(now);
         }
     }
 
--- a/crates/relay/src/verdict.rs
+++ b/crates/relay/src/verdict.rs
@@ -1,6 +1,8 @@
 //! What follows from the end of an attempt.
 
-use catalog::CallKind;
+use std::time::Duration;
+
+use catalog::{CallKind, RouteRule};
 use fault::FaultKind;
 
 /// Endpoints that one call tries at most, those included that did not run it.
@@ -59,6 +61,31 @@
     last_step(tally, end)
 }
 
+/// Shortest silence after which a repeatable call is tried elsewhere.
+const LEAST_SILENCE: Duration = Duration::from_millis(600);
+/// Objectives for which a safe call waits for its answer before it is tried elsewhere.
+const WAITED_OBJECTIVES: u32 = 3;
+/// Shortest silence of a stream after which it goes on elsewhere.
+const LEAST_STREAM_SILENCE: Duration = Duration::from_secs(1);
+/// Pauses for which a stream may be silent before it goes on elsewhere.
+const WAITED_PAUSES: u32 = 4;
+/// Pause between events of a route that names none.
+const DEFAULT_PAUSE: Duration = Duration::from_millis(250);
+
+/// How long a call waits for bytes of its endpoint before it is tried elsewhere; `None` when it may
+/// not be. A connection may have died without a sign.
+pub fn silence_limit(route: &RouteRule, tally: AttemptTally) -> Option<Duration> {
+    if !route.kind.is_repeatable() || tally.runs + 1 >= route.attempts {
+        return None;
+    }
+    let first = (route.objective * WAITED_OBJECTIVES).max(LEAST_SILENCE);
+    let pause = route.pause.unwrap_or(DEFAULT_PAUSE) * WAITED_PAUSES;
+    Some(match route.kind.is_stream() {
+        true => first.max(pause).max(LEAST_STREAM_SILENCE),
+        false => first,
+    })
+}
+
 /// What a call does when it tries no other endpoint.
 pub fn last_step(tally: AttemptTally, end: AttemptEnd) -> NextStep {
     match end {
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use catalog::CallKind;
+use catalog::{CallKind, RouteRule};
 use fault::FaultKind;
 use googletest::prelude::*;
 use relay::budget::{BudgetSettings, RetryBudget};
@@ -10,7 +10,7 @@
 use relay::events::EventSplitter;
 use relay::health::{CallSign, EndpointHealth};
 use relay::refusal::wait_before_retry;
-use relay::verdict::{AttemptEnd, AttemptTally, MAX_TRIES, NextStep, next_step};
+use relay::verdict::{AttemptEnd, AttemptTally, MAX_TRIES, NextStep, next_step, silence_limit};
 use wire::gateway::CrashReport;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -230,3 +230,42 @@
         proptest::prop_assert_eq!(passed, whole);
     }
 }
+
+fn route(kind: CallKind, attempts: u32) -> RouteRule {
+    RouteRule {
+        name: "r".to_owned(),
+        host: "a.example".to_owned(),
+        prefix: "/".to_owned(),
+        kind,
+        timeout: 5 * SECOND,
+        objective: Duration::from_millis(400),
+        pause: Some(Duration::from_millis(300)),
+        priority: 0,
+        services: Vec::new(),
+        attempts,
+        is_public: false,
+        has_prompt: false,
+    }
+}
+
+#[gtest]
+fn only_calls_that_may_run_again_give_a_silent_endpoint_up() {
+    let fresh = AttemptTally::default();
+    let limit = |kind, attempts, tally| silence_limit(&route(kind, attempts), tally);
+
+    expect_that!(limit(CallKind::Unsafe, 3, fresh), none());
+    expect_that!(limit(CallKind::Stream, 3, fresh), none());
+    expect_that!(limit(CallKind::Safe, 1, fresh), none());
+    expect_that!(
+        limit(CallKind::Safe, 2, after(&[AttemptEnd::Broken])),
+        none()
+    );
+    expect_that!(
+        limit(CallKind::Safe, 2, fresh),
+        some(eq(Duration::from_millis(1200)))
+    );
+    expect_that!(
+        limit(CallKind::ResumableStream, 2, fresh),
+        some(eq(Duration::from_millis(1200)))
+    );
+}
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -196,3 +196,40 @@
 
     expect_that!(chosen, some(eq(ids[1])));
 }
+
+#[gtest]
+fn endpoint_that_runs_calls_and_stays_silent_is_avoided() {
+    let mut table = table_of(3);
+    let settings = PlacementSettings::default();
+    let later = |millis| PlacementQuery {
+        now: Duration::from_millis(millis),
+        ..query(None)
+    };
+    let hung = choose(&settings, &table, &later(0)).unwrap();
+    table.start(Duration::ZERO, hung);
+
+    let chosen: Vec<EndpointId> = (0..20)
+        .filter_map(|step| choose(&settings, &table, &later(1000 + step)))
+        .collect();
+    table.hear(Duration::from_millis(1100), hung);
+    let is_silent = table
+        .row(hung)
+        .unwrap()
+        .is_silent(Duration::from_millis(1200));
+
+    expect_that!(chosen.len(), eq(20));
+    expect_that!(chosen, not(contains(eq(&hung))));
+    expect_that!(is_silent, eq(false));
+}
+
+#[gtest]
+fn call_is_placed_badly_rather_than_not_at_all() {
+    let mut table = table_of(2);
+    for number in 1..=2 {
+        table.note(Duration::ZERO, listed(number).id(), CallSign::Broken);
+    }
+
+    let chosen = choose(&PlacementSettings::default(), &table, &query(None));
+
+    expect_that!(chosen, some(anything()));
+}
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -45,6 +45,8 @@
         expect_that!(fault.at, ge(free_at));
         free_at = fault.at + fault.lasts;
     }
-    let kinds = plan.iter().filter(|fault| matches!(fault.kind, FaultKind::Wipe(_)));
+    let kinds = plan
+        .iter()
+        .filter(|fault| matches!(fault.kind, FaultKind::Wipe(_)));
     expect_that!(kinds.count(), ge(1));
 }
