Convict a call only when its endpoints really went down

Change: a break waits for its cause; a refused or hanging connection within 3 s confirms it, an answer to a later call clears it. Heartbeats name other gateways every fourth time only.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -14,6 +14,8 @@
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Least time before a heartbeat that is sent out of turn, so that several causes share one.
 const BEAT_GAP: Duration = Duration::from_millis(20);
+/// Heartbeats of which one names the gateways that were heard; all others leave them out.
+const NAMING_BEATS: u64 = 4;
 /// Gateways that one heartbeat names at most.
 const NAMED_GATEWAYS: usize = 40;
 /// Endpoints that one heartbeat tells the load of at most.
@@ -33,6 +35,7 @@
         node.forget_silent(last, now);
         last = now;
         node.decide_founding(now);
+        node.beats.set(node.beats.get() + 1);
         let beat = GatewayDatagram::Beat(Box::new(node.own_beat(now)));
         let seeds = node.seeds();
         let told = {
@@ -60,12 +63,21 @@
             is_leaving: self.desk.phase() > relay::desk::ServingPhase::Serving,
             catalog: self.version(),
             leader: self.quorum().and_then(|quorum| quorum.leader()),
-            known: live.take(NAMED_GATEWAYS).collect(),
+            known: match self.names_others() {
+                true => live.take(NAMED_GATEWAYS).collect(),
+                false => Vec::new(),
+            },
             loads,
             crashes: self.desk.crashes.borrow_mut().reports_to_tell(now),
         }
     }
 
+    /// Whether the next heartbeat names others: the first ones, and then some.
+    fn names_others(&self) -> bool {
+        let beats = self.beats.get();
+        beats <= 2 * NAMING_BEATS || beats.is_multiple_of(NAMING_BEATS)
+    }
+
     fn storage(&self) -> StorageState {
         let Some(quorum) = self.quorum() else {
             return StorageState::None;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -39,6 +39,8 @@
     pub quorum: RefCell<Option<Rc<GatewayQuorum>>>,
     /// The newest catalog that it knows a quorum to hold.
     newest: RefCell<CatalogText>,
+    /// Heartbeats sent.
+    pub beats: Cell<u64>,
     /// Told when a heartbeat is worth sending at once.
     pub beat_due: Notify,
     /// Whether a catalog is being fetched.
@@ -73,6 +75,7 @@
             reading_number: Cell::new(0),
             quorum: RefCell::default(),
             newest: RefCell::default(),
+            beats: Cell::new(0),
             beat_due: Notify::new(),
             is_fetching: Cell::new(false),
             socket,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -152,6 +152,7 @@
     progress.may_run = connection.has_sent;
     let head = exchanged?;
     desk.table.borrow_mut().hear(desk.now(), endpoint);
+    desk.crashes.borrow_mut().clear(endpoint, progress.tried_at);
     let notes = desk.dialect.read_answer(head.headers());
     if notes.attempt.is_some() && notes.attempt != call.notes.attempt {
         return Err(EndpointError::Misdelivered);
@@ -360,6 +361,7 @@
     }
     progress.last_error = Some(reason);
     if !may_run {
+        desk.crashes.borrow_mut().confirm(now, endpoint);
         return AttemptResult::Ended(AttemptEnd::NotSent, None);
     }
     if matches!(error, EndpointError::Closed | EndpointError::Socket(_)) {
@@ -367,7 +369,7 @@
             fingerprint: call.fingerprint,
             endpoint,
         };
-        desk.crashes.borrow_mut().note_own(now, report);
+        desk.crashes.borrow_mut().note_break(now, report);
     }
     AttemptResult::Ended(AttemptEnd::Broken, None)
 }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -1,10 +1,11 @@
 //! Calls that crash the endpoints that run them.
 //!
-//! Whenever an endpoint breaks off, every call that it was running is suspected. A call that was
-//! running at several endpoints when each of them broke off is refused for a while. Instances tell
-//! each other what they saw.
+//! Whenever a call breaks off, it is suspected until it is known whether its endpoint went down: an
+//! endpoint that takes no connection right after has crashed, one that goes on answering has lost
+//! an answer. A call that was running at several endpoints when each of them crashed is refused for
+//! a while. Instances tell each other what they saw.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
 use wire::gateway::CrashReport;
@@ -20,6 +21,10 @@
 const TOLD_REPORTS: usize = 24;
 /// Suspected calls that are remembered at most.
 const MAX_SUSPECTS: usize = 4096;
+/// Time after a break within which an endpoint that takes no connection counts as crashed by it.
+const CONFIRM_TIME: Duration = Duration::from_secs(3);
+/// Breaks that wait for their cause at most.
+const MAX_OPEN_BREAKS: usize = 1024;
 
 #[derive(Debug, Default)]
 struct SuspectCall {
@@ -31,15 +36,39 @@
 #[derive(Debug, Default)]
 pub struct CrashLedger {
     suspects: HashMap<FingerprintHash, SuspectCall>,
+    /// Breaks of own calls whose cause is not known yet, with their time. Oldest first.
+    breaks: VecDeque<(CrashReport, Duration)>,
     /// Own reports, with their time.
     own: Vec<(CrashReport, Duration)>,
 }
 
 impl CrashLedger {
-    /// An endpoint broke off under a call of this instance.
-    pub fn note_own(&mut self, now: Duration, report: CrashReport) {
-        self.own.push((report, now));
-        self.note(now, report);
+    /// A call of this instance broke off at an endpoint.
+    pub fn note_break(&mut self, now: Duration, report: CrashReport) {
+        self.breaks.retain(|(_, at)| now < *at + CONFIRM_TIME);
+        if self.breaks.len() < MAX_OPEN_BREAKS {
+            self.breaks.push_back((report, now));
+        }
+    }
+
+    /// An endpoint takes no connection: it crashed under what broke off there lately.
+    pub fn confirm(&mut self, now: Duration, endpoint: EndpointId) {
+        let breaks = std::mem::take(&mut self.breaks);
+        for (report, at) in breaks {
+            if report.endpoint != endpoint {
+                self.breaks.push_back((report, at));
+            } else if now < at + CONFIRM_TIME {
+                self.own.push((report, now));
+                self.note(now, report);
+            }
+        }
+    }
+
+    /// An endpoint answers a call that it got after the break: it did not crash.
+    pub fn clear(&mut self, endpoint: EndpointId, sent_at: Duration) {
+        let is_over =
+            |report: &CrashReport, at: Duration| report.endpoint == endpoint && at <= sent_at;
+        self.breaks.retain(|(report, at)| !is_over(report, *at));
     }
 
     /// Takes over a report, of this instance or another.
