--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -12,6 +12,8 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(3);
 /// Time for which other calls avoid an endpoint that one call tries again.
 const TRIAL_LIMIT: Duration = Duration::from_millis(1000);
+/// Time within which calls that break off do so for one cause.
+const TOGETHER: Duration = Duration::from_millis(300);
 /// Weight of one call in the averages.
 const AVERAGE_WEIGHT: f64 = 0.1;
 
@@ -45,8 +47,10 @@
 /// Health of one endpoint, as this instance sees it.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointHealth {
-    /// Breaks since the last answer.
+    /// Breaks since the last answer. Calls that break off together count once.
     breaks: u32,
+    /// When the latest of them that counted came.
+    broke_at: Duration,
     /// Until when the endpoint is left out.
     left_out_until: Option<Duration>,
     /// Average time to an answer in milliseconds; 0 before the first.
@@ -68,7 +72,11 @@
                 self.failures += (1.0 - self.failures) * AVERAGE_WEIGHT;
                 self.recover()
             }
+            CallSign::Broken if self.breaks > 0 && now < self.broke_at + TOGETHER => {
+                HealthChange::None
+            }
             CallSign::Broken => {
+                self.broke_at = now;
                 let pause = FIRST_PAUSE * 2u32.saturating_pow(self.breaks.min(8));
                 let pause = pause.min(LONGEST_PAUSE);
                 self.breaks += 1;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fault::FaultKind;
+use fault::{FaultKind, RunOutcome};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 use watch::CallSample;
@@ -162,7 +162,8 @@
     match end {
         CallEnd::Answered(status) if status.is_server_error() => "failure-passed",
         CallEnd::Answered(_) => "answered",
-        CallEnd::Refused(_) => "refused",
+        CallEnd::Refused(kind) if kind.answer().outcome == RunOutcome::NotRun => "refused",
+        CallEnd::Refused(_) => "failed",
         CallEnd::Cut => "cut",
         CallEnd::CallerLost => "caller-lost",
     }
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -133,6 +133,17 @@
     expect_that!(second, gt(first));
 }
 
+#[gtest]
+fn calls_that_break_off_together_count_once() {
+    let mut health = EndpointHealth::default();
+
+    for millis in [0, 1, 2, 100] {
+        health.note(Duration::from_millis(millis), CallSign::Broken);
+    }
+
+    expect_that!(health.is_usable(Duration::from_millis(500)), eq(true));
+}
+
 #[gtest]
 fn one_call_tries_an_endpoint_that_broke_and_the_others_wait_for_it() {
     let mut health = EndpointHealth::default();
