--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -75,7 +75,7 @@
         None => None,
     };
     let data = settings.data.clone();
-    let grace = Duration::from_millis(settings.grace_ms);
+    let grace = Duration::from_secs_f64(settings.grace_s);
     let incarnation = program::new_incarnation();
     let node = GatewayNode::new(settings, incarnation, Rc::clone(&desk), socket, links);
     let node = Rc::new(node);
@@ -129,7 +129,7 @@
         budget: BudgetSettings {
             ratio: settings.retries.ratio,
             extra: settings.retries.extra,
-            window: Duration::from_millis(settings.retries.window_ms),
+            window: Duration::from_secs_f64(settings.retries.window_s),
         },
         ..RelaySettings::default()
     }
--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -33,13 +33,13 @@
 pub const CHECKS_FENCE: bool = false;
 /// Default of `account_labels`.
 pub const ACCOUNT_LABELS: usize = 100;
-/// Default of a gateway's `grace_ms`.
-pub const GRACE_MS: u64 = 8_000;
+/// Default of a gateway's `grace_s`.
+pub const GRACE_S: f64 = 8.0;
 /// Default of `list.interval_ms`.
 pub const LIST_INTERVAL_MS: u64 = 500;
 /// Default of `retries.ratio`.
 pub const RETRY_RATIO: f64 = 0.2;
 /// Default of `retries.extra`.
 pub const RETRY_EXTRA: f64 = 60.0;
-/// Default of `retries.window_ms`.
-pub const RETRY_WINDOW_MS: u64 = 10_000;
+/// Default of `retries.window_s`.
+pub const RETRY_WINDOW_S: f64 = 10.0;
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -203,10 +203,13 @@
          process that reaches the link may join.",
     ),
     key(
-        "grace_ms",
-        whole(0, 600_000),
-        DefaultValue::Whole(d::GRACE_MS),
-        "Milliseconds from SIGTERM to SIGKILL; calls end before.",
+        "grace_s",
+        ValueForm::Decimal {
+            least: 0.0,
+            most: 600.0,
+        },
+        DefaultValue::Decimal(d::GRACE_S),
+        "Seconds from SIGTERM to SIGKILL; calls end before.",
     ),
     required(
         "list",
@@ -250,10 +253,13 @@
         "Repeats within the window beyond that, of all gateways together.",
     ),
     key(
-        "window_ms",
-        whole(100, 600_000),
-        DefaultValue::Whole(d::RETRY_WINDOW_MS),
-        "Length of the sliding window in milliseconds.",
+        "window_s",
+        ValueForm::Decimal {
+            least: 0.1,
+            most: 600.0,
+        },
+        DefaultValue::Decimal(d::RETRY_WINDOW_S),
+        "Length of the sliding window in seconds.",
     ),
 ];
 
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -124,9 +124,9 @@
     pub first_start: bool,
     /// File with the secret that authenticates the gateways to each other.
     pub secret_file: Option<PathBuf>,
-    /// Milliseconds from SIGTERM to SIGKILL.
-    #[serde(default = "default_grace_ms")]
-    pub grace_ms: u64,
+    /// Seconds from SIGTERM to SIGKILL.
+    #[serde(default = "default_grace_s")]
+    pub grace_s: f64,
     /// The platform's list of endpoints.
     pub list: ListSettings,
     /// The budget of repeats.
@@ -152,8 +152,8 @@
     pub ratio: f64,
     /// Repeats within the window beyond that, of all gateways together.
     pub extra: f64,
-    /// Length of the sliding window in milliseconds.
-    pub window_ms: u64,
+    /// Length of the sliding window in seconds.
+    pub window_s: f64,
 }
 
 impl Default for RetrySettings {
@@ -161,13 +161,13 @@
         Self {
             ratio: defaults::RETRY_RATIO,
             extra: defaults::RETRY_EXTRA,
-            window_ms: defaults::RETRY_WINDOW_MS,
+            window_s: defaults::RETRY_WINDOW_S,
         }
     }
 }
 
-fn default_grace_ms() -> u64 {
-    defaults::GRACE_MS
+fn default_grace_s() -> f64 {
+    defaults::GRACE_S
 }
 
 fn default_list_interval_ms() -> u64 {
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -4,7 +4,7 @@
 use std::path::{Path, PathBuf};
 
 use googletest::prelude::*;
-use settings::process::{self, AgentSettings, ControlSettings, EntrySettings};
+use settings::process::{self, AgentSettings, ControlSettings, EntrySettings, GatewaySettings};
 use settings::{SettingsTree, page};
 
 fn repository() -> PathBuf {
@@ -45,10 +45,43 @@
         fault_lines(process::parse::<ControlSettings>(&example("control.toml"))),
         eq("")
     );
+    expect_that!(
+        fault_lines(process::parse::<GatewaySettings>(&example("gateway.toml"))),
+        eq("")
+    );
     let tree = SettingsTree::parse(&example("tree.toml"));
     expect_that!(fault_lines(tree.and_then(|tree| tree.resolve(1))), eq(""));
 }
 
+#[gtest]
+fn gateway_defaults_are_taken_and_its_faults_named() {
+    let whole = example("gateway.toml");
+    let least: String = whole
+        .lines()
+        .filter(|line| !line.starts_with("grace_s") && !line.starts_with("window_s"))
+        .map(|line| format!("{line}\n"))
+        .collect();
+
+    let settings = process::parse::<GatewaySettings>(&least).expect("the rest is enough");
+    let shared = whole.replace("10.0.0.10:8081", "10.0.0.10:8080");
+    let no_seeds = whole.replace("[\"10.0.0.10:8082\", ", "[] # ");
+
+    expect_that!(settings.grace_s, eq(8.0));
+    expect_that!(settings.retries.window_s, eq(10.0));
+    expect_that!(
+        settings.seed_links()[1].to_string().as_str(),
+        eq("10.0.1.10:7100")
+    );
+    expect_that!(
+        fault_lines(process::parse::<GatewaySettings>(&shared)),
+        contains_substring("share an address")
+    );
+    expect_that!(
+        fault_lines(process::parse::<GatewaySettings>(&no_seeds)),
+        contains_substring("seeds")
+    );
+}
+
 #[gtest]
 fn every_fault_of_a_file_is_reported_at_once() {
     let text = r#"
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -15,8 +15,8 @@
 const READINESS_PORT: u16 = 9002;
 const OPERATORS_PORT: u16 = 9003;
 const LINK_PORT: u16 = 9004;
-/// Milliseconds from SIGTERM to the end at the latest.
-const GRACE_MS: u64 = 5000;
+/// Seconds from SIGTERM to the end at the latest.
+const GRACE_S: f64 = 5.0;
 /// Longest wait for an answer about readiness.
 const READY_LIMIT: Duration = Duration::from_millis(500);
 
@@ -210,7 +210,7 @@
         "name = \"gateway-{place}\"\nfailure_domain = \"rennes\"\ncallers = \"{ip}:{CALLERS_PORT}\"\n\
          readiness = \"{ip}:{READINESS_PORT}\"\noperators = \"{ip}:{OPERATORS_PORT}\"\n\
          link = \"{ip}:{LINK_PORT}\"\nseeds = [{}]\nseed_link_port = {LINK_PORT}\n{data}\
-         first_start = true\ngrace_ms = {GRACE_MS}\n\n[list]\naddress = \"{list}\"\ninterval_ms = 200\n\n[retries]\n",
+         first_start = true\ngrace_s = {GRACE_S}\n\n[list]\naddress = \"{list}\"\ninterval_ms = 200\n\n[retries]\n",
         seeds.join(", ")
     )
 }
--- a/crates/watch/tests/logging.rs
+++ b/crates/watch/tests/logging.rs
@@ -34,3 +34,16 @@
 
     expect_that!(results, eq(&[Ok(()), Err(LogError::Repeated)]));
 }
+
+#[gtest]
+fn lines_are_bounded_over_time_after_a_burst() {
+    let start = std::time::Instant::now();
+    let mut budget = watch::output::LineBudget::new(start);
+
+    let burst = (0..10_000).filter(|_| budget.take(start)).count();
+    let second = start + std::time::Duration::from_secs(1);
+    let later = (0..10_000).filter(|_| budget.take(second)).count();
+
+    expect_that!(burst, eq(1000));
+    expect_that!(later, eq(250));
+}
