Let voters that leave lose their vote at once, and lost ones soon

Two of four voters were left and no quorum ever again; after a power loss all instances served an older catalog. The stopped voter would have been removed after 12 s. Ruled out: a wiped folder that voted, a second log. Change: gateways tell that they stop, and the leader removes their vote at once; a silent voter goes after 2.5 s, and gives its place to a newcomer as soon; removals leave 2 x tolerated losses + 1 voters. Test: planned_successor_leaves_a_quorum_when_the_next_voter_is_lost, which fails without the change.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -132,6 +132,8 @@
             true => state_of(StorageState::Founding),
             false => directory.storing(),
         };
-        quorum.set_peers(peers, may_found);
+        let leaving = directory.live(now).filter(|(_, beat)| beat.is_leaving);
+        let leaving = leaving.map(|(instance, _)| instance).collect();
+        quorum.set_peers(peers, leaving, may_found);
     }
 }
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -157,6 +157,7 @@
     let latest = grace.saturating_sub(GRACE_MARGIN);
     desk.set_end(started + latest);
     desk.enter(ServingPhase::Draining);
+    node.beat_due.notify_one();
     node.hand_over().await;
     sleep(REROUTE_TIME.min(latest).saturating_sub(started.elapsed())).await;
     desk.enter(ServingPhase::Closing);
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -74,6 +74,7 @@
     let (disk, reports) = start_disk(store);
     let settings = ReplicaSettings {
         max_voters: MAX_VOTERS,
+        min_voters: 2 * node.settings.borrow().tolerated_losses + 1,
         snapshot_entries: SNAPSHOT_ENTRIES,
         kept_entries: KEPT_ENTRIES,
         ..ReplicaSettings::default()
@@ -153,10 +154,12 @@
         }
     }
 
-    /// Sets the gateways that may hold a member, and whether this one may found a log.
-    pub fn set_peers(&self, peers: Vec<InstanceId>, may_found: bool) {
+    /// Sets the gateways that may hold a member, those that are about to stop, and whether this one
+    /// may found a log.
+    pub fn set_peers(&self, peers: Vec<InstanceId>, leaving: Vec<InstanceId>, may_found: bool) {
         let mut core = self.core.borrow_mut();
         core.set_peers(peers);
+        core.set_leaving(leaving);
         core.set_founding(may_found);
     }
 }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -50,6 +50,8 @@
     pub(crate) peers: Vec<InstanceId>,
     /// Whether this member may found a log.
     pub(crate) may_found: bool,
+    /// Instances that are about to stop.
+    pub(crate) leaving: BTreeSet<InstanceId>,
     pub(crate) generator: Pcg64,
     /// Random number of this process.
     pub(crate) life: u64,
@@ -114,6 +116,7 @@
             own,
             peers,
             may_found: true,
+            leaving: BTreeSet::new(),
             generator,
             life,
             now,
@@ -222,6 +225,12 @@
         self.peers = peers;
     }
 
+    /// Sets the instances that are about to stop. Their members lose their vote at once, while
+    /// enough others remain; they join again when they come back.
+    pub fn set_leaving(&mut self, instances: impl IntoIterator<Item = InstanceId>) {
+        self.leaving = instances.into_iter().collect();
+    }
+
     /// Allows or forbids this member to found a log. Who learns of the other instances only while
     /// it runs must forbid it until it knows all that may found one.
     pub fn set_founding(&mut self, allowed: bool) {
--- a/crates/replica/src/replace.rs
+++ b/crates/replica/src/replace.rs
@@ -9,9 +9,6 @@
 use crate::member::VoterChange;
 use crate::progress::PeerProgress;
 
-/// Voters that a removal leaves at least.
-const MIN_VOTERS: usize = 3;
-
 impl ReplicaCore {
     /// Leader: starts to send the log to a member that has no vote.
     pub(crate) fn admit_learner(&mut self, member: MemberKey) {
@@ -56,7 +53,8 @@
         let replace_after = self.settings.replace_after;
         let newcomers = state.progress.iter().filter(|(member, peer)| {
             let caught_up = peer.matched >= self.commit && peer.round > 0;
-            !members.contains(**member) && caught_up && silence(peer) <= replace_after
+            let stays = !self.leaving.contains(&member.instance);
+            !members.contains(**member) && caught_up && stays && silence(peer) <= replace_after
         });
         let silent_voter = |after| {
             let mut voters = members.voters.iter().copied();
@@ -80,7 +78,10 @@
                 return change;
             }
         }
-        self.removal(silent_voter(self.settings.remove_after))
+        let is_leaving =
+            |voter: &MemberKey| *voter != self.own && self.leaving.contains(&voter.instance);
+        let leaving = members.voters.iter().copied().find(is_leaving);
+        self.removal(leaving.or(silent_voter(self.settings.remove_after)))
     }
 
     /// How a caught-up member of an instance without a vote becomes a voter.
@@ -94,17 +95,17 @@
         }
     }
 
-    /// Removes a voter that is gone for good, so that it no longer enlarges the quorum.
+    /// Removes a voter that is gone or goes, so that it no longer enlarges the quorum.
     fn removal(&self, silent: Option<MemberKey>) -> Option<VoterChange> {
         let voters = self.log.members().1.voters.len();
-        let may_shrink = self.settings.max_voters > 0 && voters > MIN_VOTERS;
+        let may_shrink = self.settings.max_voters > 0 && voters > self.settings.min_voters;
         silent.filter(|_| may_shrink).map(VoterChange::Remove)
     }
 
     /// Leader: stops sending to members without a vote that are gone.
     pub(crate) fn forget_silent_learners(&mut self) {
         let members = self.log.members().1.clone();
-        let limit = self.now.saturating_sub(self.settings.remove_after);
+        let limit = self.now.saturating_sub(self.settings.forget_after);
         if let ReplicaRole::Leader(state) = &mut self.role {
             let is_kept = |member: &MemberKey, peer: &PeerProgress| {
                 members.contains(*member) || peer.heard_at >= limit
--- a/crates/replica/src/settings.rs
+++ b/crates/replica/src/settings.rs
@@ -24,9 +24,14 @@
     pub max_voters: usize,
     /// Silence of a voter after which a caught-up member of another instance may replace it.
     pub swap_after: Duration,
-    /// Silence after which a voter without a successor is removed, as long as three remain, and
-    /// after which a member without a vote is forgotten.
+    /// Voters that removals leave at least: more than twice the data folders that may be lost at
+    /// once, as what is accepted then stands in more folders than that.
+    pub min_voters: usize,
+    /// Silence after which a voter without a successor is removed. A voter that is gone for good
+    /// must not count while the next one may be lost.
     pub remove_after: Duration,
+    /// Silence after which a member without a vote is forgotten.
+    pub forget_after: Duration,
     /// Largest payload of one append message in bytes; a single larger entry goes alone.
     pub append_bytes: usize,
     /// Entries that may be on their way to one member.
@@ -51,8 +56,10 @@
             heartbeat: Duration::from_millis(100),
             replace_after: Duration::from_secs(2),
             max_voters: 0,
-            swap_after: Duration::from_secs(4),
-            remove_after: Duration::from_secs(12),
+            swap_after: Duration::from_millis(2500),
+            min_voters: 3,
+            remove_after: Duration::from_millis(2500),
+            forget_after: Duration::from_secs(12),
             append_bytes: 256 * 1024,
             window_entries: 1024,
             waiting_entries: 16 * 1024,
--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -43,3 +43,5 @@
 pub const RETRY_EXTRA: f64 = 60.0;
 /// Default of `retries.window_s`.
 pub const RETRY_WINDOW_S: f64 = 10.0;
+/// Default of `tolerated_losses`.
+pub const TOLERATED_LOSSES: u64 = 1;
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -189,6 +189,12 @@
         DefaultValue::Absent,
         "Data folder. A gateway with one stores the catalog and votes.",
     ),
+    key(
+        "tolerated_losses",
+        whole(0, 3),
+        DefaultValue::Whole(d::TOLERATED_LOSSES),
+        "Data folders that may be lost at once. Removals leave more than twice as many voters.",
+    ),
     key(
         "first_start",
         ValueForm::Flag,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -119,6 +119,9 @@
     pub seed_link_port: Option<u16>,
     /// Data folder.
     pub data: Option<PathBuf>,
+    /// Data folders that may be lost at once.
+    #[serde(default = "default_tolerated_losses")]
+    pub tolerated_losses: usize,
     /// Whether the whole fleet starts for the first time.
     #[serde(default)]
     pub first_start: bool,
@@ -166,6 +169,10 @@
     }
 }
 
+fn default_tolerated_losses() -> usize {
+    defaults::TOLERATED_LOSSES as usize
+}
+
 fn default_grace_s() -> f64 {
     defaults::GRACE_S
 }
--- a/crates/store/tests/quorum.rs
+++ b/crates/store/tests/quorum.rs
@@ -144,6 +144,45 @@
     }
 }
 
+#[gtest]
+fn planned_successor_leaves_a_quorum_when_the_next_voter_is_lost() {
+    // A successor joins first, the voter that it follows stops, and the leader is lost right after.
+    for seed in 0..20 {
+        let _note = SeedNote(seed);
+        let mut fleet = Fleet::growing(3, 7, seed);
+        fleet.settle();
+        fleet.join();
+        fleet.settle();
+        let leader = fleet.leader().expect("settled fleet has a leader");
+        let stopped = (leader + 1) % 3;
+
+        fleet.announce_leave(stopped);
+        for _ in 0..QUIET_CHANGES {
+            fleet.run_others(None);
+        }
+        fleet.leave(stopped);
+        let lost = fleet.leader().expect("the others lead on");
+        fleet.leave(lost);
+
+        expect_that!(fleet.run_others(None), eq(true));
+    }
+}
+
+#[gtest]
+fn removals_leave_as_many_voters_as_losses_need() {
+    let mut fleet = Fleet::growing(5, 7, 3);
+    for member in &mut fleet.members {
+        member.settings.min_voters = 5;
+    }
+    fleet.settle();
+
+    fleet.announce_leave(1);
+    fleet.leave(1);
+    fleet.run_others(None);
+
+    expect_that!(fleet.voters(), eq(5));
+}
+
 #[gtest]
 fn growth_under_random_faults_loses_nothing() {
     for seed in 1000..1030 {
--- a/crates/store/tests/quorum/fleet.rs
+++ b/crates/store/tests/quorum/fleet.rs
@@ -90,6 +90,21 @@
         place
     }
 
+    /// Tells all members that one is about to stop.
+    pub(crate) fn announce_leave(&mut self, place: usize) {
+        let instance = self.members[place].instance;
+        for member in &mut self.members {
+            if let Some(running) = &mut member.running {
+                running.core.set_leaving([instance]);
+            }
+        }
+    }
+
+    /// Voters of the last committed set.
+    pub(crate) fn voters(&self) -> usize {
+        self.oracle.last_members().map_or(0, |set| set.voters.len())
+    }
+
     /// Takes a member away for good.
     pub(crate) fn leave(&mut self, place: usize) {
         self.members[place].wipe();
