Show gateways and their catalog with sapphirectl, and accept connections in one place

sapphirectl gateway status | catalog | replace FILE, against any gateway's operator address; errors of gateways are told as those of control instances. Three accept loops became one.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -73,6 +73,8 @@
     Watch(WatchArgs),
     /// Lists or lifts quarantines.
     Quarantine(QuarantineArgs),
+    /// Shows a gateway, and reads or replaces its catalog.
+    Gateway(GatewayArgs),
     /// Prints the hash of a key.
     HashKey(HashKeyArgs),
 }
@@ -259,6 +261,46 @@
     pub fingerprint: String,
 }
 
+/// Show a gateway, and read or replace its catalog; --control is a gateway's operator address.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "gateway")]
+pub struct GatewayArgs {
+    /// what to do
+    #[argh(subcommand)]
+    pub command: GatewayCommand,
+}
+
+/// What to do with a gateway.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum GatewayCommand {
+    /// Shows what it knows.
+    Status(GatewayStatusArgs),
+    /// Reads the newest catalog.
+    Catalog(CatalogArgs),
+    /// Replaces the catalog.
+    Replace(ReplaceArgs),
+}
+
+/// Show what a gateway knows: catalog, leader, other gateways, endpoints.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct GatewayStatusArgs {}
+
+/// Read the newest catalog, confirmed by a quorum.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "catalog")]
+pub struct CatalogArgs {}
+
+/// Replace the catalog by the one in a JSON file; its version must be the highest.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "replace")]
+pub struct ReplaceArgs {
+    /// file with the catalog
+    #[argh(positional)]
+    pub file: PathBuf,
+}
+
 /// Print the hash of the key in --key-file or on standard input.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "hash-key")]
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`change`]: the commands that change the settings.
 //! * [`read`]: the commands that read settings, status and decisions.
 //! * [`follow`]: following decisions as they are made.
+//! * [`gateway`]: the commands for gateways.
 //! * [`key`]: operator and account keys.
 //! * [`print`](mod@print): answers as text.
 //! * [`error`]: what can go wrong, and the exit codes.
@@ -16,6 +17,7 @@
 pub mod edit;
 pub mod error;
 pub mod follow;
+pub mod gateway;
 pub mod key;
 pub mod print;
 pub mod read;
@@ -34,6 +36,11 @@
     if let CtlCommand::HashKey(command) = &args.command {
         return key::hash_key(command, args.key_file.as_deref(), args.json, out);
     }
+    // Gateways take whoever reaches their operators' address.
+    let key = match &args.command {
+        CtlCommand::Gateway(_) => Some(key.unwrap_or_default()),
+        _ => key,
+    };
     let client = OperatorClient::new(&args, key)?;
     let json = args.json;
     match args.command {
@@ -51,6 +58,7 @@
             QuarantineCommand::List(_) => read::quarantined(&client, json, out).await,
             QuarantineCommand::Lift(lift) => change::lift(&client, &lift, json, out).await,
         },
+        CtlCommand::Gateway(command) => gateway::run(&client, &command, json, out).await,
         CtlCommand::HashKey(_) => Ok(()),
     }
 }
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -174,3 +174,24 @@
 
     expect_that!(runs[0].exit(), eq(ExitKind::Forbidden));
 }
+
+#[gtest]
+fn gateway_is_shown_and_its_catalog_read_and_replaced() {
+    let folder = std::env::temp_dir().join(format!("sapphirectl-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder");
+    let (sound, faulty) = (folder.join("sound.json"), folder.join("faulty.json"));
+    std::fs::write(&sound, r#"{"version": 8}"#).expect("a file");
+    std::fs::write(&faulty, r#"{"routes": []}"#).expect("a file");
+    let lines = [
+        "gateway status".to_owned(),
+        "gateway status --json".to_owned(),
+        "gateway catalog".to_owned(),
+        format!("gateway replace {}", sound.display()),
+        format!("gateway replace {}", faulty.display()),
+    ];
+    let lines: Vec<&str> = lines.iter().map(String::as_str).collect();
+
+    let text = golden(fake_control(), &lines);
+
+    insta::assert_snapshot!(text.replace(&folder.display().to_string(), "FOLDER"));
+}
--- a/crates/gateway/src/asks.rs
+++ b/crates/gateway/src/asks.rs
@@ -5,8 +5,9 @@
 
 use derive_more::{Display, Error, From};
 use link::{Link, LinkError, accept, connect};
+use relay::accept::accept_each;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use wire::LinkMessage;
 use wire::gateway::{GatewayAsk, GatewayReply, address_of};
 use wire::id::InstanceId;
@@ -15,8 +16,6 @@
 
 /// Idle links to one gateway at most.
 const MAX_IDLE_LINKS: usize = 4;
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Why a question has no answer.
 #[derive(Debug, Display, Error, From)]
@@ -119,17 +118,10 @@
 
 /// Answers the questions of other gateways until the process ends.
 pub async fn serve_asks(listener: TcpListener, node: Rc<GatewayNode>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve_link(stream, Rc::clone(&node)));
-            }
-            Err(error) => {
-                log::warn!("gateway: accepting a link failed: {error}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_each(listener, "gateway", |stream| {
+        serve_link(stream, Rc::clone(&node))
+    })
+    .await;
 }
 
 async fn serve_link(stream: TcpStream, node: Rc<GatewayNode>) {
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -6,10 +6,13 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{Method, ServiceConfig, StatusCode};
 use bytes::Bytes;
+use fault::{Fault, FaultKind};
 use platform::paths::{READ_CATALOG, READINESS, REPLACE_CATALOG};
+use relay::accept::accept_each;
 use relay::session::{self, IncomingCall, SessionLimits};
+use settings::operator::FaultReply;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use watch::TEXT_CONTENT_TYPE;
 
 use crate::node::GatewayNode;
@@ -22,6 +25,10 @@
     header_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
 };
+/// Path of the newest catalog, for operators.
+pub const CATALOG: &str = "/operator/catalog";
+/// Path of what this gateway knows, for operators.
+pub const STATUS: &str = "/operator/gateway";
 /// Path of the metrics.
 const METRICS: &str = "/metrics";
 /// Content type of all answers but the metrics.
@@ -30,8 +37,6 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time after which an operator should come back, in seconds.
 const RETRY_SECONDS: &str = "0.3";
-/// Pause after a failure to accept.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// An answer.
 struct HttpAnswer {
@@ -41,29 +46,32 @@
 }
 
 impl HttpAnswer {
-    fn text(status: StatusCode, text: impl std::fmt::Display) -> Self {
-        let body = format!("{{\"message\":\"{text}\"}}");
+    fn done(message: &str) -> Self {
         Self {
-            status,
+            status: StatusCode::OK,
             content_type: JSON_CONTENT_TYPE,
-            body: Bytes::from(body),
+            body: Bytes::from(format!("{{\"message\":\"{message}\"}}")),
+        }
+    }
+
+    /// The answer of an error kind.
+    fn fault(fault: &Fault) -> Self {
+        let status = StatusCode::from_u16(fault.kind.answer().status);
+        let body = serde_json::to_vec(&FaultReply::from(fault));
+        Self {
+            status: status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR),
+            content_type: JSON_CONTENT_TYPE,
+            body: Bytes::from(body.unwrap_or_default()),
         }
     }
 }
 
 /// Serves operators and the balancer until the process ends.
 pub async fn serve_http(listener: TcpListener, node: Rc<GatewayNode>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                actix_rt::spawn(serve_connection(stream, Rc::clone(&node)));
-            }
-            Err(error) => {
-                log::warn!("gateway: accepting an operator failed: {error}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_each(listener, "gateway", |stream| {
+        serve_connection(stream, Rc::clone(&node))
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, node: Rc<GatewayNode>) {
@@ -102,15 +110,31 @@
             (&Method::GET, READINESS) => self.answer_readiness(),
             (&Method::POST, REPLACE_CATALOG) => self.answer_replace(&incoming.body).await,
             (&Method::GET, READ_CATALOG) => self.answer_read().await,
+            (&Method::POST, CATALOG) => self.answer_replace(&incoming.body).await,
+            (&Method::GET, CATALOG) => self.answer_read().await,
+            (&Method::GET, STATUS) => self.answer_status(),
             (&Method::GET, METRICS) => self.answer_metrics(),
-            _ => HttpAnswer::text(StatusCode::NOT_FOUND, "no such path"),
+            _ => HttpAnswer::fault(&FaultKind::UnknownService.because("there is no such path")),
         }
     }
 
     fn answer_readiness(&self) -> HttpAnswer {
         match self.is_ready() {
-            true => HttpAnswer::text(StatusCode::OK, "ready"),
-            false => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "not ready"),
+            true => HttpAnswer::done("ready"),
+            false => {
+                HttpAnswer::fault(&FaultKind::SettingsStale.because("this gateway is not ready"))
+            }
+        }
+    }
+
+    fn answer_status(&self) -> HttpAnswer {
+        match serde_json::to_vec(&self.status()) {
+            Ok(body) => HttpAnswer {
+                status: StatusCode::OK,
+                content_type: JSON_CONTENT_TYPE,
+                body: Bytes::from(body),
+            },
+            Err(error) => HttpAnswer::fault(&FaultKind::Internal.because(error.to_string())),
         }
     }
 
@@ -125,7 +149,7 @@
                 content_type: TEXT_CONTENT_TYPE,
                 body: Bytes::from(text),
             },
-            Err(error) => HttpAnswer::text(StatusCode::INTERNAL_SERVER_ERROR, error),
+            Err(error) => HttpAnswer::fault(&FaultKind::Internal.because(error.to_string())),
         }
     }
 
@@ -134,8 +158,8 @@
             Ok(catalog) => catalog,
             Err(error) => {
                 log::info!("gateway: catalog refused: {error}");
-                let text = error.to_string().replace(['"', '\\'], "'");
-                return HttpAnswer::text(StatusCode::BAD_REQUEST, text);
+                let fault = FaultKind::MalformedRequest.because(error.to_string());
+                return HttpAnswer::fault(&fault);
             }
         };
         let version = catalog.version;
@@ -143,14 +167,14 @@
             Ok(text) => text,
             Err(error) => {
                 log::error!("gateway: catalog {version} can't be packed: {error}");
-                return HttpAnswer::text(StatusCode::INTERNAL_SERVER_ERROR, "not packed");
+                return HttpAnswer::fault(&FaultKind::Internal.because(error.to_string()));
             }
         };
         let is_done = self.replace_catalog(text).await;
         log::info!(version = version, acknowledged = is_done; "gateway: catalog offered");
         match is_done {
-            true => HttpAnswer::text(StatusCode::OK, "in force"),
-            false => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum"),
+            true => HttpAnswer::done("in force"),
+            false => HttpAnswer::fault(&no_quorum()),
         }
     }
 
@@ -167,7 +191,11 @@
                 content_type: JSON_CONTENT_TYPE,
                 body: Bytes::from(body),
             },
-            None => HttpAnswer::text(StatusCode::SERVICE_UNAVAILABLE, "no quorum"),
+            None => HttpAnswer::fault(&no_quorum()),
         }
     }
 }
+
+fn no_quorum() -> Fault {
+    FaultKind::ControlUnreachable.because("no quorum answered in time")
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -17,6 +17,7 @@
 //! * [`quorum`]: the gateway's member of the quorum.
 //! * [`changes`]: replacing and reading the catalog, from any gateway.
 //! * [`http`]: operators and readiness.
+//! * [`status`]: what this gateway knows, for operators.
 //! * [`reload`]: settings that changed.
 
 pub mod asks;
@@ -32,3 +33,4 @@
 pub mod quorum;
 pub mod readings;
 pub mod reload;
+pub mod status;
--- /dev/null
+++ b/crates/gateway/src/status.rs
@@ -0,0 +1,62 @@
+//! What this gateway knows, for operators.
+
+use relay::table::EndpointStanding;
+use watch::gateway_status::{GatewayStatus, PeerStatus, PlacedEndpoint};
+use wire::gateway::{GatewayBeat, StorageState, address_of};
+use wire::id::InstanceId;
+
+use crate::node::GatewayNode;
+
+impl GatewayNode {
+    /// What this gateway knows.
+    pub fn status(&self) -> GatewayStatus {
+        let now = self.now();
+        let quorum = self.quorum();
+        let known = quorum.as_ref().and_then(|quorum| quorum.leader());
+        let known = known.map(|(_, leader)| leader);
+        let leader = known.or_else(|| self.directory.borrow().leader(now));
+        let directory = self.directory.borrow();
+        let peers = directory.live(now).map(|(id, beat)| peer_status(id, beat));
+        let table = self.desk.table.borrow();
+        let mut endpoints: Vec<PlacedEndpoint> = table
+            .rows()
+            .map(|row| PlacedEndpoint {
+                name: row.name.clone(),
+                address: row.address.to_string(),
+                load: row.load(now),
+                standing: standing_word(row.standing(now)).to_owned(),
+            })
+            .collect();
+        endpoints.sort_by(|one, other| one.name.cmp(&other.name));
+        GatewayStatus {
+            name: self.settings.borrow().name.clone(),
+            catalog: self.version(),
+            is_ready: self.is_ready(),
+            leader: leader.map(|leader| address_of(leader).to_string()),
+            is_leader: quorum.is_some_and(|quorum| quorum.is_leader()),
+            list_age: self.desk.list_age().unwrap_or(now),
+            calls: self.desk.active_calls.get(),
+            peers: peers.collect(),
+            endpoints,
+        }
+    }
+}
+
+fn peer_status(id: InstanceId, beat: &GatewayBeat) -> PeerStatus {
+    PeerStatus {
+        address: address_of(id).to_string(),
+        catalog: beat.catalog,
+        stores: beat.storage != StorageState::None,
+        is_leaving: beat.is_leaving,
+    }
+}
+
+/// How an endpoint stands, in a word.
+fn standing_word(standing: Option<EndpointStanding>) -> &'static str {
+    match standing {
+        Some(EndpointStanding::Sound) => "sound",
+        Some(EndpointStanding::Silent) => "silent",
+        Some(EndpointStanding::LeftOut) => "left-out",
+        None => "leaving",
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -248,9 +248,7 @@
         let passed = (!promises_no_run(status)).then_some(whole);
         return Err(AttemptResult::Ended(AttemptEnd::Failed, passed));
     }
-    let first_byte = call.started.elapsed();
-    progress.first_byte.get_or_insert(first_byte);
-    desk.note_health(endpoint, CallSign::Served(first_byte), "");
+    note_served(desk, call, endpoint, progress);
     Ok(deliver_whole(desk, whole, writer).await)
 }
 
@@ -320,9 +318,7 @@
         };
         if !has_first {
             has_first = true;
-            let first_byte = call.started.elapsed();
-            progress.first_byte.get_or_insert(first_byte);
-            desk.note_health(endpoint, CallSign::Served(first_byte), "");
+            note_served(desk, call, endpoint, progress);
         }
         if !writer.has_started && !started {
             let headers = desk.dialect.forward_answer(answer.head.headers());
@@ -340,6 +336,18 @@
     }
 }
 
+/// Notes the first bytes of a good answer.
+fn note_served(
+    desk: &RelayDesk,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    progress: &mut CallProgress,
+) {
+    let first_byte = call.started.elapsed();
+    progress.first_byte.get_or_insert(first_byte);
+    desk.note_health(endpoint, CallSign::Served(first_byte), "");
+}
+
 fn lost(sent: Result<(), SessionError>) -> Result<(), AttemptResult> {
     sent.map_err(|_| AttemptResult::CallerLost)
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,8 +20,10 @@
 //! * [`attempt`]: one try of a call at one endpoint.
 //! * [`forward`]: the tries of one call.
 //! * [`desk`]: what the calls of one instance share.
-//! * [`server`]: listening for callers.
+//! * [`server`]: serving callers.
+//! * [`accept`]: accepting connections.
 
+pub mod accept;
 pub mod attempt;
 pub mod budget;
 pub mod call;
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,41 +1,36 @@
-//! Listening for callers.
+//! Serving callers.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use fault::{FaultKind, RunOutcome};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 use watch::CallSample;
 
+use crate::accept::accept_each;
 use crate::desk::RelayDesk;
 use crate::forward::{CallEnd, CallRecord, refuse, serve_call};
 use crate::session::{
     IncomingCall, SessionError, SessionLimits, SessionReader, SessionWriter, open,
 };
 
-/// Pause after a failure to accept, which mostly means that descriptors ran out.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Longest pause inside a body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Accepts callers until the process ends.
+/// Serves callers until the process ends.
 pub async fn serve_callers(listener: TcpListener, desk: Rc<RelayDesk>) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) if desk.open_connections.get() < desk.settings.connections => {
-                actix_rt::spawn(serve_caller(stream, Rc::clone(&desk)));
-            }
-            Ok((stream, _)) => drop(stream),
-            Err(error) => {
-                log::warn!("relay: accepting failed: {error}");
-                sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
+    accept_each(listener, "relay", |stream| {
+        serve_caller(stream, Rc::clone(&desk))
+    })
+    .await;
 }
 
 async fn serve_caller(stream: TcpStream, desk: Rc<RelayDesk>) {
+    if desk.open_connections.get() >= desk.settings.connections {
+        log::warn!("relay: a connection above the limit was closed");
+        return;
+    }
     desk.open_connections.set(desk.open_connections.get() + 1);
     desk.metrics.set_connections(desk.open_connections.get());
     if let Err(error) = serve_calls(stream, &desk).await {
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -179,6 +179,11 @@
         self.rows.is_empty()
     }
 
+    /// Every endpoint.
+    pub fn rows(&self) -> impl Iterator<Item = &EndpointRow> {
+        self.rows.values()
+    }
+
     /// An endpoint.
     pub fn row(&self, id: EndpointId) -> Option<&EndpointRow> {
         self.rows.get(&id)
--- a/crates/watch/src/lib.rs
+++ b/crates/watch/src/lib.rs
@@ -13,7 +13,7 @@
 //! * [`usage`]: processor time and memory of this process.
 //! * [`exposition`]: metrics as Prometheus text.
 //! * [`role`]: what an instance does.
-//! * [`status`]: what the status page shows, as data.
+//! * [`status`], [`gateway_status`]: what the status shows, as data.
 //! * [`page`]: the status page as HTML.
 
 pub mod agent;
@@ -23,6 +23,7 @@
 pub mod exposition;
 pub mod filter;
 pub mod gateway;
+pub mod gateway_status;
 pub mod label;
 pub mod logging;
 mod metric;
