--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -7,12 +7,15 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use catalog::CallKind;
+use platform::names::{API_KEY, ATTEMPT_ID, DEADLINE_MS};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
 use crate::endpoint::{ACCOUNT_KEY, STREAM_EVENTS, event_text};
 use crate::http::{HttpMessage, HttpStream};
-use crate::ledger::{CallKind, SeenEnd, SoakLedger};
+use crate::ledger::{KINDS, SeenEnd, SoakLedger, word_of};
+use crate::operator::HOST;
 
 /// How long a caller waits.
 const PATIENCE: Duration = Duration::from_secs(4);
@@ -71,13 +74,13 @@
     }
 
     fn call(&mut self, stream: &mut HttpStream) -> io::Result<HttpMessage> {
-        let kind = CallKind::ALL[self.random.random_range(0..CallKind::ALL.len())];
+        let kind = KINDS[self.random.random_range(0..KINDS.len())];
         self.calls += 1;
         let attempt = format!("{:x}-{:x}", self.number, self.calls);
         self.ledger.send(&attempt, kind);
         let head = format!(
-            "POST /{}/x HTTP/1.1\r\nHost: soak.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: {}\r\nApi-Key: {ACCOUNT_KEY}\r\nContent-Length: {}\r\n\r\n{attempt}",
-            kind.word(),
+            "POST /{}/x HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {attempt}\r\n{DEADLINE_MS}: {}\r\n{API_KEY}: {ACCOUNT_KEY}\r\nContent-Length: {}\r\n\r\n{attempt}",
+            word_of(kind),
             PATIENCE.as_millis(),
             attempt.len()
         );
@@ -114,7 +117,7 @@
     fn check_body(&self, kind: CallKind, attempt: &str, answer: &HttpMessage) {
         let whole: String = match kind {
             CallKind::Safe | CallKind::Unsafe => attempt.to_owned(),
-            CallKind::Stream | CallKind::Resumable => (1..=STREAM_EVENTS)
+            CallKind::Stream | CallKind::ResumableStream => (1..=STREAM_EVENTS)
                 .map(|id| event_text(attempt, id))
                 .collect(),
         };
@@ -127,7 +130,7 @@
             self.ledger
                 .break_promise(format!("answer of {attempt} is wrong: {text:?}"));
         }
-        if answer.head("x-attempt-id") != Some(attempt) {
+        if answer.head(ATTEMPT_ID) != Some(attempt) {
             self.ledger
                 .break_promise(format!("answer of {attempt} belongs to another call"));
         }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -7,6 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
+use platform::names::{
+    API_KEY, ATTEMPT_ID, EXPECT_INSTANCE, LAST_EVENT_ID, NOT_EXECUTED, SERVER_STAMP, TENANT,
+};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -83,19 +86,20 @@
         call: &HttpMessage,
         random: &mut Pcg64,
     ) -> io::Result<()> {
-        if call.head("x-expect-instance") != Some(&self.name) {
-            return stream.send(whole_answer(421, "X-Not-Executed: 1\r\n", "").as_bytes());
+        let not_run = format!("{NOT_EXECUTED}: 1\r\n");
+        if call.head(EXPECT_INSTANCE) != Some(&self.name) {
+            return stream.send(whole_answer(421, &not_run, "").as_bytes());
         }
         let refuses =
             self.is_draining.load(Ordering::SeqCst) || random.random_range(0..1000) < REFUSES;
         if refuses {
-            return stream.send(whole_answer(503, "X-Not-Executed: 1\r\n", "").as_bytes());
+            return stream.send(whole_answer(503, &not_run, "").as_bytes());
         }
         self.check(call);
-        let attempt = call.head("x-attempt-id").unwrap_or_default().to_owned();
+        let attempt = call.head(ATTEMPT_ID).unwrap_or_default().to_owned();
         self.ledger.run(&attempt);
         let heads = format!(
-            "X-Attempt-Id: {attempt}\r\nX-Server-Stamp: {}\r\n",
+            "{ATTEMPT_ID}: {attempt}\r\n{SERVER_STAMP}: {}\r\n",
             self.name
         );
         if random.random_range(0..1000) < FAILS {
@@ -115,15 +119,15 @@
     }
 
     fn check(&self, call: &HttpMessage) {
-        if call.head("x-tenant") != Some(ACCOUNT) {
-            let account = call.head("x-tenant").unwrap_or("none").to_owned();
+        if call.head(TENANT) != Some(ACCOUNT) {
+            let account = call.head(TENANT).unwrap_or("none").to_owned();
             self.ledger
                 .break_promise(format!("call came for account {account}"));
         }
-        if call.head("api-key").is_some() {
+        if call.head(API_KEY).is_some() {
             self.ledger.break_promise("a key was passed on".to_owned());
         }
-        if call.text() != call.head("x-attempt-id").unwrap_or_default() {
+        if call.text() != call.head(ATTEMPT_ID).unwrap_or_default() {
             self.ledger
                 .break_promise("the body of a call was changed".to_owned());
         }
@@ -143,7 +147,7 @@
     breaks_off: bool,
     random: &mut Pcg64,
 ) -> io::Result<()> {
-    let after = call.head("last-event-id").and_then(|id| id.parse().ok());
+    let after = call.head(LAST_EVENT_ID).and_then(|id| id.parse().ok());
     let first = after.map_or(1, |id: u32| id + 1);
     let head = format!(
         "HTTP/1.1 200 OK\r\n{heads}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use fake::fleet::process::{FleetProcess, ProcessCommand, SignalKind};
+use platform::paths::READINESS;
 
 use crate::http::HttpStream;
 
@@ -115,7 +116,7 @@
         let address = SocketAddr::from((self.ip, READINESS_PORT));
         let ask = || -> io::Result<u16> {
             let mut stream = HttpStream::connect(address, READY_LIMIT)?;
-            stream.send(b"GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n")?;
+            stream.send(format!("GET {READINESS} HTTP/1.1\r\nHost: a\r\n\r\n").as_bytes())?;
             Ok(stream.read()?.status())
         };
         ask().is_ok_and(|status| status == 200)
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -3,36 +3,23 @@
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Kind of a call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum CallKind {
-    /// May run more than once.
-    Safe,
-    /// Runs at most once.
-    Unsafe,
-    /// A stream that runs at most once.
-    Stream,
-    /// A stream that may go on elsewhere.
-    Resumable,
-}
-
-impl CallKind {
-    /// Every kind.
-    pub const ALL: [Self; 4] = [Self::Safe, Self::Unsafe, Self::Stream, Self::Resumable];
-
-    /// First part of the path of its calls.
-    pub fn word(self) -> &'static str {
-        match self {
-            Self::Safe => "safe",
-            Self::Unsafe => "unsafe",
-            Self::Stream => "stream",
-            Self::Resumable => "resumable",
-        }
-    }
-
-    /// Whether a call may run again.
-    pub fn is_repeatable(self) -> bool {
-        matches!(self, Self::Safe | Self::Resumable)
+use catalog::CallKind;
+
+/// Every kind of call.
+pub const KINDS: [CallKind; 4] = [
+    CallKind::Safe,
+    CallKind::Unsafe,
+    CallKind::Stream,
+    CallKind::ResumableStream,
+];
+
+/// First part of the path of the calls of a kind.
+pub fn word_of(kind: CallKind) -> &'static str {
+    match kind {
+        CallKind::Safe => "safe",
+        CallKind::Unsafe => "unsafe",
+        CallKind::Stream => "stream",
+        CallKind::ResumableStream => "resumable",
     }
 }
 
--- a/crates/soak/src/list.rs
+++ b/crates/soak/src/list.rs
@@ -6,7 +6,9 @@
 use std::thread;
 use std::time::Duration;
 
+use platform::endpoint_list::write_page;
 use serde_json::json;
+use wire::gateway::ListedEndpoint;
 
 use crate::http::{HttpStream, whole_answer};
 
@@ -24,20 +26,9 @@
     Forged,
 }
 
-/// One endpoint of the list.
-#[derive(Clone, Debug)]
-pub struct ListRow {
-    /// Its name.
-    pub name: String,
-    /// Where gateways reach it.
-    pub address: SocketAddr,
-    /// Whether it drains.
-    pub is_draining: bool,
-}
-
 #[derive(Default)]
 struct ListState {
-    rows: Vec<ListRow>,
+    rows: Vec<ListedEndpoint>,
     mood: ListMood,
 }
 
@@ -53,7 +44,7 @@
     ///
     /// # Errors
     /// The socket's error.
-    pub fn start(rows: Vec<ListRow>) -> io::Result<Self> {
+    pub fn start(rows: Vec<ListedEndpoint>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let state = Arc::new(Mutex::new(ListState {
@@ -110,18 +101,10 @@
     }
 }
 
-fn page(rows: &[ListRow], mood: ListMood) -> String {
-    let entry = |row: &ListRow| {
-        json!({
-            "id": row.name, "service": "drafts", "address": row.address.to_string(),
-            "zone": "rennes", "slots": 8, "version": "v1",
-            "state": if row.is_draining { "draining" } else { "ready" },
-        })
+fn page(rows: &[ListedEndpoint], mood: ListMood) -> String {
+    let others = match mood {
+        ListMood::Forged => vec![json!({"address": "nowhere"}), json!("torn")],
+        _ => Vec::new(),
     };
-    let mut entries: Vec<_> = rows.iter().map(entry).collect();
-    if mood == ListMood::Forged {
-        entries.insert(0, json!({"id": 7, "address": "nowhere"}));
-        entries.push(json!("torn"));
-    }
-    json!({"instances": entries, "next": null}).to_string()
+    write_page(rows, "rennes", others).expect("endpoints have a text")
 }
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -7,13 +7,15 @@
 use std::thread::{self, JoinHandle};
 use std::time::Duration;
 
+use catalog::{AccountRule, CallKind, RouteCatalog, RouteRule, ServiceRule, ServiceShare};
+use platform::catalog_body::{read_catalog as read_body, write_catalog};
+use platform::paths::{READ_CATALOG, REPLACE_CATALOG};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
-use serde_json::{Value, json};
 
 use crate::endpoint::{ACCOUNT, ACCOUNT_KEY};
 use crate::http::{HttpMessage, HttpStream};
-use crate::ledger::{CallKind, SoakLedger};
+use crate::ledger::{KINDS, SoakLedger, word_of};
 
 /// Longest wait for an answer.
 const LIMIT: Duration = Duration::from_millis(1500);
@@ -22,29 +24,50 @@
 /// Tries of one change.
 const CHANGE_TRIES: u32 = 30;
 
+/// Host of the calls.
+pub const HOST: &str = "soak.example";
+/// The service of all endpoints.
+pub const SERVICE: &str = "drafts";
+
 /// The catalog with this version.
 pub fn catalog_text(version: u64) -> String {
-    let routes = CallKind::ALL.map(|kind| {
-        let word = match kind {
-            CallKind::Safe => "safe",
-            CallKind::Unsafe => "unsafe",
-            CallKind::Stream | CallKind::Resumable => "stream",
-        };
-        json!({
-            "name": kind.word(), "host": "soak.example", "pathPrefix": format!("/{}/", kind.word()),
-            "routeKind": word, "timeoutMs": 4000, "targetLatencyMs": 500, "priority": 1,
-            "service": "drafts", "maxAttempts": 3, "public": false, "sticky": false,
-            "resumable": kind == CallKind::Resumable, "itlTargetMs": 250,
-        })
-    });
-    let catalog = json!({
-        "version": version,
-        "routes": routes,
-        "services": [{"name": "drafts", "healthPath": "/healthz", "maxConns": 200}],
-        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 65536, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-        "tenants": [{"name": ACCOUNT, "apiKeys": [ACCOUNT_KEY, format!("old-{version}")]}],
-    });
-    catalog.to_string()
+    let catalog = RouteCatalog {
+        version,
+        routes: KINDS.map(route_of).to_vec(),
+        services: vec![ServiceRule {
+            name: SERVICE.to_owned(),
+            health_path: "/healthz".to_owned(),
+            connections: 200,
+            engine: None,
+        }],
+        accounts: vec![AccountRule {
+            name: ACCOUNT.to_owned(),
+            keys: vec![ACCOUNT_KEY.to_owned(), format!("old-{version}")],
+            priority: None,
+        }],
+        ..RouteCatalog::default()
+    };
+    write_catalog(&catalog).expect("the catalog has a text")
+}
+
+fn route_of(kind: CallKind) -> RouteRule {
+    RouteRule {
+        name: word_of(kind).to_owned(),
+        host: HOST.to_owned(),
+        prefix: format!("/{}/", word_of(kind)),
+        kind,
+        timeout: Duration::from_secs(4),
+        objective: Duration::from_millis(500),
+        pause: Some(Duration::from_millis(250)),
+        priority: 1,
+        services: vec![ServiceShare {
+            service: SERVICE.to_owned(),
+            weight: 1,
+        }],
+        attempts: 3,
+        is_public: false,
+        has_prompt: false,
+    }
 }
 
 /// Sends a catalog to a gateway; tells its status.
@@ -53,7 +76,7 @@
 /// No answer.
 pub fn send_catalog(gateway: SocketAddr, text: &str) -> io::Result<u16> {
     let head = format!(
-        "POST /v1/config/replace HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{text}",
+        "POST {REPLACE_CATALOG} HTTP/1.1\r\nHost: a\r\nContent-Length: {}\r\n\r\n{text}",
         text.len()
     );
     Ok(ask(gateway, &head)?.status())
@@ -64,16 +87,16 @@
 /// # Errors
 /// No answer.
 pub fn read_catalog(gateway: SocketAddr) -> io::Result<Option<String>> {
-    let answer = ask(gateway, "GET /v1/config/read HTTP/1.1\r\nHost: a\r\n\r\n")?;
+    let answer = ask(
+        gateway,
+        &format!("GET {READ_CATALOG} HTTP/1.1\r\nHost: a\r\n\r\n"),
+    )?;
     Ok((answer.status() == 200 && answer.is_whole).then(|| answer.text()))
 }
 
 /// The version of a catalog's text.
 pub fn version_of(text: &str) -> u64 {
-    let value: Option<Value> = serde_json::from_str(text).ok();
-    value
-        .and_then(|value| value["version"].as_u64())
-        .unwrap_or(0)
+    read_body(text.as_bytes()).map_or(0, |catalog| catalog.version)
 }
 
 fn ask(gateway: SocketAddr, request: &str) -> io::Result<HttpMessage> {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -10,13 +10,16 @@
 use std::time::{Duration, Instant};
 
 use fake::fleet::forward::TcpForwarder;
+use wire::gateway::ListedEndpoint;
 
 use crate::caller::start_caller;
 use crate::endpoint::SoakEndpoint;
 use crate::fleet::{SoakFleet, SoakGateway};
 use crate::ledger::{LedgerCounts, SoakLedger};
-use crate::list::{ListMood, ListRow, SoakList};
-use crate::operator::{catalog_text, read_catalog, send_catalog, start_operator, version_of};
+use crate::list::{ListMood, SoakList};
+use crate::operator::{
+    SERVICE, catalog_text, read_catalog, send_catalog, start_operator, version_of,
+};
 use crate::plan::{FaultKind, PlannedFault, draw_plan};
 
 /// Time between two looks at what is due.
@@ -157,9 +160,12 @@
         let seed = settings.seed.wrapping_mul(100) + number as u64;
         let endpoint = SoakEndpoint::start(&name, &ledger, seed)?;
         let path = TcpForwarder::start(endpoint.address);
-        rows.push(ListRow {
+        rows.push(ListedEndpoint {
             name,
-            address: path.address,
+            service: SERVICE.to_owned(),
+            address: path.address.to_string().parse().expect("an IPv4 address"),
+            domain: 0,
+            slots: 8,
             is_draining: false,
         });
         endpoints.push(endpoint);
