Tell the list by its changes, and bound what heartbeats cost

Change: a reader tells the digest of the list and its latest change, others fetch what they missed; a page over the rate is asked for again; before the first reading the seeds read, and newcomers are told of the list at once; heartbeats go to the seeds, those with a data folder and 32 others in turn.

--- a/crates/gateway/src/asks.rs
+++ b/crates/gateway/src/asks.rs
@@ -104,6 +104,7 @@
                 let is_newer = newest.version > version;
                 GatewayReply::Catalog(if is_newer { newest } else { Default::default() })
             }
+            GatewayAsk::FetchList => GatewayReply::List(self.readings.borrow().list()),
             GatewayAsk::Install(text) => {
                 self.install(text, "leader");
                 GatewayReply::Done
--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -40,8 +40,8 @@
         let seeds = node.seeds();
         let told = {
             let mut directory = node.directory.borrow_mut();
-            directory.name(now, seeds);
-            directory.told(now)
+            directory.name(now, seeds.iter().copied());
+            directory.next_told(now, &seeds)
         };
         for instance in told {
             node.send_datagram(instance, &beat);
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -6,11 +6,12 @@
 use replica::ReplicaMessage;
 use wire::codec;
 use wire::gateway::{
-    GatewayBeat, GatewayDatagram, ListPart, MAX_DATAGRAM_BYTES, address_of, instance_at,
+    GatewayBeat, GatewayDatagram, ListNotice, MAX_DATAGRAM_BYTES, address_of, instance_at,
 };
 use wire::id::InstanceId;
 
 use crate::node::GatewayNode;
+use crate::readings::NoticeStep;
 
 /// Bytes of the receive buffer.
 const BUFFER_BYTES: usize = 4096;
@@ -49,7 +50,7 @@
         let from = instance_at(from);
         match datagram {
             GatewayDatagram::Beat(beat) => self.take_beat(from, *beat),
-            GatewayDatagram::List(part) => self.take_list_part(from, part),
+            GatewayDatagram::List(notice) => self.take_list_notice(from, notice),
             GatewayDatagram::Replica(bytes) => self.take_replica(&bytes),
         }
     }
@@ -67,14 +68,21 @@
         if is_new {
             log::info!(peer = address_of(from).to_string().as_str(); "gateway: hears a gateway");
             self.beat_due.notify_one();
+            self.greet_with_list(from);
         }
         self.fetch_if_behind();
     }
 
-    fn take_list_part(&self, from: InstanceId, part: ListPart) {
-        let whole = self.readings.borrow_mut().take_part(self.now(), from, part);
-        if let Some(endpoints) = whole {
-            self.take_reading(&endpoints);
+    fn take_list_notice(self: &Rc<Self>, from: InstanceId, notice: ListNotice) {
+        let step = self
+            .readings
+            .borrow_mut()
+            .take_notice(self.now(), from, notice);
+        match step {
+            NoticeStep::Same => self.desk.confirm_list(),
+            NoticeStep::Obey(endpoints) => self.desk.set_endpoints(&endpoints),
+            NoticeStep::Fetch => self.fetch_list(from),
+            NoticeStep::Outdated => {}
         }
     }
 
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -1,6 +1,6 @@
 //! The gateways that were heard.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use wire::gateway::{GatewayBeat, StorageState};
@@ -8,6 +8,8 @@
 
 /// Silence after which a gateway counts as gone.
 pub const LIVE_LIMIT: Duration = Duration::from_millis(1500);
+/// Gateways that one round of heartbeats takes, beside the seeds and those with a data folder.
+const ROUND_GATEWAYS: usize = 32;
 /// Time for which a silent gateway is still told of this one.
 const MEMORY: Duration = Duration::from_secs(600);
 
@@ -27,6 +29,8 @@
 pub struct GatewayDirectory {
     own: InstanceId,
     rows: BTreeMap<InstanceId, GatewayRow>,
+    /// Where the next round of heartbeats starts.
+    next_place: usize,
     /// Most gateways that were live at once.
     most_live: usize,
     /// When a gateway with a data folder was heard for the first time.
@@ -39,6 +43,7 @@
         Self {
             own,
             rows: BTreeMap::new(),
+            next_place: 0,
             most_live: 1,
             storage_changed_at: Duration::ZERO,
         }
@@ -59,10 +64,11 @@
         if from == self.own {
             return false;
         }
+        let limit = self.live_limit();
         let has_storage = beat.storage != StorageState::None;
         self.name(now, beat.known.iter().copied());
         let row = self.rows.entry(from).or_default();
-        let was_silent = row.heard_at.is_none_or(|at| now > at + LIVE_LIMIT);
+        let was_silent = row.heard_at.is_none_or(|at| now > at + limit);
         if has_storage && (row.heard_at.is_none() || row.beat.storage == StorageState::None) {
             self.storage_changed_at = now;
         }
@@ -75,11 +81,43 @@
 
     /// Gateways that were heard lately, in order of their ids, with their latest heartbeat.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = (InstanceId, &GatewayBeat)> {
-        let is_live = move |row: &GatewayRow| row.heard_at.is_some_and(|at| now <= at + LIVE_LIMIT);
+        let limit = self.live_limit();
+        let is_live = move |row: &GatewayRow| row.heard_at.is_some_and(|at| now <= at + limit);
         let live = self.rows.iter().filter(move |(_, row)| is_live(row));
         live.map(|(instance, row)| (*instance, &row.beat))
     }
 
+    /// Gateways that get the next heartbeat: the seeds, those with a data folder, and as many of the
+    /// others in turn as one round takes. What a heartbeat costs thus has a bound, however many
+    /// gateways there are.
+    pub fn next_told(&mut self, now: Duration, seeds: &[InstanceId]) -> Vec<InstanceId> {
+        let always: BTreeSet<InstanceId> = seeds.iter().copied().chain(self.storing()).collect();
+        let others = self
+            .told(now)
+            .into_iter()
+            .filter(|one| !always.contains(one));
+        let others: Vec<InstanceId> = others.collect();
+        let start = self.next_place % others.len().max(1);
+        let turn = others
+            .iter()
+            .cycle()
+            .skip(start)
+            .take(others.len().min(ROUND_GATEWAYS));
+        let turn: Vec<InstanceId> = turn.copied().collect();
+        self.next_place = start + turn.len();
+        always
+            .into_iter()
+            .filter(|one| *one != self.own)
+            .chain(turn)
+            .collect()
+    }
+
+    /// Silence after which a gateway counts as gone: several rounds of heartbeats.
+    fn live_limit(&self) -> Duration {
+        let rounds = self.rows.len().div_ceil(ROUND_GATEWAYS);
+        LIVE_LIMIT * u32::try_from(rounds.max(1)).unwrap_or(u32::MAX)
+    }
+
     /// Gateways that are told of this one.
     pub fn told(&self, now: Duration) -> Vec<InstanceId> {
         let known = self
@@ -91,7 +129,8 @@
 
     /// Gateways that fell silent since `since`.
     pub fn fallen_silent(&self, since: Duration, now: Duration) -> Vec<InstanceId> {
-        let limit = |at: Duration| at + LIVE_LIMIT;
+        let live_limit = self.live_limit();
+        let limit = |at: Duration| at + live_limit;
         let fell = |row: &GatewayRow| {
             let heard = row.heard_at;
             heard.is_some_and(|at| limit(at) >= since && limit(at) < now)
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -6,19 +6,32 @@
 use awc::Client;
 use platform::endpoint_list::read_page;
 use platform::paths::{ENDPOINT_LIST, PAGE_PARAMETER};
-use tokio::time::{MissedTickBehavior, interval, timeout};
-use wire::gateway::{GatewayDatagram, ListPart, ListedEndpoint, ReadingKey};
+use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
+use wire::gateway::{
+    GatewayAsk, GatewayDatagram, GatewayReply, ListNotice, ListedEndpoint, ReadingKey, address_of,
+};
+use wire::id::InstanceId;
 
 use crate::node::GatewayNode;
 
 /// Time between two looks at whether a reading is due.
 const CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Longest duration of a reading.
-const READ_LIMIT: Duration = Duration::from_millis(900);
-/// Endpoints in one datagram.
-const PART_ENDPOINTS: usize = 18;
+/// Longest wait for one page.
+const PAGE_LIMIT: Duration = Duration::from_millis(900);
+/// Longest wait for the whole list of another gateway.
+const FETCH_LIMIT: Duration = Duration::from_secs(3);
+/// Age up to which a reading is told to a gateway that has just been heard.
+const GREETING_AGE: Duration = Duration::from_millis(1500);
+/// Longest duration of a reading of many pages.
+const READ_LIMIT: Duration = Duration::from_secs(12);
+/// Pause before a page that was refused for the rate is asked for again.
+const RATE_PAUSE: Duration = Duration::from_millis(120);
+/// Tries of one page.
+const PAGE_TRIES: usize = 25;
+/// Status of a call over the rate.
+const TOO_MANY_REQUESTS: u16 = 429;
 /// Pages of a reading at most.
-const MAX_PAGES: usize = 64;
+const MAX_PAGES: usize = 1024;
 /// Bytes of a page at most.
 const MAX_PAGE_BYTES: usize = 1024 * 1024;
 
@@ -39,7 +52,7 @@
 
 /// Reads the list whenever it is this gateway's turn, until the process ends.
 pub async fn follow_list(node: Rc<GatewayNode>) {
-    let client = Client::builder().timeout(READ_LIMIT).finish();
+    let client = Client::builder().timeout(PAGE_LIMIT).finish();
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut has_failed = false;
@@ -56,7 +69,7 @@
                     log::info!("gateway: the list answers again");
                 }
                 has_failed = false;
-                node.spread_reading(&endpoints);
+                node.spread_reading(endpoints);
             }
             Err(error) => {
                 if !has_failed {
@@ -71,11 +84,24 @@
 impl GatewayNode {
     fn is_reading_due(&self) -> bool {
         let now = self.now();
-        let rank = self.directory.borrow().own_rank(now);
+        let rank = self.reader_rank(now);
         let interval = Duration::from_millis(self.settings.borrow().list.interval_ms);
         self.readings.borrow().is_due(now, interval, rank)
     }
 
+    /// Place of this gateway in the order of readers. Before the first reading few gateways know each
+    /// other, so the seeds read at once, and the others when nothing comes of that.
+    fn reader_rank(&self, now: Duration) -> usize {
+        let rank = self.directory.borrow().own_rank(now);
+        if !self.readings.borrow().is_empty() {
+            return rank;
+        }
+        match self.seeds().contains(&self.own) {
+            true => 0,
+            false => rank + 1,
+        }
+    }
+
     async fn read_list(&self, client: &Client) -> Result<Vec<ListedEndpoint>> {
         let address = self.settings.borrow().list.address;
         let mut endpoints = Vec::new();
@@ -83,7 +109,7 @@
         for _ in 0..MAX_PAGES {
             let query = page.map_or_else(String::new, |page| format!("?{PAGE_PARAMETER}={page}"));
             let url = format!("http://{address}{ENDPOINT_LIST}{query}");
-            let body = fetch(client, &url).await?;
+            let body = fetch_page(client, &url).await?;
             let read =
                 read_page(&body).map_err(|error| ReadError::Unreadable(error.to_string()))?;
             if read.skipped > 0 {
@@ -98,40 +124,75 @@
         Ok(endpoints)
     }
 
-    /// Obeys an own reading and sends it to the other gateways.
-    fn spread_reading(&self, endpoints: &[ListedEndpoint]) {
+    /// Obeys an own reading and tells the other gateways of it.
+    fn spread_reading(&self, endpoints: Vec<ListedEndpoint>) {
         let now = self.now();
-        self.readings.borrow_mut().note_own(now);
-        self.take_reading(endpoints);
         let number = self.reading_number.get() + 1;
         self.reading_number.set(number);
         let reading = ReadingKey {
             incarnation: self.incarnation,
             number,
         };
-        let parts = endpoints.chunks(PART_ENDPOINTS);
-        let count = u16::try_from(parts.len().max(1)).unwrap_or(u16::MAX);
-        let live: Vec<_> = {
-            let directory = self.directory.borrow();
-            directory.live(now).map(|(instance, _)| instance).collect()
+        self.desk.set_endpoints(&endpoints);
+        let notice = self.readings.borrow_mut().take_own(now, reading, endpoints);
+        let bare = ListNotice {
+            since: 0,
+            changed: Vec::new(),
+            left: Vec::new(),
+            ..notice.clone()
         };
-        for (part, endpoints) in (0..count).zip(parts) {
-            let datagram = GatewayDatagram::List(ListPart {
-                reading,
-                part,
-                parts: count,
-                endpoints: endpoints.to_vec(),
-            });
-            for instance in &live {
-                self.send_datagram(*instance, &datagram);
+        let (notice, bare) = (GatewayDatagram::List(notice), GatewayDatagram::List(bare));
+        *self.told_list.borrow_mut() = Some((now, bare.clone()));
+        for (instance, _) in self.directory.borrow().live(now) {
+            // A change that is too large for a datagram is fetched.
+            if !self.send_datagram(instance, &notice) {
+                self.send_datagram(instance, &bare);
             }
         }
     }
 
-    /// Obeys a reading.
-    pub fn take_reading(&self, endpoints: &[ListedEndpoint]) {
-        self.desk.set_endpoints(endpoints);
+    /// Tells a gateway that has just been heard of the list, if this one reads it.
+    pub fn greet_with_list(&self, newcomer: InstanceId) {
+        let told = self.told_list.borrow();
+        let fresh = told
+            .as_ref()
+            .filter(|(at, _)| self.now() < *at + GREETING_AGE);
+        if let Some((_, notice)) = fresh {
+            self.send_datagram(newcomer, notice);
+        }
+    }
+
+    /// Fetches the whole list from its reader.
+    pub fn fetch_list(self: &Rc<Self>, reader: InstanceId) {
+        if self.is_fetching_list.replace(true) {
+            return;
+        }
+        let node = Rc::clone(self);
+        actix_rt::spawn(async move {
+            match node.ask(reader, &GatewayAsk::FetchList, FETCH_LIMIT).await {
+                Ok(GatewayReply::List(endpoints)) => {
+                    let now = node.now();
+                    let endpoints = node.readings.borrow_mut().take_whole(now, endpoints);
+                    node.desk.set_endpoints(&endpoints);
+                }
+                Ok(_) => log::warn!("gateway: {} sent no list", address_of(reader)),
+                Err(error) => log::debug!("gateway: no list fetched: {error}"),
+            }
+            node.is_fetching_list.set(false);
+        });
+    }
+}
+
+/// Fetches a page. The list answers so many calls a second to all gateways together, and a list of
+/// many pages needs more.
+async fn fetch_page(client: &Client, url: &str) -> Result<bytes::Bytes> {
+    for _ in 1..PAGE_TRIES {
+        match fetch(client, url).await {
+            Err(ReadError::Refused(TOO_MANY_REQUESTS)) => sleep(RATE_PAUSE).await,
+            other => return other,
+        }
     }
+    fetch(client, url).await
 }
 
 async fn fetch(client: &Client, url: &str) -> Result<bytes::Bytes> {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,7 +11,7 @@
 use settings::process::GatewaySettings;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use wire::gateway::{CatalogText, instance_at};
+use wire::gateway::{CatalogText, GatewayDatagram, instance_at};
 use wire::id::{IncarnationNumber, InstanceId};
 
 use crate::directory::GatewayDirectory;
@@ -43,6 +43,10 @@
     pub beats: Cell<u64>,
     /// Told when a heartbeat is worth sending at once.
     pub beat_due: Notify,
+    /// What this gateway told of its latest reading, and when.
+    pub told_list: RefCell<Option<(Duration, GatewayDatagram)>>,
+    /// Whether a list is being fetched.
+    pub is_fetching_list: Cell<bool>,
     /// Whether a catalog is being fetched.
     pub is_fetching: Cell<bool>,
     /// Sends and receives datagrams.
@@ -77,6 +81,8 @@
             newest: RefCell::default(),
             beats: Cell::new(0),
             beat_due: Notify::new(),
+            told_list: RefCell::default(),
+            is_fetching_list: Cell::new(false),
             is_fetching: Cell::new(false),
             socket,
             seal: DatagramSeal::new(&links.secret),
--- a/crates/gateway/src/readings.rs
+++ b/crates/gateway/src/readings.rs
@@ -1,32 +1,55 @@
 //! Readings of the list: who reads, and what is in force.
 //!
 //! One gateway reads for all: the live one with the lowest id. The others take over, one after the
-//! other, when its readings stay out.
+//! other, when its readings stay out. Readers tell the digest of the list and its latest change, so
+//! that an unchanged list costs next to nothing, however long it is.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use wire::gateway::{ListPart, ListedEndpoint, ReadingKey};
-use wire::id::InstanceId;
+use wire::codec;
+use wire::gateway::{ListNotice, ListedEndpoint, ReadingKey};
+use wire::id::{EndpointId, InstanceId};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Age of the latest reading, beside two intervals, at which the next gateway takes over.
 const TAKEOVER_AGE: Duration = Duration::from_millis(200);
 /// Further age for each gateway before this one.
 const TAKEOVER_STEP: Duration = Duration::from_millis(400);
 
-/// Parts of one reading that have arrived.
-#[derive(Debug, Default)]
-struct PartialReading {
-    key: ReadingKey,
-    parts: BTreeMap<u16, Vec<ListedEndpoint>>,
+/// What a gateway does with a notice.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum NoticeStep {
+    /// The list is the one that is obeyed already.
+    Same,
+    /// Obey this list.
+    Obey(Vec<ListedEndpoint>),
+    /// Ask the reader for the whole list.
+    Fetch,
+    /// An older reading of the same reader.
+    Outdated,
+}
+
+/// The latest change of the list.
+#[derive(Clone, Debug, Default)]
+struct ListChange {
+    since: u64,
+    changed: Vec<ListedEndpoint>,
+    left: Vec<EndpointId>,
 }
 
 /// The readings of all gateways, as one of them sees them.
 #[derive(Debug, Default)]
 pub struct ReadingBoard {
-    /// The reading that arrives, by reader.
-    arriving: BTreeMap<InstanceId, PartialReading>,
-    /// When the latest whole reading came.
+    /// The list in force, by endpoint.
+    list: BTreeMap<EndpointId, ListedEndpoint>,
+    /// Digest of the list; 0 before the first.
+    digest: u64,
+    /// How the list became what it is, if this gateway read it.
+    change: ListChange,
+    /// The latest reading of each reader.
+    readers: BTreeMap<InstanceId, ReadingKey>,
+    /// When the latest reading came.
     latest_at: Option<Duration>,
     /// When this gateway tried to read last.
     tried_at: Option<Duration>,
@@ -50,40 +73,124 @@
         }
     }
 
+    /// Whether no reading has come yet.
+    pub fn is_empty(&self) -> bool {
+        self.latest_at.is_none()
+    }
+
     /// This gateway begins to read.
     pub fn note_try(&mut self, now: Duration) {
         self.tried_at = Some(now);
     }
 
-    /// This gateway has a whole reading.
-    pub fn note_own(&mut self, now: Duration) {
+    /// The list in force.
+    pub fn list(&self) -> Vec<ListedEndpoint> {
+        self.list.values().cloned().collect()
+    }
+
+    /// Takes in an own reading, and returns what is told of it.
+    pub fn take_own(
+        &mut self,
+        now: Duration,
+        reading: ReadingKey,
+        endpoints: Vec<ListedEndpoint>,
+    ) -> ListNotice {
+        let list = by_id(endpoints);
+        let digest = digest_of(&list);
+        if digest != self.digest {
+            self.change = change_between(self.digest, &self.list, &list);
+            self.list = list;
+            self.digest = digest;
+        }
         self.latest_at = Some(now);
+        ListNotice {
+            reading,
+            digest,
+            since: self.change.since,
+            changed: self.change.changed.clone(),
+            left: self.change.left.clone(),
+        }
     }
 
-    /// Takes in a part of another gateway's reading; returns the reading once it is whole.
-    pub fn take_part(
+    /// Takes in what another gateway tells of its reading.
+    pub fn take_notice(
         &mut self,
         now: Duration,
         reader: InstanceId,
-        part: ListPart,
-    ) -> Option<Vec<ListedEndpoint>> {
-        let reading = self.arriving.entry(reader).or_default();
-        let is_same_life = reading.key.incarnation == part.reading.incarnation;
-        if is_same_life && part.reading < reading.key {
-            return None;
+        notice: ListNotice,
+    ) -> NoticeStep {
+        let last = self.readers.get(&reader);
+        let is_same_life = last.is_some_and(|last| last.incarnation == notice.reading.incarnation);
+        if is_same_life && last.is_some_and(|last| notice.reading < *last) {
+            return NoticeStep::Outdated;
         }
-        if part.reading != reading.key {
-            *reading = PartialReading {
-                key: part.reading,
-                parts: BTreeMap::new(),
-            };
+        self.readers.insert(reader, notice.reading);
+        if notice.digest == self.digest {
+            self.latest_at = Some(now);
+            return NoticeStep::Same;
         }
-        reading.parts.insert(part.part, part.endpoints);
-        if reading.parts.len() < usize::from(part.parts) {
-            return None;
+        if notice.since == 0 || notice.since != self.digest {
+            return NoticeStep::Fetch;
         }
-        let whole = std::mem::take(&mut reading.parts);
+        let mut list = self.list.clone();
+        for id in &notice.left {
+            list.remove(id);
+        }
+        list.extend(by_id(notice.changed));
+        match digest_of(&list) == notice.digest {
+            true => NoticeStep::Obey(self.obey(now, list)),
+            false => NoticeStep::Fetch,
+        }
+    }
+
+    /// Takes in a whole list that was fetched.
+    pub fn take_whole(
+        &mut self,
+        now: Duration,
+        endpoints: Vec<ListedEndpoint>,
+    ) -> Vec<ListedEndpoint> {
+        self.obey(now, by_id(endpoints))
+    }
+
+    fn obey(
+        &mut self,
+        now: Duration,
+        list: BTreeMap<EndpointId, ListedEndpoint>,
+    ) -> Vec<ListedEndpoint> {
+        self.digest = digest_of(&list);
+        self.list = list;
+        self.change = ListChange::default();
         self.latest_at = Some(now);
-        Some(whole.into_values().flatten().collect())
+        self.list()
+    }
+}
+
+fn by_id(endpoints: Vec<ListedEndpoint>) -> BTreeMap<EndpointId, ListedEndpoint> {
+    let with_ids = endpoints
+        .into_iter()
+        .map(|endpoint| (endpoint.id(), endpoint));
+    with_ids.collect()
+}
+
+fn digest_of(list: &BTreeMap<EndpointId, ListedEndpoint>) -> u64 {
+    // A list that can't be encoded never matches another, so it is fetched whole.
+    let bytes = codec::encode_state(list).unwrap_or_default();
+    xxh3_64(&bytes)
+}
+
+fn change_between(
+    since: u64,
+    old: &BTreeMap<EndpointId, ListedEndpoint>,
+    new: &BTreeMap<EndpointId, ListedEndpoint>,
+) -> ListChange {
+    let is_changed =
+        |(id, endpoint): &(&EndpointId, &ListedEndpoint)| old.get(id) != Some(endpoint);
+    let changed = new.iter().filter(is_changed);
+    let kept: BTreeSet<&EndpointId> = new.keys().collect();
+    let left = old.keys().filter(|id| !kept.contains(id));
+    ListChange {
+        since,
+        changed: changed.map(|(_, endpoint)| endpoint.clone()).collect(),
+        left: left.copied().collect(),
     }
 }
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -155,6 +155,11 @@
         self.set_up.notify_waiters();
     }
 
+    /// The latest reading of the list is the same as the one before.
+    pub fn confirm_list(&self) {
+        self.listed_at.set(Some(self.now()));
+    }
+
     /// Age of the latest reading of the list.
     pub fn list_age(&self) -> Option<Duration> {
         let at = self.listed_at.get()?;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -87,11 +87,13 @@
     let total: u32 = usable.iter().map(|(_, row)| row.load(now)).sum();
     let mean = f64::from(total) / usable.len().max(1) as f64;
     let bound = mean * settings.load_factor + settings.load_slack;
-    let mut ranked: Vec<Candidate<'_>> = usable.to_vec();
-    ranked.sort_by_key(|(id, _)| std::cmp::Reverse(rank(part, *id)));
     let within = |(_, row): &&Candidate<'_>| f64::from(row.load(now)) < bound;
+    let first = usable
+        .iter()
+        .filter(within)
+        .max_by_key(|(id, _)| rank(part, *id));
     let least = || usable.iter().min_by_key(|(id, row)| (row.load(now), *id));
-    let chosen = ranked.iter().find(within).or_else(least);
+    let chosen = first.or_else(least);
     chosen.map(|(id, _)| *id)
 }
 
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -108,17 +108,19 @@
     pub number: u64,
 }
 
-/// Part of a reading of the platform's list.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ListPart {
+/// What a reader tells of its latest reading: its digest, and the change that led there.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListNotice {
     /// The reading.
     pub reading: ReadingKey,
-    /// Number of this part, from 0.
-    pub part: u16,
-    /// Parts of the reading.
-    pub parts: u16,
-    /// The endpoints of this part.
-    pub endpoints: Vec<ListedEndpoint>,
+    /// Digest of the list.
+    pub digest: u64,
+    /// Digest of the list before its latest change; 0 when the change is not told.
+    pub since: u64,
+    /// Endpoints that came or changed.
+    pub changed: Vec<ListedEndpoint>,
+    /// Endpoints that left.
+    pub left: Vec<EndpointId>,
 }
 
 /// What a datagram carries.
@@ -126,8 +128,8 @@
 pub enum GatewayDatagram {
     /// A heartbeat.
     Beat(Box<GatewayBeat>),
-    /// Part of the list.
-    List(ListPart),
+    /// The latest reading of the list.
+    List(ListNotice),
     /// An encoded message of the consensus.
     Replica(Vec<u8>),
 }
@@ -150,6 +152,8 @@
     ReadLatest,
     /// A catalog above this version, if the receiver has one.
     FetchAbove(u64),
+    /// The whole list that the receiver obeys.
+    FetchList,
     /// A catalog that a quorum holds.
     Install(CatalogText),
     /// A message of the consensus that is too large for a datagram.
@@ -163,6 +167,8 @@
     Done,
     /// A catalog; version 0 when there is none.
     Catalog(CatalogText),
+    /// A list of endpoints.
+    List(Vec<ListedEndpoint>),
     /// The receiver does not lead; it may know who does.
     NotLeader(Option<InstanceId>),
     /// No quorum answered in time.
