Keep the largest heartbeat within a datagram

Cause: a heartbeat with 64 loads, 40 names and 24 crash reports has 1,476 bytes, is over the 1,200 of a datagram, and was dropped in silence, so a gateway at its busiest would have counted as gone (found by reading). Change: 40 loads, the largest first, 40 names, 12 reports; an unchanged own reading replaces nothing. Test: largest_heartbeat_fits_into_a_datagram.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use tokio::time::{MissedTickBehavior, interval, sleep};
-use wire::gateway::{GatewayBeat, GatewayDatagram, StorageState, address_of};
+use wire::gateway::{GatewayBeat, GatewayDatagram, MAX_LOADS, MAX_NAMED, StorageState, address_of};
 use wire::id::{InstanceId, name_id};
 
 use crate::founding::{FoundingView, may_found};
@@ -16,10 +16,6 @@
 const BEAT_GAP: Duration = Duration::from_millis(20);
 /// Heartbeats of which one names the gateways that were heard; all others leave them out.
 const NAMING_BEATS: u64 = 4;
-/// Gateways that one heartbeat names at most.
-const NAMED_GATEWAYS: usize = 40;
-/// Endpoints that one heartbeat tells the load of at most.
-const TOLD_LOADS: usize = 64;
 
 /// Sends heartbeats until the process ends.
 pub async fn send_beats(node: Rc<GatewayNode>) {
@@ -55,7 +51,8 @@
         let directory = self.directory.borrow();
         let live = directory.live(now).map(|(instance, _)| instance);
         let mut loads = self.desk.table.borrow().own_loads();
-        loads.truncate(TOLD_LOADS);
+        loads.sort_by_key(|(_, running)| std::cmp::Reverse(*running));
+        loads.truncate(MAX_LOADS);
         GatewayBeat {
             incarnation: self.incarnation,
             domain: name_id(&self.settings.borrow().failure_domain),
@@ -64,7 +61,7 @@
             catalog: self.version(),
             leader: self.quorum().and_then(|quorum| quorum.leader()),
             known: match self.names_others() {
-                true => live.take(NAMED_GATEWAYS).collect(),
+                true => live.take(MAX_NAMED).collect(),
                 false => Vec::new(),
             },
             loads,
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -24,6 +24,10 @@
             return false;
         };
         if payload.len() > MAX_DATAGRAM_BYTES {
+            log::debug!(
+                "gateway: a datagram of {} bytes is too large",
+                payload.len()
+            );
             return false;
         }
         let sealed = self.seal.seal(&payload);
--- a/crates/gateway/src/list.rs
+++ b/crates/gateway/src/list.rs
@@ -133,8 +133,12 @@
             incarnation: self.incarnation,
             number,
         };
-        self.desk.set_endpoints(&endpoints);
+        let held = self.readings.borrow().digest();
         let notice = self.readings.borrow_mut().take_own(now, reading, endpoints);
+        match notice.digest == held {
+            true => self.desk.confirm_list(),
+            false => self.desk.set_endpoints(&self.readings.borrow().list()),
+        }
         let bare = ListNotice {
             since: 0,
             changed: Vec::new(),
--- a/crates/gateway/src/readings.rs
+++ b/crates/gateway/src/readings.rs
@@ -78,6 +78,11 @@
         self.latest_at.is_none()
     }
 
+    /// Digest of the list in force; 0 before the first.
+    pub fn digest(&self) -> u64 {
+        self.digest
+    }
+
     /// This gateway begins to read.
     pub fn note_try(&mut self, now: Duration) {
         self.tried_at = Some(now);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -10,8 +10,8 @@
 use googletest::prelude::*;
 use wire::codec;
 use wire::gateway::{
-    GatewayBeat, GatewayDatagram, ListNotice, ListedEndpoint, ReadingKey, StorageState, address_of,
-    instance_at,
+    CrashReport, GatewayBeat, GatewayDatagram, ListNotice, ListedEndpoint, MAX_CRASHES,
+    MAX_DATAGRAM_BYTES, MAX_LOADS, MAX_NAMED, ReadingKey, StorageState, address_of, instance_at,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -165,6 +165,29 @@
     expect_that!(bytes.len(), le(200));
 }
 
+#[gtest]
+fn largest_heartbeat_fits_into_a_datagram() {
+    let report = CrashReport {
+        fingerprint: u64::MAX,
+        endpoint: u64::MAX,
+    };
+    let beat = GatewayBeat {
+        incarnation: u64::MAX,
+        domain: u64::MAX,
+        storage: StorageState::Formed,
+        is_leaving: true,
+        catalog: u64::MAX,
+        leader: Some((u64::MAX, u64::MAX)),
+        known: vec![instance_at("255.255.255.255:65535".parse().expect("an address")); MAX_NAMED],
+        loads: vec![(u64::MAX, u16::MAX); MAX_LOADS],
+        crashes: vec![report; MAX_CRASHES],
+    };
+
+    let bytes = codec::encode(&GatewayDatagram::Beat(Box::new(beat))).expect("a message");
+
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+}
+
 #[gtest]
 fn heartbeats_have_a_bound_and_reach_all_in_turn() {
     let mut directory = GatewayDirectory::new(1);
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -8,7 +8,7 @@
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::time::Duration;
 
-use wire::gateway::CrashReport;
+use wire::gateway::{CrashReport, MAX_CRASHES};
 use wire::id::{EndpointId, FingerprintHash};
 
 /// Endpoints that broke off under a call before it is refused.
@@ -17,8 +17,6 @@
 const MEMORY: Duration = Duration::from_secs(60);
 /// Time for which a report is told to other instances.
 const TELLING_TIME: Duration = Duration::from_secs(2);
-/// Reports in one heartbeat at most.
-const TOLD_REPORTS: usize = 24;
 /// Suspected calls that are remembered at most.
 const MAX_SUSPECTS: usize = 4096;
 /// Time after a break within which an endpoint that takes no connection counts as crashed by it.
@@ -96,7 +94,7 @@
     /// The latest own reports, for the next heartbeat.
     pub fn reports_to_tell(&mut self, now: Duration) -> Vec<CrashReport> {
         self.own.retain(|(_, at)| now < *at + TELLING_TIME);
-        let newest = self.own.iter().rev().take(TOLD_REPORTS);
+        let newest = self.own.iter().rev().take(MAX_CRASHES);
         newest.map(|(report, _)| *report).collect()
     }
 }
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -12,6 +12,14 @@
 /// Largest payload of one datagram in bytes, below the usual size of a packet.
 pub const MAX_DATAGRAM_BYTES: usize = 1200;
 
+/// Gateways that one heartbeat names at most. With the next two, the largest heartbeat fits into a
+/// datagram.
+pub const MAX_NAMED: usize = 40;
+/// Endpoints that one heartbeat tells the load of at most.
+pub const MAX_LOADS: usize = 40;
+/// Crash reports in one heartbeat at most.
+pub const MAX_CRASHES: usize = 12;
+
 /// The id of a gateway: its link address, so that an id alone tells where to reach it.
 pub fn instance_at(address: SocketAddrV4) -> InstanceId {
     u64::from(address.ip().to_bits()) << 16 | u64::from(address.port())
@@ -39,11 +47,11 @@
     pub catalog: u64,
     /// The leader of the quorum that it knows, with its term.
     pub leader: Option<(u64, InstanceId)>,
-    /// Gateways that it heard lately.
+    /// Gateways that it heard lately; at most [`MAX_NAMED`].
     pub known: Vec<InstanceId>,
-    /// Its own running requests, by endpoint.
+    /// Its own running requests, by endpoint; the most loaded [`MAX_LOADS`].
     pub loads: Vec<(EndpointId, u16)>,
-    /// Requests that were running at an endpoint when it broke off.
+    /// Requests that were running at an endpoint when it broke off; at most [`MAX_CRASHES`].
     pub crashes: Vec<CrashReport>,
 }
 
