--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,6 +1,5 @@
 //! One try of a call at one endpoint.
 
-use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,7 +11,7 @@
 use wire::gateway::CrashReport;
 use wire::id::{EndpointId, FingerprintHash, ServiceId};
 
-use crate::call::{AnswerNotes, CallNotes, ForwardNotes};
+use crate::call::{AnswerNotes, CallNotes, ForwardNotes, PromptOutline};
 use crate::desk::{OccupiedSlot, RelayDesk};
 use crate::endpoint::{self, EndpointConnection, EndpointError};
 use crate::events::EventSplitter;
@@ -43,6 +42,23 @@
     pub deadline: Instant,
 }
 
+impl RelayCall<'_> {
+    /// What the call asks of the choice of an endpoint, when it has tried these.
+    pub fn query<'a>(&self, desk: &RelayDesk, tried: &'a [EndpointId]) -> PlacementQuery<'a> {
+        PlacementQuery {
+            service: self.service,
+            shared_part: self
+                .notes
+                .prompt
+                .as_ref()
+                .and_then(PromptOutline::shared_part),
+            domain: desk.settings.domain,
+            tried,
+            now: desk.now(),
+        }
+    }
+}
+
 /// A whole answer.
 #[derive(Debug)]
 pub struct WholeAnswer {
@@ -131,7 +147,8 @@
         Some(connection) => connection,
         None => EndpointConnection::open(address, desk.settings.connect_limit).await?,
     };
-    let warm_source = warm_source_of(desk, call, endpoint);
+    let query = call.query(desk, &[]);
+    let warm_source = placement::warm_source(&desk.table.borrow(), &query, endpoint);
     let notes = ForwardNotes {
         warm_source,
         time_left: call.deadline.saturating_duration_since(Instant::now()),
@@ -181,23 +198,6 @@
     }
 }
 
-/// Where the endpoint may fetch the shared parts of the prompt.
-fn warm_source_of(
-    desk: &RelayDesk,
-    call: &RelayCall<'_>,
-    endpoint: EndpointId,
-) -> Option<SocketAddrV4> {
-    let prompt = call.notes.prompt.as_ref()?;
-    let query = PlacementQuery {
-        service: call.service,
-        shared_part: prompt.shared_part(),
-        domain: desk.settings.domain,
-        tried: &[],
-        now: desk.now(),
-    };
-    placement::warm_source(&desk.table.borrow(), &query, endpoint)
-}
-
 async fn take_answer(
     desk: &Rc<RelayDesk>,
     call: &RelayCall<'_>,
@@ -264,9 +264,8 @@
     answer: WholeAnswer,
     writer: &mut SessionWriter,
 ) -> AttemptResult {
-    let close = desk.phase() > crate::desk::ServingPhase::Serving;
     let status = answer.status;
-    let sent = writer.send_whole(status, answer.headers, answer.body, close);
+    let sent = writer.send_whole(status, answer.headers, answer.body, desk.sends_away());
     match sent.await {
         Ok(()) => AttemptResult::Delivered(status),
         Err(_) => AttemptResult::CallerLost,
@@ -322,8 +321,7 @@
         }
         if !writer.has_started && !started {
             let headers = desk.dialect.forward_answer(answer.head.headers());
-            let close = desk.phase() > crate::desk::ServingPhase::Serving;
-            lost(writer.put_stream_head(status, headers, close))?;
+            lost(writer.put_stream_head(status, headers, desk.sends_away()))?;
         }
         lost(writer.send_bytes(bytes).await)?;
         if is_end {
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -190,6 +190,11 @@
         self.phase.get()
     }
 
+    /// Whether answers ask their callers to open the next connection elsewhere.
+    pub fn sends_away(&self) -> bool {
+        self.phase() > ServingPhase::Serving
+    }
+
     /// Enters a later phase.
     pub fn enter(&self, phase: ServingPhase) {
         self.phase.set(self.phase.get().max(phase));
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,9 +16,9 @@
     AttemptResult, CallProgress, RelayCall, WholeAnswer, deliver_whole, run_attempt,
 };
 use crate::call::CallNotes;
-use crate::desk::{RelayDesk, ServingPhase};
+use crate::desk::RelayDesk;
 use crate::health::CallSign;
-use crate::placement::{PlacementQuery, choose};
+use crate::placement::choose;
 use crate::refusal::wait_before_retry;
 use crate::session::{IncomingCall, SessionWriter};
 use crate::verdict::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
@@ -236,7 +236,9 @@
     let mut last: Option<(AttemptEnd, Option<WholeAnswer>)> = None;
     loop {
         let tried: Vec<EndpointId> = record.tries.iter().map(|tried| tried.endpoint).collect();
-        let Some(endpoint) = next_endpoint(desk, call, &tried) else {
+        let query = call.query(desk, &tried);
+        let chosen = choose(&desk.settings.placement, &desk.table.borrow(), &query);
+        let Some(endpoint) = chosen else {
             return give_up(desk, call, writer, *tally, last).await;
         };
         record.tries.push(begin_try(desk, endpoint));
@@ -283,24 +285,6 @@
     }
 }
 
-/// The next endpoint. A call that has tried them all may return to one that did not run it.
-fn next_endpoint(
-    desk: &RelayDesk,
-    call: &RelayCall<'_>,
-    tried: &[EndpointId],
-) -> Option<EndpointId> {
-    let prompt = call.notes.prompt.as_ref();
-    let shared_part = prompt.and_then(crate::call::PromptOutline::shared_part);
-    let query = PlacementQuery {
-        service: call.service,
-        shared_part,
-        domain: desk.settings.domain,
-        tried,
-        now: desk.now(),
-    };
-    choose(&desk.settings.placement, &desk.table.borrow(), &query)
-}
-
 /// Takes a repeat of the budget, unless nothing reached an endpoint.
 fn pay_repeat(desk: &RelayDesk, service: ServiceId, end: AttemptEnd) -> bool {
     end == AttemptEnd::NotSent || desk.budget.borrow_mut().take_repeat(desk.now(), service)
@@ -356,7 +340,7 @@
         }
     }
     let body = format!("{{\"kind\":\"{kind}\",\"outcome\":\"{}\"}}", row.outcome);
-    let close = desk.phase() > ServingPhase::Serving;
+    let close = desk.sends_away();
     match writer
         .send_whole(status, headers, Bytes::from(body), close)
         .await
