Share one HTTP configuration, and drop what the gateway carries twice or never uses

Cause: reading the whole change: each call to an endpoint and each operator's connection built an HTTP configuration of its own, which starts a task that keeps the date; a second copy of has_started stood in the stream loop; two places tested the phase where sends_away says it; the count of events had no reader. Behaviour stays. Ruled out: sharing route's RetryBudget (credits, not a sliding window that all instances split) and its ranking (another hash would move every warm prompt).

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -57,7 +57,7 @@
             incarnation: self.incarnation,
             domain: name_id(&self.settings.borrow().failure_domain),
             storage: self.storage(),
-            is_leaving: self.desk.phase() > relay::desk::ServingPhase::Serving,
+            is_leaving: self.desk.sends_away(),
             catalog: self.version(),
             leader: self.quorum().and_then(|quorum| quorum.leader()),
             known: match self.names_others() {
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -7,7 +7,7 @@
 use wire::id::InstanceId;
 
 /// Silence after which a gateway counts as gone.
-pub const LIVE_LIMIT: Duration = Duration::from_millis(1500);
+const LIVE_LIMIT: Duration = Duration::from_millis(1500);
 /// Gateways that one round of heartbeats takes, beside the seeds and those with a data folder.
 const ROUND_GATEWAYS: usize = 32;
 /// Time for which a silent gateway is still told of this one.
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
-use actix_http::{Method, ServiceConfig, StatusCode};
+use actix_http::{Method, StatusCode};
 use bytes::Bytes;
 use fault::{Fault, FaultKind};
 use platform::paths::{READ_CATALOG, READINESS, REPLACE_CATALOG};
@@ -81,7 +81,7 @@
 }
 
 async fn serve_requests(stream: TcpStream, node: &Rc<GatewayNode>) -> session::Result<()> {
-    let (mut reader, mut writer) = session::open(stream, &ServiceConfig::default())?;
+    let (mut reader, mut writer) = session::open(stream, &node.desk.http)?;
     loop {
         let arrived = timeout(IDLE_TIMEOUT, reader.wait_for_bytes()).await;
         if !arrived.unwrap_or(Ok(false))? {
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -136,7 +136,6 @@
 
     /// Whether callers may be sent here.
     pub fn is_ready(&self) -> bool {
-        let is_serving = self.desk.phase() == relay::desk::ServingPhase::Serving;
-        is_serving && self.desk.is_set_up()
+        !self.desk.sends_away() && self.desk.is_set_up()
     }
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -165,7 +165,8 @@
     let method = call.head.method().clone();
     let head = endpoint::request_head(method, call.head.uri().clone(), headers);
     progress.may_run = true;
-    let exchanged = within(progress.silence_limit, connection.exchange(head, call.body)).await;
+    let exchange = connection.exchange(&desk.http, head, call.body);
+    let exchanged = within(progress.silence_limit, exchange).await;
     progress.may_run = connection.has_sent;
     let head = exchanged?;
     desk.table.borrow_mut().hear(desk.now(), endpoint);
@@ -295,7 +296,6 @@
     writer: &mut SessionWriter,
 ) -> Result<AttemptResult, AttemptResult> {
     let status = answer.head.status;
-    let started = writer.has_started;
     let mut has_first = false;
     loop {
         let chunk = within(progress.silence_limit, answer.connection.next_chunk()).await;
@@ -319,7 +319,7 @@
             has_first = true;
             note_served(desk, call, endpoint, progress);
         }
-        if !writer.has_started && !started {
+        if !writer.has_started {
             let headers = desk.dialect.forward_answer(answer.head.headers());
             lost(writer.put_stream_head(status, headers, desk.sends_away()))?;
         }
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -80,7 +80,8 @@
     pub crashes: RefCell<CrashLedger>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
-    /// Settings of the HTTP codec.
+    /// Settings of the HTTP codec, shared by all connections: each new one starts a task that keeps
+    /// the date.
     pub http: ServiceConfig,
     phase: Cell<ServingPhase>,
     /// When the process ends at the latest, once it drains.
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -127,8 +127,13 @@
     ///
     /// # Errors
     /// Why there is no head. `has_sent` tells whether the endpoint may have run the call.
-    pub async fn exchange(&mut self, head: RequestHead, body: &Bytes) -> Result<ResponseHead> {
-        let mut codec = ClientCodec::new(ServiceConfig::default());
+    pub async fn exchange(
+        &mut self,
+        config: &ServiceConfig,
+        head: RequestHead,
+        body: &Bytes,
+    ) -> Result<ResponseHead> {
+        let mut codec = ClientCodec::new(config.clone());
         let mut outbox = BytesMut::new();
         let size = match body.len() {
             0 => BodySize::None,
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -13,7 +13,6 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<String>,
-    events: u64,
 }
 
 impl EventSplitter {
@@ -46,18 +45,12 @@
         self.last_id.as_deref()
     }
 
-    /// Whole events so far.
-    pub fn events(&self) -> u64 {
-        self.events
-    }
-
     fn note_ids(&mut self, whole: &[u8]) {
         for line in whole.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(id) = line.strip_prefix(b"id:") {
                 let id = String::from_utf8_lossy(id.trim_ascii()).into_owned();
                 self.last_id = Some(id);
-                self.events += 1;
             }
         }
     }
