--- a/crates/catalog/src/index.rs
+++ b/crates/catalog/src/index.rs
@@ -1,6 +1,6 @@
 //! Finding the route of a request and the account of a key.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 
 use sha2::{Digest, Sha256};
 
@@ -22,6 +22,24 @@
     Unknown,
 }
 
+/// How urgent a call is, the most urgent first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct CallPriority {
+    /// Priority of the account, or of the route for accounts that have none.
+    first: u8,
+    /// Priority of the route.
+    second: u8,
+}
+
+impl CallPriority {
+    fn of(route: &RouteRule, account: Option<u8>) -> Self {
+        Self {
+            first: account.unwrap_or(route.priority),
+            second: route.priority,
+        }
+    }
+}
+
 /// A checked catalog with its look-up tables.
 #[derive(Debug, Default)]
 pub struct CatalogIndex {
@@ -32,6 +50,8 @@
     /// duration tells nothing about a key.
     keys: HashMap<KeyDigest, usize>,
     services: HashMap<String, usize>,
+    /// Priorities of the calls that a service may get, the most urgent first.
+    priorities: HashMap<String, BTreeSet<CallPriority>>,
 }
 
 impl CatalogIndex {
@@ -41,6 +61,7 @@
             hosts: index_hosts(&catalog.routes),
             keys: index_keys(&catalog.accounts),
             services: HashMap::new(),
+            priorities: index_priorities(&catalog),
             catalog,
         };
         let services = index.catalog.services.iter().enumerate();
@@ -65,6 +86,15 @@
         routes.find(|route| path.starts_with(&route.prefix))
     }
 
+    /// Rank of a call among those that a service may get; 0 is the most urgent. The priority of the
+    /// account goes first, that of the route decides between equal ones.
+    pub fn rank(&self, service: &str, route: &RouteRule, account: Option<&AccountRule>) -> u8 {
+        let own = CallPriority::of(route, account.and_then(|account| account.priority));
+        let before = self.priorities.get(service);
+        let before = before.map_or(0, |all| all.range(..own).count());
+        u8::try_from(before).unwrap_or(u8::MAX)
+    }
+
     /// The account of a key.
     pub fn find_account(&self, key: Option<&[u8]>) -> KeyMatch<'_> {
         if self.catalog.accounts.is_empty() {
@@ -107,3 +137,20 @@
 fn digest(key: &[u8]) -> KeyDigest {
     Sha256::digest(key).into()
 }
+
+fn index_priorities(catalog: &RouteCatalog) -> HashMap<String, BTreeSet<CallPriority>> {
+    let mut of_accounts: BTreeSet<Option<u8>> = BTreeSet::new();
+    of_accounts.extend(catalog.accounts.iter().map(|account| account.priority));
+    if catalog.accounts.is_empty() {
+        of_accounts.insert(None);
+    }
+    let mut services: HashMap<String, BTreeSet<CallPriority>> = HashMap::new();
+    for route in &catalog.routes {
+        for share in route.services.iter().filter(|share| share.weight > 0) {
+            let priorities = services.entry(share.service.clone()).or_default();
+            let own = of_accounts.iter();
+            priorities.extend(own.map(|priority| CallPriority::of(route, *priority)));
+        }
+    }
+    services
+}
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -163,3 +163,56 @@
 
     expect_that!(chosen.count(), eq(10));
 }
+
+#[gtest]
+fn priority_of_the_account_goes_before_that_of_the_route() {
+    let routes = [("urgent", 0), ("usual", 1), ("other", 2)];
+    let mut catalog = sound_catalog();
+    catalog.routes = routes
+        .iter()
+        .map(|(name, priority)| RouteRule {
+            priority: *priority,
+            ..route(name, &format!("/{name}/"))
+        })
+        .collect();
+    let with_priority = |name: &str, priority| AccountRule {
+        priority,
+        ..account(name, &[name])
+    };
+    catalog.accounts = vec![
+        with_priority("first", Some(0)),
+        with_priority("second", Some(1)),
+        with_priority("plain", None),
+    ];
+    let service = catalog.routes[0].services[0].service.clone();
+    let index = CatalogIndex::new(catalog);
+
+    let rank = |route: usize, account: usize| {
+        let catalog = index.catalog();
+        index.rank(
+            &service,
+            &catalog.routes[route],
+            Some(&catalog.accounts[account]),
+        )
+    };
+
+    for account in [0, 1] {
+        expect_that!(rank(0, account), lt(rank(1, account)));
+        expect_that!(rank(1, account), lt(rank(2, account)));
+    }
+    for route in 0..3 {
+        expect_that!(rank(2, 0), lt(rank(route, 1)), "route {route}");
+    }
+    expect_that!(rank(0, 0), eq(0));
+    expect_that!(rank(1, 2), eq(rank(1, 1)));
+}
+
+#[gtest]
+fn calls_of_one_rank_have_the_first() {
+    let index = CatalogIndex::new(sound_catalog());
+    let route = &index.catalog().routes[0];
+
+    let rank = index.rank(&route.services[0].service, route, None);
+
+    expect_that!(rank, eq(0));
+}
--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -14,6 +14,8 @@
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Least time before a heartbeat that is sent out of turn, so that several causes share one.
 const BEAT_GAP: Duration = Duration::from_millis(20);
+/// The same for a heartbeat that is sent for a new load.
+const LOAD_BEAT_GAP: Duration = Duration::from_millis(40);
 /// Heartbeats of which one names the gateways that were heard; all others leave them out.
 const NAMING_BEATS: u64 = 4;
 
@@ -26,6 +28,7 @@
         tokio::select! {
             _ = ticks.tick() => {}
             () = node.beat_due.notified() => sleep(BEAT_GAP).await,
+            () = node.desk.load_news.notified() => sleep(LOAD_BEAT_GAP).await,
         }
         let now = node.now();
         node.forget_silent(last, now);
@@ -50,7 +53,7 @@
     fn own_beat(&self, now: Duration) -> GatewayBeat {
         let directory = self.directory.borrow();
         let live = directory.live(now).map(|(instance, _)| instance);
-        let mut loads = self.desk.table.borrow().own_loads();
+        let mut loads = self.desk.table.borrow_mut().tell_loads();
         loads.sort_by_key(|(_, running)| std::cmp::Reverse(*running));
         loads.truncate(MAX_LOADS);
         GatewayBeat {
@@ -93,7 +96,10 @@
         let silent = self.directory.borrow().fallen_silent(since, now);
         for instance in silent {
             log::info!(peer = address_of(instance).to_string().as_str(); "gateway: lost a gateway");
-            self.desk.table.borrow_mut().set_share(instance, Vec::new());
+            self.desk
+                .table
+                .borrow_mut()
+                .set_share(now, instance, Vec::new());
         }
         let sharers = self.directory.borrow().sharers();
         self.desk.budget.borrow_mut().set_instances(sharers);
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -25,6 +25,7 @@
 use tokio::time::sleep;
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
+use wire::gateway::instance_at;
 use wire::id::name_id;
 
 /// Time from the begin of a drain until callers have been sent elsewhere and idle connections are
@@ -125,6 +126,7 @@
 
 fn relay_settings(settings: &GatewaySettings) -> RelaySettings {
     RelaySettings {
+        instance: instance_at(settings.link),
         domain: name_id(&settings.failure_domain),
         budget: BudgetSettings {
             ratio: settings.retries.ratio,
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -19,6 +19,7 @@
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
 use wire::gateway::ListedEndpoint;
+use wire::id::name_id;
 
 mod stand;
 
@@ -565,3 +566,34 @@
     expect_that!(timed_out, eq((504, Some(EndpointStanding::Sound))));
     expect_that!(runs, eq(2));
 }
+
+/// Marks an endpoint as holding calls of other instances that take half a second each.
+fn crowd(desk: &RelayDesk, endpoint: &str, calls: u16) {
+    let id = name_id(endpoint);
+    let mut table = desk.table.borrow_mut();
+    table.note_occupancy(id, Duration::from_millis(500));
+    table.set_share(desk.now(), 99, vec![(id, calls)]);
+}
+
+#[gtest]
+fn call_that_would_wait_too_long_is_refused_without_being_sent() {
+    let (answer, runs, later) = run(async {
+        let endpoint = StandEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        crowd(&relay.desk, "e1", 40);
+        let answer = call(relay.address, &request("/unsafe/x", "body")).await;
+        let runs = endpoint.runs();
+        crowd(&relay.desk, "e1", 0);
+        let later = call(relay.address, &request("/unsafe/x", "body")).await;
+        (answer, runs, later)
+    });
+
+    expect_that!(answer.status(), eq(503));
+    expect_that!(
+        answer.text.to_ascii_lowercase(),
+        contains_substring("retry-after: ")
+    );
+    expect_that!(answer.text, contains_substring("overloaded"));
+    expect_that!(runs, eq(0));
+    expect_that!(later.status(), eq(200));
+}
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -6,6 +6,7 @@
 //! * [`faults`](measure::faults): what must never happen, under fuzzed faults.
 //! * [`control`]: what the nodes spend to coordinate.
 //! * [`overhead`]: what the path through entry and agent adds to a direct call.
+//! * [`overload`](measure::overload): how calls fare that are more than the engines can run.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: one policy on one request sequence.
 //! * [`workload`], [`fleet`], [`cache`], [`plane`]: the sequence, the endpoints, their caches, and
@@ -28,7 +29,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
-use measure::faults;
+use measure::{faults, overload};
 
 /// Exit code of a run whose bound does not hold.
 const EXIT_BOUND_BROKEN: u8 = 1;
@@ -51,6 +52,7 @@
     Control(control::ControlArgs),
     Faults(faults::FaultsArgs),
     Overhead(overhead::OverheadArgs),
+    Overload(overload::OverloadArgs),
 }
 
 /// Whether the bound of a run holds.
@@ -88,6 +90,7 @@
         MeasureCommand::Control(args) => control::run(&args),
         MeasureCommand::Overhead(args) => overhead::run(&args),
         MeasureCommand::Faults(args) => BoundVerdict::of(faults::run(&args)),
+        MeasureCommand::Overload(args) => BoundVerdict::of(overload::run(&args)),
     }
 }
 
--- /dev/null
+++ b/crates/measure/src/overload/engine.rs
@@ -0,0 +1,143 @@
+//! A model engine with places, a queue by rank and a cache of prompt parts.
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use relay::call::LoadReport;
+
+/// Requests that an engine runs at once. Fewer than a real one, so that few callers fill it.
+pub const PLACES: usize = 8;
+/// Requests that wait at most.
+const QUEUE: usize = 24;
+/// Time of a step, which gives each running request one token.
+const STEP: Duration = Duration::from_micros(6350);
+/// Time that each running request adds to a step.
+const STEP_OF_EACH: Duration = Duration::from_nanos(1150);
+/// Prompt tokens that are read in a millisecond.
+const PREFILL_TOKENS: f64 = 42.8;
+/// Tokens that the cache holds.
+const CACHE_TOKENS: u32 = 316_802;
+
+/// A request at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EngineRequest {
+    /// Number of the attempt.
+    pub attempt: usize,
+    /// Its rank; 0 goes first.
+    pub rank: u8,
+    /// Its shared part, and that part's tokens.
+    pub part: (u64, u32),
+    /// Tokens of its own.
+    pub own_tokens: u32,
+    /// Tokens that it generates.
+    pub output_tokens: u32,
+}
+
+/// A request that has got a place.
+#[derive(Clone, Copy, Debug)]
+pub struct StartedRun {
+    /// Number of the attempt.
+    pub attempt: usize,
+    /// Time from its start to its first token.
+    pub first_token: Duration,
+    /// Time from its start to its end.
+    pub total: Duration,
+}
+
+/// One engine.
+#[derive(Debug)]
+pub struct ModelEngine {
+    /// Requests that run.
+    pub running: Vec<usize>,
+    /// Requests that wait, the next one first.
+    waiting: VecDeque<EngineRequest>,
+    /// Cached parts with their tokens, the one used last at the end.
+    cache: VecDeque<(u64, u32)>,
+    /// Factor of all times.
+    pub slowness: f64,
+    /// Whether it takes requests.
+    pub is_up: bool,
+}
+
+impl Default for ModelEngine {
+    fn default() -> Self {
+        Self {
+            running: Vec::new(),
+            waiting: VecDeque::new(),
+            cache: VecDeque::new(),
+            slowness: 1.0,
+            is_up: true,
+        }
+    }
+}
+
+impl ModelEngine {
+    /// Takes a request into the queue. `false` when it is full or the engine is down.
+    pub fn push(&mut self, request: EngineRequest) -> bool {
+        if !self.is_up || self.waiting.len() >= QUEUE {
+            return false;
+        }
+        let place = self
+            .waiting
+            .iter()
+            .position(|other| other.rank > request.rank);
+        let place = place.unwrap_or(self.waiting.len());
+        self.waiting.insert(place, request);
+        true
+    }
+
+    /// Starts the next request, if a place is free.
+    pub fn start(&mut self) -> Option<StartedRun> {
+        if self.running.len() >= PLACES {
+            return None;
+        }
+        let request = self.waiting.pop_front()?;
+        self.running.push(request.attempt);
+        let cold = request.own_tokens + self.touch(request.part);
+        let prefill = Duration::from_secs_f64(f64::from(cold) / PREFILL_TOKENS / 1000.0);
+        let step = STEP + STEP_OF_EACH * self.running.len() as u32;
+        Some(StartedRun {
+            attempt: request.attempt,
+            first_token: (prefill + step).mul_f64(self.slowness),
+            total: (prefill + step * request.output_tokens.max(1)).mul_f64(self.slowness),
+        })
+    }
+
+    /// Tokens of a part that are not cached. They are afterwards.
+    fn touch(&mut self, part: (u64, u32)) -> u32 {
+        let found = self.cache.iter().position(|cached| cached.0 == part.0);
+        let known = found.and_then(|place| self.cache.remove(place));
+        self.cache.push_back(part);
+        while self.cache.iter().map(|cached| cached.1).sum::<u32>() > CACHE_TOKENS {
+            self.cache.pop_front();
+        }
+        if known.is_some() { 0 } else { part.1 }
+    }
+
+    /// A request has ended, or its caller has left. Tells whether it was there.
+    pub fn remove(&mut self, attempt: usize) -> bool {
+        let before = self.running.len() + self.waiting.len();
+        self.running.retain(|running| *running != attempt);
+        self.waiting.retain(|waiting| waiting.attempt != attempt);
+        before > self.running.len() + self.waiting.len()
+    }
+
+    /// Ends: drops everything, and returns what it held.
+    pub fn stop(&mut self) -> Vec<usize> {
+        self.is_up = false;
+        self.cache.clear();
+        let mut held = std::mem::take(&mut self.running);
+        let waiting = std::mem::take(&mut self.waiting);
+        held.extend(waiting.into_iter().map(|request| request.attempt));
+        held
+    }
+
+    /// What it tells of its load.
+    pub fn report(&self) -> LoadReport {
+        LoadReport {
+            running: self.running.len() as u32,
+            waiting: self.waiting.len() as u32,
+            slots: PLACES as u32,
+        }
+    }
+}
--- /dev/null
+++ b/crates/measure/src/overload/mod.rs
@@ -0,0 +1,105 @@
+//! How calls fare that are more than the engines can run.
+//!
+//! * [`load`]: the calls of a load pattern.
+//! * [`engine`]: the engines.
+//! * [`replay`]: the calls through gateways and engines, with the decisions of crate `relay`.
+
+pub mod engine;
+pub mod load;
+pub mod replay;
+
+use argh::FromArgs;
+
+use self::load::{LoadPattern, SHAPES, draw_load};
+use self::replay::{AdmissionPolicy, OverloadResult, ideal_worth, replay};
+
+/// measure how calls fare that are more than the engines can run
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overload")]
+pub struct OverloadArgs {
+    /// seed of the calls
+    #[argh(option, default = "7")]
+    pub seed: u64,
+    /// burst, hot-prompt, hot-account, angry-retries, engines-lost, engines-slow, release or
+    /// give-up; without it, all of them
+    #[argh(option)]
+    pub pattern: Option<LoadPattern>,
+}
+
+/// Least served share of a kind, as a part of that of all calls.
+const LEAST_KIND_PART: f64 = 0.25;
+
+/// Both policies on one pattern.
+#[derive(Clone, Debug)]
+pub struct PatternResult {
+    /// Every call is let in.
+    pub open: OverloadResult,
+    /// Calls are let in as the gateways decide.
+    pub bounded: OverloadResult,
+    /// Worth that an all-knowing fleet earns at most.
+    pub ideal: f64,
+}
+
+impl PatternResult {
+    /// Whether the bound on what waits serves callers better than none, starves no kind of call and
+    /// refuses nothing while most places are free.
+    pub fn holds(&self) -> bool {
+        let least = self.bounded.served() * LEAST_KIND_PART;
+        let is_fair = self
+            .bounded
+            .shapes
+            .iter()
+            .all(|tally| tally.served() >= least);
+        is_fair && self.bounded.worth() >= self.open.worth() && self.bounded.refused_half_free == 0
+    }
+}
+
+/// Replays a pattern under both policies.
+pub fn measure(pattern: LoadPattern, seed: u64) -> PatternResult {
+    let calls = draw_load(pattern, seed);
+    PatternResult {
+        open: replay(pattern, AdmissionPolicy::Open, &calls, seed),
+        bounded: replay(pattern, AdmissionPolicy::Bounded, &calls, seed),
+        ideal: ideal_worth(&calls),
+    }
+}
+
+/// Runs the measurement and prints its results. Tells whether the bound holds on each pattern.
+pub fn run(args: &OverloadArgs) -> bool {
+    let patterns = match args.pattern {
+        Some(pattern) => vec![pattern],
+        None => LoadPattern::ALL.to_vec(),
+    };
+    let mut holds = true;
+    for pattern in patterns {
+        let result = measure(pattern, args.seed);
+        print_result(pattern, args.seed, "open", &result.open, result.ideal);
+        print_result(pattern, args.seed, "bounded", &result.bounded, result.ideal);
+        holds &= result.holds();
+    }
+    holds
+}
+
+fn print_result(
+    pattern: LoadPattern,
+    seed: u64,
+    policy: &str,
+    result: &OverloadResult,
+    ideal: f64,
+) {
+    let shapes = SHAPES.iter().zip(&result.shapes).map(|(shape, tally)| {
+        let share = |count| f64::from(count) / f64::from(tally.calls.max(1));
+        let (name, refused) = (shape.name, share(tally.refused));
+        let (on_time, late) = (share(tally.on_time), share(tally.late));
+        format!("{name}={on_time:.3}/{late:.3}/{refused:.3}")
+    });
+    let shapes: Vec<String> = shapes.collect();
+    println!(
+        "RESULT overload pattern={pattern} policy={policy} seed={seed} worth={:.3} ideal={ideal:.3} \
+         served={:.3} {} refused_half_free={}",
+        result.worth(),
+        result.served(),
+        shapes.join(" "),
+        result.refused_half_free,
+    );
+}
--- /dev/null
+++ b/crates/measure/src/overload/replay.rs
@@ -0,0 +1,574 @@
+//! Replays the calls of a pattern through gateways that share engines.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use derive_more::Display;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use relay::admission::{AdmissionCall, AdmissionControl, AdmissionSettings};
+use relay::health::CallSign;
+use relay::placement::{PlacementQuery, PlacementSettings};
+use relay::refusal::CallRefusal;
+use relay::table::EndpointTable;
+use wire::gateway::ListedEndpoint;
+use wire::id::{EndpointId, ServiceId, name_id};
+
+use super::engine::{EngineRequest, ModelEngine, PLACES};
+use super::load::{CallShape, LoadCall, LoadPattern, PEAK, RUN_TIME, SHAPES};
+
+/// Gateways.
+const GATEWAYS: usize = 7;
+/// Engines at the start.
+const ENGINES: usize = 9;
+/// Time between two heartbeats of a gateway.
+const BEAT_INTERVAL: Duration = Duration::from_millis(250);
+/// Time after which a heartbeat out of turn is sent.
+const BEAT_GAP: Duration = Duration::from_millis(40);
+/// Time that a message takes.
+const HOP: Duration = Duration::from_millis(4);
+/// Time after which a lost engine is back, and between two of a release.
+const ENGINE_GAP: Duration = Duration::from_millis(1500);
+/// Tries of one attempt of a caller.
+const TRIES: usize = 5;
+/// Service of all calls.
+const SERVICE: &str = "engines";
+
+/// Which calls are let in.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum AdmissionPolicy {
+    /// Every call.
+    #[display("open")]
+    Open,
+    /// Those that the gateway lets in.
+    #[display("bounded")]
+    Bounded,
+}
+
+/// How the calls of one kind fared.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ShapeTally {
+    /// Calls.
+    pub calls: u32,
+    /// Those that were served in time.
+    pub on_time: u32,
+    /// Those that were served late.
+    pub late: u32,
+    /// Those that ended refused.
+    pub refused: u32,
+}
+
+impl ShapeTally {
+    /// Share of the calls that were served.
+    pub fn served(&self) -> f64 {
+        f64::from(self.on_time + self.late) / f64::from(self.calls.max(1))
+    }
+}
+
+/// How a pattern was met.
+#[derive(Clone, Debug, Default)]
+pub struct OverloadResult {
+    /// By kind, as in [`SHAPES`].
+    pub shapes: [ShapeTally; SHAPES.len()],
+    /// Refusals while less than half of all places were taken.
+    pub refused_half_free: u32,
+}
+
+/// Part of its worth that a late answer keeps.
+const LATE_WORTH: f64 = 0.3;
+
+impl OverloadResult {
+    /// Worth that was earned, as a part of what was owed.
+    pub fn worth(&self) -> f64 {
+        let earned = self.sum(|shape, tally| {
+            shape.worth * (f64::from(tally.on_time) + LATE_WORTH * f64::from(tally.late))
+        });
+        earned / self.sum(|shape, tally| shape.worth * f64::from(tally.calls))
+    }
+
+    /// Share of all calls that were served.
+    pub fn served(&self) -> f64 {
+        let served = self.sum(|_, tally| f64::from(tally.on_time + tally.late));
+        served / self.sum(|_, tally| f64::from(tally.calls))
+    }
+
+    fn sum(&self, value: impl Fn(&CallShape, &ShapeTally) -> f64) -> f64 {
+        let shapes = SHAPES.iter().zip(&self.shapes);
+        shapes.map(|(shape, tally)| value(shape, tally)).sum()
+    }
+}
+
+/// Worth that an all-knowing fleet earns at most: places are never idle, prompts always warm, and the
+/// calls of the most worth for their time go first. A part of what is owed.
+pub fn ideal_worth(calls: &[LoadCall]) -> f64 {
+    let mut values: Vec<(f64, f64)> = calls.iter().map(value_and_time).collect();
+    let owed: f64 = values.iter().map(|(value, _)| value).sum();
+    values.sort_by(|left, right| (right.0 / right.1).total_cmp(&(left.0 / left.1)));
+    let mut time = RUN_TIME.as_secs_f64() * (ENGINES * PLACES) as f64;
+    let mut earned = 0.0;
+    for (value, needed) in values {
+        let part = (time / needed).clamp(0.0, 1.0);
+        earned += value * part;
+        time -= needed * part;
+    }
+    earned / owed
+}
+
+fn value_and_time(call: &LoadCall) -> (f64, f64) {
+    let shape = &SHAPES[call.shape];
+    let mut engine = ModelEngine::default();
+    engine.push(request_of(call, 0, 0));
+    engine.remove(0);
+    engine.push(request_of(call, 0, 0));
+    let run = engine.start().expect("a place is free");
+    (shape.worth, run.total.as_secs_f64())
+}
+
+fn request_of(call: &LoadCall, attempt: usize, rank: u8) -> EngineRequest {
+    let shape = &SHAPES[call.shape];
+    EngineRequest {
+        attempt,
+        rank,
+        part: (call.part, shape.shared_tokens),
+        own_tokens: shape.own_tokens,
+        output_tokens: call.output_tokens,
+    }
+}
+
+/// Replays calls under a policy.
+pub fn replay(
+    pattern: LoadPattern,
+    policy: AdmissionPolicy,
+    calls: &[LoadCall],
+    seed: u64,
+) -> OverloadResult {
+    let mut fleet = GatewayFleet::new(policy, calls, seed);
+    fleet.plan(pattern);
+    fleet.run();
+    fleet.result
+}
+
+struct Gateway {
+    table: EndpointTable,
+    admission: AdmissionControl,
+    is_beat_due: bool,
+}
+
+/// An attempt of a caller.
+#[derive(Clone, Copy, Debug)]
+struct CallAttempt {
+    call: usize,
+    gateway: usize,
+    /// How often the caller was refused before.
+    returns: u32,
+    /// The engine that has it, and the time that it was sent there.
+    engine: Option<(usize, Duration)>,
+    /// Expected wait at the engine when it was sent there.
+    wait: Duration,
+    is_over: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum FleetEvent {
+    /// A caller sends a call.
+    Arrive { call: usize, returns: u32 },
+    /// An engine gives the first token of an attempt.
+    FirstToken { attempt: usize },
+    /// An engine ends an attempt.
+    Finish { attempt: usize },
+    /// The caller of an attempt leaves.
+    Leave { attempt: usize },
+    /// A gateway tells its loads.
+    Beat { gateway: usize, is_regular: bool },
+    /// An engine goes down.
+    EngineDown { engine: usize },
+    /// An engine is up again, and known to be.
+    EngineUp { engine: usize },
+    /// Factor of the times of an engine.
+    Slow { engine: usize, factor: u8 },
+}
+
+struct GatewayFleet<'a> {
+    policy: AdmissionPolicy,
+    calls: &'a [LoadCall],
+    now: Duration,
+    events: BinaryHeap<Reverse<(Duration, u64, FleetEvent)>>,
+    /// Number of the next event; equal times keep their order.
+    next_event: u64,
+    gateways: Vec<Gateway>,
+    engines: Vec<ModelEngine>,
+    attempts: Vec<CallAttempt>,
+    /// Calls whose first token came, with whether it was in time.
+    answered: BTreeMap<usize, bool>,
+    rng: Pcg64Mcg,
+    result: OverloadResult,
+}
+
+impl<'a> GatewayFleet<'a> {
+    fn new(policy: AdmissionPolicy, calls: &'a [LoadCall], seed: u64) -> Self {
+        let listed: Vec<ListedEndpoint> = (0..ENGINES).map(listed).collect();
+        let gateway = |_| {
+            let mut table = EndpointTable::default();
+            table.replace(&listed);
+            Gateway {
+                table,
+                admission: AdmissionControl::new(AdmissionSettings::default()),
+                is_beat_due: false,
+            }
+        };
+        let mut fleet = Self {
+            policy,
+            calls,
+            now: Duration::ZERO,
+            events: BinaryHeap::new(),
+            next_event: 0,
+            gateways: (0..GATEWAYS).map(gateway).collect(),
+            engines: (0..ENGINES).map(|_| ModelEngine::default()).collect(),
+            attempts: Vec::new(),
+            answered: BTreeMap::new(),
+            rng: Pcg64Mcg::seed_from_u64(seed),
+            result: OverloadResult::default(),
+        };
+        for (call, known) in calls.iter().enumerate() {
+            fleet.at(known.at, FleetEvent::Arrive { call, returns: 0 });
+            fleet.result.shapes[known.shape].calls += 1;
+        }
+        for gateway in 0..GATEWAYS {
+            let offset = BEAT_INTERVAL * gateway as u32 / GATEWAYS as u32;
+            let is_regular = true;
+            fleet.at(
+                offset,
+                FleetEvent::Beat {
+                    gateway,
+                    is_regular,
+                },
+            );
+        }
+        fleet
+    }
+
+    /// Plans what happens to the engines.
+    fn plan(&mut self, pattern: LoadPattern) {
+        let third = (0..ENGINES).step_by(3);
+        match pattern {
+            LoadPattern::EnginesLost => {
+                for engine in third {
+                    self.at(PEAK.start, FleetEvent::EngineDown { engine });
+                    self.at(PEAK.end, FleetEvent::EngineUp { engine });
+                }
+            }
+            LoadPattern::EnginesSlow => {
+                for engine in third {
+                    self.at(PEAK.start, FleetEvent::Slow { engine, factor: 4 });
+                    self.at(PEAK.end, FleetEvent::Slow { engine, factor: 1 });
+                }
+            }
+            LoadPattern::Release => {
+                for engine in 0..ENGINES {
+                    let down = PEAK.start + ENGINE_GAP / 2 * engine as u32;
+                    self.at(down, FleetEvent::EngineDown { engine });
+                    self.at(down + ENGINE_GAP, FleetEvent::EngineUp { engine });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn at(&mut self, at: Duration, event: FleetEvent) {
+        self.next_event += 1;
+        self.events.push(Reverse((at, self.next_event, event)));
+    }
+
+    fn run(&mut self) {
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            self.now = at;
+            match event {
+                FleetEvent::Arrive { call, returns } => self.arrive(call, returns),
+                FleetEvent::FirstToken { attempt } => self.first_token(attempt),
+                FleetEvent::Finish { attempt } => self.finish(attempt),
+                FleetEvent::Leave { attempt } => self.leave(attempt),
+                FleetEvent::Beat {
+                    gateway,
+                    is_regular,
+                } => self.beat(gateway, is_regular),
+                FleetEvent::EngineDown { engine } => self.engine_down(engine),
+                FleetEvent::EngineUp { engine } => self.engines[engine].is_up = true,
+                FleetEvent::Slow { engine, factor } => {
+                    self.engines[engine].slowness = f64::from(factor);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, call: usize, returns: u32) {
+        let known = self.calls[call];
+        let attempt = self.attempts.len();
+        self.attempts.push(CallAttempt {
+            call,
+            gateway: self.rng.random_range(0..GATEWAYS),
+            returns,
+            engine: None,
+            wait: Duration::ZERO,
+            is_over: false,
+        });
+        self.at(known.at + known.patience, FleetEvent::Leave { attempt });
+        let mut tried = Vec::new();
+        while tried.len() < TRIES {
+            match self.send(attempt, &mut tried) {
+                Ok(true) => return,
+                Ok(false) => {}
+                Err(return_after) => return self.refuse(attempt, return_after),
+            }
+        }
+        self.refuse(attempt, None);
+    }
+
+    /// Sends an attempt to an engine. `Ok(false)` when that does not run it, an error with the time
+    /// of return when the gateway refuses it.
+    fn send(
+        &mut self,
+        attempt: usize,
+        tried: &mut Vec<EndpointId>,
+    ) -> Result<bool, Option<Duration>> {
+        let now = self.now;
+        let CallAttempt { call, gateway, .. } = self.attempts[attempt];
+        let known = self.calls[call];
+        let shape = &SHAPES[known.shape];
+        let side = &mut self.gateways[gateway];
+        let query = PlacementQuery {
+            service: service(),
+            shared_part: Some(known.part),
+            instance: gateway as u64,
+            domain: 0,
+            tried,
+            now,
+        };
+        let account = known.account.to_string();
+        let asked = AdmissionCall {
+            rank: shape.rank,
+            account: &account,
+            objective: shape.objective,
+            is_stream: true,
+            left: (known.at + known.patience).saturating_sub(now),
+            instances: GATEWAYS,
+        };
+        let placement = PlacementSettings::default();
+        let placed = side
+            .admission
+            .place(&placement, &side.table, &query, &asked);
+        let placed = placed.ok_or(None)?;
+        if self.policy == AdmissionPolicy::Bounded && placed.return_after.is_some() {
+            return Err(placed.return_after);
+        }
+        let endpoint = placed.endpoint;
+        tried.push(endpoint);
+        let engine = position(endpoint);
+        let rank = match self.policy {
+            AdmissionPolicy::Open => 0,
+            AdmissionPolicy::Bounded => placed.rank,
+        };
+        if !self.engines[engine].push(request_of(&known, attempt, rank)) {
+            let report = self.engines[engine].report();
+            match self.engines[engine].is_up {
+                true => side.table.note_report(now, endpoint, report),
+                false => {
+                    side.table.note(now, endpoint, CallSign::Broken);
+                }
+            }
+            return Ok(false);
+        }
+        side.table.start(now, endpoint);
+        side.admission.accounts.start(service(), &account);
+        let is_news = side.table.is_load_news(endpoint) && !side.is_beat_due;
+        self.attempts[attempt].engine = Some((engine, now));
+        self.attempts[attempt].wait = placed.wait;
+        if is_news {
+            self.gateways[gateway].is_beat_due = true;
+            let is_regular = false;
+            self.at(
+                now + BEAT_GAP,
+                FleetEvent::Beat {
+                    gateway,
+                    is_regular,
+                },
+            );
+        }
+        self.start_runs(engine);
+        Ok(true)
+    }
+
+    fn refuse(&mut self, attempt: usize, return_after: Option<Duration>) {
+        let taken: usize = self.engines.iter().map(|engine| engine.running.len()).sum();
+        let up = self.engines.iter().filter(|engine| engine.is_up).count();
+        if return_after.is_some() && taken * 2 < up * PLACES {
+            self.result.refused_half_free += 1;
+        }
+        let CallAttempt { call, returns, .. } = self.attempts[attempt];
+        self.attempts[attempt].is_over = true;
+        let known = self.calls[call];
+        if returns >= known.returns {
+            return self.end_refused(call);
+        }
+        let left = (known.at + known.patience).saturating_sub(self.now);
+        let refusal = CallRefusal {
+            kind: fault::FaultKind::Overloaded,
+            left: Some(left),
+            room_after: return_after,
+        };
+        let wait = match known.is_angry {
+            true => HOP * 2,
+            false => refusal.wait_before_retry(self.rng.random()) + HOP * 2,
+        };
+        match wait < left {
+            true => self.at(
+                self.now + wait,
+                FleetEvent::Arrive {
+                    call,
+                    returns: returns + 1,
+                },
+            ),
+            false => self.end_refused(call),
+        }
+    }
+
+    fn end_refused(&mut self, call: usize) {
+        self.result.shapes[self.calls[call].shape].refused += 1;
+    }
+
+    fn start_runs(&mut self, engine: usize) {
+        while let Some(run) = self.engines[engine].start() {
+            let attempt = run.attempt;
+            let at = self.now + HOP * 2;
+            self.at(at + run.first_token, FleetEvent::FirstToken { attempt });
+            self.at(at + run.total, FleetEvent::Finish { attempt });
+        }
+    }
+
+    fn first_token(&mut self, attempt: usize) {
+        let CallAttempt {
+            call,
+            gateway,
+            engine: Some((engine, sent_at)),
+            is_over,
+            ..
+        } = self.attempts[attempt]
+        else {
+            return;
+        };
+        if is_over {
+            return;
+        }
+        let known = self.calls[call];
+        let in_time = self.now <= known.at + SHAPES[known.shape].objective;
+        self.answered.insert(call, in_time);
+        let endpoint = listed(engine).id();
+        let report = self.engines[engine].report();
+        let table = &mut self.gateways[gateway].table;
+        table.hear(self.now, endpoint);
+        table.note_report(self.now, endpoint, report);
+        let latency = self.now.saturating_sub(sent_at);
+        table.note(self.now, endpoint, CallSign::Served(latency));
+    }
+
+    fn finish(&mut self, attempt: usize) {
+        let Some(ran_for) = self.release(attempt) else {
+            return;
+        };
+        let CallAttempt {
+            call,
+            gateway,
+            engine,
+            wait,
+            ..
+        } = self.attempts[attempt];
+        if let Some((engine, _)) = engine {
+            let table = &mut self.gateways[gateway].table;
+            let time = ran_for.saturating_sub(wait).max(ran_for / 4);
+            table.note_occupancy(listed(engine).id(), time);
+        }
+        let tally = &mut self.result.shapes[self.calls[call].shape];
+        match self.answered.get(&call) {
+            Some(true) => tally.on_time += 1,
+            _ => tally.late += 1,
+        }
+    }
+
+    fn leave(&mut self, attempt: usize) {
+        if self.release(attempt).is_some() {
+            self.end_refused(self.attempts[attempt].call);
+        }
+    }
+
+    /// Takes an attempt from its engine. Returns how long it was there, if it still was.
+    fn release(&mut self, attempt: usize) -> Option<Duration> {
+        let CallAttempt {
+            call,
+            gateway,
+            engine,
+            is_over,
+            ..
+        } = self.attempts[attempt];
+        let (engine, sent_at) = engine.filter(|_| !is_over)?;
+        self.attempts[attempt].is_over = true;
+        self.engines[engine].remove(attempt);
+        let side = &mut self.gateways[gateway];
+        side.table.finish(self.now, listed(engine).id());
+        let account = self.calls[call].account.to_string();
+        side.admission.accounts.finish(service(), &account);
+        self.start_runs(engine);
+        Some(self.now.saturating_sub(sent_at))
+    }
+
+    fn beat(&mut self, gateway: usize, is_regular: bool) {
+        if is_regular {
+            if self.now > RUN_TIME * 2 {
+                return;
+            }
+            self.at(
+                self.now + BEAT_INTERVAL,
+                FleetEvent::Beat {
+                    gateway,
+                    is_regular,
+                },
+            );
+        }
+        self.gateways[gateway].is_beat_due = false;
+        let loads = self.gateways[gateway].table.tell_loads();
+        for other in (0..GATEWAYS).filter(|other| *other != gateway) {
+            let table = &mut self.gateways[other].table;
+            table.set_share(self.now, gateway as u64, loads.clone());
+        }
+    }
+
+    fn engine_down(&mut self, engine: usize) {
+        for attempt in self.engines[engine].stop() {
+            let gateway = self.attempts[attempt].gateway;
+            let endpoint = listed(engine).id();
+            let table = &mut self.gateways[gateway].table;
+            table.note(self.now, endpoint, CallSign::Broken);
+            self.leave(attempt);
+        }
+    }
+}
+
+fn service() -> ServiceId {
+    name_id(SERVICE)
+}
+
+fn listed(engine: usize) -> ListedEndpoint {
+    ListedEndpoint {
+        name: format!("engine-{engine}"),
+        service: SERVICE.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, engine as u8 + 1), 80),
+        domain: 0,
+        slots: PLACES as u16,
+        is_draining: false,
+    }
+}
+
+fn position(endpoint: EndpointId) -> usize {
+    let found = (0..ENGINES).find(|engine| listed(*engine).id() == endpoint);
+    found.expect("only these engines are listed")
+}
--- /dev/null
+++ b/crates/measure/tests/overload.rs
@@ -0,0 +1,61 @@
+//! Calls that are more than the engines can run, by load pattern.
+
+use googletest::prelude::*;
+use measure::overload::load::{LoadPattern, SHAPES};
+use measure::overload::{PatternResult, measure};
+
+const SEEDS: std::ops::Range<u64> = 1..4;
+/// Part of the served share of all calls under which a kind counts as starved.
+const STARVED_PART: f64 = 0.25;
+
+fn each_run(check: impl Fn(LoadPattern, u64, &PatternResult)) {
+    for pattern in LoadPattern::ALL {
+        for seed in SEEDS {
+            check(pattern, seed, &measure(pattern, seed));
+        }
+    }
+}
+
+#[gtest]
+fn bound_on_the_queue_serves_callers_better_than_none() {
+    each_run(|pattern, seed, result| {
+        let (bounded, open) = (result.bounded.worth(), result.open.worth());
+
+        expect_that!(bounded, ge(open), "{pattern}, seed {seed}");
+        expect_that!(bounded, le(result.ideal), "{pattern}, seed {seed}");
+    });
+}
+
+#[gtest]
+fn nothing_is_refused_while_most_places_are_free() {
+    each_run(|pattern, seed, result| {
+        let refused = result.bounded.refused_half_free;
+
+        expect_that!(refused, eq(0), "{pattern}, seed {seed}");
+    });
+}
+
+#[gtest]
+fn no_kind_starves() {
+    each_run(|pattern, seed, result| {
+        let least = result.bounded.served() * STARVED_PART;
+        for (shape, tally) in SHAPES.iter().zip(&result.bounded.shapes) {
+            let served = tally.served();
+
+            expect_that!(served, ge(least), "{}, {pattern}, seed {seed}", shape.name);
+        }
+    });
+}
+
+#[gtest]
+fn more_urgent_kinds_are_served_at_least_as_often() {
+    /// How far a less urgent kind may be ahead, as the pages allow it.
+    const ALLOWED: f64 = 0.05;
+    each_run(|pattern, seed, result| {
+        for pair in result.bounded.shapes.windows(2) {
+            let (urgent, less) = (pair[0].served(), pair[1].served());
+
+            expect_that!(urgent, ge(less - ALLOWED), "{pattern}, seed {seed}");
+        }
+    });
+}
--- /dev/null
+++ b/crates/relay/src/admission.rs
@@ -0,0 +1,247 @@
+//! Whether a call is let in while its service is full.
+//!
+//! Load pattern: more calls than a service has places for, for seconds. Without a bound every call
+//! waits in the queue of its endpoint, all answers are late, and callers that gave up have kept
+//! places from others. Here a call is let in only if it can begin in time; all others are refused at
+//! once and told to return when the callers before them have had their turn.
+
+use std::time::Duration;
+
+use wire::id::EndpointId;
+
+use crate::accounts::AccountLoads;
+use crate::placement::{PlacementQuery, PlacementSettings, choose, choose_least_full};
+use crate::ranks::RankLedger;
+use crate::returns::ReturnSchedule;
+use crate::table::EndpointTable;
+
+/// Settings of the bound.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AdmissionSettings {
+    /// Part of the time until an answer is late that the most urgent calls of a service may wait.
+    pub urgent_part: f64,
+    /// Factor by which calls of each further rank may wait less, so that the queue is left to the
+    /// more urgent ones when it grows.
+    pub rank_factor: f64,
+    /// Least part of the time that calls of the lowest ranks may wait.
+    pub least_part: f64,
+    /// Multiple of the mean of all accounts above which a client account's calls may wait less.
+    pub fair_multiple: f64,
+    /// Least factor for calls of a client account above that.
+    pub least_share: f64,
+    /// Part of an endpoint's places that calls leave free for each rank before theirs, while all
+    /// calls of that rank find no free place.
+    pub reserve: f64,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            urgent_part: 0.9,
+            rank_factor: 0.5,
+            least_part: 0.15,
+            fair_multiple: 2.0,
+            least_share: 0.4,
+            reserve: 0.15,
+        }
+    }
+}
+
+/// What the decision is for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AdmissionQuery {
+    /// Expected wait for a place at the best endpoint.
+    pub wait: Duration,
+    /// Time from the arrival until the answer, or its first event, is late.
+    pub objective: Duration,
+    /// Expected time from the start at the endpoint to the answer, or to its first event.
+    pub answer: Duration,
+    /// Time that the caller has left.
+    pub left: Duration,
+    /// Ranks by which the call is behind the most urgent ones of its service.
+    pub rank: u8,
+    /// Calls of the account in relation to the mean of all accounts that have calls running here.
+    pub account_share: f64,
+    /// Part of the endpoint's places that are free.
+    pub free: f64,
+    /// Share of the more urgent calls that lately found no free place.
+    pub pressure: f64,
+    /// Expected time until a place comes free.
+    pub interval: Duration,
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AdmissionVerdict {
+    /// It goes to the endpoint.
+    Admit,
+    /// It is refused; the queue has room for it after this time if no others come.
+    Refuse {
+        /// Time until then.
+        room_after: Duration,
+    },
+}
+
+/// Decides about a call.
+pub fn decide(settings: &AdmissionSettings, query: &AdmissionQuery) -> AdmissionVerdict {
+    let reserved = settings.reserve * f64::from(query.rank) * query.pressure;
+    if query.wait.is_zero() && query.free < reserved {
+        return AdmissionVerdict::Refuse {
+            room_after: query.interval,
+        };
+    }
+    let longest = longest_wait(settings, query);
+    if query.wait.is_zero() || query.wait <= longest {
+        return AdmissionVerdict::Admit;
+    }
+    let room_after = query.wait.saturating_sub(longest);
+    AdmissionVerdict::Refuse { room_after }
+}
+
+fn longest_wait(settings: &AdmissionSettings, query: &AdmissionQuery) -> Duration {
+    let spare = query.objective.saturating_sub(query.answer);
+    let by_rank = settings.urgent_part * settings.rank_factor.powi(i32::from(query.rank));
+    let part = by_rank.max(settings.least_part);
+    let excess = (query.account_share / settings.fair_multiple).max(1.0);
+    let share = (1.0 / excess).max(settings.least_share);
+    let useful = query.left.saturating_sub(query.answer);
+    spare.mul_f64(part * share).min(useful)
+}
+
+/// A call that may be let in.
+#[derive(Clone, Copy, Debug)]
+pub struct AdmissionCall<'a> {
+    /// Its rank among the calls of its service; 0 is the most urgent.
+    pub rank: u8,
+    /// Its client account; empty for none.
+    pub account: &'a str,
+    /// Time from the arrival until its answer, or its first event, is late.
+    pub objective: Duration,
+    /// Whether its answer is a stream.
+    pub is_stream: bool,
+    /// Time that the caller has left.
+    pub left: Duration,
+    /// Instances that share the endpoints.
+    pub instances: usize,
+}
+
+/// Where a call goes, or that it is refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacedCall {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The rank that the call takes there.
+    pub rank: u8,
+    /// Expected wait for a place there.
+    pub wait: Duration,
+    /// Time after which the caller is to return, when the call is refused.
+    pub return_after: Option<Duration>,
+}
+
+/// What one instance remembers to decide which calls it lets in.
+#[derive(Debug, Default)]
+pub struct AdmissionControl {
+    settings: AdmissionSettings,
+    /// Running calls by client account.
+    pub accounts: AccountLoads,
+    ranks: RankLedger,
+    returns: ReturnSchedule,
+}
+
+impl AdmissionControl {
+    /// A control that remembers nothing.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        Self {
+            settings,
+            ..Self::default()
+        }
+    }
+
+    /// Finds an endpoint for a call and decides whether it is let in, and remembers that. `None` when
+    /// no usable endpoint is left.
+    pub fn place(
+        &mut self,
+        placement: &PlacementSettings,
+        table: &EndpointTable,
+        query: &PlacementQuery<'_>,
+        call: &AdmissionCall<'_>,
+    ) -> Option<PlacedCall> {
+        let (now, service) = (query.now, query.service);
+        let rank = self.ranks.fair_rank(service, call.rank);
+        let first = choose(placement, table, query)?;
+        let first = self.assess(table, query, call, first, rank);
+        // A call that may not wait where its prompt is warm is read elsewhere rather than refused.
+        let other = match first.verdict {
+            AdmissionVerdict::Admit => None,
+            AdmissionVerdict::Refuse { .. } => choose_least_full(table, query),
+        };
+        let other = other.map(|other| self.assess(table, query, call, other, rank));
+        let other = other.filter(|other| other.verdict == AdmissionVerdict::Admit);
+        let best = other.unwrap_or(first);
+        let is_admitted = best.verdict == AdmissionVerdict::Admit;
+        let is_crowded = !best.wait.is_zero();
+        self.ranks
+            .note(now, service, call.rank, is_crowded, is_admitted);
+        let returns = &mut self.returns;
+        let return_after = match best.verdict {
+            AdmissionVerdict::Admit => None,
+            AdmissionVerdict::Refuse { room_after } => {
+                Some(returns.assign(now, service, room_after, best.interval))
+            }
+        };
+        Some(PlacedCall {
+            endpoint: best.endpoint,
+            rank,
+            wait: best.wait,
+            return_after,
+        })
+    }
+
+    fn assess(
+        &self,
+        table: &EndpointTable,
+        query: &PlacementQuery<'_>,
+        call: &AdmissionCall<'_>,
+        endpoint: EndpointId,
+        rank: u8,
+    ) -> AssessedEndpoint {
+        let (now, service) = (query.now, query.service);
+        // Before the first call has ended, its objective is all that tells how long one may take.
+        let occupancy = table.occupancy(service, endpoint);
+        let occupancy = occupancy.unwrap_or(call.objective);
+        let wait = table.expected_wait(now, endpoint, occupancy);
+        let interval = table.place_interval(now, service, occupancy) * call.instances as u32;
+        let row = table.row(endpoint);
+        let asked = AdmissionQuery {
+            wait,
+            objective: call.objective,
+            answer: match call.is_stream {
+                true => Duration::ZERO,
+                false => occupancy,
+            },
+            left: call.left,
+            rank,
+            account_share: self.accounts.share(service, call.account),
+            free: row.map_or(0.0, |row| row.free_part(now)),
+            pressure: self.ranks.pressure(now, service, rank),
+            interval,
+        };
+        AssessedEndpoint {
+            endpoint,
+            wait,
+            interval,
+            verdict: decide(&self.settings, &asked),
+        }
+    }
+}
+
+/// What an endpoint means for a call.
+#[derive(Clone, Copy, Debug)]
+struct AssessedEndpoint {
+    endpoint: EndpointId,
+    /// Expected wait for a place.
+    wait: Duration,
+    /// Expected time until a place of the service comes free for this instance.
+    interval: Duration,
+    verdict: AdmissionVerdict,
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -16,10 +16,17 @@
 use crate::endpoint::{self, EndpointConnection, EndpointError};
 use crate::events::EventSplitter;
 use crate::health::CallSign;
+use crate::identity::{CallRules, fingerprint};
 use crate::placement::{self, PlacementQuery};
-use crate::session::{SessionError, SessionWriter};
+use crate::session::{IncomingCall, SessionError, SessionWriter};
 use crate::verdict::AttemptEnd;
 
+/// Longest wait of a caller that names none.
+pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
+/// Factor of the expected wait for a place by which an answer may be late before the endpoint counts
+/// as silent.
+const QUEUE_MARGIN: u32 = 2;
+
 /// A call that was let in.
 pub struct RelayCall<'a> {
     /// Its head as it came in.
@@ -34,6 +41,8 @@
     pub account: Option<&'a AccountRule>,
     /// The service that takes it.
     pub service: ServiceId,
+    /// Rank among the calls that the service may get; 0 is the most urgent.
+    pub rank: u8,
     /// What makes two calls the same work.
     pub fingerprint: FingerprintHash,
     /// When it arrived.
@@ -42,9 +51,42 @@
     pub deadline: Instant,
 }
 
-impl RelayCall<'_> {
+impl<'a> RelayCall<'a> {
+    /// A call under its rules that arrived at `started`.
+    pub fn new(
+        incoming: &'a IncomingCall,
+        notes: CallNotes,
+        rules: CallRules<'a>,
+        started: Instant,
+    ) -> Self {
+        let patience = notes.patience.unwrap_or(DEFAULT_PATIENCE);
+        Self {
+            head: &incoming.head,
+            body: &incoming.body,
+            fingerprint: fingerprint(incoming, rules.account),
+            notes,
+            route: rules.route,
+            account: rules.account,
+            service: rules.service,
+            rank: rules.rank,
+            started,
+            deadline: started + patience.min(rules.route.timeout),
+        }
+    }
+
+    /// Name of the client account; empty for none.
+    pub fn account_name(&self) -> &str {
+        self.account.map_or("", |account| account.name.as_str())
+    }
+
+    /// Time that the caller has left, if it told any.
+    pub fn time_left(&self) -> Option<Duration> {
+        let patience = self.notes.patience?;
+        Some(patience.saturating_sub(self.started.elapsed()))
+    }
+
     /// What the call asks of the choice of an endpoint, when it has tried these.
-    pub fn query<'a>(&self, desk: &RelayDesk, tried: &'a [EndpointId]) -> PlacementQuery<'a> {
+    pub fn query<'b>(&self, desk: &RelayDesk, tried: &'b [EndpointId]) -> PlacementQuery<'b> {
         PlacementQuery {
             service: self.service,
             shared_part: self
@@ -52,6 +94,7 @@
                 .prompt
                 .as_ref()
                 .and_then(PromptOutline::shared_part),
+            instance: desk.settings.instance,
             domain: desk.settings.domain,
             tried,
             now: desk.now(),
@@ -94,6 +137,10 @@
     pub tried_at: Duration,
     /// How long the current try may be silent.
     pub silence_limit: Option<Duration>,
+    /// Rank of the current try; 0 is the most urgent.
+    pub rank: u8,
+    /// How long the current try was expected to wait for a place at its endpoint.
+    pub queue_wait: Duration,
     /// Time from the arrival of the call to the first byte of an answer.
     pub first_byte: Option<Duration>,
     /// Why the last try ended, for the log.
@@ -108,7 +155,8 @@
     progress: &mut CallProgress,
     writer: &mut SessionWriter,
 ) -> AttemptResult {
-    let slot = desk.occupy(endpoint);
+    let slot = desk.occupy(call.service, endpoint, call.account_name());
+    progress.queue_wait = slot.wait;
     progress.unanswered = Some(endpoint);
     progress.may_run = false;
     progress.tried_at = desk.now();
@@ -121,8 +169,12 @@
             Err(broken(desk, call, endpoint, progress, &error, may_run))
         }
     };
-    drop::<OccupiedSlot>(slot);
-    result.unwrap_or_else(|ended| ended)
+    let result = result.unwrap_or_else(|ended| ended);
+    match result {
+        AttemptResult::Delivered(_) => slot.complete(),
+        _ => drop::<OccupiedSlot>(slot),
+    }
+    result
 }
 
 /// An answer of which the head has arrived.
@@ -154,6 +206,7 @@
         time_left: call.deadline.saturating_duration_since(Instant::now()),
         endpoint: &name,
         account: call.account.map(|account| account.name.as_str()),
+        rank: progress.rank,
         resume_after: progress
             .events
             .last_id()
@@ -166,7 +219,9 @@
     let head = endpoint::request_head(method, call.head.uri().clone(), headers);
     progress.may_run = true;
     let exchange = connection.exchange(&desk.http, head, call.body);
-    let exchanged = within(progress.silence_limit, exchange).await;
+    let queue_wait = progress.queue_wait * QUEUE_MARGIN;
+    let limit = progress.silence_limit.map(|limit| limit + queue_wait);
+    let exchanged = within(limit, exchange).await;
     progress.may_run = connection.has_sent;
     let head = exchanged?;
     desk.table.borrow_mut().hear(desk.now(), endpoint);
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -65,6 +65,11 @@
         self.instances = instances.max(1);
     }
 
+    /// How many instances share the extra.
+    pub fn instances(&self) -> usize {
+        self.instances
+    }
+
     /// A request arrived for a service.
     pub fn note_request(&mut self, now: Duration, service: ServiceId) {
         self.window(now, service).requests.push_back(now);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -55,6 +55,8 @@
     pub endpoint: &'a str,
     /// The client account that holds the caller's key.
     pub account: Option<&'a str>,
+    /// Rank among the requests that wait at the endpoint; 0 is the most urgent.
+    pub rank: u8,
     /// The last event of the stream that was delivered.
     pub resume_after: Option<&'a str>,
     /// Another endpoint that probably holds the shared parts of the prompt.
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -9,8 +9,9 @@
 use tokio::sync::Notify;
 use watch::GatewayMetrics;
 use wire::gateway::ListedEndpoint;
-use wire::id::{DomainId, EndpointId};
+use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
 
+use crate::admission::{AdmissionControl, AdmissionSettings};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
 use crate::crash::CrashLedger;
@@ -19,13 +20,21 @@
 use crate::pool::ConnectionPool;
 use crate::table::EndpointTable;
 
+/// Least part, as a divisor, of the time of a call at its endpoint that counts as run, however long
+/// it was expected to wait there.
+const LEAST_RUN_PART: u32 = 4;
+
 /// Settings of the path of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelaySettings {
-    /// Failure domain of this instance.
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
     pub domain: DomainId,
     /// Choice of endpoints.
     pub placement: PlacementSettings,
+    /// Bound on what waits for places.
+    pub admission: AdmissionSettings,
     /// Budget of repeats.
     pub budget: BudgetSettings,
     /// Longest wait for a connection to an endpoint.
@@ -39,8 +48,10 @@
 impl Default for RelaySettings {
     fn default() -> Self {
         Self {
+            instance: 0,
             domain: 0,
             placement: PlacementSettings::default(),
+            admission: AdmissionSettings::default(),
             budget: BudgetSettings::default(),
             connect_limit: Duration::from_millis(350),
             whole_answer_bytes: 4 * 1024 * 1024,
@@ -74,6 +85,8 @@
     pub table: RefCell<EndpointTable>,
     /// When the latest reading of the list came.
     listed_at: Cell<Option<Duration>>,
+    /// Which calls are let in.
+    pub admission: RefCell<AdmissionControl>,
     /// The budget of repeats.
     pub budget: RefCell<RetryBudget>,
     /// Calls that crash endpoints.
@@ -88,6 +101,8 @@
     ends_at: Cell<Option<Instant>>,
     phase_changed: Notify,
     set_up: Notify,
+    /// Told when other instances should know of a new load at once.
+    pub load_news: Notify,
     /// Calls that are being served.
     pub active_calls: Cell<usize>,
     /// Open connections of callers.
@@ -105,6 +120,7 @@
         Self {
             metrics,
             budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
+            admission: RefCell::new(AdmissionControl::new(settings.admission.clone())),
             settings,
             dialect,
             catalog: RefCell::default(),
@@ -117,6 +133,7 @@
             ends_at: Cell::new(None),
             phase_changed: Notify::new(),
             set_up: Notify::new(),
+            load_news: Notify::new(),
             active_calls: Cell::new(0),
             open_connections: Cell::new(0),
             started: Instant::now(),
@@ -251,12 +268,31 @@
         }
     }
 
-    /// Marks a call at an endpoint for as long as the guard lives.
-    pub fn occupy(self: &Rc<Self>, endpoint: EndpointId) -> OccupiedSlot {
-        self.table.borrow_mut().start(self.now(), endpoint);
+    /// Marks a call at an endpoint for as long as the guard lives. `account` is the name of its
+    /// client account, empty for none.
+    pub fn occupy(
+        self: &Rc<Self>,
+        service: ServiceId,
+        endpoint: EndpointId,
+        account: &str,
+    ) -> OccupiedSlot {
+        let began = self.now();
+        let mut table = self.table.borrow_mut();
+        let occupancy = table.occupancy(service, endpoint).unwrap_or_default();
+        let wait = table.expected_wait(began, endpoint, occupancy);
+        table.start(began, endpoint);
+        if table.is_load_news(endpoint) {
+            self.load_news.notify_one();
+        }
+        let mut admission = self.admission.borrow_mut();
+        admission.accounts.start(service, account);
         OccupiedSlot {
             desk: Rc::clone(self),
+            service,
             endpoint,
+            account: account.to_owned(),
+            began,
+            wait,
         }
     }
 }
@@ -264,11 +300,30 @@
 /// A call that an endpoint runs.
 pub struct OccupiedSlot {
     desk: Rc<RelayDesk>,
+    service: ServiceId,
     endpoint: EndpointId,
+    account: String,
+    /// When the call was sent, by the clock of the desk.
+    began: Duration,
+    /// How long it was expected to wait for its place.
+    pub wait: Duration,
+}
+
+impl OccupiedSlot {
+    /// The call has ended well: tells how long it occupied its place.
+    pub fn complete(self) {
+        let time = self.desk.now().saturating_sub(self.began);
+        let time = time.saturating_sub(self.wait).max(time / LEAST_RUN_PART);
+        let mut table = self.desk.table.borrow_mut();
+        table.note_occupancy(self.endpoint, time);
+    }
 }
 
 impl Drop for OccupiedSlot {
     fn drop(&mut self) {
-        self.desk.table.borrow_mut().finish(self.endpoint);
+        let now = self.desk.now();
+        self.desk.table.borrow_mut().finish(now, self.endpoint);
+        let mut admission = self.desk.admission.borrow_mut();
+        admission.accounts.finish(self.service, &self.account);
     }
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -6,82 +6,29 @@
 use actix_http::StatusCode;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
-use catalog::{AccountRule, CatalogIndex, KeyMatch, RouteRule};
 use fault::FaultKind;
 use tokio::time::{Instant, timeout, timeout_at};
-use wire::id::{EndpointId, FingerprintHash, ServiceId, name_id};
-use xxhash_rust::xxh3::Xxh3;
+use wire::id::{EndpointId, ServiceId};
 
+use crate::admission::{AdmissionCall, PlacedCall};
 use crate::attempt::{
-    AttemptResult, CallProgress, RelayCall, WholeAnswer, deliver_whole, run_attempt,
+    AttemptResult, CallProgress, DEFAULT_PATIENCE, RelayCall, WholeAnswer, deliver_whole,
+    run_attempt,
 };
 use crate::call::CallNotes;
 use crate::desk::RelayDesk;
 use crate::health::CallSign;
-use crate::placement::choose;
-use crate::refusal::wait_before_retry;
+use crate::identity::identify;
+use crate::record::{CallEnd, CallRecord, CallTry};
+use crate::refusal::CallRefusal;
 use crate::session::{IncomingCall, SessionWriter};
 use crate::verdict::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
 
-/// Longest wait of a caller that names none.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
-
 /// Longest wait for the first catalog and the first endpoint of an instance.
 const SET_UP_LIMIT: Duration = Duration::from_millis(800);
 /// Part of the caller's patience that it waits for them at most.
 const SET_UP_PART: u32 = 4;
 
-/// How a call ended, as the caller sees it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CallEnd {
-    /// A whole answer of an endpoint.
-    Answered(StatusCode),
-    /// An answer of this instance.
-    Refused(FaultKind),
-    /// The answer broke off after its start; the connection has to be closed.
-    Cut,
-    /// The caller left.
-    CallerLost,
-}
-
-/// One try of a call at an endpoint.
-#[derive(Debug)]
-pub struct CallTry {
-    /// The endpoint.
-    pub endpoint: EndpointId,
-    /// Its name.
-    pub name: String,
-    /// Requests that it held, as far as this instance knew.
-    pub load: u32,
-    /// How the try ended, one of a closed set of words.
-    pub end: &'static str,
-}
-
-/// What is told of a call in the log.
-#[derive(Debug)]
-pub struct CallRecord {
-    /// The caller's id of the attempt.
-    pub attempt: Option<String>,
-    /// Its route.
-    pub route: String,
-    /// The client account.
-    pub account: String,
-    /// Version of the catalog that it was judged by; 0 for none.
-    pub catalog: u64,
-    /// Age of the reading of the list that it was placed by.
-    pub list_age: Option<Duration>,
-    /// The tries, in order.
-    pub tries: Vec<CallTry>,
-    /// Time to the first byte of an endpoint's answer.
-    pub first_byte: Option<Duration>,
-    /// Why the last try failed.
-    pub last_error: Option<String>,
-    /// How it ended.
-    pub end: CallEnd,
-    /// Time from its arrival to its end.
-    pub elapsed: Duration,
-}
-
 /// Serves a call whose whole body has arrived.
 pub async fn serve_call(
     desk: &Rc<RelayDesk>,
@@ -90,80 +37,35 @@
 ) -> CallRecord {
     let started = Instant::now();
     let notes = desk.dialect.read_call(incoming.head.head().headers());
-    let mut record = CallRecord {
-        attempt: notes.attempt.clone(),
-        route: String::new(),
-        account: String::new(),
-        catalog: 0,
-        list_age: None,
-        tries: Vec::new(),
-        first_byte: None,
-        last_error: None,
-        end: CallEnd::CallerLost,
-        elapsed: Duration::ZERO,
-    };
-    if !desk.is_set_up() {
-        let patience = notes.patience.unwrap_or(DEFAULT_PATIENCE) / SET_UP_PART;
-        let limit = patience.min(SET_UP_LIMIT);
-        // Without a catalog the call is refused below.
-        let _ = timeout(limit, desk.until_set_up()).await;
-    }
+    let mut record = CallRecord::new(notes.attempt.clone());
+    wait_for_set_up(desk, &notes).await;
     let catalog = desk.catalog();
     record.catalog = catalog.as_ref().map_or(0, |index| index.catalog().version);
     record.list_age = desk.list_age();
-    let admitted = admit(catalog.as_deref(), incoming, &notes);
-    record.end = match admitted {
-        Ok((route, account)) => {
-            record.route.clone_from(&route.name);
-            record.account = account.map_or_else(String::new, |account| account.name.clone());
-            let patience = notes.patience.unwrap_or(DEFAULT_PATIENCE);
-            let call = RelayCall {
-                head: &incoming.head,
-                body: &incoming.body,
-                fingerprint: fingerprint(incoming, account),
-                notes,
-                route,
-                account,
-                service: name_id(route.choose_service(rand::random()).unwrap_or_default()),
-                started,
-                deadline: started + patience.min(route.timeout),
-            };
+    record.end = match identify(catalog.as_deref(), incoming, &notes, rand::random()) {
+        Ok(rules) => {
+            let call = RelayCall::new(incoming, notes, rules, started);
+            record.route.clone_from(&call.route.name);
+            record.account = call.account_name().to_owned();
             run_call(desk, &call, writer, &mut record).await
         }
-        Err(kind) => refuse(desk, kind, notes.patience, writer).await,
+        Err(kind) => {
+            let refusal = CallRefusal::new(kind, notes.patience);
+            refuse_and_note(desk, &refusal, writer, &mut record).await
+        }
     };
     record.elapsed = started.elapsed();
     record
 }
 
-fn admit<'a>(
-    catalog: Option<&'a CatalogIndex>,
-    incoming: &IncomingCall,
-    notes: &CallNotes,
-) -> Result<(&'a RouteRule, Option<&'a AccountRule>), FaultKind> {
-    let catalog = catalog.ok_or(FaultKind::SettingsStale)?;
-    let headers = incoming.head.head().headers();
-    let host = headers.get("host").and_then(|host| host.to_str().ok());
-    let path = incoming.head.path();
-    let route = catalog.find_route(host.unwrap_or_default(), path);
-    let route = route.ok_or(FaultKind::UnknownService)?;
-    match catalog.find_account(notes.key.as_deref()) {
-        KeyMatch::Account(account) => Ok((route, Some(account))),
-        KeyMatch::Open => Ok((route, None)),
-        KeyMatch::Unknown if route.is_public => Ok((route, None)),
-        KeyMatch::Unknown if notes.key.is_none() => Err(FaultKind::MissingKey),
-        KeyMatch::Unknown => Err(FaultKind::UnknownKey),
+/// Gives an instance that has just started a moment to get its catalog and its list. Without a
+/// catalog the call is refused afterwards.
+async fn wait_for_set_up(desk: &RelayDesk, notes: &CallNotes) {
+    if desk.is_set_up() {
+        return;
     }
-}
-
-fn fingerprint(incoming: &IncomingCall, account: Option<&AccountRule>) -> FingerprintHash {
-    let mut hasher = Xxh3::new();
-    hasher.update(incoming.head.method().as_str().as_bytes());
-    let path = incoming.head.uri().path_and_query();
-    hasher.update(path.map_or(b"".as_slice(), |path| path.as_str().as_bytes()));
-    hasher.update(account.map_or(b"".as_slice(), |account| account.name.as_bytes()));
-    hasher.update(&incoming.body);
-    hasher.digest()
+    let patience = notes.patience.unwrap_or(DEFAULT_PATIENCE) / SET_UP_PART;
+    let _ = timeout(patience.min(SET_UP_LIMIT), desk.until_set_up()).await;
 }
 
 async fn run_call(
@@ -172,15 +74,9 @@
     writer: &mut SessionWriter,
     record: &mut CallRecord,
 ) -> CallEnd {
-    if !desk.takes_call(call.deadline.saturating_duration_since(call.started)) {
-        return refuse(desk, FaultKind::Draining, time_left(call), writer).await;
-    }
-    if desk
-        .crashes
-        .borrow()
-        .is_convicted(desk.now(), call.fingerprint)
-    {
-        return refuse(desk, FaultKind::Suspected, time_left(call), writer).await;
+    if let Some(kind) = reason_to_refuse(desk, call) {
+        let refusal = CallRefusal::new(kind, call.time_left());
+        return refuse_and_note(desk, &refusal, writer, record).await;
     }
     let mut progress = CallProgress::default();
     let mut tally = AttemptTally::default();
@@ -190,8 +86,18 @@
     record.first_byte = progress.first_byte;
     match end {
         Ok(end) => end,
-        Err(_) => time_out(desk, call, writer, &progress, tally).await,
+        Err(_) => time_out(desk, call, writer, record, &progress, tally).await,
+    }
+}
+
+/// Why a call goes to no endpoint at all.
+fn reason_to_refuse(desk: &RelayDesk, call: &RelayCall<'_>) -> Option<FaultKind> {
+    if !desk.takes_call(call.deadline.saturating_duration_since(call.started)) {
+        return Some(FaultKind::Draining);
     }
+    let crashes = desk.crashes.borrow();
+    let is_convicted = crashes.is_convicted(desk.now(), call.fingerprint);
+    is_convicted.then_some(FaultKind::Suspected)
 }
 
 /// The deadline passed while a try was under way.
@@ -199,6 +105,7 @@
     desk: &RelayDesk,
     call: &RelayCall<'_>,
     writer: &mut SessionWriter,
+    record: &mut CallRecord,
     progress: &CallProgress,
     tally: AttemptTally,
 ) -> CallEnd {
@@ -220,7 +127,8 @@
         true => FaultKind::DeadlinePassed,
         false => FaultKind::NoEndpoint,
     };
-    refuse(desk, kind, time_left(call), writer).await
+    let refusal = CallRefusal::new(kind, call.time_left());
+    refuse_and_note(desk, &refusal, writer, record).await
 }
 
 async fn try_endpoints(
@@ -235,14 +143,18 @@
     desk.budget.borrow_mut().note_request(desk.now(), service);
     let mut last: Option<(AttemptEnd, Option<WholeAnswer>)> = None;
     loop {
-        let tried: Vec<EndpointId> = record.tries.iter().map(|tried| tried.endpoint).collect();
-        let query = call.query(desk, &tried);
-        let chosen = choose(&desk.settings.placement, &desk.table.borrow(), &query);
-        let Some(endpoint) = chosen else {
-            return give_up(desk, call, writer, *tally, last).await;
+        let Some(placed) = place(desk, call, &record.tried()) else {
+            return give_up(desk, call, writer, record, *tally, last).await;
         };
+        record.rank = placed.rank;
+        record.queue_wait = placed.wait;
+        if let Some(wait) = placed.return_after {
+            return turn_back(desk, call, writer, record, *tally, last, wait).await;
+        }
+        let endpoint = placed.endpoint;
         record.tries.push(begin_try(desk, endpoint));
         progress.silence_limit = silence_limit(call.route, *tally);
+        progress.rank = placed.rank;
         let result = run_attempt(desk, call, endpoint, progress, writer).await;
         end_try(desk, record, &result);
         let (end, answer) = match result {
@@ -254,11 +166,48 @@
         let step = next_step(call.route.kind, call.route.attempts, *tally, end);
         last = Some((end, answer));
         if step != NextStep::TryAnother || !pay_repeat(desk, service, end) {
-            return give_up(desk, call, writer, *tally, last).await;
+            return give_up(desk, call, writer, record, *tally, last).await;
         }
     }
 }
 
+/// Finds an endpoint for a call, beside those that it has tried.
+fn place(desk: &RelayDesk, call: &RelayCall<'_>, tried: &[EndpointId]) -> Option<PlacedCall> {
+    let asked = AdmissionCall {
+        rank: call.rank,
+        account: call.account_name(),
+        objective: call.route.objective,
+        is_stream: call.route.kind.is_stream(),
+        left: call.deadline.saturating_duration_since(Instant::now()),
+        instances: desk.budget.borrow().instances(),
+    };
+    let query = call.query(desk, tried);
+    let table = desk.table.borrow();
+    let mut admission = desk.admission.borrow_mut();
+    admission.place(&desk.settings.placement, &table, &query, &asked)
+}
+
+/// Ends a call that no endpoint has room for.
+async fn turn_back(
+    desk: &RelayDesk,
+    call: &RelayCall<'_>,
+    writer: &mut SessionWriter,
+    record: &mut CallRecord,
+    tally: AttemptTally,
+    last: Option<(AttemptEnd, Option<WholeAnswer>)>,
+    wait: Duration,
+) -> CallEnd {
+    if tally.runs > 0 || writer.has_started {
+        return give_up(desk, call, writer, record, tally, last).await;
+    }
+    let refusal = CallRefusal {
+        kind: FaultKind::Overloaded,
+        left: call.time_left(),
+        room_after: Some(wait),
+    };
+    refuse_and_note(desk, &refusal, writer, record).await
+}
+
 fn begin_try(desk: &RelayDesk, endpoint: EndpointId) -> CallTry {
     let table = desk.table.borrow();
     let row = table.row(endpoint);
@@ -294,6 +243,7 @@
     desk: &RelayDesk,
     call: &RelayCall<'_>,
     writer: &mut SessionWriter,
+    record: &mut CallRecord,
     tally: AttemptTally,
     last: Option<(AttemptEnd, Option<WholeAnswer>)>,
 ) -> CallEnd {
@@ -301,7 +251,8 @@
         return CallEnd::Cut;
     }
     let Some((end, answer)) = last else {
-        return refuse(desk, FaultKind::NoEndpoint, time_left(call), writer).await;
+        let refusal = CallRefusal::new(FaultKind::NoEndpoint, call.time_left());
+        return refuse_and_note(desk, &refusal, writer, record).await;
     };
     if let Some(answer) = answer {
         return match deliver_whole(desk, answer, writer).await {
@@ -313,27 +264,37 @@
         NextStep::Answer(kind) => kind,
         NextStep::PassFailure | NextStep::TryAnother => FaultKind::EndpointFailed,
     };
-    refuse(desk, kind, time_left(call), writer).await
+    let refusal = CallRefusal::new(kind, call.time_left());
+    refuse_and_note(desk, &refusal, writer, record).await
 }
 
-fn time_left(call: &RelayCall<'_>) -> Option<Duration> {
-    let patience = call.notes.patience?;
-    Some(patience.saturating_sub(call.started.elapsed()))
+async fn refuse_and_note(
+    desk: &RelayDesk,
+    refusal: &CallRefusal,
+    writer: &mut SessionWriter,
+    record: &mut CallRecord,
+) -> CallEnd {
+    let (end, retry_after) = refuse(desk, refusal, writer).await;
+    record.retry_after = retry_after;
+    end
 }
 
-/// Answers a call in the name of this instance.
+/// Answers a call in the name of this instance. Returns how the call ended, and when the caller was
+/// told to come back.
 pub async fn refuse(
     desk: &RelayDesk,
-    kind: FaultKind,
-    left: Option<Duration>,
+    refusal: &CallRefusal,
     writer: &mut SessionWriter,
-) -> CallEnd {
+) -> (CallEnd, Option<Duration>) {
+    let kind = refusal.kind;
     let row = kind.answer();
     let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut headers = HeaderMap::new();
     headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    if row.retry_after.is_some() {
-        let wait = wait_before_retry(kind, left, rand::random());
+    let retry_after = row
+        .retry_after
+        .map(|_| refusal.wait_before_retry(rand::random()));
+    if let Some(wait) = retry_after {
         let seconds = format!("{:.3}", wait.as_secs_f64());
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(RETRY_AFTER, value);
@@ -341,11 +302,9 @@
     }
     let body = format!("{{\"kind\":\"{kind}\",\"outcome\":\"{}\"}}", row.outcome);
     let close = desk.sends_away();
-    match writer
-        .send_whole(status, headers, Bytes::from(body), close)
-        .await
-    {
-        Ok(()) => CallEnd::Refused(kind),
-        Err(_) => CallEnd::CallerLost,
+    let sent = writer.send_whole(status, headers, Bytes::from(body), close);
+    match sent.await {
+        Ok(()) => (CallEnd::Refused(kind), retry_after),
+        Err(_) => (CallEnd::CallerLost, retry_after),
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,10 @@
 //! * [`table`]: the endpoints of the list, with their load and health.
 //! * [`health`]: what the own calls tell about an endpoint.
 //! * [`placement`]: which endpoint runs a call.
+//! * [`admission`]: whether a call is let in while its service is full.
+//! * [`accounts`]: running calls by client account.
+//! * [`ranks`]: how calls of each rank fared.
+//! * [`returns`]: when refused callers are to return.
 //! * [`budget`]: how many repeats a service takes.
 //! * [`crash`]: calls that crash the endpoints that run them.
 //! * [`verdict`]: what follows from the end of an attempt.
@@ -13,17 +17,21 @@
 //!
 //! Input and output:
 //!
+//! * [`identity`]: which rules apply to a call.
 //! * [`call`]: calls and answers as the dialect of a platform reads them.
 //! * [`session`]: one connection of a caller.
 //! * [`endpoint`]: one connection to an endpoint.
 //! * [`pool`]: idle connections to endpoints.
 //! * [`attempt`]: one try of a call at one endpoint.
 //! * [`forward`]: the tries of one call.
+//! * [`record`]: what is measured and logged of a call.
 //! * [`desk`]: what the calls of one instance share.
 //! * [`server`]: serving callers.
 //! * [`accept`]: accepting connections.
 
 pub mod accept;
+pub mod accounts;
+pub mod admission;
 pub mod attempt;
 pub mod budget;
 pub mod call;
@@ -33,9 +41,13 @@
 pub mod events;
 pub mod forward;
 pub mod health;
+pub mod identity;
 pub mod placement;
 pub mod pool;
+pub mod ranks;
+pub mod record;
 pub mod refusal;
+pub mod returns;
 pub mod server;
 pub mod session;
 pub mod table;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -1,13 +1,14 @@
 //! Which endpoint runs a call.
 //!
 //! Calls with a prompt go where the shared part of the prompt is warm: rendezvous hashing ranks the
-//! endpoints for each part, and the first whose load is within the bound takes the call. The other
-//! calls go to the endpoint that is expected to answer first.
+//! endpoints for each part, and the first whose load is within the bound and that has a free place
+//! takes the call; when none has, the one with the shortest queue. The other calls go to the endpoint
+//! that is expected to answer first.
 
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use wire::id::{DomainId, EndpointId, ServiceId};
+use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::table::{EndpointRow, EndpointTable};
@@ -19,6 +20,8 @@
     pub load_factor: f64,
     /// Requests above that, which a small service would otherwise turn away by chance.
     pub load_slack: f64,
+    /// Queue of a warm endpoint, as a part of its places, up to which it takes more.
+    pub warm_queue: f64,
     /// Requests by which an endpoint of another failure domain counts as more loaded, for calls
     /// without a prompt.
     pub distance: f64,
@@ -29,11 +32,15 @@
         Self {
             load_factor: 1.6,
             load_slack: 2.8,
+            warm_queue: 0.3,
             distance: 0.5,
         }
     }
 }
 
+/// Steps of the places of an endpoint within which two endpoints count as equally full.
+const FULLNESS_STEPS: f64 = 4.0;
+
 /// What the choice is for.
 #[derive(Clone, Copy, Debug)]
 pub struct PlacementQuery<'a> {
@@ -41,7 +48,9 @@
     pub service: ServiceId,
     /// Part of the prompt that other calls share.
     pub shared_part: Option<u64>,
-    /// Failure domain of this instance.
+    /// This instance.
+    pub instance: InstanceId,
+    /// Its failure domain.
     pub domain: DomainId,
     /// Endpoints that the call has tried.
     pub tried: &'a [EndpointId],
@@ -57,11 +66,20 @@
 ) -> Option<EndpointId> {
     let usable = best_standing(table, query);
     match query.shared_part {
-        Some(part) => choose_warm(settings, &usable, part, query.now),
+        Some(part) => choose_warm(settings, &usable, part, query),
         None => choose_fast(settings, &usable, query),
     }
 }
 
+/// The least full endpoint for a call with a prompt, wherever its parts are warm; or none when no
+/// usable one is left.
+pub fn choose_least_full(table: &EndpointTable, query: &PlacementQuery<'_>) -> Option<EndpointId> {
+    let usable = best_standing(table, query);
+    let seed = query.shared_part.unwrap_or_default() ^ query.instance;
+    let chosen = least_full(&usable, seed, query.now);
+    chosen.map(|(id, _)| *id)
+}
+
 /// The untried endpoints with the best standing that any of them has. A call is placed badly rather
 /// than not at all.
 fn best_standing<'a>(table: &'a EndpointTable, query: &PlacementQuery<'_>) -> Vec<Candidate<'a>> {
@@ -82,21 +100,40 @@
     settings: &PlacementSettings,
     usable: &[Candidate<'_>],
     part: u64,
-    now: Duration,
+    query: &PlacementQuery<'_>,
 ) -> Option<EndpointId> {
+    let now = query.now;
     let total: u32 = usable.iter().map(|(_, row)| row.load(now)).sum();
     let mean = f64::from(total) / usable.len().max(1) as f64;
     let bound = mean * settings.load_factor + settings.load_slack;
-    let within = |(_, row): &&Candidate<'_>| f64::from(row.load(now)) < bound;
-    let first = usable
+    let within = usable.iter().copied();
+    let within: Vec<_> = within
+        .filter(|(_, row)| f64::from(row.load(now)) < bound)
+        .collect();
+    let has_room = |(_, row): &&Candidate<'_>| row.queue_part(now) <= settings.warm_queue;
+    let first = within
         .iter()
-        .filter(within)
+        .filter(has_room)
         .max_by_key(|(id, _)| rank(part, *id));
-    let least = || usable.iter().min_by_key(|(id, row)| (row.load(now), *id));
-    let chosen = first.or_else(least);
+    let chosen = first.or_else(|| least_full(&within, part ^ query.instance, now));
     chosen.map(|(id, _)| *id)
 }
 
+/// The least full endpoint; among those that are about equally full, the first in the ranking by
+/// `seed`. Without a seed of its own, each instance would see the same one as the least full, and send
+/// all its calls there.
+fn least_full<'a, 'b>(
+    usable: &'b [Candidate<'a>],
+    seed: u64,
+    now: Duration,
+) -> Option<&'b Candidate<'a>> {
+    let step = |row: &EndpointRow| (row.fullness(now) * FULLNESS_STEPS).floor();
+    usable.iter().min_by(|(left_id, left), (right_id, right)| {
+        let by_step = step(left).total_cmp(&step(right));
+        by_step.then_with(|| rank(seed, *right_id).cmp(&rank(seed, *left_id)))
+    })
+}
+
 /// The endpoint that most probably holds a shared part, beside the one that runs the call: the
 /// first in the part's ranking. One that drains still hands out what it holds.
 pub fn warm_source(
@@ -144,9 +181,8 @@
         (load * pace.sqrt() / served, *id)
     };
     let cheapest = usable.iter().min_by(|a, b| {
-        cost(a)
-            .partial_cmp(&cost(b))
-            .unwrap_or(std::cmp::Ordering::Equal)
+        let ((left, left_id), (right, right_id)) = (cost(a), cost(b));
+        left.total_cmp(&right).then(left_id.cmp(&right_id))
     });
     cheapest.map(|(id, _)| *id)
 }
--- /dev/null
+++ b/crates/relay/src/ranks.rs
@@ -0,0 +1,98 @@
+//! How calls of each rank fared lately.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use wire::id::ServiceId;
+
+/// How calls of each rank fared lately, by service.
+///
+/// Load patterns: long calls of a low rank take each place that comes free, and the more urgent ones
+/// that arrive a moment later find none; and urgent calls that take all places for good, so that no
+/// call of a lower rank is served at all.
+#[derive(Debug, Default)]
+pub struct RankLedger {
+    services: HashMap<ServiceId, ServiceRanks>,
+}
+
+/// Weight of one call in the averages.
+const AVERAGE_WEIGHT: f64 = 0.05;
+/// Time after the latest call of a rank for which its averages count.
+const RANK_MEMORY: Duration = Duration::from_secs(2);
+/// Part of the share of all calls that are let in below which calls of a rank go first.
+const LEAST_RANK_PART: f64 = 0.3;
+
+#[derive(Debug, Default)]
+struct ServiceRanks {
+    all: RankAverage,
+    ranks: BTreeMap<u8, RankAverage>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct RankAverage {
+    /// Share of the calls that found no free place.
+    crowded: f64,
+    /// Share of the calls that were let in.
+    admitted: f64,
+    noted_at: Duration,
+}
+
+impl Default for RankAverage {
+    fn default() -> Self {
+        Self {
+            crowded: 0.0,
+            admitted: 1.0,
+            noted_at: Duration::ZERO,
+        }
+    }
+}
+
+impl RankAverage {
+    fn note(&mut self, now: Duration, is_crowded: bool, is_admitted: bool) {
+        let step = |average: f64, sample: bool| {
+            average + (f64::from(u8::from(sample)) - average) * AVERAGE_WEIGHT
+        };
+        self.crowded = step(self.crowded, is_crowded);
+        self.admitted = step(self.admitted, is_admitted);
+        self.noted_at = now;
+    }
+}
+
+impl RankLedger {
+    /// A call of a rank arrived, found a free place or not, and was let in or not.
+    pub fn note(
+        &mut self,
+        now: Duration,
+        service: ServiceId,
+        rank: u8,
+        is_crowded: bool,
+        is_admitted: bool,
+    ) {
+        let ranks = self.services.entry(service).or_default();
+        ranks.all.note(now, is_crowded, is_admitted);
+        let own = ranks.ranks.entry(rank).or_default();
+        own.note(now, is_crowded, is_admitted);
+    }
+
+    /// Share of the calls of ranks before this one that found no free place.
+    pub fn pressure(&self, now: Duration, service: ServiceId, rank: u8) -> f64 {
+        let Some(ranks) = self.services.get(&service) else {
+            return 0.0;
+        };
+        let before = ranks.ranks.range(..rank).map(|(_, average)| average);
+        let recent = before.filter(|average| now < average.noted_at + RANK_MEMORY);
+        recent.map(|average| average.crowded).fold(0.0, f64::max)
+    }
+
+    /// The rank that a call takes: the first one while too few calls of its own are let in.
+    pub fn fair_rank(&self, service: ServiceId, rank: u8) -> u8 {
+        let Some(ranks) = self.services.get(&service) else {
+            return rank;
+        };
+        let own = ranks.ranks.get(&rank).copied().unwrap_or_default();
+        match own.admitted < ranks.all.admitted * LEAST_RANK_PART {
+            true => 0,
+            false => rank,
+        }
+    }
+}
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -7,7 +7,7 @@
 
 use fault::FaultKind;
 
-/// Time after which a full service is worth another try.
+/// Least time after which a full service is worth another try.
 const OVERLOAD_WAIT: Duration = Duration::from_millis(150);
 /// Time after which endpoints or settings may have come back.
 const ABSENCE_WAIT: Duration = Duration::from_millis(500);
@@ -16,14 +16,45 @@
 /// Part of the caller's remaining time that it waits at most.
 const PATIENCE_PART: u32 = 3;
 
-/// Time after which a refused caller should come back. `draw` is uniform from 0 to 1.
-pub fn wait_before_retry(kind: FaultKind, left: Option<Duration>, draw: f64) -> Duration {
-    let base = match kind {
-        FaultKind::Overloaded => OVERLOAD_WAIT,
-        FaultKind::Quarantined | FaultKind::Suspected => QUARANTINE_WAIT,
-        _ => ABSENCE_WAIT,
-    };
-    let spread = base.mul_f64(0.5 + draw);
-    let most = left.map(|left| left / PATIENCE_PART);
-    most.map_or(spread, |most| spread.min(most))
+/// Part by which callers that have a time of their own return later than it at most.
+const LATENESS: f64 = 0.25;
+
+/// A call that is refused.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallRefusal {
+    /// Why.
+    pub kind: FaultKind,
+    /// Time that the caller has left, if it told any.
+    pub left: Option<Duration>,
+    /// Time after which there is room for this caller, if that is known.
+    pub room_after: Option<Duration>,
+}
+
+impl CallRefusal {
+    /// A refusal that knows no time of return.
+    pub fn new(kind: FaultKind, left: Option<Duration>) -> Self {
+        Self {
+            kind,
+            left,
+            room_after: None,
+        }
+    }
+
+    /// Time after which the caller should come back. `draw` is uniform from 0 to 1.
+    pub fn wait_before_retry(&self, draw: f64) -> Duration {
+        let wait = match self.room_after {
+            Some(room_after) => room_after.max(OVERLOAD_WAIT).mul_f64(1.0 + LATENESS * draw),
+            None => self.base().mul_f64(0.5 + draw),
+        };
+        let most = self.left.map(|left| left / PATIENCE_PART);
+        most.map_or(wait, |most| wait.min(most))
+    }
+
+    fn base(&self) -> Duration {
+        match self.kind {
+            FaultKind::Overloaded => OVERLOAD_WAIT,
+            FaultKind::Quarantined | FaultKind::Suspected => QUARANTINE_WAIT,
+            _ => ABSENCE_WAIT,
+        }
+    }
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -3,14 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fault::{FaultKind, RunOutcome};
+use fault::FaultKind;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
-use watch::CallSample;
 
 use crate::accept::accept_each;
 use crate::desk::RelayDesk;
-use crate::forward::{CallEnd, CallRecord, refuse, serve_call};
+use crate::forward::{refuse, serve_call};
+use crate::record::{CallEnd, CallRecord};
+use crate::refusal::CallRefusal;
 use crate::session::{
     IncomingCall, SessionError, SessionLimits, SessionReader, SessionWriter, open,
 };
@@ -53,7 +54,7 @@
         let Some(record) = serve_watched(desk, &incoming, &mut reader, &mut writer).await else {
             return Ok(());
         };
-        note_call(desk, &record);
+        record.note(&desk.metrics);
         let is_over = matches!(record.end, CallEnd::Cut | CallEnd::CallerLost);
         if is_over || !writer.is_kept() {
             return Ok(());
@@ -120,54 +121,6 @@
         SessionError::Slow => FaultKind::SlowCaller,
     };
     log::info!("relay: a request was turned away: {error}");
-    refuse(desk, kind, None, writer).await;
+    refuse(desk, &CallRefusal::new(kind, None), writer).await;
     Ok(())
 }
-
-/// One line for each call: what decided where it went, and how it ended.
-fn note_call(desk: &RelayDesk, record: &CallRecord) {
-    let word = end_word(record.end);
-    desk.metrics.observe_call(&CallSample {
-        account: &record.account,
-        route: &record.route,
-        outcome: word,
-        first_byte: record.first_byte,
-        total: record.elapsed,
-    });
-    let tries = record.tries.iter();
-    let tries: Vec<String> = tries
-        .map(|tried| format!("{}:{}:{}", tried.name, tried.load, tried.end))
-        .collect();
-    log::info!(
-        call = record.attempt.as_deref().unwrap_or("-"),
-        outcome = word,
-        answer = answer_text(record.end).as_str(),
-        route = record.route.as_str(),
-        account = record.account.as_str(),
-        catalog = record.catalog,
-        list_age_ms = record.list_age.map_or(-1, |age| age.as_millis() as i64),
-        tries = tries.join(",").as_str(),
-        error = record.last_error.as_deref().unwrap_or(""),
-        elapsed_ms = record.elapsed.as_millis() as u64;
-        "relay: call"
-    );
-}
-
-fn end_word(end: CallEnd) -> &'static str {
-    match end {
-        CallEnd::Answered(status) if status.is_server_error() => "failure-passed",
-        CallEnd::Answered(_) => "answered",
-        CallEnd::Refused(kind) if kind.answer().outcome == RunOutcome::NotRun => "refused",
-        CallEnd::Refused(_) => "failed",
-        CallEnd::Cut => "cut",
-        CallEnd::CallerLost => "caller-lost",
-    }
-}
-
-fn answer_text(end: CallEnd) -> String {
-    match end {
-        CallEnd::Answered(status) => status.as_u16().to_string(),
-        CallEnd::Refused(kind) => kind.to_string(),
-        CallEnd::Cut | CallEnd::CallerLost => String::new(),
-    }
-}
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -15,6 +15,13 @@
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
 /// Age at which an endpoint's own report no longer counts.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
+/// Requests at one endpoint by which a load changes before others are told out of turn.
+const LOAD_NEWS: u32 = 3;
+/// Weight of one call in the average occupancy.
+const AVERAGE_WEIGHT: f64 = 0.1;
+/// Time over which the load of an endpoint is averaged. What others report is up to half as old, and
+/// tells nothing of calls that end sooner; an average does.
+const AVERAGING_TIME: Duration = Duration::from_millis(500);
 
 /// How well a call is placed at an endpoint, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -42,6 +49,8 @@
     pub is_draining: bool,
     /// Requests of this instance that it runs.
     pub own_running: u32,
+    /// Requests of this instance that others were told of last.
+    told_running: u32,
     /// Requests of all other instances that it runs.
     pub others_running: u32,
     /// What it told of itself, and when.
@@ -54,6 +63,12 @@
     heard_at: Option<Duration>,
     /// Whether it said that another endpoint holds its address.
     is_misplaced: bool,
+    /// Average time for which a call occupies a place; `None` before the first has ended.
+    occupancy: Option<Duration>,
+    /// Load, averaged over the time by which reports are older than calls are long.
+    average_load: f64,
+    /// When the average was brought up to date.
+    averaged_at: Duration,
 }
 
 impl EndpointRow {
@@ -65,12 +80,16 @@
             slots: u32::from(listed.slots),
             is_draining: listed.is_draining,
             own_running: 0,
+            told_running: 0,
             others_running: 0,
             report: None,
             health: EndpointHealth::default(),
             busy_since: None,
             heard_at: None,
             is_misplaced: false,
+            occupancy: None,
+            average_load: 0.0,
+            averaged_at: Duration::ZERO,
         }
     }
 
@@ -109,12 +128,81 @@
     /// Requests that it holds: what all instances know of, or what it told lately if that is more.
     pub fn load(&self, now: Duration) -> u32 {
         let known = self.own_running + self.others_running;
-        let fresh = self
-            .report
-            .filter(|(_, at)| now.saturating_sub(*at) <= REPORT_LIMIT);
-        fresh.map_or(known, |(report, _)| {
-            known.max(report.running + report.waiting)
-        })
+        let fresh = self.fresh_report(now);
+        fresh.map_or(known, |report| known.max(report.running + report.waiting))
+    }
+
+    fn fresh_report(&self, now: Duration) -> Option<LoadReport> {
+        let (report, at) = self.report?;
+        (now.saturating_sub(at) <= REPORT_LIMIT).then_some(report)
+    }
+
+    /// Requests that it can run at once; `None` when that is not known. Less than its slots when
+    /// requests wait before these are taken, as its memory is full then.
+    fn places(&self, now: Duration) -> Option<u32> {
+        if let Some(report) = self.fresh_report(now).filter(|report| report.waiting > 0) {
+            return Some(report.running.max(1));
+        }
+        let told = self.report.map(|(report, _)| report.slots);
+        let slots = told.filter(|slots| *slots > 0).unwrap_or(self.slots);
+        (slots > 0).then_some(slots)
+    }
+
+    /// Requests that it holds in relation to those that it can run at once.
+    pub fn fullness(&self, now: Duration) -> f64 {
+        f64::from(self.load(now)) / f64::from(self.places(now).unwrap_or(1))
+    }
+
+    /// Calls that end before the next one gets a place, as a part of its places; 0 while one is
+    /// free.
+    pub fn queue_part(&self, now: Duration) -> f64 {
+        let Some(places) = self.places(now).map(f64::from) else {
+            return 0.0;
+        };
+        let load = self.average(now);
+        if load >= places {
+            (load + 1.0 - places) / places
+        } else {
+            0.0
+        }
+    }
+
+    /// Part of its places that are free.
+    pub fn free_part(&self, now: Duration) -> f64 {
+        let places = self.places(now).map_or(f64::INFINITY, f64::from);
+        (1.0 - self.average(now) / places).max(0.0)
+    }
+
+    /// Requests that it probably holds: what it told counts the less, the more of these have ended.
+    fn probable_load(&self, now: Duration) -> f64 {
+        let known = f64::from(self.own_running + self.others_running);
+        let Some((report, at)) = self.report else {
+            return known;
+        };
+        let unknown = f64::from(report.running + report.waiting) - known;
+        let occupancy = self.occupancy.unwrap_or(REPORT_LIMIT);
+        let age = now.saturating_sub(at).as_secs_f64();
+        known + unknown.max(0.0) * (-age / occupancy.as_secs_f64().max(f64::MIN_POSITIVE)).exp()
+    }
+
+    /// The load, averaged up to now.
+    fn average(&self, now: Duration) -> f64 {
+        let load = self.probable_load(now);
+        // An endpoint that has just come fills faster than its average follows.
+        let occupancy = self.occupancy.unwrap_or(AVERAGING_TIME);
+        let span = AVERAGING_TIME.saturating_sub(occupancy);
+        if span.is_zero() {
+            return load;
+        }
+        let age = now.saturating_sub(self.averaged_at);
+        let kept = (-age.as_secs_f64() / span.as_secs_f64()).exp();
+        load + (self.average_load - load) * kept
+    }
+
+    /// Brings the average up to date, before the load changes.
+    fn update_average(&mut self, now: Duration) {
+        self.average_load = self.average(now);
+        self.averaged_at = now;
     }
 }
 
@@ -201,6 +289,7 @@
     /// A call goes to an endpoint.
     pub fn start(&mut self, now: Duration, id: EndpointId) {
         if let Some(row) = self.rows.get_mut(&id) {
+            row.update_average(now);
             row.own_running += 1;
             row.busy_since.get_or_insert(now);
             row.health.start(now);
@@ -208,8 +297,9 @@
     }
 
     /// A call has ended at an endpoint.
-    pub fn finish(&mut self, id: EndpointId) {
+    pub fn finish(&mut self, now: Duration, id: EndpointId) {
         if let Some(row) = self.rows.get_mut(&id) {
+            row.update_average(now);
             row.own_running = row.own_running.saturating_sub(1);
             if row.own_running == 0 {
                 row.busy_since = None;
@@ -217,6 +307,49 @@
         }
     }
 
+    /// A call that ended well occupied a place of an endpoint for this long.
+    pub fn note_occupancy(&mut self, id: EndpointId, time: Duration) {
+        if let Some(row) = self.rows.get_mut(&id) {
+            let average = row.occupancy.unwrap_or(time);
+            let weighed = average.mul_f64(1.0 - AVERAGE_WEIGHT) + time.mul_f64(AVERAGE_WEIGHT);
+            row.occupancy = Some(weighed);
+        }
+    }
+
+    /// Average time for which a call occupies a place of an endpoint, or of its service while
+    /// nothing is known of the endpoint.
+    pub fn occupancy(&self, service: ServiceId, id: EndpointId) -> Option<Duration> {
+        let own = self.rows.get(&id).and_then(|row| row.occupancy);
+        own.or_else(|| self.mean_occupancy(service))
+    }
+
+    fn mean_occupancy(&self, service: ServiceId) -> Option<Duration> {
+        let known = self.of_service(service);
+        let known: Vec<Duration> = known.filter_map(|(_, row)| row.occupancy).collect();
+        let count = u32::try_from(known.len()).ok().filter(|count| *count > 0)?;
+        Some(known.iter().sum::<Duration>() / count)
+    }
+
+    /// Expected time until a call gets a place at an endpoint whose calls occupy one for so long.
+    pub fn expected_wait(&self, now: Duration, id: EndpointId, occupancy: Duration) -> Duration {
+        let part = self.rows.get(&id).map_or(0.0, |row| row.queue_part(now));
+        occupancy.mul_f64(part)
+    }
+
+    /// Expected time between two places of a service that come free while it is full, when its calls
+    /// occupy one for so long.
+    pub fn place_interval(
+        &self,
+        now: Duration,
+        service: ServiceId,
+        occupancy: Duration,
+    ) -> Duration {
+        let sound = self.of_service(service);
+        let sound = sound.filter(|(_, row)| row.standing(now) == Some(EndpointStanding::Sound));
+        let places: u32 = sound.filter_map(|(_, row)| row.places(now)).sum();
+        occupancy / places.max(1)
+    }
+
     /// Something came from an endpoint.
     pub fn hear(&mut self, now: Duration, id: EndpointId) {
         if let Some(row) = self.rows.get_mut(&id) {
@@ -235,6 +368,7 @@
     /// Notes what an endpoint told of itself.
     pub fn note_report(&mut self, now: Duration, id: EndpointId, report: LoadReport) {
         if let Some(row) = self.rows.get_mut(&id) {
+            row.update_average(now);
             row.report = Some((report, now));
         }
     }
@@ -246,8 +380,18 @@
         }
     }
 
-    /// Running requests of this instance, by endpoint.
-    pub fn own_loads(&self) -> Vec<(EndpointId, u16)> {
+    /// Whether the requests of this instance at an endpoint have changed so much that others should
+    /// know at once.
+    pub fn is_load_news(&self, id: EndpointId) -> bool {
+        let row = self.rows.get(&id);
+        row.is_some_and(|row| row.own_running.abs_diff(row.told_running) >= LOAD_NEWS)
+    }
+
+    /// Running requests of this instance, by endpoint, to tell others.
+    pub fn tell_loads(&mut self) -> Vec<(EndpointId, u16)> {
+        for row in self.rows.values_mut() {
+            row.told_running = row.own_running;
+        }
         let busy = self.rows.iter().filter(|(_, row)| row.own_running > 0);
         let mut loads: Vec<(EndpointId, u16)> = busy
             .map(|(id, row)| (*id, u16::try_from(row.own_running).unwrap_or(u16::MAX)))
@@ -257,13 +401,27 @@
     }
 
     /// Takes over the running requests that another instance reports; none when it is gone.
-    pub fn set_share(&mut self, instance: InstanceId, loads: Vec<(EndpointId, u16)>) {
-        if loads.is_empty() {
-            self.shares.remove(&instance);
-        } else {
+    pub fn set_share(
+        &mut self,
+        now: Duration,
+        instance: InstanceId,
+        loads: Vec<(EndpointId, u16)>,
+    ) {
+        for (id, running) in self.shares.remove(&instance).unwrap_or_default() {
+            if let Some(row) = self.rows.get_mut(&id) {
+                row.update_average(now);
+                row.others_running -= u32::from(running);
+            }
+        }
+        for (id, running) in &loads {
+            if let Some(row) = self.rows.get_mut(id) {
+                row.update_average(now);
+                row.others_running += u32::from(*running);
+            }
+        }
+        if !loads.is_empty() {
             self.shares.insert(instance, loads);
         }
-        self.sum_shares();
     }
 
     fn sum_shares(&mut self) {
--- /dev/null
+++ b/crates/relay/tests/admission.rs
@@ -0,0 +1,361 @@
+//! Which calls are let in while a service is full.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use googletest::prelude::*;
+use relay::accounts::AccountLoads;
+use relay::admission::{
+    AdmissionCall, AdmissionControl, AdmissionQuery, AdmissionSettings, AdmissionVerdict,
+    PlacedCall, decide,
+};
+use relay::placement::{PlacementQuery, PlacementSettings};
+use relay::ranks::RankLedger;
+use relay::refusal::CallRefusal;
+use relay::returns::ReturnSchedule;
+use relay::table::EndpointTable;
+use wire::gateway::ListedEndpoint;
+use wire::id::{EndpointId, name_id};
+
+const SERVICE: &str = "drafts";
+const PLACES: u16 = 4;
+const OBJECTIVE: Duration = Duration::from_millis(500);
+const OCCUPANCY: Duration = Duration::from_millis(400);
+const NOW: Duration = Duration::from_secs(100);
+
+fn listed(number: u8) -> ListedEndpoint {
+    ListedEndpoint {
+        name: format!("endpoint-{number}"),
+        service: SERVICE.to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 80),
+        domain: 0,
+        slots: PLACES,
+        is_draining: false,
+    }
+}
+
+/// Endpoints whose calls are known to occupy a place for [`OCCUPANCY`], each running `running` calls.
+fn table_of(running: &[u32]) -> EndpointTable {
+    let listed: Vec<ListedEndpoint> = (1..=running.len() as u8).map(listed).collect();
+    let mut table = EndpointTable::default();
+    table.replace(&listed);
+    for (endpoint, running) in listed.iter().zip(running) {
+        table.note_occupancy(endpoint.id(), OCCUPANCY);
+        for _ in 0..*running {
+            table.start(Duration::ZERO, endpoint.id());
+        }
+    }
+    table
+}
+
+fn asked(wait: Duration) -> AdmissionQuery {
+    AdmissionQuery {
+        wait,
+        objective: OBJECTIVE,
+        answer: Duration::ZERO,
+        left: Duration::from_secs(4),
+        rank: 0,
+        account_share: 1.0,
+        free: 0.0,
+        pressure: 0.0,
+        interval: Duration::from_millis(20),
+    }
+}
+
+fn verdict(query: &AdmissionQuery) -> AdmissionVerdict {
+    decide(&AdmissionSettings::default(), query)
+}
+
+fn place(control: &mut AdmissionControl, table: &EndpointTable, rank: u8) -> PlacedCall {
+    let query = PlacementQuery {
+        service: name_id(SERVICE),
+        shared_part: Some(7),
+        instance: 1,
+        domain: 0,
+        tried: &[],
+        now: NOW,
+    };
+    let call = AdmissionCall {
+        rank,
+        account: "one",
+        objective: OBJECTIVE,
+        is_stream: true,
+        left: Duration::from_secs(4),
+        instances: 1,
+    };
+    let settings = PlacementSettings::default();
+    let placed = control.place(&settings, table, &query, &call);
+    placed.expect("an endpoint is usable")
+}
+
+#[gtest]
+fn call_that_finds_a_free_place_is_let_in_whatever_its_rank() {
+    for rank in 0..10 {
+        let mut control = AdmissionControl::default();
+
+        let placed = place(&mut control, &table_of(&[0, 1, 0]), rank);
+
+        expect_that!(placed.return_after, none());
+        expect_that!(placed.wait, eq(Duration::ZERO));
+    }
+}
+
+#[gtest]
+fn call_that_can_not_begin_in_time_is_refused() {
+    let soon = verdict(&asked(OBJECTIVE / 4));
+    let late = verdict(&asked(OBJECTIVE * 2));
+
+    expect_that!(soon, eq(AdmissionVerdict::Admit));
+    let AdmissionVerdict::Refuse { room_after } = late else {
+        panic!("the wait is twice the objective");
+    };
+    expect_that!(room_after, all!(ge(OBJECTIVE), le(OBJECTIVE * 2)));
+}
+
+#[gtest]
+fn whole_answer_counts_the_time_that_its_endpoint_takes() {
+    let wait = OBJECTIVE / 2;
+
+    let stream = verdict(&asked(wait));
+    let whole = verdict(&AdmissionQuery {
+        answer: OBJECTIVE * 4 / 5,
+        ..asked(wait)
+    });
+
+    expect_that!(stream, eq(AdmissionVerdict::Admit));
+    expect_that!(whole, not(eq(AdmissionVerdict::Admit)));
+}
+
+#[gtest]
+fn caller_that_leaves_before_its_turn_is_refused_at_once() {
+    let query = AdmissionQuery {
+        left: Duration::from_millis(50),
+        ..asked(Duration::from_millis(100))
+    };
+
+    expect_that!(verdict(&query), not(eq(AdmissionVerdict::Admit)));
+}
+
+#[gtest]
+fn queue_that_grows_is_left_to_the_more_urgent_calls() {
+    let longest = |rank| {
+        let waits = (0..1000).map(Duration::from_millis);
+        let admitted = waits.filter(|wait| {
+            let query = AdmissionQuery {
+                rank,
+                ..asked(*wait)
+            };
+            verdict(&query) == AdmissionVerdict::Admit
+        });
+        admitted.max().expect("a call without a wait is let in")
+    };
+
+    for rank in 0..3 {
+        expect_that!(longest(rank), gt(longest(rank + 1)), "rank {rank}");
+    }
+    expect_that!(longest(9), gt(Duration::ZERO));
+}
+
+#[gtest]
+fn account_with_many_times_its_share_waits_less() {
+    let wait = OBJECTIVE * 3 / 5;
+
+    let fair = verdict(&asked(wait));
+    let greedy = verdict(&AdmissionQuery {
+        account_share: 6.0,
+        ..asked(wait)
+    });
+
+    expect_that!(fair, eq(AdmissionVerdict::Admit));
+    expect_that!(greedy, not(eq(AdmissionVerdict::Admit)));
+}
+
+#[gtest]
+fn places_are_left_free_only_while_more_urgent_calls_find_none() {
+    let query = |pressure| AdmissionQuery {
+        rank: 2,
+        free: 0.1,
+        pressure,
+        ..asked(Duration::ZERO)
+    };
+
+    expect_that!(verdict(&query(0.0)), eq(AdmissionVerdict::Admit));
+    expect_that!(verdict(&query(1.0)), not(eq(AdmissionVerdict::Admit)));
+}
+
+#[gtest]
+fn call_that_may_not_wait_where_it_is_warm_goes_where_a_place_is_free() {
+    // Its warm endpoint has a short queue, which only more urgent calls may join.
+    let warm = place(&mut AdmissionControl::default(), &table_of(&[0; 5]), 0).endpoint;
+    let mut running = [2; 5];
+    let numbers = 1..=5_u8;
+    let position = numbers
+        .map(|number| listed(number).id())
+        .position(|id| id == warm);
+    running[position.expect("it is listed")] = u32::from(PLACES);
+    let table = table_of(&running);
+
+    let urgent = place(&mut AdmissionControl::default(), &table, 0);
+    let other = place(&mut AdmissionControl::default(), &table, 5);
+
+    expect_that!(urgent.endpoint, eq(warm));
+    expect_that!(other.endpoint, not(eq(warm)));
+    expect_that!(other.return_after, none());
+}
+
+#[gtest]
+fn full_service_refuses_with_a_time_of_return() {
+    let mut control = AdmissionControl::default();
+
+    let placed = place(&mut control, &table_of(&[12, 12, 12]), 0);
+
+    expect_that!(placed.return_after, some(gt(Duration::ZERO)));
+}
+
+#[gtest]
+fn endpoint_that_has_just_come_is_not_filled_without_bound() {
+    // Nothing is known of how long its calls take.
+    let mut table = EndpointTable::default();
+    table.replace(&[listed(1)]);
+    let mut control = AdmissionControl::default();
+
+    let admitted = (0..100).take_while(|_| {
+        let placed = place(&mut control, &table, 0);
+        table.start(NOW, placed.endpoint);
+        placed.return_after.is_none()
+    });
+
+    expect_that!(admitted.count(), le(2 * usize::from(PLACES)));
+}
+
+#[gtest]
+fn rank_that_is_hardly_ever_let_in_goes_first_for_a_while() {
+    let mut ranks = RankLedger::default();
+    for _ in 0..100 {
+        ranks.note(NOW, 1, 0, true, true);
+        ranks.note(NOW, 1, 2, true, false);
+    }
+
+    let before = ranks.fair_rank(1, 2);
+    for _ in 0..100 {
+        ranks.note(NOW, 1, 2, true, true);
+    }
+    let after = ranks.fair_rank(1, 2);
+
+    expect_that!(before, eq(0));
+    expect_that!(after, eq(2));
+    expect_that!(ranks.fair_rank(1, 1), eq(1));
+}
+
+#[gtest]
+fn pressure_of_more_urgent_calls_is_forgotten() {
+    let mut ranks = RankLedger::default();
+    for _ in 0..100 {
+        ranks.note(NOW, 1, 0, true, true);
+    }
+
+    let fresh = ranks.pressure(NOW, 1, 2);
+    let old = ranks.pressure(NOW + Duration::from_secs(10), 1, 2);
+    let own = ranks.pressure(NOW, 1, 0);
+
+    expect_that!(fresh, gt(0.9));
+    expect_that!(old, eq(0.0));
+    expect_that!(own, eq(0.0));
+}
+
+#[gtest]
+fn refused_callers_return_one_after_the_other() {
+    let mut returns = ReturnSchedule::default();
+    let interval = Duration::from_millis(30);
+    let room_after = Duration::from_millis(100);
+
+    let waits: Vec<Duration> = (0..50)
+        .map(|_| returns.assign(NOW, 1, room_after, interval))
+        .collect();
+    let later = returns.assign(NOW + Duration::from_secs(60), 1, room_after, interval);
+
+    expect_that!(waits[0], eq(room_after));
+    for pair in waits.windows(2) {
+        expect_that!(pair[1] - pair[0], eq(interval));
+    }
+    expect_that!(later, eq(room_after));
+}
+
+#[gtest]
+fn return_is_never_before_there_is_room_and_never_beyond_the_patience() {
+    let room_after = Duration::from_millis(400);
+    for draw in [0.0, 0.5, 1.0] {
+        let patient = CallRefusal {
+            kind: fault::FaultKind::Overloaded,
+            left: Some(Duration::from_secs(6)),
+            room_after: Some(room_after),
+        };
+        let hurried = CallRefusal {
+            left: Some(Duration::from_millis(600)),
+            ..patient
+        };
+
+        expect_that!(patient.wait_before_retry(draw), ge(room_after));
+        expect_that!(
+            hurried.wait_before_retry(draw),
+            le(Duration::from_millis(200))
+        );
+    }
+}
+
+#[gtest]
+fn share_of_an_account_is_measured_against_the_mean_of_all() {
+    let mut accounts = AccountLoads::default();
+    let alone = accounts.share(1, "one");
+    for _ in 0..9 {
+        accounts.start(1, "one");
+    }
+    for account in ["two", "three"] {
+        accounts.start(1, account);
+    }
+
+    let greedy = accounts.share(1, "one");
+    let modest = accounts.share(1, "two");
+    for _ in 0..9 {
+        accounts.finish(1, "one");
+    }
+    let calm = accounts.share(1, "one");
+
+    expect_that!(alone, eq(1.0));
+    expect_that!(greedy, gt(2.0));
+    expect_that!(modest, lt(1.0));
+    expect_that!(calm, eq(1.0));
+}
+
+#[gtest]
+fn loads_of_others_add_up_whatever_order_they_come_in() {
+    let mut table = table_of(&[0, 0]);
+    let [first, second]: [EndpointId; 2] = [listed(1).id(), listed(2).id()];
+
+    table.set_share(NOW, 1, vec![(first, 5), (second, 2)]);
+    table.set_share(NOW, 2, vec![(first, 3)]);
+    table.set_share(NOW, 1, vec![(second, 4)]);
+    table.replace(&[listed(1), listed(2)]);
+    table.set_share(NOW, 2, Vec::new());
+
+    let loads = [first, second].map(|id| table.row(id).expect("it is listed").load(NOW));
+    expect_that!(loads, eq([0, 4]));
+}
+
+#[gtest]
+fn load_that_changes_by_much_is_told_out_of_turn() {
+    let mut table = table_of(&[0]);
+    let endpoint = listed(1).id();
+
+    let before = table.is_load_news(endpoint);
+    for _ in 0..3 {
+        table.start(NOW, endpoint);
+    }
+    let after = table.is_load_news(endpoint);
+    let told = table.tell_loads();
+
+    expect_that!(before, eq(false));
+    expect_that!(after, eq(true));
+    expect_that!(told, eq(&vec![(endpoint, 3)]));
+    expect_that!(table.is_load_news(endpoint), eq(false));
+}
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -9,7 +9,7 @@
 use relay::crash::CrashLedger;
 use relay::events::EventSplitter;
 use relay::health::{CallSign, EndpointHealth};
-use relay::refusal::wait_before_retry;
+use relay::refusal::CallRefusal;
 use relay::verdict::{AttemptEnd, AttemptTally, MAX_TRIES, NextStep, next_step, silence_limit};
 use wire::gateway::CrashReport;
 
@@ -220,9 +220,9 @@
 fn refused_callers_come_back_spread_and_within_their_time() {
     let left = Some(Duration::from_millis(300));
 
-    let soon = wait_before_retry(FaultKind::Overloaded, None, 0.0);
-    let late = wait_before_retry(FaultKind::Overloaded, None, 1.0);
-    let bounded = wait_before_retry(FaultKind::NoEndpoint, left, 1.0);
+    let soon = CallRefusal::new(FaultKind::Overloaded, None).wait_before_retry(0.0);
+    let late = CallRefusal::new(FaultKind::Overloaded, None).wait_before_retry(1.0);
+    let bounded = CallRefusal::new(FaultKind::NoEndpoint, left).wait_before_retry(1.0);
 
     expect_that!(late, ge(soon * 2));
     expect_that!(bounded, le(Duration::from_millis(100)));
