--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -16,6 +16,9 @@
 const BEAT_GAP: Duration = Duration::from_millis(20);
 /// The same for a heartbeat that is sent for a new load.
 const LOAD_BEAT_GAP: Duration = Duration::from_millis(40);
+/// Time between two looks for idle connections to endpoints that are past their time. None of them is
+/// used in between either.
+const EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
 /// Heartbeats of which one names the gateways that were heard; all others leave them out.
 const NAMING_BEATS: u64 = 4;
 
@@ -24,6 +27,7 @@
     let mut ticks = interval(BEAT_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = node.now();
+    let mut expired_at = last;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
@@ -45,7 +49,10 @@
         for instance in told {
             node.send_datagram(instance, &beat);
         }
-        node.desk.pool.expire(now);
+        if now >= expired_at + EXPIRY_INTERVAL {
+            expired_at = now;
+            node.desk.pool.expire(now);
+        }
     }
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,6 +18,7 @@
 use crate::health::CallSign;
 use crate::identity::{CallRules, fingerprint};
 use crate::placement::{self, PlacementQuery};
+use crate::pool::idle_share;
 use crate::session::{IncomingCall, SessionError, SessionWriter};
 use crate::verdict::AttemptEnd;
 
@@ -43,6 +44,8 @@
     pub service: ServiceId,
     /// Rank among the calls that the service may get; 0 is the most urgent.
     pub rank: u8,
+    /// Connections that an endpoint of the service accepts from all instances; 0 for any number.
+    pub connections: u32,
     /// What makes two calls the same work.
     pub fingerprint: FingerprintHash,
     /// When it arrived.
@@ -69,6 +72,7 @@
             account: rules.account,
             service: rules.service,
             rank: rules.rank,
+            connections: rules.connections,
             started,
             deadline: started + patience.min(rules.route.timeout),
         }
@@ -280,9 +284,13 @@
         Err(_) if answer.notes.is_not_run => Bytes::new(),
         Err(error) => return Err(broken(desk, call, endpoint, progress, &error, true)),
     };
-    let now = desk.now();
-    let keep_alive = answer.notes.keep_alive;
-    desk.pool.put(now, endpoint, answer.connection, keep_alive);
+    keep_connection(
+        desk,
+        call,
+        endpoint,
+        answer.connection,
+        answer.notes.keep_alive,
+    );
     let status = answer.head.status;
     if answer.notes.is_not_run {
         if status == StatusCode::MISDIRECTED_REQUEST {
@@ -381,14 +389,31 @@
         lost(writer.send_bytes(bytes).await)?;
         if is_end {
             lost(writer.finish().await)?;
-            let keep_alive = answer.notes.keep_alive;
-            desk.pool
-                .put(desk.now(), endpoint, answer.connection, keep_alive);
+            keep_connection(
+                desk,
+                call,
+                endpoint,
+                answer.connection,
+                answer.notes.keep_alive,
+            );
             return Ok(AttemptResult::Delivered(status));
         }
     }
 }
 
+fn keep_connection(
+    desk: &RelayDesk,
+    call: &RelayCall<'_>,
+    endpoint: EndpointId,
+    connection: EndpointConnection,
+    keep_alive: Option<Duration>,
+) {
+    let instances = desk.budget.borrow().instances();
+    let most = idle_share(call.connections, instances);
+    desk.pool
+        .put(desk.now(), endpoint, connection, keep_alive, most);
+}
+
 /// Notes the first bytes of a good answer.
 fn note_served(
     desk: &RelayDesk,
--- a/crates/relay/src/identity.rs
+++ b/crates/relay/src/identity.rs
@@ -19,6 +19,8 @@
     pub service: ServiceId,
     /// Rank among the calls that the service may get; 0 is the most urgent.
     pub rank: u8,
+    /// Connections that an endpoint of the service accepts from all instances; 0 for any number.
+    pub connections: u32,
 }
 
 /// Finds the rules for a call. `draw` is uniform over all values and decides between the services of its
@@ -51,6 +53,9 @@
         account,
         service: name_id(service),
         rank: catalog.rank(service, route, account),
+        connections: catalog
+            .find_service(service)
+            .map_or(0, |rule| rule.connections),
     })
 }
 
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -17,6 +17,19 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 /// Idle connections to one endpoint at most.
 const MAX_IDLE: usize = 24;
+/// Part, as a divisor, of the connections that an endpoint accepts which all instances together keep
+/// idle at most. The rest is for calls under way.
+const IDLE_DIVISOR: usize = 2;
+
+/// Idle connections that one instance keeps to an endpoint that accepts `accepted` connections from
+/// all `instances` together; 0 for no bound of its own.
+pub fn idle_share(accepted: u32, instances: usize) -> usize {
+    let share = match accepted {
+        0 => MAX_IDLE,
+        accepted => accepted as usize / IDLE_DIVISOR / instances.max(1),
+    };
+    share.clamp(1, MAX_IDLE)
+}
 
 struct IdleConnection {
     connection: EndpointConnection,
@@ -42,13 +55,14 @@
         None
     }
 
-    /// Keeps a connection, if it may be used again.
+    /// Keeps a connection, if it may be used again and fewer than `most` are kept.
     pub fn put(
         &self,
         now: Duration,
         endpoint: EndpointId,
         connection: EndpointConnection,
         keep_alive: Option<Duration>,
+        most: usize,
     ) {
         let limit = match keep_alive {
             Some(limit) => limit.saturating_sub(IDLE_MARGIN),
@@ -59,7 +73,7 @@
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(endpoint).or_default();
-        if connections.len() < MAX_IDLE {
+        if connections.len() < most {
             connections.push(IdleConnection {
                 connection,
                 until: now + limit.min(LONGEST_IDLE),
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -9,6 +9,7 @@
 use relay::crash::CrashLedger;
 use relay::events::EventSplitter;
 use relay::health::{CallSign, EndpointHealth};
+use relay::pool::idle_share;
 use relay::refusal::CallRefusal;
 use relay::verdict::{AttemptEnd, AttemptTally, MAX_TRIES, NextStep, next_step, silence_limit};
 use wire::gateway::CrashReport;
@@ -315,3 +316,14 @@
         some(eq(Duration::from_millis(1200)))
     );
 }
+
+#[gtest]
+fn idle_connections_of_all_instances_leave_room_for_calls() {
+    for (accepted, instances) in [(380, 7), (120, 29), (380, 180)] {
+        let all = idle_share(accepted, instances) * instances;
+
+        expect_that!(all, le(accepted as usize / 2), "{accepted}, {instances}");
+    }
+    expect_that!(idle_share(380, 320), eq(1));
+    expect_that!(idle_share(0, 7), gt(1));
+}
