Give the tries of a call and one try each a type of its own

Change: `CallForward` and `EndpointAttempt` hold these values; calls under their rules, answers passed on and answers sent whole have modules of their own.

--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,173 @@
+//! Passing the answer of an endpoint on to the caller.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use bytes::{Bytes, BytesMut};
+
+use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, within};
+use crate::desk::RelayDesk;
+use crate::endpoint::{self, EndpointConnection, EndpointError};
+use crate::health::CallSign;
+use crate::pool::idle_share;
+use crate::record::CallEnd;
+use crate::reply::{WholeAnswer, deliver_whole};
+use crate::session;
+use crate::verdict::AttemptEnd;
+
+impl EndpointAttempt<'_> {
+    /// Takes an answer whose head has arrived.
+    pub(crate) async fn take_answer(&mut self, answer: OpenAnswer) -> AttemptResult {
+        let is_good = answer.head.status.is_success() && !answer.notes.is_not_run;
+        if is_good && !answer.notes.is_signed {
+            return AttemptResult::Failed(self.note_break(&EndpointError::Unsigned, true));
+        }
+        if is_good && self.call.route.kind.is_stream() {
+            return self.pass_stream(answer).await;
+        }
+        self.take_whole(answer).await
+    }
+
+    async fn take_whole(&mut self, mut answer: OpenAnswer) -> AttemptResult {
+        let reading = read_whole(self.desk, &mut answer.connection);
+        let read = within(self.progress.silence_limit, reading).await;
+        let body = match read {
+            Ok(body) => body,
+            Err(_) if answer.notes.is_not_run => Bytes::new(),
+            Err(error) => return AttemptResult::Failed(self.note_break(&error, true)),
+        };
+        self.keep_connection(answer.connection, answer.notes.keep_alive);
+        let status = answer.head.status;
+        if answer.notes.is_not_run {
+            return AttemptResult::Failed(self.note_not_run(status));
+        }
+        let headers = answer.head.headers();
+        let whole = WholeAnswer {
+            status,
+            headers: self.desk.dialect.forward_answer(headers),
+            body,
+        };
+        if status.is_server_error() || promises_no_run(status) {
+            return AttemptResult::Failed(self.note_failure(whole));
+        }
+        self.note_served();
+        match deliver_whole(self.desk, whole, self.writer).await {
+            CallEnd::Answered(status) => AttemptResult::Delivered(status),
+            _ => AttemptResult::CallerLost,
+        }
+    }
+
+    async fn pass_stream(&mut self, mut answer: OpenAnswer) -> AttemptResult {
+        let mut has_first = false;
+        loop {
+            let waiting = answer.connection.next_chunk();
+            let chunk = match within(self.progress.silence_limit, waiting).await {
+                Ok(chunk) => chunk,
+                Err(error) => {
+                    self.progress.events.drop_partial();
+                    return AttemptResult::Failed(self.note_break(&error, true));
+                }
+            };
+            let desk = self.desk;
+            desk.table.borrow_mut().hear(desk.now(), self.endpoint);
+            let bytes = match &chunk {
+                Some(chunk) => self.progress.events.push(chunk),
+                None => Some(self.progress.events.take_rest()),
+            };
+            let Some(bytes) = bytes else {
+                continue;
+            };
+            if !has_first {
+                has_first = true;
+                self.note_served();
+            }
+            let is_end = chunk.is_none();
+            if self.send_events(&answer, bytes, is_end).await.is_err() {
+                return AttemptResult::CallerLost;
+            }
+            if is_end {
+                self.keep_connection(answer.connection, answer.notes.keep_alive);
+                return AttemptResult::Delivered(answer.head.status);
+            }
+        }
+    }
+
+    /// Sends whole events on, behind the head if they are the first.
+    async fn send_events(
+        &mut self,
+        answer: &OpenAnswer,
+        bytes: Bytes,
+        is_end: bool,
+    ) -> session::Result<()> {
+        let desk = self.desk;
+        if !self.writer.has_started {
+            let headers = desk.dialect.forward_answer(answer.head.headers());
+            let status = answer.head.status;
+            self.writer
+                .put_stream_head(status, headers, desk.sends_away())?;
+        }
+        self.writer.send_bytes(bytes).await?;
+        match is_end {
+            true => self.writer.finish().await,
+            false => Ok(()),
+        }
+    }
+
+    /// Notes the first bytes of a good answer.
+    fn note_served(&mut self) {
+        let first_byte = self.call.started.elapsed();
+        self.progress.first_byte.get_or_insert(first_byte);
+        let sign = CallSign::Served(first_byte);
+        self.desk.note_health(self.endpoint, sign, "");
+    }
+
+    /// Notes that the endpoint states that it did not run the call.
+    fn note_not_run(&mut self, status: StatusCode) -> FailedAttempt {
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            self.desk.table.borrow_mut().note_misplaced(self.endpoint);
+            self.desk.pool.close(self.endpoint);
+        }
+        self.progress.last_error = Some(format!("not run, status {}", status.as_u16()));
+        FailedAttempt::without_answer(AttemptEnd::NotRun)
+    }
+
+    /// Notes that the endpoint ran the call and failed.
+    fn note_failure(&mut self, whole: WholeAnswer) -> FailedAttempt {
+        let reason = format!("status {}", whole.status.as_u16());
+        let desk = self.desk;
+        desk.note_health(self.endpoint, CallSign::Failed, &reason);
+        self.progress.last_error = Some(reason);
+        FailedAttempt {
+            end: AttemptEnd::Failed,
+            answer: (!promises_no_run(whole.status)).then_some(whole),
+        }
+    }
+
+    fn keep_connection(&self, connection: EndpointConnection, keep_alive: Option<Duration>) {
+        let desk = self.desk;
+        let instances = desk.budget.borrow().instances();
+        let most = idle_share(self.call.connections, instances);
+        desk.pool
+            .put(desk.now(), self.endpoint, connection, keep_alive, most);
+    }
+}
+
+/// Whether callers take a status as the promise that the call did not run. An endpoint that gives
+/// it without saying so itself may have run the call.
+fn promises_no_run(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
+
+async fn read_whole(
+    desk: &RelayDesk,
+    connection: &mut EndpointConnection,
+) -> endpoint::Result<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = connection.next_chunk().await? {
+        if body.len() + chunk.len() > desk.settings.whole_answer_bytes {
+            return Err(EndpointError::Oversized);
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -268,6 +268,12 @@
         }
     }
 
+    /// A call arrived for a service.
+    pub fn note_request(&self, service: ServiceId) {
+        let mut budget = self.budget.borrow_mut();
+        budget.note_request(self.now(), service);
+    }
+
     /// Marks a call at an endpoint for as long as the guard lives. `account` is the name of its
     /// client account, empty for none.
     pub fn occupy(
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -3,24 +3,20 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::StatusCode;
-use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
-use bytes::Bytes;
 use fault::FaultKind;
 use tokio::time::{Instant, timeout, timeout_at};
-use wire::id::{EndpointId, ServiceId};
+use wire::id::EndpointId;
 
-use crate::admission::{AdmissionCall, PlacedCall};
-use crate::attempt::{
-    AttemptResult, CallProgress, DEFAULT_PATIENCE, RelayCall, WholeAnswer, deliver_whole,
-    run_attempt,
-};
+use crate::admission::PlacedCall;
+use crate::attempt::{AttemptResult, CallProgress, EndpointAttempt, FailedAttempt};
 use crate::call::CallNotes;
 use crate::desk::RelayDesk;
 use crate::health::CallSign;
 use crate::identity::identify;
 use crate::record::{CallEnd, CallRecord, CallTry};
 use crate::refusal::CallRefusal;
+use crate::relay_call::{DEFAULT_PATIENCE, RelayCall};
+use crate::reply::{deliver_whole, refuse};
 use crate::session::{IncomingCall, SessionWriter};
 use crate::verdict::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
 
@@ -42,18 +38,19 @@
     let catalog = desk.catalog();
     record.catalog = catalog.as_ref().map_or(0, |index| index.catalog().version);
     record.list_age = desk.list_age();
-    record.end = match identify(catalog.as_deref(), incoming, &notes, rand::random()) {
+    match identify(catalog.as_deref(), incoming, &notes, rand::random()) {
         Ok(rules) => {
             let call = RelayCall::new(incoming, notes, rules, started);
             record.route.clone_from(&call.route.name);
             record.account = call.account_name().to_owned();
-            run_call(desk, &call, writer, &mut record).await
+            let forward = CallForward::new(desk, &call, writer, &mut record);
+            record.end = forward.run().await;
         }
         Err(kind) => {
             let refusal = CallRefusal::new(kind, notes.patience);
-            refuse_and_note(desk, &refusal, writer, &mut record).await
+            (record.end, record.retry_after) = refuse(desk, &refusal, writer).await;
         }
-    };
+    }
     record.elapsed = started.elapsed();
     record
 }
@@ -68,144 +65,194 @@
     let _ = timeout(patience.min(SET_UP_LIMIT), desk.until_set_up()).await;
 }
 
-async fn run_call(
-    desk: &Rc<RelayDesk>,
-    call: &RelayCall<'_>,
-    writer: &mut SessionWriter,
-    record: &mut CallRecord,
-) -> CallEnd {
-    if let Some(kind) = reason_to_refuse(desk, call) {
-        let refusal = CallRefusal::new(kind, call.time_left());
-        return refuse_and_note(desk, &refusal, writer, record).await;
+/// A call on its way.
+struct CallForward<'a> {
+    desk: &'a Rc<RelayDesk>,
+    call: &'a RelayCall<'a>,
+    writer: &'a mut SessionWriter,
+    record: &'a mut CallRecord,
+    progress: CallProgress,
+    tally: AttemptTally,
+    /// The last try, once one has failed.
+    last: Option<FailedAttempt>,
+}
+
+impl<'a> CallForward<'a> {
+    fn new(
+        desk: &'a Rc<RelayDesk>,
+        call: &'a RelayCall<'a>,
+        writer: &'a mut SessionWriter,
+        record: &'a mut CallRecord,
+    ) -> Self {
+        Self {
+            desk,
+            call,
+            writer,
+            record,
+            progress: CallProgress::default(),
+            tally: AttemptTally::default(),
+            last: None,
+        }
     }
-    let mut progress = CallProgress::default();
-    let mut tally = AttemptTally::default();
-    let tries = try_endpoints(desk, call, writer, record, &mut progress, &mut tally);
-    let end = timeout_at(call.deadline, tries).await;
-    record.last_error = progress.last_error.take();
-    record.first_byte = progress.first_byte;
-    match end {
-        Ok(end) => end,
-        Err(_) => time_out(desk, call, writer, record, &progress, tally).await,
+
+    async fn run(mut self) -> CallEnd {
+        if let Some(kind) = self.reason_to_refuse() {
+            return self.refuse(kind).await;
+        }
+        let deadline = self.call.deadline;
+        let end = timeout_at(deadline, self.try_endpoints()).await;
+        self.record.last_error = self.progress.last_error.take();
+        self.record.first_byte = self.progress.first_byte;
+        match end {
+            Ok(end) => end,
+            Err(_) => self.time_out().await,
+        }
     }
-}
 
-/// Why a call goes to no endpoint at all.
-fn reason_to_refuse(desk: &RelayDesk, call: &RelayCall<'_>) -> Option<FaultKind> {
-    if !desk.takes_call(call.deadline.saturating_duration_since(call.started)) {
-        return Some(FaultKind::Draining);
+    /// Why the call goes to no endpoint at all.
+    fn reason_to_refuse(&self) -> Option<FaultKind> {
+        let (desk, call) = (self.desk, self.call);
+        if !desk.takes_call(call.deadline.saturating_duration_since(call.started)) {
+            return Some(FaultKind::Draining);
+        }
+        let crashes = desk.crashes.borrow();
+        let is_convicted = crashes.is_convicted(desk.now(), call.fingerprint);
+        is_convicted.then_some(FaultKind::Suspected)
     }
-    let crashes = desk.crashes.borrow();
-    let is_convicted = crashes.is_convicted(desk.now(), call.fingerprint);
-    is_convicted.then_some(FaultKind::Suspected)
-}
 
-/// The deadline passed while a try was under way.
-async fn time_out(
-    desk: &RelayDesk,
-    call: &RelayCall<'_>,
-    writer: &mut SessionWriter,
-    record: &mut CallRecord,
-    progress: &CallProgress,
-    tally: AttemptTally,
-) -> CallEnd {
-    // A deadline that passes tells nothing of an endpoint that answers others.
-    let was_silent = |endpoint: &EndpointId| {
+    async fn try_endpoints(&mut self) -> CallEnd {
+        let (desk, call) = (self.desk, self.call);
+        desk.note_request(call.service);
+        loop {
+            let Some(placed) = self.place() else {
+                return self.give_up().await;
+            };
+            if let Some(wait) = placed.return_after {
+                return self.turn_back(wait).await;
+            }
+            let failed = match self.try_endpoint(placed.endpoint).await {
+                AttemptResult::Delivered(status) => return CallEnd::Answered(status),
+                AttemptResult::CallerLost => return CallEnd::CallerLost,
+                AttemptResult::Failed(failed) => failed,
+            };
+            let end = failed.end;
+            self.tally.count(end);
+            self.last = Some(failed);
+            let step = next_step(call.route.kind, call.route.attempts, self.tally, end);
+            if step != NextStep::TryAnother || !self.pay_repeat(end) {
+                return self.give_up().await;
+            }
+        }
+    }
+
+    /// Finds an endpoint, beside those that were tried.
+    fn place(&mut self) -> Option<PlacedCall> {
+        let (desk, call) = (self.desk, self.call);
+        let tried = self.record.tried();
+        let query = call.query(desk, &tried);
+        let asked = call.admission(desk);
         let table = desk.table.borrow();
-        let row = table.row(*endpoint);
-        row.is_some_and(|row| row.was_silent(progress.tried_at, desk.now()))
-    };
-    if let Some(endpoint) = progress.unanswered.filter(was_silent) {
-        desk.note_health(endpoint, CallSign::Broken, "no answer until the deadline");
-        desk.pool.close(endpoint);
+        let mut admission = desk.admission.borrow_mut();
+        let placed = admission.place(&desk.settings.placement, &table, &query, &asked)?;
+        self.record.rank = placed.rank;
+        self.record.queue_wait = placed.wait;
+        self.progress.rank = placed.rank;
+        Some(placed)
     }
-    if writer.has_started {
-        return CallEnd::Cut;
+
+    async fn try_endpoint(&mut self, endpoint: EndpointId) -> AttemptResult {
+        self.record.tries.push(begin_try(self.desk, endpoint));
+        self.progress.silence_limit = silence_limit(self.call.route, self.tally);
+        let attempt = EndpointAttempt {
+            desk: self.desk,
+            call: self.call,
+            endpoint,
+            progress: &mut self.progress,
+            writer: self.writer,
+        };
+        let result = attempt.run().await;
+        let end = end_word(&result);
+        self.desk.metrics.count_attempt(end);
+        if let Some(last) = self.record.tries.last_mut() {
+            last.end = end;
+        }
+        result
     }
-    let may_have_run = progress.may_run || tally.runs > 0;
-    let kind = match may_have_run {
-        true => FaultKind::DeadlinePassed,
-        false => FaultKind::NoEndpoint,
-    };
-    let refusal = CallRefusal::new(kind, call.time_left());
-    refuse_and_note(desk, &refusal, writer, record).await
-}
 
-async fn try_endpoints(
-    desk: &Rc<RelayDesk>,
-    call: &RelayCall<'_>,
-    writer: &mut SessionWriter,
-    record: &mut CallRecord,
-    progress: &mut CallProgress,
-    tally: &mut AttemptTally,
-) -> CallEnd {
-    let service = call.service;
-    desk.budget.borrow_mut().note_request(desk.now(), service);
-    let mut last: Option<(AttemptEnd, Option<WholeAnswer>)> = None;
-    loop {
-        let Some(placed) = place(desk, call, &record.tried()) else {
-            return give_up(desk, call, writer, record, *tally, last).await;
+    /// Takes a repeat of the budget, unless nothing reached an endpoint.
+    fn pay_repeat(&self, end: AttemptEnd) -> bool {
+        let desk = self.desk;
+        let mut budget = desk.budget.borrow_mut();
+        end == AttemptEnd::NotSent || budget.take_repeat(desk.now(), self.call.service)
+    }
+
+    /// The deadline passed while a try was under way.
+    async fn time_out(&mut self) -> CallEnd {
+        // A deadline that passes tells nothing of an endpoint that answers others.
+        if let Some(endpoint) = self.progress.unanswered.filter(|id| self.was_silent(*id)) {
+            let reason = "no answer until the deadline";
+            self.desk.note_health(endpoint, CallSign::Broken, reason);
+            self.desk.pool.close(endpoint);
+        }
+        if self.writer.has_started {
+            return CallEnd::Cut;
+        }
+        let may_have_run = self.progress.may_run || self.tally.runs > 0;
+        let kind = match may_have_run {
+            true => FaultKind::DeadlinePassed,
+            false => FaultKind::NoEndpoint,
         };
-        record.rank = placed.rank;
-        record.queue_wait = placed.wait;
-        if let Some(wait) = placed.return_after {
-            return turn_back(desk, call, writer, record, *tally, last, wait).await;
+        self.refuse(kind).await
+    }
+
+    /// Whether nothing has come from an endpoint since the call was sent there.
+    fn was_silent(&self, endpoint: EndpointId) -> bool {
+        let table = self.desk.table.borrow();
+        let row = table.row(endpoint);
+        row.is_some_and(|row| row.was_silent(self.progress.tried_at, self.desk.now()))
+    }
+
+    /// Ends a call that no endpoint has room for.
+    async fn turn_back(&mut self, wait: Duration) -> CallEnd {
+        if self.tally.runs > 0 || self.writer.has_started {
+            return self.give_up().await;
+        }
+        let refusal = CallRefusal {
+            kind: FaultKind::Overloaded,
+            left: self.call.time_left(),
+            room_after: Some(wait),
+        };
+        self.send_refusal(&refusal).await
+    }
+
+    /// Ends a call that is not tried again.
+    async fn give_up(&mut self) -> CallEnd {
+        if self.writer.has_started {
+            return CallEnd::Cut;
         }
-        let endpoint = placed.endpoint;
-        record.tries.push(begin_try(desk, endpoint));
-        progress.silence_limit = silence_limit(call.route, *tally);
-        progress.rank = placed.rank;
-        let result = run_attempt(desk, call, endpoint, progress, writer).await;
-        end_try(desk, record, &result);
-        let (end, answer) = match result {
-            AttemptResult::Delivered(status) => return CallEnd::Answered(status),
-            AttemptResult::CallerLost => return CallEnd::CallerLost,
-            AttemptResult::Ended(end, answer) => (end, answer),
+        let Some(FailedAttempt { end, answer }) = self.last.take() else {
+            return self.refuse(FaultKind::NoEndpoint).await;
         };
-        tally.count(end);
-        let step = next_step(call.route.kind, call.route.attempts, *tally, end);
-        last = Some((end, answer));
-        if step != NextStep::TryAnother || !pay_repeat(desk, service, end) {
-            return give_up(desk, call, writer, record, *tally, last).await;
+        if let Some(answer) = answer {
+            return deliver_whole(self.desk, answer, self.writer).await;
         }
+        let kind = match last_step(self.tally, end) {
+            NextStep::Answer(kind) => kind,
+            NextStep::PassFailure | NextStep::TryAnother => FaultKind::EndpointFailed,
+        };
+        self.refuse(kind).await
     }
-}
 
-/// Finds an endpoint for a call, beside those that it has tried.
-fn place(desk: &RelayDesk, call: &RelayCall<'_>, tried: &[EndpointId]) -> Option<PlacedCall> {
-    let asked = AdmissionCall {
-        rank: call.rank,
-        account: call.account_name(),
-        objective: call.route.objective,
-        is_stream: call.route.kind.is_stream(),
-        left: call.deadline.saturating_duration_since(Instant::now()),
-        instances: desk.budget.borrow().instances(),
-    };
-    let query = call.query(desk, tried);
-    let table = desk.table.borrow();
-    let mut admission = desk.admission.borrow_mut();
-    admission.place(&desk.settings.placement, &table, &query, &asked)
-}
+    async fn refuse(&mut self, kind: FaultKind) -> CallEnd {
+        let refusal = CallRefusal::new(kind, self.call.time_left());
+        self.send_refusal(&refusal).await
+    }
 
-/// Ends a call that no endpoint has room for.
-async fn turn_back(
-    desk: &RelayDesk,
-    call: &RelayCall<'_>,
-    writer: &mut SessionWriter,
-    record: &mut CallRecord,
-    tally: AttemptTally,
-    last: Option<(AttemptEnd, Option<WholeAnswer>)>,
-    wait: Duration,
-) -> CallEnd {
-    if tally.runs > 0 || writer.has_started {
-        return give_up(desk, call, writer, record, tally, last).await;
+    async fn send_refusal(&mut self, refusal: &CallRefusal) -> CallEnd {
+        let (end, retry_after) = refuse(self.desk, refusal, self.writer).await;
+        self.record.retry_after = retry_after;
+        end
     }
-    let refusal = CallRefusal {
-        kind: FaultKind::Overloaded,
-        left: call.time_left(),
-        room_after: Some(wait),
-    };
-    refuse_and_note(desk, &refusal, writer, record).await
 }
 
 fn begin_try(desk: &RelayDesk, endpoint: EndpointId) -> CallTry {
@@ -219,92 +266,15 @@
     }
 }
 
-fn end_try(desk: &RelayDesk, record: &mut CallRecord, result: &AttemptResult) {
-    let end = match result {
+fn end_word(result: &AttemptResult) -> &'static str {
+    match result {
         AttemptResult::Delivered(_) => "served",
         AttemptResult::CallerLost => "caller-lost",
-        AttemptResult::Ended(AttemptEnd::NotSent, _) => "not-sent",
-        AttemptResult::Ended(AttemptEnd::NotRun, _) => "not-run",
-        AttemptResult::Ended(AttemptEnd::Failed, _) => "failed",
-        AttemptResult::Ended(AttemptEnd::Broken, _) => "broken",
-    };
-    desk.metrics.count_attempt(end);
-    if let Some(last) = record.tries.last_mut() {
-        last.end = end;
-    }
-}
-
-/// Takes a repeat of the budget, unless nothing reached an endpoint.
-fn pay_repeat(desk: &RelayDesk, service: ServiceId, end: AttemptEnd) -> bool {
-    end == AttemptEnd::NotSent || desk.budget.borrow_mut().take_repeat(desk.now(), service)
-}
-
-async fn give_up(
-    desk: &RelayDesk,
-    call: &RelayCall<'_>,
-    writer: &mut SessionWriter,
-    record: &mut CallRecord,
-    tally: AttemptTally,
-    last: Option<(AttemptEnd, Option<WholeAnswer>)>,
-) -> CallEnd {
-    if writer.has_started {
-        return CallEnd::Cut;
-    }
-    let Some((end, answer)) = last else {
-        let refusal = CallRefusal::new(FaultKind::NoEndpoint, call.time_left());
-        return refuse_and_note(desk, &refusal, writer, record).await;
-    };
-    if let Some(answer) = answer {
-        return match deliver_whole(desk, answer, writer).await {
-            AttemptResult::Delivered(status) => CallEnd::Answered(status),
-            _ => CallEnd::CallerLost,
-        };
-    }
-    let kind = match last_step(tally, end) {
-        NextStep::Answer(kind) => kind,
-        NextStep::PassFailure | NextStep::TryAnother => FaultKind::EndpointFailed,
-    };
-    let refusal = CallRefusal::new(kind, call.time_left());
-    refuse_and_note(desk, &refusal, writer, record).await
-}
-
-async fn refuse_and_note(
-    desk: &RelayDesk,
-    refusal: &CallRefusal,
-    writer: &mut SessionWriter,
-    record: &mut CallRecord,
-) -> CallEnd {
-    let (end, retry_after) = refuse(desk, refusal, writer).await;
-    record.retry_after = retry_after;
-    end
-}
-
-/// Answers a call in the name of this instance. Returns how the call ended, and when the caller was
-/// told to come back.
-pub async fn refuse(
-    desk: &RelayDesk,
-    refusal: &CallRefusal,
-    writer: &mut SessionWriter,
-) -> (CallEnd, Option<Duration>) {
-    let kind = refusal.kind;
-    let row = kind.answer();
-    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
-    let retry_after = row
-        .retry_after
-        .map(|_| refusal.wait_before_retry(rand::random()));
-    if let Some(wait) = retry_after {
-        let seconds = format!("{:.3}", wait.as_secs_f64());
-        if let Ok(value) = HeaderValue::from_str(&seconds) {
-            headers.insert(RETRY_AFTER, value);
-        }
-    }
-    let body = format!("{{\"kind\":\"{kind}\",\"outcome\":\"{}\"}}", row.outcome);
-    let close = desk.sends_away();
-    let sent = writer.send_whole(status, headers, Bytes::from(body), close);
-    match sent.await {
-        Ok(()) => (CallEnd::Refused(kind), retry_after),
-        Err(_) => (CallEnd::CallerLost, retry_after),
+        AttemptResult::Failed(failed) => match failed.end {
+            AttemptEnd::NotSent => "not-sent",
+            AttemptEnd::NotRun => "not-run",
+            AttemptEnd::Failed => "failed",
+            AttemptEnd::Broken => "broken",
+        },
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,7 +22,10 @@
 //! * [`session`]: one connection of a caller.
 //! * [`endpoint`]: one connection to an endpoint.
 //! * [`pool`]: idle connections to endpoints.
+//! * [`relay_call`]: a call under the rules that apply to it.
 //! * [`attempt`]: one try of a call at one endpoint.
+//! * [`answer`]: passing the answer of an endpoint on.
+//! * [`reply`]: answers that are sent whole.
 //! * [`forward`]: the tries of one call.
 //! * [`record`]: what is measured and logged of a call.
 //! * [`desk`]: what the calls of one instance share.
@@ -32,6 +35,7 @@
 pub mod accept;
 pub mod accounts;
 pub mod admission;
+mod answer;
 pub mod attempt;
 pub mod budget;
 pub mod call;
@@ -47,6 +51,8 @@
 pub mod ranks;
 pub mod record;
 pub mod refusal;
+pub mod relay_call;
+pub mod reply;
 pub mod returns;
 pub mod server;
 pub mod session;
--- /dev/null
+++ b/crates/relay/src/reply.rs
@@ -0,0 +1,67 @@
+//! Answers to callers that are sent whole.
+
+use std::time::Duration;
+
+use actix_http::StatusCode;
+use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use bytes::Bytes;
+
+use crate::desk::RelayDesk;
+use crate::record::CallEnd;
+use crate::refusal::CallRefusal;
+use crate::session::SessionWriter;
+
+/// A whole answer of an endpoint.
+#[derive(Debug)]
+pub struct WholeAnswer {
+    /// Its status.
+    pub status: StatusCode,
+    /// Its head for the caller.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+}
+
+/// Hands a whole answer to the caller.
+pub async fn deliver_whole(
+    desk: &RelayDesk,
+    answer: WholeAnswer,
+    writer: &mut SessionWriter,
+) -> CallEnd {
+    let status = answer.status;
+    let sent = writer.send_whole(status, answer.headers, answer.body, desk.sends_away());
+    match sent.await {
+        Ok(()) => CallEnd::Answered(status),
+        Err(_) => CallEnd::CallerLost,
+    }
+}
+
+/// Answers a call in the name of this instance. Returns how the call ended, and when the caller was
+/// told to come back.
+pub async fn refuse(
+    desk: &RelayDesk,
+    refusal: &CallRefusal,
+    writer: &mut SessionWriter,
+) -> (CallEnd, Option<Duration>) {
+    let kind = refusal.kind;
+    let row = kind.answer();
+    let status = StatusCode::from_u16(row.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    let retry_after = row
+        .retry_after
+        .map(|_| refusal.wait_before_retry(rand::random()));
+    if let Some(wait) = retry_after {
+        let seconds = format!("{:.3}", wait.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    let body = format!("{{\"kind\":\"{kind}\",\"outcome\":\"{}\"}}", row.outcome);
+    let close = desk.sends_away();
+    let sent = writer.send_whole(status, headers, Bytes::from(body), close);
+    match sent.await {
+        Ok(()) => (CallEnd::Refused(kind), retry_after),
+        Err(_) => (CallEnd::CallerLost, retry_after),
+    }
+}
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -9,9 +9,10 @@
 
 use crate::accept::accept_each;
 use crate::desk::RelayDesk;
-use crate::forward::{refuse, serve_call};
+use crate::forward::serve_call;
 use crate::record::{CallEnd, CallRecord};
 use crate::refusal::CallRefusal;
+use crate::reply::refuse;
 use crate::session::{
     IncomingCall, SessionError, SessionLimits, SessionReader, SessionWriter, open,
 };
