Bound waits by the share of more urgent calls, and let a burst wait longer than a lasting backlog

Three causes, in this order: one account of a hundred had a priority of its own, so all others had rank 3 and might wait a fraction; requests that are on their way there or back counted as waiting at the runner; and a wait was refused that would have ended with the burst.

Change: a call may wait the less, the larger the share of lately arrived calls that are more urgent; loads are scaled by the part of the known requests that an endpoint itself counts; until a backlog has lasted a second, calls that few others go before may wait three times as long.

Ruled out: the objective that an answer misses anyway as the only cause (a least spare time is kept, it changed nothing here).

--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -10,6 +10,7 @@
 use wire::id::EndpointId;
 
 use crate::accounts::AccountLoads;
+use crate::backlog::BacklogWatch;
 use crate::placement::{PlacementQuery, PlacementSettings, choose, choose_least_full};
 use crate::ranks::RankLedger;
 use crate::returns::ReturnSchedule;
@@ -20,17 +21,18 @@
 pub struct AdmissionSettings {
     /// Part of the time until an answer is late that the most urgent calls of a service may wait.
     pub urgent_part: f64,
-    /// Factor by which calls of each further rank may wait less, so that the queue is left to the
-    /// more urgent ones when it grows.
-    pub rank_factor: f64,
-    /// Least part of the time that calls of the lowest ranks may wait.
+    /// Least part of it that the least urgent calls may wait.
     pub least_part: f64,
+    /// Factor by which calls may wait longer while a backlog has only just come.
+    pub burst_factor: f64,
+    /// Least part of its objective that a call counts as able to wait, however long its answer takes.
+    pub least_spare: f64,
     /// Multiple of the mean of all accounts above which a client account's calls may wait less.
     pub fair_multiple: f64,
     /// Least factor for calls of a client account above that.
     pub least_share: f64,
-    /// Part of an endpoint's places that calls leave free for each rank before theirs, while all
-    /// calls of that rank find no free place.
+    /// Part of an endpoint's places that calls leave free when all others are more urgent and find no
+    /// free place.
     pub reserve: f64,
 }
 
@@ -38,11 +40,12 @@
     fn default() -> Self {
         Self {
             urgent_part: 0.9,
-            rank_factor: 0.5,
             least_part: 0.15,
+            burst_factor: 3.0,
+            least_spare: 0.25,
             fair_multiple: 2.0,
             least_share: 0.4,
-            reserve: 0.15,
+            reserve: 0.4,
         }
     }
 }
@@ -58,8 +61,10 @@
     pub answer: Duration,
     /// Time that the caller has left.
     pub left: Duration,
-    /// Ranks by which the call is behind the most urgent ones of its service.
-    pub rank: u8,
+    /// Share of the service's latest calls that are more urgent.
+    pub behind: f64,
+    /// Whether calls have waited long for a while.
+    pub is_lasting: bool,
     /// Calls of the account in relation to the mean of all accounts that have calls running here.
     pub account_share: f64,
     /// Part of the endpoint's places that are free.
@@ -84,7 +89,7 @@
 
 /// Decides about a call.
 pub fn decide(settings: &AdmissionSettings, query: &AdmissionQuery) -> AdmissionVerdict {
-    let reserved = settings.reserve * f64::from(query.rank) * query.pressure;
+    let reserved = settings.reserve * query.behind * query.pressure;
     if query.wait.is_zero() && query.free < reserved {
         return AdmissionVerdict::Refuse {
             room_after: query.interval,
@@ -99,13 +104,20 @@
 }
 
 fn longest_wait(settings: &AdmissionSettings, query: &AdmissionQuery) -> Duration {
+    let least_spare = query.objective.mul_f64(settings.least_spare);
     let spare = query.objective.saturating_sub(query.answer);
-    let by_rank = settings.urgent_part * settings.rank_factor.powi(i32::from(query.rank));
-    let part = by_rank.max(settings.least_part);
+    let spare = spare.max(least_spare);
+    let ahead = (1.0 - query.behind).powi(2);
+    let part = settings.urgent_part * ahead.max(settings.least_part);
+    // A queue of less urgent calls would keep the others waiting.
+    let burst = match query.is_lasting {
+        true => 1.0,
+        false => 1.0 + (settings.burst_factor - 1.0) * ahead.powi(2),
+    };
     let excess = (query.account_share / settings.fair_multiple).max(1.0);
     let share = (1.0 / excess).max(settings.least_share);
     let useful = query.left.saturating_sub(query.answer);
-    spare.mul_f64(part * share).min(useful)
+    spare.mul_f64(part * share * burst).min(useful)
 }
 
 /// A call that may be let in.
@@ -145,6 +157,7 @@
     /// Running calls by client account.
     pub accounts: AccountLoads,
     ranks: RankLedger,
+    backlog: BacklogWatch,
     returns: ReturnSchedule,
 }
 
@@ -198,7 +211,7 @@
     }
 
     fn assess(
-        &self,
+        &mut self,
         table: &EndpointTable,
         query: &PlacementQuery<'_>,
         call: &AdmissionCall<'_>,
@@ -220,7 +233,8 @@
                 false => occupancy,
             },
             left: call.left,
-            rank,
+            behind: self.ranks.share_before(now, service, rank),
+            is_lasting: self.backlog.note(now, service, wait, call.objective),
             account_share: self.accounts.share(service, call.account),
             free: row.map_or(0.0, |row| row.free_part(now)),
             pressure: self.ranks.pressure(now, service, rank),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`placement`]: which endpoint runs a call.
 //! * [`admission`]: whether a call is let in while its service is full.
 //! * [`accounts`]: running calls by client account.
+//! * [`backlog`]: whether a service has been behind its calls for a while.
 //! * [`ranks`]: how calls of each rank fared.
 //! * [`returns`]: when refused callers are to return.
 //! * [`budget`]: how many repeats a service takes.
@@ -37,6 +38,7 @@
 pub mod admission;
 mod answer;
 pub mod attempt;
+pub mod backlog;
 pub mod budget;
 pub mod call;
 pub mod crash;
--- a/crates/relay/src/ranks.rs
+++ b/crates/relay/src/ranks.rs
@@ -34,6 +34,8 @@
     crowded: f64,
     /// Share of the calls that were let in.
     admitted: f64,
+    /// Calls, the older the less they count.
+    calls: f64,
     noted_at: Duration,
 }
 
@@ -42,6 +44,7 @@
         Self {
             crowded: 0.0,
             admitted: 1.0,
+            calls: 0.0,
             noted_at: Duration::ZERO,
         }
     }
@@ -54,8 +57,14 @@
         };
         self.crowded = step(self.crowded, is_crowded);
         self.admitted = step(self.admitted, is_admitted);
+        self.calls = self.calls_at(now) + 1.0;
         self.noted_at = now;
     }
+
+    fn calls_at(&self, now: Duration) -> f64 {
+        let age = now.saturating_sub(self.noted_at);
+        self.calls * (-age.as_secs_f64() / RANK_MEMORY.as_secs_f64()).exp()
+    }
 }
 
 impl RankLedger {
@@ -84,6 +93,21 @@
         recent.map(|average| average.crowded).fold(0.0, f64::max)
     }
 
+    /// Share of the latest calls that are of ranks before this one.
+    pub fn share_before(&self, now: Duration, service: ServiceId, rank: u8) -> f64 {
+        let Some(ranks) = self.services.get(&service) else {
+            return 0.0;
+        };
+        let before = ranks.ranks.range(..rank);
+        let before: f64 = before.map(|(_, average)| average.calls_at(now)).sum();
+        let all = ranks.all.calls_at(now);
+        if all > 0.0 {
+            (before / all).min(1.0)
+        } else {
+            0.0
+        }
+    }
+
     /// The rank that a call takes: the first one while too few calls of its own are let in.
     pub fn fair_rank(&self, service: ServiceId, rank: u8) -> u8 {
         let Some(ranks) = self.services.get(&service) else {
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -69,6 +69,9 @@
     average_load: f64,
     /// When the average was brought up to date.
     averaged_at: Duration,
+    /// Average part of the requests that instances know of which the endpoint itself counts. The
+    /// others are on their way, there or back. At most 1.
+    present_part: f64,
 }
 
 impl EndpointRow {
@@ -90,6 +93,7 @@
             occupancy: None,
             average_load: 0.0,
             averaged_at: Duration::ZERO,
+            present_part: 1.0,
         }
     }
 
@@ -176,6 +180,7 @@
     /// Requests that it probably holds: what it told counts the less, the more of these have ended.
     fn probable_load(&self, now: Duration) -> f64 {
         let known = f64::from(self.own_running + self.others_running);
+        let known = known * self.present_part;
         let Some((report, at)) = self.report else {
             return known;
         };
@@ -199,6 +204,12 @@
         load + (self.average_load - load) * kept
     }
 
+    fn note_present(&mut self, report: LoadReport) {
+        let known = f64::from(self.own_running + self.others_running).max(1.0);
+        let present = f64::from(report.running + report.waiting) / known;
+        self.present_part += (present.min(1.0) - self.present_part) * AVERAGE_WEIGHT;
+    }
+
     /// Brings the average up to date, before the load changes.
     fn update_average(&mut self, now: Duration) {
         self.average_load = self.average(now);
@@ -369,6 +380,7 @@
     pub fn note_report(&mut self, now: Duration, id: EndpointId, report: LoadReport) {
         if let Some(row) = self.rows.get_mut(&id) {
             row.update_average(now);
+            row.note_present(report);
             row.report = Some((report, now));
         }
     }
