Split the table of endpoints, and the replay of load patterns from its tallies

Change: `row` is one endpoint with what happens to it, `table` finds it; `tally` is how calls fared.

--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,6 +1,6 @@
 //! What this gateway knows, for operators.
 
-use relay::table::EndpointStanding;
+use relay::row::EndpointStanding;
 use watch::gateway_status::{GatewayStatus, PeerStatus, PlacedEndpoint};
 use wire::gateway::{GatewayBeat, StorageState, address_of};
 use wire::id::InstanceId;
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -11,8 +11,8 @@
 use googletest::prelude::*;
 use platform::PlatformDialect;
 use relay::desk::{RelayDesk, RelaySettings, ServingPhase};
+use relay::row::EndpointStanding;
 use relay::server::serve_callers;
-use relay::table::EndpointStanding;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
--- a/crates/measure/src/overload/engine.rs
+++ b/crates/measure/src/overload/engine.rs
@@ -5,6 +5,8 @@
 
 use relay::call::LoadReport;
 
+/// Engines.
+pub const ENGINES: usize = 9;
 /// Requests that an engine runs at once. Fewer than a real one, so that few callers fill it.
 pub const PLACES: usize = 8;
 /// Requests that wait at most.
--- a/crates/measure/src/overload/load.rs
+++ b/crates/measure/src/overload/load.rs
@@ -8,6 +8,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 
+use super::engine::EngineRequest;
+
 /// Length of a run.
 pub const RUN_TIME: Duration = Duration::from_secs(20);
 /// From when to when a pattern departs from the usual load.
@@ -160,6 +162,20 @@
     pub is_angry: bool,
 }
 
+impl LoadCall {
+    /// What an attempt of the call asks of an engine.
+    pub fn request(&self, attempt: usize, rank: u8) -> EngineRequest {
+        let shape = &SHAPES[self.shape];
+        EngineRequest {
+            attempt,
+            rank,
+            part: (self.part, shape.shared_tokens),
+            own_tokens: shape.own_tokens,
+            output_tokens: self.output_tokens,
+        }
+    }
+}
+
 /// Draws the calls of a pattern in the order of their arrival.
 pub fn draw_load(pattern: LoadPattern, seed: u64) -> Vec<LoadCall> {
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
--- a/crates/measure/src/overload/mod.rs
+++ b/crates/measure/src/overload/mod.rs
@@ -2,16 +2,19 @@
 //!
 //! * [`load`]: the calls of a load pattern.
 //! * [`engine`]: the engines.
+//! * [`tally`]: how calls fared, and how they could have at best.
 //! * [`replay`]: the calls through gateways and engines, with the decisions of crate `relay`.
 
 pub mod engine;
 pub mod load;
 pub mod replay;
+pub mod tally;
 
 use argh::FromArgs;
 
 use self::load::{LoadPattern, SHAPES, draw_load};
-use self::replay::{AdmissionPolicy, OverloadResult, ideal_worth, replay};
+use self::replay::{AdmissionPolicy, replay};
+use self::tally::{OverloadResult, ideal_worth};
 
 /// measure how calls fare that are more than the engines can run
 #[derive(FromArgs)]
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -16,13 +16,12 @@
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, ServiceId, name_id};
 
-use super::engine::{EngineRequest, ModelEngine, PLACES};
-use super::load::{CallShape, LoadCall, LoadPattern, PEAK, RUN_TIME, SHAPES};
+use super::engine::{ENGINES, ModelEngine, PLACES};
+use super::load::{LoadCall, LoadPattern, PEAK, RUN_TIME, SHAPES};
+use super::tally::OverloadResult;
 
 /// Gateways.
 const GATEWAYS: usize = 7;
-/// Engines at the start.
-const ENGINES: usize = 9;
 /// Time between two heartbeats of a gateway.
 const BEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a heartbeat out of turn is sent.
@@ -47,96 +46,6 @@
     Bounded,
 }
 
-/// How the calls of one kind fared.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct ShapeTally {
-    /// Calls.
-    pub calls: u32,
-    /// Those that were served in time.
-    pub on_time: u32,
-    /// Those that were served late.
-    pub late: u32,
-    /// Those that ended refused.
-    pub refused: u32,
-}
-
-impl ShapeTally {
-    /// Share of the calls that were served.
-    pub fn served(&self) -> f64 {
-        f64::from(self.on_time + self.late) / f64::from(self.calls.max(1))
-    }
-}
-
-/// How a pattern was met.
-#[derive(Clone, Debug, Default)]
-pub struct OverloadResult {
-    /// By kind, as in [`SHAPES`].
-    pub shapes: [ShapeTally; SHAPES.len()],
-    /// Refusals while less than half of all places were taken.
-    pub refused_half_free: u32,
-}
-
-/// Part of its worth that a late answer keeps.
-const LATE_WORTH: f64 = 0.3;
-
-impl OverloadResult {
-    /// Worth that was earned, as a part of what was owed.
-    pub fn worth(&self) -> f64 {
-        let earned = self.sum(|shape, tally| {
-            shape.worth * (f64::from(tally.on_time) + LATE_WORTH * f64::from(tally.late))
-        });
-        earned / self.sum(|shape, tally| shape.worth * f64::from(tally.calls))
-    }
-
-    /// Share of all calls that were served.
-    pub fn served(&self) -> f64 {
-        let served = self.sum(|_, tally| f64::from(tally.on_time + tally.late));
-        served / self.sum(|_, tally| f64::from(tally.calls))
-    }
-
-    fn sum(&self, value: impl Fn(&CallShape, &ShapeTally) -> f64) -> f64 {
-        let shapes = SHAPES.iter().zip(&self.shapes);
-        shapes.map(|(shape, tally)| value(shape, tally)).sum()
-    }
-}
-
-/// Worth that an all-knowing fleet earns at most: places are never idle, prompts always warm, and the
-/// calls of the most worth for their time go first. A part of what is owed.
-pub fn ideal_worth(calls: &[LoadCall]) -> f64 {
-    let mut values: Vec<(f64, f64)> = calls.iter().map(value_and_time).collect();
-    let owed: f64 = values.iter().map(|(value, _)| value).sum();
-    values.sort_by(|left, right| (right.0 / right.1).total_cmp(&(left.0 / left.1)));
-    let mut time = RUN_TIME.as_secs_f64() * (ENGINES * PLACES) as f64;
-    let mut earned = 0.0;
-    for (value, needed) in values {
-        let part = (time / needed).clamp(0.0, 1.0);
-        earned += value * part;
-        time -= needed * part;
-    }
-    earned / owed
-}
-
-fn value_and_time(call: &LoadCall) -> (f64, f64) {
-    let shape = &SHAPES[call.shape];
-    let mut engine = ModelEngine::default();
-    engine.push(request_of(call, 0, 0));
-    engine.remove(0);
-    engine.push(request_of(call, 0, 0));
-    let run = engine.start().expect("a place is free");
-    (shape.worth, run.total.as_secs_f64())
-}
-
-fn request_of(call: &LoadCall, attempt: usize, rank: u8) -> EngineRequest {
-    let shape = &SHAPES[call.shape];
-    EngineRequest {
-        attempt,
-        rank,
-        part: (call.part, shape.shared_tokens),
-        own_tokens: shape.own_tokens,
-        output_tokens: call.output_tokens,
-    }
-}
-
 /// Replays calls under a policy.
 pub fn replay(
     pattern: LoadPattern,
@@ -369,7 +278,7 @@
             AdmissionPolicy::Open => 0,
             AdmissionPolicy::Bounded => placed.rank,
         };
-        if !self.engines[engine].push(request_of(&known, attempt, rank)) {
+        if !self.engines[engine].push(known.request(attempt, rank)) {
             let report = self.engines[engine].report();
             match self.engines[engine].is_up {
                 true => side.table.note_report(now, endpoint, report),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! Decisions, without any input or output:
 //!
-//! * [`table`]: the endpoints of the list, with their load and health.
+//! * [`table`]: the endpoints of the list.
+//! * [`row`]: one of them, with its load and health.
 //! * [`health`]: what the own calls tell about an endpoint.
 //! * [`placement`]: which endpoint runs a call.
 //! * [`admission`]: whether a call is let in while its service is full.
@@ -56,6 +57,7 @@
 pub mod relay_call;
 pub mod reply;
 pub mod returns;
+pub mod row;
 pub mod server;
 pub mod session;
 pub mod table;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -11,7 +11,8 @@
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::table::{EndpointRow, EndpointTable};
+use crate::row::EndpointRow;
+use crate::table::EndpointTable;
 
 /// Settings of the choice.
 #[derive(Clone, Debug, PartialEq)]
