--- a/crates/relay/src/accounts.rs
+++ b/crates/relay/src/accounts.rs
@@ -31,8 +31,12 @@
         }
     }
 
-    /// Calls of an account, the next one included, in relation to the mean of all that have any.
+    /// Calls of an account, the next one included, in relation to the mean of all that have any. Callers
+    /// without an account are no single one, and have their share.
     pub fn share(&self, service: ServiceId, account: &str) -> f64 {
+        if account.is_empty() {
+            return 1.0;
+        }
         let Some(accounts) = self.services.get(&service) else {
             return 1.0;
         };
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -403,6 +403,17 @@
     expect_that!(calm, eq(1.0));
 }
 
+#[gtest]
+fn callers_without_an_account_are_not_taken_for_one() {
+    let mut accounts = AccountLoads::default();
+    for _ in 0..20 {
+        accounts.start(1, "");
+    }
+    accounts.start(1, "one");
+
+    expect_that!(accounts.share(1, ""), eq(1.0));
+}
+
 #[gtest]
 fn loads_of_others_add_up_whatever_order_they_come_in() {
     let mut table = table_of(&[0, 0]);
