Tell loads out of turn only where one heartbeat reaches every gateway

While all start and callers return, each gateway sent 25 heartbeats a second to 32 others.

Change: out of turn only in fleets that one heartbeat reaches at once; with more, each would reach a part.

--- a/crates/gateway/src/beats.rs
+++ b/crates/gateway/src/beats.rs
@@ -29,10 +29,11 @@
     let mut last = node.now();
     let mut expired_at = last;
     loop {
+        let reaches_all = node.directory.borrow().reaches_all_at_once();
         tokio::select! {
             _ = ticks.tick() => {}
             () = node.beat_due.notified() => sleep(BEAT_GAP).await,
-            () = node.desk.load_news.notified() => sleep(LOAD_BEAT_GAP).await,
+            () = node.desk.load_news.notified(), if reaches_all => sleep(LOAD_BEAT_GAP).await,
         }
         let now = node.now();
         node.forget_silent(last, now);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -112,6 +112,12 @@
             .collect()
     }
 
+    /// Whether one heartbeat reaches every gateway. Where it does not, one sent out of turn would cost
+    /// more than it tells.
+    pub fn reaches_all_at_once(&self) -> bool {
+        self.rows.len() <= ROUND_GATEWAYS
+    }
+
     /// Silence after which a gateway counts as gone: several rounds of heartbeats.
     fn live_limit(&self) -> Duration {
         let rounds = self.rows.len().div_ceil(ROUND_GATEWAYS);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -204,6 +204,7 @@
     }
 
     let mut told = BTreeSet::new();
+    expect_that!(directory.reaches_all_at_once(), eq(false));
     for _ in 0..10 {
         let round = directory.next_told(SECOND, &[1, 2, 3]);
         expect_that!(round.len(), le(40));
@@ -217,6 +218,19 @@
     expect_that!(directory.live(6 * SECOND).count(), eq(299));
 }
 
+#[gtest]
+fn heartbeat_of_a_small_fleet_reaches_all_at_once() {
+    let mut directory = GatewayDirectory::new(1);
+    for instance in 2..=29 {
+        directory.hear(SECOND, instance, GatewayBeat::default());
+    }
+
+    let round = directory.next_told(SECOND, &[1, 2, 3]);
+
+    expect_that!(directory.reaches_all_at_once(), eq(true));
+    expect_that!(round.len(), eq(28));
+}
+
 #[gtest]
 fn gateways_are_found_through_others_and_forgotten_when_silent() {
     let mut directory = GatewayDirectory::new(1);
