Compute the time in a place once, and the pace of free places only where it is used

Cause, from reading the whole change: the formula for how long a call occupied a place stood in the desk and again in the replay of load patterns; the pace of free places, which looks at every endpoint of the service, was computed for each call though only a refusal uses it; `rank` named both the order of a call and the hash of an endpoint for a part; two doc comments no longer said what the code does.

Change: `row::time_in_place` serves both; the pace is computed where a call may be refused; the hash is `affinity`. No behaviour changes: a call that waits for nothing under no pressure is always let in. Tests of relay, gateway and measure pass as they were.

--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -12,6 +12,7 @@
 use relay::health::CallSign;
 use relay::placement::{PlacementQuery, PlacementSettings};
 use relay::refusal::CallRefusal;
+use relay::row::time_in_place;
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, ServiceId, name_id};
@@ -394,8 +395,7 @@
         } = self.attempts[attempt];
         if let Some((engine, _)) = engine {
             let table = &mut self.gateways[gateway].table;
-            let time = ran_for.saturating_sub(wait).max(ran_for / 4);
-            table.note_occupancy(listed(engine).id(), time);
+            table.note_occupancy(listed(engine).id(), time_in_place(ran_for, wait));
         }
         let tally = &mut self.result.shapes[self.calls[call].shape];
         match self.answered.get(&call) {
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -223,7 +223,13 @@
         let occupancy = table.occupancy(service, endpoint);
         let occupancy = occupancy.unwrap_or(call.objective);
         let wait = table.expected_wait(now, endpoint, occupancy);
-        let interval = table.place_interval(now, service, occupancy) * call.instances as u32;
+        let pressure = self.ranks.pressure(now, service, rank);
+        // Looks at every endpoint of the service, so only where the call may be refused.
+        let may_be_refused = !wait.is_zero() || pressure > 0.0;
+        let interval = match may_be_refused {
+            true => table.place_interval(now, service, occupancy) * call.instances as u32,
+            false => Duration::ZERO,
+        };
         let row = table.row(endpoint);
         let asked = AdmissionQuery {
             wait,
@@ -237,7 +243,7 @@
             is_lasting: self.backlog.note(now, service, wait, call.objective),
             account_share: self.accounts.share(service, call.account),
             free: row.map_or(0.0, |row| row.free_part(now)),
-            pressure: self.ranks.pressure(now, service, rank),
+            pressure,
             interval,
         };
         AssessedEndpoint {
@@ -255,7 +261,8 @@
     endpoint: EndpointId,
     /// Expected wait for a place.
     wait: Duration,
-    /// Expected time until a place of the service comes free for this instance.
+    /// Expected time until a place of the service comes free for this instance; zero where the call
+    /// is let in for certain.
     interval: Duration,
     verdict: AdmissionVerdict,
 }
--- a/crates/relay/src/desk.rs
+++ b/crates/relay/src/desk.rs
@@ -18,12 +18,9 @@
 use crate::health::{CallSign, HealthChange};
 use crate::placement::PlacementSettings;
 use crate::pool::ConnectionPool;
+use crate::row::time_in_place;
 use crate::table::EndpointTable;
 
-/// Least part, as a divisor, of the time of a call at its endpoint that counts as run, however long
-/// it was expected to wait there.
-const LEAST_RUN_PART: u32 = 4;
-
 /// Settings of the path of a call.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RelaySettings {
@@ -319,9 +316,8 @@
     /// The call has ended well: tells how long it occupied its place.
     pub fn complete(self) {
         let time = self.desk.now().saturating_sub(self.began);
-        let time = time.saturating_sub(self.wait).max(time / LEAST_RUN_PART);
         let mut table = self.desk.table.borrow_mut();
-        table.note_occupancy(self.endpoint, time);
+        table.note_occupancy(self.endpoint, time_in_place(time, self.wait));
     }
 }
 
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -1,8 +1,8 @@
 //! Which endpoint runs a call.
 //!
 //! Calls with a prompt go where the shared part of the prompt is warm: rendezvous hashing ranks the
-//! endpoints for each part, and the first whose load is within the bound and that has a free place
-//! takes the call; when none has, the one with the shortest queue. The other calls go to the endpoint
+//! endpoints for each part, and the first whose load is within the bound and that has a free place or
+//! a short queue takes the call; when none has, the least full one. The other calls go to the endpoint
 //! that is expected to answer first.
 
 use std::net::SocketAddrV4;
@@ -115,7 +115,7 @@
     let first = within
         .iter()
         .filter(has_room)
-        .max_by_key(|(id, _)| rank(part, *id));
+        .max_by_key(|(id, _)| affinity(part, *id));
     let chosen = first.or_else(|| least_full(&within, part ^ query.instance, now));
     chosen.map(|(id, _)| *id)
 }
@@ -131,7 +131,7 @@
     let step = |row: &EndpointRow| (row.fullness(now) * FULLNESS_STEPS).floor();
     usable.iter().min_by(|(left_id, left), (right_id, right)| {
         let by_step = step(left).total_cmp(&step(right));
-        by_step.then_with(|| rank(seed, *right_id).cmp(&rank(seed, *left_id)))
+        by_step.then_with(|| affinity(seed, *right_id).cmp(&affinity(seed, *left_id)))
     })
 }
 
@@ -146,12 +146,12 @@
     let others = table
         .of_service(query.service)
         .filter(|(id, row)| *id != chosen && !query.tried.contains(id) && row.is_sound(query.now));
-    let best = others.max_by_key(|(id, _)| rank(part, *id));
+    let best = others.max_by_key(|(id, _)| affinity(part, *id));
     best.map(|(_, row)| row.address)
 }
 
-/// Rank of an endpoint for a part: equal at all instances, and unrelated between parts.
-fn rank(part: u64, id: EndpointId) -> u64 {
+/// Affinity of an endpoint to a part: equal at all instances, and unrelated between parts.
+fn affinity(part: u64, id: EndpointId) -> u64 {
     xxh3_64_with_seed(&id.to_le_bytes(), part)
 }
 
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -18,7 +18,7 @@
 /// Longest wait of a caller that names none.
 pub const DEFAULT_PATIENCE: Duration = Duration::from_secs(60);
 
-/// A call that was let in.
+/// A call whose route and client account are known.
 pub struct RelayCall<'a> {
     /// Its head as it came in.
     pub head: &'a Request,
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -22,6 +22,16 @@
 /// tells nothing of calls that end sooner; an average does.
 const AVERAGING_TIME: Duration = Duration::from_millis(500);
 
+/// Least part, as a divisor, of the time of a call at its endpoint that counts as run, however long
+/// it was expected to wait there.
+const LEAST_RUN_PART: u32 = 4;
+
+/// Time for which a call occupied a place, of the time that it was at its endpoint, when it was
+/// expected to wait for the place first.
+pub fn time_in_place(time: Duration, wait: Duration) -> Duration {
+    time.saturating_sub(wait).max(time / LEAST_RUN_PART)
+}
+
 /// How well a call is placed at an endpoint, the best first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum EndpointStanding {
