Log and count what the gateway decides on crashes

Change: the crash tracker hands out its decisions (pending, ruled out, expired, counted, blocked); the relay logs each with the fingerprint and the endpoint and counts it in sapphire_gateway_crash_decisions_total. The line of a call carries its fingerprint and the number of crashes that the gateway counted. Tests of relay, gateway and watch pass.

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -66,6 +66,7 @@
         for report in &heartbeat.crashes {
             self.relay_state.crashes.borrow_mut().note(now, *report);
         }
+        self.relay_state.publish_crash_news();
         self.relay_state
             .table
             .borrow_mut()
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -41,6 +41,8 @@
         let now = node.now();
         node.drop_silent_loads(last, now);
         last = now;
+        node.relay_state.crashes.borrow_mut().expire(now);
+        node.relay_state.publish_crash_news();
         node.update_quorum_peers(now);
         node.heartbeats_sent.set(node.heartbeats_sent.get() + 1);
         let heartbeat = GatewayDatagram::Heartbeat(Box::new(node.own_heartbeat(now)));
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -182,6 +182,8 @@
         state.table.borrow_mut().note_activity(now, self.endpoint);
         let mut crashes = state.crashes.borrow_mut();
         crashes.clear(self.endpoint, self.progress.attempted_at);
+        drop(crashes);
+        state.publish_crash_news();
         let metadata = state.dialect.read_answer(head.headers());
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
             return Err(EndpointError::Misdelivered);
@@ -208,6 +210,7 @@
         self.progress.last_error = Some(reason);
         if !may_run {
             state.crashes.borrow_mut().confirm(now, self.endpoint);
+            state.publish_crash_news();
             return FailedAttempt::without_answer(AttemptEnd::NotSent);
         }
         if matches!(error, EndpointError::Closed | EndpointError::Socket(_)) {
@@ -216,6 +219,7 @@
                 endpoint: self.endpoint,
             };
             state.crashes.borrow_mut().note_break(now, report);
+            state.publish_crash_news();
         }
         FailedAttempt::without_answer(AttemptEnd::Broken)
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -31,6 +31,26 @@
     seen_at: Duration,
 }
 
+/// A decision of [`CrashTracker`], for the log and the metrics.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CrashNews {
+    /// The connection to an endpoint broke during a call; the cause is pending.
+    Pending(CrashReport),
+    /// The endpoint answered a later call: the break was no crash.
+    RuledOut(CrashReport),
+    /// Nothing told the cause of the break in time.
+    Expired(CrashReport),
+    /// A crash was counted against a call, which has been counted `crashes` of them.
+    Counted {
+        /// The call and the endpoint.
+        report: CrashReport,
+        /// Number of endpoints that crashed while running the call.
+        crashes: usize,
+    },
+    /// The call is refused from now on.
+    Blocked(FingerprintHash),
+}
+
 /// Tracks which calls are suspected of crashing endpoints, by fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
@@ -39,24 +59,41 @@
     breaks: VecDeque<(CrashReport, Duration)>,
     /// Confirmed crashes of this instance's calls, with the time of confirmation, oldest first.
     own: Vec<(CrashReport, Duration)>,
+    /// Decisions that were not taken by [`Self::take_news`] yet, oldest first.
+    news: Vec<CrashNews>,
 }
 
 impl CrashTracker {
     /// Records that the connection to an endpoint broke during a call of this instance.
     pub fn note_break(&mut self, now: Duration, report: CrashReport) {
-        self.breaks.retain(|(_, at)| now < *at + CONFIRMATION_TIME);
+        self.expire(now);
         if self.breaks.len() < MAX_PENDING_BREAKS {
             self.breaks.push_back((report, now));
+            self.news.push(CrashNews::Pending(report));
         }
     }
 
+    /// Drops breaks whose cause did not become known in time.
+    pub fn expire(&mut self, now: Duration) {
+        let is_expired = |(_, at): &mut (CrashReport, Duration)| now >= *at + CONFIRMATION_TIME;
+        while let Some((report, _)) = self.breaks.pop_front_if(is_expired) {
+            self.news.push(CrashNews::Expired(report));
+        }
+    }
+
+    /// Takes the decisions since the last call of this function, oldest first.
+    pub fn take_news(&mut self) -> Vec<CrashNews> {
+        std::mem::take(&mut self.news)
+    }
+
     /// Records that an endpoint accepts no connection: recent breaks at it were crashes.
     pub fn confirm(&mut self, now: Duration, endpoint: EndpointId) {
+        self.expire(now);
         let breaks = std::mem::take(&mut self.breaks);
         for (report, at) in breaks {
             if report.endpoint != endpoint {
                 self.breaks.push_back((report, at));
-            } else if now < at + CONFIRMATION_TIME {
+            } else {
                 self.own.push((report, now));
                 self.note(now, report);
             }
@@ -68,7 +105,12 @@
     pub fn clear(&mut self, endpoint: EndpointId, sent_at: Duration) {
         let is_cleared =
             |report: &CrashReport, at: Duration| report.endpoint == endpoint && at <= sent_at;
-        self.breaks.retain(|(report, at)| !is_cleared(report, *at));
+        for (report, at) in std::mem::take(&mut self.breaks) {
+            match is_cleared(&report, at) {
+                true => self.news.push(CrashNews::RuledOut(report)),
+                false => self.breaks.push_back((report, at)),
+            }
+        }
     }
 
     /// Records a crash report of this or another instance.
@@ -81,8 +123,22 @@
             return;
         }
         let suspect = self.suspects.entry(report.fingerprint).or_default();
-        suspect.endpoints.insert(report.endpoint);
+        let was_blocked = suspect.endpoints.len() >= BLOCKING_CRASHES;
+        let is_new = suspect.endpoints.insert(report.endpoint);
+        let crashes = suspect.endpoints.len();
         suspect.seen_at = now;
+        if is_new {
+            self.news.push(CrashNews::Counted { report, crashes });
+        }
+        if crashes >= BLOCKING_CRASHES && !was_blocked {
+            self.news.push(CrashNews::Blocked(report.fingerprint));
+        }
+    }
+
+    /// Number of endpoints that are known to have crashed while running a call.
+    pub fn crashes_of(&self, fingerprint: FingerprintHash) -> usize {
+        let suspect = self.suspects.get(&fingerprint);
+        suspect.map_or(0, |suspect| suspect.endpoints.len())
     }
 
     /// Whether a call is refused because it crashed too many endpoints.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -44,6 +44,8 @@
             let call = RelayCall::new(incoming, metadata, rules, started);
             record.route.clone_from(&call.route.name);
             record.account = call.account_name().to_owned();
+            record.fingerprint = call.fingerprint;
+            record.crashes = state.crashes.borrow().crashes_of(call.fingerprint);
             let forward = CallForward::new(state, &call, writer, &mut record);
             record.end = forward.run().await;
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -30,6 +30,7 @@
 //! * [`reply`]: answers that are sent in one piece, refusals included.
 //! * [`forward`]: the sequence of attempts of one call.
 //! * [`record`]: metrics and log line of a call.
+//! * [`crash_log`]: log lines and metrics of crash detection.
 //! * [`state`]: state that all calls of one instance share.
 //! * [`server`]: serving of caller connections.
 //! * [`accept`]: accept loop of a listener.
@@ -43,6 +44,7 @@
 pub mod budget;
 pub mod call;
 pub mod crash;
+pub mod crash_log;
 pub mod endpoint;
 pub mod events;
 pub mod forward;
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -5,7 +5,9 @@
 use actix_http::StatusCode;
 use fault::{FaultKind, RunOutcome};
 use watch::{CallSample, GatewayMetrics};
-use wire::id::EndpointId;
+use wire::id::{EndpointId, FingerprintHash};
+
+use crate::crash_log::hex_text;
 
 /// How a call ended, as seen by the caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -48,6 +50,11 @@
     /// Age of the endpoint list when the rules of the call were looked up; `None` before the first
     /// list.
     pub list_age: Option<Duration>,
+    /// Hash that is equal for calls that are the same work; 0 before the rules were applied.
+    pub fingerprint: FingerprintHash,
+    /// Number of endpoints known to have crashed while running the same work, when the rules of the
+    /// call were looked up.
+    pub crashes: usize,
     /// Attempts in order.
     pub attempts: Vec<AttemptRecord>,
     /// Rank given by the last admission decision; 0 is the most urgent.
@@ -75,6 +82,8 @@
             account: String::new(),
             catalog: 0,
             list_age: None,
+            fingerprint: 0,
+            crashes: 0,
             attempts: Vec::new(),
             rank: 0,
             queue_wait: Duration::ZERO,
@@ -117,6 +126,8 @@
             account = self.account.as_str(),
             catalog = self.catalog,
             list_age_ms = self.list_age.map_or(-1, |age| age.as_millis() as i64),
+            fingerprint = hex_text(self.fingerprint).as_str(),
+            crashes = self.crashes,
             tries = attempts.join(",").as_str(),
             rank = self.rank,
             queue_ms = self.queue_wait.as_millis() as u64,
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -33,6 +33,7 @@
     routes: LabelLimiter,
     calls: IntCounterVec,
     attempts: IntCounterVec,
+    crash_decisions: IntCounterVec,
     first_byte: HistogramVec,
     answer: HistogramVec,
     gateways: IntGauge,
@@ -64,6 +65,12 @@
                 "Tries of calls at endpoints, by how they ended.",
                 &["end"],
             )?,
+            crash_decisions: counter_family(
+                registry,
+                "sapphire_gateway_crash_decisions_total",
+                "Decisions on whether calls crashed endpoints.",
+                &["decision"],
+            )?,
             first_byte: histogram_family(
                 registry,
                 HistogramKind::FirstToken,
@@ -116,6 +123,12 @@
         self.attempts.with_label_values(&[end]).inc();
     }
 
+    /// Counts a decision on a call that may have crashed an endpoint. `decision` becomes a label and
+    /// must be from a closed set.
+    pub fn count_crash_decision(&self, decision: &str) {
+        self.crash_decisions.with_label_values(&[decision]).inc();
+    }
+
     /// Sets the number of live gateways, including this one.
     pub fn set_gateways(&self, count: usize) {
         self.gateways.set(to_gauge_value(count as u64));
