Reproduce the retries of a request that crashes endpoints, failing

It counts the retries that reach endpoints 4 s after the third crash, sent by gateways that were not disturbed for 4 s, and calls of other requests that are refused.

--- a/crates/measure/src/lib.rs
+++ b/crates/measure/src/lib.rs
@@ -3,6 +3,8 @@
 //! * [`faults`]: stateful fuzzing of the claim, attempt and answer state machines against an
 //!   oracle.
 //! * [`overload`]: results of calls while the offered load exceeds the capacity of the engines.
+//! * [`poison`]: retries of a request that crashes each endpoint that runs it.
 
 pub mod faults;
 pub mod overload;
+pub mod poison;
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 //! * [`overhead`]: latency and throughput cost of the path through entry and agent.
 //! * [`overload`](measure::overload): results of calls while the offered load exceeds the capacity
 //!   of the engines.
+//! * [`poison`](measure::poison): retries of a request that crashes each endpoint that runs it.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: simulation of one policy on one request sequence.
 //! * [`workload`], [`fleet`], [`cache`], [`control_plane`]: the request sequence, the endpoints,
@@ -31,7 +32,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
-use measure::{faults, overload};
+use measure::{faults, overload, poison};
 
 /// Exit code of a measurement whose bound does not hold.
 const EXIT_BOUND_BROKEN: u8 = 1;
@@ -55,6 +56,7 @@
     Faults(faults::FaultsArgs),
     Overhead(overhead::OverheadArgs),
     Overload(overload::OverloadArgs),
+    Poison(poison::PoisonArgs),
 }
 
 /// Whether the bound of a measurement holds.
@@ -93,6 +95,7 @@
         MeasureCommand::Overhead(args) => overhead::run(&args),
         MeasureCommand::Faults(args) => BoundVerdict::of(faults::run(&args)),
         MeasureCommand::Overload(args) => BoundVerdict::of(overload::run(&args)),
+        MeasureCommand::Poison(args) => BoundVerdict::of(poison::run(&args)),
     }
 }
 
