--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -58,15 +58,12 @@
             GatewayDatagram::Heartbeat(heartbeat) => self.handle_heartbeat(from, *heartbeat),
             GatewayDatagram::List(notice) => self.handle_list_notice(from, notice),
             GatewayDatagram::Replica(bytes) => self.receive_replica_bytes(&bytes),
+            GatewayDatagram::Crashes(notice) => self.handle_crash_notice(&notice),
         }
     }
 
     fn handle_heartbeat(self: &Rc<Self>, from: InstanceId, heartbeat: GatewayHeartbeat) {
         let now = self.now();
-        for report in &heartbeat.crashes {
-            self.relay_state.crashes.borrow_mut().note(now, *report);
-        }
-        self.relay_state.publish_crash_news();
         self.relay_state
             .table
             .borrow_mut()
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -121,6 +121,16 @@
             .collect()
     }
 
+    /// Recipients of a notice that is sent at once: at most `ROUND_GATEWAYS` live gateways, those
+    /// that follow this one in the order of their ids, so that different gateways notify different
+    /// ones in a large fleet.
+    pub fn notice_recipients(&self, now: Duration) -> Vec<InstanceId> {
+        let live: Vec<InstanceId> = self.live(now).map(|(instance, _)| instance).collect();
+        let first = live.partition_point(|instance| *instance < self.own);
+        let following = live.iter().cycle().skip(first).take(live.len());
+        following.take(ROUND_GATEWAYS).copied().collect()
+    }
+
     /// Whether the other gateways that were ever known are few enough that one heartbeat reaches
     /// all of them. If not, an extra heartbeat for a changed load would cost more than the few
     /// gateways that it reaches are worth.
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -42,7 +42,7 @@
         node.drop_silent_loads(last, now);
         last = now;
         node.relay_state.crashes.borrow_mut().expire(now);
-        node.relay_state.publish_crash_news();
+        node.relay_state.publish_crash_decisions();
         node.update_quorum_peers(now);
         node.heartbeats_sent.set(node.heartbeats_sent.get() + 1);
         let heartbeat = GatewayDatagram::Heartbeat(Box::new(node.own_heartbeat(now)));
@@ -81,11 +81,7 @@
                 false => Vec::new(),
             },
             loads,
-            crashes: self
-                .relay_state
-                .crashes
-                .borrow_mut()
-                .reports_to_announce(now),
+            crashes: Vec::new(),
         }
     }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 //!
 //! * [`node`]: state shared by the services of one gateway.
 //! * [`datagrams`]: heartbeats, notices of the endpoint list and small consensus messages.
+//! * [`crash_notices`]: notices of crashes of endpoints.
 //! * [`peer_requests`]: requests and replies between gateways, over links.
 //! * [`heartbeat`]: sending heartbeats, and what is updated with each.
 //! * [`catalog_codec`]: catalogs in the compressed form in which they are stored and sent.
@@ -24,6 +25,7 @@
 pub mod bootstrap;
 pub mod catalog_codec;
 pub mod catalog_sync;
+pub mod crash_notices;
 pub mod datagrams;
 pub mod directory;
 pub mod endpoint_list;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use gateway::crash_notices::send_crash_notices;
 use gateway::datagrams::receive_datagrams;
 use gateway::endpoint_list::follow_list;
 use gateway::heartbeat::send_heartbeats;
@@ -92,6 +93,7 @@
         Box::pin(receive_datagrams(shared())),
         Box::pin(serve_peers(link_listener, shared())),
         Box::pin(send_heartbeats(shared())),
+        Box::pin(send_crash_notices(shared())),
         Box::pin(follow_settings(shared(), path)),
     ]);
     kernel.register("peers", shared(), peers)?;
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -11,9 +11,9 @@
 use googletest::prelude::*;
 use wire::codec;
 use wire::gateway::{
-    CrashReport, GatewayDatagram, GatewayHeartbeat, ListNotice, ListedEndpoint, MAX_CRASHES,
-    MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS, MAX_LOADS, ReadingKey, StorageState, address_of,
-    instance_at,
+    CrashNotice, CrashReport, EndpointCrash, GatewayDatagram, GatewayHeartbeat, ListNotice,
+    ListedEndpoint, MAX_CRASHES, MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS, MAX_LOADS,
+    MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS, ReadingKey, StorageState, address_of, instance_at,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -200,6 +200,40 @@
     expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
 }
 
+#[gtest]
+fn largest_crash_notice_fits_into_a_datagram() {
+    let crash = EndpointCrash {
+        id: u64::MAX,
+        endpoint: u64::MAX,
+        age_ms: u32::MAX,
+        requests: Vec::new(),
+    };
+    let mut notice = CrashNotice {
+        crashes: vec![crash; MAX_NOTICE_CRASHES],
+    };
+    notice.crashes[0].requests = vec![u64::MAX; MAX_NOTICE_REQUESTS];
+
+    let bytes = codec::encode(&GatewayDatagram::Crashes(notice)).expect("a message");
+
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+}
+
+#[gtest]
+fn crash_notice_goes_to_all_gateways_of_a_small_fleet_and_to_some_of_a_large_one() {
+    for (gateways, expected) in [(30, 29), (300, 32)] {
+        let mut directory = GatewayDirectory::new(7);
+        for instance in 1..=gateways {
+            directory.record_heartbeat(SECOND, instance, GatewayHeartbeat::default());
+        }
+
+        let recipients = directory.notice_recipients(SECOND);
+
+        expect_that!(recipients.len(), eq(expected));
+        expect_that!(recipients, not(contains(eq(&7))));
+        expect_that!(recipients.first(), some(eq(&8)));
+    }
+}
+
 #[gtest]
 fn heartbeat_recipients_are_bounded_and_reach_all_in_turn() {
     let mut directory = GatewayDirectory::new(1);
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -19,7 +19,7 @@
 use tokio::time::timeout;
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
-use wire::gateway::ListedEndpoint;
+use wire::gateway::{CrashNotice, ListedEndpoint};
 use wire::id::name_id;
 
 mod fixture;
@@ -600,3 +600,87 @@
     expect_that!(runs, eq(0));
     expect_that!(later.status(), eq(200));
 }
+
+/// Waits until the instance has found a crash, and returns the notice of it.
+async fn next_crash_notice(state: &RelayState) -> CrashNotice {
+    loop {
+        let due = state.crash_notice_due.notified();
+        let notice = state.crashes.borrow_mut().take_notice(state.now());
+        match notice {
+            Some(notice) => return notice,
+            None => due.await,
+        }
+    }
+}
+
+#[gtest]
+fn request_whose_runs_break_at_crashing_endpoints_is_refused_after_three() {
+    let (statuses, runs) = run(async {
+        let mut endpoints = Vec::new();
+        for number in 1..=4 {
+            let crash = vec![ScriptedReply::Crash];
+            endpoints.push(ScriptedEndpoint::start(&format!("e{number}"), crash).await);
+        }
+        let relay = relay_before(&endpoints.iter().collect::<Vec<_>>()).await;
+        let mut statuses = Vec::new();
+        for _ in 0..3 {
+            let answer = call(relay.address, &request("/unsafe/x", "poison")).await;
+            statuses.push(answer.status());
+            next_crash_notice(&relay.state).await;
+        }
+        let answer = call(relay.address, &request("/unsafe/x", "poison")).await;
+        statuses.push(answer.status());
+        let runs: usize = endpoints.iter().map(|endpoint| endpoint.runs()).sum();
+        (statuses, runs)
+    });
+
+    expect_that!(
+        statuses,
+        elements_are![eq(&502), eq(&502), eq(&502), eq(&503)]
+    );
+    expect_that!(runs, eq(3));
+}
+
+#[gtest]
+fn request_whose_caller_left_before_the_crash_is_suspected() {
+    let requests = run(async {
+        let endpoint = ScriptedEndpoint::start("e1", vec![ScriptedReply::Hold]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut caller = TcpStream::connect(relay.address)
+            .await
+            .expect("loopback works");
+        let text = request("/unsafe/x", "poison");
+        caller
+            .write_all(text.as_bytes())
+            .await
+            .expect("loopback works");
+        while endpoint.runs() == 0 {
+            tokio::task::yield_now().await;
+        }
+        drop(caller);
+        endpoint.left.notified().await;
+        endpoint.crash().await;
+        call(relay.address, &request("/unsafe/x", "another")).await;
+        next_crash_notice(&relay.state).await.crashes[0]
+            .requests
+            .len()
+    });
+
+    expect_that!(requests, eq(1));
+}
+
+#[gtest]
+fn request_whose_answer_is_lost_is_not_suspected() {
+    let has_notice = run(async {
+        let reset = vec![ScriptedReply::Reset(String::new())];
+        let endpoint = ScriptedEndpoint::start("e1", reset).await;
+        let relay = relay_before(&[&endpoint]).await;
+        call(relay.address, &request("/unsafe/x", "body")).await;
+        while relay.state.crashes.borrow().is_pending(name_id("e1")) {
+            tokio::task::yield_now().await;
+        }
+        relay.state.crashes.borrow().has_notice()
+    });
+
+    expect_that!(has_notice, eq(false));
+}
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -2,18 +2,15 @@
 
 use std::time::Duration;
 
-use relay::crash::CrashTracker;
+use relay::crash::{CrashTracker, LostRun};
 use relay::health::CallOutcome;
 use relay::placement::{PlacementQuery, PlacementSettings, choose};
 use relay::table::EndpointTable;
-use wire::gateway::{CrashReport, ListedEndpoint};
+use wire::gateway::{CrashNotice, ListedEndpoint};
 use wire::id::{EndpointId, FingerprintHash, name_id};
 
 use super::endpoint::SERVICE;
 
-/// Interval of the messages to all other gateways.
-pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
-
 /// A run of a call at an endpoint.
 #[derive(Clone, Copy, Debug)]
 pub struct CallRun {
@@ -23,11 +20,10 @@
     pub endpoint: EndpointId,
     /// When the call was sent.
     pub sent_at: Duration,
+    /// When the endpoint last sent bytes for it, or else when the call was sent.
+    pub alive_at: Duration,
 }
 
-/// What one gateway tells the others of crashes.
-pub type CrashMessage = Vec<CrashReport>;
-
 /// A gateway.
 pub struct SimulatedGateway {
     number: u64,
@@ -36,12 +32,13 @@
 }
 
 impl SimulatedGateway {
-    /// Creates a gateway that has just started and has read the list.
-    pub fn new(number: u64, listed: &[ListedEndpoint]) -> Self {
+    /// Creates a gateway that has just started and has read the list. `seed` must differ between
+    /// starts.
+    pub fn new(number: u64, seed: u64, listed: &[ListedEndpoint]) -> Self {
         let mut gateway = Self {
             number,
             table: EndpointTable::default(),
-            crashes: CrashTracker::default(),
+            crashes: CrashTracker::new(seed),
         };
         gateway.set_list(listed);
         gateway
@@ -80,21 +77,21 @@
         self.table.start(now, endpoint);
     }
 
-    /// Records that an endpoint could not be reached.
+    /// Records that a call could not connect to an endpoint.
     pub fn note_unreachable(&mut self, now: Duration, endpoint: EndpointId) {
         self.table.note(now, endpoint, CallOutcome::Broken);
-        self.crashes.confirm(now, endpoint);
+        self.crashes.note_down(now, endpoint);
     }
 
     /// Records that another endpoint answered a call at the address of `endpoint`.
     pub fn note_misdirected(&mut self, now: Duration, endpoint: EndpointId) {
-        self.crashes.clear(endpoint, now);
+        self.crashes.note_alive(endpoint, now);
         self.table.note_misplaced(endpoint);
     }
 
     /// Records that the head of an answer arrived.
     pub fn note_head(&mut self, now: Duration, run: CallRun) {
-        self.crashes.clear(run.endpoint, run.sent_at);
+        self.crashes.note_alive(run.endpoint, run.sent_at);
         let outcome = CallOutcome::Served(now.saturating_sub(run.sent_at));
         self.table.note(now, run.endpoint, outcome);
     }
@@ -104,31 +101,51 @@
         self.table.finish(now, run.endpoint);
     }
 
-    /// Records that the connection broke during a run.
-    pub fn note_broken(&mut self, now: Duration, run: CallRun) {
+    /// Records that the connection broke during a run. Returns whether the endpoint is to be
+    /// checked.
+    pub fn note_broken(&mut self, now: Duration, run: CallRun) -> bool {
         self.table.finish(now, run.endpoint);
         self.table.note(now, run.endpoint, CallOutcome::Broken);
-        let report = CrashReport {
-            fingerprint: run.fingerprint,
-            endpoint: run.endpoint,
-        };
-        self.crashes.note_break(now, report);
+        self.note_lost(now, run);
+        self.crashes.start_check(run.endpoint)
     }
 
     /// Records that the caller disconnected during a run.
     pub fn note_abandoned(&mut self, now: Duration, run: CallRun) {
         self.table.finish(now, run.endpoint);
+        self.note_lost(now, run);
     }
 
-    /// The next message to all other gateways.
-    pub fn next_message(&mut self, now: Duration) -> CrashMessage {
-        self.crashes.reports_to_announce(now)
+    fn note_lost(&mut self, now: Duration, run: CallRun) {
+        let lost = LostRun {
+            fingerprint: run.fingerprint,
+            endpoint: run.endpoint,
+            alive_at: run.alive_at,
+        };
+        self.crashes.note_lost(now, lost);
     }
 
-    /// Handles a message of another gateway.
-    pub fn receive(&mut self, now: Duration, message: &CrashMessage) {
-        for report in message {
-            self.crashes.note(now, *report);
+    /// Records the result of a check that began at `began`.
+    pub fn end_check(&mut self, now: Duration, began: Duration, endpoint: EndpointId, is_up: bool) {
+        match is_up {
+            true => self.crashes.note_alive(endpoint, began),
+            false => self.crashes.note_down(now, endpoint),
         }
+        self.crashes.end_check(endpoint);
+    }
+
+    /// Drops what is too old to matter.
+    pub fn expire(&mut self, now: Duration) {
+        self.crashes.expire(now);
+    }
+
+    /// The next notice to all other gateways.
+    pub fn next_notice(&mut self, now: Duration) -> Option<CrashNotice> {
+        self.crashes.take_notice(now)
+    }
+
+    /// Handles a notice of another gateway.
+    pub fn receive(&mut self, now: Duration, notice: &CrashNotice) {
+        self.crashes.note_notice(now, notice);
     }
 }
--- a/crates/measure/src/poison/replay.rs
+++ b/crates/measure/src/poison/replay.rs
@@ -4,12 +4,12 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use wire::gateway::ListedEndpoint;
+use wire::gateway::{CrashNotice, ListedEndpoint};
 use wire::id::{EndpointId, FingerprintHash};
 
 use super::PoisonResult;
 use super::endpoint::{ConnectReply, SimulatedEndpoint};
-use super::gateway::{CallRun, CrashMessage, HEARTBEAT_INTERVAL, SimulatedGateway};
+use super::gateway::{CallRun, SimulatedGateway};
 use super::pattern::CrashPattern;
 
 /// Number of gateways.
@@ -46,8 +46,14 @@
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which the callers of [`CrashPattern::Silent`] wait.
 const CALLER_PATIENCE: Duration = Duration::from_millis(1500);
+/// Time that a check takes whether an endpoint accepts connections.
+const CHECK_TIME: Duration = Duration::from_millis(10);
+/// The same for a silent endpoint.
+const SILENT_CHECK_TIME: Duration = Duration::from_millis(350);
 /// Delay of a message between gateways.
 const MESSAGE_DELAY: Duration = Duration::from_millis(5);
+/// Interval of the regular work of a gateway.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
 /// Share of the messages between gateways that are lost.
 const MESSAGE_LOSS: f64 = 0.02;
 /// Time after a disruption of a gateway, and after the third crash, from which on the bound holds.
@@ -94,10 +100,24 @@
     gateway_start: u32,
     address: usize,
     has_head: bool,
+    /// Whether the endpoint crashed.
+    is_lost: bool,
     end: RunEnd,
     ends_at: Duration,
 }
 
+/// A check whether an endpoint accepts connections.
+#[derive(Clone, Copy, Debug)]
+struct EndpointCheck {
+    endpoint: EndpointId,
+    address: usize,
+    gateway: usize,
+    /// Start of the gateway that checks.
+    gateway_start: u32,
+    began: Duration,
+    ends_at: Duration,
+}
+
 /// A gateway and what happens to it.
 struct GatewaySlot {
     gateway: SimulatedGateway,
@@ -118,7 +138,8 @@
     endpoints: Vec<SimulatedEndpoint>,
     runs: Vec<ActiveRun>,
     /// Messages in flight: when they arrive, and at which gateway.
-    messages: Vec<(Duration, usize, CrashMessage)>,
+    messages: Vec<(Duration, usize, CrashNotice)>,
+    checks: Vec<EndpointCheck>,
     third_crash_at: Option<Duration>,
     next_poison_at: Duration,
     next_disruption_at: Duration,
@@ -130,21 +151,24 @@
     fn new(pattern: CrashPattern, seed: u64) -> Self {
         let endpoints: Vec<_> = (0..ENDPOINTS).map(SimulatedEndpoint::new).collect();
         let listed = list_of(&endpoints);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
         let gateways = (0..GATEWAYS).map(|number| GatewaySlot {
-            gateway: SimulatedGateway::new(number as u64, &listed),
+            gateway: SimulatedGateway::new(number as u64, rng.random(), &listed),
             starts: 0,
             down_until: Duration::ZERO,
             cut_until: Duration::ZERO,
             disrupted_until: Duration::ZERO,
         });
+        let gateways = gateways.collect();
         Self {
             pattern,
             now: Duration::ZERO,
-            rng: Pcg64Mcg::seed_from_u64(seed),
-            gateways: gateways.collect(),
+            rng,
+            gateways,
             endpoints,
             runs: Vec::new(),
             messages: Vec::new(),
+            checks: Vec::new(),
             third_crash_at: None,
             next_poison_at: Duration::from_secs(2),
             next_disruption_at: DISRUPTION_INTERVAL,
@@ -159,6 +183,7 @@
         self.advance_endpoints();
         self.deliver_messages();
         self.advance_runs();
+        self.end_checks();
         self.start_calls();
         self.send_messages();
     }
@@ -197,7 +222,7 @@
     fn restart_gateway(&mut self, number: usize) {
         let listed = list_of(&self.endpoints);
         let slot = &mut self.gateways[number];
-        slot.gateway = SimulatedGateway::new(number as u64, &listed);
+        slot.gateway = SimulatedGateway::new(number as u64, self.rng.random(), &listed);
         slot.starts += 1;
         slot.down_until = self.now + RESTART_TIME;
         slot.disrupted_until = slot.down_until;
@@ -231,21 +256,31 @@
     fn send_messages(&mut self) {
         for sender in 0..GATEWAYS {
             let slot = &mut self.gateways[sender];
-            let offset = STEP * sender as u32;
-            let since = (self.now + offset).as_millis() % HEARTBEAT_INTERVAL.as_millis();
-            if since != 0 || slot.down_until > self.now || slot.cut_until > self.now {
+            if slot.down_until > self.now {
                 continue;
             }
-            let message = slot.gateway.next_message(self.now);
-            for recipient in (0..GATEWAYS).filter(|recipient| *recipient != sender) {
-                if !message.is_empty() && !self.rng.random_bool(MESSAGE_LOSS) {
-                    self.messages
-                        .push((self.now + MESSAGE_DELAY, recipient, message.clone()));
+            let is_cut = slot.cut_until > self.now;
+            let since_tick = (self.now + STEP * sender as u32).as_millis();
+            if since_tick.is_multiple_of(TICK_INTERVAL.as_millis()) {
+                slot.gateway.expire(self.now);
+            }
+            while let Some(notice) = self.gateways[sender].gateway.next_notice(self.now) {
+                for recipient in (0..GATEWAYS).filter(|recipient| *recipient != sender) {
+                    if !is_cut {
+                        self.send(recipient, notice.clone());
+                    }
                 }
             }
         }
     }
 
+    fn send(&mut self, recipient: usize, notice: CrashNotice) {
+        if !self.rng.random_bool(MESSAGE_LOSS) {
+            let arrives_at = self.now + MESSAGE_DELAY;
+            self.messages.push((arrives_at, recipient, notice));
+        }
+    }
+
     fn start_calls(&mut self) {
         let mut calls = CALLS_PER_STEP;
         while self.rng.random_bool(calls.clamp(0.0, 1.0)) {
@@ -314,6 +349,7 @@
             fingerprint,
             endpoint,
             sent_at: self.now,
+            alive_at: self.now,
         };
         self.runs.push(ActiveRun {
             run,
@@ -321,6 +357,7 @@
             gateway_start: self.gateways[number].starts,
             address,
             has_head: false,
+            is_lost: false,
             end,
             ends_at: self.now + length,
         });
@@ -344,6 +381,7 @@
             let is_answered = matches!(active.end, RunEnd::Served | RunEnd::Broken);
             if is_started && is_answered && !active.has_head && self.is_at_sender(&active) {
                 self.runs[index].has_head = true;
+                self.runs[index].run.alive_at = now;
                 let gateway = &mut self.gateways[active.gateway].gateway;
                 gateway.note_head(now, active.run);
             }
@@ -373,8 +411,40 @@
         let gateway = &mut self.gateways[active.gateway].gateway;
         match active.end {
             RunEnd::Served => gateway.note_served(self.now, active.run),
-            RunEnd::Broken | RunEnd::Crash => gateway.note_broken(self.now, active.run),
             RunEnd::Abandoned => gateway.note_abandoned(self.now, active.run),
+            RunEnd::Broken | RunEnd::Crash => {
+                if gateway.note_broken(self.now, active.run) {
+                    self.start_check(&active);
+                }
+            }
+        }
+    }
+
+    fn start_check(&mut self, active: &ActiveRun) {
+        let time = match self.pattern {
+            CrashPattern::Silent => SILENT_CHECK_TIME,
+            _ => CHECK_TIME,
+        };
+        self.checks.push(EndpointCheck {
+            endpoint: active.run.endpoint,
+            address: active.address,
+            gateway: active.gateway,
+            gateway_start: active.gateway_start,
+            began: self.now,
+            ends_at: self.now + time,
+        });
+    }
+
+    fn end_checks(&mut self) {
+        let now = self.now;
+        let due = self.checks.extract_if(.., |check| now >= check.ends_at);
+        for check in due {
+            let slot = &mut self.gateways[check.gateway];
+            if slot.starts == check.gateway_start && slot.down_until <= now {
+                let is_up = self.endpoints[check.address].is_up();
+                slot.gateway
+                    .end_check(now, check.began, check.endpoint, is_up);
+            }
         }
     }
 
@@ -405,7 +475,7 @@
         self.endpoints[address].crash(self.now, downtime, is_renamed);
         let lost: Vec<ActiveRun> = self
             .runs
-            .extract_if(.., |active| active.address == address)
+            .extract_if(.., |active| active.address == address && !active.is_lost)
             .collect();
         for mut active in lost {
             active.end = RunEnd::Broken;
@@ -420,7 +490,7 @@
             if leaves_at < fails_at {
                 active.end = RunEnd::Abandoned;
             }
-            active.address = usize::MAX;
+            active.is_lost = true;
             self.runs.push(active);
         }
     }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -13,19 +13,23 @@
 use crate::reply::{WholeAnswer, deliver_whole};
 use crate::retry::AttemptEnd;
 use crate::session;
-use crate::state::RelayState;
+use crate::state::{OccupiedSlot, RelayState};
 
 impl EndpointAttempt<'_> {
     /// Processes an answer whose head has arrived: streams a successful answer of a stream route,
     /// reads any other whole. A successful answer without the endpoint's signature counts as a
     /// broken attempt.
-    pub(crate) async fn take_answer(&mut self, answer: OpenAnswer) -> AttemptResult {
+    pub(crate) async fn take_answer(
+        &mut self,
+        answer: OpenAnswer,
+        slot: &OccupiedSlot,
+    ) -> AttemptResult {
         let is_good = answer.head.status.is_success() && !answer.metadata.is_not_run;
         if is_good && !answer.metadata.is_signed {
             return AttemptResult::Failed(self.note_break(&EndpointError::Unsigned, true));
         }
         if is_good && self.call.route.kind.is_stream() {
-            return self.forward_stream(answer).await;
+            return self.forward_stream(answer, slot).await;
         }
         self.take_whole(answer).await
     }
@@ -59,7 +63,11 @@
         }
     }
 
-    async fn forward_stream(&mut self, mut answer: OpenAnswer) -> AttemptResult {
+    async fn forward_stream(
+        &mut self,
+        mut answer: OpenAnswer,
+        slot: &OccupiedSlot,
+    ) -> AttemptResult {
         let mut has_first = false;
         loop {
             let waiting = answer.connection.next_chunk();
@@ -71,6 +79,7 @@
                 }
             };
             let state = self.state;
+            slot.note_alive();
             state
                 .table
                 .borrow_mut()
@@ -150,6 +159,7 @@
         FailedAttempt {
             end: AttemptEnd::Failed,
             answer: (!promises_no_run(whole.status)).then_some(whole),
+            is_lost: false,
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -1,11 +1,11 @@
 //! One attempt of a call at one endpoint.
 
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
 use tokio::time::{Instant, timeout};
-use wire::gateway::CrashReport;
 use wire::id::EndpointId;
 
 use crate::call::{AnswerMetadata, ForwardMetadata};
@@ -41,12 +41,18 @@
     pub end: AttemptEnd,
     /// The endpoint's failure answer, if it may be forwarded to the caller.
     pub answer: Option<WholeAnswer>,
+    /// Whether the connection broke or fell silent, as when the endpoint crashes.
+    pub is_lost: bool,
 }
 
 impl FailedAttempt {
     /// Creates a failed attempt without an answer to forward.
     pub fn without_answer(end: AttemptEnd) -> Self {
-        Self { end, answer: None }
+        Self {
+            end,
+            answer: None,
+            is_lost: false,
+        }
     }
 }
 
@@ -99,28 +105,28 @@
     /// Sends the call to the endpoint and forwards the answer. Counts the call as running at the
     /// endpoint in the meantime.
     pub async fn run(mut self) -> AttemptResult {
-        let (call, progress) = (self.call, &mut *self.progress);
-        let slot = self
-            .state
-            .occupy(call.service, self.endpoint, call.account_name());
+        let slot = self.state.occupy(self.call, self.endpoint);
+        let progress = &mut *self.progress;
         progress.queue_wait = slot.wait;
         progress.unanswered = Some(self.endpoint);
         progress.may_run = false;
         progress.attempted_at = self.state.now();
-        let opened = self.open_answer().await;
+        let opened = self.open_answer(&slot).await;
         self.progress.unanswered = None;
         let result = match opened {
-            Ok(answer) => self.take_answer(answer).await,
+            Ok(answer) => self.take_answer(answer, &slot).await,
             Err(error) => AttemptResult::Failed(self.note_break(&error, self.progress.may_run)),
         };
-        match result {
+        match &result {
             AttemptResult::Delivered(_) => slot.complete(),
-            _ => drop::<OccupiedSlot>(slot),
+            AttemptResult::Failed(failed) if failed.is_lost => slot.lose(),
+            AttemptResult::Failed(_) => slot.end(),
+            AttemptResult::CallerLost => drop::<OccupiedSlot>(slot),
         }
         result
     }
 
-    async fn open_answer(&mut self) -> endpoint::Result<OpenAnswer> {
+    async fn open_answer(&mut self, slot: &OccupiedSlot) -> endpoint::Result<OpenAnswer> {
         let (state, call) = (self.state, self.call);
         let (address, name) = {
             let table = state.table.borrow();
@@ -128,10 +134,7 @@
             let row = row.ok_or(EndpointError::ConnectTimeout)?;
             (row.address, row.name.clone())
         };
-        let mut connection = match state.pool.take(state.now(), self.endpoint) {
-            Some(connection) => connection,
-            None => EndpointConnection::open(address, state.settings.connect_limit).await?,
-        };
+        let mut connection = self.open_connection(address).await?;
         let headers = {
             let metadata = self.forward_metadata(&name);
             let incoming = call.head.head().headers();
@@ -140,10 +143,12 @@
         let method = call.head.method().clone();
         let head = endpoint::request_head(method, call.head.uri().clone(), headers);
         self.progress.may_run = true;
+        slot.note_alive();
         let exchange = connection.exchange(&state.http, head, call.body);
         let exchanged = with_time_limit(self.head_limit(), exchange).await;
         self.progress.may_run = connection.has_sent;
         let head = exchanged?;
+        slot.note_alive();
         let metadata = self.read_head(&head)?;
         Ok(OpenAnswer {
             connection,
@@ -152,6 +157,19 @@
         })
     }
 
+    /// Takes an idle connection, or opens one. An endpoint that accepts none is recorded as down.
+    async fn open_connection(&self, address: SocketAddrV4) -> endpoint::Result<EndpointConnection> {
+        let state = self.state;
+        if let Some(connection) = state.pool.take(state.now(), self.endpoint) {
+            return Ok(connection);
+        }
+        let opened = EndpointConnection::open(address, state.settings.connect_limit).await;
+        if opened.is_err() {
+            state.note_endpoint_down(self.endpoint);
+        }
+        opened
+    }
+
     fn forward_metadata<'b>(&'b self, name: &'b str) -> ForwardMetadata<'b> {
         let (state, call) = (self.state, self.call);
         let query = call.query(state, &[]);
@@ -173,17 +191,14 @@
         limit.map(|limit| limit + queue_wait)
     }
 
-    /// Reads the metadata of an answer's head and records the endpoint's activity and load. Breaks
-    /// at the endpoint from before the attempt no longer count as possible crashes. Fails if the
-    /// answer carries the attempt id of another call.
+    /// Reads the metadata of an answer's head and records the endpoint's activity and load. Runs at
+    /// the endpoint that were lost before the attempt were not lost in a crash. Fails if the answer
+    /// carries the attempt id of another call.
     fn read_head(&self, head: &ResponseHead) -> endpoint::Result<AnswerMetadata> {
         let state = self.state;
         let now = state.now();
         state.table.borrow_mut().note_activity(now, self.endpoint);
-        let mut crashes = state.crashes.borrow_mut();
-        crashes.clear(self.endpoint, self.progress.attempted_at);
-        drop(crashes);
-        state.publish_crash_news();
+        state.note_endpoint_alive(self.endpoint, self.progress.attempted_at);
         let metadata = state.dialect.read_answer(head.headers());
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
             return Err(EndpointError::Misdelivered);
@@ -197,11 +212,9 @@
 
     /// Records that the endpoint could not be reached or that the connection to it broke. A call
     /// that waited too long for bytes counts against the endpoint only if the endpoint was silent
-    /// to all calls of this instance. A connection that was lost after bytes of the call were sent
-    /// is recorded as a possible crash; a failure before that confirms earlier ones.
+    /// to all calls of this instance.
     pub(crate) fn note_break(&mut self, error: &EndpointError, may_run: bool) -> FailedAttempt {
         let state = self.state;
-        let now = state.now();
         let reason = error.to_string();
         let is_silent_call = matches!(error, EndpointError::Silent);
         if !is_silent_call || state.is_silent(self.endpoint) {
@@ -209,19 +222,12 @@
         }
         self.progress.last_error = Some(reason);
         if !may_run {
-            state.crashes.borrow_mut().confirm(now, self.endpoint);
-            state.publish_crash_news();
             return FailedAttempt::without_answer(AttemptEnd::NotSent);
         }
-        if matches!(error, EndpointError::Closed | EndpointError::Socket(_)) {
-            let report = CrashReport {
-                fingerprint: self.call.fingerprint,
-                endpoint: self.endpoint,
-            };
-            state.crashes.borrow_mut().note_break(now, report);
-            state.publish_crash_news();
+        FailedAttempt {
+            is_lost: error.is_lost_connection(),
+            ..FailedAttempt::without_answer(AttemptEnd::Broken)
         }
-        FailedAttempt::without_answer(AttemptEnd::Broken)
     }
 }
 
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -1,158 +1,417 @@
-//! Detection of calls that crash the endpoints that run them.
+//! Detection of requests that crash the endpoints that run them.
 //!
-//! When the connection to an endpoint breaks during a call, the break is pending until its cause is
-//! known: an endpoint that then accepts no connection has crashed, one that keeps answering has
-//! only lost an answer. A call that was running at several endpoints when they crashed is refused
-//! for a while. Instances announce the crashes that they observe to each other.
+//! A run that ends without an answer is pending until its cause is known: if its endpoint turns out
+//! to be down, the request was lost in a crash; if the endpoint answers a later call, it was not.
+//! Instances tell each other which endpoints they found down and which requests were lost there, so
+//! that the two observations need not be made by the same instance. A request that was lost in too
+//! many crashes is refused for a while.
 
-use std::collections::{BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
-use wire::gateway::{CrashReport, MAX_CRASHES};
+use wire::gateway::{CrashId, CrashNotice, EndpointCrash, MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS};
 use wire::id::{EndpointId, FingerprintHash};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Number of endpoints that crashed while running a call, from which on the call is refused.
+/// Number of crashes in which a request was lost, from which on it is refused.
 const BLOCKING_CRASHES: usize = 3;
-/// Time after the latest crash report of a call until its reports expire.
-const REPORT_LIFETIME: Duration = Duration::from_secs(60);
-/// Time for which a crash report is sent with each heartbeat to other instances.
-const ANNOUNCEMENT_TIME: Duration = Duration::from_secs(2);
-/// Maximum number of suspected calls that are kept.
+/// Time after the latest crash of a request until its crashes are forgotten.
+const SUSPICION_TIME: Duration = Duration::from_secs(60);
+/// Maximum number of suspected requests that are kept.
 const MAX_SUSPECTS: usize = 4096;
-/// Time after a break within which a failed connection attempt to the endpoint confirms it as a
-/// crash.
-const CONFIRMATION_TIME: Duration = Duration::from_secs(3);
-/// Maximum number of breaks whose cause is pending.
-const MAX_PENDING_BREAKS: usize = 1024;
+/// Time within which a lost run is attributed to a crash that is found later.
+const PENDING_TIME: Duration = Duration::from_secs(3);
+/// Maximum number of lost runs whose cause is pending.
+const MAX_PENDING_RUNS: usize = 1024;
+/// Time for which a crash is kept, so that runs that were under way are attributed to it when they
+/// are lost. Connections to an endpoint that fell silent fail late.
+const CRASH_RETENTION: Duration = Duration::from_secs(60);
+/// Maximum number of crashes that are kept.
+const MAX_KNOWN_CRASHES: usize = 1024;
+/// Crashes of one endpoint that were found within this time of each other, by different instances,
+/// are the same.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 
-#[derive(Debug, Default)]
-struct SuspectCall {
-    endpoints: BTreeSet<EndpointId>,
-    seen_at: Duration,
+/// A run of a request at an endpoint that ended without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostRun {
+    /// The request.
+    pub fingerprint: FingerprintHash,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// When the endpoint last sent bytes for it, or else when the request was sent.
+    pub alive_at: Duration,
 }
 
 /// A decision of [`CrashTracker`], for the log and the metrics.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum CrashNews {
-    /// The connection to an endpoint broke during a call; the cause is pending.
-    Pending(CrashReport),
-    /// The endpoint answered a later call: the break was no crash.
-    RuledOut(CrashReport),
-    /// Nothing told the cause of the break in time.
-    Expired(CrashReport),
-    /// A crash was counted against a call, which has been counted `crashes` of them.
+pub enum CrashDecision {
+    /// A run was lost; the cause is pending.
+    Pending(LostRun),
+    /// The endpoint answered a later call: the run was not lost in a crash.
+    RuledOut(LostRun),
+    /// Nothing told the cause of the loss in time.
+    Expired(LostRun),
+    /// An endpoint was found down. `crash` is new.
+    Found {
+        /// Id of the crash.
+        crash: CrashId,
+        /// The endpoint.
+        endpoint: EndpointId,
+    },
+    /// A crash was counted against a request.
     Counted {
-        /// The call and the endpoint.
-        report: CrashReport,
-        /// Number of endpoints that crashed while running the call.
+        /// The request.
+        fingerprint: FingerprintHash,
+        /// The endpoint that crashed.
+        endpoint: EndpointId,
+        /// Number of crashes in which the request was lost.
         crashes: usize,
     },
-    /// The call is refused from now on.
+    /// The request is refused from now on.
     Blocked(FingerprintHash),
 }
 
-/// Tracks which calls are suspected of crashing endpoints, by fingerprint.
+/// A crash of an endpoint that is known to this instance.
+#[derive(Clone, Copy, Debug)]
+struct KnownCrash {
+    id: CrashId,
+    endpoint: EndpointId,
+    /// When the endpoint was found down.
+    found_at: Duration,
+    /// Whether the endpoint has answered since.
+    is_over: bool,
+}
+
+impl KnownCrash {
+    /// Whether a run that was lost may have been lost in the crash.
+    fn covers(&self, run: &LostRun) -> bool {
+        run.endpoint == self.endpoint && run.alive_at <= self.found_at
+    }
+}
+
+/// A request that was lost in crashes, in the order in which these became known.
+#[derive(Debug, Default)]
+struct SuspectRequest {
+    crashes: Vec<KnownCrash>,
+}
+
+impl SuspectRequest {
+    /// Number of different crashes. One that several instances found is counted once.
+    fn count(&self) -> usize {
+        let is_counted_before = |index: usize, crash: &KnownCrash| {
+            self.crashes[..index].iter().any(|other| {
+                let apart = other.found_at.abs_diff(crash.found_at);
+                other.endpoint == crash.endpoint && apart < SAME_CRASH_TIME
+            })
+        };
+        let crashes = self.crashes.iter().enumerate();
+        let different = crashes.filter(|(index, crash)| !is_counted_before(*index, crash));
+        different.count()
+    }
+
+    /// Whether the request was lost in one crash only.
+    fn is_weak(&self) -> bool {
+        self.crashes.len() <= 1
+    }
+
+    /// When the latest crash was found.
+    fn latest_at(&self) -> Duration {
+        let found = self.crashes.iter().map(|crash| crash.found_at);
+        found.max().unwrap_or_default()
+    }
+}
+
+/// Tracks which requests are suspected of crashing endpoints, by fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
-    suspects: HashMap<FingerprintHash, SuspectCall>,
-    /// Breaks of this instance's calls whose cause is pending, with their time, oldest first.
-    breaks: VecDeque<(CrashReport, Duration)>,
-    /// Confirmed crashes of this instance's calls, with the time of confirmation, oldest first.
-    own: Vec<(CrashReport, Duration)>,
-    /// Decisions that were not taken by [`Self::take_news`] yet, oldest first.
-    news: Vec<CrashNews>,
+    /// Makes the ids of crashes differ between instances and starts.
+    seed: u64,
+    /// Number of crashes that this instance was the first to find.
+    found: u64,
+    suspects: HashMap<FingerprintHash, SuspectRequest>,
+    /// Runs of this instance that were lost and whose cause is pending, with the time of the loss,
+    /// oldest first.
+    pending: VecDeque<(LostRun, Duration)>,
+    /// Recent crashes, the latest that became known last.
+    crashes: VecDeque<KnownCrash>,
+    /// Endpoints that are being checked by this instance.
+    checking: HashSet<EndpointId>,
+    /// What this instance added to a crash and has not announced: requests by crash.
+    unannounced: BTreeMap<CrashId, Vec<FingerprintHash>>,
+    /// Decisions that were not taken by [`Self::take_decisions`] yet, oldest first.
+    decisions: Vec<CrashDecision>,
 }
 
 impl CrashTracker {
-    /// Records that the connection to an endpoint broke during a call of this instance.
-    pub fn note_break(&mut self, now: Duration, report: CrashReport) {
-        self.expire(now);
-        if self.breaks.len() < MAX_PENDING_BREAKS {
-            self.breaks.push_back((report, now));
-            self.news.push(CrashNews::Pending(report));
+    /// Creates a tracker. `seed` must differ between instances, and between their starts.
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            ..Self::default()
         }
     }
 
-    /// Drops breaks whose cause did not become known in time.
-    pub fn expire(&mut self, now: Duration) {
-        let is_expired = |(_, at): &mut (CrashReport, Duration)| now >= *at + CONFIRMATION_TIME;
-        while let Some((report, _)) = self.breaks.pop_front_if(is_expired) {
-            self.news.push(CrashNews::Expired(report));
+    /// Records that a run of this instance was lost: its connection broke, or it was given up.
+    pub fn note_lost(&mut self, now: Duration, run: LostRun) {
+        self.expire_pending(now);
+        let crashes = self.crashes.iter().rev();
+        let cause = crashes.copied().find(|crash| crash.covers(&run));
+        if let Some(crash) = cause {
+            self.count_own(crash, run.fingerprint);
+        } else if self.pending.len() < MAX_PENDING_RUNS {
+            self.pending.push_back((run, now));
+            self.decisions.push(CrashDecision::Pending(run));
         }
     }
 
-    /// Takes the decisions since the last call of this function, oldest first.
-    pub fn take_news(&mut self) -> Vec<CrashNews> {
-        std::mem::take(&mut self.news)
-    }
-
-    /// Records that an endpoint accepts no connection: recent breaks at it were crashes.
-    pub fn confirm(&mut self, now: Duration, endpoint: EndpointId) {
-        self.expire(now);
-        let breaks = std::mem::take(&mut self.breaks);
-        for (report, at) in breaks {
-            if report.endpoint != endpoint {
-                self.breaks.push_back((report, at));
-            } else {
-                self.own.push((report, now));
-                self.note(now, report);
+    /// Records that this instance could not connect to an endpoint: it is down.
+    pub fn note_down(&mut self, now: Duration, endpoint: EndpointId) {
+        self.expire_pending(now);
+        let lost = self.take_pending(|run| run.endpoint == endpoint);
+        let known = self.open_crash(endpoint);
+        let is_covered = |run: &LostRun| known.is_some_and(|crash| crash.covers(run));
+        let is_new = known.is_none() || !lost.iter().all(is_covered);
+        let found = is_new.then(|| self.find_crash(now, endpoint));
+        for run in lost {
+            let crash = known.filter(|crash| crash.covers(&run)).or(found);
+            if let Some(crash) = crash {
+                self.count_own(crash, run.fingerprint);
             }
         }
     }
 
-    /// Records that an endpoint answered a call that was sent to it at `sent_at`: breaks up to then
-    /// were no crashes.
-    pub fn clear(&mut self, endpoint: EndpointId, sent_at: Duration) {
-        let is_cleared =
-            |report: &CrashReport, at: Duration| report.endpoint == endpoint && at <= sent_at;
-        for (report, at) in std::mem::take(&mut self.breaks) {
-            match is_cleared(&report, at) {
-                true => self.news.push(CrashNews::RuledOut(report)),
-                false => self.breaks.push_back((report, at)),
+    /// Records that an endpoint answered a call that was sent to it at `sent_at`: runs that were
+    /// lost up to then were not lost in a crash.
+    pub fn note_alive(&mut self, endpoint: EndpointId, sent_at: Duration) {
+        for crash in &mut self.crashes {
+            crash.is_over |= crash.endpoint == endpoint && crash.found_at <= sent_at;
+        }
+        for (run, lost_at) in std::mem::take(&mut self.pending) {
+            match run.endpoint == endpoint && lost_at <= sent_at {
+                true => self.decisions.push(CrashDecision::RuledOut(run)),
+                false => self.pending.push_back((run, lost_at)),
             }
         }
     }
 
-    /// Records a crash report of this or another instance.
-    pub fn note(&mut self, now: Duration, report: CrashReport) {
-        if self.suspects.len() >= MAX_SUSPECTS {
-            self.suspects
-                .retain(|_, suspect| now < suspect.seen_at + REPORT_LIFETIME);
-        }
-        if self.suspects.len() >= MAX_SUSPECTS {
-            return;
-        }
-        let suspect = self.suspects.entry(report.fingerprint).or_default();
-        let was_blocked = suspect.endpoints.len() >= BLOCKING_CRASHES;
-        let is_new = suspect.endpoints.insert(report.endpoint);
-        let crashes = suspect.endpoints.len();
-        suspect.seen_at = now;
-        if is_new {
-            self.news.push(CrashNews::Counted { report, crashes });
-        }
-        if crashes >= BLOCKING_CRASHES && !was_blocked {
-            self.news.push(CrashNews::Blocked(report.fingerprint));
+    /// Handles the notice of another instance.
+    pub fn note_notice(&mut self, now: Duration, notice: &CrashNotice) {
+        self.expire_pending(now);
+        for told in &notice.crashes {
+            let crash = self.learn_crash(now, told);
+            for run in self.take_pending(|run| crash.covers(run)) {
+                self.count_own(crash, run.fingerprint);
+            }
+            for fingerprint in &told.requests {
+                self.count(crash, *fingerprint);
+            }
         }
     }
 
-    /// Number of endpoints that are known to have crashed while running a call.
-    pub fn crashes_of(&self, fingerprint: FingerprintHash) -> usize {
+    /// Whether a request is refused because it was lost in too many crashes.
+    pub fn is_blocked(&self, now: Duration, fingerprint: FingerprintHash) -> bool {
         let suspect = self.suspects.get(&fingerprint);
-        suspect.map_or(0, |suspect| suspect.endpoints.len())
+        suspect.is_some_and(|suspect| {
+            suspect.count() >= BLOCKING_CRASHES && now < suspect.latest_at() + SUSPICION_TIME
+        })
     }
 
-    /// Whether a call is refused because it crashed too many endpoints.
-    pub fn is_blocked(&self, now: Duration, fingerprint: FingerprintHash) -> bool {
+    /// Whether a request whose run was lost may be sent to another endpoint. Pending runs count as
+    /// crashes here.
+    pub fn may_retry(&self, fingerprint: FingerprintHash) -> bool {
+        let pending = self.pending.iter();
+        let pending = pending.filter(|(run, _)| run.fingerprint == fingerprint);
+        self.crashes_of(fingerprint) + pending.count() < BLOCKING_CRASHES
+    }
+
+    /// Number of crashes in which a request was lost.
+    pub fn crashes_of(&self, fingerprint: FingerprintHash) -> usize {
         let suspect = self.suspects.get(&fingerprint);
-        suspect.is_some_and(|suspect| {
-            suspect.endpoints.len() >= BLOCKING_CRASHES && now < suspect.seen_at + REPORT_LIFETIME
+        suspect.map_or(0, SuspectRequest::count)
+    }
+
+    /// Whether the cause of a lost run at an endpoint is pending.
+    pub fn is_pending(&self, endpoint: EndpointId) -> bool {
+        self.pending.iter().any(|(run, _)| run.endpoint == endpoint)
+    }
+
+    /// Whether this instance should now check that an endpoint accepts connections, because the
+    /// cause of a lost run there is pending. If so, no other check is due until
+    /// [`Self::end_check`].
+    pub fn start_check(&mut self, endpoint: EndpointId) -> bool {
+        self.is_pending(endpoint) && self.checking.insert(endpoint)
+    }
+
+    /// Ends the check of an endpoint, whose result was recorded.
+    pub fn end_check(&mut self, endpoint: EndpointId) {
+        self.checking.remove(&endpoint);
+    }
+
+    /// Drops what is too old to matter.
+    pub fn expire(&mut self, now: Duration) {
+        self.expire_pending(now);
+        self.crashes
+            .retain(|crash| now < crash.found_at + CRASH_RETENTION);
+        self.suspects
+            .retain(|_, suspect| now < suspect.latest_at() + SUSPICION_TIME);
+    }
+
+    /// Takes the decisions since the last call of this function, oldest first.
+    pub fn take_decisions(&mut self) -> Vec<CrashDecision> {
+        std::mem::take(&mut self.decisions)
+    }
+
+    /// Whether there is something that [`Self::take_notice`] has not announced.
+    pub fn has_notice(&self) -> bool {
+        !self.unannounced.is_empty()
+    }
+
+    /// Takes the next notice to the other instances of what this instance found.
+    pub fn take_notice(&mut self, now: Duration) -> Option<CrashNotice> {
+        let mut notice = CrashNotice::default();
+        let mut room = MAX_NOTICE_REQUESTS;
+        while notice.crashes.len() < MAX_NOTICE_CRASHES && room > 0 {
+            let Some((id, mut requests)) = self.unannounced.pop_first() else {
+                break;
+            };
+            let rest = requests.split_off(requests.len().min(room));
+            room -= requests.len();
+            if !rest.is_empty() {
+                self.unannounced.insert(id, rest);
+            }
+            let known = self.crashes.iter().find(|crash| crash.id == id);
+            notice
+                .crashes
+                .extend(known.map(|crash| told_crash(now, crash, requests)));
+        }
+        (!notice.crashes.is_empty()).then_some(notice)
+    }
+
+    fn expire_pending(&mut self, now: Duration) {
+        let is_expired = |(_, at): &mut (LostRun, Duration)| now >= *at + PENDING_TIME;
+        while let Some((run, _)) = self.pending.pop_front_if(is_expired) {
+            self.decisions.push(CrashDecision::Expired(run));
+        }
+    }
+
+    fn take_pending(&mut self, is_taken: impl Fn(&LostRun) -> bool) -> Vec<LostRun> {
+        let (taken, kept): (VecDeque<_>, VecDeque<_>) = std::mem::take(&mut self.pending)
+            .into_iter()
+            .partition(|(run, _)| is_taken(run));
+        self.pending = kept;
+        taken.into_iter().map(|(run, _)| run).collect()
+    }
+
+    /// The crash of an endpoint that has not answered since.
+    fn open_crash(&self, endpoint: EndpointId) -> Option<KnownCrash> {
+        let mut crashes = self.crashes.iter().rev();
+        crashes
+            .find(|crash| crash.endpoint == endpoint && !crash.is_over)
+            .copied()
+    }
+
+    /// Records a crash that this instance found.
+    fn find_crash(&mut self, now: Duration, endpoint: EndpointId) -> KnownCrash {
+        self.found += 1;
+        let id = xxh3_64_with_seed(&self.found.to_le_bytes(), self.seed);
+        for earlier in &mut self.crashes {
+            earlier.is_over |= earlier.endpoint == endpoint;
+        }
+        let crash = self.keep_crash(KnownCrash {
+            id,
+            endpoint,
+            found_at: now,
+            is_over: false,
+        });
+        self.unannounced.entry(id).or_default();
+        crash
+    }
+
+    /// Records a crash that another instance told of.
+    fn learn_crash(&mut self, now: Duration, told: &EndpointCrash) -> KnownCrash {
+        let known = self.crashes.iter().find(|crash| crash.id == told.id);
+        if let Some(known) = known {
+            return *known;
+        }
+        self.keep_crash(KnownCrash {
+            id: told.id,
+            endpoint: told.endpoint,
+            found_at: now.saturating_sub(Duration::from_millis(u64::from(told.age_ms))),
+            is_over: false,
         })
     }
 
-    /// The newest crash reports of this instance, for the next heartbeat.
-    pub fn reports_to_announce(&mut self, now: Duration) -> Vec<CrashReport> {
-        self.own.retain(|(_, at)| now < *at + ANNOUNCEMENT_TIME);
-        let newest = self.own.iter().rev().take(MAX_CRASHES);
-        newest.map(|(report, _)| *report).collect()
+    fn keep_crash(&mut self, crash: KnownCrash) -> KnownCrash {
+        if self.crashes.len() >= MAX_KNOWN_CRASHES {
+            self.crashes.pop_front();
+        }
+        self.crashes.push_back(crash);
+        self.decisions.push(CrashDecision::Found {
+            crash: crash.id,
+            endpoint: crash.endpoint,
+        });
+        crash
+    }
+
+    /// Counts a crash against a request of this instance, and announces it.
+    fn count_own(&mut self, crash: KnownCrash, fingerprint: FingerprintHash) {
+        if self.count(crash, fingerprint) {
+            let requests = self.unannounced.entry(crash.id).or_default();
+            requests.push(fingerprint);
+        }
+    }
+
+    /// Counts a crash against a request. Returns whether it was not counted before.
+    fn count(&mut self, crash: KnownCrash, fingerprint: FingerprintHash) -> bool {
+        if !self.has_room(fingerprint) {
+            return false;
+        }
+        let suspect = self.suspects.entry(fingerprint).or_default();
+        if suspect.crashes.iter().any(|known| known.id == crash.id) {
+            return false;
+        }
+        let before = suspect.count();
+        suspect.crashes.push(crash);
+        let crashes = suspect.count();
+        self.decisions.push(CrashDecision::Counted {
+            fingerprint,
+            endpoint: crash.endpoint,
+            crashes,
+        });
+        if before < BLOCKING_CRASHES && crashes >= BLOCKING_CRASHES {
+            self.decisions.push(CrashDecision::Blocked(fingerprint));
+        }
+        true
+    }
+
+    /// Makes room for a request in a full table. Returns `false` if every other one was lost in
+    /// several crashes.
+    fn has_room(&mut self, fingerprint: FingerprintHash) -> bool {
+        if self.suspects.len() >= MAX_SUSPECTS && !self.suspects.contains_key(&fingerprint) {
+            self.drop_weak_suspects();
+        }
+        self.suspects.len() < MAX_SUSPECTS || self.suspects.contains_key(&fingerprint)
+    }
+
+    /// Forgets the older half of the requests that were lost in a single crash.
+    fn drop_weak_suspects(&mut self) {
+        let weak = self.suspects.values().filter(|suspect| suspect.is_weak());
+        let mut found: Vec<Duration> = weak.map(SuspectRequest::latest_at).collect();
+        found.sort_unstable();
+        if let Some(median) = found.get(found.len() / 2).copied() {
+            self.suspects
+                .retain(|_, suspect| !suspect.is_weak() || suspect.latest_at() > median);
+        }
+    }
+}
+
+fn told_crash(now: Duration, crash: &KnownCrash, requests: Vec<FingerprintHash>) -> EndpointCrash {
+    let age = now.saturating_sub(crash.found_at).as_millis();
+    EndpointCrash {
+        id: crash.id,
+        endpoint: crash.endpoint,
+        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        requests,
     }
 }
--- /dev/null
+++ b/crates/relay/src/crash_check.rs
@@ -0,0 +1,64 @@
+//! What this instance observes of crashes: lost runs, and endpoints that accept no connection.
+//!
+//! After a run was lost, its endpoint is checked at once: whether it accepts a connection tells a
+//! crash from a lost answer. Without the check the cause would stay unknown until the next call
+//! happens to go to that endpoint.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use wire::id::EndpointId;
+
+use crate::crash::LostRun;
+use crate::endpoint::EndpointConnection;
+use crate::state::RelayState;
+
+impl RelayState {
+    /// Records that a run was lost.
+    pub fn note_lost_run(&self, run: LostRun) {
+        self.crashes.borrow_mut().note_lost(self.now(), run);
+        self.announce_crashes();
+    }
+
+    /// Records that an endpoint accepted no connection.
+    pub fn note_endpoint_down(&self, endpoint: EndpointId) {
+        self.crashes.borrow_mut().note_down(self.now(), endpoint);
+        self.announce_crashes();
+    }
+
+    /// Checks that an endpoint accepts connections, if the cause of a lost run there is pending.
+    pub fn check_endpoint(self: &Rc<Self>, endpoint: EndpointId) {
+        let address = self.table.borrow().row(endpoint).map(|row| row.address);
+        let Some(address) = address else {
+            return;
+        };
+        if !self.crashes.borrow_mut().start_check(endpoint) {
+            return;
+        }
+        let state = Rc::clone(self);
+        actix_rt::spawn(async move {
+            let started_at = state.now();
+            let limit = state.settings.connect_limit;
+            match EndpointConnection::open(address, limit).await {
+                Ok(_) => state.note_endpoint_alive(endpoint, started_at),
+                Err(_) => state.note_endpoint_down(endpoint),
+            }
+            state.crashes.borrow_mut().end_check(endpoint);
+        });
+    }
+
+    /// Records that an endpoint answered a call, or accepted a connection, that was begun at
+    /// `sent_at` on the clock of [`Self::now`].
+    pub fn note_endpoint_alive(&self, endpoint: EndpointId, sent_at: Duration) {
+        self.crashes.borrow_mut().note_alive(endpoint, sent_at);
+        self.publish_crash_decisions();
+    }
+
+    /// Publishes the latest decisions, and lets other instances know of what was found.
+    pub fn announce_crashes(&self) {
+        self.publish_crash_decisions();
+        if self.crashes.borrow().has_notice() {
+            self.crash_notice_due.notify_one();
+        }
+    }
+}
--- a/crates/relay/src/crash_log.rs
+++ b/crates/relay/src/crash_log.rs
@@ -1,57 +1,88 @@
-//! Log lines and metrics of the decisions on calls that crash endpoints.
+//! Log lines and metrics of the decisions on requests that crash endpoints.
 
-use wire::gateway::CrashReport;
+use wire::id::{EndpointId, FingerprintHash};
 
-use crate::crash::CrashNews;
+use crate::crash::CrashDecision;
 use crate::state::RelayState;
 
 impl RelayState {
     /// Writes the decisions of the crash tracker since the last call of this function to the log
     /// and the metrics.
-    pub fn publish_crash_news(&self) {
-        let news = self.crashes.borrow_mut().take_news();
-        for decision in news {
+    pub fn publish_crash_decisions(&self) {
+        let decisions = self.crashes.borrow_mut().take_decisions();
+        for decision in decisions {
             self.metrics.count_crash_decision(label_of(decision));
             self.log_decision(decision);
         }
     }
 
-    fn log_decision(&self, decision: CrashNews) {
-        let (text, report) = match decision {
-            CrashNews::Pending(report) => ("relay: call broke, cause pending", report),
-            CrashNews::RuledOut(report) => ("relay: break is not a crash", report),
-            CrashNews::Expired(report) => ("relay: break expired without a verdict", report),
-            CrashNews::Counted { report, crashes } => {
+    fn log_decision(&self, decision: CrashDecision) {
+        match decision {
+            CrashDecision::Pending(run) => {
+                self.log_run(
+                    "relay: run lost, cause pending",
+                    run.fingerprint,
+                    run.endpoint,
+                );
+            }
+            CrashDecision::RuledOut(run) => {
+                self.log_run(
+                    "relay: run not lost in a crash",
+                    run.fingerprint,
+                    run.endpoint,
+                );
+            }
+            CrashDecision::Expired(run) => {
+                self.log_run(
+                    "relay: cause of a lost run unknown",
+                    run.fingerprint,
+                    run.endpoint,
+                );
+            }
+            CrashDecision::Found { crash, endpoint } => log::info!(
+                crash = hex_text(crash).as_str(),
+                endpoint = self.endpoint_name(endpoint).as_str(),
+                endpoint_id = hex_text(endpoint).as_str();
+                "relay: endpoint found down"
+            ),
+            CrashDecision::Counted {
+                fingerprint,
+                endpoint,
+                crashes,
+            } => {
                 let text = format!("relay: crash counted, {crashes} in all");
-                return self.log_report(&text, report);
+                self.log_run(&text, fingerprint, endpoint);
             }
-            CrashNews::Blocked(fingerprint) => {
-                log::warn!(fingerprint = hex_text(fingerprint).as_str(); "relay: call is blocked");
-                return;
+            CrashDecision::Blocked(fingerprint) => {
+                log::warn!(fingerprint = hex_text(fingerprint).as_str(); "relay: request is blocked");
             }
-        };
-        self.log_report(text, report);
+        }
     }
 
-    fn log_report(&self, text: &str, report: CrashReport) {
-        let table = self.table.borrow();
-        let row = table.row(report.endpoint);
+    fn log_run(&self, text: &str, fingerprint: FingerprintHash, endpoint: EndpointId) {
         log::info!(
-            fingerprint = hex_text(report.fingerprint).as_str(),
-            endpoint = row.map_or("-", |row| row.name.as_str()),
-            endpoint_id = hex_text(report.endpoint).as_str();
+            fingerprint = hex_text(fingerprint).as_str(),
+            endpoint = self.endpoint_name(endpoint).as_str(),
+            endpoint_id = hex_text(endpoint).as_str();
             "{text}"
         );
     }
+
+    fn endpoint_name(&self, endpoint: EndpointId) -> String {
+        let table = self.table.borrow();
+        let row = table.row(endpoint);
+        row.map_or_else(|| "-".to_owned(), |row| row.name.clone())
+    }
 }
 
-fn label_of(decision: CrashNews) -> &'static str {
+fn label_of(decision: CrashDecision) -> &'static str {
     match decision {
-        CrashNews::Pending(_) => "pending",
-        CrashNews::RuledOut(_) => "ruled-out",
-        CrashNews::Expired(_) => "expired",
-        CrashNews::Counted { .. } => "counted",
-        CrashNews::Blocked(_) => "blocked",
+        CrashDecision::Pending(_) => "pending",
+        CrashDecision::RuledOut(_) => "ruled-out",
+        CrashDecision::Expired(_) => "expired",
+        CrashDecision::Found { .. } => "found",
+        CrashDecision::Counted { .. } => "counted",
+        CrashDecision::Blocked(_) => "blocked",
     }
 }
 
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -66,6 +66,14 @@
     Oversized,
 }
 
+impl EndpointError {
+    /// Whether the connection broke or fell silent, as when the endpoint crashes. The other errors
+    /// follow bytes of the endpoint, or precede the connection.
+    pub fn is_lost_connection(&self) -> bool {
+        matches!(self, Self::Socket(_) | Self::Silent | Self::Closed)
+    }
+}
+
 /// Result of operations on a connection.
 pub type Result<T> = std::result::Result<T, EndpointError>;
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -142,7 +142,7 @@
             self.tally.count(end);
             self.last = Some(failed);
             let step = next_step(call.route.kind, call.route.max_attempts, self.tally, end);
-            if step != NextStep::TryAnother || !self.take_retry(end) {
+            if step != NextStep::TryAnother || !self.may_retry() || !self.take_retry(end) {
                 return self.finish_failed().await;
             }
         }
@@ -185,6 +185,12 @@
         result
     }
 
+    /// Whether the request may not be one that crashes the endpoints that run it.
+    fn may_retry(&self) -> bool {
+        let crashes = self.state.crashes.borrow();
+        crashes.may_retry(self.call.fingerprint)
+    }
+
     /// Takes a retry from the budget. An attempt that sent nothing to an endpoint costs no retry.
     fn take_retry(&self, end: AttemptEnd) -> bool {
         let state = self.state;
@@ -201,6 +207,7 @@
             self.state
                 .note_health(endpoint, CallOutcome::Broken, reason);
             self.state.pool.close(endpoint);
+            self.state.check_endpoint(endpoint);
         }
         if self.writer.has_started {
             return CallEnd::Cut;
@@ -241,7 +248,7 @@
         if self.writer.has_started {
             return CallEnd::Cut;
         }
-        let Some(FailedAttempt { end, answer }) = self.last.take() else {
+        let Some(FailedAttempt { end, answer, .. }) = self.last.take() else {
             return self.refuse(FaultKind::NoEndpoint).await;
         };
         if let Some(answer) = answer {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,7 +12,7 @@
 //! * [`ranks`]: admission statistics by rank.
 //! * [`retry_schedule`]: retry times that are handed out to refused callers.
 //! * [`budget`]: retry budget of a service.
-//! * [`crash`]: detection of calls that crash the endpoints that run them.
+//! * [`crash`]: detection of requests that crash the endpoints that run them.
 //! * [`retry`]: whether a failed attempt is followed by another.
 //! * [`refusal`]: refused calls and their `Retry-After` time.
 //! * [`events`]: splitting of an event stream into whole events.
@@ -30,6 +30,7 @@
 //! * [`reply`]: answers that are sent in one piece, refusals included.
 //! * [`forward`]: the sequence of attempts of one call.
 //! * [`record`]: metrics and log line of a call.
+//! * [`crash_check`]: lost runs, and checks whether their endpoints are down.
 //! * [`crash_log`]: log lines and metrics of crash detection.
 //! * [`state`]: state that all calls of one instance share.
 //! * [`server`]: serving of caller connections.
@@ -44,6 +45,7 @@
 pub mod budget;
 pub mod call;
 pub mod crash;
+pub mod crash_check;
 pub mod crash_log;
 pub mod endpoint;
 pub mod events;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -9,15 +9,16 @@
 use tokio::sync::Notify;
 use watch::GatewayMetrics;
 use wire::gateway::ListedEndpoint;
-use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
+use wire::id::{DomainId, EndpointId, FingerprintHash, InstanceId, ServiceId};
 
 use crate::admission::{AdmissionControl, AdmissionSettings};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
-use crate::crash::CrashTracker;
+use crate::crash::{CrashTracker, LostRun};
 use crate::health::{CallOutcome, HealthChange};
 use crate::placement::PlacementSettings;
 use crate::pool::ConnectionPool;
+use crate::relay_call::RelayCall;
 use crate::row::estimated_holding_time;
 use crate::table::EndpointTable;
 
@@ -87,7 +88,7 @@
     pub admission: RefCell<AdmissionControl>,
     /// Retry budget.
     pub budget: RefCell<RetryBudget>,
-    /// Calls that are suspected of crashing endpoints.
+    /// Requests that are suspected of crashing endpoints.
     pub crashes: RefCell<CrashTracker>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
@@ -102,6 +103,8 @@
     set_up: Notify,
     /// Notified when a changed load should be announced to other instances at once.
     pub announcement_due: Notify,
+    /// Notified when a crash of an endpoint should be announced to other instances.
+    pub crash_notice_due: Notify,
     /// Number of calls in progress.
     pub active_calls: Cell<usize>,
     /// Number of open caller connections.
@@ -125,7 +128,7 @@
             catalog: RefCell::default(),
             table: RefCell::default(),
             listed_at: Cell::new(None),
-            crashes: RefCell::default(),
+            crashes: RefCell::new(CrashTracker::new(rand::random())),
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
             phase: Cell::new(ServingPhase::Serving),
@@ -133,6 +136,7 @@
             phase_changed: Notify::new(),
             set_up: Notify::new(),
             announcement_due: Notify::new(),
+            crash_notice_due: Notify::new(),
             active_calls: Cell::new(0),
             open_connections: Cell::new(0),
             started: Instant::now(),
@@ -276,15 +280,9 @@
         budget.note_request(self.now(), service);
     }
 
-    /// Counts a call as running at an endpoint until the returned guard is dropped. `account` is
-    /// the name of its client account, empty for none.
-    pub fn occupy(
-        self: &Rc<Self>,
-        service: ServiceId,
-        endpoint: EndpointId,
-        account: &str,
-    ) -> OccupiedSlot {
-        let began = self.now();
+    /// Counts a call as running at an endpoint until the returned guard is dropped.
+    pub fn occupy(self: &Rc<Self>, call: &RelayCall<'_>, endpoint: EndpointId) -> OccupiedSlot {
+        let (began, service) = (self.now(), call.service);
         let mut table = self.table.borrow_mut();
         let holding_time = table.holding_time(service, endpoint).unwrap_or_default();
         let wait = table.expected_wait(began, endpoint, holding_time);
@@ -293,43 +291,84 @@
             self.announcement_due.notify_one();
         }
         let mut admission = self.admission.borrow_mut();
-        admission.accounts.start(service, account);
+        admission.accounts.start(service, call.account_name());
         OccupiedSlot {
             state: Rc::clone(self),
             service,
             endpoint,
-            account: account.to_owned(),
+            account: call.account_name().to_owned(),
+            fingerprint: call.fingerprint,
             began,
             wait,
+            alive_at: Cell::new(None),
+            is_ended: false,
         }
     }
 }
 
-/// Guard of a call that counts as running at an endpoint.
+/// Guard of a call that counts as running at an endpoint. A call that was sent and whose guard is
+/// dropped without [`Self::complete`] or [`Self::end`] was given up, and its run is lost.
 pub struct OccupiedSlot {
     state: Rc<RelayState>,
     service: ServiceId,
     endpoint: EndpointId,
     account: String,
+    fingerprint: FingerprintHash,
     /// Time at which the guard was created, on the clock of [`RelayState::now`].
     began: Duration,
     /// Expected wait of the call for a slot.
     pub wait: Duration,
+    /// When the endpoint last sent bytes for the call, or else when the call was sent; `None`
+    /// before.
+    alive_at: Cell<Option<Duration>>,
+    is_ended: bool,
 }
 
 impl OccupiedSlot {
+    /// Records that the call is being sent, or that the endpoint sent bytes for it.
+    pub fn note_alive(&self) {
+        self.alive_at.set(Some(self.state.now()));
+    }
+
     /// Ends a successful call and records its estimated holding time.
-    pub fn complete(self) {
+    pub fn complete(mut self) {
+        self.is_ended = true;
         let time = self.state.now().saturating_sub(self.began);
         let mut table = self.state.table.borrow_mut();
         table.note_holding_time(self.endpoint, estimated_holding_time(time, self.wait));
     }
+
+    /// Ends a call that the endpoint answered with a failure, or that was not sent.
+    pub fn end(mut self) {
+        self.is_ended = true;
+    }
+
+    /// Ends a call whose connection broke or fell silent: its run is lost. Checks whether the
+    /// endpoint is down.
+    pub fn lose(mut self) {
+        self.is_ended = true;
+        self.note_lost();
+        self.state.check_endpoint(self.endpoint);
+    }
+
+    fn note_lost(&self) {
+        if let Some(alive_at) = self.alive_at.get() {
+            self.state.note_lost_run(LostRun {
+                fingerprint: self.fingerprint,
+                endpoint: self.endpoint,
+                alive_at,
+            });
+        }
+    }
 }
 
 impl Drop for OccupiedSlot {
     fn drop(&mut self) {
         let now = self.state.now();
         self.state.table.borrow_mut().finish(now, self.endpoint);
+        if !self.is_ended {
+            self.note_lost();
+        }
         let mut admission = self.state.admission.borrow_mut();
         admission.accounts.finish(self.service, &self.account);
     }
--- /dev/null
+++ b/crates/relay/tests/crashes.rs
@@ -0,0 +1,220 @@
+//! Tests of the detection of requests that crash endpoints.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use relay::crash::{CrashTracker, LostRun};
+use wire::gateway::{CrashNotice, EndpointCrash, MAX_NOTICE_REQUESTS};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+const REQUEST: u64 = 7;
+
+fn run_at(endpoint: u64, alive_at: Duration) -> LostRun {
+    LostRun {
+        fingerprint: REQUEST,
+        endpoint,
+        alive_at,
+    }
+}
+
+/// A run of the request is lost at an endpoint that is then found down.
+fn lose_in_crash(tracker: &mut CrashTracker, now: Duration, endpoint: u64) {
+    tracker.note_lost(now, run_at(endpoint, now - MILLI));
+    tracker.note_down(now + MILLI, endpoint);
+}
+
+/// Hands everything that one instance found to another.
+fn notify(now: Duration, from: &mut CrashTracker, to: &mut CrashTracker) {
+    while let Some(notice) = from.take_notice(now) {
+        to.note_notice(now, &notice);
+    }
+}
+
+#[gtest]
+fn request_is_refused_after_it_was_lost_in_three_crashes() {
+    let mut tracker = CrashTracker::default();
+
+    lose_in_crash(&mut tracker, SECOND, 1);
+    lose_in_crash(&mut tracker, SECOND, 2);
+    let after_two = tracker.is_blocked(SECOND, REQUEST);
+    tracker.note_lost(SECOND, run_at(3, SECOND - MILLI));
+    let before_verdict = tracker.is_blocked(SECOND, REQUEST);
+    tracker.note_down(SECOND + MILLI, 3);
+
+    expect_that!((after_two, before_verdict), eq((false, false)));
+    expect_that!(tracker.is_blocked(SECOND, REQUEST), eq(true));
+    expect_that!(tracker.is_blocked(SECOND, REQUEST + 1), eq(false));
+}
+
+#[gtest]
+fn lost_answers_of_endpoints_that_did_not_crash_block_no_call() {
+    // Endpoints lose the answers to a frequent call but keep serving other calls.
+    let mut tracker = CrashTracker::default();
+
+    for endpoint in 1..=9 {
+        tracker.note_lost(SECOND, run_at(endpoint, SECOND));
+        tracker.note_alive(endpoint, 2 * SECOND);
+        tracker.note_down(2 * SECOND, endpoint);
+    }
+    tracker.note_lost(SECOND, run_at(10, SECOND));
+    tracker.note_down(60 * SECOND, 10);
+
+    expect_that!(tracker.crashes_of(REQUEST), eq(0));
+    expect_that!(tracker.is_blocked(2 * SECOND, REQUEST), eq(false));
+}
+
+#[gtest]
+fn answer_to_an_earlier_call_clears_no_later_loss() {
+    let mut tracker = CrashTracker::default();
+    lose_in_crash(&mut tracker, SECOND, 1);
+    lose_in_crash(&mut tracker, SECOND, 2);
+    tracker.note_lost(2 * SECOND, run_at(3, 2 * SECOND));
+
+    tracker.note_alive(3, SECOND);
+    tracker.note_down(2 * SECOND, 3);
+
+    expect_that!(tracker.is_blocked(2 * SECOND, REQUEST), eq(true));
+}
+
+#[gtest]
+fn loss_and_crash_that_different_instances_observe_are_combined() {
+    for is_lost_first in [true, false] {
+        let (mut loser, mut finder) = (CrashTracker::new(1), CrashTracker::new(2));
+        let run = run_at(1, SECOND);
+
+        if is_lost_first {
+            loser.note_lost(SECOND + MILLI, run);
+        }
+        finder.note_down(2 * SECOND, 1);
+        notify(2 * SECOND, &mut finder, &mut loser);
+        if !is_lost_first {
+            loser.note_lost(5 * SECOND, run);
+        }
+        notify(5 * SECOND, &mut loser, &mut finder);
+
+        expect_that!(loser.crashes_of(REQUEST), eq(1), "{is_lost_first}");
+        expect_that!(finder.crashes_of(REQUEST), eq(1), "{is_lost_first}");
+    }
+}
+
+#[gtest]
+fn run_that_went_on_after_its_endpoint_was_found_down_was_not_lost_in_that_crash() {
+    let (mut runner, mut finder) = (CrashTracker::new(1), CrashTracker::new(2));
+    finder.note_down(2 * SECOND, 1);
+    notify(2 * SECOND, &mut finder, &mut runner);
+
+    runner.note_lost(3 * SECOND, run_at(1, 2 * SECOND + MILLI));
+
+    expect_that!(runner.crashes_of(REQUEST), eq(0));
+}
+
+#[gtest]
+fn crash_that_several_instances_find_counts_once() {
+    let mut trackers = [1, 2, 3].map(CrashTracker::new);
+
+    for tracker in &mut trackers {
+        lose_in_crash(tracker, SECOND, 1);
+    }
+    let [first, second, third] = &mut trackers;
+    notify(SECOND, second, first);
+    notify(SECOND, third, first);
+
+    expect_that!(first.crashes_of(REQUEST), eq(1));
+}
+
+#[gtest]
+fn each_crash_of_an_endpoint_under_one_name_counts() {
+    let mut tracker = CrashTracker::default();
+
+    for at in [SECOND, 4 * SECOND, 7 * SECOND] {
+        lose_in_crash(&mut tracker, at, 1);
+        tracker.note_alive(1, at + 2 * SECOND);
+    }
+
+    expect_that!(tracker.crashes_of(REQUEST), eq(3));
+}
+
+#[gtest]
+fn request_with_two_crashes_is_not_retried_while_a_third_is_possible() {
+    let mut tracker = CrashTracker::default();
+    lose_in_crash(&mut tracker, SECOND, 1);
+    lose_in_crash(&mut tracker, SECOND, 2);
+
+    let before = tracker.may_retry(REQUEST);
+    tracker.note_lost(SECOND, run_at(3, SECOND));
+    let while_pending = tracker.may_retry(REQUEST);
+    tracker.note_alive(3, SECOND);
+
+    expect_that!((before, while_pending), eq((true, false)));
+    expect_that!(tracker.may_retry(REQUEST), eq(true));
+}
+
+#[gtest]
+fn endpoint_is_checked_once_at_a_time_while_the_cause_of_a_loss_is_unknown() {
+    let mut tracker = CrashTracker::default();
+
+    let without_loss = tracker.start_check(1);
+    tracker.note_lost(SECOND, run_at(1, SECOND));
+    let (first, second) = (tracker.start_check(1), tracker.start_check(1));
+    tracker.end_check(1);
+    let again = tracker.start_check(1);
+
+    expect_that!(without_loss, eq(false));
+    expect_that!((first, second, again), eq((true, false, true)));
+}
+
+#[gtest]
+fn crash_with_many_lost_requests_is_announced_in_several_notices() {
+    let (mut loser, mut other) = (CrashTracker::new(1), CrashTracker::new(2));
+    let requests = 2 * MAX_NOTICE_REQUESTS as u64 + 5;
+    for fingerprint in 0..requests {
+        let run = LostRun {
+            fingerprint,
+            ..run_at(1, SECOND)
+        };
+        loser.note_lost(SECOND, run);
+    }
+    loser.note_down(SECOND, 1);
+
+    let mut notices = 0;
+    while let Some(notice) = loser.take_notice(SECOND) {
+        notices += 1;
+        other.note_notice(SECOND, &notice);
+    }
+
+    expect_that!(notices, eq(3));
+    expect_that!(
+        (0..requests).all(|one| other.crashes_of(one) == 1),
+        eq(true)
+    );
+}
+
+fn told(id: u64, requests: Vec<u64>) -> CrashNotice {
+    let crash = EndpointCrash {
+        id,
+        endpoint: id,
+        age_ms: 0,
+        requests,
+    };
+    CrashNotice {
+        crashes: vec![crash],
+    }
+}
+
+#[gtest]
+fn number_of_kept_requests_is_bounded_and_those_of_several_crashes_are_kept() {
+    let mut tracker = CrashTracker::default();
+    tracker.note_notice(SECOND, &told(1, vec![REQUEST]));
+    tracker.note_notice(SECOND, &told(2, vec![REQUEST]));
+
+    for number in 1000..11_000 {
+        let at = SECOND + number as u32 * MILLI;
+        tracker.note_notice(at, &told(number, vec![number]));
+    }
+    let kept = (1000..11_000).filter(|one| tracker.crashes_of(*one) > 0);
+
+    expect_that!(kept.count(), all![ge(1000), le(4096)]);
+    expect_that!(tracker.crashes_of(REQUEST), eq(2));
+    expect_that!(tracker.crashes_of(10_999), eq(1));
+}
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -1,4 +1,4 @@
-//! Tests of the decisions on retries, health, crashes, refusals, streams and idle connections.
+//! Tests of the decisions on retries, health, refusals, streams and idle connections.
 
 use std::time::Duration;
 
@@ -6,7 +6,6 @@
 use fault::FaultKind;
 use googletest::prelude::*;
 use relay::budget::{BudgetSettings, RetryBudget};
-use relay::crash::CrashTracker;
 use relay::events::EventSplitter;
 use relay::health::{CallOutcome, EndpointHealth};
 use relay::pool::idle_share;
@@ -14,7 +13,6 @@
 use relay::retry::{
     AttemptEnd, AttemptTally, MAX_TRIED_ENDPOINTS, NextStep, next_step, silence_limit,
 };
-use wire::gateway::CrashReport;
 
 const SECOND: Duration = Duration::from_secs(1);
 
@@ -160,65 +158,6 @@
     expect_that!(health.is_usable(SECOND), eq(true));
 }
 
-fn report(endpoint: u64) -> CrashReport {
-    CrashReport {
-        fingerprint: 7,
-        endpoint,
-    }
-}
-
-#[gtest]
-fn call_is_refused_after_it_crashed_three_endpoints() {
-    let mut tracker = CrashTracker::default();
-
-    for endpoint in [1, 1, 2] {
-        tracker.note(SECOND, report(endpoint));
-    }
-    let after_two = tracker.is_blocked(SECOND, 7);
-    tracker.note_break(SECOND, report(3));
-    let before_confirmation = tracker.is_blocked(SECOND, 7);
-    tracker.confirm(SECOND, 3);
-
-    expect_that!((after_two, before_confirmation), eq((false, false)));
-    expect_that!(tracker.is_blocked(SECOND, 7), eq(true));
-    expect_that!(tracker.is_blocked(SECOND, 8), eq(false));
-    expect_that!(tracker.is_blocked(120 * SECOND, 7), eq(false));
-    expect_that!(
-        tracker.reports_to_announce(SECOND),
-        elements_are![eq(&report(3))]
-    );
-}
-
-#[gtest]
-fn lost_answers_of_endpoints_that_did_not_crash_block_no_call() {
-    // Endpoints lose the answers to a frequent call but keep serving other calls.
-    let mut tracker = CrashTracker::default();
-
-    for endpoint in 1..=9 {
-        tracker.note_break(SECOND, report(endpoint));
-        tracker.clear(endpoint, 2 * SECOND);
-        tracker.confirm(2 * SECOND, endpoint);
-    }
-    tracker.note_break(SECOND, report(10));
-    tracker.confirm(60 * SECOND, 10);
-
-    expect_that!(tracker.is_blocked(2 * SECOND, 7), eq(false));
-    expect_that!(tracker.reports_to_announce(2 * SECOND), is_empty());
-}
-
-#[gtest]
-fn answer_to_an_earlier_call_clears_no_later_break() {
-    let mut tracker = CrashTracker::default();
-    tracker.note(SECOND, report(1));
-    tracker.note(SECOND, report(2));
-    tracker.note_break(2 * SECOND, report(3));
-
-    tracker.clear(3, SECOND);
-    tracker.confirm(2 * SECOND, 3);
-
-    expect_that!(tracker.is_blocked(2 * SECOND, 7), eq(true));
-}
-
 #[gtest]
 fn retry_times_are_spread_and_within_the_caller_timeout() {
     let left = Some(Duration::from_millis(300));
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -20,6 +20,11 @@
 pub const MAX_LOADS: usize = 40;
 /// Largest number of crash reports in a heartbeat.
 pub const MAX_CRASHES: usize = 12;
+/// Largest number of crashes in a crash notice. This and the following limit keep it within
+/// [`MAX_DATAGRAM_BYTES`].
+pub const MAX_NOTICE_CRASHES: usize = 16;
+/// Largest number of requests in a crash notice, over all its crashes.
+pub const MAX_NOTICE_REQUESTS: usize = 60;
 
 /// Returns the id of a gateway, which encodes its link address, so that a gateway can be reached by
 /// its id alone.
@@ -53,7 +58,7 @@
     pub known: Vec<InstanceId>,
     /// Number of its own running requests by endpoint, for the [`MAX_LOADS`] most loaded.
     pub loads: Vec<(EndpointId, u16)>,
-    /// Requests that were running at an endpoint when it failed; at most [`MAX_CRASHES`].
+    /// Empty. Earlier builds announced crashes here; now a [`CrashNotice`] does.
     pub crashes: Vec<CrashReport>,
 }
 
@@ -71,6 +76,29 @@
     Formed,
 }
 
+/// Identifies a crash of an endpoint. Random, chosen by the gateway that found the endpoint down.
+pub type CrashId = u64;
+
+/// A crash of an endpoint.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointCrash {
+    /// Id of the crash.
+    pub id: CrashId,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Time since the endpoint was found down, in milliseconds.
+    pub age_ms: u32,
+    /// Requests that were sent to the endpoint before that and lost.
+    pub requests: Vec<FingerprintHash>,
+}
+
+/// Tells other gateways of crashes of endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashNotice {
+    /// The crashes; at most [`MAX_NOTICE_CRASHES`].
+    pub crashes: Vec<EndpointCrash>,
+}
+
 /// A request that was running at an endpoint when the endpoint failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct CrashReport {
@@ -144,6 +172,8 @@
     List(ListNotice),
     /// An encoded message of the consensus protocol.
     Replica(Vec<u8>),
+    /// Crashes of endpoints.
+    Crashes(CrashNotice),
 }
 
 /// A catalog in the operator's text form, compressed.
