Take another endpoint's answer for a crash, not for the survival of the one before

Operators saw: a request that crashes endpoints was sent on where endpoints came back, or were replaced, soon. Cause: any answer from an endpoint's address ruled out that runs lost there were lost in a crash, also status 421, by which another endpoint at that address says that the named one is gone; and so did a connection that a check opened. Fix: 421 means that the named endpoint is down, for this gateway and, by the notice, for the others. A check that connects proves nothing; the cause stays pending until the endpoint answers a later call under its name, or 3 s. Why this works: only an answer that names the endpoint is taken for its survival. Test: answer_of_the_successor_at_its_address_clears_no_crash, which ends in its timeout on the code before.

--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -671,16 +671,34 @@
 
 #[gtest]
 fn request_whose_answer_is_lost_is_not_suspected() {
-    let has_notice = run(async {
+    let (is_pending, has_notice) = run(async {
         let reset = vec![ScriptedReply::Reset(String::new())];
         let endpoint = ScriptedEndpoint::start("e1", reset).await;
         let relay = relay_before(&[&endpoint]).await;
         call(relay.address, &request("/unsafe/x", "body")).await;
-        while relay.state.crashes.borrow().is_pending(name_id("e1")) {
-            tokio::task::yield_now().await;
-        }
-        relay.state.crashes.borrow().has_notice()
+        call(relay.address, &request("/unsafe/x", "another")).await;
+        let crashes = relay.state.crashes.borrow();
+        (crashes.is_pending(name_id("e1")), crashes.has_notice())
     });
 
-    expect_that!(has_notice, eq(false));
+    expect_that!((is_pending, has_notice), eq((false, false)));
+}
+
+#[gtest]
+fn answer_of_the_successor_at_its_address_clears_no_crash() {
+    let requests = run(async {
+        let misdirected = "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n".to_owned();
+        let replies = vec![
+            ScriptedReply::Reset(String::new()),
+            ScriptedReply::Keep(misdirected),
+        ];
+        let endpoint = ScriptedEndpoint::start("e1", replies).await;
+        let relay = relay_before(&[&endpoint]).await;
+        call(relay.address, &request("/unsafe/x", "poison")).await;
+        call(relay.address, &request("/unsafe/x", "another")).await;
+        let notice = next_crash_notice(&relay.state).await;
+        notice.crashes[0].requests.len()
+    });
+
+    expect_that!(requests, eq(1));
 }
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -85,7 +85,7 @@
 
     /// Records that another endpoint answered a call at the address of `endpoint`.
     pub fn note_misdirected(&mut self, now: Duration, endpoint: EndpointId) {
-        self.crashes.note_alive(endpoint, now);
+        self.crashes.note_down(now, endpoint);
         self.table.note_misplaced(endpoint);
     }
 
@@ -125,11 +125,10 @@
         self.crashes.note_lost(now, lost);
     }
 
-    /// Records the result of a check that began at `began`.
-    pub fn end_check(&mut self, now: Duration, began: Duration, endpoint: EndpointId, is_up: bool) {
-        match is_up {
-            true => self.crashes.note_alive(endpoint, began),
-            false => self.crashes.note_down(now, endpoint),
+    /// Records the result of a check.
+    pub fn end_check(&mut self, now: Duration, endpoint: EndpointId, is_up: bool) {
+        if !is_up {
+            self.crashes.note_down(now, endpoint);
         }
         self.crashes.end_check(endpoint);
     }
--- a/crates/measure/src/poison/pattern.rs
+++ b/crates/measure/src/poison/pattern.rs
@@ -13,7 +13,7 @@
     /// Crashed endpoints return under their own name.
     #[display("same-name")]
     SameName,
-    /// Crashed endpoints are replaced at their address within half a second.
+    /// Crashed endpoints are replaced at their address within 20 ms.
     #[display("replaced")]
     Replaced,
     /// Crashed endpoints fall silent: no connection to them is closed, none can be opened.
--- a/crates/measure/src/poison/replay.rs
+++ b/crates/measure/src/poison/replay.rs
@@ -41,7 +41,7 @@
 /// Range of the time for which a crashed endpoint is down, in milliseconds.
 const DOWN_MS: std::ops::Range<u64> = 2000..4000;
 /// The same range for [`CrashPattern::Replaced`].
-const REPLACED_MS: std::ops::Range<u64> = 100..500;
+const REPLACED_MS: std::ops::Range<u64> = 1..20;
 /// Time after which the connections to a silent endpoint fail.
 const KEEPALIVE_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time for which the callers of [`CrashPattern::Silent`] wait.
@@ -114,7 +114,6 @@
     gateway: usize,
     /// Start of the gateway that checks.
     gateway_start: u32,
-    began: Duration,
     ends_at: Duration,
 }
 
@@ -430,7 +429,6 @@
             address: active.address,
             gateway: active.gateway,
             gateway_start: active.gateway_start,
-            began: self.now,
             ends_at: self.now + time,
         });
     }
@@ -442,8 +440,7 @@
             let slot = &mut self.gateways[check.gateway];
             if slot.starts == check.gateway_start && slot.down_until <= now {
                 let is_up = self.endpoints[check.address].is_up();
-                slot.gateway
-                    .end_check(now, check.began, check.endpoint, is_up);
+                slot.gateway.end_check(now, check.endpoint, is_up);
             }
         }
     }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -192,13 +192,16 @@
     }
 
     /// Reads the metadata of an answer's head and records the endpoint's activity and load. Runs at
-    /// the endpoint that were lost before the attempt were not lost in a crash. Fails if the answer
-    /// carries the attempt id of another call.
+    /// the endpoint that were lost before the attempt were not lost in a crash, unless the answer is
+    /// another endpoint's. Fails if the answer carries the attempt id of another call.
     fn read_head(&self, head: &ResponseHead) -> endpoint::Result<AnswerMetadata> {
         let state = self.state;
         let now = state.now();
         state.table.borrow_mut().note_activity(now, self.endpoint);
-        state.note_endpoint_alive(self.endpoint, self.progress.attempted_at);
+        match head.status {
+            StatusCode::MISDIRECTED_REQUEST => state.note_endpoint_down(self.endpoint),
+            _ => state.note_endpoint_alive(self.endpoint, self.progress.attempted_at),
+        }
         let metadata = state.dialect.read_answer(head.headers());
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
             return Err(EndpointError::Misdelivered);
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -165,7 +165,8 @@
         }
     }
 
-    /// Records that this instance could not connect to an endpoint: it is down.
+    /// Records that this instance found an endpoint down: it could not connect, or met another
+    /// endpoint at its address.
     pub fn note_down(&mut self, now: Duration, endpoint: EndpointId) {
         self.expire_pending(now);
         let lost = self.take_pending(|run| run.endpoint == endpoint);
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -1,8 +1,7 @@
 //! What this instance observes of crashes: lost runs, and endpoints that accept no connection.
 //!
-//! After a run was lost, its endpoint is checked at once: whether it accepts a connection tells a
-//! crash from a lost answer. Without the check the cause would stay unknown until the next call
-//! happens to go to that endpoint.
+//! After a run was lost, its endpoint is checked at once. If it accepts no connection, it is down.
+//! If it accepts one, the cause stays pending: another endpoint may have taken over the address.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -20,7 +19,8 @@
         self.announce_crashes();
     }
 
-    /// Records that an endpoint accepted no connection.
+    /// Records that an endpoint accepted no connection, or that another one has taken over its
+    /// address.
     pub fn note_endpoint_down(&self, endpoint: EndpointId) {
         self.crashes.borrow_mut().note_down(self.now(), endpoint);
         self.announce_crashes();
@@ -37,18 +37,16 @@
         }
         let state = Rc::clone(self);
         actix_rt::spawn(async move {
-            let started_at = state.now();
             let limit = state.settings.connect_limit;
-            match EndpointConnection::open(address, limit).await {
-                Ok(_) => state.note_endpoint_alive(endpoint, started_at),
-                Err(_) => state.note_endpoint_down(endpoint),
+            if EndpointConnection::open(address, limit).await.is_err() {
+                state.note_endpoint_down(endpoint);
             }
             state.crashes.borrow_mut().end_check(endpoint);
         });
     }
 
-    /// Records that an endpoint answered a call, or accepted a connection, that was begun at
-    /// `sent_at` on the clock of [`Self::now`].
+    /// Records that an endpoint answered a call that was sent at `sent_at`, on the clock of
+    /// [`Self::now`].
     pub fn note_endpoint_alive(&self, endpoint: EndpointId, sent_at: Duration) {
         self.crashes.borrow_mut().note_alive(endpoint, sent_at);
         self.publish_crash_decisions();
