Repeat what is known of requests with several crashes to every gateway

Operators saw: a request that had been refused was sent to endpoints again, by gateways that had restarted, and by all after a minute. Fix: every gateway repeats what it knows of requests with two crashes or more, whoever found them, to one other gateway each 250 ms, in turn. The ids of the crashes keep repetitions from counting twice, and their age keeps them from lasting longer than at the first. A request is refused for 10 minutes after the latest crash; for an hour, one more crash is enough to refuse it again. Where no request has two crashes, nothing is sent. Why this works: knowledge no longer depends on the gateway that found it, and reaches each live gateway about four times a second, in a fleet of any size.

--- a/crates/gateway/src/crash_notices.rs
+++ b/crates/gateway/src/crash_notices.rs
@@ -3,20 +3,31 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::sleep;
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::gateway::{CrashNotice, GatewayDatagram};
+use wire::id::InstanceId;
 
 use crate::node::GatewayNode;
 
 /// Delay of a notice, so that the runs that a crash breaks at the same moment share it.
 const NOTICE_DELAY: Duration = Duration::from_millis(5);
+/// Interval at which one other gateway is told again of requests with several crashes.
+const REPETITION_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Sends what this gateway finds to the other gateways, until the process ends.
+/// Sends what this gateway finds to the other gateways, and repeats what it knows to one after the
+/// other, until the process ends.
 pub async fn send_crash_notices(node: Rc<GatewayNode>) {
+    let mut ticks = interval(REPETITION_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last_told = node.own;
     loop {
-        node.relay_state.crash_notice_due.notified().await;
-        sleep(NOTICE_DELAY).await;
-        node.send_new_crashes();
+        tokio::select! {
+            () = node.relay_state.crash_notice_due.notified() => {
+                sleep(NOTICE_DELAY).await;
+                node.send_new_crashes();
+            }
+            _ = ticks.tick() => last_told = node.repeat_crashes(last_told),
+        }
     }
 }
 
@@ -35,6 +46,22 @@
         }
     }
 
+    /// Repeats to the gateway after `last_told` what this one knows of requests with several
+    /// crashes. Returns the gateway that was told last.
+    fn repeat_crashes(&self, last_told: InstanceId) -> InstanceId {
+        let now = self.now();
+        let next = self.directory.borrow().next_live(now, last_told);
+        let Some(recipient) = next else {
+            return last_told;
+        };
+        let notice = self.relay_state.crashes.borrow_mut().next_repetition(now);
+        let Some(notice) = notice else {
+            return last_told;
+        };
+        self.send_datagram(recipient, &GatewayDatagram::Crashes(notice));
+        recipient
+    }
+
     /// Handles the notice of another gateway.
     pub fn handle_crash_notice(&self, notice: &CrashNotice) {
         let now = self.now();
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -131,6 +131,14 @@
         following.take(ROUND_GATEWAYS).copied().collect()
     }
 
+    /// The live gateway that follows `previous` in the cyclic order of ids; `None` if no other is
+    /// live.
+    pub fn next_live(&self, now: Duration, previous: InstanceId) -> Option<InstanceId> {
+        let after = self.live(now).find(|(instance, _)| *instance > previous);
+        let next = after.or_else(|| self.live(now).next());
+        next.map(|(instance, _)| instance)
+    }
+
     /// Whether the other gateways that were ever known are few enough that one heartbeat reaches
     /// all of them. If not, an extra heartbeat for a changed load would cost more than the few
     /// gateways that it reaches are worth.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -234,6 +234,23 @@
     }
 }
 
+#[gtest]
+fn live_gateways_follow_each_other_in_a_cycle() {
+    let mut directory = GatewayDirectory::new(4);
+    for instance in [2, 6, 9] {
+        directory.record_heartbeat(SECOND, instance, GatewayHeartbeat::default());
+    }
+
+    let mut visited = vec![4];
+    for _ in 0..4 {
+        let previous = visited[visited.len() - 1];
+        visited.extend(directory.next_live(SECOND, previous));
+    }
+
+    expect_that!(visited, eq(&vec![4, 6, 9, 2, 6]));
+    expect_that!(GatewayDirectory::new(4).next_live(SECOND, 4), none());
+}
+
 #[gtest]
 fn heartbeat_recipients_are_bounded_and_reach_all_in_turn() {
     let mut directory = GatewayDirectory::new(1);
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -143,6 +143,11 @@
         self.crashes.take_notice(now)
     }
 
+    /// What is repeated to one other gateway after the other.
+    pub fn next_repetition(&mut self, now: Duration) -> Option<CrashNotice> {
+        self.crashes.next_repetition(now)
+    }
+
     /// Handles a notice of another gateway.
     pub fn receive(&mut self, now: Duration, notice: &CrashNotice) {
         self.crashes.note_notice(now, notice);
--- a/crates/measure/src/poison/replay.rs
+++ b/crates/measure/src/poison/replay.rs
@@ -127,6 +127,8 @@
     cut_until: Duration,
     /// When its latest disruption ended, or will end.
     disrupted_until: Duration,
+    /// The gateway to which it last repeated what it knows.
+    last_told: usize,
 }
 
 struct PoisonFleet {
@@ -157,6 +159,7 @@
             down_until: Duration::ZERO,
             cut_until: Duration::ZERO,
             disrupted_until: Duration::ZERO,
+            last_told: number,
         });
         let gateways = gateways.collect();
         Self {
@@ -258,23 +261,32 @@
             if slot.down_until > self.now {
                 continue;
             }
-            let is_cut = slot.cut_until > self.now;
             let since_tick = (self.now + STEP * sender as u32).as_millis();
             if since_tick.is_multiple_of(TICK_INTERVAL.as_millis()) {
-                slot.gateway.expire(self.now);
+                self.tick(sender);
             }
             while let Some(notice) = self.gateways[sender].gateway.next_notice(self.now) {
                 for recipient in (0..GATEWAYS).filter(|recipient| *recipient != sender) {
-                    if !is_cut {
-                        self.send(recipient, notice.clone());
-                    }
+                    self.send(sender, recipient, notice.clone());
                 }
             }
         }
     }
 
-    fn send(&mut self, recipient: usize, notice: CrashNotice) {
-        if !self.rng.random_bool(MESSAGE_LOSS) {
+    /// The regular work of a gateway.
+    fn tick(&mut self, number: usize) {
+        let slot = &mut self.gateways[number];
+        slot.gateway.expire(self.now);
+        slot.last_told = (slot.last_told + 1) % GATEWAYS;
+        let recipient = slot.last_told;
+        if let Some(notice) = slot.gateway.next_repetition(self.now) {
+            self.send(number, recipient, notice);
+        }
+    }
+
+    fn send(&mut self, sender: usize, recipient: usize, notice: CrashNotice) {
+        let is_cut = self.gateways[sender].cut_until > self.now;
+        if !is_cut && !self.rng.random_bool(MESSAGE_LOSS) {
             let arrives_at = self.now + MESSAGE_DELAY;
             self.messages.push((arrives_at, recipient, notice));
         }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -4,9 +4,10 @@
 //! to be down, the request was lost in a crash; if the endpoint answers a later call, it was not.
 //! Instances tell each other which endpoints they found down and which requests were lost there, so
 //! that the two observations need not be made by the same instance. A request that was lost in too
-//! many crashes is refused for a while.
+//! many crashes is refused for a while. What is known of requests with several crashes is repeated
+//! by every instance, so that it survives the one that found it.
 
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use wire::gateway::{CrashId, CrashNotice, EndpointCrash, MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS};
@@ -15,8 +16,13 @@
 
 /// Number of crashes in which a request was lost, from which on it is refused.
 const BLOCKING_CRASHES: usize = 3;
-/// Time after the latest crash of a request until its crashes are forgotten.
-const SUSPICION_TIME: Duration = Duration::from_secs(60);
+/// Time for which a request is refused after the latest of these crashes.
+const BLOCKING_TIME: Duration = Duration::from_secs(10 * 60);
+/// Time after the latest crash of a request until its crashes are forgotten. A request that is let
+/// through again before is refused after one more crash.
+const SUSPICION_TIME: Duration = Duration::from_secs(60 * 60);
+/// Number of crashes in which a request was lost, from which on instances repeat them to each other.
+const REPEATED_CRASHES: usize = 2;
 /// Maximum number of suspected requests that are kept.
 const MAX_SUSPECTS: usize = 4096;
 /// Time within which a lost run is attributed to a crash that is found later.
@@ -31,6 +37,8 @@
 /// Crashes of one endpoint that were found within this time of each other, by different instances,
 /// are the same.
 const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
+/// Added to all times, so that crashes from before the start of this instance have one, too.
+const CLOCK_OFFSET: Duration = SUSPICION_TIME;
 
 /// A run of a request at an endpoint that ended without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,17 +105,27 @@
 }
 
 impl SuspectRequest {
-    /// Number of different crashes. One that several instances found is counted once.
-    fn count(&self) -> usize {
-        let is_counted_before = |index: usize, crash: &KnownCrash| {
+    /// The different crashes. Of one that several instances found, only the first report.
+    fn different(&self) -> impl DoubleEndedIterator<Item = &KnownCrash> {
+        let is_repeated = |index: usize, crash: &KnownCrash| {
             self.crashes[..index].iter().any(|other| {
                 let apart = other.found_at.abs_diff(crash.found_at);
                 other.endpoint == crash.endpoint && apart < SAME_CRASH_TIME
             })
         };
         let crashes = self.crashes.iter().enumerate();
-        let different = crashes.filter(|(index, crash)| !is_counted_before(*index, crash));
-        different.count()
+        let different = crashes.filter(move |(index, crash)| !is_repeated(*index, crash));
+        different.map(|(_, crash)| crash)
+    }
+
+    /// Number of different crashes.
+    fn count(&self) -> usize {
+        self.different().count()
+    }
+
+    /// Whether instances repeat to each other what they know of the request.
+    fn is_repeated(&self) -> bool {
+        self.count() >= REPEATED_CRASHES
     }
 
     /// Whether the request was lost in one crash only.
@@ -129,7 +147,9 @@
     seed: u64,
     /// Number of crashes that this instance was the first to find.
     found: u64,
-    suspects: HashMap<FingerprintHash, SuspectRequest>,
+    suspects: BTreeMap<FingerprintHash, SuspectRequest>,
+    /// Fingerprint from which on [`Self::next_repetition`] goes on.
+    next_repeated: FingerprintHash,
     /// Runs of this instance that were lost and whose cause is pending, with the time of the loss,
     /// oldest first.
     pending: VecDeque<(LostRun, Duration)>,
@@ -154,6 +174,11 @@
 
     /// Records that a run of this instance was lost: its connection broke, or it was given up.
     pub fn note_lost(&mut self, now: Duration, run: LostRun) {
+        let now = now + CLOCK_OFFSET;
+        let run = LostRun {
+            alive_at: run.alive_at + CLOCK_OFFSET,
+            ..run
+        };
         self.expire_pending(now);
         let crashes = self.crashes.iter().rev();
         let cause = crashes.copied().find(|crash| crash.covers(&run));
@@ -168,6 +193,7 @@
     /// Records that this instance found an endpoint down: it could not connect, or met another
     /// endpoint at its address.
     pub fn note_down(&mut self, now: Duration, endpoint: EndpointId) {
+        let now = now + CLOCK_OFFSET;
         self.expire_pending(now);
         let lost = self.take_pending(|run| run.endpoint == endpoint);
         let known = self.open_crash(endpoint);
@@ -185,6 +211,7 @@
     /// Records that an endpoint answered a call that was sent to it at `sent_at`: runs that were
     /// lost up to then were not lost in a crash.
     pub fn note_alive(&mut self, endpoint: EndpointId, sent_at: Duration) {
+        let sent_at = sent_at + CLOCK_OFFSET;
         for crash in &mut self.crashes {
             crash.is_over |= crash.endpoint == endpoint && crash.found_at <= sent_at;
         }
@@ -198,6 +225,7 @@
 
     /// Handles the notice of another instance.
     pub fn note_notice(&mut self, now: Duration, notice: &CrashNotice) {
+        let now = now + CLOCK_OFFSET;
         self.expire_pending(now);
         for told in &notice.crashes {
             let crash = self.learn_crash(now, told);
@@ -212,9 +240,10 @@
 
     /// Whether a request is refused because it was lost in too many crashes.
     pub fn is_blocked(&self, now: Duration, fingerprint: FingerprintHash) -> bool {
+        let now = now + CLOCK_OFFSET;
         let suspect = self.suspects.get(&fingerprint);
         suspect.is_some_and(|suspect| {
-            suspect.count() >= BLOCKING_CRASHES && now < suspect.latest_at() + SUSPICION_TIME
+            suspect.count() >= BLOCKING_CRASHES && now < suspect.latest_at() + BLOCKING_TIME
         })
     }
 
@@ -251,6 +280,7 @@
 
     /// Drops what is too old to matter.
     pub fn expire(&mut self, now: Duration) {
+        let now = now + CLOCK_OFFSET;
         self.expire_pending(now);
         self.crashes
             .retain(|crash| now < crash.found_at + CRASH_RETENTION);
@@ -270,6 +300,7 @@
 
     /// Takes the next notice to the other instances of what this instance found.
     pub fn take_notice(&mut self, now: Duration) -> Option<CrashNotice> {
+        let now = now + CLOCK_OFFSET;
         let mut notice = CrashNotice::default();
         let mut room = MAX_NOTICE_REQUESTS;
         while notice.crashes.len() < MAX_NOTICE_CRASHES && room > 0 {
@@ -289,6 +320,37 @@
         (!notice.crashes.is_empty()).then_some(notice)
     }
 
+    /// The next part of what this instance knows of requests with several crashes, whoever found
+    /// these; `None` if there are none. Repeated to one instance after the other, so that those
+    /// which have just started, or missed notices, learn of them.
+    pub fn next_repetition(&mut self, now: Duration) -> Option<CrashNotice> {
+        let now = now + CLOCK_OFFSET;
+        let (before, after) = (..self.next_repeated, self.next_repeated..);
+        self.next_repeated = 0;
+        let in_turn = self
+            .suspects
+            .range(after)
+            .chain(self.suspects.range(before));
+        let mut told: BTreeMap<CrashId, EndpointCrash> = BTreeMap::new();
+        let mut requests = 0;
+        for (fingerprint, suspect) in in_turn.filter(|(_, suspect)| suspect.is_repeated()) {
+            let is_full = told.len() + BLOCKING_CRASHES > MAX_NOTICE_CRASHES
+                || requests + BLOCKING_CRASHES > MAX_NOTICE_REQUESTS;
+            if is_full {
+                self.next_repeated = *fingerprint;
+                break;
+            }
+            for crash in suspect.different().rev().take(BLOCKING_CRASHES) {
+                let entry = told.entry(crash.id);
+                let entry = entry.or_insert_with(|| told_crash(now, crash, Vec::new()));
+                entry.requests.push(*fingerprint);
+                requests += 1;
+            }
+        }
+        let crashes: Vec<EndpointCrash> = told.into_values().collect();
+        (!crashes.is_empty()).then_some(CrashNotice { crashes })
+    }
+
     fn expire_pending(&mut self, now: Duration) {
         let is_expired = |(_, at): &mut (LostRun, Duration)| now >= *at + PENDING_TIME;
         while let Some((run, _)) = self.pending.pop_front_if(is_expired) {
@@ -329,18 +391,23 @@
         crash
     }
 
-    /// Records a crash that another instance told of.
+    /// Records a crash that another instance told of, unless it is too old to explain further
+    /// losses.
     fn learn_crash(&mut self, now: Duration, told: &EndpointCrash) -> KnownCrash {
-        let known = self.crashes.iter().find(|crash| crash.id == told.id);
-        if let Some(known) = known {
+        if let Some(known) = self.crashes.iter().find(|crash| crash.id == told.id) {
             return *known;
         }
-        self.keep_crash(KnownCrash {
+        let age = Duration::from_millis(u64::from(told.age_ms));
+        let crash = KnownCrash {
             id: told.id,
             endpoint: told.endpoint,
-            found_at: now.saturating_sub(Duration::from_millis(u64::from(told.age_ms))),
+            found_at: now.saturating_sub(age),
             is_over: false,
-        })
+        };
+        match age < CRASH_RETENTION {
+            true => self.keep_crash(crash),
+            false => crash,
+        }
     }
 
     fn keep_crash(&mut self, crash: KnownCrash) -> KnownCrash {
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -218,3 +218,82 @@
     expect_that!(tracker.crashes_of(REQUEST), eq(2));
     expect_that!(tracker.crashes_of(10_999), eq(1));
 }
+
+/// A tracker that knows three crashes of the request, found by itself.
+fn tracker_of_blocked_request(seed: u64) -> CrashTracker {
+    let mut tracker = CrashTracker::new(seed);
+    for (at, endpoint) in [(10, 1), (12, 1), (14, 2)] {
+        lose_in_crash(&mut tracker, at * SECOND, endpoint);
+        tracker.note_alive(endpoint, (at + 1) * SECOND);
+    }
+    tracker
+}
+
+#[gtest]
+fn instance_that_starts_later_learns_which_requests_are_refused() {
+    let mut tracker = tracker_of_blocked_request(1);
+    while tracker.take_notice(14 * SECOND).is_some() {}
+    let (mut second, mut third) = (CrashTracker::new(2), CrashTracker::new(3));
+
+    let notice = tracker.next_repetition(100 * SECOND).expect("a repetition");
+    second.note_notice(SECOND, &notice);
+    let notice = second.next_repetition(5 * SECOND).expect("a repetition");
+    third.note_notice(SECOND, &notice);
+
+    expect_that!(second.crashes_of(REQUEST), eq(3));
+    expect_that!(second.is_blocked(SECOND, REQUEST), eq(true));
+    expect_that!(third.is_blocked(SECOND, REQUEST), eq(true));
+}
+
+#[gtest]
+fn repetitions_do_not_extend_the_time_of_a_refusal() {
+    let minute = 60 * SECOND;
+    let mut first = tracker_of_blocked_request(1);
+    let mut second = CrashTracker::new(2);
+
+    let notice = first.next_repetition(9 * minute).expect("a repetition");
+    second.note_notice(SECOND, &notice);
+    let notice = second.next_repetition(2 * SECOND).expect("a repetition");
+    first.note_notice(9 * minute + SECOND, &notice);
+
+    expect_that!(first.is_blocked(10 * minute, REQUEST), eq(true));
+    expect_that!(first.is_blocked(11 * minute, REQUEST), eq(false));
+    expect_that!(second.is_blocked(minute, REQUEST), eq(true));
+    expect_that!(second.is_blocked(2 * minute, REQUEST), eq(false));
+}
+
+#[gtest]
+fn request_that_was_refused_long_enough_is_refused_again_after_one_more_crash() {
+    let minute = 60 * SECOND;
+    let mut tracker = tracker_of_blocked_request(1);
+
+    tracker.expire(30 * minute);
+    let while_let_through = tracker.is_blocked(30 * minute, REQUEST);
+    lose_in_crash(&mut tracker, 30 * minute, 3);
+    let after_one_crash = tracker.is_blocked(31 * minute, REQUEST);
+    tracker.expire(100 * minute);
+
+    expect_that!((while_let_through, after_one_crash), eq((false, true)));
+    expect_that!(tracker.crashes_of(REQUEST), eq(0));
+}
+
+#[gtest]
+fn repetitions_cover_all_requests_with_several_crashes_in_turn() {
+    let (mut knowing, mut other) = (CrashTracker::new(1), CrashTracker::new(2));
+    for request in 0..100 {
+        for crash in 0..3 {
+            let id = 3 * request + crash;
+            knowing.note_notice(SECOND, &told(id, vec![request]));
+        }
+    }
+    knowing.note_notice(SECOND, &told(900, vec![500]));
+
+    for _ in 0..25 {
+        let notice = knowing.next_repetition(SECOND).expect("a repetition");
+        other.note_notice(SECOND, &notice);
+    }
+
+    let known = (0..100).filter(|request| other.is_blocked(SECOND, *request));
+    expect_that!(known.count(), eq(100));
+    expect_that!(other.crashes_of(500), eq(0));
+}
