Treat a gateway that restarted as new

Operators saw: nothing by itself; a gateway that restarts within 1.5 s waits for what others send to newcomers. Cause: a gateway counted as new only after 1.5 s without a heartbeat. One that was killed and back within that time got neither the notice of the endpoint list nor, now, what is known of requests that crash endpoints, until the next turn. Fix: a heartbeat with another incarnation is that of a new gateway. It is told of requests with several crashes at once. Test: gateway_that_restarts_before_it_counts_as_silent_is_new, which fails without the change.

--- a/crates/gateway/src/crash_notices.rs
+++ b/crates/gateway/src/crash_notices.rs
@@ -46,20 +46,25 @@
         }
     }
 
-    /// Repeats to the gateway after `last_told` what this one knows of requests with several
-    /// crashes. Returns the gateway that was told last.
+    /// Repeats what this gateway knows to the one that follows `last_told`. Returns the gateway that
+    /// was told last.
     fn repeat_crashes(&self, last_told: InstanceId) -> InstanceId {
-        let now = self.now();
-        let next = self.directory.borrow().next_live(now, last_told);
-        let Some(recipient) = next else {
-            return last_told;
-        };
-        let notice = self.relay_state.crashes.borrow_mut().next_repetition(now);
-        let Some(notice) = notice else {
-            return last_told;
+        let next = self.directory.borrow().next_live(self.now(), last_told);
+        match next {
+            Some(recipient) if self.repeat_crashes_to(recipient) => recipient,
+            _ => last_told,
+        }
+    }
+
+    /// Repeats to another gateway what this one knows of requests with several crashes. Returns
+    /// whether there was something to repeat.
+    pub fn repeat_crashes_to(&self, recipient: InstanceId) -> bool {
+        let mut crashes = self.relay_state.crashes.borrow_mut();
+        let Some(notice) = crashes.next_repetition(self.now()) else {
+            return false;
         };
         self.send_datagram(recipient, &GatewayDatagram::Crashes(notice));
-        recipient
+        true
     }
 
     /// Handles the notice of another gateway.
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -76,6 +76,7 @@
             log::info!(peer = address_of(from).to_string().as_str(); "gateway: peer is live");
             self.heartbeat_due.notify_one();
             self.send_list_notice(from);
+            self.repeat_crashes_to(from);
         }
         self.fetch_newer_catalog();
     }
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Records a heartbeat. Returns whether the gateway was not live before.
+    /// Records a heartbeat. Returns whether the gateway was not live before, or has restarted.
     pub fn record_heartbeat(
         &mut self,
         now: Duration,
@@ -77,6 +77,7 @@
         self.add_known(now, heartbeat.known.iter().copied());
         let row = self.rows.entry(from).or_default();
         let was_silent = row.heard_at.is_none_or(|at| now > at + limit);
+        let has_restarted = row.heartbeat.incarnation != heartbeat.incarnation;
         if has_storage && (row.heard_at.is_none() || row.heartbeat.storage == StorageState::None) {
             self.storage_changed_at = now;
         }
@@ -84,7 +85,7 @@
         row.known_at = now;
         row.heartbeat = heartbeat;
         self.peak_live = self.peak_live.max(self.live(now).count() + 1);
-        was_silent
+        was_silent || has_restarted
     }
 
     /// The live gateways in ascending order of their ids, with their latest heartbeats.
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -234,6 +234,21 @@
     }
 }
 
+#[gtest]
+fn gateway_that_restarts_before_it_counts_as_silent_is_new() {
+    let mut directory = GatewayDirectory::new(1);
+    let heartbeat = |incarnation| GatewayHeartbeat {
+        incarnation,
+        ..GatewayHeartbeat::default()
+    };
+
+    let first = directory.record_heartbeat(SECOND, 2, heartbeat(5));
+    let same = directory.record_heartbeat(SECOND + INTERVAL, 2, heartbeat(5));
+    let restarted = directory.record_heartbeat(2 * SECOND, 2, heartbeat(6));
+
+    expect_that!((first, same, restarted), eq((true, false, true)));
+}
+
 #[gtest]
 fn live_gateways_follow_each_other_in_a_cycle() {
     let mut directory = GatewayDirectory::new(4);
--- a/crates/measure/src/poison/replay.rs
+++ b/crates/measure/src/poison/replay.rs
@@ -261,6 +261,9 @@
             if slot.down_until > self.now {
                 continue;
             }
+            if slot.down_until + STEP > self.now && slot.starts > 0 {
+                self.greet(sender);
+            }
             let since_tick = (self.now + STEP * sender as u32).as_millis();
             if since_tick.is_multiple_of(TICK_INTERVAL.as_millis()) {
                 self.tick(sender);
@@ -273,6 +276,19 @@
         }
     }
 
+    /// The others repeat what they know to a gateway that has just started.
+    fn greet(&mut self, newcomer: usize) {
+        for sender in (0..GATEWAYS).filter(|sender| *sender != newcomer) {
+            let slot = &mut self.gateways[sender];
+            if slot.down_until > self.now {
+                continue;
+            }
+            if let Some(notice) = slot.gateway.next_repetition(self.now) {
+                self.send(sender, newcomer, notice);
+            }
+        }
+    }
+
     /// The regular work of a gateway.
     fn tick(&mut self, number: usize) {
         let slot = &mut self.gateways[number];
