Refuse no request for its crashes that has been served

Callers saw: 503 for a harmless request that is sent again and again, for a minute, once it had been at three endpoints that crashed of other causes. Cause: crashes counted against all requests that were lost in them, and nothing ever cleared a request but time. Fix: a request that an endpoint answered whole doesn't crash each endpoint that runs it, so crashes before its answer, and for 10 s after, don't count. A gateway that is told of such a crash objects to the one that told it, and that one corrects what it told the others. A request is refused 100 ms after its third crash; a call in that time waits for the verdict, so neither is it sent nor refused too soon. An answer that ends with its connection, as it does when an endpoint crashes, clears nothing. Why this works: the request of this incident never completes; a frequent harmless one does all the time.

--- a/crates/gateway/src/crash_notices.rs
+++ b/crates/gateway/src/crash_notices.rs
@@ -67,13 +67,15 @@
         true
     }
 
-    /// Handles the notice of another gateway.
-    pub fn handle_crash_notice(&self, notice: &CrashNotice) {
+    /// Handles the notice of another gateway, and sends it the objections, if there are any.
+    pub fn handle_crash_notice(&self, from: InstanceId, notice: &CrashNotice) {
         let now = self.now();
-        self.relay_state
-            .crashes
-            .borrow_mut()
-            .note_notice(now, notice);
+        let mut crashes = self.relay_state.crashes.borrow_mut();
+        let objections = crashes.note_notice(now, notice);
+        drop(crashes);
         self.relay_state.announce_crashes();
+        if let Some(objections) = objections {
+            self.send_datagram(from, &GatewayDatagram::Crashes(objections));
+        }
     }
 }
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -58,7 +58,7 @@
             GatewayDatagram::Heartbeat(heartbeat) => self.handle_heartbeat(from, *heartbeat),
             GatewayDatagram::List(notice) => self.handle_list_notice(from, notice),
             GatewayDatagram::Replica(bytes) => self.receive_replica_bytes(&bytes),
-            GatewayDatagram::Crashes(notice) => self.handle_crash_notice(&notice),
+            GatewayDatagram::Crashes(notice) => self.handle_crash_notice(from, &notice),
         }
     }
 
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -13,7 +13,8 @@
 use wire::gateway::{
     CrashNotice, CrashReport, EndpointCrash, GatewayDatagram, GatewayHeartbeat, ListNotice,
     ListedEndpoint, MAX_CRASHES, MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS, MAX_LOADS,
-    MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS, ReadingKey, StorageState, address_of, instance_at,
+    MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS, MAX_NOTICE_SERVED, ReadingKey, ServedRequest,
+    StorageState, address_of, instance_at,
 };
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -208,8 +209,13 @@
         age_ms: u32::MAX,
         requests: Vec::new(),
     };
+    let served = ServedRequest {
+        fingerprint: u64::MAX,
+        age_ms: u32::MAX,
+    };
     let mut notice = CrashNotice {
         crashes: vec![crash; MAX_NOTICE_CRASHES],
+        served: vec![served; MAX_NOTICE_SERVED],
     };
     notice.crashes[0].requests = vec![u64::MAX; MAX_NOTICE_REQUESTS];
 
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -702,3 +702,26 @@
 
     expect_that!(requests, eq(1));
 }
+
+#[gtest]
+fn only_an_answer_with_a_stated_end_shows_that_a_request_crashes_no_endpoint() {
+    let unframed = good_answer("body").replace("Content-Length: 4\r\n", "");
+    let replies = [
+        (ScriptedReply::Keep(good_answer("body")), 0),
+        (ScriptedReply::Close(unframed), 1),
+    ];
+    for (reply, expected) in replies {
+        let (status, requests) = run(async {
+            let replies = vec![reply.clone(), ScriptedReply::Crash];
+            let endpoint = ScriptedEndpoint::start("e1", replies).await;
+            let relay = relay_before(&[&endpoint]).await;
+            let answer = call(relay.address, &request("/unsafe/x", "body")).await;
+            call(relay.address, &request("/unsafe/x", "body")).await;
+            let notice = next_crash_notice(&relay.state).await;
+            (answer.status(), notice.crashes[0].requests.len())
+        });
+
+        expect_that!(status, eq(200), "{reply:?}");
+        expect_that!(requests, eq(expected), "{reply:?}");
+    }
+}
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use relay::crash::{CrashTracker, LostRun};
+use relay::crash::{CrashTracker, LostRun, RequestVerdict};
 use relay::health::CallOutcome;
 use relay::placement::{PlacementQuery, PlacementSettings, choose};
 use relay::table::EndpointTable;
@@ -49,9 +49,9 @@
         self.table.replace(listed);
     }
 
-    /// Whether a call is refused as suspected.
-    pub fn is_blocked(&self, now: Duration, fingerprint: FingerprintHash) -> bool {
-        self.crashes.is_blocked(now, fingerprint)
+    /// Whether a request may be sent to an endpoint.
+    pub fn verdict(&self, now: Duration, fingerprint: FingerprintHash) -> RequestVerdict {
+        self.crashes.verdict(now, fingerprint)
     }
 
     /// Chooses an endpoint that the call has not tried.
@@ -99,6 +99,7 @@
     /// Records that an answer is complete.
     pub fn note_served(&mut self, now: Duration, run: CallRun) {
         self.table.finish(now, run.endpoint);
+        self.crashes.note_served(now, run.fingerprint);
     }
 
     /// Records that the connection broke during a run. Returns whether the endpoint is to be
@@ -148,8 +149,8 @@
         self.crashes.next_repetition(now)
     }
 
-    /// Handles a notice of another gateway.
-    pub fn receive(&mut self, now: Duration, notice: &CrashNotice) {
-        self.crashes.note_notice(now, notice);
+    /// Handles a notice of another gateway. Returns the reply.
+    pub fn receive(&mut self, now: Duration, notice: &CrashNotice) -> Option<CrashNotice> {
+        self.crashes.note_notice(now, notice)
     }
 }
--- a/crates/measure/src/poison/replay.rs
+++ b/crates/measure/src/poison/replay.rs
@@ -4,6 +4,7 @@
 
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use relay::crash::RequestVerdict;
 use wire::gateway::{CrashNotice, ListedEndpoint};
 use wire::id::{EndpointId, FingerprintHash};
 
@@ -117,6 +118,15 @@
     ends_at: Duration,
 }
 
+/// A notice on its way from one gateway to another.
+#[derive(Clone, Debug)]
+struct NoticeInFlight {
+    arrives_at: Duration,
+    sender: usize,
+    recipient: usize,
+    notice: CrashNotice,
+}
+
 /// A gateway and what happens to it.
 struct GatewaySlot {
     gateway: SimulatedGateway,
@@ -138,8 +148,9 @@
     gateways: Vec<GatewaySlot>,
     endpoints: Vec<SimulatedEndpoint>,
     runs: Vec<ActiveRun>,
-    /// Messages in flight: when they arrive, and at which gateway.
-    messages: Vec<(Duration, usize, CrashNotice)>,
+    messages: Vec<NoticeInFlight>,
+    /// Calls that wait for a verdict: until when, at which gateway.
+    waiting: Vec<(Duration, usize, FingerprintHash)>,
     checks: Vec<EndpointCheck>,
     third_crash_at: Option<Duration>,
     next_poison_at: Duration,
@@ -170,6 +181,7 @@
             endpoints,
             runs: Vec::new(),
             messages: Vec::new(),
+            waiting: Vec::new(),
             checks: Vec::new(),
             third_crash_at: None,
             next_poison_at: Duration::from_secs(2),
@@ -246,11 +258,17 @@
 
     fn deliver_messages(&mut self) {
         let now = self.now;
-        let due = self.messages.extract_if(.., |(at, ..)| *at <= now);
-        for (_, recipient, message) in due {
-            let slot = &mut self.gateways[recipient];
-            if slot.down_until <= now && slot.cut_until <= now {
-                slot.gateway.receive(now, &message);
+        let due = self
+            .messages
+            .extract_if(.., |message| message.arrives_at <= now);
+        let due: Vec<NoticeInFlight> = due.collect();
+        for message in due {
+            let slot = &mut self.gateways[message.recipient];
+            if slot.down_until > now || slot.cut_until > now {
+                continue;
+            }
+            if let Some(reply) = slot.gateway.receive(now, &message.notice) {
+                self.send(message.recipient, message.sender, reply);
             }
         }
     }
@@ -303,12 +321,21 @@
     fn send(&mut self, sender: usize, recipient: usize, notice: CrashNotice) {
         let is_cut = self.gateways[sender].cut_until > self.now;
         if !is_cut && !self.rng.random_bool(MESSAGE_LOSS) {
-            let arrives_at = self.now + MESSAGE_DELAY;
-            self.messages.push((arrives_at, recipient, notice));
+            self.messages.push(NoticeInFlight {
+                arrives_at: self.now + MESSAGE_DELAY,
+                sender,
+                recipient,
+                notice,
+            });
         }
     }
 
     fn start_calls(&mut self) {
+        let now = self.now;
+        let due: Vec<_> = self.waiting.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, number, fingerprint) in due {
+            self.place(number, fingerprint);
+        }
         let mut calls = CALLS_PER_STEP;
         while self.rng.random_bool(calls.clamp(0.0, 1.0)) {
             calls -= 1.0;
@@ -324,18 +351,30 @@
         }
     }
 
-    /// Sends a call through a gateway to the first endpoint that accepts it.
+    /// Sends a call to a gateway.
     fn call(&mut self, fingerprint: FingerprintHash) {
-        let (now, number) = (self.now, self.rng.random_range(0..GATEWAYS));
-        let part = fingerprint % SHARED_PARTS;
-        if self.gateways[number].down_until > now {
+        let number = self.rng.random_range(0..GATEWAYS);
+        if self.gateways[number].down_until > self.now {
             return;
         }
         self.result.calls += u32::from(fingerprint != POISON);
-        if self.gateways[number].gateway.is_blocked(now, fingerprint) {
-            self.result.refused += u32::from(fingerprint != POISON);
-            return;
+        self.place(number, fingerprint);
+    }
+
+    /// Sends a call from its gateway to the first endpoint that accepts it.
+    fn place(&mut self, number: usize, fingerprint: FingerprintHash) {
+        let now = self.now;
+        match self.gateways[number].gateway.verdict(now, fingerprint) {
+            RequestVerdict::Send => {}
+            RequestVerdict::Wait(time) => {
+                return self.waiting.push((now + time, number, fingerprint));
+            }
+            RequestVerdict::Refuse(_) => {
+                self.result.refused += u32::from(fingerprint != POISON);
+                return;
+            }
         }
+        let part = fingerprint % SHARED_PARTS;
         let mut tried: Vec<EndpointId> = Vec::new();
         while tried.len() < MAX_TRIES {
             let gateway = &mut self.gateways[number].gateway;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -31,10 +31,10 @@
         if is_good && self.call.route.kind.is_stream() {
             return self.forward_stream(answer, slot).await;
         }
-        self.take_whole(answer).await
+        self.take_whole(answer, slot).await
     }
 
-    async fn take_whole(&mut self, mut answer: OpenAnswer) -> AttemptResult {
+    async fn take_whole(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
         let reading = read_whole(self.state, &mut answer.connection);
         let read = with_time_limit(self.progress.silence_limit, reading).await;
         let body = match read {
@@ -42,7 +42,7 @@
             Err(_) if answer.metadata.is_not_run => Bytes::new(),
             Err(error) => return AttemptResult::Failed(self.note_break(&error, true)),
         };
-        self.keep_connection(answer.connection, answer.metadata.keep_alive);
+        self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
         let status = answer.head.status;
         if answer.metadata.is_not_run {
             return AttemptResult::Failed(self.note_not_run(status));
@@ -100,7 +100,7 @@
                 return AttemptResult::CallerLost;
             }
             if is_end {
-                self.keep_connection(answer.connection, answer.metadata.keep_alive);
+                self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
                 return AttemptResult::Delivered(answer.head.status);
             }
         }
@@ -163,7 +163,16 @@
         }
     }
 
-    fn keep_connection(&self, connection: EndpointConnection, keep_alive: Option<Duration>) {
+    /// Records whether the answer is whole, and keeps its connection for further calls.
+    fn end_answer(
+        &self,
+        connection: EndpointConnection,
+        keep_alive: Option<Duration>,
+        slot: &OccupiedSlot,
+    ) {
+        if connection.is_whole() {
+            slot.note_whole();
+        }
         let state = self.state;
         let instances = state.budget.borrow().instances();
         let max_idle = idle_share(self.call.max_connections, instances);
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -6,11 +6,17 @@
 //! that the two observations need not be made by the same instance. A request that was lost in too
 //! many crashes is refused for a while. What is known of requests with several crashes is repeated
 //! by every instance, so that it survives the one that found it.
+//!
+//! A request that was served does not crash each endpoint that runs it: crashes before its answer,
+//! and shortly after, do not count. An instance that is told of such a crash objects.
 
-use std::collections::{BTreeMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashSet, VecDeque};
 use std::time::Duration;
 
-use wire::gateway::{CrashId, CrashNotice, EndpointCrash, MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS};
+use wire::gateway::{
+    CrashId, CrashNotice, EndpointCrash, MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS,
+    MAX_NOTICE_SERVED, ServedRequest,
+};
 use wire::id::{EndpointId, FingerprintHash};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
@@ -21,6 +27,14 @@
 /// Time after the latest crash of a request until its crashes are forgotten. A request that is let
 /// through again before is refused after one more crash.
 const SUSPICION_TIME: Duration = Duration::from_secs(60 * 60);
+/// Time after a request was served within which crashes do not count against it. Protects frequent
+/// requests while many endpoints crash at once.
+const SERVED_TIME: Duration = Duration::from_secs(10);
+/// Maximum number of served requests that are kept.
+const MAX_SERVED: usize = 4096;
+/// Time from the crash that makes a request refused until it is, in which other instances may
+/// object.
+const OBJECTION_TIME: Duration = Duration::from_millis(100);
 /// Number of crashes in which a request was lost, from which on instances repeat them to each other.
 const REPEATED_CRASHES: usize = 2;
 /// Maximum number of suspected requests that are kept.
@@ -76,8 +90,21 @@
         /// Number of crashes in which the request was lost.
         crashes: usize,
     },
-    /// The request is refused from now on.
+    /// The request is refused from now on, unless an instance objects.
     Blocked(FingerprintHash),
+    /// Crashes no longer count against a request, as it was served.
+    Cleared(FingerprintHash),
+}
+
+/// Whether a request may be sent to an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestVerdict {
+    /// It may.
+    Send,
+    /// It will be decided within this time.
+    Wait(Duration),
+    /// It was lost in too many crashes and is refused for this time.
+    Refuse(Duration),
 }
 
 /// A crash of an endpoint that is known to this instance.
@@ -98,10 +125,15 @@
     }
 }
 
-/// A request that was lost in crashes, in the order in which these became known.
+/// A request that was lost in crashes.
 #[derive(Debug, Default)]
 struct SuspectRequest {
+    /// The crashes, in the order in which they became known.
     crashes: Vec<KnownCrash>,
+    /// When the number of crashes reached [`BLOCKING_CRASHES`].
+    blocked_at: Duration,
+    /// Whether a run of this instance was lost in one of the crashes.
+    is_own: bool,
 }
 
 impl SuspectRequest {
@@ -148,6 +180,8 @@
     /// Number of crashes that this instance was the first to find.
     found: u64,
     suspects: BTreeMap<FingerprintHash, SuspectRequest>,
+    /// Requests that were served lately, with the time of the latest answer.
+    served: BTreeMap<FingerprintHash, Duration>,
     /// Fingerprint from which on [`Self::next_repetition`] goes on.
     next_repeated: FingerprintHash,
     /// Runs of this instance that were lost and whose cause is pending, with the time of the loss,
@@ -159,6 +193,8 @@
     checking: HashSet<EndpointId>,
     /// What this instance added to a crash and has not announced: requests by crash.
     unannounced: BTreeMap<CrashId, Vec<FingerprintHash>>,
+    /// Served requests that other instances still count as lost in crashes.
+    unannounced_served: BTreeSet<FingerprintHash>,
     /// Decisions that were not taken by [`Self::take_decisions`] yet, oldest first.
     decisions: Vec<CrashDecision>,
 }
@@ -183,7 +219,7 @@
         let crashes = self.crashes.iter().rev();
         let cause = crashes.copied().find(|crash| crash.covers(&run));
         if let Some(crash) = cause {
-            self.count_own(crash, run.fingerprint);
+            self.count_own(now, crash, run.fingerprint);
         } else if self.pending.len() < MAX_PENDING_RUNS {
             self.pending.push_back((run, now));
             self.decisions.push(CrashDecision::Pending(run));
@@ -203,7 +239,7 @@
         for run in lost {
             let crash = known.filter(|crash| crash.covers(&run)).or(found);
             if let Some(crash) = crash {
-                self.count_own(crash, run.fingerprint);
+                self.count_own(now, crash, run.fingerprint);
             }
         }
     }
@@ -223,28 +259,69 @@
         }
     }
 
-    /// Handles the notice of another instance.
-    pub fn note_notice(&mut self, now: Duration, notice: &CrashNotice) {
+    /// Records that an endpoint answered a request whole.
+    pub fn note_served(&mut self, now: Duration, fingerprint: FingerprintHash) {
+        let now = now + CLOCK_OFFSET;
+        let is_repeated = self
+            .suspects
+            .get(&fingerprint)
+            .is_some_and(SuspectRequest::is_repeated);
+        self.learn_served(fingerprint, now);
+        if is_repeated {
+            self.unannounced_served.insert(fingerprint);
+        }
+    }
+
+    /// Handles the notice of another instance. Returns objections, to be sent back to it.
+    pub fn note_notice(&mut self, now: Duration, notice: &CrashNotice) -> Option<CrashNotice> {
         let now = now + CLOCK_OFFSET;
         self.expire_pending(now);
+        for served in &notice.served {
+            let at = now.saturating_sub(Duration::from_millis(u64::from(served.age_ms)));
+            let is_own = self
+                .suspects
+                .get(&served.fingerprint)
+                .is_some_and(|suspect| suspect.is_own);
+            if self.learn_served(served.fingerprint, at) && is_own {
+                self.unannounced_served.insert(served.fingerprint);
+            }
+        }
+        let mut objections = Vec::new();
         for told in &notice.crashes {
             let crash = self.learn_crash(now, told);
             for run in self.take_pending(|run| crash.covers(run)) {
-                self.count_own(crash, run.fingerprint);
+                self.count_own(now, crash, run.fingerprint);
             }
             for fingerprint in &told.requests {
-                self.count(crash, *fingerprint);
+                match self.was_served(crash, *fingerprint) {
+                    true => objections.push(*fingerprint),
+                    false => _ = self.count(now, crash, *fingerprint),
+                }
             }
         }
+        objections.truncate(MAX_NOTICE_SERVED);
+        let served = self.told_served(now, &objections);
+        (!served.is_empty()).then(|| CrashNotice {
+            served,
+            ..CrashNotice::default()
+        })
     }
 
-    /// Whether a request is refused because it was lost in too many crashes.
-    pub fn is_blocked(&self, now: Duration, fingerprint: FingerprintHash) -> bool {
+    /// Whether a request may be sent to an endpoint.
+    pub fn verdict(&self, now: Duration, fingerprint: FingerprintHash) -> RequestVerdict {
         let now = now + CLOCK_OFFSET;
-        let suspect = self.suspects.get(&fingerprint);
-        suspect.is_some_and(|suspect| {
-            suspect.count() >= BLOCKING_CRASHES && now < suspect.latest_at() + BLOCKING_TIME
-        })
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return RequestVerdict::Send;
+        };
+        let refused_until = suspect.latest_at() + BLOCKING_TIME;
+        if suspect.count() < BLOCKING_CRASHES || now >= refused_until {
+            return RequestVerdict::Send;
+        }
+        let decided_at = suspect.blocked_at + OBJECTION_TIME;
+        match now < decided_at {
+            true => RequestVerdict::Wait(decided_at - now),
+            false => RequestVerdict::Refuse(refused_until - now),
+        }
     }
 
     /// Whether a request whose run was lost may be sent to another endpoint. Pending runs count as
@@ -286,6 +363,7 @@
             .retain(|crash| now < crash.found_at + CRASH_RETENTION);
         self.suspects
             .retain(|_, suspect| now < suspect.latest_at() + SUSPICION_TIME);
+        self.served.retain(|_, at| now < *at + SUSPICION_TIME);
     }
 
     /// Takes the decisions since the last call of this function, oldest first.
@@ -295,7 +373,7 @@
 
     /// Whether there is something that [`Self::take_notice`] has not announced.
     pub fn has_notice(&self) -> bool {
-        !self.unannounced.is_empty()
+        !self.unannounced.is_empty() || !self.unannounced_served.is_empty()
     }
 
     /// Takes the next notice to the other instances of what this instance found.
@@ -317,7 +395,16 @@
                 .crashes
                 .extend(known.map(|crash| told_crash(now, crash, requests)));
         }
-        (!notice.crashes.is_empty()).then_some(notice)
+        let mut served = Vec::new();
+        while let Some(fingerprint) = self.unannounced_served.pop_first() {
+            served.push(fingerprint);
+            if served.len() == MAX_NOTICE_SERVED {
+                break;
+            }
+        }
+        notice.served = self.told_served(now, &served);
+        let is_empty = notice.crashes.is_empty() && notice.served.is_empty();
+        (!is_empty).then_some(notice)
     }
 
     /// The next part of what this instance knows of requests with several crashes, whoever found
@@ -348,7 +435,10 @@
             }
         }
         let crashes: Vec<EndpointCrash> = told.into_values().collect();
-        (!crashes.is_empty()).then_some(CrashNotice { crashes })
+        (!crashes.is_empty()).then(|| CrashNotice {
+            crashes,
+            ..CrashNotice::default()
+        })
     }
 
     fn expire_pending(&mut self, now: Duration) {
@@ -422,16 +512,60 @@
         crash
     }
 
+    /// Whether a request was served after a crash, or shortly before.
+    fn was_served(&self, crash: KnownCrash, fingerprint: FingerprintHash) -> bool {
+        let served_at = self.served.get(&fingerprint);
+        served_at.is_some_and(|at| crash.found_at <= *at + SERVED_TIME)
+    }
+
+    /// Records when a request was served, and drops the crashes that no longer count against it.
+    /// Returns whether there were any.
+    fn learn_served(&mut self, fingerprint: FingerprintHash, at: Duration) -> bool {
+        if self.served.len() >= MAX_SERVED {
+            drop_older_half(&mut self.served);
+        }
+        let served_at = self.served.entry(fingerprint).or_default();
+        *served_at = at.max(*served_at);
+        let counts_from = *served_at + SERVED_TIME;
+        let Some(suspect) = self.suspects.get_mut(&fingerprint) else {
+            return false;
+        };
+        let before = suspect.crashes.len();
+        suspect.crashes.retain(|crash| crash.found_at > counts_from);
+        let is_cleared = suspect.crashes.len() < before;
+        if suspect.crashes.is_empty() {
+            self.suspects.remove(&fingerprint);
+        }
+        if is_cleared {
+            self.decisions.push(CrashDecision::Cleared(fingerprint));
+        }
+        is_cleared
+    }
+
+    fn told_served(&self, now: Duration, requests: &[FingerprintHash]) -> Vec<ServedRequest> {
+        let served = requests.iter().filter_map(|fingerprint| {
+            Some(ServedRequest {
+                fingerprint: *fingerprint,
+                age_ms: age_ms(now, *self.served.get(fingerprint)?),
+            })
+        });
+        served.collect()
+    }
+
     /// Counts a crash against a request of this instance, and announces it.
-    fn count_own(&mut self, crash: KnownCrash, fingerprint: FingerprintHash) {
-        if self.count(crash, fingerprint) {
-            let requests = self.unannounced.entry(crash.id).or_default();
-            requests.push(fingerprint);
+    fn count_own(&mut self, now: Duration, crash: KnownCrash, fingerprint: FingerprintHash) {
+        if self.was_served(crash, fingerprint) || !self.count(now, crash, fingerprint) {
+            return;
+        }
+        if let Some(suspect) = self.suspects.get_mut(&fingerprint) {
+            suspect.is_own = true;
         }
+        let requests = self.unannounced.entry(crash.id).or_default();
+        requests.push(fingerprint);
     }
 
     /// Counts a crash against a request. Returns whether it was not counted before.
-    fn count(&mut self, crash: KnownCrash, fingerprint: FingerprintHash) -> bool {
+    fn count(&mut self, now: Duration, crash: KnownCrash, fingerprint: FingerprintHash) -> bool {
         if !self.has_room(fingerprint) {
             return false;
         }
@@ -448,6 +582,7 @@
             crashes,
         });
         if before < BLOCKING_CRASHES && crashes >= BLOCKING_CRASHES {
+            suspect.blocked_at = now;
             self.decisions.push(CrashDecision::Blocked(fingerprint));
         }
         true
@@ -475,11 +610,24 @@
 }
 
 fn told_crash(now: Duration, crash: &KnownCrash, requests: Vec<FingerprintHash>) -> EndpointCrash {
-    let age = now.saturating_sub(crash.found_at).as_millis();
     EndpointCrash {
         id: crash.id,
         endpoint: crash.endpoint,
-        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
+        age_ms: age_ms(now, crash.found_at),
         requests,
     }
 }
+
+fn age_ms(now: Duration, at: Duration) -> u32 {
+    let age = now.saturating_sub(at).as_millis();
+    u32::try_from(age).unwrap_or(u32::MAX)
+}
+
+/// Removes the entries up to the median time.
+fn drop_older_half(times: &mut BTreeMap<FingerprintHash, Duration>) {
+    let mut sorted: Vec<Duration> = times.values().copied().collect();
+    sorted.sort_unstable();
+    if let Some(median) = sorted.get(sorted.len() / 2).copied() {
+        times.retain(|_, at| *at > median);
+    }
+}
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use wire::id::EndpointId;
+use wire::id::{EndpointId, FingerprintHash};
 
 use crate::crash::LostRun;
 use crate::endpoint::EndpointConnection;
@@ -52,6 +52,13 @@
         self.publish_crash_decisions();
     }
 
+    /// Records that an endpoint answered a request whole.
+    pub fn note_request_served(&self, fingerprint: FingerprintHash) {
+        let now = self.now();
+        self.crashes.borrow_mut().note_served(now, fingerprint);
+        self.announce_crashes();
+    }
+
     /// Publishes the latest decisions, and lets other instances know of what was found.
     pub fn announce_crashes(&self) {
         self.publish_crash_decisions();
--- a/crates/relay/src/crash_log.rs
+++ b/crates/relay/src/crash_log.rs
@@ -56,6 +56,9 @@
             CrashDecision::Blocked(fingerprint) => {
                 log::warn!(fingerprint = hex_text(fingerprint).as_str(); "relay: request is blocked");
             }
+            CrashDecision::Cleared(fingerprint) => {
+                log::info!(fingerprint = hex_text(fingerprint).as_str(); "relay: request cleared");
+            }
         }
     }
 
@@ -83,6 +86,7 @@
         CrashDecision::Found { .. } => "found",
         CrashDecision::Counted { .. } => "counted",
         CrashDecision::Blocked(_) => "blocked",
+        CrashDecision::Cleared(_) => "cleared",
     }
 }
 
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -224,14 +224,17 @@
     fn end_of_stream(&mut self) -> Result<Option<Bytes>> {
         self.keeps_alive = false;
         match self.body {
-            BodyFraming::UntilClose => {
-                self.body = BodyFraming::Ended;
-                Ok(None)
-            }
+            BodyFraming::UntilClose => Ok(None),
             _ => Err(EndpointError::Closed),
         }
     }
 
+    /// Whether the answer has arrived up to the end that the endpoint stated for it. `false` for an
+    /// answer that ended with its connection, as it also does when the endpoint crashes.
+    pub fn is_whole(&self) -> bool {
+        matches!(self.body, BodyFraming::Ended)
+    }
+
     /// Whether another call may use the connection: the endpoint keeps it open, the call was sent
     /// whole, and no bytes followed the end of the answer.
     pub fn is_reusable(&self) -> bool {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,12 +4,13 @@
 use std::time::Duration;
 
 use fault::FaultKind;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use wire::id::EndpointId;
 
 use crate::admission::PlacedCall;
 use crate::attempt::{AttemptResult, CallProgress, EndpointAttempt, FailedAttempt};
 use crate::call::CallMetadata;
+use crate::crash::RequestVerdict;
 use crate::health::CallOutcome;
 use crate::record::{AttemptRecord, CallEnd, CallRecord};
 use crate::refusal::CallRefusal;
@@ -99,8 +100,9 @@
     }
 
     async fn run(mut self) -> CallEnd {
-        if let Some(kind) = self.reason_to_refuse() {
-            return self.refuse(kind).await;
+        self.wait_for_verdict().await;
+        if let Some(refusal) = self.reason_to_refuse() {
+            return self.send_refusal(&refusal).await;
         }
         let deadline = self.call.deadline;
         let end = timeout_at(deadline, self.try_endpoints()).await;
@@ -112,15 +114,26 @@
         }
     }
 
-    /// Reason to refuse the call before any attempt; `None` if it may be attempted.
-    fn reason_to_refuse(&self) -> Option<FaultKind> {
+    /// Waits while other instances may object to the refusal of the call's request.
+    async fn wait_for_verdict(&self) {
+        while let RequestVerdict::Wait(time) = self.verdict() {
+            sleep(time).await;
+        }
+    }
+
+    fn verdict(&self) -> RequestVerdict {
+        let crashes = self.state.crashes.borrow();
+        crashes.verdict(self.state.now(), self.call.fingerprint)
+    }
+
+    /// Refusal of the call before any attempt; `None` if it may be attempted.
+    fn reason_to_refuse(&self) -> Option<CallRefusal> {
         let (state, call) = (self.state, self.call);
         if !state.accepts_call(call.deadline.saturating_duration_since(call.started)) {
-            return Some(FaultKind::Draining);
+            return Some(CallRefusal::new(FaultKind::Draining, call.time_left()));
         }
-        let crashes = state.crashes.borrow();
-        let is_blocked = crashes.is_blocked(state.now(), call.fingerprint);
-        is_blocked.then_some(FaultKind::Suspected)
+        let is_refused = matches!(self.verdict(), RequestVerdict::Refuse(_));
+        is_refused.then(|| CallRefusal::new(FaultKind::Suspected, call.time_left()))
     }
 
     async fn try_endpoints(&mut self) -> CallEnd {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -301,6 +301,7 @@
             began,
             wait,
             alive_at: Cell::new(None),
+            is_whole: Cell::new(false),
             is_ended: false,
         }
     }
@@ -321,6 +322,8 @@
     /// When the endpoint last sent bytes for the call, or else when the call was sent; `None`
     /// before.
     alive_at: Cell<Option<Duration>>,
+    /// Whether the endpoint stated the end of its answer, and sent all of it.
+    is_whole: Cell<bool>,
     is_ended: bool,
 }
 
@@ -330,9 +333,17 @@
         self.alive_at.set(Some(self.state.now()));
     }
 
+    /// Records that the answer arrived up to the end that the endpoint stated for it.
+    pub fn note_whole(&self) {
+        self.is_whole.set(true);
+    }
+
     /// Ends a successful call and records its estimated holding time.
     pub fn complete(mut self) {
         self.is_ended = true;
+        if self.is_whole.get() {
+            self.state.note_request_served(self.fingerprint);
+        }
         let time = self.state.now().saturating_sub(self.began);
         let mut table = self.state.table.borrow_mut();
         table.note_holding_time(self.endpoint, estimated_holding_time(time, self.wait));
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use relay::crash::{CrashTracker, LostRun};
-use wire::gateway::{CrashNotice, EndpointCrash, MAX_NOTICE_REQUESTS};
+use relay::crash::{CrashTracker, LostRun, RequestVerdict};
+use wire::gateway::{CrashNotice, EndpointCrash, MAX_NOTICE_REQUESTS, MAX_NOTICE_SERVED};
 
 const SECOND: Duration = Duration::from_secs(1);
 const MILLI: Duration = Duration::from_millis(1);
@@ -18,6 +18,12 @@
     }
 }
 
+/// Whether a request is refused once the time for objections is over.
+fn is_refused(tracker: &CrashTracker, now: Duration, fingerprint: u64) -> bool {
+    let verdict = tracker.verdict(now + 200 * MILLI, fingerprint);
+    matches!(verdict, RequestVerdict::Refuse(_))
+}
+
 /// A run of the request is lost at an endpoint that is then found down.
 fn lose_in_crash(tracker: &mut CrashTracker, now: Duration, endpoint: u64) {
     tracker.note_lost(now, run_at(endpoint, now - MILLI));
@@ -37,14 +43,14 @@
 
     lose_in_crash(&mut tracker, SECOND, 1);
     lose_in_crash(&mut tracker, SECOND, 2);
-    let after_two = tracker.is_blocked(SECOND, REQUEST);
+    let after_two = is_refused(&tracker, SECOND, REQUEST);
     tracker.note_lost(SECOND, run_at(3, SECOND - MILLI));
-    let before_verdict = tracker.is_blocked(SECOND, REQUEST);
+    let before_verdict = is_refused(&tracker, SECOND, REQUEST);
     tracker.note_down(SECOND + MILLI, 3);
 
     expect_that!((after_two, before_verdict), eq((false, false)));
-    expect_that!(tracker.is_blocked(SECOND, REQUEST), eq(true));
-    expect_that!(tracker.is_blocked(SECOND, REQUEST + 1), eq(false));
+    expect_that!(is_refused(&tracker, SECOND, REQUEST), eq(true));
+    expect_that!(is_refused(&tracker, SECOND, REQUEST + 1), eq(false));
 }
 
 #[gtest]
@@ -61,7 +67,7 @@
     tracker.note_down(60 * SECOND, 10);
 
     expect_that!(tracker.crashes_of(REQUEST), eq(0));
-    expect_that!(tracker.is_blocked(2 * SECOND, REQUEST), eq(false));
+    expect_that!(is_refused(&tracker, 2 * SECOND, REQUEST), eq(false));
 }
 
 #[gtest]
@@ -74,7 +80,7 @@
     tracker.note_alive(3, SECOND);
     tracker.note_down(2 * SECOND, 3);
 
-    expect_that!(tracker.is_blocked(2 * SECOND, REQUEST), eq(true));
+    expect_that!(is_refused(&tracker, 2 * SECOND, REQUEST), eq(true));
 }
 
 #[gtest]
@@ -199,6 +205,7 @@
     };
     CrashNotice {
         crashes: vec![crash],
+        ..CrashNotice::default()
     }
 }
 
@@ -241,8 +248,8 @@
     third.note_notice(SECOND, &notice);
 
     expect_that!(second.crashes_of(REQUEST), eq(3));
-    expect_that!(second.is_blocked(SECOND, REQUEST), eq(true));
-    expect_that!(third.is_blocked(SECOND, REQUEST), eq(true));
+    expect_that!(is_refused(&second, SECOND, REQUEST), eq(true));
+    expect_that!(is_refused(&third, SECOND, REQUEST), eq(true));
 }
 
 #[gtest]
@@ -256,10 +263,10 @@
     let notice = second.next_repetition(2 * SECOND).expect("a repetition");
     first.note_notice(9 * minute + SECOND, &notice);
 
-    expect_that!(first.is_blocked(10 * minute, REQUEST), eq(true));
-    expect_that!(first.is_blocked(11 * minute, REQUEST), eq(false));
-    expect_that!(second.is_blocked(minute, REQUEST), eq(true));
-    expect_that!(second.is_blocked(2 * minute, REQUEST), eq(false));
+    expect_that!(is_refused(&first, 10 * minute, REQUEST), eq(true));
+    expect_that!(is_refused(&first, 11 * minute, REQUEST), eq(false));
+    expect_that!(is_refused(&second, minute, REQUEST), eq(true));
+    expect_that!(is_refused(&second, 2 * minute, REQUEST), eq(false));
 }
 
 #[gtest]
@@ -268,9 +275,9 @@
     let mut tracker = tracker_of_blocked_request(1);
 
     tracker.expire(30 * minute);
-    let while_let_through = tracker.is_blocked(30 * minute, REQUEST);
+    let while_let_through = is_refused(&tracker, 30 * minute, REQUEST);
     lose_in_crash(&mut tracker, 30 * minute, 3);
-    let after_one_crash = tracker.is_blocked(31 * minute, REQUEST);
+    let after_one_crash = is_refused(&tracker, 31 * minute, REQUEST);
     tracker.expire(100 * minute);
 
     expect_that!((while_let_through, after_one_crash), eq((false, true)));
@@ -293,7 +300,83 @@
         other.note_notice(SECOND, &notice);
     }
 
-    let known = (0..100).filter(|request| other.is_blocked(SECOND, *request));
+    let known = (0..100).filter(|request| is_refused(&other, SECOND, *request));
     expect_that!(known.count(), eq(100));
     expect_that!(other.crashes_of(500), eq(0));
 }
+
+#[gtest]
+fn request_that_was_served_is_not_refused_for_crashes_around_its_answer() {
+    let mut tracker = CrashTracker::default();
+
+    lose_in_crash(&mut tracker, SECOND, 1);
+    lose_in_crash(&mut tracker, 2 * SECOND, 2);
+    tracker.note_served(3 * SECOND, REQUEST);
+    for endpoint in 3..6 {
+        lose_in_crash(&mut tracker, 4 * SECOND, endpoint);
+    }
+    let around_answer = tracker.crashes_of(REQUEST);
+    for endpoint in 6..9 {
+        lose_in_crash(&mut tracker, 20 * SECOND, endpoint);
+    }
+
+    expect_that!(around_answer, eq(0));
+    expect_that!(is_refused(&tracker, 20 * SECOND, REQUEST), eq(true));
+}
+
+#[gtest]
+fn instance_that_served_a_request_objects_to_its_refusal_by_others() {
+    let mut losers = [1, 2, 3].map(CrashTracker::new);
+    let (mut server, mut bystander) = (CrashTracker::new(4), CrashTracker::new(5));
+    server.note_served(SECOND, REQUEST);
+    for (loser, endpoint) in losers.iter_mut().zip(1..) {
+        lose_in_crash(loser, 2 * SECOND, endpoint);
+    }
+
+    let mut objections = Vec::new();
+    for loser in &mut losers {
+        let notice = loser.take_notice(2 * SECOND).expect("a notice");
+        bystander.note_notice(2 * SECOND, &notice);
+        objections.extend(server.note_notice(2 * SECOND, &notice));
+    }
+    let before = is_refused(&bystander, 2 * SECOND, REQUEST);
+    let at_once = bystander.verdict(2 * SECOND, REQUEST);
+    losers[0].note_notice(2 * SECOND, &objections[0]);
+    notify(2 * SECOND, &mut losers[0], &mut bystander);
+
+    expect_that!(objections.len(), eq(3));
+    expect_that!(at_once, matches_pattern!(RequestVerdict::Wait(_)));
+    expect_that!(before, eq(true));
+    expect_that!(bystander.crashes_of(REQUEST), eq(0));
+}
+
+#[gtest]
+fn repetition_of_cleared_crashes_is_objected_to() {
+    let mut stale = tracker_of_blocked_request(1);
+    let mut server = CrashTracker::new(2);
+    server.note_served(20 * SECOND, REQUEST);
+
+    let repetition = stale.next_repetition(20 * SECOND).expect("a repetition");
+    let objection = server.note_notice(20 * SECOND, &repetition);
+    let objection = objection.expect("an objection");
+    let reply = stale.note_notice(20 * SECOND, &objection);
+
+    expect_that!(stale.crashes_of(REQUEST), eq(0));
+    expect_that!(stale.next_repetition(20 * SECOND), none());
+    expect_that!(reply, none());
+}
+
+#[gtest]
+fn number_of_kept_served_requests_is_bounded() {
+    let mut tracker = CrashTracker::default();
+
+    for number in 0..20_000 {
+        tracker.note_served(SECOND + number as u32 * MILLI, number);
+    }
+    let notice = told(1, (0..20_000).collect());
+    let objections = tracker.note_notice(22 * SECOND, &notice).expect("some");
+    let counted = (0..20_000).filter(|one| tracker.crashes_of(*one) > 0);
+
+    expect_that!(objections.served.len(), le(MAX_NOTICE_SERVED));
+    expect_that!(counted.count(), gt(0));
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -24,7 +24,9 @@
 /// [`MAX_DATAGRAM_BYTES`].
 pub const MAX_NOTICE_CRASHES: usize = 16;
 /// Largest number of requests in a crash notice, over all its crashes.
-pub const MAX_NOTICE_REQUESTS: usize = 60;
+pub const MAX_NOTICE_REQUESTS: usize = 50;
+/// Largest number of served requests in a crash notice.
+pub const MAX_NOTICE_SERVED: usize = 8;
 
 /// Returns the id of a gateway, which encodes its link address, so that a gateway can be reached by
 /// its id alone.
@@ -92,11 +94,23 @@
     pub requests: Vec<FingerprintHash>,
 }
 
+/// A request that an endpoint answered whole, and which therefore does not crash each endpoint that
+/// runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServedRequest {
+    /// The request.
+    pub fingerprint: FingerprintHash,
+    /// Time since the end of the answer, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// Tells other gateways of crashes of endpoints.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashNotice {
     /// The crashes; at most [`MAX_NOTICE_CRASHES`].
     pub crashes: Vec<EndpointCrash>,
+    /// Requests that were counted in crashes and have been served; at most [`MAX_NOTICE_SERVED`].
+    pub served: Vec<ServedRequest>,
 }
 
 /// A request that was running at an endpoint when the endpoint failed.
