Tell callers of a refused request when it may come back

Callers saw: Retry-After of some 5 s for a request that is refused for as long as its crashes count. Cause: a fixed time in place of the one known. Fix: Retry-After is the time until the request is no longer refused, and at most a third of what the caller has left. Test: request_whose_runs_break_at_crashing_endpoints_is_refused_after_three reads it; 5 s fails it.

--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding.rs
@@ -613,9 +613,19 @@
     }
 }
 
+/// Value of the `Retry-After` header in seconds.
+fn retry_after(answer: &CallerAnswer) -> f64 {
+    let lower = answer.text.to_ascii_lowercase();
+    let line = lower
+        .lines()
+        .find_map(|line| line.strip_prefix("retry-after:"));
+    line.and_then(|value| value.trim().parse().ok())
+        .unwrap_or_default()
+}
+
 #[gtest]
 fn request_whose_runs_break_at_crashing_endpoints_is_refused_after_three() {
-    let (statuses, runs) = run(async {
+    let (statuses, runs, wait) = run(async {
         let mut endpoints = Vec::new();
         for number in 1..=4 {
             let crash = vec![ScriptedReply::Crash];
@@ -628,10 +638,11 @@
             statuses.push(answer.status());
             next_crash_notice(&relay.state).await;
         }
-        let answer = call(relay.address, &request("/unsafe/x", "poison")).await;
+        let patient = request("/unsafe/x", "poison").replace("X-Deadline-Ms: 5000\r\n", "");
+        let answer = call(relay.address, &patient).await;
         statuses.push(answer.status());
         let runs: usize = endpoints.iter().map(|endpoint| endpoint.runs()).sum();
-        (statuses, runs)
+        (statuses, runs, retry_after(&answer))
     });
 
     expect_that!(
@@ -639,6 +650,8 @@
         elements_are![eq(&502), eq(&502), eq(&502), eq(&503)]
     );
     expect_that!(runs, eq(3));
+    // The request is refused for ten minutes.
+    expect_that!(wait, all![ge(590.0), le(750.0)]);
 }
 
 #[gtest]
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -132,8 +132,13 @@
         if !state.accepts_call(call.deadline.saturating_duration_since(call.started)) {
             return Some(CallRefusal::new(FaultKind::Draining, call.time_left()));
         }
-        let is_refused = matches!(self.verdict(), RequestVerdict::Refuse(_));
-        is_refused.then(|| CallRefusal::new(FaultKind::Suspected, call.time_left()))
+        let RequestVerdict::Refuse(time) = self.verdict() else {
+            return None;
+        };
+        Some(CallRefusal {
+            scheduled_wait: Some(time),
+            ..CallRefusal::new(FaultKind::Suspected, call.time_left())
+        })
     }
 
     async fn try_endpoints(&mut self) -> CallEnd {
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -13,8 +13,6 @@
 /// Base time after which missing endpoints or settings may be available again; also used for all
 /// other faults.
 const UNAVAILABLE_WAIT: Duration = Duration::from_millis(500);
-/// Base time after which a call that is suspected of crashing endpoints may be retried.
-const QUARANTINE_WAIT: Duration = Duration::from_secs(5);
 /// The retry time is at most the caller's remaining time divided by this.
 const MAX_WAIT_DIVISOR: u32 = 3;
 
@@ -28,8 +26,8 @@
     pub kind: FaultKind,
     /// Time until the caller stops waiting; `None` if it stated no timeout.
     pub time_left: Option<Duration>,
-    /// Time that the retry schedule assigned to the caller, after which a slot is expected for it;
-    /// `None` if none was assigned.
+    /// Time after which the reason of the refusal is expected to be over: a slot becomes free for
+    /// the caller, or its request is no longer refused. `None` if it is not known.
     pub scheduled_wait: Option<Duration>,
 }
 
@@ -58,7 +56,6 @@
     fn base_wait(&self) -> Duration {
         match self.kind {
             FaultKind::Overloaded => OVERLOAD_WAIT,
-            FaultKind::Quarantined | FaultKind::Suspected => QUARANTINE_WAIT,
             _ => UNAVAILABLE_WAIT,
         }
     }
