Report requests that were lost with the agent that ran them

Operators saw: a request that takes the agent down with its endpoint was never suspected, and crashed endpoint after endpoint (listed as a limit in docs/design/poison.md). Cause: what ran at a crash was known to the agent alone, and died with it; the entry, which knew its own request and who had admitted it, told nobody. Fix: the entry keeps the incarnation by which an attempt was admitted. If the answer is lost and the agent comes back as another incarnation, it reports the request as a suspect of that crash, under the epoch that the agent would have used, so that control counts it once. An agent that is only out of reach leads to no report. Why this works: control gets the report of a crash from whoever outlives it. Rule 6 of the design note holds in the programs now, as in the model. Left: a caller that leaves while the entry tries to resume its answer; the attempt is then dropped without a report.

--- a/crates/entry/src/attempt.rs
+++ b/crates/entry/src/attempt.rs
@@ -4,6 +4,7 @@
 //! When frames are missing, the agent is asked to resend them.
 
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,7 +17,9 @@
     AnswerHead, AttemptKey, CancelRequest, EndpointLoad, RefuseNotice, SubmitRequest,
 };
 
-use crate::pool::{LinkPool, StreamEvent, StreamReceiver};
+use crate::core::EntryCore;
+use crate::loss::{AgentRun, report_if_restarted};
+use crate::pool::{StreamEvent, StreamReceiver};
 
 /// Number of times that the entry tries to resume a stream before the attempt fails.
 const RESUME_ATTEMPTS: u32 = 12;
@@ -40,40 +43,57 @@
     Failed(Fault),
 }
 
+impl AttemptEvent {
+    /// Whether the attempt failed because the agent no longer knows it or is gone.
+    fn is_loss(&self) -> bool {
+        match self {
+            Self::Refused(notice) => notice.fault.kind == FaultKind::ConnectionLost,
+            Self::Failed(fault) => fault.kind == FaultKind::ConnectionLost,
+            _ => false,
+        }
+    }
+}
+
 /// One attempt that was sent to an agent.
 pub struct AttemptStream {
-    pool: LinkPool,
+    core: Arc<EntryCore>,
+    run: AgentRun,
     address: SocketAddr,
     sender: LinkSender,
     events: StreamReceiver,
     assembly: AnswerAssembly,
     /// Whether the attempt has ended, so that no event follows and nothing has to be cancelled.
     is_over: bool,
+    /// Whether the connection to the agent was lost and the stream has not been resumed.
+    is_resuming: bool,
 }
 
 impl AttemptStream {
-    /// Sends `submit` to the agent at `address`.
+    /// Sends `submit` to the agent at `address`, which runs it as `run`.
     ///
     /// # Errors
     /// `NoEndpoint` when no connection can be opened, or when the open one ended before the attempt
     /// was sent.
     pub async fn send(
-        pool: &LinkPool,
+        core: &Arc<EntryCore>,
         address: SocketAddr,
+        run: AgentRun,
         submit: SubmitRequest,
     ) -> fault::Result<Self> {
-        let key = submit.key;
+        let (key, pool) = (submit.key, &core.pool);
         let sender = pool.sender(address).await.map_err(|error| {
             FaultKind::NoEndpoint.because(format!("the agent is unreachable: {error}"))
         })?;
         let events = pool.open_stream(key, address);
         let mut stream = Self {
-            pool: pool.clone(),
+            core: Arc::clone(core),
+            run,
             address,
             sender,
             events,
             assembly: AnswerAssembly::new(key),
             is_over: false,
+            is_resuming: false,
         };
         let submitted = stream
             .sender
@@ -91,7 +111,16 @@
         self.assembly.key()
     }
 
-    /// Waits for the next event. No event follows `Complete`, `Refused` or `Failed`.
+    /// Reports the request if the agent is out of reach and turns out to have restarted. For an
+    /// attempt that is given up.
+    pub fn give_up(&self) {
+        if self.is_resuming {
+            report_if_restarted(&self.core, self.run);
+        }
+    }
+
+    /// Waits for the next event. No event follows `Complete`, `Refused` or `Failed`. A request that
+    /// is lost is reported if its agent has restarted.
     pub async fn next_event(&mut self) -> AttemptEvent {
         loop {
             let step = match self.events.recv().await {
@@ -99,6 +128,9 @@
                 Some(StreamEvent::LinkLost) | None => self.resume().await,
             };
             if let Some(event) = step {
+                if event.is_loss() {
+                    report_if_restarted(&self.core, self.run);
+                }
                 self.is_over = matches!(
                     event,
                     AttemptEvent::Complete(_) | AttemptEvent::Refused(_) | AttemptEvent::Failed(_)
@@ -125,7 +157,10 @@
 
     async fn accept(&mut self, message: LinkMessage) -> Option<AttemptEvent> {
         let (verdict, load) = match message {
-            LinkMessage::Admitted(notice) => return Some(AttemptEvent::Admitted(notice.load)),
+            LinkMessage::Admitted(notice) => {
+                self.run.admitted_by = Some(notice.incarnation);
+                return Some(AttemptEvent::Admitted(notice.load));
+            }
             LinkMessage::Refused(notice) => return Some(AttemptEvent::Refused(Box::new(notice))),
             LinkMessage::Head(head) => (self.assembly.accept_head(head), None),
             LinkMessage::Chunk(chunk) => (self.assembly.accept_chunk(chunk), None),
@@ -151,14 +186,16 @@
     /// Resumes the stream on a new connection, or on the same one after a gap. Returns `None` when
     /// it is resumed.
     async fn resume(&mut self) -> Option<AttemptEvent> {
+        self.is_resuming = true;
         for _ in 0..RESUME_ATTEMPTS {
-            if let Ok(sender) = self.pool.sender(self.address).await {
+            if let Ok(sender) = self.core.pool.sender(self.address).await {
                 self.sender = sender;
-                self.pool.attach_stream(self.key());
+                self.core.pool.attach_stream(self.key());
                 let resume = LinkMessage::Resume(self.assembly.resume_request());
                 let ack = LinkMessage::Ack(self.assembly.repeat_ack());
                 let is_sent = self.sender.send(resume).await.is_ok();
                 if is_sent && self.sender.send(ack).await.is_ok() {
+                    self.is_resuming = false;
                     return None;
                 }
             }
@@ -173,7 +210,7 @@
 
 impl Drop for AttemptStream {
     fn drop(&mut self) {
-        self.pool.close_stream(self.key());
+        self.core.pool.close_stream(self.key());
         if !self.is_over {
             self.cancel();
         }
--- a/crates/entry/src/dispatch.rs
+++ b/crates/entry/src/dispatch.rs
@@ -17,6 +17,7 @@
 use crate::claims::{ClaimVerdict, claim_call, release_claim};
 use crate::core::EntryCore;
 use crate::intake::CallRequest;
+use crate::loss::AgentRun;
 use crate::trace::CallTrace;
 
 /// Longest wait for the agent's reply to the cancellation of an attempt.
@@ -213,7 +214,14 @@
             hops: u8::try_from(self.tried.len()).unwrap_or(u8::MAX),
             ..self.call.submit.clone()
         };
-        let end = match AttemptStream::send(&self.core.pool, target.address, submit).await {
+        let run = AgentRun {
+            fingerprint: submit.fingerprint,
+            endpoint: target.endpoint,
+            cache_epoch: target.cache_epoch,
+            admitted_by: None,
+        };
+        let sent = AttemptStream::send(self.core, target.address, run, submit).await;
+        let end = match sent {
             Ok(stream) => self.await_head(target, stream).await,
             Err(fault) => {
                 self.core
@@ -318,6 +326,7 @@
         is_pending: bool,
     ) -> AttemptEnd {
         stream.cancel();
+        stream.give_up();
         let last = timeout(CANCEL_TIMEOUT, stream.next_event()).await;
         if is_pending {
             self.core
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -10,6 +10,7 @@
 //! * [`dispatch`]: attempts to run a call until an endpoint answers.
 //! * [`attempt`]: one attempt and the stream of its answer, across connections.
 //! * [`claims`]: claims of non-idempotent calls at the control quorum.
+//! * [`loss`]: reports of requests that were lost together with their agent.
 //! * [`answer`]: builds the HTTP response from the answer of an endpoint.
 //! * [`status`]: the state of the fleet as known to this entry, for its status page.
 //! * [`trace`]: the decision record and the metrics of a call.
@@ -23,6 +24,7 @@
 pub mod core;
 pub mod dispatch;
 pub mod intake;
+pub mod loss;
 pub mod operator;
 pub mod pool;
 pub mod selector;
--- a/crates/fake/src/fleet/caller.rs
+++ b/crates/fake/src/fleet/caller.rs
@@ -207,9 +207,10 @@
 }
 
 impl PendingCall {
-    /// Waits until the first chunk of a chunked body has arrived or the call has ended.
-    pub fn wait_first_chunk(&self) {
-        let _ = self.first.recv();
+    /// Waits until the first chunk of a chunked body has arrived or the call has ended. Returns
+    /// whether a chunk has arrived.
+    pub fn wait_first_chunk(&self) -> bool {
+        self.first.recv().is_ok()
     }
 
     /// Waits until the call has ended.
