Suspect requests that an endpoint hangs on until their deadline

Operators saw: a request on which an endpoint hangs, with its health checks failing, was stopped at its deadline, came again and hung the next endpoint; it was never suspected. Cause: the agent asked whether its endpoint had crashed only when a connection broke, not when it stopped the run. Evidence: request_that_hangs_endpoints_until_its_deadline_is_never_quarantined, with real processes; on the code before the agent counts no crash within 30 s. Fix: a run that is stopped while the endpoint fails its health checks is taken for lost in a crash, if one more check fails, too. What ran beside it becomes suspect as at any crash, and is cleared when it completes alone.

--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -32,6 +32,16 @@
 }
 
 impl RunEnd {
+    /// Whether the run may have ended because the endpoint crashed. One that was stopped, by its
+    /// deadline for example, only if the endpoint fails its health checks: it may hang.
+    fn may_be_crash(&self, core: &AgentCore) -> bool {
+        match self {
+            Self::Broken(_) => true,
+            Self::Stopped(_) => !core.is_endpoint_up.get(),
+            Self::Complete(_) | Self::NotSent(_) => false,
+        }
+    }
+
     fn outcome(&self) -> RunOutcome {
         match self {
             Self::Complete(_) => RunOutcome::Ran,
@@ -48,9 +58,7 @@
         end = call_endpoint(&core, &session) => end,
         fault = session.wait_for_stop() => RunEnd::Stopped(fault),
     };
-    if let RunEnd::Broken(_) = end
-        && !endpoint::is_alive(&core).await
-    {
+    if end.may_be_crash(&core) && !endpoint::is_alive(&core).await {
         core.handle_endpoint_crash(cache_epoch);
     }
     if let RunEnd::Broken(_) = end {
