--- /dev/null
+++ b/crates/measure/src/poison/replay/messages.rs
@@ -0,0 +1,100 @@
+//! Notices between the gateways.
+
+use std::time::Duration;
+
+use rand::RngExt;
+use wire::gateway::CrashNotice;
+
+use super::{GATEWAYS, PoisonFleet, STEP};
+
+/// Delay of a message between gateways.
+const MESSAGE_DELAY: Duration = Duration::from_millis(5);
+/// Interval of the regular work of a gateway.
+const TICK_INTERVAL: Duration = Duration::from_millis(250);
+/// Share of the messages between gateways that are lost.
+const MESSAGE_LOSS: f64 = 0.02;
+
+/// A notice on its way from one gateway to another.
+#[derive(Clone, Debug)]
+pub(super) struct NoticeInFlight {
+    arrives_at: Duration,
+    sender: usize,
+    recipient: usize,
+    notice: CrashNotice,
+}
+
+impl PoisonFleet {
+    pub(super) fn deliver_messages(&mut self) {
+        let now = self.now;
+        let due = self
+            .messages
+            .extract_if(.., |message| message.arrives_at <= now);
+        let due: Vec<NoticeInFlight> = due.collect();
+        for message in due {
+            let slot = &mut self.gateways[message.recipient];
+            if slot.down_until > now || slot.cut_until > now {
+                continue;
+            }
+            if let Some(reply) = slot.gateway.receive(now, &message.notice) {
+                self.send(message.recipient, message.sender, reply);
+            }
+        }
+    }
+
+    pub(super) fn send_messages(&mut self) {
+        for sender in 0..GATEWAYS {
+            let slot = &mut self.gateways[sender];
+            if slot.down_until > self.now {
+                continue;
+            }
+            if slot.down_until + STEP > self.now && slot.starts > 0 {
+                self.greet(sender);
+            }
+            let since_tick = (self.now + STEP * sender as u32).as_millis();
+            if since_tick.is_multiple_of(TICK_INTERVAL.as_millis()) {
+                self.tick(sender);
+            }
+            while let Some(notice) = self.gateways[sender].gateway.next_notice(self.now) {
+                for recipient in (0..GATEWAYS).filter(|recipient| *recipient != sender) {
+                    self.send(sender, recipient, notice.clone());
+                }
+            }
+        }
+    }
+
+    /// The others repeat what they know to a gateway that has just started.
+    fn greet(&mut self, newcomer: usize) {
+        for sender in (0..GATEWAYS).filter(|sender| *sender != newcomer) {
+            let slot = &mut self.gateways[sender];
+            if slot.down_until > self.now {
+                continue;
+            }
+            if let Some(notice) = slot.gateway.next_repetition(self.now) {
+                self.send(sender, newcomer, notice);
+            }
+        }
+    }
+
+    /// The regular work of a gateway.
+    fn tick(&mut self, number: usize) {
+        let slot = &mut self.gateways[number];
+        slot.gateway.expire(self.now);
+        slot.last_told = (slot.last_told + 1) % GATEWAYS;
+        let recipient = slot.last_told;
+        if let Some(notice) = slot.gateway.next_repetition(self.now) {
+            self.send(number, recipient, notice);
+        }
+    }
+
+    fn send(&mut self, sender: usize, recipient: usize, notice: CrashNotice) {
+        let is_cut = self.gateways[sender].cut_until > self.now;
+        if !is_cut && !self.rng.random_bool(MESSAGE_LOSS) {
+            self.messages.push(NoticeInFlight {
+                arrives_at: self.now + MESSAGE_DELAY,
+                sender,
+                recipient,
+                notice,
+            });
+        }
+    }
+}
