Bound what is repeated and logged of crashes

A crash with many calls under way wrote a line for each of them at every gateway, and repetitions could fill a datagram of 1,200 bytes four times a second at each, beyond the 4 KB/s that a node may spend. Change: the first crash of a request is logged only where the request was lost; the metric still counts each. A repetition carries two requests with their three crashes, some 200 bytes; gateways repeat different ones, so a newcomer hears eight requests a second.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -31,6 +31,9 @@
 use self::served::ServedRequests;
 use self::suspect::{BLOCKING_CRASHES, SUSPICION_TIME, SuspectRequest, SuspectTable};
 
+/// Largest number of crashes in one repetition. Repetitions go on for as long as a request is
+/// suspected, so they have to be small.
+const MAX_REPEATED_CRASHES: usize = 6;
 /// Added to all times, so that crashes from before the start of this instance have one, too.
 const CLOCK_OFFSET: Duration = SUSPICION_TIME;
 
@@ -58,6 +61,8 @@
         endpoint: EndpointId,
         /// Number of crashes in which the request was lost.
         crashes: usize,
+        /// Whether the request was lost at this instance.
+        is_own: bool,
     },
     /// The request is refused from now on, unless an instance objects.
     Blocked(FingerprintHash),
@@ -263,9 +268,7 @@
         let mut told: BTreeMap<CrashId, EndpointCrash> = BTreeMap::new();
         let mut requests = 0;
         for (fingerprint, suspect) in self.suspects.repeated_from(first) {
-            let is_full = told.len() + BLOCKING_CRASHES > MAX_NOTICE_CRASHES
-                || requests + BLOCKING_CRASHES > MAX_NOTICE_REQUESTS;
-            if is_full {
+            if requests + BLOCKING_CRASHES > MAX_REPEATED_CRASHES {
                 self.next_repeated = fingerprint;
                 break;
             }
@@ -326,7 +329,7 @@
             .iter()
             .partition(|fingerprint| self.served.excuses(&crash, **fingerprint));
         for fingerprint in counted {
-            self.count(now, crash, fingerprint);
+            self.count(now, crash, fingerprint, false);
         }
         excused
     }
@@ -371,7 +374,7 @@
 
     /// Counts a crash against a request of this instance, and announces it.
     fn count_own(&mut self, now: Duration, crash: KnownCrash, fingerprint: FingerprintHash) {
-        if self.served.excuses(&crash, fingerprint) || !self.count(now, crash, fingerprint) {
+        if self.served.excuses(&crash, fingerprint) || !self.count(now, crash, fingerprint, true) {
             return;
         }
         self.suspects.note_own(fingerprint);
@@ -380,7 +383,13 @@
     }
 
     /// Counts a crash against a request. Returns whether it was not counted before.
-    fn count(&mut self, now: Duration, crash: KnownCrash, fingerprint: FingerprintHash) -> bool {
+    fn count(
+        &mut self,
+        now: Duration,
+        crash: KnownCrash,
+        fingerprint: FingerprintHash,
+        is_own: bool,
+    ) -> bool {
         let Some(count) = self.suspects.count(now, crash, fingerprint) else {
             return false;
         };
@@ -388,6 +397,7 @@
             fingerprint,
             endpoint: crash.endpoint,
             crashes: count.crashes,
+            is_own,
         });
         if count.is_blocked {
             self.decisions.push(CrashDecision::Blocked(fingerprint));
--- a/crates/relay/src/crash_log.rs
+++ b/crates/relay/src/crash_log.rs
@@ -45,10 +45,18 @@
                 endpoint_id = hex_text(endpoint).as_str();
                 "relay: endpoint found down"
             ),
+            // A crash is counted at every instance for every request that was lost in it; the first
+            // one is logged only where the request was lost.
+            CrashDecision::Counted {
+                crashes: 1,
+                is_own: false,
+                ..
+            } => {}
             CrashDecision::Counted {
                 fingerprint,
                 endpoint,
                 crashes,
+                ..
             } => {
                 let text = format!("relay: crash counted, {crashes} in all");
                 self.log_run(&text, fingerprint, endpoint);
