Refuse a request at its third crash without a wait

A call in the 100 ms after the third crash of its request waited for objections of other gateways. The wait, its type and its state go.

--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use relay::crash::{CrashTracker, LostRun, RequestVerdict};
+use relay::crash::{CrashTracker, LostRun};
 use relay::health::CallOutcome;
 use relay::placement::{PlacementQuery, PlacementSettings, choose};
 use relay::table::EndpointTable;
@@ -49,9 +49,9 @@
         self.table.replace(listed);
     }
 
-    /// Whether a request may be sent to an endpoint.
-    pub fn verdict(&self, now: Duration, fingerprint: FingerprintHash) -> RequestVerdict {
-        self.crashes.verdict(now, fingerprint)
+    /// Whether a request is refused as suspected.
+    pub fn is_refused(&self, now: Duration, fingerprint: FingerprintHash) -> bool {
+        self.crashes.refused_for(now, fingerprint).is_some()
     }
 
     /// Chooses an endpoint that the call has not tried.
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -64,23 +64,12 @@
         /// Whether the request was lost at this instance.
         is_own: bool,
     },
-    /// The request is refused from now on, unless an instance objects.
+    /// The request is refused from now on.
     Blocked(FingerprintHash),
     /// Crashes no longer count against a request, as it was served.
     Cleared(FingerprintHash),
 }
 
-/// Whether a request may be sent to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RequestVerdict {
-    /// It may.
-    Send,
-    /// It will be decided within this time.
-    Wait(Duration),
-    /// It was lost in too many crashes and is refused for this time.
-    Refuse(Duration),
-}
-
 /// Tracks which requests are suspected of crashing endpoints, by fingerprint.
 #[derive(Debug, Default)]
 pub struct CrashTracker {
@@ -123,7 +112,7 @@
         };
         self.expire_pending(now);
         if let Some(crash) = self.crashes.cause_of(&run) {
-            self.count_own(now, crash, run.fingerprint);
+            self.count_own(crash, run.fingerprint);
         } else if self.pending.push(now, run) {
             self.decisions.push(CrashDecision::Pending(run));
         }
@@ -142,7 +131,7 @@
         for run in lost {
             let crash = known.filter(|crash| crash.covers(&run)).or(found);
             if let Some(crash) = crash {
-                self.count_own(now, crash, run.fingerprint);
+                self.count_own(crash, run.fingerprint);
             }
         }
     }
@@ -201,12 +190,11 @@
 
 /// Verdicts on requests.
 impl CrashTracker {
-    /// Whether a request may be sent to an endpoint.
-    pub fn verdict(&self, now: Duration, fingerprint: FingerprintHash) -> RequestVerdict {
-        let suspect = self.suspects.get(fingerprint);
-        suspect.map_or(RequestVerdict::Send, |suspect| {
-            suspect.verdict(now + CLOCK_OFFSET)
-        })
+    /// Time for which a request is refused, as it was lost in too many crashes; `None` if it may be
+    /// sent to an endpoint.
+    pub fn refused_for(&self, now: Duration, fingerprint: FingerprintHash) -> Option<Duration> {
+        let suspect = self.suspects.get(fingerprint)?;
+        suspect.refused_for(now + CLOCK_OFFSET)
     }
 
     /// Whether a request whose run was lost may be sent to another endpoint. Pending runs count as
@@ -322,14 +310,14 @@
         let crash = known.unwrap_or_else(|| KnownCrash::of_notice(now, told));
         self.keep_crash(now, crash);
         for run in self.pending.take(|run| crash.covers(run)) {
-            self.count_own(now, crash, run.fingerprint);
+            self.count_own(crash, run.fingerprint);
         }
         let (excused, counted): (Vec<FingerprintHash>, Vec<FingerprintHash>) = told
             .requests
             .iter()
             .partition(|fingerprint| self.served.excuses(&crash, **fingerprint));
         for fingerprint in counted {
-            self.count(now, crash, fingerprint, false);
+            self.count(crash, fingerprint, false);
         }
         excused
     }
@@ -373,8 +361,8 @@
     }
 
     /// Counts a crash against a request of this instance, and announces it.
-    fn count_own(&mut self, now: Duration, crash: KnownCrash, fingerprint: FingerprintHash) {
-        if self.served.excuses(&crash, fingerprint) || !self.count(now, crash, fingerprint, true) {
+    fn count_own(&mut self, crash: KnownCrash, fingerprint: FingerprintHash) {
+        if self.served.excuses(&crash, fingerprint) || !self.count(crash, fingerprint, true) {
             return;
         }
         self.suspects.note_own(fingerprint);
@@ -383,14 +371,8 @@
     }
 
     /// Counts a crash against a request. Returns whether it was not counted before.
-    fn count(
-        &mut self,
-        now: Duration,
-        crash: KnownCrash,
-        fingerprint: FingerprintHash,
-        is_own: bool,
-    ) -> bool {
-        let Some(count) = self.suspects.count(now, crash, fingerprint) else {
+    fn count(&mut self, crash: KnownCrash, fingerprint: FingerprintHash, is_own: bool) -> bool {
+        let Some(count) = self.suspects.count(crash, fingerprint) else {
             return false;
         };
         self.decisions.push(CrashDecision::Counted {
--- a/crates/relay/src/crash/suspect.rs
+++ b/crates/relay/src/crash/suspect.rs
@@ -5,7 +5,6 @@
 
 use wire::id::FingerprintHash;
 
-use super::RequestVerdict;
 use super::outage::KnownCrash;
 
 /// Number of crashes in which a request was lost, from which on it is refused.
@@ -15,9 +14,6 @@
 /// Time after the latest crash of a request until its crashes are forgotten. A request that is let
 /// through again before is refused after one more crash.
 pub(super) const SUSPICION_TIME: Duration = Duration::from_secs(60 * 60);
-/// Time from the crash that makes a request refused until it is, in which other instances may
-/// object.
-const OBJECTION_TIME: Duration = Duration::from_millis(100);
 /// Number of crashes in which a request was lost, from which on instances repeat them to each other.
 const REPEATED_CRASHES: usize = 2;
 /// Maximum number of suspected requests that are kept.
@@ -31,8 +27,6 @@
 pub(super) struct SuspectRequest {
     /// The crashes, in the order in which they became known.
     crashes: Vec<KnownCrash>,
-    /// When the number of crashes reached [`BLOCKING_CRASHES`].
-    blocked_at: Duration,
     /// Whether a run of this instance was lost in one of the crashes.
     pub(super) is_own: bool,
 }
@@ -61,17 +55,11 @@
         self.count() >= REPEATED_CRASHES
     }
 
-    /// Whether the request may be sent to an endpoint.
-    pub(super) fn verdict(&self, now: Duration) -> RequestVerdict {
+    /// Time for which the request is refused; `None` if it may be sent to an endpoint.
+    pub(super) fn refused_for(&self, now: Duration) -> Option<Duration> {
         let refused_until = self.latest_at() + BLOCKING_TIME;
-        if self.count() < BLOCKING_CRASHES || now >= refused_until {
-            return RequestVerdict::Send;
-        }
-        let decided_at = self.blocked_at + OBJECTION_TIME;
-        match now < decided_at {
-            true => RequestVerdict::Wait(decided_at - now),
-            false => RequestVerdict::Refuse(refused_until - now),
-        }
+        let is_refused = self.count() >= BLOCKING_CRASHES && now < refused_until;
+        is_refused.then(|| refused_until - now)
     }
 
     /// Whether the request was lost in one crash only.
@@ -111,7 +99,6 @@
     /// full of requests with several crashes.
     pub(super) fn count(
         &mut self,
-        now: Duration,
         crash: KnownCrash,
         fingerprint: FingerprintHash,
     ) -> Option<CrashCount> {
@@ -125,13 +112,9 @@
         let before = suspect.count();
         suspect.crashes.push(crash);
         let crashes = suspect.count();
-        let is_blocked = before < BLOCKING_CRASHES && crashes >= BLOCKING_CRASHES;
-        if is_blocked {
-            suspect.blocked_at = now;
-        }
         Some(CrashCount {
             crashes,
-            is_blocked,
+            is_blocked: before < BLOCKING_CRASHES && crashes >= BLOCKING_CRASHES,
         })
     }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,13 +4,12 @@
 use std::time::Duration;
 
 use fault::FaultKind;
-use tokio::time::{Instant, sleep, timeout, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 use wire::id::EndpointId;
 
 use crate::admission::PlacedCall;
 use crate::attempt::{AttemptResult, CallProgress, EndpointAttempt, FailedAttempt};
 use crate::call::CallMetadata;
-use crate::crash::RequestVerdict;
 use crate::health::CallOutcome;
 use crate::record::{AttemptRecord, CallEnd, CallRecord};
 use crate::refusal::CallRefusal;
@@ -100,7 +99,6 @@
     }
 
     async fn run(mut self) -> CallEnd {
-        self.wait_for_verdict().await;
         if let Some(refusal) = self.reason_to_refuse() {
             return self.send_refusal(&refusal).await;
         }
@@ -114,27 +112,14 @@
         }
     }
 
-    /// Waits while other instances may object to the refusal of the call's request.
-    async fn wait_for_verdict(&self) {
-        while let RequestVerdict::Wait(time) = self.verdict() {
-            sleep(time).await;
-        }
-    }
-
-    fn verdict(&self) -> RequestVerdict {
-        let crashes = self.state.crashes.borrow();
-        crashes.verdict(self.state.now(), self.call.fingerprint)
-    }
-
     /// Refusal of the call before any attempt; `None` if it may be attempted.
     fn reason_to_refuse(&self) -> Option<CallRefusal> {
         let (state, call) = (self.state, self.call);
         if !state.accepts_call(call.deadline.saturating_duration_since(call.started)) {
             return Some(CallRefusal::new(FaultKind::Draining, call.time_left()));
         }
-        let RequestVerdict::Refuse(time) = self.verdict() else {
-            return None;
-        };
+        let crashes = state.crashes.borrow();
+        let time = crashes.refused_for(state.now(), call.fingerprint)?;
         Some(CallRefusal {
             scheduled_wait: Some(time),
             ..CallRefusal::new(FaultKind::Suspected, call.time_left())
