relay: log and count how answers of endpoints state their end

The line now has framing and answer_end, and sapphire_gateway_answer_ends_total counts both. No change of behaviour.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -5,8 +5,10 @@
 use actix_http::StatusCode;
 use bytes::{Bytes, BytesMut};
 
-use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
-use crate::endpoint::{self, EndpointConnection, EndpointError};
+use crate::attempt::{
+    AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
+};
+use crate::endpoint::{self, AnswerFraming, EndpointConnection, EndpointError};
 use crate::health::CallOutcome;
 use crate::pool::idle_share;
 use crate::record::CallEnd;
@@ -37,6 +39,7 @@
     async fn take_whole(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
         let reading = read_whole(self.state, &mut answer.connection);
         let read = with_time_limit(self.progress.silence_limit, reading).await;
+        self.note_end(answer.connection.framing, read.is_ok(), 0);
         let body = match read {
             Ok(body) => body,
             Err(_) if answer.metadata.is_not_run => Bytes::new(),
@@ -74,6 +77,7 @@
             let chunk = match with_time_limit(self.progress.silence_limit, waiting).await {
                 Ok(chunk) => chunk,
                 Err(error) => {
+                    self.note_end(answer.connection.framing, false, 0);
                     self.progress.events.drop_partial();
                     return AttemptResult::Failed(self.note_break(&error, true));
                 }
@@ -86,7 +90,11 @@
                 .note_activity(state.now(), self.endpoint);
             let bytes = match &chunk {
                 Some(chunk) => self.progress.events.push(chunk),
-                None => Some(self.progress.events.take_rest()),
+                None => {
+                    let rest = self.progress.events.take_rest();
+                    self.note_end(answer.connection.framing, true, rest.len());
+                    Some(rest)
+                }
             };
             let Some(bytes) = bytes else {
                 continue;
@@ -128,6 +136,19 @@
         }
     }
 
+    /// Records how an answer ended. `rest_bytes` is the number of bytes after the last whole event
+    /// of a stream.
+    fn note_end(&mut self, framing: AnswerFraming, is_read: bool, rest_bytes: usize) {
+        let end = AnswerEnd {
+            framing,
+            is_read,
+            rest_bytes,
+        };
+        self.progress.answer_end = Some(end);
+        let metrics = &self.state.metrics;
+        metrics.count_answer_end(framing.label(), end.label());
+    }
+
     /// Records that a good answer is about to be forwarded, in the progress of the call and in the
     /// health of the endpoint. The recorded time counts from the arrival of the call and includes
     /// earlier attempts.
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,7 +9,7 @@
 use wire::id::EndpointId;
 
 use crate::call::{AnswerMetadata, ForwardMetadata};
-use crate::endpoint::{self, EndpointConnection, EndpointError};
+use crate::endpoint::{self, AnswerFraming, EndpointConnection, EndpointError};
 use crate::events::EventSplitter;
 use crate::health::CallOutcome;
 use crate::placement;
@@ -76,10 +76,34 @@
     pub queue_wait: Duration,
     /// Time from the arrival of the call until a good answer began to be forwarded.
     pub first_byte: Option<Duration>,
+    /// How the last answer ended, for the log.
+    pub answer_end: Option<AnswerEnd>,
     /// Why the last attempt failed, for the log.
     pub last_error: Option<String>,
 }
 
+/// How an endpoint's answer whose head had arrived ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerEnd {
+    /// How the answer stated its end.
+    pub framing: AnswerFraming,
+    /// Whether the body was read to an end, stated or not.
+    pub is_read: bool,
+    /// Number of bytes after the last whole event of a stream.
+    pub rest_bytes: usize,
+}
+
+impl AnswerEnd {
+    /// Label for the log and the metrics.
+    pub fn label(self) -> &'static str {
+        match (self.is_read, self.rest_bytes) {
+            (false, _) => "broken",
+            (true, 0) => "read",
+            (true, _) => "inside-event",
+        }
+    }
+}
+
 /// An attempt in progress.
 pub struct EndpointAttempt<'a> {
     /// State that all calls of the instance share.
--- a/crates/relay/src/endpoint.rs
+++ b/crates/relay/src/endpoint.rs
@@ -77,8 +77,33 @@
 /// Result of operations on a connection.
 pub type Result<T> = std::result::Result<T, EndpointError>;
 
-/// How the end of a body is recognized.
-enum BodyFraming {
+/// How an answer states the end of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AnswerFraming {
+    /// There is no body.
+    Bodiless,
+    /// By the length of the body.
+    Length,
+    /// By the last chunk.
+    Chunks,
+    /// Not at all: the body ends with the connection, as it also does when the endpoint crashes.
+    UntilClose,
+}
+
+impl AnswerFraming {
+    /// Label for the log and the metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Bodiless => "bodiless",
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::UntilClose => "until-close",
+        }
+    }
+}
+
+/// State of reading a body.
+enum BodyState {
     /// There is no body, or it has ended.
     Ended,
     /// The body is delimited by its length or by chunked encoding.
@@ -91,7 +116,9 @@
 pub struct EndpointConnection {
     stream: TcpStream,
     read_buffer: BytesMut,
-    body: BodyFraming,
+    /// How the current answer states the end of its body.
+    pub framing: AnswerFraming,
+    body: BodyState,
     /// Whether bytes of the current call were written to the socket.
     pub has_sent: bool,
     /// Whether all bytes of the current call were written to the socket.
@@ -116,7 +143,8 @@
         Self {
             stream,
             read_buffer: BytesMut::new(),
-            body: BodyFraming::Ended,
+            framing: AnswerFraming::Bodiless,
+            body: BodyState::Ended,
             has_sent: false,
             is_sent_whole: false,
             keeps_alive: false,
@@ -159,7 +187,14 @@
         self.is_sent_whole = false;
         let head = self.send_and_read(&mut codec, &write_buffer).await?;
         self.keeps_alive = codec.keep_alive();
-        self.body = framing_of(codec, &head);
+        self.framing = framing_of(&codec, &head);
+        self.body = match self.framing {
+            AnswerFraming::Bodiless => BodyState::Ended,
+            AnswerFraming::Length | AnswerFraming::Chunks => {
+                BodyState::Framed(codec.into_payload_codec())
+            }
+            AnswerFraming::UntilClose => BodyState::UntilClose,
+        };
         Ok(head)
     }
 
@@ -200,15 +235,15 @@
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
         loop {
             match &mut self.body {
-                BodyFraming::Ended => return Ok(None),
-                BodyFraming::UntilClose if !self.read_buffer.is_empty() => {
+                BodyState::Ended => return Ok(None),
+                BodyState::UntilClose if !self.read_buffer.is_empty() => {
                     return Ok(Some(self.read_buffer.split().freeze()));
                 }
-                BodyFraming::UntilClose => {}
-                BodyFraming::Framed(codec) => match codec.decode(&mut self.read_buffer)? {
+                BodyState::UntilClose => {}
+                BodyState::Framed(codec) => match codec.decode(&mut self.read_buffer)? {
                     Some(Some(chunk)) => return Ok(Some(chunk)),
                     Some(None) => {
-                        self.body = BodyFraming::Ended;
+                        self.body = BodyState::Ended;
                         return Ok(None);
                     }
                     None => {}
@@ -224,7 +259,7 @@
     fn end_of_stream(&mut self) -> Result<Option<Bytes>> {
         self.keeps_alive = false;
         match self.body {
-            BodyFraming::UntilClose => Ok(None),
+            BodyState::UntilClose => Ok(None),
             _ => Err(EndpointError::Closed),
         }
     }
@@ -232,31 +267,34 @@
     /// Whether the answer has arrived up to the end that the endpoint stated for it. `false` for an
     /// answer that ended with its connection, as it also does when the endpoint crashes.
     pub fn is_whole(&self) -> bool {
-        matches!(self.body, BodyFraming::Ended)
+        matches!(self.body, BodyState::Ended)
     }
 
     /// Whether another call may use the connection: the endpoint keeps it open, the call was sent
     /// whole, and no bytes followed the end of the answer.
     pub fn is_reusable(&self) -> bool {
-        let has_ended = matches!(self.body, BodyFraming::Ended);
+        let has_ended = matches!(self.body, BodyState::Ended);
         has_ended && self.keeps_alive && self.is_sent_whole && self.read_buffer.is_empty()
     }
 }
 
-fn framing_of(codec: ClientCodec, head: &ResponseHead) -> BodyFraming {
+fn framing_of(codec: &ClientCodec, head: &ResponseHead) -> AnswerFraming {
+    let headers = head.headers();
+    let has_length = headers.contains_key(CONTENT_LENGTH);
     if !matches!(codec.message_type(), MessageType::None) {
-        return BodyFraming::Framed(codec.into_payload_codec());
+        return match has_length {
+            true => AnswerFraming::Length,
+            false => AnswerFraming::Chunks,
+        };
     }
-    let headers = head.headers();
-    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let is_framed = has_length || headers.contains_key(TRANSFER_ENCODING);
     let has_none = matches!(
         head.status,
         StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
     );
-    if is_framed || has_none {
-        BodyFraming::Ended
-    } else {
-        BodyFraming::UntilClose
+    match is_framed || has_none {
+        true => AnswerFraming::Bodiless,
+        false => AnswerFraming::UntilClose,
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -105,6 +105,7 @@
         let deadline = self.call.deadline;
         let end = timeout_at(deadline, self.try_endpoints()).await;
         self.record.last_error = self.progress.last_error.take();
+        self.record.answer_end = self.progress.answer_end;
         self.record.first_byte = self.progress.first_byte;
         match end {
             Ok(end) => end,
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -7,6 +7,7 @@
 use watch::{CallSample, GatewayMetrics};
 use wire::id::{EndpointId, FingerprintHash};
 
+use crate::attempt::AnswerEnd;
 use crate::crash_log::hex_text;
 
 /// How a call ended, as seen by the caller.
@@ -65,6 +66,8 @@
     pub retry_after: Option<Duration>,
     /// Time from the arrival of the call until a good answer began to be forwarded.
     pub first_byte: Option<Duration>,
+    /// How the last answer of an endpoint ended; `None` if no head of one arrived.
+    pub answer_end: Option<AnswerEnd>,
     /// Why the last failed attempt failed.
     pub last_error: Option<String>,
     /// How the call ended.
@@ -89,6 +92,7 @@
             queue_wait: Duration::ZERO,
             retry_after: None,
             first_byte: None,
+            answer_end: None,
             last_error: None,
             end: CallEnd::CallerLost,
             elapsed: Duration::ZERO,
@@ -132,6 +136,8 @@
             rank = self.rank,
             queue_ms = self.queue_wait.as_millis() as u64,
             retry_after_ms = self.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
+            framing = self.answer_end.map_or("", |end| end.framing.label()),
+            answer_end = self.answer_end.map_or("", AnswerEnd::label),
             error = self.last_error.as_deref().unwrap_or(""),
             elapsed_ms = self.elapsed.as_millis() as u64;
             "relay: call"
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -33,6 +33,7 @@
     routes: LabelLimiter,
     calls: IntCounterVec,
     attempts: IntCounterVec,
+    answer_ends: IntCounterVec,
     crash_decisions: IntCounterVec,
     first_byte: HistogramVec,
     answer: HistogramVec,
@@ -65,6 +66,12 @@
                 "Tries of calls at endpoints, by how they ended.",
                 &["end"],
             )?,
+            answer_ends: counter_family(
+                registry,
+                "sapphire_gateway_answer_ends_total",
+                "Answers of endpoints, by how they state their end and how they ended.",
+                &["framing", "end"],
+            )?,
             crash_decisions: counter_family(
                 registry,
                 "sapphire_gateway_crash_decisions_total",
@@ -123,6 +130,11 @@
         self.attempts.with_label_values(&[end]).inc();
     }
 
+    /// Counts an answer of an endpoint. Both values become labels and must be from closed sets.
+    pub fn count_answer_end(&self, framing: &str, end: &str) {
+        self.answer_ends.with_label_values(&[framing, end]).inc();
+    }
+
     /// Counts a decision on a call that may have crashed an endpoint. `decision` becomes a label and
     /// must be from a closed set.
     pub fn count_crash_decision(&self, decision: &str) {
