Reproduce broken off answers that are framed as complete, failing

At the entry, through the agent: cut chunks and a reset are framed as complete, and answers without a length arrive empty and framed as complete.

The fixture of the gateway's tests reads answers without a length to the end of their connection and tells a close from a reset; the tests of forwarding become a folder, so that framing shares their fixture.

--- a/crates/fake/src/fleet/caller.rs
+++ b/crates/fake/src/fleet/caller.rs
@@ -62,6 +62,14 @@
         }
     }
 
+    /// Creates a HEAD request.
+    pub fn head(http: SocketAddr, path: &str) -> Self {
+        Self {
+            method: "HEAD",
+            ..Self::get(http, path)
+        }
+    }
+
     /// Creates a POST request with a JSON body.
     pub fn post(http: SocketAddr, path: &str, body: &Value) -> Self {
         Self {
@@ -132,9 +140,15 @@
         stream.write_all(&self.encode())?;
         let mut reader = BufReader::new(stream);
         read_head(&mut reader, answer)?;
+        if self.method == "HEAD" || matches!(answer.status, 204 | 304) {
+            return Ok(());
+        }
         if answer.header("transfer-encoding") == "chunked" {
             return read_chunks(&mut reader, answer, first);
         }
+        if !answer.states_end() {
+            return reader.read_to_end(&mut answer.body).map(|_| ());
+        }
         let length = answer.header("content-length").parse().unwrap_or(0);
         answer.body.resize(length, 0);
         reader.read_exact(&mut answer.body)
@@ -228,6 +242,14 @@
         found.map_or("", |(_, value)| value.as_str())
     }
 
+    /// Whether the answer states the end of its body. One that does not ends with its connection.
+    pub fn states_end(&self) -> bool {
+        let has_no_body = matches!(self.status, 204 | 304);
+        has_no_body
+            || !self.header("content-length").is_empty()
+            || !self.header("transfer-encoding").is_empty()
+    }
+
     /// Returns the execution outcome from header `x-outcome`.
     pub fn outcome(&self) -> &str {
         self.header("x-outcome")
--- /dev/null
+++ b/crates/fake/tests/framing.rs
@@ -0,0 +1,207 @@
+//! What callers of an entry are told of the end of an answer, with real processes before a
+//! scripted plain service.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+
+use fake::fleet::caller::{CallerAnswer, HttpCall};
+use fake::fleet::plan::{ACCOUNT_KEY, FleetPlan};
+use fake::fleet::{TestFleet, wait_for};
+use googletest::prelude::*;
+
+/// Answer to each request of a path, and how its connection ends.
+#[derive(Clone, Debug)]
+struct ScriptedAnswer {
+    path: &'static str,
+    bytes: Vec<u8>,
+    end: ConnectionEnd,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionEnd {
+    Close,
+    Reset,
+    /// The bytes are repeated until the caller closes the connection.
+    Endless,
+}
+
+fn scripted(path: &'static str, end: ConnectionEnd, bytes: &str) -> ScriptedAnswer {
+    ScriptedAnswer {
+        path,
+        bytes: bytes.as_bytes().to_vec(),
+        end,
+    }
+}
+
+/// Replaces the plain service of a fleet by one with scripted answers.
+fn replace_plain(fleet: &mut TestFleet, answers: Vec<ScriptedAnswer>) {
+    fleet.plain.endpoint.process.kill();
+    let address = fleet.plain.endpoint.http;
+    let mut listener = None;
+    wait_for("the address of the plain service is free", || {
+        listener = TcpListener::bind(address).ok();
+        listener.is_some()
+    });
+    let listener = listener.expect("the condition was met");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let answers = answers.clone();
+            thread::spawn(move || serve(stream, &answers));
+        }
+    });
+    wait_for("the scripted service is up", || {
+        service_call(fleet, HttpCall::get, "sound").status == 200
+    });
+}
+
+fn serve(stream: TcpStream, answers: &[ScriptedAnswer]) {
+    let mut reader = BufReader::new(stream.try_clone().expect("the socket can be cloned"));
+    let mut writer = stream;
+    while let Some((path, length)) = read_request(&mut reader) {
+        let mut body = vec![0; length];
+        if reader.read_exact(&mut body).is_err() {
+            return;
+        }
+        let Some(answer) = answers.iter().find(|answer| answer.path == path) else {
+            let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
+            if writer.write_all(ok).is_err() {
+                return;
+            }
+            continue;
+        };
+        let mut is_sent = writer.write_all(&answer.bytes).is_ok();
+        while answer.end == ConnectionEnd::Endless && is_sent {
+            is_sent = writer
+                .write_all(&answer.bytes[answer.bytes.len() / 2..])
+                .is_ok();
+        }
+        if answer.end == ConnectionEnd::Reset {
+            let _ = socket_linger(&writer);
+        }
+        return;
+    }
+}
+
+/// Lets the close of a socket reset its connection.
+fn socket_linger(stream: &TcpStream) -> std::io::Result<()> {
+    thread::sleep(std::time::Duration::from_millis(50));
+    socket2::SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO))
+}
+
+/// Reads the head of a request. Returns its path and the length of its body.
+fn read_request(reader: &mut impl BufRead) -> Option<(String, usize)> {
+    let mut line = String::new();
+    reader.read_line(&mut line).ok()?;
+    let path = line.split(' ').nth(1)?.to_owned();
+    let mut length = 0;
+    loop {
+        let mut field = String::new();
+        if reader.read_line(&mut field).ok()? == 0 {
+            return None;
+        }
+        let lower = field.trim().to_ascii_lowercase();
+        if let Some(value) = lower.strip_prefix("content-length:") {
+            length = value.trim().parse().ok()?;
+        }
+        if lower.is_empty() {
+            return Some((path, length));
+        }
+    }
+}
+
+fn service_call(
+    fleet: &TestFleet,
+    method: fn(SocketAddr, &str) -> HttpCall,
+    path: &str,
+) -> CallerAnswer {
+    let path = format!("/service/guichet/{path}");
+    method(fleet.entries[0].http, &path).key(ACCOUNT_KEY).send()
+}
+
+// Issue 23, ORDER: the client of the agent took the end of a connection for the end of a body.
+#[gtest]
+fn entry_never_frames_a_broken_off_answer_as_complete() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n";
+    let whole = format!("{chunked}0\r\n\r\n");
+    let unframed = "HTTP/1.1 200 OK\r\n\r\nwhole";
+    let identity = "HTTP/1.1 200 OK\r\ntransfer-encoding: identity\r\n\r\nwhole";
+    let old = "HTTP/1.0 200 OK\r\n\r\nwhole";
+    let inside_event = "HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: 1\n\nda";
+    let stated = "HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nwhole";
+    replace_plain(
+        &mut fleet,
+        vec![
+            scripted("/chunks", ConnectionEnd::Close, &whole),
+            scripted("/chunks-cut", ConnectionEnd::Close, chunked),
+            scripted("/chunks-reset", ConnectionEnd::Reset, chunked),
+            scripted("/length-cut", ConnectionEnd::Close, stated),
+            scripted("/unframed", ConnectionEnd::Close, unframed),
+            scripted("/unframed-reset", ConnectionEnd::Reset, unframed),
+            scripted("/identity", ConnectionEnd::Close, identity),
+            scripted("/old", ConnectionEnd::Close, old),
+            scripted("/inside-event", ConnectionEnd::Close, inside_event),
+        ],
+    );
+    let ask = |path: &str| service_call(&fleet, HttpCall::get, path);
+
+    expect_that!(
+        (ask("chunks").text().as_str(), ask("chunks").error),
+        eq(&("whole", None))
+    );
+    for broken in [
+        "chunks-cut",
+        "chunks-reset",
+        "length-cut",
+        "unframed-reset",
+        "inside-event",
+    ] {
+        let answer = ask(broken);
+        let is_complete = answer.status == 200 && answer.error.is_none();
+        expect_that!(is_complete, eq(false), "{broken}: {answer:?}");
+    }
+    for in_doubt in ["unframed", "identity", "old"] {
+        let answer = ask(in_doubt);
+        expect_that!(
+            answer.text().as_str(),
+            eq("whole"),
+            "{in_doubt}: {answer:?}"
+        );
+        expect_that!(answer.error, none(), "{in_doubt}");
+        expect_that!(answer.states_end(), eq(false), "{in_doubt}: {answer:?}");
+    }
+}
+
+#[gtest]
+fn entry_ends_answers_without_a_body_with_their_head() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    let unframed = "HTTP/1.1 200 OK\r\nx-kind: head\r\n\r\n";
+    replace_plain(
+        &mut fleet,
+        vec![
+            scripted("/head", ConnectionEnd::Close, unframed),
+            scripted(
+                "/none",
+                ConnectionEnd::Close,
+                "HTTP/1.1 204 No Content\r\n\r\n",
+            ),
+            scripted(
+                "/same",
+                ConnectionEnd::Close,
+                "HTTP/1.1 304 Not Modified\r\n\r\n",
+            ),
+        ],
+    );
+
+    let head = service_call(&fleet, HttpCall::head, "head");
+    let none_ = service_call(&fleet, HttpCall::get, "none");
+    let same = service_call(&fleet, HttpCall::get, "same");
+
+    expect_that!(
+        (head.status, head.header("x-kind"), &head.error),
+        eq((200, "head", &None))
+    );
+    expect_that!((none_.status, none_.error), eq(&(204, None)));
+    expect_that!((same.status, same.error), eq(&(304, None)));
+}
--- a/crates/gateway/tests/forwarding.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -23,6 +23,7 @@
 use wire::id::name_id;
 
 mod fixture;
+mod framing;
 
 use fixture::{
     CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, TEST_TIMEOUT, call, call_on, chunk,
