Move the connection to an endpoint into a crate of its own

The agent judges the end of an answer by another HTTP client than the gateway and repeats its mistakes, so both need one client. The connection and the splitting of event streams leave relay for the new crate exchange; no behaviour changes.

--- /dev/null
+++ b/crates/exchange/src/lib.rs
@@ -0,0 +1,7 @@
+//! HTTP exchanges with endpoints, for gateways and agents alike.
+//!
+//! * [`connection`]: one connection to an endpoint, and how its answers state their end.
+//! * [`events`]: splitting of an event stream into whole events.
+
+pub mod connection;
+pub mod events;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -8,7 +8,6 @@
 use crate::attempt::{
     AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
 };
-use crate::endpoint::{self, AnswerFraming, EndpointConnection, EndpointError};
 use crate::health::CallOutcome;
 use crate::pool::idle_share;
 use crate::record::CallEnd;
@@ -16,6 +15,7 @@
 use crate::retry::AttemptEnd;
 use crate::session;
 use crate::state::{OccupiedSlot, RelayState};
+use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
 
 impl EndpointAttempt<'_> {
     /// Processes an answer whose head has arrived: streams a successful answer of a stream route,
@@ -213,7 +213,7 @@
 async fn read_whole(
     state: &RelayState,
     connection: &mut EndpointConnection,
-) -> endpoint::Result<Bytes> {
+) -> connection::Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(chunk) = connection.next_chunk().await? {
         if body.len() + chunk.len() > state.settings.whole_answer_bytes {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,8 +9,6 @@
 use wire::id::EndpointId;
 
 use crate::call::{AnswerMetadata, ForwardMetadata};
-use crate::endpoint::{self, AnswerFraming, EndpointConnection, EndpointError};
-use crate::events::EventSplitter;
 use crate::health::CallOutcome;
 use crate::placement;
 use crate::relay_call::RelayCall;
@@ -18,6 +16,8 @@
 use crate::retry::AttemptEnd;
 use crate::session::SessionWriter;
 use crate::state::{OccupiedSlot, RelayState};
+use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
+use exchange::events::EventSplitter;
 
 /// Multiple of the expected wait for a slot that is added to the silence limit while the head of
 /// the answer is awaited, as an endpoint sends nothing for a call that waits in its queue.
@@ -150,7 +150,7 @@
         result
     }
 
-    async fn open_answer(&mut self, slot: &OccupiedSlot) -> endpoint::Result<OpenAnswer> {
+    async fn open_answer(&mut self, slot: &OccupiedSlot) -> connection::Result<OpenAnswer> {
         let (state, call) = (self.state, self.call);
         let (address, name) = {
             let table = state.table.borrow();
@@ -165,7 +165,7 @@
             state.dialect.forward_call(incoming, &metadata)
         };
         let method = call.head.method().clone();
-        let head = endpoint::request_head(method, call.head.uri().clone(), headers);
+        let head = connection::request_head(method, call.head.uri().clone(), headers);
         self.progress.may_run = true;
         slot.note_alive();
         let exchange = connection.exchange(&state.http, head, call.body);
@@ -182,7 +182,10 @@
     }
 
     /// Takes an idle connection, or opens one. An endpoint that accepts none is recorded as down.
-    async fn open_connection(&self, address: SocketAddrV4) -> endpoint::Result<EndpointConnection> {
+    async fn open_connection(
+        &self,
+        address: SocketAddrV4,
+    ) -> connection::Result<EndpointConnection> {
         let state = self.state;
         if let Some(connection) = state.pool.take(state.now(), self.endpoint) {
             return Ok(connection);
@@ -218,7 +221,7 @@
     /// Reads the metadata of an answer's head and records the endpoint's activity and load. Runs at
     /// the endpoint that were lost before the attempt were not lost in a crash, unless the answer is
     /// another endpoint's. Fails if the answer carries the attempt id of another call.
-    fn read_head(&self, head: &ResponseHead) -> endpoint::Result<AnswerMetadata> {
+    fn read_head(&self, head: &ResponseHead) -> connection::Result<AnswerMetadata> {
         let state = self.state;
         let now = state.now();
         state.table.borrow_mut().note_activity(now, self.endpoint);
@@ -262,8 +265,8 @@
 /// `None` if the call can't be retried elsewhere.
 pub(crate) async fn with_time_limit<T>(
     limit: Option<Duration>,
-    wait: impl Future<Output = endpoint::Result<T>>,
-) -> endpoint::Result<T> {
+    wait: impl Future<Output = connection::Result<T>>,
+) -> connection::Result<T> {
     match limit {
         Some(limit) => timeout(limit, wait)
             .await
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -9,8 +9,8 @@
 use wire::id::{EndpointId, FingerprintHash};
 
 use crate::crash::LostRun;
-use crate::endpoint::EndpointConnection;
 use crate::state::RelayState;
+use exchange::connection::EndpointConnection;
 
 impl RelayState {
     /// Records that a run was lost.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,14 +15,12 @@
 //! * [`crash`]: detection of requests that crash the endpoints that run them.
 //! * [`retry`]: whether a failed attempt is followed by another.
 //! * [`refusal`]: refused calls and their `Retry-After` time.
-//! * [`events`]: splitting of an event stream into whole events.
 //!
 //! Serving of calls, with I/O:
 //!
 //! * [`rules`]: catalog rules that apply to a call.
 //! * [`call`]: metadata of calls and answers, and the trait that reads and writes it.
 //! * [`session`]: server side of one caller connection.
-//! * [`endpoint`]: client side of one endpoint connection.
 //! * [`pool`]: pool of idle endpoint connections.
 //! * [`relay_call`]: a call together with its rules.
 //! * [`attempt`]: one attempt of a call at one endpoint.
@@ -47,8 +45,6 @@
 pub mod crash;
 pub mod crash_check;
 pub mod crash_log;
-pub mod endpoint;
-pub mod events;
 pub mod forward;
 pub mod health;
 pub mod placement;
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use catalog::{CallKind, RouteRule};
+use exchange::events::EventSplitter;
 use fault::FaultKind;
 use googletest::prelude::*;
 use relay::budget::{BudgetSettings, RetryBudget};
-use relay::events::EventSplitter;
 use relay::health::{CallOutcome, EndpointHealth};
 use relay::pool::idle_share;
 use relay::refusal::CallRefusal;
