relay: tell callers the end of an answer only if it is known

Callers got a stream that its endpoint's crash had broken off inside an event as complete (ORDER). Cause: an answer without length and chunks ends with its connection, and the relay took each such end for the end of the answer, sent the incomplete event and the last chunk. The class is wider: whatever the relay read to the end of a connection it framed anew, with a length or a last chunk that its endpoint had never stated.

AnswerFraming tells how an answer states its end. A stream that ends inside an event is broken off, whatever its framing; a first one that ends with its connection before any event is no answer. An answer whose end is not stated reaches the caller in the same way: without length and chunks, ended by a close, and reset if it breaks off, also when this process ends. A resumed stream whose first part promised chunks is cut where the last part does not state its end. Answers to HEAD, 204 and 304 end with their head; interim answers are skipped; HTTP/1.0 and transfer-encoding identity count as not stated; callers of HTTP/1.0 see a cut; a failure of the endpoint that resumes is not sent into the stream.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -1,4 +1,8 @@
 //! Client side of one connection to an endpoint.
+//!
+//! The end of an answer is known only if the answer states it. A connection that ends is the end of
+//! an answer without length and chunks, or the crash of its endpoint: [`AnswerFraming`] tells which
+//! answers are in doubt.
 
 use std::io;
 use std::net::SocketAddrV4;
@@ -9,7 +13,9 @@
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version};
+use actix_http::{
+    Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode, Version,
+};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use socket2::{SockRef, TcpKeepalive};
@@ -56,6 +62,10 @@
     #[display("answer belongs to another call")]
     #[from(skip)]
     Misdelivered,
+    /// The answer states its end inside an event of a stream.
+    #[display("answer ends inside an event")]
+    #[from(skip)]
+    PartialEvent,
     /// The answer lacks the endpoint's signature.
     #[display("answer is not signed")]
     #[from(skip)]
@@ -91,6 +101,11 @@
 }
 
 impl AnswerFraming {
+    /// Whether the end of the body is known once it is read.
+    pub fn states_end(self) -> bool {
+        self != Self::UntilClose
+    }
+
     /// Label for the log and the metrics.
     pub fn label(self) -> &'static str {
         match self {
@@ -171,6 +186,7 @@
         body: &Bytes,
     ) -> Result<ResponseHead> {
         let mut codec = ClientCodec::new(config.clone());
+        let is_head = head.method == Method::HEAD;
         let mut write_buffer = BytesMut::new();
         let size = match body.len() {
             0 => BodySize::None,
@@ -187,13 +203,14 @@
         self.is_sent_whole = false;
         let head = self.send_and_read(&mut codec, &write_buffer).await?;
         self.keeps_alive = codec.keep_alive();
-        self.framing = framing_of(&codec, &head);
+        self.framing = framing_of(&head, is_head);
+        let has_payload = !matches!(codec.message_type(), MessageType::None);
         self.body = match self.framing {
-            AnswerFraming::Bodiless => BodyState::Ended,
-            AnswerFraming::Length | AnswerFraming::Chunks => {
+            AnswerFraming::Length | AnswerFraming::Chunks if has_payload => {
                 BodyState::Framed(codec.into_payload_codec())
             }
             AnswerFraming::UntilClose => BodyState::UntilClose,
+            _ => BodyState::Ended,
         };
         Ok(head)
     }
@@ -207,7 +224,8 @@
         let mut rest = write_buffer;
         loop {
             if let Some(head) = codec.decode(&mut self.read_buffer)? {
-                if head.status == StatusCode::CONTINUE {
+                if head.status.is_informational() {
+                    check_interim(codec, &head)?;
                     continue;
                 }
                 self.is_sent_whole = rest.is_empty();
@@ -278,29 +296,47 @@
     }
 }
 
-fn framing_of(codec: &ClientCodec, head: &ResponseHead) -> AnswerFraming {
+/// Whether answers with a status never have a body.
+pub fn is_bodiless(status: StatusCode) -> bool {
+    matches!(status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED)
+}
+
+/// How the answer with this head states its end. `is_head` tells whether it answers a request of
+/// method HEAD.
+fn framing_of(head: &ResponseHead, is_head: bool) -> AnswerFraming {
     let headers = head.headers();
-    let has_length = headers.contains_key(CONTENT_LENGTH);
-    if !matches!(codec.message_type(), MessageType::None) {
-        return match has_length {
-            true => AnswerFraming::Length,
-            false => AnswerFraming::Chunks,
-        };
+    let encoding = headers.get(TRANSFER_ENCODING);
+    let is_chunked = encoding.is_some_and(|value| {
+        head.version == Version::HTTP_11
+            && value
+                .as_bytes()
+                .trim_ascii()
+                .eq_ignore_ascii_case(b"chunked")
+    });
+    if is_head || is_bodiless(head.status) {
+        AnswerFraming::Bodiless
+    } else if is_chunked {
+        AnswerFraming::Chunks
+    } else if headers.contains_key(CONTENT_LENGTH) {
+        AnswerFraming::Length
+    } else {
+        AnswerFraming::UntilClose
     }
-    let is_framed = has_length || headers.contains_key(TRANSFER_ENCODING);
-    let has_none = matches!(
-        head.status,
-        StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED
-    );
-    match is_framed || has_none {
-        true => AnswerFraming::Bodiless,
-        false => AnswerFraming::UntilClose,
+}
+
+/// Checks an answer of status 1xx that precedes the final one. It has no body, and no other
+/// protocol was asked for.
+fn check_interim(codec: &ClientCodec, head: &ResponseHead) -> Result<()> {
+    let has_body = !matches!(codec.message_type(), MessageType::None);
+    if has_body || head.status == StatusCode::SWITCHING_PROTOCOLS {
+        return Err(EndpointError::Parse(ParseError::Status));
     }
+    Ok(())
 }
 
 /// Builds the head of an HTTP/1.1 request that keeps the connection alive. `uri` is sent unchanged.
 pub fn request_head(
-    method: actix_http::Method,
+    method: Method,
     uri: actix_http::Uri,
     headers: actix_http::header::HeaderMap,
 ) -> RequestHead {
--- a/crates/exchange/src/events.rs
+++ b/crates/exchange/src/events.rs
@@ -3,6 +3,7 @@
 //! Only whole events are forwarded. If an endpoint fails in the middle of an event, another
 //! endpoint can resume the stream at an event boundary.
 
+use actix_http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::{Bytes, BytesMut};
 
 /// Maximum size of an event that is buffered, in bytes. A larger event is forwarded in parts.
@@ -56,6 +57,60 @@
     }
 }
 
+/// Media type of event streams.
+const EVENT_STREAM_TYPE: &str = "text/event-stream";
+
+/// Type of an answer's content, as far as the end of a stream depends on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ContentKind {
+    /// An event stream.
+    Events,
+    /// Content of another type.
+    Other,
+    /// Content whose type is not stated.
+    Unknown,
+}
+
+impl ContentKind {
+    /// The type that the head of an answer states.
+    pub fn of(headers: &HeaderMap) -> Self {
+        let Some(value) = headers.get(CONTENT_TYPE) else {
+            return Self::Unknown;
+        };
+        let text = value.to_str().unwrap_or_default().trim();
+        let media_type = text.split(';').next().unwrap_or_default().trim();
+        match media_type.eq_ignore_ascii_case(EVENT_STREAM_TYPE) {
+            true => Self::Events,
+            false => Self::Other,
+        }
+    }
+}
+
+/// Tells whether the bytes of an event stream so far end between two events.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EventEdge {
+    /// The last bytes, at most [`EDGE_BYTES`].
+    tail: Vec<u8>,
+}
+
+/// Number of bytes by which the end of an event is recognized.
+const EDGE_BYTES: usize = 3;
+
+impl EventEdge {
+    /// Records the next bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        let last = &bytes[bytes.len().saturating_sub(EDGE_BYTES)..];
+        self.tail.extend_from_slice(last);
+        let surplus = self.tail.len().saturating_sub(EDGE_BYTES);
+        self.tail.drain(..surplus);
+    }
+
+    /// Whether the stream is at its beginning or an event has just ended.
+    pub fn is_between_events(&self) -> bool {
+        self.tail.is_empty() || last_event_end(&self.tail) == Some(self.tail.len())
+    }
+}
+
 /// Position after the last blank line, which ends an event.
 fn last_event_end(bytes: &[u8]) -> Option<usize> {
     let mut end = None;
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -9,7 +9,7 @@
 use fault::{Fault, FaultKind};
 use platform::paths::{READ_CATALOG, READINESS, REPLACE_CATALOG};
 use relay::accept::accept_each;
-use relay::session::{self, IncomingCall, SessionLimits};
+use relay::session::{self, CallerFraming, IncomingCall, SessionLimits};
 use settings::operator::FaultResponse;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -94,8 +94,9 @@
         if answer.status == StatusCode::SERVICE_UNAVAILABLE {
             headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
         }
+        let framing = CallerFraming::Length(answer.body.len() as u64);
         writer
-            .send_whole(answer.status, headers, answer.body, false)
+            .send_whole(answer.status, headers, answer.body, framing, false)
             .await?;
         if !writer.keeps_alive() {
             return Ok(());
--- a/crates/gateway/tests/forwarding/framing.rs
+++ b/crates/gateway/tests/forwarding/framing.rs
@@ -10,7 +10,7 @@
 
 use crate::fixture::{
     CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, call_on, chunk, event,
-    good_answer, request, stream_head,
+    good_answer, request, signed_answer, stream_head,
 };
 use crate::{one_call, relay_before, run, stream_of};
 
@@ -183,11 +183,13 @@
 // Issue 23, ORDER: what resumed a broken stream was joined to its incomplete last event.
 #[gtest]
 fn resumed_stream_is_whole_only_if_its_last_part_is() {
+    let broken = event(1) + "id: 2\nda";
     let broken_parts = [
-        TestFraming::Chunks.encode("text/event-stream", &format!("{}id: 2\nda", event(1)), 14),
-        TestFraming::UntilClose.encode("text/event-stream", &format!("{}id: 2\nda", event(1)), 25),
-        TestFraming::OldVersion.encode("text/event-stream", &format!("{}id: 2\nda", event(1)), 25),
-    ];
+        TestFraming::Chunks,
+        TestFraming::UntilClose,
+        TestFraming::OldVersion,
+    ]
+    .map(|framing| framing.encode("text/event-stream", &broken, broken.len() - 1));
     let rest: String = (2..=3).map(event).collect();
     let whole = |framing: TestFraming| framing.encode("text/event-stream", &rest, rest.len());
     let lasts = [
@@ -221,6 +223,20 @@
     }
 }
 
+#[gtest]
+fn failure_of_the_endpoint_that_resumes_a_stream_is_not_sent_into_it() {
+    let part = stream_head() + &stream_of(1..=2);
+    for failure in [signed_answer(404, "unknown"), signed_answer(500, "failed")] {
+        let first = vec![ScriptedReply::Close(part.clone())];
+        let second = vec![ScriptedReply::Keep(failure.clone())];
+        let (answer, _, _) = run(one_call("/resumable/x", first, second));
+
+        expect_that!(answer.is_whole, eq(false), "{failure}");
+        expect_that!(answer.events().join(" ").as_str(), eq("d1 d2"));
+        expect_that!(answer.text.matches("HTTP/1.1").count(), eq(1), "{failure}");
+    }
+}
+
 #[gtest]
 fn stream_that_states_its_end_inside_an_event_is_broken_off() {
     let body = event(1) + "id: 2\ndata: d";
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use actix_http::StatusCode;
+use actix_http::header::CONTENT_LENGTH;
+use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
+use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError, is_bodiless};
 
 use crate::attempt::{
     AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
@@ -13,9 +15,8 @@
 use crate::record::CallEnd;
 use crate::reply::{WholeAnswer, deliver_whole};
 use crate::retry::AttemptEnd;
-use crate::session;
+use crate::session::CallerFraming;
 use crate::state::{OccupiedSlot, RelayState};
-use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
 
 impl EndpointAttempt<'_> {
     /// Processes an answer whose head has arrived: streams a successful answer of a stream route,
@@ -30,7 +31,8 @@
         if is_good && !answer.metadata.is_signed {
             return AttemptResult::Failed(self.note_break(&EndpointError::Unsigned, true));
         }
-        if is_good && self.call.route.kind.is_stream() {
+        let has_body = answer.connection.framing != AnswerFraming::Bodiless;
+        if is_good && has_body && self.call.route.kind.is_stream() {
             return self.forward_stream(answer, slot).await;
         }
         self.take_whole(answer, slot).await
@@ -39,7 +41,8 @@
     async fn take_whole(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
         let reading = read_whole(self.state, &mut answer.connection);
         let read = with_time_limit(self.progress.silence_limit, reading).await;
-        self.note_end(answer.connection.framing, read.is_ok(), 0);
+        let framing = answer.connection.framing;
+        self.note_end(framing, read.is_ok(), 0);
         let body = match read {
             Ok(body) => body,
             Err(_) if answer.metadata.is_not_run => Bytes::new(),
@@ -53,10 +56,12 @@
         let headers = answer.head.headers();
         let whole = WholeAnswer {
             status,
+            framing: caller_framing(framing, &answer.head, body.len()),
             headers: self.state.dialect.forward_answer(headers),
             body,
         };
-        if status.is_server_error() || promises_no_run(status) {
+        // Nothing but the rest of its stream can follow an answer that has begun.
+        if status.is_server_error() || promises_no_run(status) || self.writer.has_started {
             return AttemptResult::Failed(self.note_failure(whole));
         }
         self.note_served();
@@ -66,79 +71,9 @@
         }
     }
 
-    async fn forward_stream(
-        &mut self,
-        mut answer: OpenAnswer,
-        slot: &OccupiedSlot,
-    ) -> AttemptResult {
-        let mut has_first = false;
-        loop {
-            let waiting = answer.connection.next_chunk();
-            let chunk = match with_time_limit(self.progress.silence_limit, waiting).await {
-                Ok(chunk) => chunk,
-                Err(error) => {
-                    self.note_end(answer.connection.framing, false, 0);
-                    self.progress.events.drop_partial();
-                    return AttemptResult::Failed(self.note_break(&error, true));
-                }
-            };
-            let state = self.state;
-            slot.note_alive();
-            state
-                .table
-                .borrow_mut()
-                .note_activity(state.now(), self.endpoint);
-            let bytes = match &chunk {
-                Some(chunk) => self.progress.events.push(chunk),
-                None => {
-                    let rest = self.progress.events.take_rest();
-                    self.note_end(answer.connection.framing, true, rest.len());
-                    Some(rest)
-                }
-            };
-            let Some(bytes) = bytes else {
-                continue;
-            };
-            if !has_first {
-                has_first = true;
-                self.note_served();
-            }
-            let is_end = chunk.is_none();
-            if self.send_events(&answer, bytes, is_end).await.is_err() {
-                return AttemptResult::CallerLost;
-            }
-            if is_end {
-                self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
-                return AttemptResult::Delivered(answer.head.status);
-            }
-        }
-    }
-
-    /// Sends whole events to the caller, preceded by the head of the answer if nothing has been
-    /// sent.
-    async fn send_events(
-        &mut self,
-        answer: &OpenAnswer,
-        bytes: Bytes,
-        is_end: bool,
-    ) -> session::Result<()> {
-        let state = self.state;
-        if !self.writer.has_started {
-            let headers = state.dialect.forward_answer(answer.head.headers());
-            let status = answer.head.status;
-            self.writer
-                .put_stream_head(status, headers, state.is_stopping())?;
-        }
-        self.writer.send_bytes(bytes).await?;
-        match is_end {
-            true => self.writer.finish().await,
-            false => Ok(()),
-        }
-    }
-
     /// Records how an answer ended. `rest_bytes` is the number of bytes after the last whole event
     /// of a stream.
-    fn note_end(&mut self, framing: AnswerFraming, is_read: bool, rest_bytes: usize) {
+    pub(crate) fn note_end(&mut self, framing: AnswerFraming, is_read: bool, rest_bytes: usize) {
         let end = AnswerEnd {
             framing,
             is_read,
@@ -152,7 +87,7 @@
     /// Records that a good answer is about to be forwarded, in the progress of the call and in the
     /// health of the endpoint. The recorded time counts from the arrival of the call and includes
     /// earlier attempts.
-    fn note_served(&mut self) {
+    pub(crate) fn note_served(&mut self) {
         let first_byte = self.call.started.elapsed();
         self.progress.first_byte.get_or_insert(first_byte);
         let outcome = CallOutcome::Served(first_byte);
@@ -185,7 +120,7 @@
     }
 
     /// Records whether the answer is whole, and keeps its connection for further calls.
-    fn end_answer(
+    pub(crate) fn end_answer(
         &self,
         connection: EndpointConnection,
         keep_alive: Option<Duration>,
@@ -209,6 +144,28 @@
     matches!(status.as_u16(), 408 | 421 | 429 | 503)
 }
 
+/// How a caller is told the end of an answer that was read to its end. An answer whose endpoint did
+/// not state it may have been broken off, so the caller is not told either.
+fn caller_framing(framing: AnswerFraming, head: &ResponseHead, length: usize) -> CallerFraming {
+    match framing {
+        AnswerFraming::Length | AnswerFraming::Chunks => CallerFraming::Length(length as u64),
+        AnswerFraming::UntilClose => CallerFraming::UntilClose,
+        AnswerFraming::Bodiless => match stated_length(head) {
+            Some(length) => CallerFraming::Length(length),
+            None => CallerFraming::Bodiless,
+        },
+    }
+}
+
+/// The length in the answer to a HEAD request: that of the body that a GET would have had.
+fn stated_length(head: &ResponseHead) -> Option<u64> {
+    if is_bodiless(head.status) {
+        return None;
+    }
+    let value = head.headers().get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
 /// Reads the body of an answer, up to the limit of `whole_answer_bytes`.
 async fn read_whole(
     state: &RelayState,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 //! * [`relay_call`]: a call together with its rules.
 //! * [`attempt`]: one attempt of a call at one endpoint.
 //! * [`answer`]: forwarding of an endpoint's answer to the caller.
+//! * [`stream_answer`]: forwarding of an endpoint's event stream to the caller.
 //! * [`reply`]: answers that are sent in one piece, refusals included.
 //! * [`forward`]: the sequence of attempts of one call.
 //! * [`record`]: metrics and log line of a call.
@@ -61,4 +62,5 @@
 pub mod server;
 pub mod session;
 pub mod state;
+mod stream_answer;
 pub mod table;
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -8,7 +8,7 @@
 
 use crate::record::CallEnd;
 use crate::refusal::CallRefusal;
-use crate::session::SessionWriter;
+use crate::session::{CallerFraming, SessionWriter};
 use crate::state::RelayState;
 
 /// An answer of an endpoint that was received whole.
@@ -20,6 +20,8 @@
     pub headers: HeaderMap,
     /// Body of the answer.
     pub body: Bytes,
+    /// How the answer states its end to the caller.
+    pub framing: CallerFraming,
 }
 
 /// Sends a whole answer to the caller.
@@ -29,7 +31,8 @@
     writer: &mut SessionWriter,
 ) -> CallEnd {
     let status = answer.status;
-    let sent = writer.send_whole(status, answer.headers, answer.body, state.is_stopping());
+    let close = state.is_stopping();
+    let sent = writer.send_whole(status, answer.headers, answer.body, answer.framing, close);
     match sent.await {
         Ok(()) => CallEnd::Answered(status),
         Err(_) => CallEnd::CallerLost,
@@ -59,7 +62,8 @@
     }
     let body = format!("{{\"kind\":\"{kind}\",\"outcome\":\"{}\"}}", answer.outcome);
     let close = state.is_stopping();
-    let sent = writer.send_whole(status, headers, Bytes::from(body), close);
+    let framing = CallerFraming::Length(body.len() as u64);
+    let sent = writer.send_whole(status, headers, Bytes::from(body), framing, close);
     match sent.await {
         Ok(()) => (CallEnd::Refused(kind), retry_after),
         Err(_) => (CallEnd::CallerLost, retry_after),
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -8,7 +8,7 @@
 use actix_http::error::{ParseError, PayloadError};
 use actix_http::h1::{Codec, Message, MessageType};
 use actix_http::header::HeaderMap;
-use actix_http::{ConnectionType, Request, Response, ServiceConfig, StatusCode};
+use actix_http::{ConnectionType, Request, Response, ServiceConfig, StatusCode, Version};
 use bytes::{Bytes, BytesMut};
 use derive_more::{Display, Error, From};
 use socket2::SockRef;
@@ -74,6 +74,19 @@
     pub body: Bytes,
 }
 
+/// How an answer to a caller states its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CallerFraming {
+    /// There is no body.
+    Bodiless,
+    /// By the length of the body in bytes.
+    Length(u64),
+    /// By the last chunk. Callers that do not know chunks get [`Self::UntilClose`].
+    Chunks,
+    /// Not at all: the body ends when the connection is closed. An answer that breaks off is reset.
+    UntilClose,
+}
+
 /// Reading half of a connection.
 pub struct SessionReader {
     half: OwnedReadHalf,
@@ -82,9 +95,16 @@
 
 /// Writing half of a connection.
 pub struct SessionWriter {
-    half: OwnedWriteHalf,
+    /// `None` only while the writer is dropped.
+    half: Option<OwnedWriteHalf>,
     codec: Codec,
     write_buffer: BytesMut,
+    /// Whether the caller knows chunked encoding.
+    knows_chunks: bool,
+    /// How the current answer states its end; `None` before its head.
+    framing: Option<CallerFraming>,
+    /// Whether the whole current answer was written.
+    is_finished: bool,
     /// Whether bytes of the current answer may have been written to the socket.
     pub has_started: bool,
 }
@@ -102,9 +122,12 @@
         read_buffer: BytesMut::new(),
     };
     let writer = SessionWriter {
-        half: write_half,
+        half: Some(write_half),
         codec: Codec::new(config.clone()),
         write_buffer: BytesMut::new(),
+        knows_chunks: true,
+        framing: None,
+        is_finished: false,
         has_started: false,
     };
     Ok((reader, writer))
@@ -143,6 +166,9 @@
             MessageType::None => Bytes::new(),
             _ => self.read_body(&mut writer.codec, limits).await?,
         };
+        writer.knows_chunks = head.head().version >= Version::HTTP_11;
+        writer.framing = None;
+        writer.is_finished = false;
         writer.has_started = false;
         Ok(IncomingCall { head, body })
     }
@@ -214,6 +240,11 @@
         self.codec.keep_alive()
     }
 
+    /// Whether the current answer states its end, once it has begun.
+    pub fn states_end(&self) -> bool {
+        self.framing != Some(CallerFraming::UntilClose)
+    }
+
     /// Sends a whole answer.
     ///
     /// # Errors
@@ -223,30 +254,50 @@
         status: StatusCode,
         headers: HeaderMap,
         body: Bytes,
+        framing: CallerFraming,
         close: bool,
     ) -> Result<()> {
-        self.put_head(status, headers, BodySize::Sized(body.len() as u64), close)?;
-        if !body.is_empty() {
-            self.codec
-                .encode(Message::Chunk(Some(body)), &mut self.write_buffer)?;
-        }
-        self.codec
-            .encode(Message::Chunk(None), &mut self.write_buffer)?;
-        self.flush().await
+        self.put_head(status, headers, framing, close)?;
+        self.put_bytes(body)?;
+        self.finish().await
     }
 
-    /// Buffers the head of an answer of unknown length. It is sent with the first bytes of the
-    /// body.
+    /// Buffers the head of an answer. It is sent with the first bytes of the body.
     ///
     /// # Errors
-    /// The error of the codec if the head can't be encoded.
-    pub fn put_stream_head(
+    /// The error of the codec if the head can't be encoded, or that of the socket.
+    pub fn put_head(
         &mut self,
         status: StatusCode,
         headers: HeaderMap,
+        framing: CallerFraming,
         close: bool,
     ) -> Result<()> {
-        self.put_head(status, headers, BodySize::Stream, close)
+        let framing = match framing {
+            CallerFraming::Chunks if !self.knows_chunks => CallerFraming::UntilClose,
+            framing => framing,
+        };
+        let size = match framing {
+            CallerFraming::Bodiless => BodySize::None,
+            CallerFraming::Length(length) => BodySize::Sized(length),
+            CallerFraming::Chunks | CallerFraming::UntilClose => BodySize::Stream,
+        };
+        let mut answer = Response::with_body(status, ());
+        *answer.headers_mut() = headers;
+        let is_until_close = framing == CallerFraming::UntilClose;
+        answer.head_mut().no_chunking(is_until_close);
+        if close || is_until_close {
+            answer.head_mut().set_connection_type(ConnectionType::Close);
+        }
+        if is_until_close {
+            // Whatever closes the socket before the end of the answer, even the end of this
+            // process, resets the connection.
+            self.set_linger(Some(Duration::ZERO))?;
+        }
+        self.codec
+            .encode(Message::Item((answer, size)), &mut self.write_buffer)?;
+        self.framing = Some(framing);
+        Ok(())
     }
 
     /// Sends a part of the body.
@@ -254,42 +305,42 @@
     /// # Errors
     /// The error of the socket.
     pub async fn send_bytes(&mut self, bytes: Bytes) -> Result<()> {
-        if !bytes.is_empty() {
-            self.codec
-                .encode(Message::Chunk(Some(bytes)), &mut self.write_buffer)?;
-        }
+        self.put_bytes(bytes)?;
         self.flush().await
     }
 
-    /// Ends an answer that was begun with [`Self::put_stream_head`].
+    /// Ends the answer.
     ///
     /// # Errors
     /// The error of the socket.
     pub async fn finish(&mut self) -> Result<()> {
         self.codec
             .encode(Message::Chunk(None), &mut self.write_buffer)?;
-        self.flush().await
+        self.flush().await?;
+        if !self.states_end() {
+            self.set_linger(None)?;
+        }
+        self.is_finished = true;
+        Ok(())
     }
 
-    fn put_head(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        size: BodySize,
-        close: bool,
-    ) -> Result<()> {
-        let mut answer = Response::with_body(status, ());
-        *answer.headers_mut() = headers;
-        if close {
-            answer.head_mut().set_connection_type(ConnectionType::Close);
+    fn put_bytes(&mut self, bytes: Bytes) -> Result<()> {
+        if !bytes.is_empty() {
+            self.codec
+                .encode(Message::Chunk(Some(bytes)), &mut self.write_buffer)?;
+        }
+        Ok(())
+    }
+
+    fn set_linger(&self, linger: Option<Duration>) -> Result<()> {
+        if let Some(half) = &self.half {
+            SockRef::from(half.as_ref()).set_linger(linger)?;
         }
-        self.codec
-            .encode(Message::Item((answer, size)), &mut self.write_buffer)?;
         Ok(())
     }
 
     async fn send_continue(&mut self) -> Result<()> {
-        self.half
+        self.open_half()?
             .write_all(b"HTTP/1.1 100 Continue\r\n\r\n")
             .await?;
         Ok(())
@@ -297,11 +348,32 @@
 
     async fn flush(&mut self) -> Result<()> {
         self.has_started |= !self.write_buffer.is_empty();
-        while !self.write_buffer.is_empty() {
-            if self.half.write_buf(&mut self.write_buffer).await? == 0 {
+        let mut bytes = std::mem::take(&mut self.write_buffer);
+        let half = self.open_half()?;
+        while !bytes.is_empty() {
+            if half.write_buf(&mut bytes).await? == 0 {
                 return Err(io::Error::from(io::ErrorKind::WriteZero).into());
             }
         }
+        self.write_buffer = bytes;
         Ok(())
     }
+
+    fn open_half(&mut self) -> Result<&mut OwnedWriteHalf> {
+        let half = self.half.as_mut();
+        Ok(half
+            .ok_or(io::ErrorKind::NotConnected)
+            .map_err(io::Error::from)?)
+    }
+}
+
+/// An unfinished answer that does not state its end must not be closed like a finished one: without
+/// a shutdown of its half, the socket is reset when the other half is dropped.
+impl Drop for SessionWriter {
+    fn drop(&mut self) {
+        let is_in_doubt = !self.states_end() && !self.is_finished;
+        if let Some(half) = self.half.take_if(|_| is_in_doubt) {
+            half.forget();
+        }
+    }
 }
--- /dev/null
+++ b/crates/relay/src/stream_answer.rs
@@ -0,0 +1,120 @@
+//! Forwarding of an endpoint's event stream to the caller.
+
+use bytes::Bytes;
+use exchange::connection::EndpointError;
+use exchange::events::ContentKind;
+
+use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
+use crate::retry::AttemptEnd;
+use crate::session::{self, CallerFraming};
+use crate::state::OccupiedSlot;
+
+impl EndpointAttempt<'_> {
+    /// Forwards a successful answer of a stream route, whole events at a time. A stream that ends
+    /// inside an event was broken off, whatever its framing says.
+    pub(crate) async fn forward_stream(
+        &mut self,
+        mut answer: OpenAnswer,
+        slot: &OccupiedSlot,
+    ) -> AttemptResult {
+        let content = ContentKind::of(answer.head.headers());
+        let mut has_first = false;
+        loop {
+            let waiting = answer.connection.next_chunk();
+            let chunk = match with_time_limit(self.progress.silence_limit, waiting).await {
+                Ok(Some(chunk)) => chunk,
+                Ok(None) => return self.end_stream(answer, content, slot).await,
+                Err(error) => return self.break_off(&answer, &error),
+            };
+            self.note_bytes(slot);
+            let bytes = match content {
+                ContentKind::Events | ContentKind::Unknown => self.progress.events.push(&chunk),
+                ContentKind::Other => Some(chunk),
+            };
+            let Some(bytes) = bytes else {
+                continue;
+            };
+            if !has_first {
+                has_first = true;
+                self.note_served();
+            }
+            if self.send_events(&answer, bytes).await.is_err() {
+                return AttemptResult::CallerLost;
+            }
+        }
+    }
+
+    /// Ends a stream whose connection has no more bytes for it.
+    async fn end_stream(
+        &mut self,
+        answer: OpenAnswer,
+        content: ContentKind,
+        slot: &OccupiedSlot,
+    ) -> AttemptResult {
+        let framing = answer.connection.framing;
+        let rest = self.progress.events.take_rest();
+        self.note_end(framing, true, rest.len());
+        if !rest.is_empty() || self.lacks_events(&answer, content) {
+            let error = match framing.states_end() {
+                true => EndpointError::PartialEvent,
+                false => EndpointError::Closed,
+            };
+            return AttemptResult::Failed(self.note_break(&error, true));
+        }
+        if self.writer.has_started && self.writer.states_end() && !framing.states_end() {
+            // An earlier endpoint promised the caller an end that this one does not state.
+            self.progress.last_error = Some("end of the resumed stream is not known".to_owned());
+            return AttemptResult::Failed(FailedAttempt::without_answer(AttemptEnd::Broken));
+        }
+        if !self.writer.has_started {
+            self.note_served();
+        }
+        let sent = self.send_events(&answer, Bytes::new()).await;
+        if sent.is_err() || self.writer.finish().await.is_err() {
+            return AttemptResult::CallerLost;
+        }
+        self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
+        AttemptResult::Delivered(answer.head.status)
+    }
+
+    /// Whether a stream that does not state its end ended before its first event. Only one that
+    /// resumes another may have no more events.
+    fn lacks_events(&self, answer: &OpenAnswer, content: ContentKind) -> bool {
+        let is_resumed =
+            self.progress.events.last_id().is_some() || self.call.metadata.resume_after.is_some();
+        let is_empty = !self.writer.has_started && !is_resumed;
+        is_empty && content == ContentKind::Events && !answer.connection.framing.states_end()
+    }
+
+    /// Drops what follows the last whole event of a stream that failed.
+    fn break_off(&mut self, answer: &OpenAnswer, error: &EndpointError) -> AttemptResult {
+        self.note_end(answer.connection.framing, false, 0);
+        self.progress.events.drop_partial();
+        AttemptResult::Failed(self.note_break(error, true))
+    }
+
+    /// Records that bytes of the stream have arrived.
+    fn note_bytes(&self, slot: &OccupiedSlot) {
+        let state = self.state;
+        slot.note_alive();
+        let mut table = state.table.borrow_mut();
+        table.note_activity(state.now(), self.endpoint);
+    }
+
+    /// Sends whole events to the caller, preceded by the head of the answer if nothing has been
+    /// sent.
+    async fn send_events(&mut self, answer: &OpenAnswer, bytes: Bytes) -> session::Result<()> {
+        let state = self.state;
+        if !self.writer.has_started {
+            let framing = match answer.connection.framing.states_end() {
+                true => CallerFraming::Chunks,
+                false => CallerFraming::UntilClose,
+            };
+            let headers = state.dialect.forward_answer(answer.head.headers());
+            let status = answer.head.status;
+            self.writer
+                .put_head(status, headers, framing, state.is_stopping())?;
+        }
+        self.writer.send_bytes(bytes).await
+    }
+}
