agent, entry: tell callers the end of an answer only if it is known

Callers of an entry got answers as complete whose endpoint had broken them off: the client library of the agent reports the end of a connection as the end of the body, so cut chunks and resets passed as whole, and an answer without length and chunks arrived empty. The class is that of the gateway, in the other request path.

Change: the agent uses the gateway's connection (crate exchange), with its pool, and so the same judgement of framing. An event stream that ends inside an event is broken off. The head of an answer that does not state its end carries 'connection: close' to the entry, as in HTTP; older entries ignore the field, and recorded answers keep it, so a replay is not framed as whole either. The entry ends such an answer with its connection and resets it if it breaks off; the same for all answers to callers of HTTP/1.0. A completion that ends with its last event is known to be whole and keeps its chunks.

The forwarder of the test fleet passes resets on: it turned each reset of an endpoint into a close, which no agent can tell from the end of an answer without length.

--- /dev/null
+++ b/crates/agent/src/client.rs
@@ -0,0 +1,214 @@
+//! HTTP calls to the endpoint.
+
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use actix_http::header::{HOST, HeaderMap, HeaderName, HeaderValue};
+use actix_http::{Method, RequestHead, ResponseHead, ServiceConfig, StatusCode, Uri};
+use awc::{Client, Connector};
+use bytes::Bytes;
+use exchange::connection::{EndpointConnection, EndpointError, request_head};
+use exchange::events::ContentKind;
+use exchange::pool::ConnectionPool;
+use fault::{Fault, FaultKind};
+use wire::answer::{HeaderField, SubmitRequest};
+
+use crate::core::AgentCore;
+
+/// Header in which an endpoint reports the prompt tokens that it found in its cache.
+const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
+/// Headers of an answer that are not forwarded, because the sender on each connection sets its own.
+const CONNECTION_HEADERS: [&str; 6] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "upgrade",
+    "date",
+];
+/// Timeout for opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Most idle connections that are kept to the endpoint.
+const MAX_IDLE_CONNECTIONS: usize = 24;
+
+/// Reason why the endpoint gave no answer to a request.
+pub enum SendFault {
+    /// The request was not sent, so it was not executed.
+    NotSent(Fault),
+    /// The request failed after the connection was opened; it may have been executed.
+    Broken(Fault),
+}
+
+/// Client of the endpoint's HTTP server.
+pub struct EndpointClient {
+    /// Sends the agent's own requests: health checks and orders.
+    pub own: Client,
+    /// Connections whose last answer was read completely. Only idempotent requests take one: on a
+    /// reused connection, which the endpoint may close at that moment, the outcome of another
+    /// request would be unknown.
+    idle: ConnectionPool,
+    config: ServiceConfig,
+    started: Instant,
+}
+
+impl EndpointClient {
+    /// Creates the client without opening connections.
+    pub fn new() -> Self {
+        Self {
+            own: own_client(),
+            idle: ConnectionPool::default(),
+            config: ServiceConfig::default(),
+            started: Instant::now(),
+        }
+    }
+}
+
+/// A client that opens a new connection for each request.
+fn own_client() -> Client {
+    let connector = Connector::new().limit(0).timeout(CONNECT_TIMEOUT);
+    Client::builder()
+        .connector(connector.conn_keep_alive(Duration::ZERO))
+        .disable_timeout()
+        .finish()
+}
+
+impl Default for EndpointClient {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// An answer of the endpoint whose body has not been read.
+pub struct EndpointAnswer {
+    connection: EndpointConnection,
+    head: ResponseHead,
+}
+
+impl EndpointAnswer {
+    /// Status of the answer.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
+    }
+
+    /// Headers of the answer.
+    pub fn headers(&self) -> &HeaderMap {
+        self.head.headers()
+    }
+
+    /// Whether the answer states the end of its body.
+    pub fn states_end(&self) -> bool {
+        self.connection.framing.states_end()
+    }
+
+    /// Reads the next bytes of the body. Returns `None` at its end.
+    ///
+    /// # Errors
+    /// The reason why the body can't be read to its end.
+    pub async fn next_chunk(&mut self) -> fault::Result<Option<Bytes>> {
+        let chunk = self.connection.next_chunk().await;
+        chunk.map_err(|error| {
+            FaultKind::EndpointFailed.because(format!("the endpoint failed midway: {error}"))
+        })
+    }
+
+    /// Keeps the connection, whose body was read to its end, for further requests.
+    pub fn release(self, core: &AgentCore) {
+        let client = &core.client;
+        let now = client.started.elapsed();
+        let connection = self.connection;
+        client
+            .idle
+            .put(now, core.endpoint, connection, None, MAX_IDLE_CONNECTIONS);
+    }
+
+    /// Headers that are forwarded to the entry. `states_end` tells whether the end of the answer
+    /// will be known.
+    pub fn forwarded_headers(&self, states_end: bool) -> Vec<HeaderField> {
+        let forwarded = self.headers().iter().filter_map(|(name, value)| {
+            let name = name.as_str();
+            let is_dropped = CONNECTION_HEADERS.contains(&name) || name == CACHED_TOKENS_HEADER;
+            let value = value.to_str().ok().filter(|_| !is_dropped)?;
+            Some(HeaderField {
+                name: name.to_owned(),
+                value: value.to_owned(),
+            })
+        });
+        let mark = (!states_end).then(HeaderField::until_close);
+        forwarded.chain(mark).collect()
+    }
+
+    /// Prompt tokens that the endpoint found in its cache; 0 if it does not report them.
+    pub fn cached_tokens(&self) -> u32 {
+        let value = self.headers().get(CACHED_TOKENS_HEADER);
+        let value = value.and_then(|value| value.to_str().ok());
+        value.and_then(|text| text.parse().ok()).unwrap_or(0)
+    }
+}
+
+/// Whether the answer is a stream of server-sent events.
+pub fn is_event_stream(headers: &HeaderMap) -> bool {
+    ContentKind::of(headers) == ContentKind::Events
+}
+
+/// Sends a request to the endpoint and waits for the head of its answer.
+///
+/// # Errors
+/// [`SendFault`], which says whether the request may have been executed.
+pub async fn send(
+    core: &AgentCore,
+    submit: &SubmitRequest,
+) -> std::result::Result<EndpointAnswer, SendFault> {
+    let head = head_of(core, submit).map_err(SendFault::NotSent)?;
+    let mut connection = connect(core, submit.idempotent).await.map_err(not_sent)?;
+    let exchange = connection.exchange(&core.client.config, head, &submit.body);
+    match exchange.await {
+        Ok(head) => Ok(EndpointAnswer { connection, head }),
+        Err(error) if !connection.has_sent => Err(not_sent(error)),
+        Err(error) => {
+            let message = format!("the endpoint failed: {error}");
+            Err(SendFault::Broken(
+                FaultKind::EndpointFailed.because(message),
+            ))
+        }
+    }
+}
+
+fn not_sent(error: EndpointError) -> SendFault {
+    let message = format!("the endpoint can't be reached: {error}");
+    SendFault::NotSent(FaultKind::NoEndpoint.because(message))
+}
+
+async fn connect(
+    core: &AgentCore,
+    is_idempotent: bool,
+) -> exchange::connection::Result<EndpointConnection> {
+    let client = &core.client;
+    if is_idempotent {
+        let idle = client.idle.take(client.started.elapsed(), core.endpoint);
+        if let Some(connection) = idle {
+            return Ok(connection);
+        }
+    }
+    let address = core.shared.settings.endpoint_http;
+    EndpointConnection::open(address, CONNECT_TIMEOUT).await
+}
+
+fn head_of(core: &AgentCore, submit: &SubmitRequest) -> fault::Result<RequestHead> {
+    let malformed = |what: &str| FaultKind::MalformedRequest.because(format!("{what} is invalid"));
+    let method = Method::from_bytes(submit.method.as_bytes());
+    let method = method.map_err(|_| malformed("the method"))?;
+    let uri = Uri::from_str(&submit.path).map_err(|_| malformed("the path"))?;
+    let mut headers = HeaderMap::new();
+    let host = core.shared.settings.endpoint_http.to_string();
+    let host = HeaderValue::from_str(&host).map_err(|_| malformed("the host"))?;
+    headers.insert(HOST, host);
+    for field in &submit.headers {
+        let name = HeaderName::from_str(&field.name);
+        let value = HeaderValue::from_str(&field.value);
+        let (Ok(name), Ok(value)) = (name, value) else {
+            return Err(malformed("a header"));
+        };
+        headers.insert(name, value);
+    }
+    Ok(request_head(method, uri, headers))
+}
--- a/crates/agent/src/core.rs
+++ b/crates/agent/src/core.rs
@@ -21,8 +21,8 @@
 use wire::id::{AccountId, EndpointId, IncarnationNumber, name_id};
 use wire::member::{EndpointRecord, EndpointState};
 
+use crate::client::EndpointClient;
 use crate::control::ControlLinks;
-use crate::endpoint::EndpointClients;
 use crate::session::AttemptSession;
 
 /// State shared with the worker threads of the HTTP server.
@@ -84,8 +84,8 @@
     pub queue_changed: Notify,
     /// Epoch of the endpoint's cache; increases when the endpoint crashes.
     pub cache_epoch: Cell<u64>,
-    /// Clients of the endpoint's HTTP server.
-    pub clients: EndpointClients,
+    /// Client of the endpoint's HTTP server.
+    pub client: EndpointClient,
     /// Number of ended claimed attempts whose outcome control has not recorded yet.
     pub pending_claim_records: Cell<usize>,
     /// Number of crashes of the endpoint that control has not recorded yet.
@@ -123,7 +123,7 @@
             gated: RefCell::default(),
             queue_changed: Notify::new(),
             cache_epoch: Cell::new(incarnation),
-            clients: EndpointClients::new(),
+            client: EndpointClient::new(),
             pending_claim_records: Cell::new(0),
             pending_crash_reports: Cell::new(0),
             crash_recorded: Notify::new(),
--- a/crates/agent/src/lib.rs
+++ b/crates/agent/src/lib.rs
@@ -7,13 +7,15 @@
 //! * [`session`]: transfer of one attempt's answer to the entry.
 //! * [`run`]: execution of one attempt at the endpoint.
 //! * [`body`]: detection of truncated answer bodies.
-//! * [`endpoint`]: HTTP calls to the endpoint, its health and its crashes.
+//! * [`client`]: HTTP calls to the endpoint.
+//! * [`endpoint`]: health of the endpoint, and its crashes.
 //! * [`orders`]: fenced orders to the endpoint.
 //! * [`report`]: reports about ended attempts: claims, decision records, metrics.
 //! * [`http`]: HTTP server for health, metrics and decision records.
 
 pub mod admission;
 pub mod body;
+pub mod client;
 pub mod control;
 pub mod core;
 pub mod endpoint;
--- a/crates/agent/src/orders.rs
+++ b/crates/agent/src/orders.rs
@@ -108,7 +108,7 @@
         "adapter": variant.adapter,
         "fence": fence,
     });
-    let order = core.clients.choose(false).post(uri).send_json(&body);
+    let order = core.client.own.post(uri).send_json(&body);
     let response = timeout(ORDER_TIMEOUT, order).await;
     match response {
         Ok(Ok(response)) if response.status().is_success() => Ok(fence),
--- a/crates/agent/src/run.rs
+++ b/crates/agent/src/run.rs
@@ -5,15 +5,15 @@
 
 use bytes::{Bytes, BytesMut};
 use fault::{Fault, FaultKind, RunOutcome};
-use futures::StreamExt;
 use tokio::task::yield_now;
 use tokio::time::timeout;
 use wire::answer::AnswerHead;
 use wire::command::RecordedAnswer;
 
 use crate::body::BodyCheck;
+use crate::client::{self, EndpointAnswer, SendFault};
 use crate::core::AgentCore;
-use crate::endpoint::{self, EndpointResponse};
+use crate::endpoint;
 use crate::session::AttemptSession;
 
 /// Longest pause between two chunks of an event stream, after which the endpoint counts as failed.
@@ -96,28 +96,33 @@
 }
 
 async fn call_endpoint(core: &Rc<AgentCore>, session: &Rc<AttemptSession>) -> RunEnd {
-    let mut response = match endpoint::send(core, &session.submit).await {
-        Ok(response) => response,
-        Err(endpoint::SendFault::NotSent(fault)) => return RunEnd::NotSent(fault),
-        Err(endpoint::SendFault::Broken(fault)) => return RunEnd::Broken(fault),
+    let mut answer = match client::send(core, &session.submit).await {
+        Ok(answer) => answer,
+        Err(SendFault::NotSent(fault)) => return RunEnd::NotSent(fault),
+        Err(SendFault::Broken(fault)) => return RunEnd::Broken(fault),
     };
+    let mut check = BodyCheck::new(&session.submit, answer.status(), answer.headers());
+    let states_end = answer.states_end() || check.shows_end();
     let head = AnswerHead {
         key: session.key(),
-        status: response.status().as_u16(),
-        headers: endpoint::forwarded_headers(response.headers()),
-        cached_tokens: endpoint::cached_tokens(response.headers()),
+        status: answer.status().as_u16(),
+        headers: answer.forwarded_headers(states_end),
+        cached_tokens: answer.cached_tokens(),
         queue_wait: session.queue_wait(),
     };
     session.push_head(head.clone());
     core.shared
         .metrics
         .record_tokens(session.submit.prompt_tokens, head.cached_tokens);
-    match forward_body(core, session, &mut response).await {
-        Ok(body) => RunEnd::Complete(RecordedAnswer {
-            status: head.status,
-            headers: head.headers,
-            body,
-        }),
+    match forward_body(core, session, &mut answer, &mut check).await {
+        Ok(body) => {
+            answer.release(core);
+            RunEnd::Complete(RecordedAnswer {
+                status: head.status,
+                headers: head.headers,
+                body,
+            })
+        }
         Err(fault) if fault.kind == FaultKind::SlowCaller => RunEnd::Stopped(fault),
         Err(fault) => RunEnd::Broken(fault),
     }
@@ -128,18 +133,18 @@
 async fn forward_body(
     core: &AgentCore,
     session: &AttemptSession,
-    response: &mut EndpointResponse,
+    answer: &mut EndpointAnswer,
+    check: &mut BodyCheck,
 ) -> fault::Result<Option<Bytes>> {
     let limit = if session.submit.claim.is_some() {
         core.recorded_limit(session)
     } else {
         0
     };
-    let is_stream = endpoint::is_event_stream(response.headers());
-    let mut check = BodyCheck::new(&session.submit, response.status(), response.headers());
+    let is_stream = client::is_event_stream(answer.headers());
     let mut recorded = Some(BytesMut::new());
     let mut is_first = true;
-    while let Some(chunk) = next_chunk(response, is_stream).await? {
+    while let Some(chunk) = next_chunk(answer, is_stream).await? {
         check.push(&chunk);
         if recorded
             .as_ref()
@@ -163,18 +168,10 @@
     Ok(recorded.map(BytesMut::freeze))
 }
 
-async fn next_chunk(
-    response: &mut EndpointResponse,
-    is_stream: bool,
-) -> fault::Result<Option<Bytes>> {
-    let next = response.next();
-    let chunk = if is_stream {
-        let waited = timeout(STREAM_IDLE_TIMEOUT, next).await;
-        waited.map_err(|_| FaultKind::EndpointFailed.because("the endpoint's stream is silent"))?
-    } else {
-        next.await
-    };
-    let failed =
-        |error| FaultKind::EndpointFailed.because(format!("the endpoint failed midway: {error}"));
-    chunk.transpose().map_err(failed)
+async fn next_chunk(answer: &mut EndpointAnswer, is_stream: bool) -> fault::Result<Option<Bytes>> {
+    if !is_stream {
+        return answer.next_chunk().await;
+    }
+    let waited = timeout(STREAM_IDLE_TIMEOUT, answer.next_chunk()).await;
+    waited.map_err(|_| FaultKind::EndpointFailed.because("the endpoint's stream is silent"))?
 }
--- a/crates/entry/src/answer.rs
+++ b/crates/entry/src/answer.rs
@@ -8,10 +8,12 @@
 use route::WarmHint;
 use serde_json::json;
 use watch::record::request_to_text;
+use wire::answer::{HeaderField, states_end};
 use wire::command::RecordedAnswer;
 use wire::id::{EndpointId, RequestId};
 
 use crate::attempt::{AttemptEvent, AttemptStream};
+use crate::caller::CallerConnection;
 use crate::core::CallGuard;
 use crate::dispatch::StartedAnswer;
 use crate::trace::CallTrace;
@@ -32,6 +34,8 @@
     /// Bytes handed to the HTTP layer that are not yet counted as consumed by the caller.
     unacknowledged: usize,
     is_over: bool,
+    /// The connection that the answer ends with, if it does not state its end.
+    ends_with: Option<CallerConnection>,
     endpoint: EndpointId,
     /// Counts the call as active until the answer has ended.
     guard: CallGuard,
@@ -58,6 +62,9 @@
                     core.selector.observe_load(self.endpoint, load);
                     self.trace.finish();
                     self.is_over = true;
+                    if let Some(connection) = &self.ends_with {
+                        connection.end_until_close();
+                    }
                     return None;
                 }
                 AttemptEvent::Refused(notice) => return Some(Err(self.fail(notice.fault))),
@@ -82,13 +89,13 @@
     id: RequestId,
     mut trace: CallTrace,
     guard: CallGuard,
+    connection: &CallerConnection,
 ) -> HttpResponse {
     let head = &started.head;
     trace.record_head(head);
+    let states_end = states_end(&head.headers) && connection.knows_chunks;
     let mut response = response_of(head.status, id, RunOutcome::Ran);
-    for header in &head.headers {
-        response.insert_header((header.name.as_str(), header.value.as_str()));
-    }
+    insert_headers(&mut response, &head.headers);
     response.insert_header((
         WARM_HINT_HEADER,
         hint.moved_to(started.location).to_string(),
@@ -100,27 +107,46 @@
         trace,
         unacknowledged: 0,
         is_over: false,
+        ends_with: (!states_end).then(|| connection.clone()),
         guard,
     };
-    response.streaming(stream::unfold(stream, |mut stream| async move {
+    let body = stream::unfold(stream, |mut stream| async move {
         let part = stream.next_part().await?;
         Some((part, stream))
-    }))
+    });
+    if states_end {
+        return response.streaming(body);
+    }
+    let mut response = response.force_close().streaming(body);
+    connection.begin_until_close(&mut response);
+    response
 }
 
 /// The response with the recorded answer of a call that ran before.
 pub fn recorded_response(answer: RecordedAnswer, id: RequestId) -> HttpResponse {
     let mut response = response_of(answer.status, id, RunOutcome::Ran);
-    for header in &answer.headers {
-        response.insert_header((header.name.as_str(), header.value.as_str()));
-    }
+    insert_headers(&mut response, &answer.headers);
     response.insert_header(("x-recorded", "true"));
     match answer.body {
-        Some(body) => response.body(body),
+        Some(body) if states_end(&answer.headers) => response.body(body),
+        Some(body) => {
+            let body = stream::iter([Ok::<Bytes, Fault>(body)]);
+            let mut response = response.force_close().streaming(body);
+            response.head_mut().no_chunking(true);
+            response
+        }
         None => response.finish(),
     }
 }
 
+/// Adds the headers of an endpoint's answer, but for the mark of an answer that does not state its
+/// end.
+fn insert_headers(response: &mut HttpResponseBuilder, headers: &[HeaderField]) {
+    for header in headers.iter().filter(|header| !header.is_until_close()) {
+        response.insert_header((header.name.as_str(), header.value.as_str()));
+    }
+}
+
 /// The response to a call that failed.
 pub fn fault_response(fault: &Fault, id: RequestId) -> HttpResponse {
     let answer = fault.kind.answer();
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -9,6 +9,7 @@
 //! * [`chat`]: the parts of a chat completion request that routing needs.
 //! * [`dispatch`]: attempts to run a call until an endpoint answers.
 //! * [`attempt`]: one attempt and the stream of its answer, across connections.
+//! * [`caller`]: connection of a caller, as far as the framing of answers depends on it.
 //! * [`claims`]: claims of non-idempotent calls at the control quorum.
 //! * [`loss`]: reports of requests that were lost together with their agent.
 //! * [`answer`]: builds the HTTP response from the answer of an endpoint.
@@ -18,6 +19,7 @@
 
 pub mod answer;
 pub mod attempt;
+pub mod caller;
 pub mod chat;
 pub mod claims;
 pub mod control;
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,10 +5,10 @@
 
 use actix_web::dev::Server;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
-use kernel::http::set_nodelay;
 use wire::id::RequestId;
 
 use crate::answer::{fault_response, recorded_response, started_response};
+use crate::caller::{CallerConnection, prepare_connection};
 use crate::core::{CallGuard, EntryCore};
 use crate::dispatch::{CallDispatch, CallResult};
 use crate::intake::{self, CallRequest, read_chat, read_service_call};
@@ -34,7 +34,7 @@
             .route("/service/{name}/{path:.*}", web::route().to(call_service))
     });
     let bound = server
-        .on_connect(set_nodelay)
+        .on_connect(prepare_connection)
         .workers(WORKERS)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_SECONDS)
@@ -54,7 +54,7 @@
         Err(fault) => return fault_response(&fault, id),
     };
     let call = read_chat(&core, &request, payload, id).await;
-    answer_call(guard, call, id).await
+    answer_call(guard, call, id, CallerConnection::of(&request)).await
 }
 
 async fn call_service(
@@ -70,13 +70,14 @@
     };
     let name = request.match_info().get("name").unwrap_or_default();
     let call = read_service_call(&core, &request, name, payload, id).await;
-    answer_call(guard, call, id).await
+    answer_call(guard, call, id, CallerConnection::of(&request)).await
 }
 
 async fn answer_call(
     guard: CallGuard,
     call: intake::Result<CallRequest>,
     id: RequestId,
+    connection: CallerConnection,
 ) -> HttpResponse {
     let mut trace = CallTrace::new(Arc::clone(guard.core()), id);
     let call = match call {
@@ -88,11 +89,11 @@
     };
     trace.identify(&call);
     if call.submit.idempotent {
-        return run_call(guard, call, id, trace).await;
+        return run_call(guard, call, id, trace, connection).await;
     }
     // A caller that disconnects must not leave a claim behind, so the call runs in a task of its
     // own that is not cancelled with the handler.
-    let running = actix_rt::spawn(run_call(guard, call, id, trace));
+    let running = actix_rt::spawn(run_call(guard, call, id, trace, connection));
     match running.await {
         Ok(response) => response,
         Err(_) => HttpResponse::InternalServerError().finish(),
@@ -104,13 +105,14 @@
     call: CallRequest,
     id: RequestId,
     mut trace: CallTrace,
+    connection: CallerConnection,
 ) -> HttpResponse {
     let result = CallDispatch::new(guard.core(), &call, &mut trace)
         .run()
         .await;
     match result {
         Ok(CallResult::Started(started)) => {
-            started_response(*started, &call.hint, id, trace, guard)
+            started_response(*started, &call.hint, id, trace, guard, &connection)
         }
         Ok(CallResult::Recorded(answer)) => {
             trace.finish();
--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -5,7 +5,7 @@
 //! answers are in doubt.
 
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_codec::{Decoder, Encoder};
@@ -147,7 +147,7 @@
     ///
     /// # Errors
     /// The error of the socket, or [`EndpointError::ConnectTimeout`] after `limit`.
-    pub async fn open(address: SocketAddrV4, limit: Duration) -> Result<Self> {
+    pub async fn open(address: SocketAddr, limit: Duration) -> Result<Self> {
         let connected = timeout(limit, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| EndpointError::ConnectTimeout)??;
         set_options(&stream)?;
--- a/crates/relay/src/pool.rs
+++ b/crates/exchange/src/pool.rs
@@ -6,7 +6,7 @@
 
 use wire::id::EndpointId;
 
-use exchange::connection::EndpointConnection;
+use crate::connection::EndpointConnection;
 
 /// Time for which an idle connection is kept if the endpoint states no limit.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
--- a/crates/fake/src/fleet/forward.rs
+++ b/crates/fake/src/fleet/forward.rs
@@ -1,12 +1,14 @@
 //! A TCP forwarder that stalls, delays or closes its connections, or is down.
 
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
 use crate::fleet::process::free_address;
 
 /// Bytes read at once.
@@ -23,6 +25,8 @@
     is_mute: AtomicBool,
     /// The connection is to be closed, or was closed.
     is_closed: AtomicBool,
+    /// Whether one end has reset the connection, so that the other end is reset too.
+    is_reset: AtomicBool,
 }
 
 struct ForwardState {
@@ -185,10 +189,19 @@
             Ok(_) if connection.is_stalled.load(Ordering::SeqCst) => {}
             Ok(count) if forward(&mut to, &buffer[..count], state) => {}
             Err(error) if is_timeout(&error) => {}
+            Err(error) if error.kind() == ErrorKind::ConnectionReset => {
+                connection.is_reset.store(true, Ordering::SeqCst);
+                let _ = SockRef::from(&to).set_linger(Some(Duration::ZERO));
+                break;
+            }
             _ => break,
         }
     }
     connection.is_closed.store(true, Ordering::SeqCst);
+    if connection.is_reset.load(Ordering::SeqCst) {
+        // The sockets are reset when the last of their handles is dropped.
+        return;
+    }
     let _ = from.shutdown(Shutdown::Both);
     let _ = to.shutdown(Shutdown::Both);
 }
@@ -202,6 +215,5 @@
 }
 
 fn is_timeout(error: &std::io::Error) -> bool {
-    use std::io::ErrorKind::{TimedOut, WouldBlock};
-    matches!(error.kind(), TimedOut | WouldBlock)
+    matches!(error.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock)
 }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -11,12 +11,12 @@
     AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
 };
 use crate::health::CallOutcome;
-use crate::pool::idle_share;
 use crate::record::CallEnd;
 use crate::reply::{WholeAnswer, deliver_whole};
 use crate::retry::AttemptEnd;
 use crate::session::CallerFraming;
 use crate::state::{OccupiedSlot, RelayState};
+use exchange::pool::idle_share;
 
 impl EndpointAttempt<'_> {
     /// Processes an answer whose head has arrived: streams a successful answer of a stream route,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -190,7 +190,7 @@
         if let Some(connection) = state.pool.take(state.now(), self.endpoint) {
             return Ok(connection);
         }
-        let opened = EndpointConnection::open(address, state.settings.connect_limit).await;
+        let opened = EndpointConnection::open(address.into(), state.settings.connect_limit).await;
         if opened.is_err() {
             state.note_endpoint_down(self.endpoint);
         }
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -38,7 +38,10 @@
         let state = Rc::clone(self);
         actix_rt::spawn(async move {
             let limit = state.settings.connect_limit;
-            if EndpointConnection::open(address, limit).await.is_err() {
+            if EndpointConnection::open(address.into(), limit)
+                .await
+                .is_err()
+            {
                 state.note_endpoint_down(endpoint);
             }
             state.crashes.borrow_mut().end_check(endpoint);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,7 +21,6 @@
 //! * [`rules`]: catalog rules that apply to a call.
 //! * [`call`]: metadata of calls and answers, and the trait that reads and writes it.
 //! * [`session`]: server side of one caller connection.
-//! * [`pool`]: pool of idle endpoint connections.
 //! * [`relay_call`]: a call together with its rules.
 //! * [`attempt`]: one attempt of a call at one endpoint.
 //! * [`answer`]: forwarding of an endpoint's answer to the caller.
@@ -49,7 +48,6 @@
 pub mod forward;
 pub mod health;
 pub mod placement;
-pub mod pool;
 pub mod ranks;
 pub mod record;
 pub mod refusal;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -17,10 +17,10 @@
 use crate::crash::{CrashTracker, LostRun};
 use crate::health::{CallOutcome, HealthChange};
 use crate::placement::PlacementSettings;
-use crate::pool::ConnectionPool;
 use crate::relay_call::RelayCall;
 use crate::row::estimated_holding_time;
 use crate::table::EndpointTable;
+use exchange::pool::ConnectionPool;
 
 /// Settings of the relay.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -4,11 +4,11 @@
 
 use catalog::{CallKind, RouteRule};
 use exchange::events::EventSplitter;
+use exchange::pool::idle_share;
 use fault::FaultKind;
 use googletest::prelude::*;
 use relay::budget::{BudgetSettings, RetryBudget};
 use relay::health::{CallOutcome, EndpointHealth};
-use relay::pool::idle_share;
 use relay::refusal::CallRefusal;
 use relay::retry::{
     AttemptEnd, AttemptTally, MAX_TRIED_ENDPOINTS, NextStep, next_step, silence_limit,
--- a/crates/wire/src/answer.rs
+++ b/crates/wire/src/answer.rs
@@ -119,6 +119,27 @@
     pub load: EndpointLoad,
 }
 
+impl HeaderField {
+    /// The field by which the head of an answer tells that the answer does not state its end, as in
+    /// HTTP: it ends with its connection. Older entries ignore the field.
+    pub fn until_close() -> Self {
+        Self {
+            name: "connection".to_owned(),
+            value: "close".to_owned(),
+        }
+    }
+
+    /// Whether this is the field of [`Self::until_close`].
+    pub fn is_until_close(&self) -> bool {
+        self.name == "connection" && self.value == "close"
+    }
+}
+
+/// Whether an answer with these headers states its end. One that does not may have been broken off.
+pub fn states_end(headers: &[HeaderField]) -> bool {
+    !headers.iter().any(HeaderField::is_until_close)
+}
+
 /// Agent to entry: head of the endpoint's answer; precedes all chunks.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct AnswerHead {
