fake: let the callers of the crash tests come back when no endpoint is up

request_that_takes_agents_down_with_their_endpoints_is_never_quarantined failed once: status 503 in place of 422, log 'no-endpoint: no endpoint can serve this now', 0.5 s after both agents were restarted. The refusal is true: a restarted agent finds its endpoint up only at its first health check.

--- a/crates/fake/tests/crashes.rs
+++ b/crates/fake/tests/crashes.rs
@@ -86,7 +86,7 @@
     wait_for("the request is quarantined", || {
         quarantined_count(&fleet) == 1
     });
-    let answer = whole_chat(&fleet).send();
+    let answer = whole_chat(&fleet).spawn().finish();
 
     expect_that!(answer.status, eq(422), "{}", fleet.logs());
     expect_that!(answer.outcome(), eq("not-run"));
@@ -101,7 +101,8 @@
     wait_for("the request is quarantined", || {
         quarantined_count(&fleet) == 1
     });
-    let answer = fleet.chat(0, PROMPT, LONG_STREAM).send();
+    // The restarted agents may not have found their endpoints up yet.
+    let answer = fleet.chat(0, PROMPT, LONG_STREAM).spawn().finish();
 
     expect_that!(answer.status, eq(422), "{}", fleet.logs());
     expect_that!(answer.outcome(), eq("not-run"));
