Bound the size and the time of an endpoint's answer

An endpoint in trouble may send bytes that are no answer without end, in a head or a body. The gateway read such a body, chunk extensions or interim heads until the deadline of the call, forwarded an endless event in parts, and took what a refusal's body sent; the agent had no bound at all.

Change: a connection to an endpoint bounds each answer by size (head 64 KiB with interim answers, 64 KiB between two parts of a body, body 32 MiB) and time (15 minutes, beside the deadline of the call), in both request paths. An event of more than 1 MiB is no event. The body of a refusal is read for 50 ms and 16 KiB at most, to keep its connection.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -21,7 +21,7 @@
 use socket2::{SockRef, TcpKeepalive};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout, timeout_at};
 
 /// TCP user timeout: the connection fails when sent bytes stay unacknowledged for this time.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2000);
@@ -70,10 +70,14 @@
     #[display("answer is not signed")]
     #[from(skip)]
     Unsigned,
-    /// The body of the answer exceeds the size limit.
-    #[display("answer body exceeds the size limit")]
+    /// The head, the body or an event of the answer exceeds its size limit.
+    #[display("answer exceeds a size limit")]
     #[from(skip)]
     Oversized,
+    /// The answer has not ended within the time limit.
+    #[display("answer exceeds the time limit")]
+    #[from(skip)]
+    Overlong,
 }
 
 impl EndpointError {
@@ -127,8 +131,36 @@
     UntilClose,
 }
 
+/// Bounds on one answer. An endpoint in trouble may send bytes without end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Maximum number of bytes up to the end of the head, interim answers included, and of bytes
+    /// between two parts of a body that belong to none, such as the extensions of chunks.
+    pub head_bytes: usize,
+    /// Maximum size of a body in bytes.
+    pub body_bytes: usize,
+    /// Maximum time from the first byte of the call to the end of the answer.
+    pub time: Duration,
+}
+
+impl Default for AnswerLimits {
+    fn default() -> Self {
+        Self {
+            head_bytes: 64 * 1024,
+            body_bytes: 32 * 1024 * 1024,
+            time: Duration::from_secs(15 * 60),
+        }
+    }
+}
+
 /// An open connection to an endpoint.
 pub struct EndpointConnection {
+    /// Bounds on each answer.
+    pub limits: AnswerLimits,
+    /// Time at which the current answer must have ended.
+    ends_at: Instant,
+    /// Size of the current body so far, in bytes.
+    body_length: usize,
     stream: TcpStream,
     read_buffer: BytesMut,
     /// How the current answer states the end of its body.
@@ -156,6 +188,9 @@
 
     fn new(stream: TcpStream) -> Self {
         Self {
+            limits: AnswerLimits::default(),
+            ends_at: Instant::now(),
+            body_length: 0,
             stream,
             read_buffer: BytesMut::new(),
             framing: AnswerFraming::Bodiless,
@@ -201,7 +236,10 @@
         }
         self.has_sent = false;
         self.is_sent_whole = false;
-        let head = self.send_and_read(&mut codec, &write_buffer).await?;
+        self.ends_at = Instant::now() + self.limits.time;
+        self.body_length = 0;
+        let exchanged = timeout_at(self.ends_at, self.send_and_read(&mut codec, &write_buffer));
+        let head = exchanged.await.map_err(|_| EndpointError::Overlong)??;
         self.keeps_alive = codec.keep_alive();
         self.framing = framing_of(&head, is_head);
         let has_payload = !matches!(codec.message_type(), MessageType::None);
@@ -222,6 +260,7 @@
     ) -> Result<ResponseHead> {
         let (mut reader, mut writer) = self.stream.split();
         let mut rest = write_buffer;
+        let mut received = self.read_buffer.len();
         loop {
             if let Some(head) = codec.decode(&mut self.read_buffer)? {
                 if head.status.is_informational() {
@@ -231,11 +270,15 @@
                 self.is_sent_whole = rest.is_empty();
                 return Ok(head);
             }
+            if received > self.limits.head_bytes {
+                return Err(EndpointError::Oversized);
+            }
             self.read_buffer.reserve(READ_BYTES);
             tokio::select! {
                 read = reader.read_buf(&mut self.read_buffer) => {
-                    if read? == 0 {
-                        return Err(EndpointError::Closed);
+                    match read? {
+                        0 => return Err(EndpointError::Closed),
+                        count => received += count,
                     }
                 }
                 written = writer.write(rest), if !rest.is_empty() => {
@@ -251,6 +294,17 @@
     /// # Errors
     /// The reason why the body can't be read to its end.
     pub async fn next_chunk(&mut self) -> Result<Option<Bytes>> {
+        let reading = timeout_at(self.ends_at, self.read_chunk());
+        let chunk = reading.await.map_err(|_| EndpointError::Overlong)??;
+        self.body_length += chunk.as_ref().map_or(0, Bytes::len);
+        match self.body_length > self.limits.body_bytes {
+            true => Err(EndpointError::Oversized),
+            false => Ok(chunk),
+        }
+    }
+
+    async fn read_chunk(&mut self) -> Result<Option<Bytes>> {
+        let mut received = 0;
         loop {
             match &mut self.body {
                 BodyState::Ended => return Ok(None),
@@ -267,9 +321,13 @@
                     None => {}
                 },
             }
+            if received > self.limits.head_bytes {
+                return Err(EndpointError::Oversized);
+            }
             self.read_buffer.reserve(READ_BYTES);
-            if self.stream.read_buf(&mut self.read_buffer).await? == 0 {
-                return self.end_of_stream();
+            match self.stream.read_buf(&mut self.read_buffer).await? {
+                0 => return self.end_of_stream(),
+                count => received += count,
             }
         }
     }
--- a/crates/exchange/src/events.rs
+++ b/crates/exchange/src/events.rs
@@ -6,8 +6,10 @@
 use actix_http::header::{CONTENT_TYPE, HeaderMap};
 use bytes::{Bytes, BytesMut};
 
-/// Maximum size of an event that is buffered, in bytes. A larger event is forwarded in parts.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+use crate::connection::{EndpointError, Result};
+
+/// Maximum size of an event in bytes. More bytes without the end of an event are no event stream.
+const MAX_EVENT_BYTES: usize = 1024 * 1024;
 
 /// Splits an event stream after each whole event and remembers the id of the last one.
 #[derive(Debug, Default)]
@@ -18,17 +20,20 @@
 
 impl EventSplitter {
     /// Adds received bytes to the buffer. Returns all events that are now whole.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    /// [`EndpointError::Oversized`] if an event is larger than [`MAX_EVENT_BYTES`].
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>> {
         let searched = self.buffer.len().saturating_sub(3);
         self.buffer.extend_from_slice(bytes);
         let end = match last_event_end(&self.buffer[searched..]) {
             Some(end) => searched + end,
-            None if self.buffer.len() > MAX_EVENT_BYTES => self.buffer.len(),
-            None => return None,
+            None if self.buffer.len() > MAX_EVENT_BYTES => return Err(EndpointError::Oversized),
+            None => return Ok(None),
         };
         let whole = self.buffer.split_to(end).freeze();
         self.note_ids(&whole);
-        Some(whole)
+        Ok(Some(whole))
     }
 
     /// Returns the bytes that follow the last whole event. Call at the end of the stream.
--- a/crates/fake/tests/framing.rs
+++ b/crates/fake/tests/framing.rs
@@ -10,6 +10,9 @@
 use fake::fleet::{TestFleet, wait_for};
 use googletest::prelude::*;
 
+/// More bytes than callers may get of one answer.
+const MAX_TAKEN_BYTES: usize = 48 * 1024 * 1024;
+
 /// Answer to each request of a path, and how its connection ends.
 #[derive(Clone, Debug)]
 struct ScriptedAnswer {
@@ -205,3 +208,43 @@
     expect_that!((none_.status, none_.error), eq(&(204, None)));
     expect_that!((same.status, same.error), eq(&(304, None)));
 }
+
+// Issue 23: bytes that are no answer may come without end.
+#[gtest]
+fn entry_does_not_wait_for_the_end_of_endless_bytes() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    let chunked = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5;ext=extension";
+    let endless = ConnectionEnd::Endless;
+    let cases = [
+        (
+            "head",
+            scripted(
+                "/head",
+                endless,
+                "HTTP/1.1 200 OK\r\nx-long: longlonglonglong",
+            ),
+        ),
+        (
+            "hints",
+            scripted("/hints", endless, &"HTTP/1.1 103 X\r\n\r\n".repeat(2)),
+        ),
+        ("extension", scripted("/extension", endless, chunked)),
+        (
+            "body",
+            scripted(
+                "/body",
+                endless,
+                "HTTP/1.1 200 OK\r\n\r\nlonglonglonglonglong",
+            ),
+        ),
+    ];
+    let answers = cases.iter().map(|(_, answer)| answer.clone()).collect();
+    replace_plain(&mut fleet, answers);
+    for (path, _) in &cases {
+        let answer = service_call(&fleet, HttpCall::get, path);
+        let is_complete = answer.status == 200 && answer.error.is_none();
+
+        expect_that!(is_complete, eq(false), "{path}");
+        expect_that!(answer.body.len(), le(MAX_TAKEN_BYTES), "{path}");
+    }
+}
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -22,6 +22,7 @@
 use wire::gateway::{CrashNotice, ListedEndpoint};
 use wire::id::name_id;
 
+mod endless;
 mod fixture;
 mod framing;
 
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -15,7 +15,12 @@
 use crate::reply::{WholeAnswer, deliver_whole};
 use crate::retry::AttemptEnd;
 use crate::session::CallerFraming;
-use crate::state::{OccupiedSlot, RelayState};
+use crate::state::OccupiedSlot;
+
+/// Maximum size of the body of a refusal that is read so that its connection can be kept, in bytes.
+const MAX_REFUSAL_BYTES: usize = 16 * 1024;
+/// Maximum time for reading that body.
+const REFUSAL_BODY_LIMIT: Duration = Duration::from_millis(50);
 use exchange::pool::idle_share;
 
 impl EndpointAttempt<'_> {
@@ -35,24 +40,37 @@
         if is_good && has_body && self.call.route.kind.is_stream() {
             return self.forward_stream(answer, slot).await;
         }
+        if answer.metadata.is_not_run {
+            return self.take_refusal(answer, slot).await;
+        }
         self.take_whole(answer, slot).await
     }
 
+    /// Processes the answer of an endpoint that did not run the call. Its body matters only for
+    /// further use of the connection.
+    async fn take_refusal(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
+        let status = answer.head.status;
+        let reading = read_whole(&mut answer.connection, MAX_REFUSAL_BYTES);
+        let read = with_time_limit(Some(REFUSAL_BODY_LIMIT), reading).await;
+        self.note_end(answer.connection.framing, read.is_ok(), 0);
+        if read.is_ok() {
+            self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
+        }
+        AttemptResult::Failed(self.note_not_run(status))
+    }
+
     async fn take_whole(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
-        let reading = read_whole(self.state, &mut answer.connection);
+        let limit = self.state.settings.whole_answer_bytes;
+        let reading = read_whole(&mut answer.connection, limit);
         let read = with_time_limit(self.progress.silence_limit, reading).await;
         let framing = answer.connection.framing;
         self.note_end(framing, read.is_ok(), 0);
         let body = match read {
             Ok(body) => body,
-            Err(_) if answer.metadata.is_not_run => Bytes::new(),
             Err(error) => return AttemptResult::Failed(self.note_break(&error, true)),
         };
         self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
         let status = answer.head.status;
-        if answer.metadata.is_not_run {
-            return AttemptResult::Failed(self.note_not_run(status));
-        }
         let headers = answer.head.headers();
         let whole = WholeAnswer {
             status,
@@ -166,14 +184,14 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-/// Reads the body of an answer, up to the limit of `whole_answer_bytes`.
+/// Reads the body of an answer of at most `limit` bytes.
 async fn read_whole(
-    state: &RelayState,
     connection: &mut EndpointConnection,
+    limit: usize,
 ) -> connection::Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(chunk) = connection.next_chunk().await? {
-        if body.len() + chunk.len() > state.settings.whole_answer_bytes {
+        if body.len() + chunk.len() > limit {
             return Err(EndpointError::Oversized);
         }
         body.extend_from_slice(&chunk);
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -27,12 +27,14 @@
                 Err(error) => return self.break_off(&answer, &error),
             };
             self.note_bytes(slot);
-            let bytes = match content {
+            let whole = match content {
                 ContentKind::Events | ContentKind::Unknown => self.progress.events.push(&chunk),
-                ContentKind::Other => Some(chunk),
+                ContentKind::Other => Ok(Some(chunk)),
             };
-            let Some(bytes) = bytes else {
-                continue;
+            let bytes = match whole {
+                Ok(Some(bytes)) => bytes,
+                Ok(None) => continue,
+                Err(error) => return self.break_off(&answer, &error),
             };
             if !has_first {
                 has_first = true;
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bytes::Bytes;
 use catalog::{CallKind, RouteRule};
 use exchange::events::EventSplitter;
 use exchange::pool::idle_share;
@@ -170,13 +171,17 @@
     expect_that!(bounded, le(Duration::from_millis(100)));
 }
 
+fn push(splitter: &mut EventSplitter, bytes: &[u8]) -> Option<Bytes> {
+    splitter.push(bytes).expect("the events are small")
+}
+
 #[gtest]
 fn events_are_forwarded_whole() {
     let mut splitter = EventSplitter::default();
 
-    let first = splitter.push(b"id: 1\ndata: a\n\nid: 2\nda");
-    let second = splitter.push(b"ta: b\n");
-    let third = splitter.push(b"\n");
+    let first = push(&mut splitter, b"id: 1\ndata: a\n\nid: 2\nda");
+    let second = push(&mut splitter, b"ta: b\n");
+    let third = push(&mut splitter, b"\n");
 
     expect_that!(first.as_deref(), some(eq(b"id: 1\ndata: a\n\n".as_slice())));
     expect_that!(second, none());
@@ -184,13 +189,24 @@
     expect_that!(splitter.last_id(), some(eq("2")));
 }
 
+#[gtest]
+fn bytes_without_the_end_of_an_event_are_refused() {
+    let mut splitter = EventSplitter::default();
+    let block = [b'b'; 64 * 1024];
+
+    let fits = (0..16).all(|_| matches!(splitter.push(&block), Ok(None)));
+
+    expect_that!(fits, eq(true));
+    expect_that!(splitter.push(&block).is_err(), eq(true));
+}
+
 #[gtest]
 fn partial_event_is_discarded() {
     let mut splitter = EventSplitter::default();
-    splitter.push(b"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda");
+    push(&mut splitter, b"id: 1\r\ndata: a\r\n\r\nid: 2\r\nda");
 
     splitter.drop_partial();
-    let next = splitter.push(b"id: 2\r\ndata: b\r\n\r\n");
+    let next = push(&mut splitter, b"id: 2\r\ndata: b\r\n\r\n");
 
     expect_that!(
         next.as_deref(),
@@ -207,7 +223,7 @@
         let mut at = 0;
         for cut in cuts.iter().cycle() {
             let end = (at + cut).min(whole.len());
-            if let Some(bytes) = splitter.push(&whole[at..end]) {
+            if let Some(bytes) = push(&mut splitter, &whole[at..end]) {
                 forwarded.extend_from_slice(&bytes);
             }
             at = end;
