--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -25,6 +25,12 @@
 }
 
 impl PromptOutline {
+    /// Ids of the parts that calls of other chats may share: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let count = self.parts.len().saturating_sub(1);
+        self.parts[..count].iter().map(|part| part.id)
+    }
+
     /// Id of the part by which endpoints are ranked for the prompt: the last part that calls of
     /// other chats share, or the only part.
     pub fn shared_part(&self) -> Option<u64> {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -45,6 +45,7 @@
             record.route.clone_from(&call.route.name);
             record.account = call.account_name().to_owned();
             record.fingerprint = call.fingerprint;
+            record.parts = call.shared_parts().collect();
             record.crashes = state.crashes.borrow().crashes_of(call.fingerprint);
             let forward = CallForward::new(state, &call, writer, &mut record);
             record.end = forward.run().await;
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -53,6 +53,8 @@
     pub list_age: Option<Duration>,
     /// Hash that is equal for calls that are the same work; 0 before the rules were applied.
     pub fingerprint: FingerprintHash,
+    /// Ids of the parts of the prompt that other calls may share; empty without a prompt.
+    pub parts: Vec<u64>,
     /// Number of endpoints known to have crashed while running the same work, when the rules of the
     /// call were looked up.
     pub crashes: usize,
@@ -86,6 +88,7 @@
             catalog: 0,
             list_age: None,
             fingerprint: 0,
+            parts: Vec::new(),
             crashes: 0,
             attempts: Vec::new(),
             rank: 0,
@@ -122,6 +125,7 @@
         let attempts: Vec<String> = attempts
             .map(|attempt| format!("{}:{}:{}", attempt.name, attempt.load, attempt.end))
             .collect();
+        let parts: Vec<String> = self.parts.iter().map(|part| hex_text(*part)).collect();
         log::info!(
             call = self.attempt_id.as_deref().unwrap_or("-"),
             outcome = label,
@@ -131,6 +135,7 @@
             catalog = self.catalog,
             list_age_ms = self.list_age.map_or(-1, |age| age.as_millis() as i64),
             fingerprint = hex_text(self.fingerprint).as_str(),
+            parts = parts.join(",").as_str(),
             crashes = self.crashes,
             tries = attempts.join(",").as_str(),
             rank = self.rank,
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -74,6 +74,12 @@
         self.account.map_or("", |account| account.name.as_str())
     }
 
+    /// Ids of the parts of the prompt that calls of other chats may share.
+    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
+        let prompt = self.metadata.prompt.iter();
+        prompt.flat_map(PromptOutline::shared_parts)
+    }
+
     /// Time until the caller stops waiting; `None` if it stated no timeout.
     pub fn time_left(&self) -> Option<Duration> {
         let caller_timeout = self.metadata.caller_timeout?;
