--- a/crates/gateway/src/crash_notices.rs
+++ b/crates/gateway/src/crash_notices.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use relay::crash::SuspectKind;
 use tokio::time::{MissedTickBehavior, interval, sleep};
 use wire::gateway::{CrashNotice, GatewayDatagram};
 use wire::id::InstanceId;
@@ -34,18 +35,21 @@
 impl GatewayNode {
     fn send_new_crashes(&self) {
         let now = self.now();
-        loop {
-            let notice = self.relay_state.crashes.borrow_mut().take_notice(now);
-            let Some(notice) = notice else {
-                return;
-            };
-            let datagram = GatewayDatagram::Crashes(notice);
-            for recipient in self.directory.borrow().notice_recipients(now) {
-                self.send_datagram(recipient, &datagram);
+        for kind in [SuspectKind::Request, SuspectKind::Part] {
+            while let Some(notice) = self.next_notice(now, kind) {
+                let datagram = datagram_of(kind, notice);
+                for recipient in self.directory.borrow().notice_recipients(now) {
+                    self.send_datagram(recipient, &datagram);
+                }
             }
         }
     }
 
+    fn next_notice(&self, now: Duration, kind: SuspectKind) -> Option<CrashNotice> {
+        let mut crashes = self.relay_state.crashes.borrow_mut();
+        crashes.take_notice(now, kind)
+    }
+
     /// Repeats what this gateway knows to the one that follows `last_told`. Returns the gateway that
     /// was told last.
     fn repeat_crashes(&self, last_told: InstanceId) -> InstanceId {
@@ -56,26 +60,38 @@
         }
     }
 
-    /// Repeats to another gateway what this one knows of requests with several crashes. Returns
+    /// Repeats to another gateway what this one knows of suspects with several crashes. Returns
     /// whether there was something to repeat.
     pub fn repeat_crashes_to(&self, recipient: InstanceId) -> bool {
-        let mut crashes = self.relay_state.crashes.borrow_mut();
-        let Some(notice) = crashes.next_repetition(self.now()) else {
-            return false;
-        };
-        self.send_datagram(recipient, &GatewayDatagram::Crashes(notice));
-        true
+        let mut is_told = false;
+        for kind in [SuspectKind::Request, SuspectKind::Part] {
+            let mut crashes = self.relay_state.crashes.borrow_mut();
+            let repetition = crashes.next_repetition(self.now(), kind);
+            drop(crashes);
+            if let Some(notice) = repetition {
+                self.send_datagram(recipient, &datagram_of(kind, notice));
+                is_told = true;
+            }
+        }
+        is_told
     }
 
     /// Handles the notice of another gateway, and sends it the objections, if there are any.
-    pub fn handle_crash_notice(&self, from: InstanceId, notice: &CrashNotice) {
+    pub fn handle_crash_notice(&self, from: InstanceId, kind: SuspectKind, notice: &CrashNotice) {
         let now = self.now();
         let mut crashes = self.relay_state.crashes.borrow_mut();
-        let objections = crashes.note_notice(now, notice);
+        let objections = crashes.note_notice(now, kind, notice);
         drop(crashes);
         self.relay_state.announce_crashes();
         if let Some(objections) = objections {
-            self.send_datagram(from, &GatewayDatagram::Crashes(objections));
+            self.send_datagram(from, &datagram_of(kind, objections));
         }
     }
 }
+
+fn datagram_of(kind: SuspectKind, notice: CrashNotice) -> GatewayDatagram {
+    match kind {
+        SuspectKind::Request => GatewayDatagram::Crashes(notice),
+        SuspectKind::Part => GatewayDatagram::PartCrashes(notice),
+    }
+}
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -4,6 +4,7 @@
 use std::net::{SocketAddr, SocketAddrV4};
 use std::rc::Rc;
 
+use relay::crash::SuspectKind;
 use replica::ReplicaMessage;
 use wire::codec;
 use wire::gateway::{
@@ -58,7 +59,12 @@
             GatewayDatagram::Heartbeat(heartbeat) => self.handle_heartbeat(from, *heartbeat),
             GatewayDatagram::List(notice) => self.handle_list_notice(from, notice),
             GatewayDatagram::Replica(bytes) => self.receive_replica_bytes(&bytes),
-            GatewayDatagram::Crashes(notice) => self.handle_crash_notice(from, &notice),
+            GatewayDatagram::Crashes(notice) => {
+                self.handle_crash_notice(from, SuspectKind::Request, &notice);
+            }
+            GatewayDatagram::PartCrashes(notice) => {
+                self.handle_crash_notice(from, SuspectKind::Part, &notice);
+            }
         }
     }
 
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -219,9 +219,15 @@
     };
     notice.crashes[0].requests = vec![u64::MAX; MAX_NOTICE_REQUESTS];
 
-    let bytes = codec::encode(&GatewayDatagram::Crashes(notice)).expect("a message");
+    let datagrams = [
+        GatewayDatagram::Crashes(notice.clone()),
+        GatewayDatagram::PartCrashes(notice),
+    ];
+    for datagram in datagrams {
+        let bytes = codec::encode(&datagram).expect("a message");
 
-    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+        expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+    }
 }
 
 #[gtest]
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -11,6 +11,7 @@
 };
 use googletest::prelude::*;
 use platform::PlatformDialect;
+use relay::crash::SuspectKind;
 use relay::row::EndpointStanding;
 use relay::server::serve_callers;
 use relay::state::{RelaySettings, RelayState, ServingPhase};
@@ -607,7 +608,10 @@
 async fn next_crash_notice(state: &RelayState) -> CrashNotice {
     loop {
         let due = state.crash_notice_due.notified();
-        let notice = state.crashes.borrow_mut().take_notice(state.now());
+        let notice = state
+            .crashes
+            .borrow_mut()
+            .take_notice(state.now(), SuspectKind::Request);
         match notice {
             Some(notice) => return notice,
             None => due.await,
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -1,8 +1,9 @@
 //! A gateway with the decisions of crate `relay`, as its calls take them.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use relay::crash::{CrashTracker, LostRun};
+use relay::crash::{CrashTracker, LostRun, SuspectKind};
 use relay::health::CallOutcome;
 use relay::placement::{PlacementQuery, PlacementSettings, choose};
 use relay::table::EndpointTable;
@@ -52,7 +53,9 @@
 
     /// Whether a call is refused as suspected.
     pub fn is_refused(&self, now: Duration, call: &SimulatedCall) -> bool {
-        self.crashes.refused_for(now, call.fingerprint).is_some()
+        let crashes = &self.crashes;
+        let refused_for = crashes.refused_for(now, call.fingerprint, &call.parts);
+        refused_for.is_some()
     }
 
     /// Chooses an endpoint that the call has not tried.
@@ -101,6 +104,7 @@
     pub fn note_served(&mut self, now: Duration, run: &CallRun) {
         self.table.finish(now, run.endpoint);
         self.crashes.note_served(now, run.call.fingerprint);
+        self.crashes.note_parts_served(now, &run.call.parts);
     }
 
     /// Records that the connection broke during a run. Returns whether the endpoint is to be
@@ -121,6 +125,7 @@
     fn note_lost(&mut self, now: Duration, run: &CallRun) {
         let lost = LostRun {
             fingerprint: run.call.fingerprint,
+            parts: Rc::clone(&run.call.parts),
             endpoint: run.endpoint,
             alive_at: run.alive_at,
         };
@@ -141,17 +146,22 @@
     }
 
     /// The next notice to all other gateways.
-    pub fn next_notice(&mut self, now: Duration) -> Option<CrashNotice> {
-        self.crashes.take_notice(now)
+    pub fn next_notice(&mut self, now: Duration, kind: SuspectKind) -> Option<CrashNotice> {
+        self.crashes.take_notice(now, kind)
     }
 
     /// What is repeated to one other gateway after the other.
-    pub fn next_repetition(&mut self, now: Duration) -> Option<CrashNotice> {
-        self.crashes.next_repetition(now)
+    pub fn next_repetition(&mut self, now: Duration, kind: SuspectKind) -> Option<CrashNotice> {
+        self.crashes.next_repetition(now, kind)
     }
 
     /// Handles a notice of another gateway. Returns the reply.
-    pub fn receive(&mut self, now: Duration, notice: &CrashNotice) -> Option<CrashNotice> {
-        self.crashes.note_notice(now, notice)
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        kind: SuspectKind,
+        notice: &CrashNotice,
+    ) -> Option<CrashNotice> {
+        self.crashes.note_notice(now, kind, notice)
     }
 }
--- a/crates/measure/src/poison/mod.rs
+++ b/crates/measure/src/poison/mod.rs
@@ -12,6 +12,8 @@
 pub mod pattern;
 pub mod replay;
 
+use std::time::Duration;
+
 use argh::FromArgs;
 
 use self::pattern::{CrashPattern, PoisonScope};
@@ -35,6 +37,12 @@
     /// request or prompt-part: what crashes the endpoints
     #[argh(option, default = "PoisonScope::Request")]
     pub scope: PoisonScope,
+    /// a small fleet, whose endpoints may all be down at once
+    #[argh(switch)]
+    pub small: bool,
+    /// milliseconds between two requests that crash endpoints
+    #[argh(option, default = "300")]
+    pub interval: u64,
 }
 
 /// Counts of a run.
@@ -66,9 +74,14 @@
     };
     let mut holds = true;
     for pattern in patterns {
+        let fleet = match args.small {
+            true => ReplaySettings::small(pattern, args.scope),
+            false => ReplaySettings::new(pattern, args.scope),
+        };
         let settings = ReplaySettings {
             seed: args.seed,
-            ..ReplaySettings::new(pattern, args.scope)
+            poison_interval: Duration::from_millis(args.interval),
+            ..fleet
         };
         let result = replay(settings);
         println!(
--- a/crates/measure/src/poison/replay/messages.rs
+++ b/crates/measure/src/poison/replay/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use relay::crash::SuspectKind;
 use wire::gateway::CrashNotice;
 
 use super::{PoisonFleet, STEP};
@@ -14,12 +15,16 @@
 /// Share of the messages between gateways that are lost.
 const MESSAGE_LOSS: f64 = 0.02;
 
+/// Kinds of notices.
+const KINDS: [SuspectKind; 2] = [SuspectKind::Request, SuspectKind::Part];
+
 /// A notice on its way from one gateway to another.
 #[derive(Clone, Debug)]
 pub(super) struct NoticeInFlight {
     arrives_at: Duration,
     sender: usize,
     recipient: usize,
+    kind: SuspectKind,
     notice: CrashNotice,
 }
 
@@ -35,8 +40,9 @@
             if slot.down_until > now || slot.cut_until > now {
                 continue;
             }
-            if let Some(reply) = slot.gateway.receive(now, &message.notice) {
-                self.send(message.recipient, message.sender, reply);
+            let kind = message.kind;
+            if let Some(reply) = slot.gateway.receive(now, kind, &message.notice) {
+                self.send(message.recipient, message.sender, kind, reply);
             }
         }
     }
@@ -54,10 +60,16 @@
             if since_tick.is_multiple_of(TICK_INTERVAL.as_millis()) {
                 self.tick(sender);
             }
-            while let Some(notice) = self.gateways[sender].gateway.next_notice(self.now) {
-                for recipient in (0..self.gateways.len()).filter(|recipient| *recipient != sender) {
-                    self.send(sender, recipient, notice.clone());
-                }
+            for kind in KINDS {
+                self.announce(sender, kind);
+            }
+        }
+    }
+
+    fn announce(&mut self, sender: usize, kind: SuspectKind) {
+        while let Some(notice) = self.gateways[sender].gateway.next_notice(self.now, kind) {
+            for recipient in (0..self.gateways.len()).filter(|recipient| *recipient != sender) {
+                self.send(sender, recipient, kind, notice.clone());
             }
         }
     }
@@ -69,9 +81,7 @@
             if slot.down_until > self.now {
                 continue;
             }
-            if let Some(notice) = slot.gateway.next_repetition(self.now) {
-                self.send(sender, newcomer, notice);
-            }
+            self.repeat(sender, newcomer);
         }
     }
 
@@ -82,18 +92,26 @@
         slot.gateway.expire(self.now);
         slot.last_told = (slot.last_told + 1) % count;
         let recipient = slot.last_told;
-        if let Some(notice) = slot.gateway.next_repetition(self.now) {
-            self.send(number, recipient, notice);
+        self.repeat(number, recipient);
+    }
+
+    fn repeat(&mut self, sender: usize, recipient: usize) {
+        for kind in KINDS {
+            let gateway = &mut self.gateways[sender].gateway;
+            if let Some(notice) = gateway.next_repetition(self.now, kind) {
+                self.send(sender, recipient, kind, notice);
+            }
         }
     }
 
-    fn send(&mut self, sender: usize, recipient: usize, notice: CrashNotice) {
+    fn send(&mut self, sender: usize, recipient: usize, kind: SuspectKind, notice: CrashNotice) {
         let is_cut = self.gateways[sender].cut_until > self.now;
         if !is_cut && !self.rng.random_bool(MESSAGE_LOSS) {
             self.messages.push(NoticeInFlight {
                 arrives_at: self.now + MESSAGE_DELAY,
                 sender,
                 recipient,
+                kind,
                 notice,
             });
         }
--- a/crates/measure/tests/poison.rs
+++ b/crates/measure/tests/poison.rs
@@ -1,6 +1,8 @@
 //! Requests that crash endpoints, before a fleet of gateways. Each test is named after the failure
 //! that it guards against.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use measure::poison::pattern::{CrashPattern, PoisonScope};
 use measure::poison::replay::{ReplaySettings, replay};
@@ -116,3 +118,30 @@
         expect_that!(result.refused, eq(0), "{settings:?}: {result:?}");
     });
 }
+
+// Copies of a harmless request that run at several endpoints are lost in three crashes of other
+// causes before one of them is answered.
+#[gtest]
+fn harmless_request_is_refused_when_copies_of_it_are_lost_in_three_crashes() {
+    let storm = |scope, seed| ReplaySettings {
+        seed,
+        ..ReplaySettings::small(CrashPattern::CrashStorm, scope)
+    };
+    let replays = [
+        storm(PoisonScope::Request, 13),
+        storm(PoisonScope::Request, 15),
+        ReplaySettings {
+            poison_interval: Duration::from_secs(1),
+            ..storm(PoisonScope::PromptPart, 12)
+        },
+        ReplaySettings {
+            pattern: CrashPattern::Replaced,
+            ..storm(PoisonScope::PromptPart, 8)
+        },
+    ];
+    for settings in replays {
+        let result = replay(settings);
+
+        expect_that!(result.refused, eq(0), "{settings:?}: {result:?}");
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -142,7 +142,7 @@
             Err(error) => AttemptResult::Failed(self.note_break(&error, self.progress.may_run)),
         };
         match &result {
-            AttemptResult::Delivered(_) => slot.complete(),
+            AttemptResult::Delivered(status) => slot.complete(status.is_success()),
             AttemptResult::Failed(failed) if failed.is_lost => slot.lose(),
             AttemptResult::Failed(_) => slot.end(),
             AttemptResult::CallerLost => drop::<OccupiedSlot>(slot),
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -2,43 +2,46 @@
 //!
 //! A run that ends without an answer is pending until its cause is known: if its endpoint turns out
 //! to be down, the request was lost in a crash; if the endpoint answers a later call, it was not.
-//! Instances tell each other which endpoints they found down and which requests were lost there, so
-//! that the two observations need not be made by the same instance. A request that was lost in too
-//! many crashes is refused for a while. What is known of requests with several crashes is repeated
-//! by every instance, so that it survives the one that found it.
+//! Instances tell each other which endpoints they found down and what was lost there, so that the
+//! two observations need not be made by the same instance. A request that was lost in too many
+//! crashes is refused for a while.
 //!
-//! A request that was served does not crash each endpoint that runs it: crashes before its answer,
-//! and shortly after, do not count. An instance that is told of such a crash objects.
+//! It may also be a part of the prompt that crashes endpoints, whatever else the request holds. So
+//! the shared parts of each lost prompt are suspected, too, and requests with a blamed part are
+//! refused. Crashes that a blamed part explains count against nothing else.
+//!
+//! What is known of suspects with several crashes is repeated by every instance, so that it
+//! survives the one that found it. What was served does not crash each endpoint that runs it:
+//! crashes before its answer, and for a while after, do not count. An instance that is told of such
+//! a crash objects.
 
+mod blame;
 mod loss;
 mod outage;
 mod served;
 mod suspect;
+mod suspicion;
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::HashSet;
 use std::time::Duration;
 
-use wire::gateway::{
-    CrashId, CrashNotice, EndpointCrash, MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS,
-    MAX_NOTICE_SERVED, ServedRequest,
-};
+use wire::gateway::{CrashId, CrashNotice, EndpointCrash};
 use wire::id::{EndpointId, FingerprintHash};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use self::blame::Blame;
 pub use self::loss::LostRun;
 use self::loss::PendingRuns;
 use self::outage::{KnownCrash, RecentCrashes};
-use self::served::ServedRequests;
-use self::suspect::{BLOCKING_CRASHES, SUSPICION_TIME, SuspectRequest, SuspectTable};
+use self::suspect::{SUSPICION_TIME, SuspectRow};
+use self::suspicion::Suspicion;
+pub use self::suspicion::{SuspectHash, SuspectKind};
 
-/// Largest number of crashes in one repetition. Repetitions go on for as long as a request is
-/// suspected, so they have to be small.
-const MAX_REPEATED_CRASHES: usize = 6;
 /// Added to all times, so that crashes from before the start of this instance have one, too.
 const CLOCK_OFFSET: Duration = SUSPICION_TIME;
 
 /// A decision of [`CrashTracker`], for the log and the metrics.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CrashDecision {
     /// A run was lost; the cause is pending.
     Pending(LostRun),
@@ -53,53 +56,64 @@
         /// The endpoint.
         endpoint: EndpointId,
     },
-    /// A crash was counted against a request.
+    /// A crash was counted against a suspect.
     Counted {
-        /// The request.
-        fingerprint: FingerprintHash,
+        /// Kind of the suspect.
+        kind: SuspectKind,
+        /// The suspect.
+        hash: SuspectHash,
         /// The endpoint that crashed.
         endpoint: EndpointId,
-        /// Number of crashes in which the request was lost.
+        /// Number of crashes in which the suspect was lost.
         crashes: usize,
-        /// Whether the request was lost at this instance.
+        /// Whether it was lost at this instance.
         is_own: bool,
     },
-    /// The request is refused from now on.
-    Blocked(FingerprintHash),
-    /// Crashes no longer count against a request, as it was served.
-    Cleared(FingerprintHash),
+    /// The suspect is refused from now on.
+    Blocked(SuspectKind, SuspectHash),
+    /// Crashes no longer count against a suspect, as it was served.
+    Cleared(SuspectKind, SuspectHash),
 }
 
-/// Tracks which requests are suspected of crashing endpoints, by fingerprint.
-#[derive(Debug, Default)]
+/// Tracks which requests, and which parts of prompts, are suspected of crashing endpoints.
+#[derive(Debug)]
 pub struct CrashTracker {
     /// Makes the ids of crashes differ between instances and starts.
     seed: u64,
     /// Number of crashes that this instance was the first to find.
     found: u64,
-    suspects: SuspectTable,
-    served: ServedRequests,
+    requests: Suspicion,
+    parts: Suspicion,
+    /// Which parts are to blame. Follows from `parts`.
+    blame: Blame,
     pending: PendingRuns,
     crashes: RecentCrashes,
     /// Endpoints that are being checked by this instance.
     checking: HashSet<EndpointId>,
-    /// What this instance added to a crash and has not announced: requests by crash.
-    unannounced: BTreeMap<CrashId, Vec<FingerprintHash>>,
-    /// Served requests that other instances still count as lost in crashes.
-    unannounced_served: BTreeSet<FingerprintHash>,
-    /// Fingerprint from which on [`Self::next_repetition`] goes on.
-    next_repeated: FingerprintHash,
     /// Decisions that were not taken by [`Self::take_decisions`] yet, oldest first.
     decisions: Vec<CrashDecision>,
 }
 
+impl Default for CrashTracker {
+    fn default() -> Self {
+        Self::new(0)
+    }
+}
+
 /// Observations of this instance.
 impl CrashTracker {
     /// Creates a tracker. `seed` must differ between instances, and between their starts.
     pub fn new(seed: u64) -> Self {
         Self {
             seed,
-            ..Self::default()
+            found: 0,
+            requests: Suspicion::new(SuspectKind::Request),
+            parts: Suspicion::new(SuspectKind::Part),
+            blame: Blame::default(),
+            pending: PendingRuns::default(),
+            crashes: RecentCrashes::default(),
+            checking: HashSet::new(),
+            decisions: Vec::new(),
         }
     }
 
@@ -112,8 +126,9 @@
         };
         self.expire_pending(now);
         if let Some(crash) = self.crashes.cause_of(&run) {
-            self.count_own(crash, run.fingerprint);
-        } else if self.pending.push(now, run) {
+            self.count_own(crash, &run);
+            self.update_blame();
+        } else if self.pending.push(now, run.clone()) {
             self.decisions.push(CrashDecision::Pending(run));
         }
     }
@@ -131,9 +146,10 @@
         for run in lost {
             let crash = known.filter(|crash| crash.covers(&run)).or(found);
             if let Some(crash) = crash {
-                self.count_own(crash, run.fingerprint);
+                self.count_own(crash, &run);
             }
         }
+        self.update_blame();
     }
 
     /// Records that an endpoint answered a call that was sent to it at `sent_at`: runs that were
@@ -148,12 +164,18 @@
 
     /// Records that an endpoint answered a request whole.
     pub fn note_served(&mut self, now: Duration, fingerprint: FingerprintHash) {
-        let suspect = self.suspects.get(fingerprint);
-        let is_repeated = suspect.is_some_and(SuspectRequest::is_repeated);
-        self.learn_served(fingerprint, now + CLOCK_OFFSET);
-        if is_repeated {
-            self.unannounced_served.insert(fingerprint);
+        let now = now + CLOCK_OFFSET;
+        self.requests
+            .note_served(now, fingerprint, &mut self.decisions);
+    }
+
+    /// Records that an endpoint generated a whole answer to a prompt with these parts.
+    pub fn note_parts_served(&mut self, now: Duration, parts: &[SuspectHash]) {
+        let now = now + CLOCK_OFFSET;
+        for part in parts {
+            self.parts.note_served(now, *part, &mut self.decisions);
         }
+        self.update_blame();
     }
 
     /// Whether the cause of a lost run at an endpoint is pending.
@@ -178,8 +200,9 @@
         let now = now + CLOCK_OFFSET;
         self.expire_pending(now);
         self.crashes.expire(now);
-        self.suspects.expire(now);
-        self.served.expire(now);
+        self.requests.expire(now);
+        self.parts.expire(now);
+        self.update_blame();
     }
 
     /// Takes the decisions since the last call of this function, oldest first.
@@ -190,150 +213,115 @@
 
 /// Verdicts on requests.
 impl CrashTracker {
-    /// Time for which a request is refused, as it was lost in too many crashes; `None` if it may be
-    /// sent to an endpoint.
-    pub fn refused_for(&self, now: Duration, fingerprint: FingerprintHash) -> Option<Duration> {
-        let suspect = self.suspects.get(fingerprint)?;
-        suspect.refused_for(now + CLOCK_OFFSET)
+    /// Time for which a request is refused, as it or a part of its prompt was lost in too many
+    /// crashes; `None` if it may be sent to an endpoint.
+    pub fn refused_for(
+        &self,
+        now: Duration,
+        fingerprint: FingerprintHash,
+        parts: &[SuspectHash],
+    ) -> Option<Duration> {
+        let now = now + CLOCK_OFFSET;
+        let for_parts = self.blame.refused_for(now, parts);
+        let is_blocked = self.crashes_of(fingerprint) >= SuspectKind::Request.blocking_crashes();
+        let suspect = self.requests.suspects.get(fingerprint);
+        let suspect = suspect.filter(|_| is_blocked);
+        for_parts.max(suspect.and_then(|suspect| suspect.blocked_for(now)))
     }
 
     /// Whether a request whose run was lost may be sent to another endpoint. Pending runs count as
     /// crashes here.
     pub fn may_retry(&self, fingerprint: FingerprintHash) -> bool {
-        self.crashes_of(fingerprint) + self.pending.count_of(fingerprint) < BLOCKING_CRASHES
+        let crashes = self.crashes_of(fingerprint) + self.pending.count_of(fingerprint);
+        crashes < SuspectKind::Request.blocking_crashes()
     }
 
-    /// Number of crashes in which a request was lost.
+    /// Number of crashes in which a request was lost, but for those that a blamed part explains.
     pub fn crashes_of(&self, fingerprint: FingerprintHash) -> usize {
-        let suspect = self.suspects.get(fingerprint);
-        suspect.map_or(0, SuspectRequest::count)
+        let suspect = self.requests.suspects.get(fingerprint);
+        suspect.map_or(0, |suspect| suspect.count_unexplained(&self.blame))
+    }
+
+    /// Number of crashes in which requests with a part in their prompts were lost.
+    pub fn crashes_of_part(&self, part: SuspectHash) -> usize {
+        let suspect = self.parts.suspects.get(part);
+        suspect.map_or(0, SuspectRow::count)
     }
 }
 
-/// Notices to and from other instances.
+/// Notices to and from other instances. Each concerns suspects of one kind.
 impl CrashTracker {
     /// Handles the notice of another instance. Returns objections, to be sent back to it.
-    pub fn note_notice(&mut self, now: Duration, notice: &CrashNotice) -> Option<CrashNotice> {
+    pub fn note_notice(
+        &mut self,
+        now: Duration,
+        kind: SuspectKind,
+        notice: &CrashNotice,
+    ) -> Option<CrashNotice> {
         let now = now + CLOCK_OFFSET;
         self.expire_pending(now);
         for served in &notice.served {
-            let age = Duration::from_millis(u64::from(served.age_ms));
-            self.accept_objection(served.fingerprint, now.saturating_sub(age));
+            let at = now.saturating_sub(Duration::from_millis(u64::from(served.age_ms)));
+            let (suspicion, decisions) = self.suspicion(kind);
+            suspicion.accept_objection(served.fingerprint, at, decisions);
         }
         let mut objections = Vec::new();
         for told in &notice.crashes {
-            objections.extend(self.learn_crash(now, told));
+            objections.extend(self.learn_crash(now, kind, told));
         }
-        objections.truncate(MAX_NOTICE_SERVED);
-        let served = self.served.to_notice(now, objections);
-        (!served.is_empty()).then(|| CrashNotice {
-            served,
-            ..CrashNotice::default()
-        })
+        self.update_blame();
+        self.suspicion(kind).0.objections(now, objections)
     }
 
     /// Whether there is something that [`Self::take_notice`] has not announced.
     pub fn has_notice(&self) -> bool {
-        !self.unannounced.is_empty() || !self.unannounced_served.is_empty()
+        self.requests.has_notice() || self.parts.has_notice()
     }
 
     /// Takes the next notice to the other instances of what this instance found.
-    pub fn take_notice(&mut self, now: Duration) -> Option<CrashNotice> {
+    pub fn take_notice(&mut self, now: Duration, kind: SuspectKind) -> Option<CrashNotice> {
         let now = now + CLOCK_OFFSET;
-        let notice = CrashNotice {
-            crashes: self.take_unannounced(now),
-            served: self.take_unannounced_served(now),
-        };
-        (notice != CrashNotice::default()).then_some(notice)
+        match kind {
+            SuspectKind::Request => self.requests.take_notice(now, &self.crashes),
+            SuspectKind::Part => self.parts.take_notice(now, &self.crashes),
+        }
     }
 
-    /// The next part of what this instance knows of requests with several crashes, whoever found
+    /// The next part of what this instance knows of suspects with several crashes, whoever found
     /// these; `None` if there are none. Repeated to one instance after the other, so that those
     /// which have just started, or missed notices, learn of them.
-    pub fn next_repetition(&mut self, now: Duration) -> Option<CrashNotice> {
+    pub fn next_repetition(&mut self, now: Duration, kind: SuspectKind) -> Option<CrashNotice> {
         let now = now + CLOCK_OFFSET;
-        let first = std::mem::take(&mut self.next_repeated);
-        let mut told: BTreeMap<CrashId, EndpointCrash> = BTreeMap::new();
-        let mut requests = 0;
-        for (fingerprint, suspect) in self.suspects.repeated_from(first) {
-            if requests + BLOCKING_CRASHES > MAX_REPEATED_CRASHES {
-                self.next_repeated = fingerprint;
-                break;
-            }
-            for crash in suspect.different().rev().take(BLOCKING_CRASHES) {
-                let entry = told.entry(crash.id);
-                let entry = entry.or_insert_with(|| crash.to_notice(now, Vec::new()));
-                entry.requests.push(fingerprint);
-                requests += 1;
-            }
-        }
-        let crashes: Vec<EndpointCrash> = told.into_values().collect();
-        (!crashes.is_empty()).then(|| CrashNotice {
-            crashes,
-            ..CrashNotice::default()
-        })
+        self.suspicion(kind).0.next_repetition(now)
     }
 
-    fn take_unannounced(&mut self, now: Duration) -> Vec<EndpointCrash> {
-        let mut told = Vec::new();
-        let mut room = MAX_NOTICE_REQUESTS;
-        while told.len() < MAX_NOTICE_CRASHES && room > 0 {
-            let Some((id, mut requests)) = self.unannounced.pop_first() else {
-                break;
-            };
-            let rest = requests.split_off(requests.len().min(room));
-            room -= requests.len();
-            if !rest.is_empty() {
-                self.unannounced.insert(id, rest);
-            }
-            // A crash that is not known any more is too old to be announced.
-            let known = self.crashes.get(id);
-            told.extend(known.map(|crash| crash.to_notice(now, requests)));
-        }
-        told
-    }
-
-    fn take_unannounced_served(&mut self, now: Duration) -> Vec<ServedRequest> {
-        let unannounced = std::mem::take(&mut self.unannounced_served);
-        let mut requests = unannounced.into_iter();
-        let told = self
-            .served
-            .to_notice(now, requests.by_ref().take(MAX_NOTICE_SERVED));
-        self.unannounced_served = requests.collect();
-        told
-    }
-
-    /// Learns of a crash that another instance told of. Returns the requests for which it does not
-    /// count.
-    fn learn_crash(&mut self, now: Duration, told: &EndpointCrash) -> Vec<FingerprintHash> {
+    /// Learns of a crash that another instance told of. Returns the suspects to which this instance
+    /// objects.
+    fn learn_crash(
+        &mut self,
+        now: Duration,
+        kind: SuspectKind,
+        told: &EndpointCrash,
+    ) -> Vec<SuspectHash> {
         let known = self.crashes.get(told.id);
         let crash = known.unwrap_or_else(|| KnownCrash::of_notice(now, told));
         self.keep_crash(now, crash);
         for run in self.pending.take(|run| crash.covers(run)) {
-            self.count_own(crash, run.fingerprint);
-        }
-        let (excused, counted): (Vec<FingerprintHash>, Vec<FingerprintHash>) = told
-            .requests
-            .iter()
-            .partition(|fingerprint| self.served.excuses(&crash, **fingerprint));
-        for fingerprint in counted {
-            self.count(crash, fingerprint, false);
+            self.count_own(crash, &run);
         }
-        excused
+        let (suspicion, decisions) = self.suspicion(kind);
+        suspicion.count_told(crash, &told.requests, decisions)
     }
+}
 
-    /// Learns that a request was served at `at`. If this instance has announced crashes of it, the
-    /// others have to learn of that, too.
-    fn accept_objection(&mut self, fingerprint: FingerprintHash, at: Duration) {
-        let suspect = self.suspects.get(fingerprint);
-        let is_own = suspect.is_some_and(|suspect| suspect.is_own);
-        if self.learn_served(fingerprint, at) && is_own {
-            self.unannounced_served.insert(fingerprint);
+impl CrashTracker {
+    fn suspicion(&mut self, kind: SuspectKind) -> (&mut Suspicion, &mut Vec<CrashDecision>) {
+        match kind {
+            SuspectKind::Request => (&mut self.requests, &mut self.decisions),
+            SuspectKind::Part => (&mut self.parts, &mut self.decisions),
         }
     }
-}
 
-impl CrashTracker {
     fn expire_pending(&mut self, now: Duration) {
         let expired = self.pending.take_expired(now);
         self.decisions
@@ -347,7 +335,7 @@
         let crash = KnownCrash::new(id, endpoint, now);
         self.crashes.end(endpoint, now);
         self.keep_crash(now, crash);
-        self.unannounced.entry(id).or_default();
+        self.requests.announce(id);
         crash
     }
 
@@ -360,42 +348,30 @@
         }
     }
 
-    /// Counts a crash against a request of this instance, and announces it.
-    fn count_own(&mut self, crash: KnownCrash, fingerprint: FingerprintHash) {
-        if self.served.excuses(&crash, fingerprint) || !self.count(crash, fingerprint, true) {
-            return;
+    /// Counts a crash against a run of this instance: against its request and the parts of its
+    /// prompt.
+    fn count_own(&mut self, crash: KnownCrash, run: &LostRun) {
+        let decisions = &mut self.decisions;
+        self.requests.count_own(crash, run.fingerprint, decisions);
+        for part in run.parts.iter() {
+            self.parts.count_own(crash, *part, decisions);
         }
-        self.suspects.note_own(fingerprint);
-        let requests = self.unannounced.entry(crash.id).or_default();
-        requests.push(fingerprint);
     }
 
-    /// Counts a crash against a request. Returns whether it was not counted before.
-    fn count(&mut self, crash: KnownCrash, fingerprint: FingerprintHash, is_own: bool) -> bool {
-        let Some(count) = self.suspects.count(crash, fingerprint) else {
-            return false;
-        };
-        self.decisions.push(CrashDecision::Counted {
-            fingerprint,
-            endpoint: crash.endpoint,
-            crashes: count.crashes,
-            is_own,
-        });
-        if count.is_blocked {
-            self.decisions.push(CrashDecision::Blocked(fingerprint));
-        }
-        true
-    }
-
-    /// Records when a request was served, and drops the crashes that no longer count against it.
-    /// Returns whether there were any.
-    fn learn_served(&mut self, fingerprint: FingerprintHash, at: Duration) -> bool {
-        let excused_until = self.served.note(fingerprint, at);
-        let is_cleared = self.suspects.clear(fingerprint, excused_until);
-        if is_cleared {
-            self.decisions.push(CrashDecision::Cleared(fingerprint));
+    /// Blames parts anew, if what is known of them has changed.
+    fn update_blame(&mut self) {
+        if !self.parts.take_change() {
+            return;
         }
-        is_cleared
+        let before = std::mem::replace(&mut self.blame, Blame::of(&self.parts));
+        let was_blamed = |part: &SuspectHash| {
+            let mut groups = before.groups.iter();
+            groups.any(|group| group.parts.contains(part))
+        };
+        let blamed = self.blame.groups.iter().flat_map(|group| &group.parts);
+        let new = blamed.filter(|part| !was_blamed(part));
+        let blocked = new.map(|part| CrashDecision::Blocked(SuspectKind::Part, *part));
+        self.decisions.extend(blocked);
     }
 }
 
--- a/crates/relay/src/crash/loss.rs
+++ b/crates/relay/src/crash/loss.rs
@@ -1,20 +1,25 @@
 //! Runs that ended without an answer and whose cause is pending.
 
 use std::collections::VecDeque;
+use std::rc::Rc;
 use std::time::Duration;
 
 use wire::id::{EndpointId, FingerprintHash};
 
+use super::suspicion::SuspectHash;
+
 /// Time within which a lost run is attributed to a crash that is found later.
 const PENDING_TIME: Duration = Duration::from_secs(3);
 /// Maximum number of lost runs whose cause is pending.
 const MAX_PENDING_RUNS: usize = 1024;
 
 /// A run of a request at an endpoint that ended without an answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LostRun {
     /// The request.
     pub fingerprint: FingerprintHash,
+    /// Parts of its prompt that other requests may share.
+    pub parts: Rc<[SuspectHash]>,
     /// The endpoint.
     pub endpoint: EndpointId,
     /// When the endpoint last sent bytes for it, or else when the request was sent.
@@ -74,7 +79,7 @@
         self.runs.retain(|(run, lost_at)| {
             let is_kept = !is_taken(run, *lost_at);
             if !is_kept {
-                taken.push(*run);
+                taken.push(run.clone());
             }
             is_kept
         });
--- a/crates/relay/src/crash/outage.rs
+++ b/crates/relay/src/crash/outage.rs
@@ -11,6 +11,9 @@
 /// Time for which a crash is kept, so that runs that were under way are attributed to it when they
 /// are lost. Connections to an endpoint that fell silent fail late.
 const CRASH_RETENTION: Duration = Duration::from_secs(60);
+/// Crashes of one endpoint that were found within this time of each other, by different instances,
+/// are the same.
+const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 /// Maximum number of crashes that are kept.
 const MAX_KNOWN_CRASHES: usize = 1024;
 
@@ -52,6 +55,17 @@
         }
     }
 
+    /// Whether two instances found the same crash, or one of them twice.
+    pub(super) fn is_same(&self, other: &Self) -> bool {
+        let apart = self.found_at.abs_diff(other.found_at);
+        self.endpoint == other.endpoint && apart < SAME_CRASH_TIME
+    }
+
+    /// Whether the crash is one of these.
+    pub(super) fn is_among(&self, others: &[Self]) -> bool {
+        others.iter().any(|other| self.is_same(other))
+    }
+
     /// Whether a run that was lost may have been lost in the crash.
     pub(super) fn covers(&self, run: &LostRun) -> bool {
         run.endpoint == self.endpoint && run.alive_at <= self.found_at
--- a/crates/relay/src/crash/suspect.rs
+++ b/crates/relay/src/crash/suspect.rs
@@ -1,45 +1,35 @@
-//! Requests that were lost in crashes.
+//! What was lost in crashes.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use wire::id::FingerprintHash;
-
+use super::blame::Blame;
 use super::outage::KnownCrash;
+use super::suspicion::SuspectHash;
 
-/// Number of crashes in which a request was lost, from which on it is refused.
-pub(super) const BLOCKING_CRASHES: usize = 3;
-/// Time for which a request is refused after the latest of these crashes.
-const BLOCKING_TIME: Duration = Duration::from_secs(10 * 60);
-/// Time after the latest crash of a request until its crashes are forgotten. A request that is let
-/// through again before is refused after one more crash.
+/// Time for which a suspect is refused after its latest crash.
+pub(super) const BLOCKING_TIME: Duration = Duration::from_secs(10 * 60);
+/// Time after the latest crash of a suspect until its crashes are forgotten. One that is let through
+/// again before is refused after one more crash.
 pub(super) const SUSPICION_TIME: Duration = Duration::from_secs(60 * 60);
-/// Number of crashes in which a request was lost, from which on instances repeat them to each other.
+/// Number of crashes of a suspect from which on instances repeat them to each other.
 const REPEATED_CRASHES: usize = 2;
-/// Maximum number of suspected requests that are kept.
+/// Maximum number of suspects that are kept.
 const MAX_SUSPECTS: usize = 4096;
-/// Crashes of one endpoint that were found within this time of each other, by different instances,
-/// are the same.
-const SAME_CRASH_TIME: Duration = Duration::from_secs(1);
 
-/// A request that was lost in crashes.
+/// A request, or a part of prompts, that was lost in crashes.
 #[derive(Debug, Default)]
-pub(super) struct SuspectRequest {
+pub(super) struct SuspectRow {
     /// The crashes, in the order in which they became known.
     crashes: Vec<KnownCrash>,
     /// Whether a run of this instance was lost in one of the crashes.
     pub(super) is_own: bool,
 }
 
-impl SuspectRequest {
+impl SuspectRow {
     /// The different crashes. Of one that several instances found, only the first report.
     pub(super) fn different(&self) -> impl DoubleEndedIterator<Item = &KnownCrash> {
-        let is_repeated = |index: usize, crash: &KnownCrash| {
-            self.crashes[..index].iter().any(|other| {
-                let apart = other.found_at.abs_diff(crash.found_at);
-                other.endpoint == crash.endpoint && apart < SAME_CRASH_TIME
-            })
-        };
+        let is_repeated = |index: usize, crash: &KnownCrash| crash.is_among(&self.crashes[..index]);
         let crashes = self.crashes.iter().enumerate();
         let different = crashes.filter(move |(index, crash)| !is_repeated(*index, crash));
         different.map(|(_, crash)| crash)
@@ -50,19 +40,24 @@
         self.different().count()
     }
 
-    /// Whether instances repeat to each other what they know of the request.
+    /// Whether instances repeat to each other what they know of it.
     pub(super) fn is_repeated(&self) -> bool {
         self.count() >= REPEATED_CRASHES
     }
 
-    /// Time for which the request is refused; `None` if it may be sent to an endpoint.
-    pub(super) fn refused_for(&self, now: Duration) -> Option<Duration> {
-        let refused_until = self.latest_at() + BLOCKING_TIME;
-        let is_refused = self.count() >= BLOCKING_CRASHES && now < refused_until;
-        is_refused.then(|| refused_until - now)
+    /// Number of different crashes for which no part of a prompt is to blame.
+    pub(super) fn count_unexplained(&self, blame: &Blame) -> usize {
+        let different = self.different();
+        different.filter(|crash| !blame.explains(crash)).count()
+    }
+
+    /// Time for which a request that is to blame is refused; `None` once it is over.
+    pub(super) fn blocked_for(&self, now: Duration) -> Option<Duration> {
+        let time = (self.latest_at() + BLOCKING_TIME).saturating_sub(now);
+        (!time.is_zero()).then_some(time)
     }
 
-    /// Whether the request was lost in one crash only.
+    /// Whether it was lost in one crash only.
     fn is_weak(&self) -> bool {
         self.crashes.len() <= 1
     }
@@ -74,100 +69,94 @@
     }
 }
 
-/// Number of crashes of a request after one more was counted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct CrashCount {
-    /// The number.
-    pub(super) crashes: usize,
-    /// Whether the request is refused because of this crash.
-    pub(super) is_blocked: bool,
-}
-
-/// The suspected requests, by fingerprint.
+/// The suspects of one kind.
 #[derive(Debug, Default)]
 pub(super) struct SuspectTable {
-    rows: BTreeMap<FingerprintHash, SuspectRequest>,
+    rows: BTreeMap<SuspectHash, SuspectRow>,
 }
 
 impl SuspectTable {
-    /// Looks up a request.
-    pub(super) fn get(&self, fingerprint: FingerprintHash) -> Option<&SuspectRequest> {
-        self.rows.get(&fingerprint)
-    }
-
-    /// Counts a crash against a request. Returns `None` if it was counted before, or if the table is
-    /// full of requests with several crashes.
-    pub(super) fn count(
-        &mut self,
-        crash: KnownCrash,
-        fingerprint: FingerprintHash,
-    ) -> Option<CrashCount> {
-        if !self.has_room(fingerprint) {
+    /// Looks up a suspect.
+    pub(super) fn get(&self, hash: SuspectHash) -> Option<&SuspectRow> {
+        self.rows.get(&hash)
+    }
+
+    /// Counts a crash against a suspect. Returns its number of crashes, or `None` if this one was
+    /// counted before, or if the table is full of suspects with several crashes.
+    pub(super) fn count(&mut self, crash: KnownCrash, hash: SuspectHash) -> Option<usize> {
+        if !self.has_room(hash) {
             return None;
         }
-        let suspect = self.rows.entry(fingerprint).or_default();
+        let suspect = self.rows.entry(hash).or_default();
         if suspect.crashes.iter().any(|known| known.id == crash.id) {
             return None;
         }
-        let before = suspect.count();
         suspect.crashes.push(crash);
-        let crashes = suspect.count();
-        Some(CrashCount {
-            crashes,
-            is_blocked: before < BLOCKING_CRASHES && crashes >= BLOCKING_CRASHES,
-        })
+        Some(suspect.count())
+    }
+
+    /// The suspects with at least this number of reports of crashes.
+    pub(super) fn with_crashes(
+        &self,
+        count: usize,
+    ) -> impl Iterator<Item = (SuspectHash, &SuspectRow)> {
+        let rows = self.rows.iter();
+        let rows = rows.filter(move |(_, suspect)| suspect.crashes.len() >= count);
+        rows.map(|(hash, suspect)| (*hash, suspect))
     }
 
-    /// Records that a run of this instance was lost in a crash of a suspected request.
-    pub(super) fn note_own(&mut self, fingerprint: FingerprintHash) {
-        if let Some(suspect) = self.rows.get_mut(&fingerprint) {
+    /// Records that a run of this instance was lost in a crash of a suspect.
+    pub(super) fn note_own(&mut self, hash: SuspectHash) {
+        if let Some(suspect) = self.rows.get_mut(&hash) {
             suspect.is_own = true;
         }
     }
 
-    /// Drops the crashes of a request that were found up to `until`. Returns whether there were any.
-    pub(super) fn clear(&mut self, fingerprint: FingerprintHash, until: Duration) -> bool {
-        let Some(suspect) = self.rows.get_mut(&fingerprint) else {
+    /// Drops the crashes of a suspect that were found up to `until`. Returns whether there were any.
+    pub(super) fn clear(&mut self, hash: SuspectHash, until: Duration) -> bool {
+        let Some(suspect) = self.rows.get_mut(&hash) else {
             return false;
         };
         let before = suspect.crashes.len();
         suspect.crashes.retain(|crash| crash.found_at > until);
         let is_cleared = suspect.crashes.len() < before;
         if suspect.crashes.is_empty() {
-            self.rows.remove(&fingerprint);
+            self.rows.remove(&hash);
         }
         is_cleared
     }
 
-    /// The requests that instances repeat to each other, from `first` on and then those before it.
+    /// The suspects that instances repeat to each other, from `first` on and then those before it.
     pub(super) fn repeated_from(
         &self,
-        first: FingerprintHash,
-    ) -> impl Iterator<Item = (FingerprintHash, &SuspectRequest)> {
+        first: SuspectHash,
+    ) -> impl Iterator<Item = (SuspectHash, &SuspectRow)> {
         let in_turn = self.rows.range(first..).chain(self.rows.range(..first));
         let repeated = in_turn.filter(|(_, suspect)| suspect.is_repeated());
-        repeated.map(|(fingerprint, suspect)| (*fingerprint, suspect))
+        repeated.map(|(hash, suspect)| (*hash, suspect))
     }
 
-    /// Forgets requests whose latest crash is long over.
-    pub(super) fn expire(&mut self, now: Duration) {
+    /// Forgets suspects whose latest crash is long over. Returns whether there were any.
+    pub(super) fn expire(&mut self, now: Duration) -> bool {
+        let before = self.rows.len();
         self.rows
             .retain(|_, suspect| now < suspect.latest_at() + SUSPICION_TIME);
+        self.rows.len() < before
     }
 
-    /// Makes room for a request in a full table. Returns `false` if every other one was lost in
+    /// Makes room for a suspect in a full table. Returns `false` if every other one was lost in
     /// several crashes.
-    fn has_room(&mut self, fingerprint: FingerprintHash) -> bool {
-        if self.rows.len() >= MAX_SUSPECTS && !self.rows.contains_key(&fingerprint) {
+    fn has_room(&mut self, hash: SuspectHash) -> bool {
+        if self.rows.len() >= MAX_SUSPECTS && !self.rows.contains_key(&hash) {
             self.drop_weak();
         }
-        self.rows.len() < MAX_SUSPECTS || self.rows.contains_key(&fingerprint)
+        self.rows.len() < MAX_SUSPECTS || self.rows.contains_key(&hash)
     }
 
-    /// Forgets the older half of the requests that were lost in a single crash.
+    /// Forgets the older half of the suspects that were lost in a single crash.
     fn drop_weak(&mut self) {
         let weak = self.rows.values().filter(|suspect| suspect.is_weak());
-        let median = super::median(weak.map(SuspectRequest::latest_at));
+        let median = super::median(weak.map(SuspectRow::latest_at));
         self.rows
             .retain(|_, suspect| !suspect.is_weak() || suspect.latest_at() > median);
     }
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -8,7 +8,7 @@
 
 use wire::id::{EndpointId, FingerprintHash};
 
-use crate::crash::LostRun;
+use crate::crash::{LostRun, SuspectHash};
 use crate::state::RelayState;
 use exchange::connection::EndpointConnection;
 
@@ -62,6 +62,13 @@
         self.announce_crashes();
     }
 
+    /// Records that an endpoint generated a whole answer to a prompt with these parts.
+    pub fn note_parts_served(&self, parts: &[SuspectHash]) {
+        let now = self.now();
+        self.crashes.borrow_mut().note_parts_served(now, parts);
+        self.announce_crashes();
+    }
+
     /// Publishes the latest decisions, and lets other instances know of what was found.
     pub fn announce_crashes(&self) {
         self.publish_crash_decisions();
--- a/crates/relay/src/crash_log.rs
+++ b/crates/relay/src/crash_log.rs
@@ -1,8 +1,8 @@
 //! Log lines and metrics of the decisions on requests that crash endpoints.
 
-use wire::id::{EndpointId, FingerprintHash};
+use wire::id::EndpointId;
 
-use crate::crash::CrashDecision;
+use crate::crash::{CrashDecision, SuspectHash, SuspectKind};
 use crate::state::RelayState;
 
 impl RelayState {
@@ -11,7 +11,7 @@
     pub fn publish_crash_decisions(&self) {
         let decisions = self.crashes.borrow_mut().take_decisions();
         for decision in decisions {
-            self.metrics.count_crash_decision(label_of(decision));
+            self.metrics.count_crash_decision(label_of(&decision));
             self.log_decision(decision);
         }
     }
@@ -53,24 +53,43 @@
                 ..
             } => {}
             CrashDecision::Counted {
-                fingerprint,
+                kind: SuspectKind::Request,
+                hash,
                 endpoint,
                 crashes,
                 ..
             } => {
                 let text = format!("relay: crash counted, {crashes} in all");
-                self.log_run(&text, fingerprint, endpoint);
+                self.log_run(&text, hash, endpoint);
             }
-            CrashDecision::Blocked(fingerprint) => {
-                log::warn!(fingerprint = hex_text(fingerprint).as_str(); "relay: request is blocked");
+            CrashDecision::Counted {
+                kind: SuspectKind::Part,
+                hash,
+                endpoint,
+                crashes,
+                ..
+            } => log::info!(
+                part = hex_text(hash).as_str(),
+                endpoint = self.endpoint_name(endpoint).as_str(),
+                endpoint_id = hex_text(endpoint).as_str();
+                "relay: crash counted against a prompt part, {crashes} in all"
+            ),
+            CrashDecision::Blocked(SuspectKind::Request, hash) => {
+                log::warn!(fingerprint = hex_text(hash).as_str(); "relay: request is blocked");
+            }
+            CrashDecision::Blocked(SuspectKind::Part, hash) => {
+                log::warn!(part = hex_text(hash).as_str(); "relay: prompt part is blocked");
+            }
+            CrashDecision::Cleared(SuspectKind::Request, hash) => {
+                log::info!(fingerprint = hex_text(hash).as_str(); "relay: request cleared");
             }
-            CrashDecision::Cleared(fingerprint) => {
-                log::info!(fingerprint = hex_text(fingerprint).as_str(); "relay: request cleared");
+            CrashDecision::Cleared(SuspectKind::Part, hash) => {
+                log::info!(part = hex_text(hash).as_str(); "relay: prompt part cleared");
             }
         }
     }
 
-    fn log_run(&self, text: &str, fingerprint: FingerprintHash, endpoint: EndpointId) {
+    fn log_run(&self, text: &str, fingerprint: SuspectHash, endpoint: EndpointId) {
         log::info!(
             fingerprint = hex_text(fingerprint).as_str(),
             endpoint = self.endpoint_name(endpoint).as_str(),
@@ -86,15 +105,15 @@
     }
 }
 
-fn label_of(decision: CrashDecision) -> &'static str {
+fn label_of(decision: &CrashDecision) -> &'static str {
     match decision {
         CrashDecision::Pending(_) => "pending",
         CrashDecision::RuledOut(_) => "ruled-out",
         CrashDecision::Expired(_) => "expired",
         CrashDecision::Found { .. } => "found",
         CrashDecision::Counted { .. } => "counted",
-        CrashDecision::Blocked(_) => "blocked",
-        CrashDecision::Cleared(_) => "cleared",
+        CrashDecision::Blocked(..) => "blocked",
+        CrashDecision::Cleared(..) => "cleared",
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -45,7 +45,7 @@
             record.route.clone_from(&call.route.name);
             record.account = call.account_name().to_owned();
             record.fingerprint = call.fingerprint;
-            record.parts = call.shared_parts().collect();
+            record.parts = call.parts.to_vec();
             record.crashes = state.crashes.borrow().crashes_of(call.fingerprint);
             let forward = CallForward::new(state, &call, writer, &mut record);
             record.end = forward.run().await;
@@ -120,8 +120,14 @@
         if !state.accepts_call(call.deadline.saturating_duration_since(call.started)) {
             return Some(CallRefusal::new(FaultKind::Draining, call.time_left()));
         }
+        self.suspicion()
+    }
+
+    /// Refusal of a call that would probably crash its endpoint; `None` for all others.
+    fn suspicion(&self) -> Option<CallRefusal> {
+        let (state, call) = (self.state, self.call);
         let crashes = state.crashes.borrow();
-        let time = crashes.refused_for(state.now(), call.fingerprint)?;
+        let time = crashes.refused_for(state.now(), call.fingerprint, &call.parts)?;
         Some(CallRefusal {
             scheduled_wait: Some(time),
             ..CallRefusal::new(FaultKind::Suspected, call.time_left())
@@ -147,7 +153,14 @@
             self.tally.count(end);
             self.last = Some(failed);
             let step = next_step(call.route.kind, call.route.max_attempts, self.tally, end);
-            if step != NextStep::TryAnother || !self.may_retry() || !self.take_retry(end) {
+            if step != NextStep::TryAnother || !self.may_retry() {
+                return self.finish_failed().await;
+            }
+            // What a call is suspected of may become known while it waits at an endpoint.
+            if let Some(refusal) = self.suspicion() {
+                return self.refuse_unless_run(refusal).await;
+            }
+            if !self.take_retry(end) {
                 return self.finish_failed().await;
             }
         }
@@ -233,18 +246,23 @@
         row.is_some_and(|row| row.was_silent(self.progress.attempted_at, self.state.now()))
     }
 
-    /// Ends a call that was not admitted. If the call may have run already, or its answer has
-    /// begun, it ends as failed, as a refusal would promise that it did not run.
+    /// Ends a call that was not admitted.
     async fn refuse_overloaded(&mut self, wait: Duration) -> CallEnd {
-        if self.tally.runs > 0 || self.writer.has_started {
-            return self.finish_failed().await;
-        }
         let refusal = CallRefusal {
             kind: FaultKind::Overloaded,
             time_left: self.call.time_left(),
             scheduled_wait: Some(wait),
         };
-        self.send_refusal(&refusal).await
+        self.refuse_unless_run(refusal).await
+    }
+
+    /// Refuses a call, which promises that it did not run. If it may have run already, or its
+    /// answer has begun, it ends as failed.
+    async fn refuse_unless_run(&mut self, refusal: CallRefusal) -> CallEnd {
+        match self.tally.runs > 0 || self.writer.has_started {
+            true => self.finish_failed().await,
+            false => self.send_refusal(&refusal).await,
+        }
     }
 
     /// Ends a call that is not attempted again: cuts an answer that has begun, forwards the failure
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -1,5 +1,6 @@
 //! A call together with the rules that apply to it.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::Request;
@@ -7,9 +8,11 @@
 use catalog::{AccountRule, RouteRule};
 use tokio::time::Instant;
 use wire::id::{EndpointId, FingerprintHash, ServiceId};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::AdmissionCall;
 use crate::call::{CallMetadata, PromptOutline};
+use crate::crash::SuspectHash;
 use crate::placement::PlacementQuery;
 use crate::rules::{CallRules, fingerprint};
 use crate::session::IncomingCall;
@@ -18,6 +21,9 @@
 /// Assumed timeout of a caller that states none.
 pub const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
+/// Maximum number of parts of a prompt that are hashed.
+const MAX_HASHED_PARTS: usize = 16;
+
 /// A call whose route and client account are known.
 pub struct RelayCall<'a> {
     /// Head as received.
@@ -39,6 +45,8 @@
     pub max_connections: u32,
     /// Hash that is equal for calls that are the same work.
     pub fingerprint: FingerprintHash,
+    /// Hashes of the shared parts of the prompt, which differ between services.
+    pub parts: Rc<[SuspectHash]>,
     /// Arrival time.
     pub started: Instant,
     /// Time at which the call is abandoned: the earlier of the caller's and the route's timeout.
@@ -54,7 +62,10 @@
         started: Instant,
     ) -> Self {
         let caller_timeout = metadata.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
+        let prompt = metadata.prompt.as_ref();
+        let parts = prompt.map_or_else(Rc::default, |prompt| part_hashes(prompt, rules.service));
         Self {
+            parts,
             head: &incoming.head,
             body: &incoming.body,
             fingerprint: fingerprint(incoming, rules.account),
@@ -74,12 +85,6 @@
         self.account.map_or("", |account| account.name.as_str())
     }
 
-    /// Ids of the parts of the prompt that calls of other chats may share.
-    pub fn shared_parts(&self) -> impl Iterator<Item = u64> {
-        let prompt = self.metadata.prompt.iter();
-        prompt.flat_map(PromptOutline::shared_parts)
-    }
-
     /// Time until the caller stops waiting; `None` if it stated no timeout.
     pub fn time_left(&self) -> Option<Duration> {
         let caller_timeout = self.metadata.caller_timeout?;
@@ -114,3 +119,11 @@
         }
     }
 }
+
+/// Hashes of the parts of a prompt that calls of other chats may share, for one service.
+fn part_hashes(prompt: &PromptOutline, service: ServiceId) -> Rc<[SuspectHash]> {
+    let parts = prompt.shared_parts().take(MAX_HASHED_PARTS);
+    parts
+        .map(|part| xxh3_64_with_seed(&part.to_le_bytes(), service))
+        .collect()
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,7 +14,7 @@
 use crate::admission::{AdmissionControl, AdmissionSettings};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
-use crate::crash::{CrashTracker, LostRun};
+use crate::crash::{CrashTracker, LostRun, SuspectHash};
 use crate::health::{CallOutcome, HealthChange};
 use crate::placement::PlacementSettings;
 use crate::relay_call::RelayCall;
@@ -298,6 +298,7 @@
             endpoint,
             account: call.account_name().to_owned(),
             fingerprint: call.fingerprint,
+            parts: Rc::clone(&call.parts),
             began,
             wait,
             alive_at: Cell::new(None),
@@ -315,6 +316,7 @@
     endpoint: EndpointId,
     account: String,
     fingerprint: FingerprintHash,
+    parts: Rc<[SuspectHash]>,
     /// Time at which the guard was created, on the clock of [`RelayState::now`].
     began: Duration,
     /// Expected wait of the call for a slot.
@@ -338,12 +340,16 @@
         self.is_whole.set(true);
     }
 
-    /// Ends a successful call and records its estimated holding time.
-    pub fn complete(mut self) {
+    /// Ends a call that was answered, and records its estimated holding time. `is_success` tells
+    /// whether the endpoint generated the answer.
+    pub fn complete(mut self, is_success: bool) {
         self.is_ended = true;
         if self.is_whole.get() {
             self.state.note_request_served(self.fingerprint);
         }
+        if self.is_whole.get() && is_success {
+            self.state.note_parts_served(&self.parts);
+        }
         let time = self.state.now().saturating_sub(self.began);
         let mut table = self.state.table.borrow_mut();
         table.note_holding_time(self.endpoint, estimated_holding_time(time, self.wait));
@@ -366,6 +372,7 @@
         if let Some(alive_at) = self.alive_at.get() {
             self.state.note_lost_run(LostRun {
                 fingerprint: self.fingerprint,
+                parts: Rc::clone(&self.parts),
                 endpoint: self.endpoint,
                 alive_at,
             });
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -1,9 +1,10 @@
 //! Tests of the detection of requests that crash endpoints.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use googletest::prelude::*;
-use relay::crash::{CrashTracker, LostRun};
+use relay::crash::{CrashTracker, LostRun, SuspectKind};
 use wire::gateway::{CrashNotice, EndpointCrash, MAX_NOTICE_REQUESTS, MAX_NOTICE_SERVED};
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -13,13 +14,14 @@
 fn run_at(endpoint: u64, alive_at: Duration) -> LostRun {
     LostRun {
         fingerprint: REQUEST,
+        parts: Rc::default(),
         endpoint,
         alive_at,
     }
 }
 
 fn is_refused(tracker: &CrashTracker, now: Duration, fingerprint: u64) -> bool {
-    tracker.refused_for(now, fingerprint).is_some()
+    tracker.refused_for(now, fingerprint, &[]).is_some()
 }
 
 /// A run of the request is lost at an endpoint that is then found down.
@@ -30,8 +32,8 @@
 
 /// Hands everything that one instance found to another.
 fn notify(now: Duration, from: &mut CrashTracker, to: &mut CrashTracker) {
-    while let Some(notice) = from.take_notice(now) {
-        to.note_notice(now, &notice);
+    while let Some(notice) = from.take_notice(now, SuspectKind::Request) {
+        to.note_notice(now, SuspectKind::Request, &notice);
     }
 }
 
@@ -88,7 +90,7 @@
         let run = run_at(1, SECOND);
 
         if is_lost_first {
-            loser.note_lost(SECOND + MILLI, run);
+            loser.note_lost(SECOND + MILLI, run.clone());
         }
         finder.note_down(2 * SECOND, 1);
         notify(2 * SECOND, &mut finder, &mut loser);
@@ -182,9 +184,9 @@
     loser.note_down(SECOND, 1);
 
     let mut notices = 0;
-    while let Some(notice) = loser.take_notice(SECOND) {
+    while let Some(notice) = loser.take_notice(SECOND, SuspectKind::Request) {
         notices += 1;
-        other.note_notice(SECOND, &notice);
+        other.note_notice(SECOND, SuspectKind::Request, &notice);
     }
 
     expect_that!(notices, eq(3));
@@ -210,12 +212,12 @@
 #[gtest]
 fn number_of_kept_requests_is_bounded_and_those_of_several_crashes_are_kept() {
     let mut tracker = CrashTracker::default();
-    tracker.note_notice(SECOND, &told(1, vec![REQUEST]));
-    tracker.note_notice(SECOND, &told(2, vec![REQUEST]));
+    tracker.note_notice(SECOND, SuspectKind::Request, &told(1, vec![REQUEST]));
+    tracker.note_notice(SECOND, SuspectKind::Request, &told(2, vec![REQUEST]));
 
     for number in 1000..11_000 {
         let at = SECOND + number as u32 * MILLI;
-        tracker.note_notice(at, &told(number, vec![number]));
+        tracker.note_notice(at, SuspectKind::Request, &told(number, vec![number]));
     }
     let kept = (1000..11_000).filter(|one| tracker.crashes_of(*one) > 0);
 
@@ -237,13 +239,20 @@
 #[gtest]
 fn instance_that_starts_later_learns_which_requests_are_refused() {
     let mut tracker = tracker_of_blocked_request(1);
-    while tracker.take_notice(14 * SECOND).is_some() {}
+    while tracker
+        .take_notice(14 * SECOND, SuspectKind::Request)
+        .is_some()
+    {}
     let (mut second, mut third) = (CrashTracker::new(2), CrashTracker::new(3));
 
-    let notice = tracker.next_repetition(100 * SECOND).expect("a repetition");
-    second.note_notice(SECOND, &notice);
-    let notice = second.next_repetition(5 * SECOND).expect("a repetition");
-    third.note_notice(SECOND, &notice);
+    let notice = tracker
+        .next_repetition(100 * SECOND, SuspectKind::Request)
+        .expect("a repetition");
+    second.note_notice(SECOND, SuspectKind::Request, &notice);
+    let notice = second
+        .next_repetition(5 * SECOND, SuspectKind::Request)
+        .expect("a repetition");
+    third.note_notice(SECOND, SuspectKind::Request, &notice);
 
     expect_that!(second.crashes_of(REQUEST), eq(3));
     expect_that!(is_refused(&second, SECOND, REQUEST), eq(true));
@@ -256,10 +265,14 @@
     let mut first = tracker_of_blocked_request(1);
     let mut second = CrashTracker::new(2);
 
-    let notice = first.next_repetition(9 * minute).expect("a repetition");
-    second.note_notice(SECOND, &notice);
-    let notice = second.next_repetition(2 * SECOND).expect("a repetition");
-    first.note_notice(9 * minute + SECOND, &notice);
+    let notice = first
+        .next_repetition(9 * minute, SuspectKind::Request)
+        .expect("a repetition");
+    second.note_notice(SECOND, SuspectKind::Request, &notice);
+    let notice = second
+        .next_repetition(2 * SECOND, SuspectKind::Request)
+        .expect("a repetition");
+    first.note_notice(9 * minute + SECOND, SuspectKind::Request, &notice);
 
     expect_that!(is_refused(&first, 10 * minute, REQUEST), eq(true));
     expect_that!(is_refused(&first, 11 * minute, REQUEST), eq(false));
@@ -288,14 +301,16 @@
     for request in 0..100 {
         for crash in 0..3 {
             let id = 3 * request + crash;
-            knowing.note_notice(SECOND, &told(id, vec![request]));
+            knowing.note_notice(SECOND, SuspectKind::Request, &told(id, vec![request]));
         }
     }
-    knowing.note_notice(SECOND, &told(900, vec![500]));
+    knowing.note_notice(SECOND, SuspectKind::Request, &told(900, vec![500]));
 
     for _ in 0..50 {
-        let notice = knowing.next_repetition(SECOND).expect("a repetition");
-        other.note_notice(SECOND, &notice);
+        let notice = knowing
+            .next_repetition(SECOND, SuspectKind::Request)
+            .expect("a repetition");
+        other.note_notice(SECOND, SuspectKind::Request, &notice);
     }
 
     let known = (0..100).filter(|request| is_refused(&other, SECOND, *request));
@@ -333,12 +348,14 @@
 
     let mut objections = Vec::new();
     for loser in &mut losers {
-        let notice = loser.take_notice(2 * SECOND).expect("a notice");
-        bystander.note_notice(2 * SECOND, &notice);
-        objections.extend(server.note_notice(2 * SECOND, &notice));
+        let notice = loser
+            .take_notice(2 * SECOND, SuspectKind::Request)
+            .expect("a notice");
+        bystander.note_notice(2 * SECOND, SuspectKind::Request, &notice);
+        objections.extend(server.note_notice(2 * SECOND, SuspectKind::Request, &notice));
     }
     let before = is_refused(&bystander, 2 * SECOND, REQUEST);
-    losers[0].note_notice(2 * SECOND, &objections[0]);
+    losers[0].note_notice(2 * SECOND, SuspectKind::Request, &objections[0]);
     notify(2 * SECOND, &mut losers[0], &mut bystander);
 
     expect_that!(objections.len(), eq(3));
@@ -352,13 +369,18 @@
     let mut server = CrashTracker::new(2);
     server.note_served(20 * SECOND, REQUEST);
 
-    let repetition = stale.next_repetition(20 * SECOND).expect("a repetition");
-    let objection = server.note_notice(20 * SECOND, &repetition);
+    let repetition = stale
+        .next_repetition(20 * SECOND, SuspectKind::Request)
+        .expect("a repetition");
+    let objection = server.note_notice(20 * SECOND, SuspectKind::Request, &repetition);
     let objection = objection.expect("an objection");
-    let reply = stale.note_notice(20 * SECOND, &objection);
+    let reply = stale.note_notice(20 * SECOND, SuspectKind::Request, &objection);
 
     expect_that!(stale.crashes_of(REQUEST), eq(0));
-    expect_that!(stale.next_repetition(20 * SECOND), none());
+    expect_that!(
+        stale.next_repetition(20 * SECOND, SuspectKind::Request),
+        none()
+    );
     expect_that!(reply, none());
 }
 
@@ -370,7 +392,9 @@
         tracker.note_served(SECOND + number as u32 * MILLI, number);
     }
     let notice = told(1, (0..20_000).collect());
-    let objections = tracker.note_notice(22 * SECOND, &notice).expect("some");
+    let objections = tracker
+        .note_notice(22 * SECOND, SuspectKind::Request, &notice)
+        .expect("some");
     let counted = (0..20_000).filter(|one| tracker.crashes_of(*one) > 0);
 
     expect_that!(objections.served.len(), le(MAX_NOTICE_SERVED));
--- /dev/null
+++ b/crates/relay/tests/prompt_parts.rs
@@ -0,0 +1,207 @@
+//! Tests of the detection of prompt parts that crash endpoints.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use googletest::prelude::*;
+use relay::crash::{CrashTracker, LostRun, SuspectHash, SuspectKind};
+
+const SECOND: Duration = Duration::from_secs(1);
+const MILLI: Duration = Duration::from_millis(1);
+const POISON: SuspectHash = 1;
+const COMMON: SuspectHash = 2;
+const RARE: SuspectHash = 3;
+
+/// A run of a request with these parts is lost at an endpoint that is then found down.
+fn lose_in_crash(
+    tracker: &mut CrashTracker,
+    now: Duration,
+    endpoint: u64,
+    fingerprint: u64,
+    parts: &[SuspectHash],
+) {
+    let run = LostRun {
+        fingerprint,
+        parts: Rc::from(parts),
+        endpoint,
+        alive_at: now - MILLI,
+    };
+    tracker.note_lost(now, run);
+    tracker.note_down(now + MILLI, endpoint);
+}
+
+/// Different requests with these parts are lost in `count` crashes from `at` on, one a second.
+fn lose_different(tracker: &mut CrashTracker, at: Duration, count: u32, parts: &[SuspectHash]) {
+    for number in 0..count {
+        let now = at + number * SECOND;
+        let endpoint = now.as_secs();
+        lose_in_crash(tracker, now, endpoint, 1000 + endpoint, parts);
+    }
+}
+
+fn is_refused(tracker: &CrashTracker, now: Duration, parts: &[SuspectHash]) -> bool {
+    tracker.refused_for(now, 999, parts).is_some()
+}
+
+/// Hands everything that one instance found to another, and the objections back.
+fn notify(now: Duration, from: &mut CrashTracker, to: &mut CrashTracker) {
+    for kind in [SuspectKind::Request, SuspectKind::Part] {
+        while let Some(notice) = from.take_notice(now, kind) {
+            if let Some(objections) = to.note_notice(now, kind, &notice) {
+                from.note_notice(now, kind, &objections);
+            }
+        }
+    }
+}
+
+#[gtest]
+fn requests_alike_in_one_part_are_refused_after_five_crashes() {
+    let mut tracker = CrashTracker::default();
+
+    lose_different(&mut tracker, 10 * SECOND, 4, &[POISON]);
+    let after_four = is_refused(&tracker, 14 * SECOND, &[POISON]);
+    lose_different(&mut tracker, 14 * SECOND, 1, &[POISON]);
+
+    expect_that!(after_four, eq(false));
+    expect_that!(is_refused(&tracker, 15 * SECOND, &[POISON]), eq(true));
+    expect_that!(is_refused(&tracker, 15 * SECOND, &[RARE, POISON]), eq(true));
+    expect_that!(is_refused(&tracker, 15 * SECOND, &[RARE]), eq(false));
+    expect_that!(is_refused(&tracker, 15 * SECOND, &[]), eq(false));
+}
+
+#[gtest]
+fn part_that_was_served_is_not_blamed_for_the_crashes_of_another() {
+    let mut tracker = CrashTracker::default();
+    tracker.note_parts_served(SECOND, &[COMMON]);
+    tracker.note_parts_served(SECOND, &[RARE]);
+
+    // More than a minute after the answers, so that these excuse no crash by themselves.
+    lose_different(&mut tracker, 100 * SECOND, 6, &[COMMON, POISON]);
+    lose_different(&mut tracker, 110 * SECOND, 3, &[RARE, POISON]);
+
+    let now = 120 * SECOND;
+    expect_that!(is_refused(&tracker, now, &[COMMON, POISON]), eq(true));
+    expect_that!(is_refused(&tracker, now, &[COMMON, RARE]), eq(false));
+}
+
+#[gtest]
+fn requests_lost_beside_a_blamed_part_are_not_refused() {
+    let mut tracker = CrashTracker::default();
+
+    for at in 10..16 {
+        let now = at * SECOND;
+        let endpoint = u64::from(at);
+        let beside = LostRun {
+            fingerprint: 5,
+            parts: Rc::from([RARE]),
+            endpoint,
+            alive_at: now - MILLI,
+        };
+        tracker.note_lost(now, beside);
+        lose_in_crash(&mut tracker, now, endpoint, 1000 + endpoint, &[POISON]);
+    }
+    lose_different(&mut tracker, 16 * SECOND, 1, &[POISON]);
+
+    let now = 17 * SECOND;
+    expect_that!(tracker.crashes_of(5), eq(0));
+    expect_that!(tracker.refused_for(now, 5, &[RARE]), none());
+    expect_that!(is_refused(&tracker, now, &[POISON]), eq(true));
+}
+
+#[gtest]
+fn two_parts_with_as_many_different_crashes_are_told_apart_by_the_next() {
+    let mut tracker = CrashTracker::default();
+
+    lose_different(&mut tracker, 10 * SECOND, 4, &[RARE, POISON]);
+    lose_different(&mut tracker, 14 * SECOND, 1, &[RARE]);
+    lose_different(&mut tracker, 15 * SECOND, 1, &[POISON]);
+    let contested = [RARE, POISON].map(|part| is_refused(&tracker, 20 * SECOND, &[part]));
+    lose_different(&mut tracker, 16 * SECOND, 1, &[POISON]);
+    let decided = [RARE, POISON].map(|part| is_refused(&tracker, 20 * SECOND, &[part]));
+
+    expect_that!(contested, eq([false, false]));
+    expect_that!(decided, eq([false, true]));
+}
+
+#[gtest]
+fn parts_that_nothing_tells_apart_are_refused_only_together() {
+    let mut tracker = CrashTracker::default();
+    let now = 20 * SECOND;
+
+    lose_different(&mut tracker, 10 * SECOND, 5, &[RARE, POISON]);
+    let together = is_refused(&tracker, now, &[RARE, POISON]);
+    let apart = [RARE, POISON].map(|part| is_refused(&tracker, now, &[part]));
+    lose_different(&mut tracker, 15 * SECOND, 1, &[POISON]);
+    let after_one_more = [RARE, POISON].map(|part| is_refused(&tracker, now, &[part]));
+
+    expect_that!((together, apart), eq((true, [false, false])));
+    expect_that!(after_one_more, eq([false, true]));
+}
+
+#[gtest]
+fn part_that_is_served_anywhere_is_cleared_everywhere() {
+    let (mut loser, mut server) = (CrashTracker::new(1), CrashTracker::new(2));
+    lose_different(&mut loser, 10 * SECOND, 5, &[POISON]);
+    notify(15 * SECOND, &mut loser, &mut server);
+    let before = [&loser, &server].map(|one| is_refused(one, 15 * SECOND, &[POISON]));
+
+    server.note_parts_served(16 * SECOND, &[POISON]);
+    notify(16 * SECOND, &mut server, &mut loser);
+
+    let after = [&loser, &server].map(|one| is_refused(one, 16 * SECOND, &[POISON]));
+    expect_that!((before, after), eq(([true, true], [false, false])));
+}
+
+#[gtest]
+fn instance_that_served_a_part_long_ago_tells_those_that_suspect_it() {
+    let (mut loser, mut server) = (CrashTracker::new(1), CrashTracker::new(2));
+    server.note_parts_served(SECOND, &[RARE]);
+
+    lose_different(&mut loser, 100 * SECOND, 5, &[RARE, POISON]);
+    notify(105 * SECOND, &mut loser, &mut server);
+
+    let now = 106 * SECOND;
+    for instance in [&loser, &server] {
+        expect_that!(is_refused(instance, now, &[RARE]), eq(false));
+        expect_that!(is_refused(instance, now, &[POISON]), eq(true));
+    }
+}
+
+#[gtest]
+fn instance_that_starts_later_learns_which_parts_are_refused() {
+    let (mut knowing, mut newcomer) = (CrashTracker::new(1), CrashTracker::new(2));
+    lose_different(&mut knowing, 10 * SECOND, 5, &[POISON]);
+
+    let repetition = knowing.next_repetition(20 * SECOND, SuspectKind::Part);
+    newcomer.note_notice(SECOND, SuspectKind::Part, &repetition.expect("a part"));
+
+    expect_that!(is_refused(&newcomer, SECOND, &[POISON]), eq(true));
+}
+
+#[gtest]
+fn crashes_of_all_endpoints_at_once_blame_no_frequent_part() {
+    let mut tracker = CrashTracker::default();
+    tracker.note_parts_served(9 * SECOND, &[COMMON]);
+
+    for endpoint in 1..=9 {
+        lose_in_crash(&mut tracker, 10 * SECOND, endpoint, endpoint, &[COMMON]);
+    }
+
+    expect_that!(tracker.crashes_of_part(COMMON), eq(0));
+    expect_that!(is_refused(&tracker, 11 * SECOND, &[COMMON]), eq(false));
+}
+
+#[gtest]
+fn part_that_was_refused_long_enough_is_refused_again_after_one_more_crash() {
+    let minute = 60 * SECOND;
+    let mut tracker = CrashTracker::default();
+    lose_different(&mut tracker, 10 * SECOND, 5, &[POISON]);
+
+    let let_through = is_refused(&tracker, 30 * minute, &[POISON]);
+    lose_different(&mut tracker, 30 * minute, 1, &[POISON]);
+    let after_one_crash = is_refused(&tracker, 31 * minute, &[POISON]);
+    tracker.expire(100 * minute);
+
+    expect_that!((let_through, after_one_crash), eq((false, true)));
+    expect_that!(tracker.crashes_of_part(POISON), eq(0));
+}
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -186,8 +186,11 @@
     List(ListNotice),
     /// An encoded message of the consensus protocol.
     Replica(Vec<u8>),
-    /// Crashes of endpoints.
+    /// Crashes of endpoints, with the requests that were lost in them.
     Crashes(CrashNotice),
+    /// Crashes of endpoints, with the parts of the prompts that were lost in them: the hashes stand
+    /// for parts. Older gateways ignore it.
+    PartCrashes(CrashNotice),
 }
 
 /// A catalog in the operator's text form, compressed.
