relay: suspect answers whose end is not known when their endpoint crashes

Such a run now is pending like a lost one: an endpoint found down makes it a crash, an answered later call rules it out. No check of the endpoint is added. answer_whose_end_is_not_known_is_suspected_of_the_crash_of_its _endpoint failed before (0 requests in the notice) and passes.

--- a/crates/gateway/tests/forwarding/framing.rs
+++ b/crates/gateway/tests/forwarding/framing.rs
@@ -12,7 +12,7 @@
     CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, call_on, chunk, event,
     good_answer, request, signed_answer, stream_head,
 };
-use crate::{one_call, relay_before, run, stream_of};
+use crate::{next_crash_notice, one_call, relay_before, run, stream_of};
 
 /// Seeds of the generated answers.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=240;
@@ -237,6 +237,24 @@
     }
 }
 
+// An answer without length may have been ended by a crash, and its caller can't know.
+#[gtest]
+fn answer_whose_end_is_not_known_is_suspected_of_the_crash_of_its_endpoint() {
+    let requests = run(async {
+        let events: String = (1..=3).map(event).collect();
+        let bytes = TestFraming::UntilClose.encode("text/event-stream", &events, events.len());
+        let endpoint = ScriptedEndpoint::start("e1", vec![ScriptedReply::Close(bytes)]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        call(relay.address, &request("/stream/x", "poison")).await;
+        endpoint.crash().await;
+        call(relay.address, &request("/unsafe/x", "another")).await;
+        let notice = next_crash_notice(&relay.state).await;
+        notice.crashes[0].requests.len()
+    });
+
+    expect_that!(requests, eq(1));
+}
+
 #[gtest]
 fn stream_that_states_its_end_inside_an_event_is_broken_off() {
     let body = event(1) + "id: 2\ndata: d";
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -344,11 +344,14 @@
     /// whether the endpoint generated the answer.
     pub fn complete(mut self, is_success: bool) {
         self.is_ended = true;
-        if self.is_whole.get() {
+        if !self.is_whole.get() {
+            // The end of the answer may have been the crash of its endpoint.
+            self.note_lost();
+        } else {
             self.state.note_request_served(self.fingerprint);
-        }
-        if self.is_whole.get() && is_success {
-            self.state.note_parts_served(&self.parts);
+            if is_success {
+                self.state.note_parts_served(&self.parts);
+            }
         }
         let time = self.state.now().saturating_sub(self.began);
         let mut table = self.state.table.borrow_mut();
