soak: answers without length, and requests with a prompt part that crashes endpoints

A fifth of the endpoints' answers now have neither a length nor chunks and end with their connection, cut ones inside an event or by a reset; callers check that what is framed as complete is, and that no answer ends inside an event. A second caller sends requests that are alike in one part of their prompt and crash endpoints; at most three may run later than 4 s after the fifth crash, and harmless calls that share the other parts must not be refused as suspected.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use catalog::CallKind;
-use platform::headers::{API_KEY, ATTEMPT_ID, DEADLINE_MS};
+use platform::headers::{API_KEY, ATTEMPT_ID, DEADLINE_MS, PREFIX_HASH};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -16,6 +16,7 @@
 use crate::history::{CALL_KINDS, CallerOutcome, SoakHistory, path_segment};
 use crate::http::{HttpMessage, HttpStream};
 use crate::operator::HOST;
+use crate::poison::harmless_prompt;
 
 /// Time within which a caller expects an answer. It is sent to the gateway as the deadline.
 const CALL_TIMEOUT: Duration = Duration::from_secs(4);
@@ -82,9 +83,10 @@
         let attempt = format!("{:x}-{:x}", self.number, self.calls);
         self.history.record_call(&attempt, kind);
         let request = format!(
-            "POST /{}/x HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {attempt}\r\n{DEADLINE_MS}: {}\r\n{API_KEY}: {ACCOUNT_KEY}\r\nContent-Length: {}\r\n\r\n{attempt}",
+            "POST /{}/x HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {attempt}\r\n{DEADLINE_MS}: {}\r\n{API_KEY}: {ACCOUNT_KEY}\r\n{PREFIX_HASH}: {}\r\nContent-Length: {}\r\n\r\n{attempt}",
             path_segment(kind),
             CALL_TIMEOUT.as_millis(),
+            harmless_prompt(self.calls, &mut self.random),
             attempt.len()
         );
         stream.send(request.as_bytes())?;
@@ -99,13 +101,7 @@
 
     fn outcome_of(&self, kind: CallKind, attempt: &str, answer: &HttpMessage) -> CallerOutcome {
         match answer.status() {
-            200 => {
-                self.check_answer(kind, attempt, answer);
-                match answer.is_whole {
-                    true => CallerOutcome::Served,
-                    false => CallerOutcome::Unknown,
-                }
-            }
+            200 => self.check_answer(kind, attempt, answer),
             408 | 421 | 429 | 503 => {
                 if answer.text().contains(SUSPECTED) {
                     let violation = format!("harmless call {attempt} was refused as suspected");
@@ -123,7 +119,9 @@
         }
     }
 
-    fn check_answer(&self, kind: CallKind, attempt: &str, answer: &HttpMessage) {
+    /// Checks a good answer. One that does not state its end may lack something, but not the rest
+    /// of an event.
+    fn check_answer(&self, kind: CallKind, attempt: &str, answer: &HttpMessage) -> CallerOutcome {
         let expected: String = match kind {
             CallKind::Safe | CallKind::Unsafe => attempt.to_owned(),
             CallKind::Stream | CallKind::ResumableStream => (1..=STREAM_EVENTS)
@@ -131,9 +129,12 @@
                 .collect(),
         };
         let text = answer.text();
-        let is_valid = match answer.is_whole {
-            true => text == expected,
-            false => expected.starts_with(text.trim_end_matches('\0')),
+        let is_part = expected.starts_with(text.trim_end_matches('\0'));
+        let ends_inside_event = kind.is_stream() && !text.ends_with("\n\n");
+        let is_valid = match (answer.is_whole, answer.states_end) {
+            (true, true) => text == expected,
+            (true, false) => is_part && !ends_inside_event,
+            (false, _) => is_part,
         };
         if !is_valid {
             self.history.record_violation(format!(
@@ -144,5 +145,9 @@
             self.history
                 .record_violation(format!("answer to call {attempt} has another attempt id"));
         }
+        match answer.is_whole && text == expected {
+            true => CallerOutcome::Served,
+            false => CallerOutcome::Unknown,
+        }
     }
 }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -9,14 +9,15 @@
 use std::time::Duration;
 
 use platform::headers::{
-    API_KEY, ATTEMPT_ID, EXPECT_INSTANCE, LAST_EVENT_ID, NOT_EXECUTED, SERVER_STAMP, TENANT,
+    API_KEY, ATTEMPT_ID, EXPECT_INSTANCE, LAST_EVENT_ID, NOT_EXECUTED, PREFIX_HASH, SERVER_STAMP,
+    TENANT,
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
 use crate::history::SoakHistory;
 use crate::http::{HttpMessage, HttpStream, sized_answer};
-use crate::poison::POISON_BODY;
+use crate::poison::scope_of;
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u32 = 12;
@@ -37,6 +38,19 @@
 /// is sent.
 const CUT_PER_THOUSAND: u32 = 20;
 
+/// Calls per thousand whose answer has neither a length nor chunks and ends with its connection.
+const UNFRAMED_PER_THOUSAND: u32 = 200;
+
+/// How a call is answered.
+struct AnswerPlan<'a> {
+    attempt: &'a str,
+    headers: &'a str,
+    /// Whether the answer breaks off.
+    is_cut: bool,
+    /// Whether the answer states its end.
+    is_framed: bool,
+}
+
 /// One stand-in endpoint. It serves until the process exits.
 pub struct SoakEndpoint {
     /// Name in the endpoint list.
@@ -118,8 +132,9 @@
         if call.header(EXPECT_INSTANCE) != Some(&name) {
             return stream.send(sized_answer(421, &not_run, "").as_bytes());
         }
-        if call.text() == POISON_BODY {
-            self.history.record_poison_run();
+        let parts = call.header(PREFIX_HASH).unwrap_or_default();
+        if let Some(scope) = scope_of(&call.text(), parts) {
+            self.history.record_poison_run(scope);
             // The receiver is gone at the end of a run only.
             let _ = self.crashes.send(self.address);
             return Err(io::ErrorKind::ConnectionAborted.into());
@@ -136,16 +151,15 @@
         if random.random_range(0..1000) < FAILED_PER_THOUSAND {
             return stream.send(sized_answer(500, &headers, "failed").as_bytes());
         }
-        let is_cut = random.random_range(0..1000) < CUT_PER_THOUSAND;
+        let plan = AnswerPlan {
+            attempt: &attempt,
+            headers: &headers,
+            is_cut: random.random_range(0..1000) < CUT_PER_THOUSAND,
+            is_framed: random.random_range(0..1000) >= UNFRAMED_PER_THOUSAND,
+        };
         match call.start_line.contains("/stream/") || call.start_line.contains("/resumable/") {
-            true => send_stream(stream, call, &attempt, &headers, is_cut, random),
-            false => {
-                thread::sleep(CALL_DURATION);
-                if is_cut {
-                    return Err(io::ErrorKind::ConnectionAborted.into());
-                }
-                stream.send(sized_answer(200, &headers, &attempt).as_bytes())
-            }
+            true => send_stream(stream, call, &plan, random),
+            false => send_whole(stream, &plan),
         }
     }
 
@@ -171,30 +185,61 @@
     format!("id: {id}\ndata: {attempt} {id}\n\n")
 }
 
+fn send_whole(stream: &mut HttpStream, plan: &AnswerPlan<'_>) -> io::Result<()> {
+    thread::sleep(CALL_DURATION);
+    if plan.is_framed && !plan.is_cut {
+        return stream.send(sized_answer(200, plan.headers, plan.attempt).as_bytes());
+    }
+    if !plan.is_framed {
+        let body = match plan.is_cut {
+            true => &plan.attempt[..plan.attempt.len() / 2],
+            false => plan.attempt,
+        };
+        stream.send(format!("HTTP/1.1 200 OK\r\n{}\r\n{body}", plan.headers).as_bytes())?;
+    }
+    if plan.is_cut && !plan.is_framed {
+        // Without a length, only a reset shows that the answer broke off.
+        stream.reset()?;
+    }
+    Err(io::ErrorKind::ConnectionAborted.into())
+}
+
 fn send_stream(
     stream: &mut HttpStream,
     call: &HttpMessage,
-    attempt: &str,
-    headers: &str,
-    is_cut: bool,
+    plan: &AnswerPlan<'_>,
     random: &mut Pcg64,
 ) -> io::Result<()> {
     let last_event = call.header(LAST_EVENT_ID).and_then(|id| id.parse().ok());
     let first = last_event.map_or(1, |id: u32| id + 1);
+    let framing = match plan.is_framed {
+        true => "Transfer-Encoding: chunked\r\n",
+        false => "",
+    };
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{headers}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n{}Content-Type: text/event-stream\r\n{framing}\r\n",
+        plan.headers
     );
     stream.send(head.as_bytes())?;
     let cut_at = random.random_range(first..=STREAM_EVENTS.max(first));
     for id in first..=STREAM_EVENTS {
-        let text = event_text(attempt, id);
-        if is_cut && id == cut_at {
-            let half = &text[..text.len() / 2];
-            stream.send(format!("{:x}\r\n{half}\r\n", half.len()).as_bytes())?;
+        let text = event_text(plan.attempt, id);
+        if plan.is_cut && id == cut_at {
+            send_part(stream, &text[..text.len() / 2], plan.is_framed)?;
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        stream.send(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes())?;
+        send_part(stream, &text, plan.is_framed)?;
         thread::sleep(EVENT_INTERVAL);
     }
-    stream.send(b"0\r\n\r\n")
+    match plan.is_framed {
+        true => stream.send(b"0\r\n\r\n"),
+        false => Err(io::ErrorKind::ConnectionAborted.into()),
+    }
+}
+
+fn send_part(stream: &mut HttpStream, part: &str, is_framed: bool) -> io::Result<()> {
+    match is_framed {
+        true => stream.send(format!("{:x}\r\n{part}\r\n", part.len()).as_bytes()),
+        false => stream.send(part.as_bytes()),
+    }
 }
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -24,8 +24,28 @@
     }
 }
 
-/// Runs of a request that crashes its endpoints, from the last of which on they are counted.
-const COUNTED_FROM: usize = 3;
+/// What crashes each endpoint that runs it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PoisonScope {
+    /// One request, which is sent again and again.
+    Request,
+    /// Each request with a certain part in its prompt.
+    PromptPart,
+}
+
+impl PoisonScope {
+    /// Both scopes.
+    pub const ALL: [Self; 2] = [Self::Request, Self::PromptPart];
+
+    /// Number of runs from the last of which on further ones are counted.
+    fn known_runs(self) -> usize {
+        match self {
+            Self::Request => 3,
+            Self::PromptPart => 5,
+        }
+    }
+}
+
 /// Most runs that may be counted.
 const MAX_LATE_RUNS: usize = 3;
 /// Time after that run, and after each disruption of a gateway, in which runs are not counted.
@@ -54,18 +74,24 @@
     calls: HashMap<String, CallRecord>,
     /// Newest version of the catalog whose change was acknowledged.
     acknowledged: u64,
-    /// When endpoints ran the request that crashes them.
-    poison_runs: Vec<Instant>,
+    /// When endpoints ran requests that crash them.
+    poison_runs: Vec<(PoisonScope, Instant)>,
     /// When disruptions of gateways began, and ended if they have.
     disruptions: Vec<(Instant, Option<Instant>)>,
     violations: Vec<String>,
 }
 
 impl HistoryState {
-    /// Number of runs of the request that crashes endpoints after the fleet had the time to learn
-    /// of the third crash.
-    fn late_runs(&self) -> usize {
-        let Some(counted_from) = self.poison_runs.get(COUNTED_FROM - 1) else {
+    fn runs_of(&self, scope: PoisonScope) -> impl Iterator<Item = &Instant> {
+        let runs = self.poison_runs.iter();
+        let same = runs.filter(move |(run_scope, _)| *run_scope == scope);
+        same.map(|(_, at)| at)
+    }
+
+    /// Number of runs that crash endpoints after the fleet had the time to learn of the crashes
+    /// that it has to know.
+    fn late_runs(&self, scope: PoisonScope) -> usize {
+        let Some(counted_from) = self.runs_of(scope).nth(scope.known_runs() - 1) else {
             return 0;
         };
         let is_settled = |at: &&Instant| {
@@ -74,8 +100,9 @@
             };
             !self.disruptions.iter().any(is_disrupted)
         };
-        let runs = self.poison_runs.iter();
-        let late = runs.filter(|at| **at >= *counted_from + SETTLING_TIME);
+        let late = self
+            .runs_of(scope)
+            .filter(|at| **at >= *counted_from + SETTLING_TIME);
         late.filter(is_settled).count()
     }
 }
@@ -99,6 +126,10 @@
     pub poison_runs: usize,
     /// Runs of it that are counted against the bound.
     pub late_runs: usize,
+    /// Runs of requests with the prompt part that crashes endpoints.
+    pub part_runs: usize,
+    /// Runs of these that are counted against the bound.
+    pub late_part_runs: usize,
 }
 
 impl SoakHistory {
@@ -142,9 +173,9 @@
         self.state().acknowledged
     }
 
-    /// Records that an endpoint runs the request that crashes it.
-    pub fn record_poison_run(&self) {
-        self.state().poison_runs.push(Instant::now());
+    /// Records that an endpoint runs a request that crashes it.
+    pub fn record_poison_run(&self, scope: PoisonScope) {
+        self.state().poison_runs.push((scope, Instant::now()));
     }
 
     /// Records that a disruption of a gateway begins.
@@ -178,8 +209,10 @@
             calls: state.calls.len(),
             served: with_outcome(CallerOutcome::Served),
             not_run: with_outcome(CallerOutcome::NotRun),
-            poison_runs: state.poison_runs.len(),
-            late_runs: state.late_runs(),
+            poison_runs: state.runs_of(PoisonScope::Request).count(),
+            late_runs: state.late_runs(PoisonScope::Request),
+            part_runs: state.runs_of(PoisonScope::PromptPart).count(),
+            late_part_runs: state.late_runs(PoisonScope::PromptPart),
         }
     }
 
@@ -208,11 +241,14 @@
                 violations.push(format!("call {attempt} was served but never executed"));
             }
         }
-        let late_runs = state.late_runs();
-        if late_runs > MAX_LATE_RUNS {
-            violations.push(format!(
-                "the request that crashes endpoints was run {late_runs} times more after the third crash"
-            ));
+        for scope in PoisonScope::ALL {
+            let late_runs = state.late_runs(scope);
+            if late_runs > MAX_LATE_RUNS {
+                violations.push(format!(
+                    "what crashes endpoints ({scope:?}) was run {late_runs} times more after {} crashes",
+                    scope.known_runs()
+                ));
+            }
         }
         violations.sort();
         violations
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -3,8 +3,14 @@
 use std::collections::HashMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
 use std::time::Duration;
 
+use socket2::SockRef;
+
+/// Time from the last bytes of a connection to its reset.
+const RESET_DELAY: Duration = Duration::from_millis(10);
+
 /// A request or an answer.
 #[derive(Clone, Debug, Default)]
 pub struct HttpMessage {
@@ -14,8 +20,11 @@
     pub headers: HashMap<String, String>,
     /// The body, padded with zero bytes where a part with a known length is incomplete.
     pub body: Vec<u8>,
-    /// Whether the whole body arrived, according to its content length or last chunk.
+    /// Whether the whole body arrived, according to its content length or last chunk, or up to the
+    /// close of the connection if neither is stated. A reset is no end.
     pub is_whole: bool,
+    /// Whether the message states the end of its body. An answer that does not may be incomplete.
+    pub states_end: bool,
 }
 
 impl HttpMessage {
@@ -85,20 +94,31 @@
             let name = name.to_ascii_lowercase();
             message.headers.insert(name, value.trim().to_owned());
         }
-        let chunked = message.header("transfer-encoding") == Some("chunked");
-        message.is_whole = match chunked {
-            true => self.read_chunks(&mut message.body).is_ok(),
-            false => {
-                let length = message
-                    .header("content-length")
-                    .and_then(|text| text.parse().ok());
-                self.read_bytes(&mut message.body, length.unwrap_or(0))
-                    .is_ok()
-            }
+        let is_chunked = message.header("transfer-encoding") == Some("chunked");
+        let length = message
+            .header("content-length")
+            .and_then(|text| text.parse().ok());
+        let is_answer = message.start_line.starts_with("HTTP/");
+        message.states_end = is_chunked || length.is_some() || !is_answer;
+        let read = match (is_chunked, message.states_end) {
+            (true, _) => self.read_chunks(&mut message.body),
+            (false, true) => self.read_bytes(&mut message.body, length.unwrap_or(0)),
+            (false, false) => self.reader.read_to_end(&mut message.body).map(|_| ()),
         };
+        message.is_whole = read.is_ok();
         Ok(message)
     }
 
+    /// Closes the connection with a reset.
+    ///
+    /// # Errors
+    /// The socket's error.
+    pub fn reset(&mut self) -> io::Result<()> {
+        // Lets the peer read first what was sent.
+        thread::sleep(RESET_DELAY);
+        SockRef::from(self.reader.get_ref()).set_linger(Some(Duration::ZERO))
+    }
+
     fn read_line(&mut self) -> io::Result<String> {
         let mut line = String::new();
         self.reader.read_line(&mut line)?;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -60,7 +60,7 @@
         let counts = outcome.counts;
         println!(
             "RESULT soak seed={seed} faults={} calls={} served={} promised={} version={} \
-             poison_runs={} late_runs={} broken={}",
+             poison_runs={} late_runs={} part_runs={} late_part_runs={} broken={}",
             outcome.faults.len(),
             counts.calls,
             counts.served,
@@ -68,6 +68,8 @@
             outcome.version,
             counts.poison_runs,
             counts.late_runs,
+            counts.part_runs,
+            counts.late_part_runs,
             outcome.violations.len()
         );
         if outcome.violations.is_empty() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -16,7 +16,7 @@
 use crate::crashes::{CrashQueue, CrashTarget, crash_queue, start_crashes};
 use crate::endpoint::SoakEndpoint;
 use crate::fleet::{SoakFleet, SoakGateway};
-use crate::history::{HistoryCounts, SoakHistory};
+use crate::history::{HistoryCounts, PoisonScope, SoakHistory};
 use crate::list::{ListMode, SoakList};
 use crate::operator::{
     SERVICE, catalog_text, read_catalog, send_catalog, start_operator, version_of,
@@ -137,11 +137,14 @@
             Arc::clone(&is_stopping),
         ));
     }
-    threads.push(start_poison_caller(
-        settings.seed.wrapping_mul(1000) + 999,
-        gateways.clone(),
-        Arc::clone(&is_stopping),
-    ));
+    for (scope, number) in PoisonScope::ALL.into_iter().zip([999, 997]) {
+        threads.push(start_poison_caller(
+            scope,
+            settings.seed.wrapping_mul(1000) + number,
+            gateways.clone(),
+            Arc::clone(&is_stopping),
+        ));
+    }
     let faults =
         environment.inject_faults(&draw_plan(settings.seed, settings.length), settings.length)?;
     is_stopping.store(true, Ordering::SeqCst);
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -37,6 +37,7 @@
         expect_that!(outcome.faults, not(is_empty()));
         expect_that!(outcome.counts.served, ge(1));
         expect_that!(outcome.counts.poison_runs, ge(3), "{settings:?}");
+        expect_that!(outcome.counts.part_runs, ge(3), "{settings:?}");
     }
 }
 
