gateway: wait for calls that are being read when a drain ends

The drain ended as soon as no call was active, and a call becomes active only when it has been read whole; one that was being read was forwarded while the process exited. The drain now waits until no caller is connected: in that phase idle connections close by themselves. call_that_is_being_read_when_idle_connections_close_is_waited_for shows the state that was not waited for.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -180,7 +180,7 @@
     )
     .await;
     relay_state.enter_phase(ServingPhase::Closing);
-    while relay_state.active_calls.get() > 0 && started.elapsed() < time_limit {
+    while !relay_state.is_drained() && started.elapsed() < time_limit {
         sleep(DRAIN_POLL_INTERVAL).await;
     }
     log::info!(cut = relay_state.active_calls.get(); "gateway: drained");
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -477,6 +477,38 @@
     );
 }
 
+// A call that a stopping instance had begun to read was not waited for.
+#[gtest]
+fn call_that_is_being_read_when_idle_connections_close_is_waited_for() {
+    let (while_reading, answer) = run(async {
+        let endpoint = ScriptedEndpoint::start("e1", vec![]).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut stream = TcpStream::connect(relay.address)
+            .await
+            .expect("loopback works");
+        let text = request("/safe/x", "body");
+        let (first, rest) = text.split_at(text.len() - 2);
+        stream
+            .write_all(first.as_bytes())
+            .await
+            .expect("loopback works");
+        while relay.state.open_connections.get() == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        relay.state.enter_phase(ServingPhase::Closing);
+        let while_reading = relay.state.is_drained();
+        let answer = call_on(&mut stream, rest).await;
+        while !relay.state.is_drained() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        (while_reading, answer)
+    });
+
+    expect_that!(while_reading, eq(false));
+    expect_that!(answer.status(), eq(200));
+}
+
 #[gtest]
 fn oversized_body_is_refused() {
     let answer = run(async {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -238,6 +238,12 @@
         self.phase() < ServingPhase::Closing || fits
     }
 
+    /// Whether no caller is connected any more. In phase [`ServingPhase::Closing`], a connection
+    /// stays open only while a call on it is read or served.
+    pub fn is_drained(&self) -> bool {
+        self.open_connections.get() == 0
+    }
+
     /// Waits until the phase is [`ServingPhase::Closing`].
     pub async fn until_closing(&self) {
         loop {
