--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -6,6 +6,7 @@
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError, is_bodiless};
+use exchange::pool::idle_share;
 
 use crate::attempt::{
     AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
@@ -21,7 +22,6 @@
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
 /// Maximum time for reading that body.
 const REFUSAL_BODY_LIMIT: Duration = Duration::from_millis(50);
-use exchange::pool::idle_share;
 
 impl EndpointAttempt<'_> {
     /// Processes an answer whose head has arrived: streams a successful answer of a stream route,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
+use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
+use exchange::events::EventSplitter;
 use tokio::time::{Instant, timeout};
 use wire::id::EndpointId;
 
@@ -16,8 +18,6 @@
 use crate::retry::AttemptEnd;
 use crate::session::SessionWriter;
 use crate::state::{OccupiedSlot, RelayState};
-use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
-use exchange::events::EventSplitter;
 
 /// Multiple of the expected wait for a slot that is added to the silence limit while the head of
 /// the answer is awaited, as an endpoint sends nothing for a call that waits in its queue.
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -6,11 +6,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use exchange::connection::EndpointConnection;
 use wire::id::{EndpointId, FingerprintHash};
 
 use crate::crash::{LostRun, SuspectHash};
 use crate::state::RelayState;
-use exchange::connection::EndpointConnection;
 
 impl RelayState {
     /// Records that a run was lost.
