Name the bounds of suspicion, and say Content-Length: 0 for a POST without a body

The agent's former client told endpoints the length 0 of a POST without a body, and the shared connection now does, too.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -224,7 +224,10 @@
         let is_head = head.method == Method::HEAD;
         let mut write_buffer = BytesMut::new();
         let size = match body.len() {
-            0 => BodySize::None,
+            // Endpoints may insist on a length where the method has a body.
+            0 if !matches!(head.method, Method::POST | Method::PUT | Method::PATCH) => {
+                BodySize::None
+            }
             length => BodySize::Sized(length as u64),
         };
         codec.encode(
--- a/crates/exchange/src/events.rs
+++ b/crates/exchange/src/events.rs
@@ -91,6 +91,9 @@
     }
 }
 
+/// Number of bytes by which the end of an event is recognized.
+const EDGE_BYTES: usize = 3;
+
 /// Tells whether the bytes of an event stream so far end between two events.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct EventEdge {
@@ -98,9 +101,6 @@
     tail: Vec<u8>,
 }
 
-/// Number of bytes by which the end of an event is recognized.
-const EDGE_BYTES: usize = 3;
-
 impl EventEdge {
     /// Records the next bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
--- a/crates/fake/tests/framing.rs
+++ b/crates/fake/tests/framing.rs
@@ -4,16 +4,20 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::thread;
+use std::time::Duration;
 
 use fake::fleet::caller::{CallerAnswer, HttpCall};
 use fake::fleet::plan::{ACCOUNT_KEY, FleetPlan};
 use fake::fleet::{TestFleet, wait_for};
 use googletest::prelude::*;
+use socket2::SockRef;
 
+/// Time from the last bytes of a connection to its reset.
+const RESET_DELAY: Duration = Duration::from_millis(50);
 /// More bytes than callers may get of one answer.
 const MAX_TAKEN_BYTES: usize = 48 * 1024 * 1024;
 
-/// Answer to each request of a path, and how its connection ends.
+/// Answer to each request of a path.
 #[derive(Clone, Debug)]
 struct ScriptedAnswer {
     path: &'static str,
@@ -21,11 +25,12 @@
     end: ConnectionEnd,
 }
 
+/// How the connection of an answer ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionEnd {
     Close,
     Reset,
-    /// The bytes are repeated until the caller closes the connection.
+    /// The second half of the bytes are repeated until the caller closes the connection.
     Endless,
 }
 
@@ -80,16 +85,16 @@
                 .is_ok();
         }
         if answer.end == ConnectionEnd::Reset {
-            let _ = socket_linger(&writer);
+            let _ = reset_on_close(&writer);
         }
         return;
     }
 }
 
-/// Lets the close of a socket reset its connection.
-fn socket_linger(stream: &TcpStream) -> std::io::Result<()> {
-    thread::sleep(std::time::Duration::from_millis(50));
-    socket2::SockRef::from(stream).set_linger(Some(std::time::Duration::ZERO))
+/// Lets the close of a socket reset its connection, once the peer has read what was sent.
+fn reset_on_close(stream: &TcpStream) -> std::io::Result<()> {
+    thread::sleep(RESET_DELAY);
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
 /// Reads the head of a request. Returns its path and the length of its body.
--- a/crates/relay/src/crash/suspicion.rs
+++ b/crates/relay/src/crash/suspicion.rs
@@ -20,6 +20,16 @@
 /// suspected, so they have to be small.
 const MAX_REPEATED_CRASHES: usize = 6;
 
+/// Number of crashes of a request from which on it is refused.
+const REQUEST_CRASHES: usize = 3;
+/// Number of crashes of a part from which on it is blamed. More than for a request, as each lost run
+/// suspects several parts.
+const PART_CRASHES: usize = 5;
+/// Time after a request was served within which crashes do not count against it.
+const REQUEST_SERVED_TIME: Duration = Duration::from_secs(10);
+/// The same for a part. Parts are shared by many requests, so a harmless one is served often.
+const PART_SERVED_TIME: Duration = Duration::from_secs(60);
+
 /// Kind of what is suspected.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SuspectKind {
@@ -30,21 +40,20 @@
 }
 
 impl SuspectKind {
-    /// Number of crashes from which on it is refused.
+    /// Number of crashes from which on a suspect is refused.
     pub(super) fn blocking_crashes(self) -> usize {
         match self {
-            Self::Request => 3,
-            // Each lost run suspects several parts, and one endpoint runs many requests at once.
-            Self::Part => 5,
+            Self::Request => REQUEST_CRASHES,
+            Self::Part => PART_CRASHES,
         }
     }
 
-    /// Time after it was served within which crashes do not count. Protects what is frequent while
-    /// many endpoints crash at once.
+    /// Time after a suspect was served within which crashes do not count. Protects what is frequent
+    /// while many endpoints crash at once.
     pub(super) fn served_time(self) -> Duration {
         match self {
-            Self::Request => Duration::from_secs(10),
-            Self::Part => Duration::from_secs(60),
+            Self::Request => REQUEST_SERVED_TIME,
+            Self::Part => PART_SERVED_TIME,
         }
     }
 }
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -90,12 +90,13 @@
     pub endpoint: EndpointId,
     /// Time since the endpoint was found down, in milliseconds.
     pub age_ms: u32,
-    /// Requests that were sent to the endpoint before that and lost.
+    /// Requests that were sent to the endpoint before that and lost; in a notice of parts, the
+    /// parts of their prompts.
     pub requests: Vec<FingerprintHash>,
 }
 
-/// A request that an endpoint answered whole, and which therefore does not crash each endpoint that
-/// runs it.
+/// A request, or a part of prompts in a notice of parts, that an endpoint answered whole, and which
+/// therefore does not crash each endpoint that runs it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServedRequest {
     /// The request.
