--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -41,6 +41,20 @@
     }
 }
 
+// In the first second, all endpoints crash before a harmless part of many prompts was ever served.
+#[gtest]
+fn frequent_prompt_part_is_refused_when_all_endpoints_crash_at_the_start() {
+    let settings = SoakSettings {
+        seed: 1016,
+        ..SoakSettings::default()
+    };
+    let folder = tempfile::tempdir().expect("a temporary directory can be created");
+
+    let outcome = run_seed(&settings, folder.path()).expect("the fleet and the stand-ins start");
+
+    expect_that!(outcome.violations, is_empty());
+}
+
 #[gtest]
 fn plan_is_deterministic_and_gateway_faults_do_not_overlap() {
     let length = Duration::from_secs(600);
