relay: log the software versions of endpoints, and what resumes a stream

No decision changes.

Gateways share the list in a new kind of datagram, as its entries are longer now: during an upgrade gateways of the two builds ignore each other's list and read it themselves. 'relay: call' gets versions, resumes and resumed_after, 'relay: endpoint list changed' the version of what joined.

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -58,6 +58,12 @@
         match datagram {
             GatewayDatagram::Heartbeat(heartbeat) => self.handle_heartbeat(from, *heartbeat),
             GatewayDatagram::List(notice) => self.handle_list_notice(from, notice),
+            GatewayDatagram::VersionlessList(_) => {
+                log::debug!(
+                    "gateway: endpoint list without versions from {} ignored",
+                    address_of(from)
+                );
+            }
             GatewayDatagram::Replica(bytes) => self.receive_replica_bytes(&bytes),
             GatewayDatagram::Crashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Request, &notice);
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -39,6 +39,7 @@
         domain: 1,
         slots: 1,
         is_draining: false,
+        version: "v1".to_owned(),
     }
 }
 
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -125,6 +125,7 @@
             domain: u64::from(place > 0),
             slots: 4,
             is_draining: false,
+            version: "v1".to_owned(),
         });
     state.set_endpoints(&listed.collect::<Vec<_>>());
     serve(state).await
@@ -434,6 +435,7 @@
             domain: 0,
             slots: 4,
             is_draining: false,
+            version: "v1".to_owned(),
         };
         state.set_endpoints(&[row]);
         state.set_catalog(CatalogIndex::new(valid_catalog()));
@@ -545,6 +547,7 @@
             domain: u64::from(endpoint.name == "e2"),
             slots: 4,
             is_draining: false,
+            version: "v1".to_owned(),
         });
         relay.state.set_endpoints(&listed);
         let mut statuses = Vec::new();
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -483,6 +483,7 @@
         domain: 0,
         slots: SLOTS as u16,
         is_draining: false,
+        version: "v1".to_owned(),
     }
 }
 
--- a/crates/measure/src/poison/endpoint.rs
+++ b/crates/measure/src/poison/endpoint.rs
@@ -101,6 +101,7 @@
             domain: 0,
             slots: SLOTS,
             is_draining: false,
+            version: "v1".to_owned(),
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,7 +10,7 @@
 use tokio::time::{Instant, timeout};
 use wire::id::EndpointId;
 
-use crate::call::{AnswerMetadata, ForwardMetadata};
+use crate::call::{AnswerMetadata, CallMetadata, ForwardMetadata};
 use crate::health::CallOutcome;
 use crate::placement;
 use crate::relay_call::RelayCall;
@@ -82,6 +82,15 @@
     pub last_error: Option<String>,
 }
 
+impl CallProgress {
+    /// Id of the last event that the caller of the call has received, from an attempt of the call
+    /// or before it; `None` if the stream has not begun.
+    pub fn resume_after<'a>(&'a self, metadata: &'a CallMetadata) -> Option<&'a str> {
+        let own_events = self.events.last_id();
+        own_events.or(metadata.resume_after.as_deref())
+    }
+}
+
 /// How an endpoint's answer whose head had arrived ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct AnswerEnd {
@@ -200,14 +209,13 @@
     fn forward_metadata<'b>(&'b self, name: &'b str) -> ForwardMetadata<'b> {
         let (state, call) = (self.state, self.call);
         let query = call.query(state, &[]);
-        let own_events = self.progress.events.last_id();
         ForwardMetadata {
             warm_source: placement::warm_source(&state.table.borrow(), &query, self.endpoint),
             time_left: call.deadline.saturating_duration_since(Instant::now()),
             endpoint: name,
             account: call.account.map(|account| account.name.as_str()),
             rank: self.progress.rank,
-            resume_after: own_events.or(call.metadata.resume_after.as_deref()),
+            resume_after: self.progress.resume_after(&call.metadata),
         }
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -52,6 +52,8 @@
     pub prompt: Option<PromptOutline>,
     /// Id of the last stream event that the caller received.
     pub resume_after: Option<String>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<String>,
 }
 
 /// Metadata that an instance adds to the head of a call for the endpoint.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -35,6 +35,7 @@
     let started = Instant::now();
     let metadata = state.dialect.read_call(incoming.head.head().headers());
     let mut record = CallRecord::new(metadata.attempt_id.clone());
+    record.resumes.clone_from(&metadata.resumes);
     wait_for_set_up(state, &metadata).await;
     let catalog = state.catalog();
     record.catalog = catalog.as_ref().map_or(0, |index| index.catalog().version);
@@ -183,9 +184,9 @@
     }
 
     async fn try_endpoint(&mut self, endpoint: EndpointId) -> AttemptResult {
-        self.record
-            .attempts
-            .push(attempt_record(self.state, endpoint));
+        let resumed_after = self.progress.resume_after(&self.call.metadata);
+        let attempt = attempt_record(self.state, endpoint, resumed_after);
+        self.record.attempts.push(attempt);
         self.progress.silence_limit = silence_limit(self.call.route, self.tally);
         let attempt = EndpointAttempt {
             state: self.state,
@@ -296,12 +297,18 @@
     }
 }
 
-fn attempt_record(state: &RelayState, endpoint: EndpointId) -> AttemptRecord {
+fn attempt_record(
+    state: &RelayState,
+    endpoint: EndpointId,
+    resumed_after: Option<&str>,
+) -> AttemptRecord {
     let table = state.table.borrow();
     let row = table.row(endpoint);
     AttemptRecord {
         endpoint,
         name: row.map_or_else(String::new, |row| row.name.clone()),
+        version: row.map_or_else(String::new, |row| row.version.clone()),
+        resumed_after: resumed_after.map(str::to_owned),
         load: row.map_or(0, |row| row.load(state.now())),
         end: "unfinished",
     }
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -30,6 +30,11 @@
     pub endpoint: EndpointId,
     /// Name of the endpoint.
     pub name: String,
+    /// Software version of the endpoint, according to the list when the attempt began.
+    pub version: String,
+    /// Id of the last event that the caller had received, from this call or an earlier one, when
+    /// the attempt began; `None` if the attempt begins the stream.
+    pub resumed_after: Option<String>,
     /// Number of running and queued requests at the endpoint, as known to this instance when the
     /// attempt began.
     pub load: u32,
@@ -42,6 +47,8 @@
 pub struct CallRecord {
     /// Attempt id that the caller chose.
     pub attempt_id: Option<String>,
+    /// Id of the earlier attempt whose stream the caller resumes.
+    pub resumes: Option<String>,
     /// Name of the route.
     pub route: String,
     /// Name of the client account; empty for none.
@@ -83,6 +90,7 @@
     pub fn new(attempt_id: Option<String>) -> Self {
         Self {
             attempt_id,
+            resumes: None,
             route: String::new(),
             account: String::new(),
             catalog: 0,
@@ -125,6 +133,10 @@
         let attempts: Vec<String> = attempts
             .map(|attempt| format!("{}:{}:{}", attempt.name, attempt.load, attempt.end))
             .collect();
+        let versions = self.attempts.iter().map(|attempt| attempt.version.as_str());
+        let versions: Vec<&str> = versions.collect();
+        let resumed_after = self.attempts.iter().map(resumed_text);
+        let resumed_after: Vec<&str> = resumed_after.collect();
         let parts: Vec<String> = self.parts.iter().map(|part| hex_text(*part)).collect();
         log::info!(
             call = self.attempt_id.as_deref().unwrap_or("-"),
@@ -138,6 +150,9 @@
             parts = parts.join(",").as_str(),
             crashes = self.crashes,
             tries = attempts.join(",").as_str(),
+            versions = versions.join(",").as_str(),
+            resumes = self.resumes.as_deref().unwrap_or(""),
+            resumed_after = resumed_after.join(",").as_str(),
             rank = self.rank,
             queue_ms = self.queue_wait.as_millis() as u64,
             retry_after_ms = self.retry_after.map_or(-1, |wait| wait.as_millis() as i64),
@@ -150,6 +165,10 @@
     }
 }
 
+fn resumed_text(attempt: &AttemptRecord) -> &str {
+    attempt.resumed_after.as_deref().unwrap_or("-")
+}
+
 fn end_label(end: CallEnd) -> &'static str {
     match end {
         CallEnd::Answered(status) if status.is_server_error() => "failure-passed",
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -53,6 +53,8 @@
     pub address: SocketAddrV4,
     /// Failure domain of the endpoint.
     pub domain: DomainId,
+    /// Version of the endpoint's software, according to the list.
+    pub version: String,
     /// Number of requests that it can run concurrently, according to the list; 0 if not known.
     pub slots: u32,
     /// Whether the endpoint is draining and accepts no new calls.
@@ -93,6 +95,7 @@
             name: listed.name.clone(),
             address: listed.address,
             domain: listed.domain,
+            version: listed.version.clone(),
             slots: u32::from(listed.slots),
             is_draining: listed.is_draining,
             own_running: 0,
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -13,7 +13,8 @@
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListChange {
-    /// Endpoints that are new, or have a new address.
+    /// Endpoints that are new, or have a new address, each followed by `=` and its software
+    /// version.
     pub joined: Vec<String>,
     /// Endpoints that are no longer listed.
     pub left: Vec<String>,
@@ -48,7 +49,7 @@
             let mut row = match self.rows.remove(&id) {
                 Some(row) if row.address == endpoint.address => row,
                 _ => {
-                    change.joined.push(endpoint.name.clone());
+                    change.joined.push(joined_text(endpoint));
                     EndpointRow::new(endpoint)
                 }
             };
@@ -234,3 +235,7 @@
         }
     }
 }
+
+fn joined_text(endpoint: &ListedEndpoint) -> String {
+    format!("{}={}", endpoint.name, endpoint.version)
+}
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -33,6 +33,7 @@
         domain: 0,
         slots: SLOTS,
         is_draining: false,
+        version: "v1".to_owned(),
     }
 }
 
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -21,6 +21,7 @@
         domain: u64::from(number % 3),
         slots: 64,
         is_draining: false,
+        version: "v1".to_owned(),
     }
 }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -185,6 +185,7 @@
             domain: 0,
             slots: 8,
             is_draining: false,
+            version: "v1".to_owned(),
         });
         targets.push(CrashTarget {
             endpoint,
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -138,6 +138,8 @@
     pub slots: u16,
     /// Whether it accepts no new requests.
     pub is_draining: bool,
+    /// Version of its software, not of the weights of its models.
+    pub version: String,
 }
 
 impl ListedEndpoint {
@@ -178,13 +180,45 @@
     pub removed: Vec<EndpointId>,
 }
 
+/// An endpoint in the lists of earlier gateways, which do not know software versions.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionlessEndpoint {
+    /// Name of the endpoint.
+    pub name: String,
+    /// Service that it belongs to.
+    pub service: String,
+    /// Address of its HTTP server.
+    pub address: SocketAddrV4,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Number of requests that it runs concurrently.
+    pub slots: u16,
+    /// Whether it accepts no new requests.
+    pub is_draining: bool,
+}
+
+/// The [`ListNotice`] of earlier gateways.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionlessNotice {
+    /// The read.
+    pub reading: ReadingKey,
+    /// Digest of the list.
+    pub digest: u64,
+    /// Digest of the list before its latest change.
+    pub base_digest: u64,
+    /// Endpoints that were added or changed.
+    pub changed: Vec<VersionlessEndpoint>,
+    /// Endpoints that were removed.
+    pub removed: Vec<EndpointId>,
+}
+
 /// Payload of a datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GatewayDatagram {
     /// A heartbeat.
     Heartbeat(Box<GatewayHeartbeat>),
-    /// Announcement of the sender's latest read of the endpoint list.
-    List(ListNotice),
+    /// From earlier gateways only, and ignored: a list without software versions can't be used.
+    VersionlessList(VersionlessNotice),
     /// An encoded message of the consensus protocol.
     Replica(Vec<u8>),
     /// Crashes of endpoints, with the requests that were lost in them.
@@ -192,6 +226,9 @@
     /// Crashes of endpoints, with the parts of the prompts that were lost in them: the hashes stand
     /// for parts. Older gateways ignore it.
     PartCrashes(CrashNotice),
+    /// Announcement of the sender's latest read of the endpoint list. Older gateways ignore it and
+    /// read the list themselves.
+    List(ListNotice),
 }
 
 /// A catalog in the operator's text form, compressed.
@@ -212,7 +249,8 @@
     ReadLatest,
     /// Return the catalog, if the receiver has a later version than this.
     FetchAbove(u64),
-    /// Return the whole endpoint list in force at the receiver.
+    /// Return the whole endpoint list in force at the receiver, which has announced it by a
+    /// [`GatewayDatagram::List`].
     FetchList,
     /// Take over this catalog, which is committed by a quorum.
     Install(CatalogText),
