gateway: reproduce streams that go on at another software version, failing

versions::streams_of_callers_that_come_back_go_on passes and keeps the other side: a cure that refuses callers that come back fails it.

--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -26,6 +26,7 @@
 mod endless;
 mod fixture;
 mod framing;
+mod versions;
 
 use fixture::{
     CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, TEST_TIMEOUT, call, call_on, chunk,
--- /dev/null
+++ b/crates/gateway/tests/forwarding/versions.rs
@@ -0,0 +1,255 @@
+//! Streams whose endpoints have two software versions, through several instances. What the versions
+//! send does not fit together, so a stream may go on only at the version that began it.
+
+use std::cell::RefCell;
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+
+use catalog::CatalogIndex;
+use googletest::prelude::*;
+use platform::PlatformDialect;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use relay::state::{RelaySettings, RelayState};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use watch::GatewayMetrics;
+use watch::label::LabelSettings;
+use wire::gateway::ListedEndpoint;
+
+use crate::fixture::{CallerAnswer, LAST_CHUNK, call, chunk, read_head};
+use crate::{RelayFixture, SERVICE, run, serve, valid_catalog};
+
+/// Seeds of the generated streams.
+const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
+const INSTANCES: u64 = 4;
+/// Software version of each endpoint.
+const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
+/// Number of events of a whole stream.
+const EVENTS: u32 = 8;
+/// Number of streams of one seed.
+const STREAMS: u32 = 12;
+/// Number of attempts after which a caller gives a stream up.
+const MAX_ATTEMPTS: u32 = 12;
+const CUT_PROBABILITY: f64 = 0.6;
+const RESTART_PROBABILITY: f64 = 0.3;
+
+/// Endpoint that sends event streams and breaks some of them off.
+struct VersionedEndpoint {
+    version: &'static str,
+    random: RefCell<StdRng>,
+}
+
+impl VersionedEndpoint {
+    /// Starts an endpoint and returns its entry of the endpoint list.
+    async fn start(number: usize, seed: u64) -> ListedEndpoint {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback works");
+        let address = listener.local_addr().expect("loopback works").to_string();
+        let endpoint = Rc::new(Self {
+            version: VERSIONS[number],
+            random: RefCell::new(StdRng::seed_from_u64(seed * 100 + number as u64)),
+        });
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(Rc::clone(&endpoint).serve(stream));
+            }
+        });
+        ListedEndpoint {
+            name: format!("e{number}"),
+            service: SERVICE.to_owned(),
+            address: address.parse().expect("an IPv4 address"),
+            domain: 0,
+            slots: 4,
+            is_draining: false,
+            version: VERSIONS[number].to_owned(),
+        }
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        while let Some(head) = read_head(&mut stream).await {
+            let attempt = field(&head, "x-attempt-id").unwrap_or_default();
+            let last: Option<u32> = field(&head, "last-event-id").and_then(|id| id.parse().ok());
+            let first = last.unwrap_or(0) + 1;
+            let cut_at = self.draw_cut(first);
+            let events = (first..=cut_at.unwrap_or(EVENTS)).map(|id| self.event(id));
+            let events: String = events.map(|event| chunk(&event)).collect();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{events}"
+            );
+            let _ = stream.write_all(answer.as_bytes()).await;
+            if cut_at.is_some() {
+                return;
+            }
+            let _ = stream.write_all(LAST_CHUNK.as_bytes()).await;
+        }
+    }
+
+    fn event(&self, id: u32) -> String {
+        format!("id: {id}\ndata: {} {id}\n\n", self.version)
+    }
+
+    /// The event after which the stream breaks off; `None` for a whole one.
+    fn draw_cut(&self, first: u32) -> Option<u32> {
+        let mut random = self.random.borrow_mut();
+        let is_cut = first < EVENTS && random.random_bool(CUT_PROBABILITY);
+        is_cut.then(|| random.random_range(first..EVENTS))
+    }
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let (_, value) = lines.find(|(field, _)| field.eq_ignore_ascii_case(name))?;
+    Some(value.to_owned())
+}
+
+/// Instances before the endpoints of one service.
+struct TestFleet {
+    listed: Vec<ListedEndpoint>,
+    instances: Vec<RelayFixture>,
+}
+
+impl TestFleet {
+    async fn start(seed: u64) -> Self {
+        let mut fleet = Self {
+            listed: Vec::new(),
+            instances: Vec::new(),
+        };
+        for number in 0..VERSIONS.len() {
+            fleet
+                .listed
+                .push(VersionedEndpoint::start(number, seed).await);
+        }
+        for number in 0..INSTANCES {
+            let instance = fleet.start_instance(number).await;
+            fleet.instances.push(instance);
+        }
+        fleet
+    }
+
+    async fn start_instance(&self, number: u64) -> RelayFixture {
+        let metrics = GatewayMetrics::new(LabelSettings::default()).expect("names are free");
+        let settings = RelaySettings {
+            instance: number,
+            ..RelaySettings::default()
+        };
+        let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
+        state.set_catalog(CatalogIndex::new(valid_catalog()));
+        state.set_endpoints(&self.listed);
+        serve(state).await
+    }
+
+    /// Replaces an instance by one that knows nothing of before.
+    async fn restart(&mut self, number: usize) {
+        self.instances[number] = self.start_instance(number as u64).await;
+    }
+}
+
+/// What one caller received of its stream.
+#[derive(Debug, Default)]
+struct ReceivedStream {
+    /// Software version and id of each event.
+    events: Vec<(String, u32)>,
+    /// Id of the attempt that brought the first event.
+    began_as: Option<String>,
+    is_whole: bool,
+    /// Number of attempts to take the stream up.
+    returns: u32,
+    /// Number of these that brought an answer of an endpoint.
+    went_on: u32,
+}
+
+impl ReceivedStream {
+    fn request(&self, attempt: &str) -> String {
+        let resumes = match (&self.began_as, self.events.last()) {
+            (Some(began_as), Some((_, id))) => {
+                format!("Resumes: {began_as}\r\nLast-Event-Id: {id}\r\n")
+            }
+            _ => String::new(),
+        };
+        format!(
+            "POST /resumable/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 5000\r\nApi-Key: k1\r\n{resumes}Content-Length: 0\r\n\r\n"
+        )
+    }
+
+    fn add(&mut self, attempt: &str, answer: &CallerAnswer) {
+        let is_return = self.began_as.is_some();
+        self.returns += u32::from(is_return);
+        self.went_on += u32::from(is_return && answer.status() == 200);
+        for event in answer.events() {
+            let (version, id) = event.split_once(' ').expect("a version and an id");
+            self.events
+                .push((version.to_owned(), id.parse().expect("an id")));
+        }
+        if !self.events.is_empty() {
+            self.began_as.get_or_insert_with(|| attempt.to_owned());
+        }
+        self.is_whole = answer.status() == 200 && answer.is_whole;
+    }
+
+    /// Whether it holds the first events of one version, each once.
+    fn is_sound(&self) -> bool {
+        let version = self.events.first().map(|(version, _)| version);
+        let mut expected = 1..;
+        let is_next = |(event_version, id): &(String, u32)| {
+            Some(event_version) == version && Some(*id) == expected.next()
+        };
+        self.events.iter().all(is_next)
+    }
+}
+
+async fn receive_stream(fleet: &mut TestFleet, random: &mut StdRng, number: u32) -> ReceivedStream {
+    let mut received = ReceivedStream::default();
+    for attempt in 0..MAX_ATTEMPTS {
+        let instance = random.random_range(0..fleet.instances.len());
+        let attempt = format!("s{number}-{attempt}");
+        let address: SocketAddrV4 = fleet.instances[instance].address;
+        let answer = call(address, &received.request(&attempt)).await;
+        received.add(&attempt, &answer);
+        if received.is_whole {
+            break;
+        }
+        if random.random_bool(RESTART_PROBABILITY) {
+            fleet.restart(instance).await;
+        }
+    }
+    received
+}
+
+async fn receive_streams(seed: u64) -> Vec<ReceivedStream> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut fleet = TestFleet::start(seed).await;
+    let mut streams = Vec::new();
+    for number in 0..STREAMS {
+        streams.push(receive_stream(&mut fleet, &mut random, number).await);
+    }
+    streams
+}
+
+// Issue 26, ORDER: inside one answer, and when its caller came back, any endpoint went on.
+#[gtest]
+fn stream_goes_on_at_another_software_version() {
+    for seed in SEEDS {
+        let streams = run(receive_streams(seed));
+
+        let mixed = streams.iter().filter(|stream| !stream.is_sound());
+        let mixed: Vec<&ReceivedStream> = mixed.collect();
+        expect_that!(mixed, is_empty(), "seed {seed}");
+    }
+}
+
+// Issue 26, LOST: both endpoints of each version serve all the time.
+#[gtest]
+fn streams_of_callers_that_come_back_go_on() {
+    for seed in SEEDS {
+        let streams = run(receive_streams(seed));
+
+        let returns: u32 = streams.iter().map(|stream| stream.returns).sum();
+        let went_on: u32 = streams.iter().map(|stream| stream.went_on).sum();
+        let whole = streams.iter().filter(|stream| stream.is_whole).count();
+        expect_that!(returns, gt(0), "seed {seed}");
+        expect_that!(went_on * 2, ge(returns), "seed {seed}");
+        expect_that!(whole, eq(streams.len()), "seed {seed}");
+    }
+}
