relay: go on inside an answer only at the version that began it

Callers got one answer with events of two software versions: after a broken attempt, the next endpoint was chosen among all of the service, as placement knew no versions.

An attempt notes the version of its endpoint, and the first bytes to the caller bind the call to it: placement then considers only endpoints of that version. Without one, the answer is cut and its caller may take it up.

--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -255,6 +255,7 @@
         let gateway_state = &mut self.gateways[gateway];
         let query = PlacementQuery {
             service: service(),
+            version: None,
             shared_part: Some(load_call.part),
             instance: gateway as u64,
             domain: 0,
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -67,6 +67,7 @@
     ) -> Option<EndpointId> {
         let query = PlacementQuery {
             service: name_id(SERVICE),
+            version: None,
             shared_part: Some(shared_part),
             instance: self.number,
             domain: 0,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,7 +8,7 @@
 use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
 use exchange::events::EventSplitter;
 use tokio::time::{Instant, timeout};
-use wire::id::EndpointId;
+use wire::id::{EndpointId, VersionId};
 
 use crate::call::{AnswerMetadata, CallMetadata, ForwardMetadata};
 use crate::health::CallOutcome;
@@ -61,6 +61,11 @@
 pub struct CallProgress {
     /// Splitter of the answer's event stream. It keeps the id of the last event that was sent.
     pub events: EventSplitter,
+    /// Software version of the endpoint of the current attempt, by the list when it began.
+    pub attempt_version: VersionId,
+    /// Software version of the endpoint whose events the caller received first; `None` until the
+    /// stream has begun. Only endpoints of this version may go on.
+    pub begun_by: Option<VersionId>,
     /// The endpoint of the current attempt, until the head of its answer arrives or the attempt
     /// fails.
     pub unanswered: Option<EndpointId>,
@@ -161,12 +166,13 @@
 
     async fn open_answer(&mut self, slot: &OccupiedSlot) -> connection::Result<OpenAnswer> {
         let (state, call) = (self.state, self.call);
-        let (address, name) = {
+        let (address, name, version) = {
             let table = state.table.borrow();
             let row = table.row(self.endpoint);
             let row = row.ok_or(EndpointError::ConnectTimeout)?;
-            (row.address, row.name.clone())
+            (row.address, row.name.clone(), row.version_id)
         };
+        self.progress.attempt_version = version;
         let mut connection = self.open_connection(address).await?;
         let headers = {
             let metadata = self.forward_metadata(&name);
@@ -208,7 +214,7 @@
 
     fn forward_metadata<'b>(&'b self, name: &'b str) -> ForwardMetadata<'b> {
         let (state, call) = (self.state, self.call);
-        let query = call.query(state, &[]);
+        let query = call.query(state, None, &[]);
         ForwardMetadata {
             warm_source: placement::warm_source(&state.table.borrow(), &query, self.endpoint),
             time_left: call.deadline.saturating_duration_since(Instant::now()),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -172,7 +172,7 @@
     fn place(&mut self) -> Option<PlacedCall> {
         let (state, call) = (self.state, self.call);
         let tried = self.record.tried();
-        let query = call.query(state, &tried);
+        let query = call.query(state, self.progress.begun_by, &tried);
         let asked = call.admission(state);
         let table = state.table.borrow();
         let mut admission = state.admission.borrow_mut();
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
-use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
+use wire::id::{DomainId, EndpointId, InstanceId, ServiceId, VersionId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::row::EndpointRow;
@@ -51,6 +51,9 @@
 pub struct PlacementQuery<'a> {
     /// Service that runs the call.
     pub service: ServiceId,
+    /// The only software version whose endpoints are considered: that which began the stream which
+    /// the call resumes. `None` if any version may run the call.
+    pub version: Option<VersionId>,
     /// Id of the prompt part by which endpoints are ranked; `None` for calls without a prompt.
     pub shared_part: Option<u64>,
     /// Id of this instance.
@@ -88,11 +91,18 @@
     chosen.map(|(id, _)| *id)
 }
 
-/// Returns the untried endpoints with the best standing, without draining and misplaced ones. If
+impl PlacementQuery<'_> {
+    /// Whether the call may go on at an endpoint.
+    fn matches(&self, row: &EndpointRow) -> bool {
+        self.version.is_none_or(|version| version == row.version_id)
+    }
+}
+
+/// Returns the untried endpoints with the best standing that match the query, without draining and misplaced ones. If
 /// every endpoint is silent or left out, a call is sent to one of these rather than to none.
 fn best_standing<'a>(table: &'a EndpointTable, query: &PlacementQuery<'_>) -> Vec<Candidate<'a>> {
     let untried = table.of_service(query.service);
-    let untried = untried.filter(|(id, _)| !query.tried.contains(id));
+    let untried = untried.filter(|(id, row)| !query.tried.contains(id) && query.matches(row));
     let standing = untried.filter_map(|(id, row)| Some((row.standing(query.now)?, (id, row))));
     let standing: Vec<_> = standing.collect();
     let best = standing.iter().map(|(standing, _)| *standing).min();
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use catalog::{AccountRule, RouteRule};
 use tokio::time::Instant;
-use wire::id::{EndpointId, FingerprintHash, ServiceId};
+use wire::id::{EndpointId, FingerprintHash, ServiceId, VersionId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::AdmissionCall;
@@ -103,10 +103,17 @@
         }
     }
 
-    /// Builds the call's input to the choice of an endpoint, given the endpoints that it has tried.
-    pub fn query<'b>(&self, state: &RelayState, tried: &'b [EndpointId]) -> PlacementQuery<'b> {
+    /// Builds the call's input to the choice of an endpoint of `version`, or of any version, given
+    /// the endpoints that it has tried.
+    pub fn query<'b>(
+        &self,
+        state: &RelayState,
+        version: Option<VersionId>,
+        tried: &'b [EndpointId],
+    ) -> PlacementQuery<'b> {
         PlacementQuery {
             service: self.service,
+            version,
             shared_part: self
                 .metadata
                 .prompt
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use wire::gateway::ListedEndpoint;
-use wire::id::DomainId;
+use wire::id::{DomainId, VersionId, name_id};
 
 use crate::call::LoadReport;
 use crate::health::EndpointHealth;
@@ -55,6 +55,8 @@
     pub domain: DomainId,
     /// Version of the endpoint's software, according to the list.
     pub version: String,
+    /// Id of `version`.
+    pub version_id: VersionId,
     /// Number of requests that it can run concurrently, according to the list; 0 if not known.
     pub slots: u32,
     /// Whether the endpoint is draining and accepts no new calls.
@@ -96,6 +98,7 @@
             address: listed.address,
             domain: listed.domain,
             version: listed.version.clone(),
+            version_id: name_id(&listed.version),
             slots: u32::from(listed.slots),
             is_draining: listed.is_draining,
             own_running: 0,
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -108,6 +108,7 @@
     async fn send_events(&mut self, answer: &OpenAnswer, bytes: Bytes) -> session::Result<()> {
         let state = self.state;
         if !self.writer.has_started {
+            self.progress.begun_by = Some(self.progress.attempt_version);
             let framing = match answer.connection.framing.states_end() {
                 true => CallerFraming::Chunks,
                 false => CallerFraming::UntilClose,
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -74,6 +74,7 @@
 fn place(control: &mut AdmissionControl, table: &EndpointTable, rank: u8) -> PlacedCall {
     let query = PlacementQuery {
         service: name_id(SERVICE),
+        version: None,
         shared_part: Some(7),
         instance: 1,
         domain: 0,
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -35,6 +35,7 @@
 fn query(shared_part: Option<u64>) -> PlacementQuery<'static> {
     PlacementQuery {
         service: name_id(SERVICE),
+        version: None,
         shared_part,
         instance: 0,
         domain: 0,
@@ -235,3 +236,40 @@
 
     expect_that!(chosen, some(anything()));
 }
+
+#[gtest]
+fn stream_that_has_begun_goes_only_to_endpoints_of_its_version() {
+    let mut table = EndpointTable::default();
+    let versioned = |number: u8| ListedEndpoint {
+        version: format!("v{}", number % 3),
+        ..listed(number)
+    };
+    let endpoints: Vec<ListedEndpoint> = (1..=9).map(versioned).collect();
+    table.replace(&endpoints);
+    let settings = PlacementSettings::default();
+    let at_version = |part, version: &str, tried| PlacementQuery {
+        version: Some(name_id(version)),
+        tried,
+        ..query(part)
+    };
+
+    let mut versions = Vec::new();
+    for part in 0..50 {
+        for part in [Some(part), None] {
+            let chosen = choose(&settings, &table, &at_version(part, "v2", &[]));
+            let chosen = chosen.expect("three endpoints have the version");
+            versions.push(table.row(chosen).expect("it is listed").version.clone());
+        }
+    }
+    let all: Vec<EndpointId> = endpoints.iter().map(ListedEndpoint::id).collect();
+
+    expect_that!(versions, each(eq("v2")));
+    expect_that!(
+        choose(&settings, &table, &at_version(Some(1), "v3", &[])),
+        none()
+    );
+    expect_that!(
+        choose(&settings, &table, &at_version(None, "v2", &all)),
+        none()
+    );
+}
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -13,6 +13,8 @@
 pub type InstanceId = u64;
 /// Identifies a service: [`name_id`] of its name.
 pub type ServiceId = u64;
+/// Identifies a version of endpoints' software: [`name_id`] of its name.
+pub type VersionId = u64;
 /// Identifies a client account: [`name_id`] of its name.
 pub type AccountId = u64;
 /// Identifies a model: [`name_id`] of its name.
