relay: an endpoint with another software version is another endpoint

The list may show a new process under the name and address of an earlier one. Its row was kept, with the version of its predecessor, so a stream of the old version could go on there. Found by a test whose list gave an endpoint another version.

The row is now replaced with its load and health, as for a new address. endpoint_replaced_under_its_name_keeps_its_old_version fails without the change. What remains is the time by which the list lags behind such a replacement.

--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -116,6 +116,11 @@
         }
     }
 
+    /// Whether an entry of the list is this endpoint, not one that replaced it under its name.
+    pub fn is_same(&self, listed: &ListedEndpoint) -> bool {
+        self.address == listed.address && self.version == listed.version
+    }
+
     /// Suitability of the endpoint for a call; `None` if calls must not be sent to it because it is
     /// draining or misplaced.
     pub fn standing(&self, now: Duration) -> Option<EndpointStanding> {
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -13,7 +13,7 @@
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct ListChange {
-    /// Endpoints that are new, or have a new address, each followed by `=` and its software
+    /// Endpoints that are new, or have a new address or software version, each followed by `=` and its software
     /// version.
     pub joined: Vec<String>,
     /// Endpoints that are no longer listed.
@@ -39,7 +39,8 @@
 }
 
 impl EndpointTable {
-    /// Replaces the list. Endpoints that stay at their address keep their load and health.
+    /// Replaces the list. Endpoints that stay at their address, with the same software, keep their
+    /// load and health.
     pub fn replace(&mut self, listed: &[ListedEndpoint]) -> ListChange {
         let mut change = ListChange::default();
         let mut rows = HashMap::new();
@@ -47,7 +48,7 @@
         for endpoint in listed {
             let id = endpoint.id();
             let mut row = match self.rows.remove(&id) {
-                Some(row) if row.address == endpoint.address => row,
+                Some(row) if row.is_same(endpoint) => row,
                 _ => {
                     change.joined.push(joined_text(endpoint));
                     EndpointRow::new(endpoint)
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -273,3 +273,23 @@
         none()
     );
 }
+
+// Issue 26: an endpoint that was replaced under its name was still taken for its predecessor.
+#[gtest]
+fn endpoint_replaced_under_its_name_keeps_its_old_version() {
+    let mut table = table_of(1);
+    let successor = ListedEndpoint {
+        version: "v2".to_owned(),
+        ..listed(1)
+    };
+
+    let change = table.replace(&[successor]);
+
+    let settings = PlacementSettings::default();
+    let stream = PlacementQuery {
+        version: Some(name_id("v1")),
+        ..query(None)
+    };
+    expect_that!(choose(&settings, &table, &stream), none());
+    expect_that!(change.joined, elements_are![eq("endpoint-1=v2")]);
+}
