gateway: a stream goes on only at the service and version that began it, wherever its caller returns

A caller that came back with Last-Event-Id was placed as a new call: at any version, and at any service that its route draws.

Before the first event of a stream leaves, its gateway records the origin (service and software version) under the attempt id and tells three keepers, chosen by rendezvous hashing. What it finds bounds placement; what nobody knows, what is disputed or not named is refused as not run (origin-unknown, 503). A gateway that has restarted is told anew of what it keeps. Records are bounded (32,768; those that expire first go) and end 2 s after their caller has stopped waiting; lookups are bounded (256).

--- a/crates/fault/src/answer.rs
+++ b/crates/fault/src/answer.rs
@@ -57,6 +57,7 @@
             K::Fenced => row(409, NotRun, None, Level::Warn),
             K::StoreFull => row(507, NotRun, Some(5), Level::Error),
             K::Internal => row(500, Unknown, None, Level::Error),
+            K::OriginUnknown => row(503, NotRun, Some(1), Level::Warn),
         }
     }
 }
--- a/crates/fault/src/kind.rs
+++ b/crates/fault/src/kind.rs
@@ -105,11 +105,15 @@
     /// An internal error of the system.
     #[display("internal")]
     Internal,
+    /// It is not known which software version began the stream that the request resumes, or the
+    /// route does not lead there any more.
+    #[display("origin-unknown")]
+    OriginUnknown,
 }
 
 impl FaultKind {
     /// Every kind, in declaration order.
-    pub const ALL: [Self; 31] = [
+    pub const ALL: [Self; 32] = [
         Self::MissingKey,
         Self::UnknownKey,
         Self::Forbidden,
@@ -141,6 +145,7 @@
         Self::Fenced,
         Self::StoreFull,
         Self::Internal,
+        Self::OriginUnknown,
     ];
 
     /// Returns how this kind is reported: HTTP status, outcome, retry delay and log level.
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -68,6 +68,9 @@
             GatewayDatagram::Crashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Request, &notice);
             }
+            GatewayDatagram::Stream(message) => {
+                self.relay_state.handle_stream_message(from, message);
+            }
             GatewayDatagram::PartCrashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Part, &notice);
             }
@@ -89,6 +92,7 @@
             self.heartbeat_due.notify_one();
             self.send_list_notice(from);
             self.repeat_crashes_to(from);
+            self.relay_state.refresh_keeper(from);
         }
         self.fetch_newer_catalog();
     }
--- a/crates/gateway/tests/forwarding/versions.rs
+++ b/crates/gateway/tests/forwarding/versions.rs
@@ -2,20 +2,26 @@
 //! send does not fit together, so a stream may go on only at the version that began it.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::time::Duration;
 
-use catalog::CatalogIndex;
+use catalog::{CatalogIndex, ServiceShare};
 use googletest::prelude::*;
 use platform::PlatformDialect;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use relay::origin_lookup::{StreamPeers, stream_id};
 use relay::state::{RelaySettings, RelayState};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
 use wire::gateway::ListedEndpoint;
+use wire::id::{InstanceId, name_id};
+use wire::stream::{StreamMessage, StreamOrigin};
 
 use crate::fixture::{CallerAnswer, LAST_CHUNK, call, chunk, read_head};
 use crate::{RelayFixture, SERVICE, run, serve, valid_catalog};
@@ -33,6 +39,10 @@
 const MAX_ATTEMPTS: u32 = 12;
 const CUT_PROBABILITY: f64 = 0.6;
 const RESTART_PROBABILITY: f64 = 0.3;
+/// Share of the messages between instances that are lost.
+const LOSS: f64 = 0.1;
+/// Exclusive upper bound of the delay of a message, in milliseconds.
+const MAX_DELAY_MS: u64 = 12;
 
 /// Endpoint that sends event streams and breaks some of them off.
 struct VersionedEndpoint {
@@ -104,10 +114,54 @@
     Some(value.to_owned())
 }
 
+/// Network between the instances, which loses and delays messages.
+struct TestNetwork {
+    /// The process that runs at present, by instance.
+    states: RefCell<BTreeMap<InstanceId, Rc<RelayState>>>,
+    random: RefCell<StdRng>,
+}
+
+/// The other instances, as one of them sees them.
+struct TestPeers {
+    own: InstanceId,
+    network: Rc<TestNetwork>,
+}
+
+impl StreamPeers for TestPeers {
+    fn instances(&self) -> Vec<InstanceId> {
+        let states = self.network.states.borrow();
+        let others = states.keys().filter(|instance| **instance != self.own);
+        others.copied().collect()
+    }
+
+    fn send(&self, to: InstanceId, message: &StreamMessage) {
+        let (own, message) = (self.own, message.clone());
+        let network = Rc::clone(&self.network);
+        let (is_lost, delay) = {
+            let mut random = network.random.borrow_mut();
+            (
+                random.random_bool(LOSS),
+                random.random_range(0..MAX_DELAY_MS),
+            )
+        };
+        if is_lost {
+            return;
+        }
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(delay)).await;
+            let receiver = network.states.borrow().get(&to).cloned();
+            if let Some(receiver) = receiver {
+                receiver.handle_stream_message(own, message);
+            }
+        });
+    }
+}
+
 /// Instances before the endpoints of one service.
 struct TestFleet {
     listed: Vec<ListedEndpoint>,
     instances: Vec<RelayFixture>,
+    network: Rc<TestNetwork>,
 }
 
 impl TestFleet {
@@ -115,6 +169,10 @@
         let mut fleet = Self {
             listed: Vec::new(),
             instances: Vec::new(),
+            network: Rc::new(TestNetwork {
+                states: RefCell::default(),
+                random: RefCell::new(StdRng::seed_from_u64(seed)),
+            }),
         };
         for number in 0..VERSIONS.len() {
             fleet
@@ -137,12 +195,24 @@
         let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
         state.set_catalog(CatalogIndex::new(valid_catalog()));
         state.set_endpoints(&self.listed);
+        let peers = TestPeers {
+            own: number,
+            network: Rc::clone(&self.network),
+        };
+        let _ = state.stream_peers.set(Rc::new(peers));
+        let mut states = self.network.states.borrow_mut();
+        states.insert(number, Rc::clone(&state));
+        drop(states);
         serve(state).await
     }
 
-    /// Replaces an instance by one that knows nothing of before.
+    /// Replaces an instance by one that knows nothing of before. The others notice it.
     async fn restart(&mut self, number: usize) {
-        self.instances[number] = self.start_instance(number as u64).await;
+        let instance = number as InstanceId;
+        self.instances[number] = self.start_instance(instance).await;
+        for other in &self.instances {
+            other.state.refresh_keeper(instance);
+        }
     }
 }
 
@@ -253,3 +323,91 @@
         expect_that!(whole, eq(streams.len()), "seed {seed}");
     }
 }
+
+fn returning(fields: &str) -> String {
+    format!(
+        "POST /resumable/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a2\r\nX-Deadline-Ms: 5000\r\nApi-Key: k1\r\n{fields}Content-Length: 0\r\n\r\n"
+    )
+}
+
+#[gtest]
+fn stream_of_unknown_origin_is_refused_as_not_run() {
+    let unnamed = returning("Last-Event-Id: 3\r\n");
+    let unknown = returning("Last-Event-Id: 3\r\nResumes: never-began\r\n");
+    let not_resumable = unknown.replace("/resumable/", "/stream/");
+    for request in [unnamed, unknown, not_resumable] {
+        let answer = run(async {
+            let fleet = TestFleet::start(1).await;
+            call(fleet.instances[0].address, &request).await
+        });
+
+        expect_that!(answer.status(), eq(503), "{request}");
+        expect_that!(answer.text.as_str(), contains_substring("origin-unknown"));
+        expect_that!(answer.text.as_str(), contains_substring("not-run"));
+        expect_that!(
+            answer.text.to_ascii_lowercase(),
+            contains_substring("retry-after: ")
+        );
+    }
+}
+
+#[gtest]
+fn stream_whose_version_has_left_is_refused_at_once() {
+    let (answer, records) = run(async {
+        let mut fleet = TestFleet::start(1).await;
+        let origin = StreamOrigin {
+            service: name_id(SERVICE),
+            version: name_id("v1"),
+        };
+        let state = Rc::clone(&fleet.instances[0].state);
+        state.publish_origin(stream_id("a1"), origin, Some(Duration::from_secs(5)));
+        fleet.listed.retain(|listed| listed.version == "v2");
+        state.set_endpoints(&fleet.listed);
+        let request = returning("Last-Event-Id: 3\r\nResumes: a1\r\n");
+        let answer = call(fleet.instances[0].address, &request).await;
+        (answer, state.origins.borrow().len())
+    });
+
+    expect_that!(answer.status(), eq(503));
+    expect_that!(answer.text.as_str(), contains_substring("no-endpoint"));
+    expect_that!(records, eq(1));
+}
+
+// A route with several services draws one for each call.
+#[gtest]
+fn stream_goes_on_at_another_service_of_its_route() {
+    let services = run(async {
+        let mut fleet = TestFleet::start(1).await;
+        for (number, listed) in fleet.listed.iter_mut().enumerate() {
+            listed.version = "v1".to_owned();
+            listed.service = [SERVICE, "other"][number % 2].to_owned();
+        }
+        let state = Rc::clone(&fleet.instances[0].state);
+        state.set_endpoints(&fleet.listed);
+        let mut catalog = valid_catalog();
+        for route in &mut catalog.routes {
+            route.services.push(ServiceShare {
+                service: "other".to_owned(),
+                weight: 1,
+            });
+        }
+        state.set_catalog(CatalogIndex::new(catalog));
+        let mut services = Vec::new();
+        for number in 0..20 {
+            let began_as = format!("b{number}");
+            let origin = StreamOrigin {
+                service: name_id("other"),
+                version: name_id("v1"),
+            };
+            state.publish_origin(stream_id(&began_as), origin, None);
+            let request = returning(&format!("Last-Event-Id: 3\r\nResumes: {began_as}\r\n"));
+            let answer = call(fleet.instances[0].address, &request).await;
+            services.extend(answer.events());
+        }
+        services
+    });
+
+    // The endpoints of the other service send v2 in their events.
+    expect_that!(services, not(is_empty()));
+    expect_that!(services, each(starts_with("v2 ")));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -63,8 +63,8 @@
     pub events: EventSplitter,
     /// Software version of the endpoint of the current attempt, by the list when it began.
     pub attempt_version: VersionId,
-    /// Software version of the endpoint whose events the caller received first; `None` until the
-    /// stream has begun. Only endpoints of this version may go on.
+    /// Software version that began the stream, in this call or in the one that it resumes; `None`
+    /// until then. Only endpoints of this version may go on.
     pub begun_by: Option<VersionId>,
     /// The endpoint of the current attempt, until the head of its answer arrives or the attempt
     /// fails.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -3,9 +3,11 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use catalog::CatalogIndex;
 use fault::FaultKind;
 use tokio::time::{Instant, timeout, timeout_at};
 use wire::id::EndpointId;
+use wire::stream::StreamOrigin;
 
 use crate::admission::PlacedCall;
 use crate::attempt::{AttemptResult, CallProgress, EndpointAttempt, FailedAttempt};
@@ -16,7 +18,7 @@
 use crate::relay_call::{DEFAULT_CALLER_TIMEOUT, RelayCall};
 use crate::reply::{deliver_whole, refuse};
 use crate::retry::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
-use crate::rules::resolve_rules;
+use crate::rules::{CallRules, resolve_rules, rules_at};
 use crate::session::{IncomingCall, SessionWriter};
 use crate::state::RelayState;
 
@@ -40,9 +42,10 @@
     let catalog = state.catalog();
     record.catalog = catalog.as_ref().map_or(0, |index| index.catalog().version);
     record.list_age = state.list_age();
-    match resolve_rules(catalog.as_deref(), incoming, &metadata, rand::random()) {
-        Ok(rules) => {
-            let call = RelayCall::new(incoming, metadata, rules, started);
+    match resolve_call(state, catalog.as_deref(), incoming, &metadata).await {
+        Ok((rules, origin)) => {
+            let version = origin.map(|origin| origin.version);
+            let call = RelayCall::new(incoming, metadata, rules, version, started);
             record.route.clone_from(&call.route.name);
             record.account = call.account_name().to_owned();
             record.fingerprint = call.fingerprint;
@@ -70,6 +73,23 @@
     let _ = timeout(max_wait.min(SET_UP_LIMIT), state.until_set_up()).await;
 }
 
+/// Finds the rules of a call, and the origin of the stream that it resumes, if it does.
+async fn resolve_call<'a>(
+    state: &RelayState,
+    catalog: Option<&'a CatalogIndex>,
+    incoming: &IncomingCall,
+    metadata: &CallMetadata,
+) -> Result<(CallRules<'a>, Option<StreamOrigin>), FaultKind> {
+    let rules = resolve_rules(catalog, incoming, metadata, rand::random())?;
+    let origin = state.resumed_origin(rules.route.kind, metadata).await?;
+    match (catalog, origin) {
+        (Some(catalog), Some(origin)) => {
+            Ok((rules_at(catalog, rules, origin.service)?, Some(origin)))
+        }
+        _ => Ok((rules, None)),
+    }
+}
+
 /// Carries one call through its attempts.
 struct CallForward<'a> {
     state: &'a Rc<RelayState>,
@@ -94,7 +114,10 @@
             call,
             writer,
             record,
-            progress: CallProgress::default(),
+            progress: CallProgress {
+                begun_by: call.resumed_version,
+                ..CallProgress::default()
+            },
             tally: AttemptTally::default(),
             last: None,
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`ranks`]: admission statistics by rank.
 //! * [`retry_schedule`]: retry times that are handed out to refused callers.
 //! * [`budget`]: retry budget of a service.
+//! * [`origin`]: which software version began a stream.
 //! * [`crash`]: detection of requests that crash the endpoints that run them.
 //! * [`retry`]: whether a failed attempt is followed by another.
 //! * [`refusal`]: refused calls and their `Retry-After` time.
@@ -30,6 +31,7 @@
 //! * [`record`]: metrics and log line of a call.
 //! * [`crash_check`]: lost runs, and checks whether their endpoints are down.
 //! * [`crash_log`]: log lines and metrics of crash detection.
+//! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
 //! * [`state`]: state that all calls of one instance share.
 //! * [`server`]: serving of caller connections.
 //! * [`accept`]: accept loop of a listener.
@@ -47,6 +49,8 @@
 pub mod crash_log;
 pub mod forward;
 pub mod health;
+pub mod origin;
+pub mod origin_lookup;
 pub mod placement;
 pub mod ranks;
 pub mod record;
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -38,6 +38,8 @@
     pub account: Option<&'a AccountRule>,
     /// Service that runs the call.
     pub service: ServiceId,
+    /// Software version that began the stream which the caller resumes; `None` if it begins one.
+    pub resumed_version: Option<VersionId>,
     /// Rank among the calls of the service; 0 is the most urgent.
     pub rank: u8,
     /// Maximum number of connections that an endpoint of the service accepts from all instances
@@ -54,11 +56,13 @@
 }
 
 impl<'a> RelayCall<'a> {
-    /// Combines a call that arrived at `started` with its rules.
+    /// Combines a call that arrived at `started` with its rules and the software version that began
+    /// the stream which it resumes.
     pub fn new(
         incoming: &'a IncomingCall,
         metadata: CallMetadata,
         rules: CallRules<'a>,
+        resumed_version: Option<VersionId>,
         started: Instant,
     ) -> Self {
         let caller_timeout = metadata.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
@@ -73,6 +77,7 @@
             route: rules.route,
             account: rules.account,
             service: rules.service,
+            resumed_version,
             rank: rules.rank,
             max_connections: rules.max_connections,
             started,
--- a/crates/relay/src/rules.rs
+++ b/crates/relay/src/rules.rs
@@ -49,7 +49,37 @@
         KeyMatch::Unknown => return Err(FaultKind::UnknownKey),
     };
     let service = route.choose_service(draw).unwrap_or_default();
-    Ok(CallRules {
+    Ok(rules_of(catalog, route, account, service))
+}
+
+/// The rules of a call whose stream began at the service `origin`.
+///
+/// # Errors
+/// [`FaultKind::OriginUnknown`] if the route no longer leads to that service.
+pub fn rules_at<'a>(
+    catalog: &'a CatalogIndex,
+    rules: CallRules<'a>,
+    origin: ServiceId,
+) -> Result<CallRules<'a>, FaultKind> {
+    let shares = rules.route.services.iter();
+    let mut shares = shares.filter(|share| share.weight > 0);
+    let share = shares.find(|share| name_id(&share.service) == origin);
+    let share = share.ok_or(FaultKind::OriginUnknown)?;
+    Ok(rules_of(
+        catalog,
+        rules.route,
+        rules.account,
+        &share.service,
+    ))
+}
+
+fn rules_of<'a>(
+    catalog: &'a CatalogIndex,
+    route: &'a RouteRule,
+    account: Option<&'a AccountRule>,
+    service: &str,
+) -> CallRules<'a> {
+    CallRules {
         route,
         account,
         service: name_id(service),
@@ -57,7 +87,7 @@
         max_connections: catalog
             .find_service(service)
             .map_or(0, |rule| rule.max_connections),
-    })
+    }
 }
 
 /// Hash of a call's method, path, query, client account and body. Calls with the same fingerprint
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,6 @@
 //! State that all calls of one instance share.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -16,6 +16,8 @@
 use crate::call::CallDialect;
 use crate::crash::{CrashTracker, LostRun, SuspectHash};
 use crate::health::{CallOutcome, HealthChange};
+use crate::origin::{OriginSettings, OriginTable};
+use crate::origin_lookup::{OriginLookups, StreamPeers};
 use crate::placement::PlacementSettings;
 use crate::relay_call::RelayCall;
 use crate::row::estimated_holding_time;
@@ -35,6 +37,8 @@
     pub admission: AdmissionSettings,
     /// Settings of the retry budget.
     pub budget: BudgetSettings,
+    /// Settings of the table of origins of streams.
+    pub origins: OriginSettings,
     /// Maximum time for connecting to an endpoint.
     pub connect_limit: Duration,
     /// Maximum size of an answer that is buffered whole before it is forwarded, in bytes.
@@ -51,6 +55,7 @@
             placement: PlacementSettings::default(),
             admission: AdmissionSettings::default(),
             budget: BudgetSettings::default(),
+            origins: OriginSettings::default(),
             connect_limit: Duration::from_millis(350),
             whole_answer_bytes: 4 * 1024 * 1024,
             max_connections: 2500,
@@ -90,6 +95,14 @@
     pub budget: RefCell<RetryBudget>,
     /// Requests that are suspected of crashing endpoints.
     pub crashes: RefCell<CrashTracker>,
+    /// Origins of the streams that callers may resume.
+    pub origins: RefCell<OriginTable>,
+    /// Streams whose origin is being looked up at other instances.
+    pub origin_lookups: RefCell<OriginLookups>,
+    /// Notified when another instance has sent a message about origins.
+    pub origin_changed: Notify,
+    /// The other instances; unset for an instance that has none.
+    pub stream_peers: OnceCell<Rc<dyn StreamPeers>>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
     /// Settings of the HTTP codec. All connections share one value, as each new [`ServiceConfig`]
@@ -123,12 +136,16 @@
             metrics,
             budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
             admission: RefCell::new(AdmissionControl::new(settings.admission.clone())),
+            origins: RefCell::new(OriginTable::new(settings.origins.clone())),
             settings,
             dialect,
             catalog: RefCell::default(),
             table: RefCell::default(),
             listed_at: Cell::new(None),
             crashes: RefCell::new(CrashTracker::new(rand::random())),
+            origin_lookups: RefCell::default(),
+            origin_changed: Notify::new(),
+            stream_peers: OnceCell::new(),
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
             phase: Cell::new(ServingPhase::Serving),
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -3,8 +3,10 @@
 use bytes::Bytes;
 use exchange::connection::EndpointError;
 use exchange::events::ContentKind;
+use wire::stream::StreamOrigin;
 
 use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
+use crate::origin_lookup::stream_id;
 use crate::retry::AttemptEnd;
 use crate::session::{self, CallerFraming};
 use crate::state::OccupiedSlot;
@@ -103,12 +105,28 @@
         table.note_activity(state.now(), self.endpoint);
     }
 
+    /// Records that the caller is about to get the first event of its stream, or of the rest of one
+    /// that it resumes.
+    fn note_begun(&mut self) {
+        let call = self.call;
+        let version = self.progress.attempt_version;
+        self.progress.begun_by = Some(version);
+        let is_new = call.resumed_version.is_none() && call.route.kind.is_repeatable();
+        if let Some(attempt_id) = call.metadata.attempt_id.as_deref().filter(|_| is_new) {
+            let service = call.service;
+            let origin = StreamOrigin { service, version };
+            let caller_timeout = call.metadata.caller_timeout;
+            self.state
+                .publish_origin(stream_id(attempt_id), origin, caller_timeout);
+        }
+    }
+
     /// Sends whole events to the caller, preceded by the head of the answer if nothing has been
     /// sent.
     async fn send_events(&mut self, answer: &OpenAnswer, bytes: Bytes) -> session::Result<()> {
         let state = self.state;
         if !self.writer.has_started {
-            self.progress.begun_by = Some(self.progress.attempt_version);
+            self.note_begun();
             let framing = match answer.connection.framing.states_end() {
                 true => CallerFraming::Chunks,
                 false => CallerFraming::UntilClose,
--- /dev/null
+++ b/crates/relay/tests/origins.rs
@@ -0,0 +1,113 @@
+//! Records of the origins of streams.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use relay::origin::{KEEPERS, OriginSettings, OriginTable, rank_instances};
+use wire::codec;
+use wire::gateway::{GatewayDatagram, MAX_DATAGRAM_BYTES};
+use wire::id::InstanceId;
+use wire::stream::{MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, StreamMessage, StreamOrigin};
+
+fn notice(stream: u64, version: u64, lifetime_ms: u32) -> OriginNotice {
+    OriginNotice {
+        stream,
+        claim: OriginClaim::Known(StreamOrigin {
+            service: 1,
+            version,
+        }),
+        lifetime_ms,
+    }
+}
+
+#[gtest]
+fn known_origin_is_never_replaced_by_another() {
+    let mut table = OriginTable::default();
+
+    table.note(Duration::ZERO, notice(7, 1, 4000));
+    table.note(Duration::ZERO, notice(7, 1, 4000));
+    let before = table.find(Duration::ZERO, 7);
+    table.note(Duration::ZERO, notice(7, 2, 4000));
+    let after = table.find(Duration::ZERO, 7);
+    table.note(Duration::ZERO, notice(7, 1, 4000));
+
+    expect_that!(before, some(eq(notice(7, 1, 0).claim)));
+    expect_that!(after, some(eq(OriginClaim::Disputed)));
+    expect_that!(
+        table.find(Duration::ZERO, 7),
+        some(eq(OriginClaim::Disputed))
+    );
+}
+
+#[gtest]
+fn origin_is_known_as_long_as_its_caller_may_return() {
+    let mut table = OriginTable::default();
+
+    table.note(Duration::ZERO, notice(7, 1, 4000));
+    table.note(Duration::from_secs(3), notice(7, 1, 6000));
+    table.note(Duration::from_secs(3), notice(7, 1, 100));
+
+    expect_that!(table.find(Duration::from_secs(9), 7), some(anything()));
+    expect_that!(table.find(Duration::from_secs(12), 7), none());
+    table.note(Duration::from_secs(12), notice(8, 1, 100));
+    expect_that!(table.len(), eq(1));
+}
+
+#[gtest]
+fn full_table_drops_the_streams_that_expire_first() {
+    let mut table = OriginTable::new(OriginSettings { max_streams: 100 });
+    let mut random = StdRng::seed_from_u64(1);
+
+    for stream in 0..5000 {
+        let now = Duration::from_millis(stream);
+        table.note(now, notice(stream, 1, random.random_range(1000..20_000)));
+        expect_that!(table.len(), le(100));
+    }
+    let now = Duration::from_secs(5);
+    table.note(now, notice(9000, 1, 15_000));
+    table.note(now, notice(9001, 1, 19_000));
+
+    expect_that!(table.find(now, 9001), some(anything()));
+}
+
+#[gtest]
+fn restarted_keeper_learns_its_streams_from_any_instance_that_has_them() {
+    let instances: Vec<InstanceId> = (1..=7).collect();
+    let mut table = OriginTable::default();
+    for stream in 0..300 {
+        table.note(Duration::ZERO, notice(stream, stream % 3, 4000));
+    }
+
+    let others: Vec<InstanceId> = instances.iter().copied().skip(1).collect();
+    let mut told = 0;
+    for keeper in others.iter().copied() {
+        let notices = table.notices_for(Duration::from_secs(1), keeper, &others, 1000);
+        for told_notice in &notices {
+            let keepers = rank_instances(told_notice.stream, &others, KEEPERS);
+            expect_that!(keepers, contains(eq(&keeper)));
+            expect_that!(told_notice.lifetime_ms, eq(3000));
+        }
+        told += notices.len();
+    }
+
+    expect_that!(told, eq(300 * KEEPERS));
+}
+
+#[gtest]
+fn largest_message_fits_into_a_datagram() {
+    let largest = OriginNotice {
+        stream: u64::MAX,
+        claim: OriginClaim::Known(StreamOrigin {
+            service: u64::MAX,
+            version: u64::MAX,
+        }),
+        lifetime_ms: u32::MAX,
+    };
+    let message = StreamMessage::Origins(vec![largest; MAX_MESSAGE_STREAMS]);
+
+    let bytes = codec::encode(&GatewayDatagram::Stream(message)).expect("it can be encoded");
+
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+}
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -35,6 +35,7 @@
     attempts: IntCounterVec,
     answer_ends: IntCounterVec,
     crash_decisions: IntCounterVec,
+    stream_returns: IntCounterVec,
     first_byte: HistogramVec,
     answer: HistogramVec,
     gateways: IntGauge,
@@ -78,6 +79,12 @@
                 "Decisions on whether calls crashed endpoints.",
                 &["decision"],
             )?,
+            stream_returns: counter_family(
+                registry,
+                "sapphire_gateway_stream_returns_total",
+                "Calls that resume a stream, by how its origin was found.",
+                &["origin"],
+            )?,
             first_byte: histogram_family(
                 registry,
                 HistogramKind::FirstToken,
@@ -135,6 +142,12 @@
         self.answer_ends.with_label_values(&[framing, end]).inc();
     }
 
+    /// Counts a call that resumes a stream. `origin` tells how the stream's origin was found; it
+    /// becomes a label and must be from a closed set.
+    pub fn count_stream_return(&self, origin: &str) {
+        self.stream_returns.with_label_values(&[origin]).inc();
+    }
+
     /// Counts a decision on a call that may have crashed an endpoint. `decision` becomes a label and
     /// must be from a closed set.
     pub fn count_crash_decision(&self, decision: &str) {
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId};
+use crate::stream::StreamMessage;
 
 /// Largest payload of a datagram in bytes; below the usual MTU, so that datagrams are not
 /// fragmented.
@@ -229,6 +230,8 @@
     /// Announcement of the sender's latest read of the endpoint list. Older gateways ignore it and
     /// read the list themselves.
     List(ListNotice),
+    /// A message about origins of streams. Older gateways ignore it.
+    Stream(StreamMessage),
 }
 
 /// A catalog in the operator's text form, compressed.
--- a/crates/wire/src/id.rs
+++ b/crates/wire/src/id.rs
@@ -15,6 +15,9 @@
 pub type ServiceId = u64;
 /// Identifies a version of endpoints' software: [`name_id`] of its name.
 pub type VersionId = u64;
+/// Identifies a stream of events: [`name_id`] of the id of the caller's attempt that brought its
+/// first event.
+pub type StreamId = u64;
 /// Identifies a client account: [`name_id`] of its name.
 pub type AccountId = u64;
 /// Identifies a model: [`name_id`] of its name.
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`id`]: identifiers, and their derivation from names.
 //! * [`answer`]: requests and answer streams between entry and agent.
 //! * [`gateway`]: membership, endpoint lists and catalogs between gateways.
+//! * [`stream`]: origins of streams between gateways.
 //! * [`member`]: membership and load between agents, entries and control.
 //! * [`command`]: commands to the control quorum, and its replies.
 //! * [`message`]: the enum of all messages that a link carries.
@@ -16,5 +17,6 @@
 pub mod id;
 pub mod member;
 pub mod message;
+pub mod stream;
 
 pub use message::LinkMessage;
--- /dev/null
+++ b/crates/wire/src/stream.rs
@@ -0,0 +1,50 @@
+//! Messages between gateways about the origins of streams, so that a stream goes on only at the
+//! software version that began it, whichever gateway its caller returns to.
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::{ServiceId, StreamId, VersionId};
+
+/// Largest number of streams in one message, which keeps it within
+/// [`crate::gateway::MAX_DATAGRAM_BYTES`].
+pub const MAX_MESSAGE_STREAMS: usize = 30;
+
+/// The service and the software version whose endpoint sent the first event of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamOrigin {
+    /// The service.
+    pub service: ServiceId,
+    /// The software version.
+    pub version: VersionId,
+}
+
+/// What a gateway knows of the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum OriginClaim {
+    /// One service and version began the stream.
+    Known(StreamOrigin),
+    /// Streams of several origins have the same id, as when a caller uses an attempt id twice.
+    Disputed,
+}
+
+/// Tells another gateway of the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OriginNotice {
+    /// The stream.
+    pub stream: StreamId,
+    /// Its origin.
+    pub claim: OriginClaim,
+    /// Time until the caller stops waiting and can't return, in milliseconds.
+    pub lifetime_ms: u32,
+}
+
+/// A message about origins of streams.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum StreamMessage {
+    /// Origins of streams; at most [`MAX_MESSAGE_STREAMS`]. Also the answer to [`Self::Query`].
+    Origins(Vec<OriginNotice>),
+    /// Asks for the origin of a stream.
+    Query(StreamId),
+    /// The sender was asked for the origin of this stream and does not know it.
+    Unknown(StreamId),
+}
