gateway: find the origin of a stream by its request, also for callers that do not name it

Records and keepers now go by the request as well. A caller that names its stream gets that stream's origin, and only for the request that began it; one that does not goes on if all known streams of its request have one origin. Two streams of one request with different origins are disputed, and refused.

--- a/crates/gateway/tests/forwarding/versions.rs
+++ b/crates/gateway/tests/forwarding/versions.rs
@@ -7,12 +7,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use catalog::{CatalogIndex, ServiceShare};
+use catalog::{CatalogIndex, RouteCatalog, ServiceShare};
 use googletest::prelude::*;
 use platform::PlatformDialect;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use relay::origin_lookup::{StreamPeers, stream_id};
+use relay::origin_lookup::StreamPeers;
 use relay::state::{RelaySettings, RelayState};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,8 +20,8 @@
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
 use wire::gateway::ListedEndpoint;
-use wire::id::{InstanceId, name_id};
-use wire::stream::{StreamMessage, StreamOrigin};
+use wire::id::InstanceId;
+use wire::stream::StreamMessage;
 
 use crate::fixture::{CallerAnswer, LAST_CHUNK, call, chunk, read_head};
 use crate::{RelayFixture, SERVICE, run, serve, valid_catalog};
@@ -157,16 +157,36 @@
     }
 }
 
-/// Instances before the endpoints of one service.
+/// What differs between fleets.
+#[derive(Clone, Copy, Debug)]
+struct FleetLayout {
+    /// Whether the endpoints have one version and belong to two services, not the other way round.
+    has_services: bool,
+    /// Whether callers that return name the stream.
+    is_named: bool,
+}
+
+impl Default for FleetLayout {
+    fn default() -> Self {
+        Self {
+            has_services: false,
+            is_named: true,
+        }
+    }
+}
+
+/// Instances before the endpoints.
 struct TestFleet {
+    layout: FleetLayout,
     listed: Vec<ListedEndpoint>,
     instances: Vec<RelayFixture>,
     network: Rc<TestNetwork>,
 }
 
 impl TestFleet {
-    async fn start(seed: u64) -> Self {
+    async fn start(seed: u64, layout: FleetLayout) -> Self {
         let mut fleet = Self {
+            layout,
             listed: Vec::new(),
             instances: Vec::new(),
             network: Rc::new(TestNetwork {
@@ -175,9 +195,12 @@
             }),
         };
         for number in 0..VERSIONS.len() {
-            fleet
-                .listed
-                .push(VersionedEndpoint::start(number, seed).await);
+            let mut listed = VersionedEndpoint::start(number, seed).await;
+            if layout.has_services {
+                let version = std::mem::replace(&mut listed.version, "v1".to_owned());
+                listed.service = service_of(&version);
+            }
+            fleet.listed.push(listed);
         }
         for number in 0..INSTANCES {
             let instance = fleet.start_instance(number).await;
@@ -193,19 +216,32 @@
             ..RelaySettings::default()
         };
         let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
-        state.set_catalog(CatalogIndex::new(valid_catalog()));
+        state.set_catalog(CatalogIndex::new(self.catalog()));
         state.set_endpoints(&self.listed);
         let peers = TestPeers {
             own: number,
             network: Rc::clone(&self.network),
         };
         let _ = state.stream_peers.set(Rc::new(peers));
-        let mut states = self.network.states.borrow_mut();
-        states.insert(number, Rc::clone(&state));
-        drop(states);
+        let states = &self.network.states;
+        states.borrow_mut().insert(number, Rc::clone(&state));
         serve(state).await
     }
 
+    fn catalog(&self) -> RouteCatalog {
+        let mut catalog = valid_catalog();
+        if self.layout.has_services {
+            let share = |version: &&str| ServiceShare {
+                service: service_of(version),
+                weight: 1,
+            };
+            for route in &mut catalog.routes {
+                route.services = ["v1", "v2"].iter().map(share).collect();
+            }
+        }
+        catalog
+    }
+
     /// Replaces an instance by one that knows nothing of before. The others notice it.
     async fn restart(&mut self, number: usize) {
         let instance = number as InstanceId;
@@ -216,9 +252,18 @@
     }
 }
 
+/// Service of the endpoints that send this version in their events.
+fn service_of(version: &str) -> String {
+    format!("service-{version}")
+}
+
 /// What one caller received of its stream.
 #[derive(Debug, Default)]
 struct ReceivedStream {
+    /// Number of the stream, which its request holds.
+    number: u32,
+    /// Whether the caller names the stream when it returns.
+    is_named: bool,
     /// Software version and id of each event.
     events: Vec<(String, u32)>,
     /// Id of the attempt that brought the first event.
@@ -233,13 +278,15 @@
 impl ReceivedStream {
     fn request(&self, attempt: &str) -> String {
         let resumes = match (&self.began_as, self.events.last()) {
-            (Some(began_as), Some((_, id))) => {
+            (Some(began_as), Some((_, id))) if self.is_named => {
                 format!("Resumes: {began_as}\r\nLast-Event-Id: {id}\r\n")
             }
+            (Some(_), Some((_, id))) => format!("Last-Event-Id: {id}\r\n"),
             _ => String::new(),
         };
+        let number = self.number;
         format!(
-            "POST /resumable/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 5000\r\nApi-Key: k1\r\n{resumes}Content-Length: 0\r\n\r\n"
+            "POST /resumable/{number} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 5000\r\nApi-Key: k1\r\n{resumes}Content-Length: 0\r\n\r\n"
         )
     }
 
@@ -270,7 +317,11 @@
 }
 
 async fn receive_stream(fleet: &mut TestFleet, random: &mut StdRng, number: u32) -> ReceivedStream {
-    let mut received = ReceivedStream::default();
+    let mut received = ReceivedStream {
+        number,
+        is_named: fleet.layout.is_named,
+        ..ReceivedStream::default()
+    };
     for attempt in 0..MAX_ATTEMPTS {
         let instance = random.random_range(0..fleet.instances.len());
         let attempt = format!("s{number}-{attempt}");
@@ -287,9 +338,9 @@
     received
 }
 
-async fn receive_streams(seed: u64) -> Vec<ReceivedStream> {
+async fn receive_streams(seed: u64, layout: FleetLayout) -> Vec<ReceivedStream> {
     let mut random = StdRng::seed_from_u64(seed);
-    let mut fleet = TestFleet::start(seed).await;
+    let mut fleet = TestFleet::start(seed, layout).await;
     let mut streams = Vec::new();
     for number in 0..STREAMS {
         streams.push(receive_stream(&mut fleet, &mut random, number).await);
@@ -301,7 +352,7 @@
 #[gtest]
 fn stream_goes_on_at_another_software_version() {
     for seed in SEEDS {
-        let streams = run(receive_streams(seed));
+        let streams = run(receive_streams(seed, FleetLayout::default()));
 
         let mixed = streams.iter().filter(|stream| !stream.is_sound());
         let mixed: Vec<&ReceivedStream> = mixed.collect();
@@ -309,35 +360,59 @@
     }
 }
 
-// Issue 26, LOST: both endpoints of each version serve all the time.
+// Issue 26: a route with several services draws one for each call, also for one that resumes.
 #[gtest]
-fn streams_of_callers_that_come_back_go_on() {
+fn stream_goes_on_at_another_service_of_its_route() {
+    let layout = FleetLayout {
+        has_services: true,
+        ..FleetLayout::default()
+    };
     for seed in SEEDS {
-        let streams = run(receive_streams(seed));
-
-        let returns: u32 = streams.iter().map(|stream| stream.returns).sum();
-        let went_on: u32 = streams.iter().map(|stream| stream.went_on).sum();
-        let whole = streams.iter().filter(|stream| stream.is_whole).count();
-        expect_that!(returns, gt(0), "seed {seed}");
-        expect_that!(went_on * 2, ge(returns), "seed {seed}");
-        expect_that!(whole, eq(streams.len()), "seed {seed}");
+        let streams = run(receive_streams(seed, layout));
+
+        let mixed = streams.iter().filter(|stream| !stream.is_sound());
+        let mixed: Vec<&ReceivedStream> = mixed.collect();
+        expect_that!(mixed, is_empty(), "seed {seed}");
     }
 }
 
-fn returning(fields: &str) -> String {
-    format!(
-        "POST /resumable/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: a2\r\nX-Deadline-Ms: 5000\r\nApi-Key: k1\r\n{fields}Content-Length: 0\r\n\r\n"
-    )
+// Issue 26, LOST: both endpoints of each version serve all the time.
+#[gtest]
+fn streams_of_callers_that_come_back_go_on() {
+    for is_named in [true, false] {
+        let layout = FleetLayout {
+            is_named,
+            ..FleetLayout::default()
+        };
+        for seed in SEEDS {
+            let streams = run(receive_streams(seed, layout));
+
+            let returns: u32 = streams.iter().map(|stream| stream.returns).sum();
+            let went_on: u32 = streams.iter().map(|stream| stream.went_on).sum();
+            let whole = streams.iter().filter(|stream| stream.is_whole).count();
+            let sound = streams.iter().filter(|stream| stream.is_sound()).count();
+            expect_that!(returns, gt(0), "seed {seed}");
+            expect_that!(went_on * 2, ge(returns), "seed {seed}");
+            expect_that!(whole, eq(streams.len()), "seed {seed}");
+            expect_that!(sound, eq(streams.len()), "seed {seed}");
+        }
+    }
 }
 
 #[gtest]
 fn stream_of_unknown_origin_is_refused_as_not_run() {
-    let unnamed = returning("Last-Event-Id: 3\r\n");
-    let unknown = returning("Last-Event-Id: 3\r\nResumes: never-began\r\n");
+    let stream = ReceivedStream {
+        events: vec![("v1".to_owned(), 3)],
+        began_as: Some("never-began".to_owned()),
+        is_named: true,
+        ..ReceivedStream::default()
+    };
+    let unknown = stream.request("a2");
+    let unnamed = unknown.replace("Resumes: never-began\r\n", "");
     let not_resumable = unknown.replace("/resumable/", "/stream/");
-    for request in [unnamed, unknown, not_resumable] {
+    for request in [unknown, unnamed, not_resumable] {
         let answer = run(async {
-            let fleet = TestFleet::start(1).await;
+            let fleet = TestFleet::start(1, FleetLayout::default()).await;
             call(fleet.instances[0].address, &request).await
         });
 
@@ -351,63 +426,49 @@
     }
 }
 
+#[gtest]
+fn stream_of_another_request_does_not_go_on() {
+    let answer = run(async {
+        let fleet = TestFleet::start(1, FleetLayout::default()).await;
+        let stream = begin_stream(&fleet).await;
+        let request = stream
+            .request("a2")
+            .replace("/resumable/", "/resumable/other/");
+        call(fleet.instances[0].address, &request).await
+    });
+
+    expect_that!(answer.text.as_str(), contains_substring("origin-unknown"));
+}
+
 #[gtest]
 fn stream_whose_version_has_left_is_refused_at_once() {
-    let (answer, records) = run(async {
-        let mut fleet = TestFleet::start(1).await;
-        let origin = StreamOrigin {
-            service: name_id(SERVICE),
-            version: name_id("v1"),
-        };
-        let state = Rc::clone(&fleet.instances[0].state);
-        state.publish_origin(stream_id("a1"), origin, Some(Duration::from_secs(5)));
-        fleet.listed.retain(|listed| listed.version == "v2");
-        state.set_endpoints(&fleet.listed);
-        let request = returning("Last-Event-Id: 3\r\nResumes: a1\r\n");
-        let answer = call(fleet.instances[0].address, &request).await;
-        (answer, state.origins.borrow().len())
+    let answer = run(async {
+        let mut fleet = TestFleet::start(1, FleetLayout::default()).await;
+        let stream = begin_stream(&fleet).await;
+        let version = stream.events[0].0.clone();
+        fleet.listed.retain(|listed| listed.version != version);
+        fleet.instances[0].state.set_endpoints(&fleet.listed);
+        call(fleet.instances[0].address, &stream.request("a2")).await
     });
 
     expect_that!(answer.status(), eq(503));
     expect_that!(answer.text.as_str(), contains_substring("no-endpoint"));
-    expect_that!(records, eq(1));
 }
 
-// A route with several services draws one for each call.
-#[gtest]
-fn stream_goes_on_at_another_service_of_its_route() {
-    let services = run(async {
-        let mut fleet = TestFleet::start(1).await;
-        for (number, listed) in fleet.listed.iter_mut().enumerate() {
-            listed.version = "v1".to_owned();
-            listed.service = [SERVICE, "other"][number % 2].to_owned();
-        }
-        let state = Rc::clone(&fleet.instances[0].state);
-        state.set_endpoints(&fleet.listed);
-        let mut catalog = valid_catalog();
-        for route in &mut catalog.routes {
-            route.services.push(ServiceShare {
-                service: "other".to_owned(),
-                weight: 1,
-            });
-        }
-        state.set_catalog(CatalogIndex::new(catalog));
-        let mut services = Vec::new();
-        for number in 0..20 {
-            let began_as = format!("b{number}");
-            let origin = StreamOrigin {
-                service: name_id("other"),
-                version: name_id("v1"),
-            };
-            state.publish_origin(stream_id(&began_as), origin, None);
-            let request = returning(&format!("Last-Event-Id: 3\r\nResumes: {began_as}\r\n"));
-            let answer = call(fleet.instances[0].address, &request).await;
-            services.extend(answer.events());
+/// Begins streams until one breaks off after its first event.
+async fn begin_stream(fleet: &TestFleet) -> ReceivedStream {
+    for number in 0.. {
+        let mut stream = ReceivedStream {
+            is_named: true,
+            number,
+            ..ReceivedStream::default()
+        };
+        let attempt = format!("b{number}");
+        let answer = call(fleet.instances[0].address, &stream.request(&attempt)).await;
+        stream.add(&attempt, &answer);
+        if !stream.is_whole && !stream.events.is_empty() {
+            return stream;
         }
-        services
-    });
-
-    // The endpoints of the other service send v2 in their events.
-    expect_that!(services, not(is_empty()));
-    expect_that!(services, each(starts_with("v2 ")));
+    }
+    unreachable!("some streams break off")
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -18,7 +18,7 @@
 use crate::relay_call::{DEFAULT_CALLER_TIMEOUT, RelayCall};
 use crate::reply::{deliver_whole, refuse};
 use crate::retry::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
-use crate::rules::{CallRules, resolve_rules, rules_at};
+use crate::rules::{CallRules, fingerprint, resolve_rules, rules_at};
 use crate::session::{IncomingCall, SessionWriter};
 use crate::state::RelayState;
 
@@ -81,13 +81,14 @@
     metadata: &CallMetadata,
 ) -> Result<(CallRules<'a>, Option<StreamOrigin>), FaultKind> {
     let rules = resolve_rules(catalog, incoming, metadata, rand::random())?;
-    let origin = state.resumed_origin(rules.route.kind, metadata).await?;
-    match (catalog, origin) {
-        (Some(catalog), Some(origin)) => {
-            Ok((rules_at(catalog, rules, origin.service)?, Some(origin)))
-        }
-        _ => Ok((rules, None)),
-    }
+    let kind = rules.route.kind;
+    let is_resumed = kind.is_stream() && metadata.resume_after.is_some();
+    let Some(catalog) = catalog.filter(|_| is_resumed) else {
+        return Ok((rules, None));
+    };
+    let request = fingerprint(incoming, rules.account);
+    let origin = state.resumed_origin(kind, request, metadata).await?;
+    Ok((rules_at(catalog, rules, origin.service)?, Some(origin)))
 }
 
 /// Carries one call through its attempts.
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -3,13 +3,14 @@
 //!
 //! The instance that begins a stream records its origin and tells [`KEEPERS`] others before the
 //! first event leaves. An instance to which a caller returns and that has no record asks the
-//! instances that are most likely to have one.
+//! instances that are most likely to have one. Both rank the instances by the request, which is the
+//! same when its caller returns.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use wire::id::{InstanceId, StreamId};
-use wire::stream::{OriginClaim, OriginNotice};
+use wire::id::{FingerprintHash, InstanceId, StreamId};
+use wire::stream::{MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Number of other instances that are told of a stream when it begins.
@@ -41,13 +42,29 @@
     expires_at: Duration,
 }
 
+impl OriginRecord {
+    fn notice(&self, now: Duration, key: RecordKey) -> OriginNotice {
+        let (request, stream) = key;
+        let kept = self.expires_at.saturating_sub(now);
+        OriginNotice {
+            request,
+            stream,
+            claim: self.claim,
+            lifetime_ms: whole_millis(kept.saturating_sub(EXPIRY_MARGIN)),
+        }
+    }
+}
+
+type RecordKey = (FingerprintHash, StreamId);
+
 /// The origins of streams that this instance knows.
 #[derive(Debug, Default)]
 pub struct OriginTable {
     settings: OriginSettings,
-    records: HashMap<StreamId, OriginRecord>,
-    /// The same records by expiry, first to expire first.
-    by_expiry: BTreeSet<(Duration, StreamId)>,
+    /// Records by request and stream.
+    records: BTreeMap<RecordKey, OriginRecord>,
+    /// Keys of the same records, first to expire first.
+    by_expiry: BTreeSet<(Duration, RecordKey)>,
 }
 
 impl OriginTable {
@@ -73,40 +90,37 @@
     /// origin disputed. The later expiry holds.
     pub fn note(&mut self, now: Duration, notice: OriginNotice) {
         self.expire(now);
+        let key = (notice.request, notice.stream);
         let lifetime = Duration::from_millis(u64::from(notice.lifetime_ms));
         let mut record = OriginRecord {
             claim: notice.claim,
             expires_at: now + lifetime + EXPIRY_MARGIN,
         };
-        if let Some(known) = self.records.remove(&notice.stream) {
-            self.by_expiry.remove(&(known.expires_at, notice.stream));
+        if let Some(known) = self.records.remove(&key) {
+            self.by_expiry.remove(&(known.expires_at, key));
             record.expires_at = record.expires_at.max(known.expires_at);
-            if known.claim != notice.claim {
-                record.claim = OriginClaim::Disputed;
-            }
+            record.claim = merge(known.claim, record.claim);
         }
-        self.records.insert(notice.stream, record);
-        self.by_expiry.insert((record.expires_at, notice.stream));
+        self.records.insert(key, record);
+        self.by_expiry.insert((record.expires_at, key));
         if self.records.len() > self.settings.max_streams {
             self.drop_first();
         }
     }
 
-    /// The origin of a stream; `None` if this instance has no record of it.
-    pub fn find(&self, now: Duration, stream: StreamId) -> Option<OriginClaim> {
-        let record = self.records.get(&stream)?;
-        (now < record.expires_at).then_some(record.claim)
+    /// The origin of a stream; `None` if this instance has no record of it. For a query that names
+    /// no stream, the origin of all streams of the request.
+    pub fn find(&self, now: Duration, query: OriginQuery) -> Option<OriginClaim> {
+        let claims = self.records_of(now, query).map(|(_, record)| record.claim);
+        claims.reduce(merge)
     }
 
-    /// What to tell another instance of a stream; `None` if this instance has no record of it.
-    pub fn notice_of(&self, now: Duration, stream: StreamId) -> Option<OriginNotice> {
-        let record = self.records.get(&stream)?;
-        let kept = record.expires_at.checked_sub(now)?;
-        Some(OriginNotice {
-            stream,
-            claim: record.claim,
-            lifetime_ms: whole_millis(kept.saturating_sub(EXPIRY_MARGIN)),
-        })
+    /// What to tell another instance that asks; empty if this instance has no record.
+    pub fn notices_of(&self, now: Duration, query: OriginQuery) -> Vec<OriginNotice> {
+        let records = self.records_of(now, query).take(MAX_MESSAGE_STREAMS);
+        records
+            .map(|(key, record)| record.notice(now, key))
+            .collect()
     }
 
     /// What to tell an instance that has lost its records: of the `most` streams that expire last,
@@ -119,10 +133,27 @@
         most: usize,
     ) -> Vec<OriginNotice> {
         let latest = self.by_expiry.iter().rev().take(most);
-        let kept = latest
-            .filter(|(_, stream)| rank_instances(*stream, instances, KEEPERS).contains(&keeper));
-        kept.filter_map(|(_, stream)| self.notice_of(now, *stream))
-            .collect()
+        let kept = latest.filter(|(_, (request, _))| {
+            rank_instances(*request, instances, KEEPERS).contains(&keeper)
+        });
+        let notices = kept.filter_map(|(_, key)| Some(self.records.get(key)?.notice(now, *key)));
+        notices.collect()
+    }
+
+    /// The records that have not expired and match a query.
+    fn records_of(
+        &self,
+        now: Duration,
+        query: OriginQuery,
+    ) -> impl Iterator<Item = (RecordKey, &OriginRecord)> {
+        let first = query.stream.unwrap_or(StreamId::MIN);
+        let last = query.stream.unwrap_or(StreamId::MAX);
+        let range = (query.request, first)..=(query.request, last);
+        let records = self
+            .records
+            .range(range)
+            .map(|(key, record)| (*key, record));
+        records.filter(move |(_, record)| now < record.expires_at)
     }
 
     fn expire(&mut self, now: Duration) {
@@ -132,17 +163,28 @@
     }
 
     fn drop_first(&mut self) {
-        if let Some((_, stream)) = self.by_expiry.pop_first() {
-            self.records.remove(&stream);
+        if let Some((_, key)) = self.by_expiry.pop_first() {
+            self.records.remove(&key);
         }
     }
 }
 
-/// The `count` instances that rank first for a stream, by rendezvous hashing. Instances with
+fn merge(one: OriginClaim, other: OriginClaim) -> OriginClaim {
+    match one == other {
+        true => one,
+        false => OriginClaim::Disputed,
+    }
+}
+
+/// The `count` instances that rank first for a request, by rendezvous hashing. Instances with
 /// slightly different views of the fleet thus choose mostly the same ones.
-pub fn rank_instances(stream: StreamId, instances: &[InstanceId], count: usize) -> Vec<InstanceId> {
+pub fn rank_instances(
+    request: FingerprintHash,
+    instances: &[InstanceId],
+    count: usize,
+) -> Vec<InstanceId> {
     let mut ranked: Vec<InstanceId> = instances.to_vec();
-    ranked.sort_by_cached_key(|instance| xxh3_64_with_seed(&instance.to_le_bytes(), stream));
+    ranked.sort_by_cached_key(|instance| xxh3_64_with_seed(&instance.to_le_bytes(), request));
     ranked.truncate(count);
     ranked
 }
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -8,8 +8,10 @@
 use catalog::CallKind;
 use fault::FaultKind;
 use tokio::time::timeout;
-use wire::id::{InstanceId, StreamId, name_id};
-use wire::stream::{MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, StreamMessage, StreamOrigin};
+use wire::id::{FingerprintHash, InstanceId, StreamId, name_id};
+use wire::stream::{
+    MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery, StreamMessage, StreamOrigin,
+};
 
 use crate::call::CallMetadata;
 use crate::origin::{ASKED_INSTANCES, KEEPERS, rank_instances, whole_millis};
@@ -25,7 +27,7 @@
 ];
 /// A lookup takes at most its caller's timeout divided by this.
 const LOOKUP_DIVISOR: u32 = 4;
-/// Maximum number of streams that are looked up at once. Callers of others are refused.
+/// Maximum number of lookups at once. Further callers that return are refused.
 const MAX_LOOKUPS: usize = 256;
 /// Maximum number of streams that another instance is told of when it becomes live.
 const MAX_REFRESHED_STREAMS: usize = 2000;
@@ -39,10 +41,10 @@
     fn send(&self, to: InstanceId, message: &StreamMessage);
 }
 
-/// The streams that are being looked up.
+/// The lookups in progress.
 #[derive(Debug, Default)]
 pub struct OriginLookups {
-    lookups: HashMap<StreamId, OriginLookup>,
+    lookups: HashMap<OriginQuery, OriginLookup>,
 }
 
 #[derive(Debug, Default)]
@@ -53,35 +55,44 @@
     unanswered: BTreeSet<InstanceId>,
 }
 
-/// Guard of a lookup, which ends with the last guard of its stream.
+impl OriginLookups {
+    /// Records that an instance has answered a query.
+    fn note_answer(&mut self, from: InstanceId, query: OriginQuery) {
+        if let Some(lookup) = self.lookups.get_mut(&query) {
+            lookup.unanswered.remove(&from);
+        }
+    }
+}
+
+/// Guard of a lookup, which ends with the last guard of its query.
 struct LookupGuard<'a> {
     lookups: &'a RefCell<OriginLookups>,
-    stream: StreamId,
+    query: OriginQuery,
 }
 
 impl<'a> LookupGuard<'a> {
-    /// Begins a lookup or joins the one of the same stream. Returns `None` if there are too many.
-    fn start(lookups: &'a RefCell<OriginLookups>, stream: StreamId) -> Option<Self> {
+    /// Begins a lookup or joins the one of the same query. Returns `None` if there are too many.
+    fn start(lookups: &'a RefCell<OriginLookups>, query: OriginQuery) -> Option<Self> {
         let mut table = lookups.borrow_mut();
         let is_full = table.lookups.len() >= MAX_LOOKUPS;
-        if is_full && !table.lookups.contains_key(&stream) {
+        if is_full && !table.lookups.contains_key(&query) {
             return None;
         }
-        table.lookups.entry(stream).or_default().waiting += 1;
-        Some(Self { lookups, stream })
+        table.lookups.entry(query).or_default().waiting += 1;
+        Some(Self { lookups, query })
     }
 
     /// Records which instances are asked in a round that begins.
     fn ask(&self, instances: &[InstanceId]) {
-        if let Some(lookup) = self.lookups.borrow_mut().lookups.get_mut(&self.stream) {
+        if let Some(lookup) = self.lookups.borrow_mut().lookups.get_mut(&self.query) {
             lookup.unanswered = instances.iter().copied().collect();
         }
     }
 
-    /// Whether all instances that were asked in the latest round do not know the stream.
-    fn is_unknown(&self) -> bool {
+    /// Whether all instances that were asked in the latest round have answered.
+    fn is_answered(&self) -> bool {
         let table = self.lookups.borrow();
-        let lookup = table.lookups.get(&self.stream);
+        let lookup = table.lookups.get(&self.query);
         lookup.is_none_or(|lookup| lookup.unanswered.is_empty())
     }
 }
@@ -89,10 +100,10 @@
 impl Drop for LookupGuard<'_> {
     fn drop(&mut self) {
         let mut table = self.lookups.borrow_mut();
-        if let Some(lookup) = table.lookups.get_mut(&self.stream) {
+        if let Some(lookup) = table.lookups.get_mut(&self.query) {
             lookup.waiting -= 1;
             if lookup.waiting == 0 {
-                table.lookups.remove(&self.stream);
+                table.lookups.remove(&self.query);
             }
         }
     }
@@ -104,29 +115,33 @@
 }
 
 impl RelayState {
-    /// Finds the origin of the stream that a call resumes. Returns `None` for a call that begins
-    /// one, or is answered with no stream.
+    /// Finds the origin of the stream that a request resumes. A caller that does not name the
+    /// stream resumes one of the same request: it goes on if all known ones have one origin.
     ///
     /// # Errors
-    /// [`FaultKind::OriginUnknown`] if the stream can't go on: nobody knows which version began it,
-    /// the caller does not name it, or its route does not allow it.
+    /// [`FaultKind::OriginUnknown`] if nobody who answers knows the origin, if it is disputed, or
+    /// if the route does not allow that its streams are resumed.
     pub async fn resumed_origin(
         &self,
         kind: CallKind,
+        request: FingerprintHash,
         metadata: &CallMetadata,
-    ) -> Result<Option<StreamOrigin>, FaultKind> {
-        if !kind.is_stream() || metadata.resume_after.is_none() {
-            return Ok(None);
+    ) -> Result<StreamOrigin, FaultKind> {
+        if !kind.is_repeatable() {
+            return Err(FaultKind::OriginUnknown);
         }
-        let named = metadata.resumes.as_deref();
-        let stream = named.filter(|_| kind.is_repeatable()).map(stream_id);
-        let stream = stream.ok_or(FaultKind::OriginUnknown)?;
+        let query = OriginQuery {
+            request,
+            stream: metadata.resumes.as_deref().map(stream_id),
+        };
         let caller_timeout = metadata.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
-        let finding = timeout(caller_timeout / LOOKUP_DIVISOR, self.find_origin(stream));
+        let finding = timeout(caller_timeout / LOOKUP_DIVISOR, self.find_origin(query));
         match finding.await.ok().flatten() {
             Some(OriginClaim::Known(origin)) => {
-                self.publish_origin(stream, origin, metadata.caller_timeout);
-                Ok(Some(origin))
+                if let Some(stream) = query.stream {
+                    self.publish_origin(request, stream, origin, metadata.caller_timeout);
+                }
+                Ok(origin)
             }
             Some(OriginClaim::Disputed) | None => Err(FaultKind::OriginUnknown),
         }
@@ -136,11 +151,13 @@
     /// Call before the caller gets the first event.
     pub fn publish_origin(
         &self,
+        request: FingerprintHash,
         stream: StreamId,
         origin: StreamOrigin,
         caller_timeout: Option<Duration>,
     ) {
         let notice = OriginNotice {
+            request,
             stream,
             claim: OriginClaim::Known(origin),
             lifetime_ms: whole_millis(caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT)),
@@ -150,19 +167,20 @@
             return;
         };
         let message = StreamMessage::Origins(vec![notice]);
-        for keeper in rank_instances(stream, &peers.instances(), KEEPERS) {
+        for keeper in rank_instances(request, &peers.instances(), KEEPERS) {
             peers.send(keeper, &message);
         }
     }
 
-    /// Looks up the origin of a stream, at other instances if this one has no record. Returns
-    /// `None` if nobody who answers in time has one.
-    async fn find_origin(&self, stream: StreamId) -> Option<OriginClaim> {
-        if let Some(claim) = self.known_origin(stream) {
+    /// Looks up the origin of a stream. A record of this instance suffices if the query names the
+    /// stream; other instances may know further streams of its request.
+    async fn find_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
+        let own = self.known_origin(query);
+        if own.is_some() && query.stream.is_some() {
             self.metrics.count_stream_return("recorded");
-            return Some(claim);
+            return own;
         }
-        let claim = self.ask_for_origin(stream).await;
+        let claim = self.ask_for_origin(query).await;
         let result = match claim {
             Some(_) => "found",
             None => "unknown",
@@ -171,69 +189,79 @@
         claim
     }
 
-    async fn ask_for_origin(&self, stream: StreamId) -> Option<OriginClaim> {
-        let peers = self.stream_peers.get()?;
-        let guard = LookupGuard::start(&self.origin_lookups, stream)?;
+    async fn ask_for_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
+        let Some(peers) = self.stream_peers.get() else {
+            return self.known_origin(query);
+        };
+        let guard = LookupGuard::start(&self.origin_lookups, query)?;
         for (round, wait) in ROUND_WAITS.into_iter().enumerate() {
-            let asked = rank_instances(stream, &peers.instances(), ASKED_INSTANCES);
+            let asked = rank_instances(query.request, &peers.instances(), ASKED_INSTANCES);
             guard.ask(&asked);
             for instance in asked {
-                peers.send(instance, &StreamMessage::Query(stream));
+                peers.send(instance, &StreamMessage::Query(query));
             }
             // In the first round, the notice of the stream may still be on its way.
-            let may_end = round > 0;
-            let answered = self.until_answered(&guard, may_end);
-            if let Ok(claim) = timeout(wait, answered).await {
+            let may_be_unknown = round > 0;
+            let settled = self.until_settled(&guard, may_be_unknown);
+            let is_settled = timeout(wait, settled).await.is_ok();
+            let claim = self.known_origin(query);
+            if is_settled || claim.is_some() {
                 return claim;
             }
         }
         None
     }
 
-    /// Waits until the origin of a stream is known or, if `may_end`, all instances that were asked
-    /// have answered.
-    async fn until_answered(&self, guard: &LookupGuard<'_>, may_end: bool) -> Option<OriginClaim> {
+    /// Waits until the named stream is known, or all instances that were asked have answered. The
+    /// stream may still be unknown then only if `may_be_unknown`.
+    async fn until_settled(&self, guard: &LookupGuard<'_>, may_be_unknown: bool) {
         loop {
             let changed = self.origin_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let claim = self.known_origin(guard.stream);
-            if claim.is_some() || may_end && guard.is_unknown() {
-                return claim;
+            let is_known = self.known_origin(guard.query).is_some();
+            let is_found = is_known && guard.query.stream.is_some();
+            if is_found || guard.is_answered() && (is_known || may_be_unknown) {
+                return;
             }
             changed.await;
         }
     }
 
-    fn known_origin(&self, stream: StreamId) -> Option<OriginClaim> {
-        self.origins.borrow().find(self.now(), stream)
+    fn known_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
+        self.origins.borrow().find(self.now(), query)
     }
 
     /// Handles a message of another instance.
     pub fn handle_stream_message(&self, from: InstanceId, message: StreamMessage) {
         match message {
             StreamMessage::Origins(notices) => {
-                let mut origins = self.origins.borrow_mut();
                 for notice in notices {
-                    origins.note(self.now(), notice);
+                    self.note_origin(from, notice);
                 }
             }
-            StreamMessage::Query(stream) => self.answer_query(from, stream),
-            StreamMessage::Unknown(stream) => {
-                let mut table = self.origin_lookups.borrow_mut();
-                if let Some(lookup) = table.lookups.get_mut(&stream) {
-                    lookup.unanswered.remove(&from);
-                }
+            StreamMessage::Query(query) => self.answer_query(from, query),
+            StreamMessage::Unknown(query) => {
+                self.origin_lookups.borrow_mut().note_answer(from, query);
             }
         }
         self.origin_changed.notify_waiters();
     }
 
-    fn answer_query(&self, from: InstanceId, stream: StreamId) {
-        let notice = self.origins.borrow().notice_of(self.now(), stream);
-        let answer = match notice {
-            Some(notice) => StreamMessage::Origins(vec![notice]),
-            None => StreamMessage::Unknown(stream),
+    fn note_origin(&self, from: InstanceId, notice: OriginNotice) {
+        self.origins.borrow_mut().note(self.now(), notice);
+        let mut lookups = self.origin_lookups.borrow_mut();
+        for stream in [Some(notice.stream), None] {
+            let request = notice.request;
+            lookups.note_answer(from, OriginQuery { request, stream });
+        }
+    }
+
+    fn answer_query(&self, from: InstanceId, query: OriginQuery) {
+        let notices = self.origins.borrow().notices_of(self.now(), query);
+        let answer = match notices.is_empty() {
+            true => StreamMessage::Unknown(query),
+            false => StreamMessage::Origins(notices),
         };
         if let Some(peers) = self.stream_peers.get() {
             peers.send(from, &answer);
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -116,8 +116,9 @@
             let service = call.service;
             let origin = StreamOrigin { service, version };
             let caller_timeout = call.metadata.caller_timeout;
+            let stream = stream_id(attempt_id);
             self.state
-                .publish_origin(stream_id(attempt_id), origin, caller_timeout);
+                .publish_origin(call.fingerprint, stream, origin, caller_timeout);
         }
     }
 
--- a/crates/relay/tests/origins.rs
+++ b/crates/relay/tests/origins.rs
@@ -9,10 +9,14 @@
 use wire::codec;
 use wire::gateway::{GatewayDatagram, MAX_DATAGRAM_BYTES};
 use wire::id::InstanceId;
-use wire::stream::{MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, StreamMessage, StreamOrigin};
+use wire::stream::{
+    MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery, StreamMessage, StreamOrigin,
+};
 
+/// Notice of a stream of the request with the same number.
 fn notice(stream: u64, version: u64, lifetime_ms: u32) -> OriginNotice {
     OriginNotice {
+        request: stream,
         stream,
         claim: OriginClaim::Known(StreamOrigin {
             service: 1,
@@ -22,21 +26,28 @@
     }
 }
 
+fn named(stream: u64) -> OriginQuery {
+    OriginQuery {
+        request: stream,
+        stream: Some(stream),
+    }
+}
+
 #[gtest]
 fn known_origin_is_never_replaced_by_another() {
     let mut table = OriginTable::default();
 
     table.note(Duration::ZERO, notice(7, 1, 4000));
     table.note(Duration::ZERO, notice(7, 1, 4000));
-    let before = table.find(Duration::ZERO, 7);
+    let before = table.find(Duration::ZERO, named(7));
     table.note(Duration::ZERO, notice(7, 2, 4000));
-    let after = table.find(Duration::ZERO, 7);
+    let after = table.find(Duration::ZERO, named(7));
     table.note(Duration::ZERO, notice(7, 1, 4000));
 
     expect_that!(before, some(eq(notice(7, 1, 0).claim)));
     expect_that!(after, some(eq(OriginClaim::Disputed)));
     expect_that!(
-        table.find(Duration::ZERO, 7),
+        table.find(Duration::ZERO, named(7)),
         some(eq(OriginClaim::Disputed))
     );
 }
@@ -49,8 +60,11 @@
     table.note(Duration::from_secs(3), notice(7, 1, 6000));
     table.note(Duration::from_secs(3), notice(7, 1, 100));
 
-    expect_that!(table.find(Duration::from_secs(9), 7), some(anything()));
-    expect_that!(table.find(Duration::from_secs(12), 7), none());
+    expect_that!(
+        table.find(Duration::from_secs(9), named(7)),
+        some(anything())
+    );
+    expect_that!(table.find(Duration::from_secs(12), named(7)), none());
     table.note(Duration::from_secs(12), notice(8, 1, 100));
     expect_that!(table.len(), eq(1));
 }
@@ -69,7 +83,7 @@
     table.note(now, notice(9000, 1, 15_000));
     table.note(now, notice(9001, 1, 19_000));
 
-    expect_that!(table.find(now, 9001), some(anything()));
+    expect_that!(table.find(now, named(9001)), some(anything()));
 }
 
 #[gtest]
@@ -85,7 +99,7 @@
     for keeper in others.iter().copied() {
         let notices = table.notices_for(Duration::from_secs(1), keeper, &others, 1000);
         for told_notice in &notices {
-            let keepers = rank_instances(told_notice.stream, &others, KEEPERS);
+            let keepers = rank_instances(told_notice.request, &others, KEEPERS);
             expect_that!(keepers, contains(eq(&keeper)));
             expect_that!(told_notice.lifetime_ms, eq(3000));
         }
@@ -98,6 +112,7 @@
 #[gtest]
 fn largest_message_fits_into_a_datagram() {
     let largest = OriginNotice {
+        request: u64::MAX,
         stream: u64::MAX,
         claim: OriginClaim::Known(StreamOrigin {
             service: u64::MAX,
@@ -111,3 +126,28 @@
 
     expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
 }
+
+#[gtest]
+fn caller_that_names_no_stream_goes_on_only_if_all_streams_of_its_request_have_one_origin() {
+    let unnamed = OriginQuery {
+        request: 7,
+        stream: None,
+    };
+    let of_request = |stream, version| OriginNotice {
+        request: 7,
+        ..notice(stream, version, 4000)
+    };
+    let mut table = OriginTable::default();
+
+    table.note(Duration::ZERO, of_request(1, 1));
+    table.note(Duration::ZERO, of_request(2, 1));
+    table.note(Duration::ZERO, notice(8, 2, 4000));
+    let agreed = table.find(Duration::ZERO, unnamed);
+    table.note(Duration::ZERO, of_request(3, 2));
+    let told = table.notices_of(Duration::ZERO, unnamed);
+
+    expect_that!(agreed, some(eq(notice(1, 1, 0).claim)));
+    let disputed = table.find(Duration::ZERO, unnamed);
+    expect_that!(disputed, some(eq(OriginClaim::Disputed)));
+    expect_that!(told, len(eq(3)));
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,11 +3,11 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{ServiceId, StreamId, VersionId};
+use crate::id::{FingerprintHash, ServiceId, StreamId, VersionId};
 
 /// Largest number of streams in one message, which keeps it within
 /// [`crate::gateway::MAX_DATAGRAM_BYTES`].
-pub const MAX_MESSAGE_STREAMS: usize = 30;
+pub const MAX_MESSAGE_STREAMS: usize = 24;
 
 /// The service and the software version whose endpoint sent the first event of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -27,9 +27,20 @@
     Disputed,
 }
 
+/// Asks for the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct OriginQuery {
+    /// The request that the stream answers.
+    pub request: FingerprintHash,
+    /// The stream; `None` for all streams of the request, if the caller does not name one.
+    pub stream: Option<StreamId>,
+}
+
 /// Tells another gateway of the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OriginNotice {
+    /// The request that the stream answers.
+    pub request: FingerprintHash,
     /// The stream.
     pub stream: StreamId,
     /// Its origin.
@@ -44,7 +55,7 @@
     /// Origins of streams; at most [`MAX_MESSAGE_STREAMS`]. Also the answer to [`Self::Query`].
     Origins(Vec<OriginNotice>),
     /// Asks for the origin of a stream.
-    Query(StreamId),
-    /// The sender was asked for the origin of this stream and does not know it.
-    Unknown(StreamId),
+    Query(OriginQuery),
+    /// The sender was asked this and knows no such stream.
+    Unknown(OriginQuery),
 }
