relay: fetch a prompt's cache only from an endpoint of the same software version

The other thing that passes between endpoints is the cache of a prompt (the address in Kv-Fetch), which placement took from the first sound endpoint of any version. The source is now of the version of the endpoint that runs the call.

cache_is_fetched_from_another_software_version fails without the change.

--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -153,17 +153,19 @@
 }
 
 /// Address of the endpoint that most probably has the shared part of the prompt in its cache, other
-/// than the one that runs the call: the first sound one in the part's ranking. Draining endpoints
-/// are included, as they still serve their cache.
+/// than the one that runs the call: the first sound one of the same software version in the part's
+/// ranking. Draining endpoints are included, as they still serve their cache.
 pub fn warm_source(
     table: &EndpointTable,
     query: &PlacementQuery<'_>,
     chosen: EndpointId,
 ) -> Option<SocketAddrV4> {
     let part = query.shared_part?;
-    let others = table
-        .of_service(query.service)
-        .filter(|(id, row)| *id != chosen && !query.tried.contains(id) && row.is_sound(query.now));
+    let version = table.row(chosen)?.version_id;
+    let others = table.of_service(query.service).filter(|(id, row)| {
+        let is_other = *id != chosen && !query.tried.contains(id);
+        is_other && row.version_id == version && row.is_sound(query.now)
+    });
     let best = others.max_by_key(|(id, _)| affinity(part, *id));
     best.map(|(_, row)| row.address)
 }
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -293,3 +293,27 @@
     expect_that!(choose(&settings, &table, &stream), none());
     expect_that!(change.joined, elements_are![eq("endpoint-1=v2")]);
 }
+
+// Issue 26: a prompt's cache was fetched from an endpoint of another software version.
+#[gtest]
+fn cache_is_fetched_from_another_software_version() {
+    let mut table = EndpointTable::default();
+    let versioned = |number: u8| ListedEndpoint {
+        version: format!("v{}", number % 2),
+        ..listed(number)
+    };
+    let endpoints: Vec<ListedEndpoint> = (1..=8).map(versioned).collect();
+    table.replace(&endpoints);
+    let version_at = |address| {
+        let source = endpoints.iter().find(|endpoint| endpoint.address == address);
+        source.map(|endpoint| endpoint.version.clone())
+    };
+
+    for part in 0..40 {
+        for chosen in &endpoints {
+            let source = warm_source(&table, &query(Some(part)), chosen.id());
+            let source = source.expect("three others have the version");
+            expect_that!(version_at(source), some(eq(&chosen.version)));
+        }
+    }
+}
