--- a/crates/exchange/src/events.rs
+++ b/crates/exchange/src/events.rs
@@ -16,6 +16,8 @@
 pub struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<String>,
+    /// Whether the last whole event carries an id. Comments are no events.
+    ends_at_id: bool,
 }
 
 impl EventSplitter {
@@ -51,12 +53,26 @@
         self.last_id.as_deref()
     }
 
+    /// Whether the stream can be resumed exactly after what was returned: its last event carries
+    /// an id.
+    pub fn ends_at_id(&self) -> bool {
+        self.ends_at_id
+    }
+
     fn note_ids(&mut self, whole: &[u8]) {
+        let mut is_new_event = true;
         for line in whole.split(|byte| *byte == b'\n') {
             let line = line.strip_suffix(b"\r").unwrap_or(line);
             if let Some(id) = line.strip_prefix(b"id:") {
                 let id = String::from_utf8_lossy(id.trim_ascii()).into_owned();
                 self.last_id = Some(id);
+                self.ends_at_id = true;
+                is_new_event = false;
+            } else if line.is_empty() {
+                is_new_event = true;
+            } else if is_new_event && !line.starts_with(b":") {
+                self.ends_at_id = false;
+                is_new_event = false;
             }
         }
     }
--- a/crates/gateway/tests/forwarding/framing.rs
+++ b/crates/gateway/tests/forwarding/framing.rs
@@ -342,3 +342,22 @@
         expect_that!(answer.is_whole, eq(is_sound), "tail {tail:?}");
     }
 }
+
+// What has been sent has no id after which another endpoint could go on.
+#[gtest]
+fn stream_without_event_ids_is_begun_again_inside_its_answer() {
+    let unnumbered = |data: &str| chunk(&format!("data: {data}\n\n"));
+    let begun = stream_head() + &unnumbered("d1") + &unnumbered("d2");
+    let text = "HTTP/1.1 200 OK\r\nX-Attempt-Id: a1\r\nX-Server-Stamp: s1\r\nContent-Type: text/plain\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let no_events = text.to_owned() + &chunk("data: d1");
+    for first in [begun, no_events] {
+        let whole = first.clone() + LAST_CHUNK;
+        let first = vec![ScriptedReply::Close(first)];
+        let second = vec![ScriptedReply::Keep(whole)];
+        let (answer, _, second_runs) = run(one_call("/resumable/x", first, second));
+
+        expect_that!(answer.is_whole, eq(false), "{answer:?}");
+        expect_that!(answer.text.matches("d1").count(), eq(1), "{answer:?}");
+        expect_that!(second_runs, eq(0));
+    }
+}
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -305,7 +305,9 @@
     let endpoints: Vec<ListedEndpoint> = (1..=8).map(versioned).collect();
     table.replace(&endpoints);
     let version_at = |address| {
-        let source = endpoints.iter().find(|endpoint| endpoint.address == address);
+        let source = endpoints
+            .iter()
+            .find(|endpoint| endpoint.address == address);
         source.map(|endpoint| endpoint.version.clone())
     };
 
