soak: two software versions serve, and callers resume their streams at other gateways

Endpoints have two versions and change them at some restarts under a new name; their events tell it. Callers of a quarter of the resumable streams lose their connection after some events, and these and those whose answer breaks off come back at random gateways, up to four times, three quarters of them with Resumes. An event that does not continue the stream, or is of another version, is a violation. Waits are those that a refusal tells. The plan of faults and the draws of the callers' other calls are unchanged.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -8,18 +8,16 @@
 use std::time::Duration;
 
 use catalog::CallKind;
-use platform::headers::{API_KEY, ATTEMPT_ID, DEADLINE_MS, PREFIX_HASH};
+use platform::headers::ATTEMPT_ID;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::endpoint::{ACCOUNT_KEY, STREAM_EVENTS, event_text};
-use crate::history::{CALL_KINDS, CallerOutcome, SoakHistory, path_segment};
+use crate::call::{CALL_TIMEOUT, SoakCall};
+use crate::history::{CALL_KINDS, CallerOutcome, SoakHistory};
 use crate::http::{HttpMessage, HttpStream};
-use crate::operator::HOST;
 use crate::poison::harmless_prompt;
+use crate::returns::{ReceivedEvents, ReturnPlan, expected_events};
 
-/// Time within which a caller expects an answer. It is sent to the gateway as the deadline.
-const CALL_TIMEOUT: Duration = Duration::from_secs(4);
 /// Exclusive upper bound of the pause between two calls on a connection, in milliseconds.
 const MAX_PAUSE_MS: u64 = 40;
 /// Calls per thousand whose caller disconnects right after sending the request.
@@ -39,6 +37,7 @@
         let mut caller = SoakCaller {
             number,
             calls: 0,
+            returns: ReturnPlan::new(seed, gateways.clone()),
             random: Pcg64::seed_from_u64(seed),
             history,
         };
@@ -58,6 +57,7 @@
     number: u64,
     calls: u64,
     random: Pcg64,
+    returns: ReturnPlan,
     history: Arc<SoakHistory>,
 }
 
@@ -80,74 +80,93 @@
     fn call(&mut self, stream: &mut HttpStream) -> io::Result<HttpMessage> {
         let kind = CALL_KINDS[self.random.random_range(0..CALL_KINDS.len())];
         self.calls += 1;
-        let attempt = format!("{:x}-{:x}", self.number, self.calls);
-        self.history.record_call(&attempt, kind);
-        let request = format!(
-            "POST /{}/x HTTP/1.1\r\nHost: {HOST}\r\n{ATTEMPT_ID}: {attempt}\r\n{DEADLINE_MS}: {}\r\n{API_KEY}: {ACCOUNT_KEY}\r\n{PREFIX_HASH}: {}\r\nContent-Length: {}\r\n\r\n{attempt}",
-            path_segment(kind),
-            CALL_TIMEOUT.as_millis(),
-            harmless_prompt(self.calls, &mut self.random),
-            attempt.len()
-        );
-        stream.send(request.as_bytes())?;
+        let call = SoakCall {
+            body: format!("{:x}-{:x}", self.number, self.calls),
+            kind,
+            prompt: harmless_prompt(self.calls, &mut self.random),
+        };
+        self.history.record_call(&call.body, kind);
+        stream.send(call.request(&call.body, "").as_bytes())?;
         if self.random.random_range(0..1000) < ABANDONED_PER_THOUSAND {
             return Err(io::ErrorKind::Interrupted.into());
         }
+        let loss = match kind {
+            CallKind::ResumableStream => self.returns.draw_loss(),
+            _ => None,
+        };
+        if let Some(count) = loss {
+            let events = stream.read_events(count)?;
+            stream.reset()?;
+            let received = ReceivedEvents::new(&call, &events);
+            self.returns.resume(&self.history, &call, received);
+            return Err(io::ErrorKind::ConnectionReset.into());
+        }
         let answer = stream.read()?;
-        self.history
-            .record_outcome(&attempt, self.outcome_of(kind, &attempt, &answer));
+        let outcome = outcome_of(&self.history, &call, &call.body, &answer);
+        self.history.record_outcome(&call.body, outcome);
+        if kind == CallKind::ResumableStream && !answer.is_whole && answer.status() == 200 {
+            let received = ReceivedEvents::new(&call, &answer.text());
+            self.returns.resume(&self.history, &call, received);
+        }
         Ok(answer)
     }
+}
 
-    fn outcome_of(&self, kind: CallKind, attempt: &str, answer: &HttpMessage) -> CallerOutcome {
-        match answer.status() {
-            200 => self.check_answer(kind, attempt, answer),
-            408 | 421 | 429 | 503 => {
-                if answer.text().contains(SUSPECTED) {
-                    let violation = format!("harmless call {attempt} was refused as suspected");
-                    self.history.record_violation(violation);
-                }
-                CallerOutcome::NotRun
-            }
-            400..=499 => {
-                let status = answer.status();
-                let violation = format!("valid call {attempt} was answered with status {status}");
-                self.history.record_violation(violation);
-                CallerOutcome::Unknown
+fn outcome_of(
+    history: &SoakHistory,
+    call: &SoakCall,
+    attempt: &str,
+    answer: &HttpMessage,
+) -> CallerOutcome {
+    match answer.status() {
+        200 => check_answer(history, call, attempt, answer),
+        408 | 421 | 429 | 503 => {
+            if answer.text().contains(SUSPECTED) {
+                let violation = format!("harmless call {attempt} was refused as suspected");
+                history.record_violation(violation);
             }
-            _ => CallerOutcome::Unknown,
+            CallerOutcome::NotRun
         }
+        400..=499 => {
+            let status = answer.status();
+            let violation = format!("valid call {attempt} was answered with status {status}");
+            history.record_violation(violation);
+            CallerOutcome::Unknown
+        }
+        _ => CallerOutcome::Unknown,
     }
+}
 
-    /// Checks a good answer. One that does not state its end may lack something, but not the rest
-    /// of an event.
-    fn check_answer(&self, kind: CallKind, attempt: &str, answer: &HttpMessage) -> CallerOutcome {
-        let expected: String = match kind {
-            CallKind::Safe | CallKind::Unsafe => attempt.to_owned(),
-            CallKind::Stream | CallKind::ResumableStream => (1..=STREAM_EVENTS)
-                .map(|id| event_text(attempt, id))
-                .collect(),
-        };
-        let text = answer.text();
-        let is_part = expected.starts_with(text.trim_end_matches('\0'));
-        let ends_inside_event = kind.is_stream() && !text.ends_with("\n\n");
-        let is_valid = match (answer.is_whole, answer.states_end) {
-            (true, true) => text == expected,
-            (true, false) => is_part && !ends_inside_event,
-            (false, _) => is_part,
-        };
-        if !is_valid {
-            self.history.record_violation(format!(
-                "answer to call {attempt} has an unexpected body: {text:?}"
-            ));
-        }
-        if answer.header(ATTEMPT_ID) != Some(attempt) {
-            self.history
-                .record_violation(format!("answer to call {attempt} has another attempt id"));
-        }
-        match answer.is_whole && text == expected {
-            true => CallerOutcome::Served,
-            false => CallerOutcome::Unknown,
-        }
+/// Checks a good answer to a first attempt. One that does not state its end may lack something, but
+/// not the rest of an event.
+fn check_answer(
+    history: &SoakHistory,
+    call: &SoakCall,
+    attempt: &str,
+    answer: &HttpMessage,
+) -> CallerOutcome {
+    let text = answer.text();
+    let expected = match call.kind {
+        CallKind::Safe | CallKind::Unsafe => call.body.clone(),
+        CallKind::Stream | CallKind::ResumableStream => expected_events(call, &text),
+    };
+    let is_part = expected.starts_with(text.trim_end_matches('\0'));
+    let ends_inside_event = call.kind.is_stream() && !text.ends_with("\n\n");
+    let is_valid = match (answer.is_whole, answer.states_end) {
+        (true, true) => text == expected,
+        (true, false) => is_part && !ends_inside_event,
+        (false, _) => is_part,
+    };
+    if !is_valid {
+        history.record_violation(format!(
+            "answer to call {attempt} has an unexpected body: {text:?}"
+        ));
+    }
+    if answer.header(ATTEMPT_ID) != Some(attempt) {
+        history.record_violation(format!("answer to call {attempt} has another attempt id"));
+    }
+    match answer.is_whole && text == expected {
+        true => CallerOutcome::Served,
+        false => CallerOutcome::Unknown,
     }
 }
--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -10,7 +10,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::endpoint::SoakEndpoint;
+use crate::endpoint::{EndpointIdentity, SoakEndpoint};
 use crate::list::SoakList;
 
 /// Range of the time for which a crashed endpoint is down, in milliseconds.
@@ -20,12 +20,15 @@
 /// Time from the restart of an endpoint under another name until the list shows it.
 const LIST_LAG: Duration = Duration::from_millis(700);
 
+/// Software versions that serve side by side.
+const SOFTWARE_VERSIONS: [&str; 2] = ["v1", "v2"];
+
 /// How a crashed endpoint returns.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum EndpointReturn {
     /// Under its name, after a while.
     SameName,
-    /// Under another name, after a while.
+    /// Under another name and with the other software version, after a while.
     NewName,
     /// Under another name, at once.
     Replaced,
@@ -90,9 +93,26 @@
     if kind == EndpointReturn::SameName {
         return target.forwarder.come_up();
     }
-    let name = format!("{}-", target.endpoint.name());
-    target.endpoint.rename(&name);
+    let EndpointIdentity { name, version } = target.endpoint.identity();
+    let identity = EndpointIdentity {
+        name: format!("{name}-"),
+        version: match kind {
+            EndpointReturn::NewName => other_version(&version),
+            EndpointReturn::SameName | EndpointReturn::Replaced => version,
+        },
+    };
+    target.endpoint.set_identity(identity.clone());
     target.forwarder.come_up();
     thread::sleep(LIST_LAG);
-    list.rename(target.forwarder.address, &name);
+    list.set_identity(target.forwarder.address, &identity);
+}
+
+/// Software version of the endpoint with this number when it first starts.
+pub fn first_version(number: usize) -> String {
+    SOFTWARE_VERSIONS[number % SOFTWARE_VERSIONS.len()].to_owned()
+}
+
+fn other_version(version: &str) -> String {
+    let mut others = SOFTWARE_VERSIONS.iter().filter(|other| **other != version);
+    others.next().copied().unwrap_or(version).to_owned()
 }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -44,6 +44,10 @@
 /// How a call is answered.
 struct AnswerPlan<'a> {
     attempt: &'a str,
+    /// Body of the call.
+    call: &'a str,
+    /// Software version of the endpoint.
+    version: &'a str,
     headers: &'a str,
     /// Whether the answer breaks off.
     is_cut: bool,
@@ -51,10 +55,18 @@
     is_framed: bool,
 }
 
+/// What a process of an endpoint is called in the list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EndpointIdentity {
+    /// Name.
+    pub name: String,
+    /// Software version.
+    pub version: String,
+}
+
 /// One stand-in endpoint. It serves until the process exits.
 pub struct SoakEndpoint {
-    /// Name in the endpoint list.
-    name: Mutex<String>,
+    identity: Mutex<EndpointIdentity>,
     /// Address on which it listens. The gateways reach it through a forwarder.
     pub address: SocketAddr,
     /// Whether it refuses all calls with status 503.
@@ -71,14 +83,14 @@
     /// # Errors
     /// The error of binding the socket.
     pub fn start(
-        name: &str,
+        identity: EndpointIdentity,
         history: &Arc<SoakHistory>,
         seed: u64,
         crashes: Sender<SocketAddr>,
     ) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let endpoint = Arc::new(Self {
-            name: Mutex::new(name.to_owned()),
+            identity: Mutex::new(identity),
             address: listener.local_addr()?,
             is_draining: AtomicBool::new(false),
             history: Arc::clone(history),
@@ -96,17 +108,17 @@
         Ok(endpoint)
     }
 
-    /// Name in the endpoint list.
-    pub fn name(&self) -> String {
-        self.name
+    /// The identity of the process that runs at present.
+    pub fn identity(&self) -> EndpointIdentity {
+        self.identity
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
             .clone()
     }
 
-    /// Changes the name, as after a restart.
-    pub fn rename(&self, name: &str) {
-        *self.name.lock().unwrap_or_else(PoisonError::into_inner) = name.to_owned();
+    /// Changes the identity, as after a restart.
+    pub fn set_identity(&self, identity: EndpointIdentity) {
+        *self.identity.lock().unwrap_or_else(PoisonError::into_inner) = identity;
     }
 
     fn serve(&self, stream: TcpStream, mut random: Pcg64) -> io::Result<()> {
@@ -128,7 +140,7 @@
         random: &mut Pcg64,
     ) -> io::Result<()> {
         let not_run = format!("{NOT_EXECUTED}: 1\r\n");
-        let name = self.name();
+        let EndpointIdentity { name, version } = self.identity();
         if call.header(EXPECT_INSTANCE) != Some(&name) {
             return stream.send(sized_answer(421, &not_run, "").as_bytes());
         }
@@ -151,8 +163,11 @@
         if random.random_range(0..1000) < FAILED_PER_THOUSAND {
             return stream.send(sized_answer(500, &headers, "failed").as_bytes());
         }
+        let body = call.text();
         let plan = AnswerPlan {
             attempt: &attempt,
+            call: &body,
+            version: &version,
             headers: &headers,
             is_cut: random.random_range(0..1000) < CUT_PER_THOUSAND,
             is_framed: random.random_range(0..1000) >= UNFRAMED_PER_THOUSAND,
@@ -173,16 +188,21 @@
             self.history
                 .record_violation("API key was forwarded to an endpoint".to_owned());
         }
-        if call.text() != call.header(ATTEMPT_ID).unwrap_or_default() {
+        if call.text() != call_of(call.header(ATTEMPT_ID).unwrap_or_default()) {
             self.history
                 .record_violation("endpoint received a call with a changed body".to_owned());
         }
     }
 }
 
-/// Text of one event of the stream that answers `attempt`.
-pub fn event_text(attempt: &str, id: u32) -> String {
-    format!("id: {id}\ndata: {attempt} {id}\n\n")
+/// Body of the call to which an attempt belongs. Attempts that resume a stream append their number.
+pub fn call_of(attempt: &str) -> &str {
+    attempt.split('.').next().unwrap_or_default()
+}
+
+/// Text of one event of the stream that answers a call, from an endpoint of a software version.
+pub fn event_text(call: &str, version: &str, id: u32) -> String {
+    format!("id: {id}\ndata: {call} {version} {id}\n\n")
 }
 
 fn send_whole(stream: &mut HttpStream, plan: &AnswerPlan<'_>) -> io::Result<()> {
@@ -223,7 +243,7 @@
     stream.send(head.as_bytes())?;
     let cut_at = random.random_range(first..=STREAM_EVENTS.max(first));
     for id in first..=STREAM_EVENTS {
-        let text = event_text(plan.attempt, id);
+        let text = event_text(plan.call, plan.version, id);
         if plan.is_cut && id == cut_at {
             send_part(stream, &text[..text.len() / 2], plan.is_framed)?;
             return Err(io::ErrorKind::ConnectionAborted.into());
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -78,6 +78,10 @@
     poison_runs: Vec<(PoisonScope, Instant)>,
     /// When disruptions of gateways began, and ended if they have.
     disruptions: Vec<(Instant, Option<Instant>)>,
+    /// Number of attempts to resume a stream.
+    returns: usize,
+    /// Number of these that an endpoint answered.
+    resumed: usize,
     violations: Vec<String>,
 }
 
@@ -122,6 +126,10 @@
     pub served: usize,
     /// Calls with the outcome [`CallerOutcome::NotRun`].
     pub not_run: usize,
+    /// Attempts to resume a stream at some gateway.
+    pub returns: usize,
+    /// Those that an endpoint answered.
+    pub resumed: usize,
     /// Runs of the request that crashes endpoints.
     pub poison_runs: usize,
     /// Runs of it that are counted against the bound.
@@ -151,6 +159,13 @@
             .outcome = Some(outcome);
     }
 
+    /// Records an answer to an attempt to resume a stream.
+    pub fn record_return(&self, is_resumed: bool) {
+        let mut state = self.state();
+        state.returns += 1;
+        state.resumed += usize::from(is_resumed);
+    }
+
     /// Records that an endpoint executes a call. A call that no caller sent is a violation.
     pub fn record_execution(&self, attempt: &str) {
         let mut state = self.state();
@@ -209,6 +224,8 @@
             calls: state.calls.len(),
             served: with_outcome(CallerOutcome::Served),
             not_run: with_outcome(CallerOutcome::NotRun),
+            returns: state.returns,
+            resumed: state.resumed,
             poison_runs: state.runs_of(PoisonScope::Request).count(),
             late_runs: state.late_runs(PoisonScope::Request),
             part_runs: state.runs_of(PoisonScope::PromptPart).count(),
--- a/crates/soak/src/http.rs
+++ b/crates/soak/src/http.rs
@@ -109,6 +109,32 @@
         Ok(message)
     }
 
+    /// Reads the first `count` events of a good answer, whatever its framing. Returns their text.
+    ///
+    /// # Errors
+    /// The socket's error, or the end of the connection, before these events; another status.
+    pub fn read_events(&mut self, count: u32) -> io::Result<String> {
+        let mut events = String::new();
+        let mut read = 0;
+        while read < count {
+            let mut line = String::new();
+            if self.reader.read_line(&mut line)? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+            if line.starts_with("HTTP/") && !line.contains(" 200 ") {
+                return Err(io::ErrorKind::InvalidData.into());
+            }
+            if line.starts_with("id: ") {
+                events += &line;
+            } else if line.starts_with("data: ") {
+                events += &line;
+                events += "\n";
+                read += 1;
+            }
+        }
+        Ok(events)
+    }
+
     /// Closes the connection with a reset.
     ///
     /// # Errors
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -9,13 +9,16 @@
 //! * [`fleet`]: the gateway processes, their settings and signals.
 //! * [`endpoint`]: stand-in endpoints.
 //! * [`list`]: the stand-in endpoint list of the platform.
+//! * [`call`]: requests of callers.
 //! * [`caller`]: callers that reuse their connections.
+//! * [`returns`]: callers that resume a stream at another gateway.
 //! * [`poison`]: a caller whose request crashes endpoints.
 //! * [`crashes`]: crashes and restarts of endpoints.
 //! * [`operator`]: operators that replace and read the catalog.
 //! * [`history`]: the observed calls and changes, and the guarantees that they violate.
 //! * [`http`]: minimal HTTP/1.1 client and server for the stand-ins.
 
+pub mod call;
 pub mod caller;
 pub mod crashes;
 pub mod endpoint;
@@ -26,4 +29,5 @@
 pub mod operator;
 pub mod plan;
 pub mod poison;
+pub mod returns;
 pub mod run;
--- a/crates/soak/src/list.rs
+++ b/crates/soak/src/list.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use wire::gateway::ListedEndpoint;
 
+use crate::endpoint::EndpointIdentity;
 use crate::http::{HttpStream, sized_answer};
 
 /// How the list answers requests.
@@ -70,9 +71,12 @@
             .mode = mode;
     }
 
-    /// Shows the endpoint at an address under another name.
-    pub fn rename(&self, address: SocketAddr, name: &str) {
-        self.update(address, |row| name.clone_into(&mut row.name));
+    /// Shows another process of the endpoint at an address.
+    pub fn set_identity(&self, address: SocketAddr, identity: &EndpointIdentity) {
+        self.update(address, |row| {
+            row.name.clone_from(&identity.name);
+            row.version.clone_from(&identity.version);
+        });
     }
 
     /// Sets whether the list shows the endpoint at an address as draining.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,8 +13,8 @@
 use wire::gateway::ListedEndpoint;
 
 use crate::caller::start_caller;
-use crate::crashes::{CrashQueue, CrashTarget, crash_queue, start_crashes};
-use crate::endpoint::SoakEndpoint;
+use crate::crashes::{CrashQueue, CrashTarget, crash_queue, first_version, start_crashes};
+use crate::endpoint::{EndpointIdentity, SoakEndpoint};
 use crate::fleet::{SoakFleet, SoakGateway};
 use crate::history::{HistoryCounts, PoisonScope, SoakHistory};
 use crate::list::{ListMode, SoakList};
@@ -170,12 +170,15 @@
     let mut targets = Vec::new();
     let mut rows = Vec::new();
     for number in 0..settings.endpoints {
-        let name = format!("endpoint-{number}");
+        let identity = EndpointIdentity {
+            name: format!("endpoint-{number}"),
+            version: first_version(number),
+        };
         let seed = settings.seed.wrapping_mul(100) + number as u64;
-        let endpoint = SoakEndpoint::start(&name, &history, seed, crashes.clone())?;
+        let endpoint = SoakEndpoint::start(identity.clone(), &history, seed, crashes.clone())?;
         let forwarder = Arc::new(TcpForwarder::start(endpoint.address));
         rows.push(ListedEndpoint {
-            name,
+            name: identity.name,
             service: SERVICE.to_owned(),
             address: forwarder
                 .address
@@ -185,7 +188,7 @@
             domain: 0,
             slots: 8,
             is_draining: false,
-            version: "v1".to_owned(),
+            version: identity.version,
         });
         targets.push(CrashTarget {
             endpoint,
