relay: take no answer without an attempt id for that of a call on a reused connection

Looked for, as operators of similar systems told of it: a second copy of an answer came late, on a connection in use again. An answer with another attempt id was recognised; one without any was not. A late refusal (not run) then sent an unsafe call to a second endpoint while the first ran it, and a late success reached a caller as its own.

On a connection that served a call before, an answer must now name its call, else it counts as broken; a connection whose answer has no id is not kept, so endpoints that name none still serve. The soak's endpoints now echo the id in refusals, as the platform's do.

--- a/crates/gateway/tests/forwarding/framing.rs
+++ b/crates/gateway/tests/forwarding/framing.rs
@@ -10,7 +10,7 @@
 
 use crate::fixture::{
     CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, call_on, chunk, event,
-    good_answer, request, signed_answer, stream_head,
+    good_answer, not_run_answer, request, signed_answer, stream_head,
 };
 use crate::{next_crash_notice, one_call, relay_before, run, stream_of};
 
@@ -361,3 +361,43 @@
         expect_that!(second_runs, eq(0));
     }
 }
+
+// A second copy of an earlier answer, late, on a connection that is in use again.
+#[gtest]
+fn answer_without_an_id_on_a_reused_connection_is_taken_for_the_call() {
+    let nameless = |answer: String| answer.replace("X-Attempt-Id: a1\r\n", "");
+    for late in [not_run_answer(), nameless(good_answer("an earlier one"))] {
+        let (first, second, other_runs) = run(async {
+            let replies = [good_answer("first"), late.clone()].map(ScriptedReply::Keep);
+            let endpoint = ScriptedEndpoint::start("e1", replies.to_vec()).await;
+            let other = ScriptedEndpoint::start("e2", vec![]).await;
+            let relay = relay_before(&[&endpoint, &other]).await;
+            let first = call(relay.address, &request("/unsafe/x", "b")).await;
+            let second = call(relay.address, &request("/unsafe/x", "c")).await;
+            (first, second, other.runs())
+        });
+
+        expect_that!(first.text.as_str(), ends_with("first"));
+        expect_that!(second.status(), eq(502), "{late}");
+        expect_that!(other_runs, eq(0), "{late}");
+    }
+}
+
+#[gtest]
+fn connection_whose_answers_have_no_id_is_not_reused() {
+    let (connections, whole) = run(async {
+        let nameless = good_answer("b").replace("X-Attempt-Id: a1\r\n", "");
+        let replies = vec![ScriptedReply::Keep(nameless); 3];
+        let endpoint = ScriptedEndpoint::start("e1", replies).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let mut whole = 0;
+        for _ in 0..3 {
+            let answer = call(relay.address, &request("/unsafe/x", "b")).await;
+            whole += u32::from(answer.status() == 200 && answer.is_whole);
+        }
+        let connections = *endpoint.connections.borrow();
+        (connections, whole)
+    });
+
+    expect_that!((connections, whole), eq((3, 3)));
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -54,7 +54,7 @@
         let read = with_time_limit(Some(REFUSAL_BODY_LIMIT), reading).await;
         self.note_end(answer.connection.framing, read.is_ok(), 0);
         if read.is_ok() {
-            self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
+            self.end_answer(answer, slot);
         }
         AttemptResult::Failed(self.note_not_run(status))
     }
@@ -69,7 +69,6 @@
             Ok(body) => body,
             Err(error) => return AttemptResult::Failed(self.note_break(&error, true)),
         };
-        self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
         let status = answer.head.status;
         let headers = answer.head.headers();
         let whole = WholeAnswer {
@@ -78,6 +77,7 @@
             headers: self.state.dialect.forward_answer(headers),
             body,
         };
+        self.end_answer(answer, slot);
         // Nothing but the rest of its stream can follow an answer that has begun.
         if status.is_server_error() || promises_no_run(status) || self.writer.has_started {
             return AttemptResult::Failed(self.note_failure(whole));
@@ -137,16 +137,18 @@
         }
     }
 
-    /// Records whether the answer is whole, and keeps its connection for further calls.
-    pub(crate) fn end_answer(
-        &self,
-        connection: EndpointConnection,
-        keep_alive: Option<Duration>,
-        slot: &OccupiedSlot,
-    ) {
+    /// Records whether the answer is whole, and keeps its connection for further calls if its
+    /// answers can be told apart.
+    pub(crate) fn end_answer(&self, answer: OpenAnswer, slot: &OccupiedSlot) {
+        let connection = answer.connection;
         if connection.is_whole() {
             slot.note_whole();
         }
+        if !answer.is_named {
+            // An answer to a later call on the connection could not be told from a second one.
+            return;
+        }
+        let keep_alive = answer.metadata.keep_alive;
         let state = self.state;
         let instances = state.budget.borrow().instances();
         let max_idle = idle_share(self.call.max_connections, instances);
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -137,6 +137,8 @@
     pub(crate) connection: EndpointConnection,
     pub(crate) head: ResponseHead,
     pub(crate) metadata: AnswerMetadata,
+    /// Whether the answer names the call that it belongs to, or the call has no id to be named by.
+    pub(crate) is_named: bool,
 }
 
 impl EndpointAttempt<'_> {
@@ -173,7 +175,12 @@
             (row.address, row.name.clone(), row.version_id)
         };
         self.progress.attempt_version = version;
-        let mut connection = self.open_connection(address).await?;
+        let idle = state.pool.take(state.now(), self.endpoint);
+        let is_reused = idle.is_some();
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => self.open_connection(address).await?,
+        };
         let headers = {
             let metadata = self.forward_metadata(&name);
             let incoming = call.head.head().headers();
@@ -189,22 +196,25 @@
         let head = exchanged?;
         slot.note_alive();
         let metadata = self.read_head(&head)?;
+        let is_named = self.is_named(&metadata);
+        if is_reused && !is_named {
+            // It may be a second answer to an earlier call on the connection.
+            return Err(EndpointError::Misdelivered);
+        }
         Ok(OpenAnswer {
             connection,
             head,
             metadata,
+            is_named,
         })
     }
 
-    /// Takes an idle connection, or opens one. An endpoint that accepts none is recorded as down.
+    /// Opens a connection. An endpoint that accepts none is recorded as down.
     async fn open_connection(
         &self,
         address: SocketAddrV4,
     ) -> connection::Result<EndpointConnection> {
         let state = self.state;
-        if let Some(connection) = state.pool.take(state.now(), self.endpoint) {
-            return Ok(connection);
-        }
         let opened = EndpointConnection::open(address.into(), state.settings.connect_limit).await;
         if opened.is_err() {
             state.note_endpoint_down(self.endpoint);
@@ -254,6 +264,11 @@
         Ok(metadata)
     }
 
+    /// Whether an answer, which does not name another call, names this one.
+    fn is_named(&self, metadata: &AnswerMetadata) -> bool {
+        metadata.attempt_id.is_some() || self.call.metadata.attempt_id.is_none()
+    }
+
     /// Records that the endpoint could not be reached or that the connection to it broke. A call
     /// that waited too long for bytes counts against the endpoint only if the endpoint was silent
     /// to all calls of this instance.
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -77,8 +77,9 @@
         if sent.is_err() || self.writer.finish().await.is_err() {
             return AttemptResult::CallerLost;
         }
-        self.end_answer(answer.connection, answer.metadata.keep_alive, slot);
-        AttemptResult::Delivered(answer.head.status)
+        let status = answer.head.status;
+        self.end_answer(answer, slot);
+        AttemptResult::Delivered(status)
     }
 
     /// Whether a stream that does not state its end ended before its first event. Only one that
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -139,7 +139,8 @@
         call: &HttpMessage,
         random: &mut Pcg64,
     ) -> io::Result<()> {
-        let not_run = format!("{NOT_EXECUTED}: 1\r\n");
+        let attempt = call.header(ATTEMPT_ID).unwrap_or_default().to_owned();
+        let not_run = format!("{NOT_EXECUTED}: 1\r\n{ATTEMPT_ID}: {attempt}\r\n");
         let EndpointIdentity { name, version } = self.identity();
         if call.header(EXPECT_INSTANCE) != Some(&name) {
             return stream.send(sized_answer(421, &not_run, "").as_bytes());
@@ -157,7 +158,6 @@
             return stream.send(sized_answer(503, &not_run, "").as_bytes());
         }
         self.check_call(call);
-        let attempt = call.header(ATTEMPT_ID).unwrap_or_default().to_owned();
         self.history.record_execution(&attempt);
         let headers = format!("{ATTEMPT_ID}: {attempt}\r\n{SERVER_STAMP}: {name}\r\n");
         if random.random_range(0..1000) < FAILED_PER_THOUSAND {
