agent: use a connection again only for endpoints that name the request in their answers

The agent now names each attempt in X-Request-Id, which many engines repeat: a connection is kept if the answer names its request, and an answer on a reused one must. The fake engine and plain service repeat it.

--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -11,14 +11,17 @@
 use exchange::events::ContentKind;
 use exchange::pool::ConnectionPool;
 use fault::{Fault, FaultKind};
-use wire::answer::{HeaderField, SubmitRequest};
+use wire::answer::{AttemptKey, HeaderField, SubmitRequest};
 
 use crate::core::AgentCore;
 
 /// Header in which an endpoint reports the prompt tokens that it found in its cache.
 const CACHED_TOKENS_HEADER: &str = "x-cached-tokens";
+/// Header in which the agent names each request, and an endpoint may name it in its answer.
+const REQUEST_ID_HEADER: &str = "x-request-id";
 /// Headers of an answer that are not forwarded, because the sender on each connection sets its own.
-const CONNECTION_HEADERS: [&str; 6] = [
+const CONNECTION_HEADERS: [&str; 7] = [
+    REQUEST_ID_HEADER,
     "connection",
     "keep-alive",
     "transfer-encoding",
@@ -43,9 +46,9 @@
 pub struct EndpointClient {
     /// Sends the agent's own requests: health checks and orders.
     pub own: Client,
-    /// Connections whose last answer was read completely. Only idempotent requests take one: on a
-    /// reused connection, which the endpoint may close at that moment, the outcome of another
-    /// request would be unknown.
+    /// Connections whose last answer was read completely and named its request. Only idempotent
+    /// requests take one: on a reused connection, which the endpoint may close at that moment, the
+    /// outcome of another request would be unknown.
     idle: ConnectionPool,
     config: ServiceConfig,
     started: Instant,
@@ -82,6 +85,8 @@
 pub struct EndpointAnswer {
     connection: EndpointConnection,
     head: ResponseHead,
+    /// Whether the answer names the request that it belongs to.
+    is_named: bool,
 }
 
 impl EndpointAnswer {
@@ -111,8 +116,12 @@
         })
     }
 
-    /// Keeps the connection, whose body was read to its end, for further requests.
+    /// Keeps the connection, whose body was read to its end, for further requests, if a second
+    /// answer to this one could be told from theirs.
     pub fn release(self, core: &AgentCore) {
+        if !self.is_named {
+            return;
+        }
         let client = &core.client;
         let now = client.started.elapsed();
         let connection = self.connection;
@@ -158,19 +167,41 @@
     core: &AgentCore,
     submit: &SubmitRequest,
 ) -> std::result::Result<EndpointAnswer, SendFault> {
-    let head = head_of(core, submit).map_err(SendFault::NotSent)?;
-    let mut connection = connect(core, submit.idempotent).await.map_err(not_sent)?;
+    let id = request_id(submit.key);
+    let head = head_of(core, submit, &id).map_err(SendFault::NotSent)?;
+    let idle = idle_connection(core, submit.idempotent);
+    let is_reused = idle.is_some();
+    let mut connection = match idle {
+        Some(connection) => connection,
+        None => connect(core).await.map_err(not_sent)?,
+    };
     let exchange = connection.exchange(&core.client.config, head, &submit.body);
-    match exchange.await {
-        Ok(head) => Ok(EndpointAnswer { connection, head }),
-        Err(error) if !connection.has_sent => Err(not_sent(error)),
-        Err(error) => {
-            let message = format!("the endpoint failed: {error}");
-            Err(SendFault::Broken(
-                FaultKind::EndpointFailed.because(message),
-            ))
-        }
+    let head = match exchange.await {
+        Ok(head) => head,
+        Err(error) if !connection.has_sent => return Err(not_sent(error)),
+        Err(error) => return Err(broken(&error)),
+    };
+    let is_named = head.headers().get(REQUEST_ID_HEADER) == Some(&id);
+    if is_reused && !is_named {
+        // It may be a second answer to an earlier request on the connection.
+        return Err(broken(&EndpointError::Misdelivered));
     }
+    Ok(EndpointAnswer {
+        connection,
+        head,
+        is_named,
+    })
+}
+
+fn broken(error: &EndpointError) -> SendFault {
+    let message = format!("the endpoint failed: {error}");
+    SendFault::Broken(FaultKind::EndpointFailed.because(message))
+}
+
+/// Id of an attempt, for the endpoint.
+fn request_id(key: AttemptKey) -> HeaderValue {
+    let text = format!("{:032x}-{}", key.request, key.attempt);
+    HeaderValue::try_from(text).expect("hexadecimal digits are valid")
 }
 
 fn not_sent(error: EndpointError) -> SendFault {
@@ -178,22 +209,23 @@
     SendFault::NotSent(FaultKind::NoEndpoint.because(message))
 }
 
-async fn connect(
-    core: &AgentCore,
-    is_idempotent: bool,
-) -> exchange::connection::Result<EndpointConnection> {
+/// Takes an idle connection for a request that may be executed again if it breaks.
+fn idle_connection(core: &AgentCore, is_idempotent: bool) -> Option<EndpointConnection> {
     let client = &core.client;
-    if is_idempotent {
-        let idle = client.idle.take(client.started.elapsed(), core.endpoint);
-        if let Some(connection) = idle {
-            return Ok(connection);
-        }
-    }
+    let idle = is_idempotent.then(|| client.idle.take(client.started.elapsed(), core.endpoint));
+    idle.flatten()
+}
+
+async fn connect(core: &AgentCore) -> exchange::connection::Result<EndpointConnection> {
     let address = core.shared.settings.endpoint_http;
     EndpointConnection::open(address, CONNECT_TIMEOUT).await
 }
 
-fn head_of(core: &AgentCore, submit: &SubmitRequest) -> fault::Result<RequestHead> {
+fn head_of(
+    core: &AgentCore,
+    submit: &SubmitRequest,
+    id: &HeaderValue,
+) -> fault::Result<RequestHead> {
     let malformed = |what: &str| FaultKind::MalformedRequest.because(format!("{what} is invalid"));
     let method = Method::from_bytes(submit.method.as_bytes());
     let method = method.map_err(|_| malformed("the method"))?;
@@ -210,5 +242,6 @@
         };
         headers.insert(name, value);
     }
+    headers.insert(HeaderName::from_static(REQUEST_ID_HEADER), id.clone());
     Ok(request_head(method, uri, headers))
 }
--- a/crates/fake/src/engine.rs
+++ b/crates/fake/src/engine.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use actix_web::middleware::from_fn;
 use actix_web::{App, HttpResponse, HttpServer, web};
 use bytes::Bytes;
 use futures::stream;
@@ -14,6 +15,8 @@
 use serde_json::{Value, json};
 use wire::id::{FenceNumber, PrefixHash, name_id};
 
+use crate::request_id::echo_request_id;
+
 /// Bytes of prompt text in one cache block.
 const BLOCK_BYTES: usize = 64;
 /// Tokens per cache block.
@@ -95,6 +98,7 @@
     });
     HttpServer::new(move || {
         App::new()
+            .wrap(from_fn(echo_request_id))
             .app_data(state.clone())
             .app_data(web::PayloadConfig::new(64 * 1024 * 1024))
             .app_data(web::JsonConfig::default().limit(64 * 1024 * 1024))
--- a/crates/fake/src/lib.rs
+++ b/crates/fake/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod fleet;
 pub mod plain;
 pub mod platform;
+mod request_id;
 pub mod tour;
--- a/crates/fake/src/plain.rs
+++ b/crates/fake/src/plain.rs
@@ -4,10 +4,13 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
 
+use actix_web::middleware::from_fn;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use kernel::http::set_nodelay;
 use serde_json::json;
 
+use crate::request_id::echo_request_id;
+
 /// Settings of a fake plain service.
 #[derive(Clone, Debug)]
 pub struct PlainSettings {
@@ -34,6 +37,7 @@
     });
     HttpServer::new(move || {
         App::new()
+            .wrap(from_fn(echo_request_id))
             .app_data(state.clone())
             .app_data(web::PayloadConfig::new(64 * 1024 * 1024))
             .route("/orders", web::post().to(place_order))
--- a/crates/fake/tests/framing.rs
+++ b/crates/fake/tests/framing.rs
@@ -30,6 +30,8 @@
 enum ConnectionEnd {
     Close,
     Reset,
+    /// The answer is sent once more when the next request arrives on the connection.
+    Copy,
     /// The second half of the bytes are repeated until the caller closes the connection.
     Endless,
 }
@@ -66,11 +68,16 @@
 fn serve(stream: TcpStream, answers: &[ScriptedAnswer]) {
     let mut reader = BufReader::new(stream.try_clone().expect("the socket can be cloned"));
     let mut writer = stream;
+    let mut late_copy = None;
     while let Some((path, length)) = read_request(&mut reader) {
         let mut body = vec![0; length];
         if reader.read_exact(&mut body).is_err() {
             return;
         }
+        if let Some(copy) = late_copy.take() {
+            let _ = writer.write_all(copy);
+            return;
+        }
         let Some(answer) = answers.iter().find(|answer| answer.path == path) else {
             let ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok";
             if writer.write_all(ok).is_err() {
@@ -84,6 +91,10 @@
                 .write_all(&answer.bytes[answer.bytes.len() / 2..])
                 .is_ok();
         }
+        if answer.end == ConnectionEnd::Copy {
+            late_copy = Some(&answer.bytes);
+            continue;
+        }
         if answer.end == ConnectionEnd::Reset {
             let _ = reset_on_close(&writer);
         }
@@ -253,3 +264,20 @@
         expect_that!(answer.body.len(), le(MAX_TAKEN_BYTES), "{path}");
     }
 }
+
+// A second copy of an answer, late, on a connection that is in use again.
+#[gtest]
+fn late_copy_of_an_answer_reaches_the_next_caller_of_its_connection() {
+    let mut fleet = TestFleet::start(&FleetPlan::default());
+    let answer = "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nfirst";
+    let copied = scripted("/copied", ConnectionEnd::Copy, answer);
+    replace_plain(&mut fleet, vec![copied]);
+
+    for _ in 0..10 {
+        let first = service_call(&fleet, HttpCall::get, "copied");
+        let next = service_call(&fleet, HttpCall::get, "sound");
+
+        expect_that!((first.status, first.text()), eq(&(200, "first".to_owned())));
+        expect_that!((next.status, next.text()), eq(&(200, "ok".to_owned())));
+    }
+}
