relay: do not end a silent stream that can go on nowhere else

When the silence limit passes, the relay asks placement whether an untried sound endpoint matches; if not, it waits on until the deadline. The same for the head of an answer that resumes a stream. slow_stream_is_cut_though_no_other_endpoint_can_go_on fails without the change (d1 d2, cut), and still goes on elsewhere where the version has another endpoint.

--- a/crates/gateway/tests/forwarding/versions.rs
+++ b/crates/gateway/tests/forwarding/versions.rs
@@ -23,8 +23,11 @@
 use wire::id::InstanceId;
 use wire::stream::StreamMessage;
 
-use crate::fixture::{CallerAnswer, LAST_CHUNK, call, chunk, read_head};
-use crate::{RelayFixture, SERVICE, run, serve, valid_catalog};
+use crate::fixture::{
+    CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, chunk, read_head, request,
+    stream_head,
+};
+use crate::{RelayFixture, SERVICE, relay_before, run, serve, stream_of, valid_catalog};
 
 /// Seeds of the generated streams.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
@@ -472,3 +475,42 @@
     }
     unreachable!("some streams break off")
 }
+
+/// Answer to a resumable call when the first endpoint pauses inside its stream. The second one has
+/// the version `other_version`.
+async fn call_of_slow_stream(other_version: &str) -> CallerAnswer {
+    let slow = ScriptedReply::Slow(
+        stream_head() + &stream_of(1..=2),
+        stream_of(3..=4) + LAST_CHUNK,
+    );
+    let rest = ScriptedReply::Keep(stream_head() + &stream_of(3..=4) + LAST_CHUNK);
+    let first = ScriptedEndpoint::start("e1", vec![slow]).await;
+    let second = ScriptedEndpoint::start("e2", vec![rest]).await;
+    let relay = relay_before(&[&first, &second]).await;
+    let listed =
+        [(&first, "v1"), (&second, other_version)].map(|(endpoint, version)| ListedEndpoint {
+            name: endpoint.name.clone(),
+            service: SERVICE.to_owned(),
+            address: endpoint.address,
+            domain: u64::from(endpoint.name != "e1"),
+            slots: 4,
+            is_draining: false,
+            version: version.to_owned(),
+        });
+    relay.state.set_endpoints(&listed);
+    let answer = call(relay.address, &request("/resumable/x", "b")).await;
+    expect_that!(first.runs(), eq(1));
+    expect_that!(second.runs(), eq(usize::from(other_version == "v1")));
+    answer
+}
+
+// Silence is a reason to go on elsewhere, not to end a stream that can go on nowhere else.
+#[gtest]
+fn slow_stream_is_cut_though_no_other_endpoint_can_go_on() {
+    for other_version in ["v2", "v1"] {
+        let answer = run(call_of_slow_stream(other_version));
+
+        expect_that!(answer.is_whole, eq(true), "{other_version}");
+        expect_that!(answer.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -126,6 +126,8 @@
     pub call: &'a RelayCall<'a>,
     /// Id of the endpoint.
     pub endpoint: EndpointId,
+    /// Endpoints that the call has tried, this one included.
+    pub tried: &'a [EndpointId],
     /// Progress of the call over its attempts.
     pub progress: &'a mut CallProgress,
     /// Writer of the caller's connection.
@@ -222,6 +224,15 @@
         opened
     }
 
+    /// Whether another endpoint can take the call over, so that a silent one need not be awaited
+    /// until the deadline.
+    pub(crate) fn may_go_on_elsewhere(&self) -> bool {
+        let query = self
+            .call
+            .query(self.state, self.progress.begun_by, self.tried);
+        placement::has_sound(&self.state.table.borrow(), &query)
+    }
+
     fn forward_metadata<'b>(&'b self, name: &'b str) -> ForwardMetadata<'b> {
         let (state, call) = (self.state, self.call);
         let query = call.query(state, None, &[]);
@@ -235,10 +246,12 @@
         }
     }
 
-    /// How long the head of the answer may take; `None` for no limit.
+    /// How long the head of the answer may take; `None` for no limit, as for a stream that can go
+    /// on nowhere else.
     fn head_limit(&self) -> Option<Duration> {
+        let is_bound = self.progress.begun_by.is_some() && !self.may_go_on_elsewhere();
         let queue_wait = self.progress.queue_wait * QUEUE_WAIT_FACTOR;
-        let limit = self.progress.silence_limit;
+        let limit = self.progress.silence_limit.filter(|_| !is_bound);
         limit.map(|limit| limit + queue_wait)
     }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -211,11 +211,13 @@
         let resumed_after = self.progress.resume_after(&self.call.metadata);
         let attempt = attempt_record(self.state, endpoint, resumed_after);
         self.record.attempts.push(attempt);
+        let tried = self.record.tried();
         self.progress.silence_limit = silence_limit(self.call.route, self.tally);
         let attempt = EndpointAttempt {
             state: self.state,
             call: self.call,
             endpoint,
+            tried: &tried,
             progress: &mut self.progress,
             writer: self.writer,
         };
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -12,7 +12,7 @@
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId, VersionId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::row::EndpointRow;
+use crate::row::{EndpointRow, EndpointStanding};
 use crate::table::EndpointTable;
 
 /// Settings of placement.
@@ -112,6 +112,13 @@
     of_best.map(|(_, candidate)| candidate).collect()
 }
 
+/// Whether an untried endpoint that matches the query is sound and takes new calls.
+pub fn has_sound(table: &EndpointTable, query: &PlacementQuery<'_>) -> bool {
+    let untried = table.of_service(query.service);
+    let mut untried = untried.filter(|(id, row)| !query.tried.contains(id) && query.matches(row));
+    untried.any(|(_, row)| row.standing(query.now) == Some(EndpointStanding::Sound))
+}
+
 type Candidate<'a> = (EndpointId, &'a EndpointRow);
 
 fn choose_warm(
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -26,6 +26,10 @@
             let chunk = match with_time_limit(self.progress.silence_limit, waiting).await {
                 Ok(Some(chunk)) => chunk,
                 Ok(None) => return self.end_stream(answer, content, slot).await,
+                Err(EndpointError::Silent) if !self.may_go_on_elsewhere() => {
+                    self.progress.silence_limit = None;
+                    continue;
+                }
                 Err(error) => return self.break_off(&answer, &error),
             };
             self.note_bytes(slot);
