relay: count silence of a stream from its last whole event

Here it ended at its deadline only, as each byte restarted the silence limit, though another endpoint could have gone on; slow but sound streams send whole events and are not affected. stalled_stream_that_sends_a_byte_now_and_then_is_awaited_until_its_deadline fails without the change (d1 d2, cut after the route's 4 s).

--- a/crates/gateway/tests/forwarding/framing.rs
+++ b/crates/gateway/tests/forwarding/framing.rs
@@ -401,3 +401,15 @@
 
     expect_that!((connections, whole), eq((3, 3)));
 }
+
+// A byte now and then is no progress.
+#[gtest]
+fn stalled_stream_that_sends_a_byte_now_and_then_is_awaited_until_its_deadline() {
+    let stalled = ScriptedReply::Dribble(stream_head() + &stream_of(1..=2));
+    let rest = ScriptedReply::Keep(stream_head() + &stream_of(3..=4) + LAST_CHUNK);
+    let (answer, _, second_runs) = run(one_call("/resumable/x", vec![stalled], vec![rest]));
+
+    expect_that!(answer.is_whole, eq(true));
+    expect_that!(answer.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
+    expect_that!(second_runs, eq(1));
+}
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use exchange::connection::EndpointError;
 use exchange::events::ContentKind;
+use tokio::time::Instant;
 use wire::stream::StreamOrigin;
 
 use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
@@ -13,7 +14,8 @@
 
 impl EndpointAttempt<'_> {
     /// Forwards a successful answer of a stream route, whole events at a time. A stream that ends
-    /// inside an event was broken off, whatever its framing says.
+    /// inside an event was broken off, whatever its framing says. One that sends no whole event for
+    /// longer than the silence limit is silent.
     pub(crate) async fn forward_stream(
         &mut self,
         mut answer: OpenAnswer,
@@ -21,9 +23,12 @@
     ) -> AttemptResult {
         let content = ContentKind::of(answer.head.headers());
         let mut has_first = false;
+        let mut event_at = Instant::now();
         loop {
+            let limit = self.progress.silence_limit;
+            let left = limit.map(|limit| limit.saturating_sub(event_at.elapsed()));
             let waiting = answer.connection.next_chunk();
-            let chunk = match with_time_limit(self.progress.silence_limit, waiting).await {
+            let chunk = match with_time_limit(left, waiting).await {
                 Ok(Some(chunk)) => chunk,
                 Ok(None) => return self.end_stream(answer, content, slot).await,
                 Err(EndpointError::Silent) if !self.may_go_on_elsewhere() => {
@@ -42,6 +47,7 @@
                 Ok(None) => continue,
                 Err(error) => return self.break_off(&answer, &error),
             };
+            event_at = Instant::now();
             if !has_first {
                 has_first = true;
                 self.note_served();
