Split the occupied slots from the relay's state, the test fleet from its tests; drop dead code

The tests of mixed versions are apart from their fixtures. Tests keep the numbers of datagrams between gateways and the bytes of a notice of an earlier build. No change of behaviour; tests of wire, relay and gateway pass.

--- /dev/null
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -0,0 +1,308 @@
+//! Several instances before endpoints of two software versions, on loopback, and what a caller
+//! receives of its stream.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use catalog::{CatalogIndex, RouteCatalog, ServiceShare};
+use platform::PlatformDialect;
+use rand::rngs::StdRng;
+use rand::{RngExt, SeedableRng};
+use relay::origin_lookup::StreamPeers;
+use relay::state::{RelaySettings, RelayState};
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
+use watch::GatewayMetrics;
+use watch::label::LabelSettings;
+use wire::gateway::ListedEndpoint;
+use wire::id::InstanceId;
+use wire::stream::StreamMessage;
+
+use crate::fixture::{CallerAnswer, LAST_CHUNK, chunk, read_head};
+use crate::{RelayFixture, SERVICE, serve, valid_catalog};
+
+const INSTANCES: u64 = 4;
+/// Software version of each endpoint.
+const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
+/// Number of events of a whole stream.
+const EVENTS: u32 = 8;
+const CUT_PROBABILITY: f64 = 0.6;
+/// Share of the messages between instances that are lost.
+const LOSS: f64 = 0.1;
+/// Exclusive upper bound of the delay of a message, in milliseconds.
+const MAX_DELAY_MS: u64 = 12;
+
+/// Endpoint that sends event streams and breaks some of them off.
+struct VersionedEndpoint {
+    version: &'static str,
+    random: RefCell<StdRng>,
+}
+
+impl VersionedEndpoint {
+    /// Starts an endpoint and returns its entry of the endpoint list.
+    async fn start(number: usize, seed: u64) -> ListedEndpoint {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("loopback works");
+        let address = listener.local_addr().expect("loopback works").to_string();
+        let endpoint = Rc::new(Self {
+            version: VERSIONS[number],
+            random: RefCell::new(StdRng::seed_from_u64(seed * 100 + number as u64)),
+        });
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(Rc::clone(&endpoint).serve(stream));
+            }
+        });
+        ListedEndpoint {
+            name: format!("e{number}"),
+            service: SERVICE.to_owned(),
+            address: address.parse().expect("an IPv4 address"),
+            domain: 0,
+            slots: 4,
+            is_draining: false,
+            version: VERSIONS[number].to_owned(),
+        }
+    }
+
+    async fn serve(self: Rc<Self>, mut stream: TcpStream) {
+        while let Some(head) = read_head(&mut stream).await {
+            let attempt = field(&head, "x-attempt-id").unwrap_or_default();
+            let last: Option<u32> = field(&head, "last-event-id").and_then(|id| id.parse().ok());
+            let first = last.unwrap_or(0) + 1;
+            let cut_at = self.draw_cut(first);
+            let events = (first..=cut_at.unwrap_or(EVENTS)).map(|id| self.event(id));
+            let events: String = events.map(|event| chunk(&event)).collect();
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{events}"
+            );
+            let _ = stream.write_all(answer.as_bytes()).await;
+            if cut_at.is_some() {
+                return;
+            }
+            let _ = stream.write_all(LAST_CHUNK.as_bytes()).await;
+        }
+    }
+
+    fn event(&self, id: u32) -> String {
+        format!("id: {id}\ndata: {} {id}\n\n", self.version)
+    }
+
+    /// The event after which the stream breaks off; `None` for a whole one.
+    fn draw_cut(&self, first: u32) -> Option<u32> {
+        let mut random = self.random.borrow_mut();
+        let is_cut = first < EVENTS && random.random_bool(CUT_PROBABILITY);
+        is_cut.then(|| random.random_range(first..EVENTS))
+    }
+}
+
+fn field(head: &str, name: &str) -> Option<String> {
+    let mut lines = head.lines().filter_map(|line| line.split_once(": "));
+    let (_, value) = lines.find(|(field, _)| field.eq_ignore_ascii_case(name))?;
+    Some(value.to_owned())
+}
+
+/// Network between the instances, which loses and delays messages.
+struct TestNetwork {
+    /// The process that runs at present, by instance.
+    states: RefCell<BTreeMap<InstanceId, Rc<RelayState>>>,
+    random: RefCell<StdRng>,
+}
+
+/// The other instances, as one of them sees them.
+struct TestPeers {
+    own: InstanceId,
+    network: Rc<TestNetwork>,
+}
+
+impl StreamPeers for TestPeers {
+    fn instances(&self) -> Vec<InstanceId> {
+        let states = self.network.states.borrow();
+        let others = states.keys().filter(|instance| **instance != self.own);
+        others.copied().collect()
+    }
+
+    fn send(&self, to: InstanceId, message: &StreamMessage) {
+        let (own, message) = (self.own, message.clone());
+        let network = Rc::clone(&self.network);
+        let (is_lost, delay) = {
+            let mut random = network.random.borrow_mut();
+            (
+                random.random_bool(LOSS),
+                random.random_range(0..MAX_DELAY_MS),
+            )
+        };
+        if is_lost {
+            return;
+        }
+        actix_rt::spawn(async move {
+            sleep(Duration::from_millis(delay)).await;
+            let receiver = network.states.borrow().get(&to).cloned();
+            if let Some(receiver) = receiver {
+                receiver.handle_stream_message(own, message);
+            }
+        });
+    }
+}
+
+/// What differs between fleets.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FleetLayout {
+    /// Whether the endpoints have one version and belong to two services, not the other way round.
+    pub(crate) has_services: bool,
+    /// Whether callers that return name the stream.
+    pub(crate) is_named: bool,
+}
+
+impl Default for FleetLayout {
+    fn default() -> Self {
+        Self {
+            has_services: false,
+            is_named: true,
+        }
+    }
+}
+
+/// Instances before the endpoints.
+pub(crate) struct TestFleet {
+    pub(crate) layout: FleetLayout,
+    pub(crate) listed: Vec<ListedEndpoint>,
+    pub(crate) instances: Vec<RelayFixture>,
+    network: Rc<TestNetwork>,
+}
+
+impl TestFleet {
+    pub(crate) async fn start(seed: u64, layout: FleetLayout) -> Self {
+        let mut fleet = Self {
+            layout,
+            listed: Vec::new(),
+            instances: Vec::new(),
+            network: Rc::new(TestNetwork {
+                states: RefCell::default(),
+                random: RefCell::new(StdRng::seed_from_u64(seed)),
+            }),
+        };
+        for number in 0..VERSIONS.len() {
+            let mut listed = VersionedEndpoint::start(number, seed).await;
+            if layout.has_services {
+                let version = std::mem::replace(&mut listed.version, "v1".to_owned());
+                listed.service = service_of(&version);
+            }
+            fleet.listed.push(listed);
+        }
+        for number in 0..INSTANCES {
+            let instance = fleet.start_instance(number).await;
+            fleet.instances.push(instance);
+        }
+        fleet
+    }
+
+    async fn start_instance(&self, number: u64) -> RelayFixture {
+        let metrics = GatewayMetrics::new(LabelSettings::default()).expect("names are free");
+        let settings = RelaySettings {
+            instance: number,
+            ..RelaySettings::default()
+        };
+        let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
+        state.set_catalog(CatalogIndex::new(self.catalog()));
+        state.set_endpoints(&self.listed);
+        let peers = TestPeers {
+            own: number,
+            network: Rc::clone(&self.network),
+        };
+        let _ = state.stream_peers.set(Rc::new(peers));
+        let states = &self.network.states;
+        states.borrow_mut().insert(number, Rc::clone(&state));
+        serve(state).await
+    }
+
+    fn catalog(&self) -> RouteCatalog {
+        let mut catalog = valid_catalog();
+        if self.layout.has_services {
+            let share = |version: &&str| ServiceShare {
+                service: service_of(version),
+                weight: 1,
+            };
+            for route in &mut catalog.routes {
+                route.services = ["v1", "v2"].iter().map(share).collect();
+            }
+        }
+        catalog
+    }
+
+    /// Replaces an instance by one that knows nothing of before. The others notice it.
+    pub(crate) async fn restart(&mut self, number: usize) {
+        let instance = number as InstanceId;
+        self.instances[number] = self.start_instance(instance).await;
+        for other in &self.instances {
+            other.state.refresh_keeper(instance);
+        }
+    }
+}
+
+/// Service of the endpoints that send this version in their events.
+fn service_of(version: &str) -> String {
+    format!("service-{version}")
+}
+
+/// What one caller received of its stream.
+#[derive(Debug, Default)]
+pub(crate) struct ReceivedStream {
+    /// Number of the stream, which its request holds.
+    pub(crate) number: u32,
+    /// Whether the caller names the stream when it returns.
+    pub(crate) is_named: bool,
+    /// Software version and id of each event.
+    pub(crate) events: Vec<(String, u32)>,
+    /// Id of the attempt that brought the first event.
+    pub(crate) began_as: Option<String>,
+    pub(crate) is_whole: bool,
+    /// Number of attempts to take the stream up.
+    pub(crate) returns: u32,
+    /// Number of these that brought an answer of an endpoint.
+    pub(crate) went_on: u32,
+}
+
+impl ReceivedStream {
+    pub(crate) fn request(&self, attempt: &str) -> String {
+        let resumes = match (&self.began_as, self.events.last()) {
+            (Some(began_as), Some((_, id))) if self.is_named => {
+                format!("Resumes: {began_as}\r\nLast-Event-Id: {id}\r\n")
+            }
+            (Some(_), Some((_, id))) => format!("Last-Event-Id: {id}\r\n"),
+            _ => String::new(),
+        };
+        let number = self.number;
+        format!(
+            "POST /resumable/{number} HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: {attempt}\r\nX-Deadline-Ms: 5000\r\nApi-Key: k1\r\n{resumes}Content-Length: 0\r\n\r\n"
+        )
+    }
+
+    pub(crate) fn add(&mut self, attempt: &str, answer: &CallerAnswer) {
+        let is_return = self.began_as.is_some();
+        self.returns += u32::from(is_return);
+        self.went_on += u32::from(is_return && answer.status() == 200);
+        for event in answer.events() {
+            let (version, id) = event.split_once(' ').expect("a version and an id");
+            self.events
+                .push((version.to_owned(), id.parse().expect("an id")));
+        }
+        if !self.events.is_empty() {
+            self.began_as.get_or_insert_with(|| attempt.to_owned());
+        }
+        self.is_whole = answer.status() == 200 && answer.is_whole;
+    }
+
+    /// Whether it holds the first events of one version, each once.
+    pub(crate) fn is_sound(&self) -> bool {
+        let version = self.events.first().map(|(version, _)| version);
+        let mut expected = 1..;
+        let is_next = |(event_version, id): &(String, u32)| {
+            Some(event_version) == version && Some(*id) == expected.next()
+        };
+        self.events.iter().all(is_next)
+    }
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -16,7 +16,7 @@
 use crate::reply::{WholeAnswer, deliver_whole};
 use crate::retry::AttemptEnd;
 use crate::session::CallerFraming;
-use crate::state::OccupiedSlot;
+use crate::slot::OccupiedSlot;
 
 /// Maximum size of the body of a refusal that is read so that its connection can be kept, in bytes.
 const MAX_REFUSAL_BYTES: usize = 16 * 1024;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -17,7 +17,8 @@
 use crate::reply::WholeAnswer;
 use crate::retry::AttemptEnd;
 use crate::session::SessionWriter;
-use crate::state::{OccupiedSlot, RelayState};
+use crate::slot::OccupiedSlot;
+use crate::state::RelayState;
 
 /// Multiple of the expected wait for a slot that is added to the silence limit while the head of
 /// the answer is awaited, as an endpoint sends nothing for a call that waits in its queue.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,8 +24,8 @@
 //! * [`session`]: server side of one caller connection.
 //! * [`relay_call`]: a call together with its rules.
 //! * [`attempt`]: one attempt of a call at one endpoint.
-//! * [`answer`]: forwarding of an endpoint's answer to the caller.
-//! * [`stream_answer`]: forwarding of an endpoint's event stream to the caller.
+//! * `answer`: forwarding of an endpoint's answer to the caller.
+//! * `stream_answer`: forwarding of an endpoint's event stream to the caller.
 //! * [`reply`]: answers that are sent in one piece, refusals included.
 //! * [`forward`]: the sequence of attempts of one call.
 //! * [`record`]: metrics and log line of a call.
@@ -33,6 +33,7 @@
 //! * [`crash_log`]: log lines and metrics of crash detection.
 //! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
 //! * [`state`]: state that all calls of one instance share.
+//! * [`slot`]: slots that calls occupy at endpoints.
 //! * [`server`]: serving of caller connections.
 //! * [`accept`]: accept loop of a listener.
 
@@ -63,6 +64,7 @@
 pub mod rules;
 pub mod server;
 pub mod session;
+pub mod slot;
 pub mod state;
 mod stream_answer;
 pub mod table;
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -10,7 +10,7 @@
 use crate::origin_lookup::stream_id;
 use crate::retry::AttemptEnd;
 use crate::session::{self, CallerFraming};
-use crate::state::OccupiedSlot;
+use crate::slot::OccupiedSlot;
 
 impl EndpointAttempt<'_> {
     /// Forwards a successful answer of a stream route, whole events at a time. A stream that ends
--- /dev/null
+++ b/crates/wire/tests/gateway.rs
@@ -0,0 +1,88 @@
+//! Datagrams between gateways of different builds.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use googletest::prelude::*;
+use wire::codec::{decode_as, encode};
+use wire::gateway::{
+    CrashNotice, GatewayDatagram, ListNotice, ListedEndpoint, VersionlessEndpoint,
+    VersionlessNotice,
+};
+use wire::stream::{OriginQuery, StreamMessage};
+
+/// Number by which postcard names the variant of a datagram.
+fn variant_of(datagram: &GatewayDatagram) -> u8 {
+    encode(datagram).expect("a small datagram")[0]
+}
+
+fn versionless() -> VersionlessEndpoint {
+    VersionlessEndpoint {
+        name: "endpoint-1".to_owned(),
+        service: "drafts".to_owned(),
+        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, 1), 80),
+        domain: 3,
+        slots: 64,
+        is_draining: false,
+    }
+}
+
+#[gtest]
+fn datagrams_keep_their_numbers() {
+    let query = OriginQuery {
+        request: 1,
+        stream: None,
+    };
+    let datagrams = [
+        GatewayDatagram::Heartbeat(Box::default()),
+        GatewayDatagram::VersionlessList(VersionlessNotice::default()),
+        GatewayDatagram::Replica(Vec::new()),
+        GatewayDatagram::Crashes(CrashNotice::default()),
+        GatewayDatagram::PartCrashes(CrashNotice::default()),
+        GatewayDatagram::List(ListNotice::default()),
+        GatewayDatagram::Stream(StreamMessage::Query(query)),
+    ];
+
+    let numbers: Vec<u8> = datagrams.iter().map(variant_of).collect();
+
+    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6]));
+}
+
+// The bytes of an earlier build: a notice without change, and one with an endpoint.
+#[gtest]
+fn list_notice_of_an_earlier_gateway_is_recognised() {
+    let unchanged = vec![1, 9, 2, 7, 0, 0, 0];
+    let changed = GatewayDatagram::VersionlessList(VersionlessNotice {
+        changed: vec![versionless()],
+        ..VersionlessNotice::default()
+    });
+
+    let decoded = decode_as::<GatewayDatagram>(&unchanged).expect("a datagram");
+    let bytes = encode(&changed).expect("a small datagram");
+
+    expect_that!(
+        decoded,
+        matches_pattern!(GatewayDatagram::VersionlessList(_))
+    );
+    expect_that!(decode_as::<GatewayDatagram>(&bytes), ok(eq(&changed)));
+}
+
+#[gtest]
+fn software_version_of_an_endpoint_is_sent() {
+    let endpoint = versionless();
+    let notice = GatewayDatagram::List(ListNotice {
+        changed: vec![ListedEndpoint {
+            name: endpoint.name,
+            service: endpoint.service,
+            address: endpoint.address,
+            domain: endpoint.domain,
+            slots: endpoint.slots,
+            is_draining: endpoint.is_draining,
+            version: "v2".to_owned(),
+        }],
+        ..ListNotice::default()
+    });
+
+    let bytes = encode(&notice).expect("a small datagram");
+
+    expect_that!(decode_as::<GatewayDatagram>(&bytes), ok(eq(&notice)));
+}
