gateway: test that an answer of the list from before a suspension is not used

Looked for, as operators of similar systems told of endpoints that had left and were in use again: a gateway that reads the list for all is suspended between its request and the answer, and then publishes a list that is seconds old. It does not happen while the steady clock counts the suspension, as the limit of a page ends the request first; the test shows it. A suspension that the steady clock does not count remains suspected: no test here can produce one.

--- /dev/null
+++ b/crates/gateway/tests/list_reading.rs
@@ -0,0 +1,144 @@
+//! Readings of the endpoint list by a gateway that is suspended meanwhile.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::rc::Rc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, mpsc};
+use std::thread;
+use std::time::Duration;
+
+use gateway::endpoint_list::follow_list;
+use gateway::node::GatewayNode;
+use googletest::prelude::*;
+use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
+use platform::PlatformDialect;
+use platform::endpoint_list::write_page;
+use relay::state::{RelaySettings, RelayState};
+use settings::process::{GatewaySettings, ListSettings, RetrySettings};
+use tokio::net::UdpSocket;
+use watch::GatewayMetrics;
+use watch::label::LabelSettings;
+use wire::gateway::ListedEndpoint;
+
+/// Longer than the answer to one request for the list may take.
+const SUSPENSION: Duration = Duration::from_millis(2500);
+/// Time from a request until its answer, in which the gateway is suspended.
+const ANSWER_DELAY: Duration = Duration::from_millis(200);
+/// Names of the only endpoint of the list, before the gateway is suspended and after.
+const NAMES: [&str; 2] = ["left", "present"];
+
+fn page_of(name: &str) -> String {
+    let endpoint = ListedEndpoint {
+        name: name.to_owned(),
+        service: "drafts".to_owned(),
+        address: "127.0.0.1:9".parse().expect("an address"),
+        domain: 0,
+        slots: 1,
+        is_draining: false,
+        version: "v1".to_owned(),
+    };
+    write_page(&[endpoint], "rennes", Vec::new()).expect("it can be written")
+}
+
+/// Answers one request at a time; the first with the first name. Tells of each request before its
+/// answer.
+fn serve_list(requests: mpsc::Sender<()>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback works");
+    let address = listener.local_addr().expect("loopback works");
+    let answered = Arc::new(AtomicUsize::new(0));
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let (requests, answered) = (requests.clone(), Arc::clone(&answered));
+            thread::spawn(move || answer_requests(&stream, &requests, &answered));
+        }
+    });
+    address
+}
+
+fn answer_requests(
+    mut stream: &TcpStream,
+    requests: &mpsc::Sender<()>,
+    answered: &AtomicUsize,
+) -> std::io::Result<()> {
+    let mut lines = BufReader::new(stream).lines();
+    loop {
+        while !lines
+            .next()
+            .ok_or(std::io::ErrorKind::UnexpectedEof)??
+            .is_empty()
+        {}
+        let number = answered.fetch_add(1, Ordering::SeqCst);
+        // The test may be over.
+        let _ = requests.send(());
+        thread::sleep(ANSWER_DELAY);
+        let page = page_of(NAMES[number.min(1)]);
+        let head = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
+        write!(stream, "{head}Content-Length: {}\r\n\r\n{page}", page.len())?;
+    }
+}
+
+async fn gateway_before(list: SocketAddr) -> Rc<GatewayNode> {
+    let socket = UdpSocket::bind("127.0.0.1:0")
+        .await
+        .expect("loopback works");
+    let link: SocketAddrV4 = match socket.local_addr().expect("loopback works") {
+        SocketAddr::V4(address) => address,
+        SocketAddr::V6(_) => unreachable!("the socket is bound to an IPv4 address"),
+    };
+    let unused = SocketAddr::V4(link);
+    let settings = GatewaySettings {
+        name: "gateway-1".to_owned(),
+        failure_domain: "rennes".to_owned(),
+        callers: unused,
+        readiness: unused,
+        operators: unused,
+        metrics: None,
+        link,
+        seeds: vec![link],
+        seed_link_port: None,
+        data: None,
+        tolerated_losses: 1,
+        first_start: true,
+        secret_file: None,
+        grace_s: 8.0,
+        list: ListSettings {
+            address: list,
+            interval_ms: 300,
+        },
+        retries: RetrySettings::default(),
+    };
+    let metrics = GatewayMetrics::new(LabelSettings::default()).expect("names are free");
+    let relay_settings = RelaySettings::default();
+    let state = RelayState::new(relay_settings, Rc::new(PlatformDialect), metrics);
+    let identity = LinkIdentity {
+        name: "gateway-1".to_owned(),
+        role: PeerRole::Control,
+    };
+    let links = LinkSettings::new(identity, LinkSecret::new(Vec::new()));
+    Rc::new(GatewayNode::new(settings, 1, Rc::new(state), socket, links))
+}
+
+// The answer was made before the gateway was suspended, and is read after.
+#[gtest]
+fn endpoint_that_has_left_is_used_again_after_a_suspension_of_the_reader() {
+    let (requests, requested) = mpsc::channel();
+    let list = serve_list(requests);
+
+    let first_names = actix_rt::System::new().block_on(async {
+        let node = gateway_before(list).await;
+        actix_rt::spawn(follow_list(Rc::clone(&node)));
+        while requested.try_recv().is_err() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        // Blocks the only thread of the gateway.
+        thread::sleep(SUSPENSION);
+        while node.relay_state.table.borrow().is_empty() {
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        let table = node.relay_state.table.borrow();
+        table.rows().map(|row| row.name.clone()).collect::<Vec<_>>()
+    });
+
+    expect_that!(first_names, elements_are![eq(NAMES[1])]);
+}
