agent: run no request for another service than that of the endpoint

A submission names the service that the endpoint must belong to, and no agent compared it, so an entry with an old address, or old settings, had its request run by an endpoint of another service. The gateway's path names the endpoint in each call, and is not affected.

--- a/crates/agent/src/admission.rs
+++ b/crates/agent/src/admission.rs
@@ -12,7 +12,7 @@
 use wire::LinkMessage;
 use wire::answer::{AdmitNotice, AttemptKey, RefuseNotice, SubmitRequest};
 use wire::command::{ControlCommand, ControlReply};
-use wire::id::FingerprintHash;
+use wire::id::{FingerprintHash, ServiceId, name_id};
 
 use crate::core::AgentCore;
 use crate::run::run_attempt;
@@ -48,11 +48,15 @@
     }
 
     fn open_session(self: &Rc<Self>, submit: SubmitRequest, sender: LinkSender) {
-        let (key, fingerprint) = (submit.key, submit.fingerprint);
+        let (key, service) = (submit.key, submit.service);
+        let fingerprint = submit.fingerprint;
         let session = Rc::new(AttemptSession::new(submit, self.load(), sender));
         self.sessions.borrow_mut().insert(key, Rc::clone(&session));
         actix_rt::spawn(send_answer(Rc::clone(self), session));
-        if let Err(fault) = self.check_lease() {
+        let checked = self
+            .check_lease()
+            .and_then(|()| self.check_service(service));
+        if let Err(fault) = checked {
             self.refuse_attempt(key, fault);
             return;
         }
@@ -73,6 +77,16 @@
         self.holder.borrow().check_lease(&service, Instant::now())
     }
 
+    /// Checks that the endpoint belongs to the service of a request. An entry may have sent it to the
+    /// address that another agent had, or under settings that are no longer in force.
+    fn check_service(&self, service: ServiceId) -> fault::Result<()> {
+        let own = self.endpoint_settings().map(|own| name_id(&own.service));
+        match own.is_none_or(|own| own == service) {
+            true => Ok(()),
+            false => Err(FaultKind::NoEndpoint.because("the endpoint belongs to another service")),
+        }
+    }
+
     fn offer(self: &Rc<Self>, key: AttemptKey) {
         let Some(session) = self.session(key) else {
             return;
--- a/crates/fake/src/fleet.rs
+++ b/crates/fake/src/fleet.rs
@@ -67,6 +67,8 @@
     pub endpoint: FleetInstance,
     /// The agent of the endpoint.
     pub agent: FleetInstance,
+    /// Address on which the agent accepts links.
+    pub link: SocketAddr,
     /// Forwarder from the agent to the endpoint.
     pub forwarder: TcpForwarder,
 }
@@ -237,6 +239,7 @@
         Self {
             endpoint: FleetInstance::start(spec.endpoint),
             agent: FleetInstance::start(spec.agent),
+            link: spec.link,
             forwarder: spec.forwarder,
         }
     }
--- a/crates/fake/src/fleet/plan.rs
+++ b/crates/fake/src/fleet/plan.rs
@@ -11,6 +11,8 @@
 
 /// Model of the service `redaction`.
 pub const MODEL: &str = "bulletin";
+/// Secret that authenticates the processes to each other.
+pub const FLEET_SECRET: &str = "secret of the tests, 32 bytes or more";
 /// Key of the client account `mairie`.
 pub const ACCOUNT_KEY: &str = "mairie-key";
 /// Key of the operator `sysop`.
@@ -70,6 +72,8 @@
     pub endpoint: InstanceSpec,
     /// The agent of the endpoint.
     pub agent: InstanceSpec,
+    /// Address on which the agent accepts links.
+    pub link: SocketAddr,
     /// Forwarder from the agent to the endpoint.
     pub forwarder: TcpForwarder,
 }
@@ -111,7 +115,7 @@
             folder,
             controls: controls.collect(),
         };
-        writer.write("secret", "secret of the tests, 32 bytes or more");
+        writer.write("secret", FLEET_SECRET);
         writer.write("tree.toml", &self.tree_text());
         let engines = (0..self.engines).map(|index| self.engine(&writer, index));
         let entries = (0..self.entries).map(|index| writer.entry(index));
@@ -196,10 +200,10 @@
         let agent_name = format!("agent-{name}");
         let agent_http = free_address();
         let control_forwarders = self.control_forwarders();
+        let link = free_address();
         let text = format!(
-            "control = {}\nlink = \"{}\"\nendpoint = \"{name}\"\nendpoint_http = \"{}\"\n{}",
+            "control = {}\nlink = \"{link}\"\nendpoint = \"{name}\"\nendpoint_http = \"{}\"\n{}",
             address_list(&control_forwarders),
-            free_address(),
             forwarder.address,
             self.instance(&agent_name, index, agent_http),
         );
@@ -217,6 +221,7 @@
                 &text,
                 control_forwarders,
             ),
+            link,
             forwarder,
         }
     }
