--- a/crates/gateway/tests/forwarding/framing.rs
+++ b/crates/gateway/tests/forwarding/framing.rs
@@ -413,3 +413,18 @@
     expect_that!(answer.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
     expect_that!(second_runs, eq(1));
 }
+
+// No other endpoint could go on with it.
+#[gtest]
+fn slow_stream_without_event_ids_is_cut() {
+    let unnumbered = |data: &str| chunk(&format!("data: {data}\n\n"));
+    let slow = ScriptedReply::Slow(
+        stream_head() + &unnumbered("d1"),
+        unnumbered("d2") + LAST_CHUNK,
+    );
+    let (answer, _, second_runs) = run(one_call("/resumable/x", vec![slow], vec![]));
+
+    expect_that!(answer.is_whole, eq(true));
+    expect_that!(answer.events().join(" ").as_str(), eq("d1 d2"));
+    expect_that!(second_runs, eq(0));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -95,6 +95,12 @@
         let own_events = self.events.last_id();
         own_events.or(metadata.resume_after.as_deref())
     }
+
+    /// Whether another attempt can go on exactly where the answer stands: it has not begun, or its
+    /// last event carries an id.
+    pub fn may_go_on(&self, writer: &SessionWriter) -> bool {
+        !writer.has_started || self.events.ends_at_id()
+    }
 }
 
 /// How an endpoint's answer whose head had arrived ended.
@@ -231,7 +237,8 @@
         let query = self
             .call
             .query(self.state, self.progress.begun_by, self.tried);
-        placement::has_sound(&self.state.table.borrow(), &query)
+        let has_other = placement::has_sound(&self.state.table.borrow(), &query);
+        has_other && self.progress.may_go_on(self.writer)
     }
 
     fn forward_metadata<'b>(&'b self, name: &'b str) -> ForwardMetadata<'b> {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -178,7 +178,8 @@
             self.tally.count(end);
             self.last = Some(failed);
             let step = next_step(call.route.kind, call.route.max_attempts, self.tally, end);
-            if step != NextStep::TryAnother || !self.may_retry() || !self.may_go_on() {
+            let may_go_on = self.progress.may_go_on(self.writer);
+            if step != NextStep::TryAnother || !self.may_retry() || !may_go_on {
                 return self.finish_failed().await;
             }
             // What a call is suspected of may become known while it waits at an endpoint.
@@ -236,11 +237,6 @@
         crashes.may_retry(self.call.fingerprint)
     }
 
-    /// Whether another endpoint can go on exactly where the answer broke off, if it has begun.
-    fn may_go_on(&self) -> bool {
-        !self.writer.has_started || self.progress.events.ends_at_id()
-    }
-
     /// Takes a retry from the budget. An attempt that sent nothing to an endpoint costs no retry.
     fn take_retry(&self, end: AttemptEnd) -> bool {
         let state = self.state;
