soak: hold returning callers against the new streams of the same run

The short run's check that at least half of the returns go on was wrong: in a run where all endpoints are down most of the time, new streams don't begin either. The rule's own bound takes the place of it: the share of returns that go on is at least half of the share of new streams that begin. The in-process test, where all endpoints serve, keeps its bound of half.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -95,13 +95,16 @@
             _ => None,
         };
         if let Some(count) = loss {
-            let events = stream.read_events(count)?;
+            let events = self.read_events(stream, count)?;
             stream.reset()?;
             let received = ReceivedEvents::new(&call, &events);
             self.returns.resume(&self.history, &call, received);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let answer = stream.read()?;
+        if kind == CallKind::ResumableStream {
+            self.history.record_stream(answer.status() == 200);
+        }
         let outcome = outcome_of(&self.history, &call, &call.body, &answer);
         self.history.record_outcome(&call.body, outcome);
         if kind == CallKind::ResumableStream && !answer.is_whole && answer.status() == 200 {
@@ -112,6 +115,21 @@
     }
 }
 
+impl SoakCaller {
+    /// Reads the first events of a resumable stream, whose caller then loses its connection.
+    fn read_events(&self, stream: &mut HttpStream, count: u32) -> io::Result<String> {
+        let read = stream.read_events(count);
+        match &read {
+            Ok(_) => self.history.record_stream(true),
+            Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                self.history.record_stream(false);
+            }
+            Err(_) => {}
+        }
+        read
+    }
+}
+
 fn outcome_of(
     history: &SoakHistory,
     call: &SoakCall,
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -78,6 +78,10 @@
     poison_runs: Vec<(PoisonScope, Instant)>,
     /// When disruptions of gateways began, and ended if they have.
     disruptions: Vec<(Instant, Option<Instant>)>,
+    /// Number of first attempts of resumable streams.
+    streams: usize,
+    /// Number of these that an endpoint answered.
+    begun: usize,
     /// Number of attempts to resume a stream.
     returns: usize,
     /// Number of these that an endpoint answered.
@@ -126,7 +130,11 @@
     pub served: usize,
     /// Calls with the outcome [`CallerOutcome::NotRun`].
     pub not_run: usize,
-    /// Attempts to resume a stream at some gateway.
+    /// First attempts of resumable streams that were answered.
+    pub streams: usize,
+    /// Those that an endpoint answered.
+    pub begun: usize,
+    /// Attempts to resume a stream at some gateway that were answered.
     pub returns: usize,
     /// Those that an endpoint answered.
     pub resumed: usize,
@@ -140,6 +148,13 @@
     pub late_part_runs: usize,
 }
 
+impl HistoryCounts {
+    /// Whether returning callers go on at least half as often as new streams begin.
+    pub fn are_returns_served(&self) -> bool {
+        2 * self.resumed * self.streams >= self.begun * self.returns
+    }
+}
+
 impl SoakHistory {
     /// Records that a caller is about to send a call.
     pub fn record_call(&self, attempt: &str, kind: CallKind) {
@@ -159,6 +174,13 @@
             .outcome = Some(outcome);
     }
 
+    /// Records an answer to the first attempt of a resumable stream.
+    pub fn record_stream(&self, is_begun: bool) {
+        let mut state = self.state();
+        state.streams += 1;
+        state.begun += usize::from(is_begun);
+    }
+
     /// Records an answer to an attempt to resume a stream.
     pub fn record_return(&self, is_resumed: bool) {
         let mut state = self.state();
@@ -224,6 +246,8 @@
             calls: state.calls.len(),
             served: with_outcome(CallerOutcome::Served),
             not_run: with_outcome(CallerOutcome::NotRun),
+            streams: state.streams,
+            begun: state.begun,
             returns: state.returns,
             resumed: state.resumed,
             poison_runs: state.runs_of(PoisonScope::Request).count(),
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -60,12 +60,14 @@
         let counts = outcome.counts;
         println!(
             "RESULT soak seed={seed} faults={} calls={} served={} promised={} version={} \
-             returns={} resumed={} poison_runs={} late_runs={} part_runs={} late_part_runs={} broken={}",
+             streams={} begun={} returns={} resumed={} poison_runs={} late_runs={} part_runs={} late_part_runs={} broken={}",
             outcome.faults.len(),
             counts.calls,
             counts.served,
             counts.not_run,
             outcome.version,
+            counts.streams,
+            counts.begun,
             counts.returns,
             counts.resumed,
             counts.poison_runs,
