soak: check the events before a caller's lost connection, too

Read in the diff: of a stream whose caller loses its connection, the events of the first answer were taken as they came, so two versions inside it would have passed.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -97,8 +97,7 @@
         if let Some(count) = loss {
             let events = self.read_events(stream, count)?;
             stream.reset()?;
-            let received = ReceivedEvents::new(&call, &events);
-            self.returns.resume(&self.history, &call, received);
+            self.resume(&call, &events);
             return Err(io::ErrorKind::ConnectionReset.into());
         }
         let answer = stream.read()?;
@@ -108,14 +107,22 @@
         let outcome = outcome_of(&self.history, &call, &call.body, &answer);
         self.history.record_outcome(&call.body, outcome);
         if kind == CallKind::ResumableStream && !answer.is_whole && answer.status() == 200 {
-            let received = ReceivedEvents::new(&call, &answer.text());
-            self.returns.resume(&self.history, &call, received);
+            self.resume(&call, &answer.text());
         }
         Ok(answer)
     }
-}
 
-impl SoakCaller {
+    /// Resumes a stream whose first answer broke off after the events in `text`.
+    fn resume(&mut self, call: &SoakCall, text: &str) {
+        match ReceivedEvents::new(call, text) {
+            Some(received) => self.returns.resume(&self.history, call, received),
+            None => self.history.record_violation(format!(
+                "stream {} begins with unexpected events: {text:?}",
+                call.body
+            )),
+        }
+    }
+
     /// Reads the first events of a resumable stream, whose caller then loses its connection.
     fn read_events(&self, stream: &mut HttpStream, count: u32) -> io::Result<String> {
         let read = stream.read_events(count);
--- a/crates/soak/src/returns.rs
+++ b/crates/soak/src/returns.rs
@@ -34,11 +34,11 @@
 }
 
 impl ReceivedEvents {
-    /// The whole events in the text of a first answer.
-    pub fn new(call: &SoakCall, text: &str) -> Self {
+    /// The whole events in the text of a first answer. Returns `None` if they do not begin one
+    /// stream of one software version.
+    pub fn new(call: &SoakCall, text: &str) -> Option<Self> {
         let mut received = Self::default();
-        received.add(call, text);
-        received
+        received.add(call, text).then_some(received)
     }
 
     /// Adds the whole events of an answer. Returns whether they continue the stream.
