relay: log and count the limits that endpoints name

The head of an answer was read for status, load, attempt, signature and keep-alive, so no line could tell a limit that nobody reads from one that each gateway keeps for itself. Now the typed reading of a head holds the limit, a line tells when it changes, and absurd values (negative, NaN, infinite, empty, a date) count as unreadable. Of several values the lowest one is taken. No decision depends on the reading yet.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,6 +5,8 @@
 
 use actix_http::header::HeaderMap;
 
+use crate::statement::EndpointStatement;
+
 /// One part of a prompt. Prompts with the same parts up to and including this one can use the same
 /// prefix cache.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -97,6 +99,8 @@
     pub load: Option<LoadReport>,
     /// Time for which the endpoint keeps an idle connection open.
     pub keep_alive: Option<Duration>,
+    /// What the endpoint states about itself.
+    pub statement: EndpointStatement,
 }
 
 /// Reads and writes the heads of calls and answers in the format of a platform.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! * [`table`]: the endpoints of the list.
 //! * [`row`]: load and health of one endpoint.
 //! * [`health`]: health of an endpoint, derived from the calls of this instance.
+//! * [`statement`]: what an endpoint states about itself in an answer.
 //! * [`placement`]: choice of the endpoint that runs a call.
 //! * [`admission`]: admission control for services with few or no free slots.
 //! * [`accounts`]: number of running calls by client account.
@@ -31,6 +32,7 @@
 //! * [`record`]: metrics and log line of a call.
 //! * [`crash_check`]: lost runs, and checks whether their endpoints are down.
 //! * [`crash_log`]: log lines and metrics of crash detection.
+//! * [`statement_log`]: log lines and metrics of what endpoints state.
 //! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
 //! * [`state`]: state that all calls of one instance share.
 //! * [`slot`]: slots that calls occupy at endpoints.
@@ -66,5 +68,7 @@
 pub mod session;
 pub mod slot;
 pub mod state;
+pub mod statement;
+pub mod statement_log;
 mod stream_answer;
 pub mod table;
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -8,6 +8,7 @@
 
 use crate::call::LoadReport;
 use crate::health::EndpointHealth;
+use crate::statement_log::LoggedStatement;
 
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
 /// long as a slow endpoint takes for an answer or between two events.
@@ -71,6 +72,8 @@
     report: Option<(LoadReport, Duration)>,
     /// Health, derived from the calls of this instance.
     pub health: EndpointHealth,
+    /// What the log has on the statements of the endpoint.
+    pub logged: LoggedStatement,
     /// Time since which the endpoint has continuously run requests of this instance.
     busy_since: Option<Duration>,
     /// Time of the latest bytes from the endpoint.
@@ -106,6 +109,7 @@
             others_running: 0,
             report: None,
             health: EndpointHealth::default(),
+            logged: LoggedStatement::default(),
             busy_since: None,
             last_active_at: None,
             is_misplaced: false,
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -83,6 +83,11 @@
         self.rows.get(&id)
     }
 
+    /// Looks up an endpoint to change it.
+    pub fn row_mut(&mut self, id: EndpointId) -> Option<&mut EndpointRow> {
+        self.rows.get_mut(&id)
+    }
+
     /// Iterates over the endpoints of a service.
     pub fn of_service(
         &self,
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -36,6 +36,7 @@
     answer_ends: IntCounterVec,
     crash_decisions: IntCounterVec,
     stream_returns: IntCounterVec,
+    statements: IntCounterVec,
     first_byte: HistogramVec,
     answer: HistogramVec,
     gateways: IntGauge,
@@ -85,6 +86,12 @@
                 "Calls that resume a stream, by how its origin was found.",
                 &["origin"],
             )?,
+            statements: counter_family(
+                registry,
+                "sapphire_gateway_statements_total",
+                "Statements of endpoints about themselves in the heads of their answers.",
+                &["kind"],
+            )?,
             first_byte: histogram_family(
                 registry,
                 HistogramKind::FirstToken,
@@ -148,6 +155,12 @@
         self.stream_returns.with_label_values(&[origin]).inc();
     }
 
+    /// Counts a statement of an endpoint about itself. `kind` becomes a label and must be from a
+    /// closed set.
+    pub fn count_statement(&self, kind: &str) {
+        self.statements.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a decision on a call that may have crashed an endpoint. `decision` becomes a label and
     /// must be from a closed set.
     pub fn count_crash_decision(&self, decision: &str) {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -3,6 +3,7 @@
 //! * [`id`]: identifiers, and their derivation from names.
 //! * [`answer`]: requests and answer streams between entry and agent.
 //! * [`gateway`]: membership, endpoint lists and catalogs between gateways.
+//! * [`statement`]: what endpoints state about themselves.
 //! * [`stream`]: origins of streams between gateways.
 //! * [`member`]: membership and load between agents, entries and control.
 //! * [`command`]: commands to the control quorum, and its replies.
@@ -17,6 +18,7 @@
 pub mod id;
 pub mod member;
 pub mod message;
+pub mod statement;
 pub mod stream;
 
 pub use message::LinkMessage;
