measure: reproduce endpoints that get more calls than their limit, failing

`sapphire-measure limit` replays callers, gateways with the decisions of crate relay and endpoints that name limits: 3, 30 or 300 gateways, limits of 2 calls a second that fall, rise, end and return, gateways that restart and are cut off from each other.

--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,6 +8,7 @@
 //! * [`overhead`]: latency and throughput cost of the path through entry and agent.
 //! * [`overload`](measure::overload): results of calls while the offered load exceeds the capacity
 //!   of the engines.
+//! * [`limit`](measure::limit): how a fleet shares the rates that endpoints name.
 //! * [`poison`](measure::poison): retries of a request that crashes each endpoint that runs it.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: simulation of one policy on one request sequence.
@@ -32,7 +33,7 @@
 use std::process::ExitCode;
 
 use argh::{EarlyExit, FromArgs};
-use measure::{faults, overload, poison};
+use measure::{faults, limit, overload, poison};
 
 /// Exit code of a measurement whose bound does not hold.
 const EXIT_BOUND_BROKEN: u8 = 1;
@@ -57,6 +58,7 @@
     Overhead(overhead::OverheadArgs),
     Overload(overload::OverloadArgs),
     Poison(poison::PoisonArgs),
+    Limit(limit::LimitArgs),
 }
 
 /// Whether the bound of a measurement holds.
@@ -96,6 +98,7 @@
         MeasureCommand::Faults(args) => BoundVerdict::of(faults::run(&args)),
         MeasureCommand::Overload(args) => BoundVerdict::of(overload::run(&args)),
         MeasureCommand::Poison(args) => BoundVerdict::of(poison::run(&args)),
+        MeasureCommand::Limit(args) => BoundVerdict::of(limit::run(&args)),
     }
 }
 
