relay: share the limits that endpoints name among all gateways

Class: an endpoint's statement about itself, in an answer to one instance, is not obeyed by all whom it binds. Ruled out by logs: retries and resumed streams (22 of 22 were first attempts).

A call needs a token while its endpoint names a limit. The quorum's leader, as long as a majority has confirmed it within the shortest election timeout, hands tokens out in small lots that expire after a second, on request of the gateway that has the call (one datagram there, one back). So all tokens of an endpoint come from one bucket, whatever gateways believe of the membership; the bucket of a new leader is empty. A twentieth of each rate is left to gateways that reach no leader, so that a limit ends even then. A change is told to all gateways at once, passed on in large fleets, and repeated; of two answers that may have been made in either order, the stricter holds. Placement takes an endpoint with room first; if there is none, the call is refused at once as not run, with the time of the next token.

Weighed: an equal split starves (300 gateways, 2 calls a second: one call in 150 s each); shares by demand, told with heartbeats, add up to more than the rate while views differ; an owner by rendezvous hashing is not unique while a gateway is slow to learn of another. One keeper also picks the first of several endpoints that has room in one message.

--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -71,6 +71,9 @@
             GatewayDatagram::Stream(message) => {
                 self.relay_state.handle_stream_message(from, message);
             }
+            GatewayDatagram::Limit(message) => {
+                self.relay_state.handle_limit_message(from, message);
+            }
             GatewayDatagram::PartCrashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Part, &notice);
             }
@@ -93,6 +96,7 @@
             self.send_list_notice(from);
             self.repeat_crashes_to(from);
             self.relay_state.refresh_keeper(from);
+            self.relay_state.repeat_limits_to(from);
         }
         self.fetch_newer_catalog();
     }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -19,9 +19,10 @@
 const EARLY_HEARTBEAT_DELAY: Duration = Duration::from_millis(20);
 /// The same delay for a heartbeat that announces a changed load.
 const LOAD_HEARTBEAT_DELAY: Duration = Duration::from_millis(40);
-/// Interval at which expired idle connections to endpoints are closed. The pool does not hand out
-/// an expired connection in between either.
-const POOL_EXPIRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval at which expired idle connections to endpoints are closed, and limits of endpoints are
+/// repeated to one other gateway. The pool does not hand out an expired connection in between
+/// either.
+const SLOW_INTERVAL: Duration = Duration::from_secs(1);
 /// One of this many heartbeats names the live gateways; the others leave them out.
 const HEARTBEATS_PER_PEER_LIST: u64 = 4;
 
@@ -31,6 +32,7 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut last = node.now();
     let mut expired_at = last;
+    let mut last_told = node.own;
     loop {
         let fits_one_round = node.directory.borrow().fits_one_round();
         tokio::select! {
@@ -55,9 +57,10 @@
         for instance in recipients {
             node.send_datagram(instance, &heartbeat);
         }
-        if now >= expired_at + POOL_EXPIRY_INTERVAL {
+        if now >= expired_at + SLOW_INTERVAL {
             expired_at = now;
             node.relay_state.pool.expire(now);
+            last_told = node.repeat_limits(last_told);
         }
     }
 }
@@ -117,12 +120,23 @@
                 .set_instance_loads(now, instance, Vec::new());
         }
         let peak_live = self.directory.borrow().peak_live();
+        self.relay_state.table.borrow_mut().keeper.instances = peak_live;
         self.relay_state
             .budget
             .borrow_mut()
             .set_instances(peak_live);
     }
 
+    /// Repeats the limits of endpoints to the live gateway that follows `last_told`. Returns the
+    /// gateway that was told last.
+    fn repeat_limits(&self, last_told: InstanceId) -> InstanceId {
+        let next = self.directory.borrow().next_live(self.now(), last_told);
+        if let Some(recipient) = next {
+            self.relay_state.repeat_limits_to(recipient);
+        }
+        next.unwrap_or(last_told)
+    }
+
     /// Passes to the quorum the gateways that may be members, those that are leaving, and whether
     /// this gateway may bootstrap a cluster.
     fn update_quorum_peers(&self, now: Duration) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -12,7 +12,7 @@
 //! * [`node`]: state shared by the services of one gateway.
 //! * [`datagrams`]: heartbeats, notices of the endpoint list and small consensus messages.
 //! * [`crash_notices`]: notices of crashes of endpoints.
-//! * [`stream_peers`]: messages about origins of streams.
+//! * [`peers`]: messages of the relay to the other gateways.
 //! * [`peer_requests`]: requests and replies between gateways, over links.
 //! * [`heartbeat`]: sending heartbeats, and what is updated with each.
 //! * [`catalog_codec`]: catalogs in the compressed form in which they are stored and sent.
@@ -35,7 +35,7 @@
 pub mod list_readings;
 pub mod node;
 pub mod peer_requests;
+pub mod peers;
 pub mod quorum;
 pub mod reload;
 pub mod status;
-pub mod stream_peers;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -13,9 +13,9 @@
 use gateway::http::serve_http;
 use gateway::node::GatewayNode;
 use gateway::peer_requests::serve_peers;
+use gateway::peers::GatewayPeers;
 use gateway::quorum::open_quorum;
 use gateway::reload::follow_settings;
-use gateway::stream_peers::GatewayPeers;
 use kernel::{ServiceKernel, TaskFuture, TaskService, program};
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use platform::PlatformDialect;
@@ -89,9 +89,7 @@
     );
     let node = Rc::new(node);
     // The cell is new, so it is empty.
-    let _ = relay_state
-        .stream_peers
-        .set(Rc::new(GatewayPeers::new(&node)));
+    let _ = relay_state.peers.set(Rc::new(GatewayPeers::new(&node)));
     let kernel = Rc::new(ServiceKernel::new());
     let shared = || Rc::clone(&node);
     let peers = TaskService::spawning(vec![
--- /dev/null
+++ b/crates/gateway/src/peers.rs
@@ -0,0 +1,70 @@
+//! The other gateways as peers that share origins of streams and limits of endpoints.
+
+use std::rc::{Rc, Weak};
+
+use relay::peers::InstancePeers;
+use relay::rate_keeper::KeeperTerm;
+use wire::gateway::GatewayDatagram;
+use wire::id::InstanceId;
+
+use crate::node::GatewayNode;
+
+/// Sends messages of the relay as datagrams.
+pub struct GatewayPeers {
+    /// The node, which owns the state of the relay that refers to these peers.
+    node: Weak<GatewayNode>,
+}
+
+impl GatewayPeers {
+    /// The peers of a gateway.
+    pub fn new(node: &Rc<GatewayNode>) -> Self {
+        Self {
+            node: Rc::downgrade(node),
+        }
+    }
+}
+
+impl InstancePeers for GatewayPeers {
+    fn instances(&self) -> Vec<InstanceId> {
+        let Some(node) = self.node.upgrade() else {
+            return Vec::new();
+        };
+        let directory = node.directory.borrow();
+        let live = directory.live(node.now()).map(|(instance, _)| instance);
+        let live: Vec<InstanceId> = live.collect();
+        if !live.is_empty() {
+            return live;
+        }
+        // After a start, the seeds are known before their first heartbeats arrive.
+        let seeds = node.seeds().into_iter();
+        seeds.filter(|seed| *seed != node.own).collect()
+    }
+
+    fn keeper(&self) -> Option<InstanceId> {
+        let node = self.node.upgrade()?;
+        if node.keeper_term().is_some() {
+            return Some(node.own);
+        }
+        let of_quorum = node.quorum().and_then(|quorum| quorum.leader());
+        let leader = of_quorum.map(|(_, leader)| leader);
+        let leader = leader.or_else(|| node.directory.borrow().leader(node.now()));
+        leader.filter(|leader| *leader != node.own)
+    }
+
+    fn keeper_term(&self) -> Option<KeeperTerm> {
+        self.node.upgrade()?.keeper_term()
+    }
+
+    fn send(&self, to: InstanceId, datagram: &GatewayDatagram) {
+        if let Some(node) = self.node.upgrade() {
+            node.send_datagram(to, datagram);
+        }
+    }
+}
+
+impl GatewayNode {
+    /// The term in which this gateway leads the quorum, confirmed by a majority.
+    fn keeper_term(&self) -> Option<KeeperTerm> {
+        self.quorum()?.confirmed_term()
+    }
+}
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -134,6 +134,16 @@
         Some((status.term, leader.instance))
     }
 
+    /// The term in which this member is the leader, if a majority has confirmed it so lately that
+    /// no other member can lead.
+    pub fn confirmed_term(&self) -> Option<u64> {
+        let core = self.core.borrow();
+        let status = core.status();
+        let age = core.confirmed_age(self.now())?;
+        let is_confirmed = core.is_leader() && age < ReplicaSettings::default().election_min;
+        is_confirmed.then_some(status.term)
+    }
+
     /// Stages a catalog to be activated, unless a version at least as new is staged.
     fn stage(&self, text: CatalogText) {
         let mut staged = self.staged.borrow_mut();
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -3,42 +3,97 @@
 use std::time::Duration;
 
 use relay::health::CallOutcome;
-use relay::placement::{PlacementQuery, PlacementSettings, choose};
-use relay::statement::EndpointStatement;
+use relay::limit_sharing::token_request;
+use relay::placement::{PlacementQuery, PlacementSettings, choose, endpoints_to_ask, token_wishes};
+use relay::rate_keeper::{KeeperTerm, RateKeeper, TokenRequest};
+use relay::statement::{EndpointStatement, StatementChange};
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, name_id};
+use wire::statement::{LimitNotice, TokenAsk, TokenOutcome};
 
 use super::endpoint::SERVICE;
 
+/// Time for which it is repeated that an endpoint names no limit any more.
+const END_RETENTION: Duration = Duration::from_secs(10);
+
 /// A gateway.
 pub struct SimulatedGateway {
     number: u64,
-    table: EndpointTable,
+    /// Its endpoints.
+    pub table: EndpointTable,
+    /// Hands out tokens while this gateway keeps the rates.
+    pub keeper: RateKeeper,
+    /// What is to be told to the other gateways.
+    pub news: Vec<LimitNotice>,
 }
 
 impl SimulatedGateway {
-    /// Creates a gateway that has just started and has read the list.
-    pub fn new(number: u64, listed: &[ListedEndpoint]) -> Self {
+    /// Creates a gateway of `instances` that has just started and has read the list.
+    pub fn new(number: u64, instances: usize, listed: &[ListedEndpoint]) -> Self {
         let mut table = EndpointTable::default();
         table.replace(listed);
-        Self { number, table }
+        table.keeper.instances = instances;
+        Self {
+            number,
+            table,
+            keeper: RateKeeper::default(),
+            news: Vec::new(),
+        }
     }
 
-    /// Chooses an endpoint for a call. Returns `None` if it is refused.
-    pub fn choose(&self, now: Duration, shared_part: u64) -> Option<EndpointId> {
-        let query = PlacementQuery {
+    fn query(&self, now: Duration, shared_part: u64) -> PlacementQuery<'static> {
+        PlacementQuery {
             service: name_id(SERVICE),
             version: None,
             shared_part: Some(shared_part),
             instance: self.number,
             domain: 0,
             tried: &[],
+            may_ask: false,
             now,
-        };
+        }
+    }
+
+    /// Chooses an open endpoint for a call. Returns `None` if it is refused.
+    pub fn choose(&self, now: Duration, shared_part: u64) -> Option<EndpointId> {
+        let query = self.query(now, shared_part);
         choose(&PlacementSettings::default(), &self.table, &query)
     }
 
+    /// The request for tokens before a call is placed; `None` if none is due.
+    pub fn ask(&mut self, now: Duration, shared_part: u64, id: u64) -> Option<TokenAsk> {
+        if !self.table.has_limit(name_id(SERVICE)) {
+            return None;
+        }
+        let query = self.query(now, shared_part);
+        let endpoints = endpoints_to_ask(&PlacementSettings::default(), &self.table, &query);
+        let wishes = token_wishes(&mut self.table, now, &endpoints);
+        (!wishes.is_empty()).then_some(TokenAsk { id, wishes })
+    }
+
+    /// Answers a request for tokens, as the keeper in `term`.
+    pub fn answer(
+        &mut self,
+        now: Duration,
+        term: Option<KeeperTerm>,
+        ask: &TokenAsk,
+    ) -> TokenOutcome {
+        self.keeper.set_term(term);
+        if term.is_none() {
+            return TokenOutcome::NotKeeper;
+        }
+        for wish in &ask.wishes {
+            self.table.note_told(now, &wish.notice);
+        }
+        let requests = ask
+            .wishes
+            .iter()
+            .map(|wish| token_request(&self.table, wish));
+        let requests: Vec<TokenRequest> = requests.collect();
+        self.keeper.hand_out(now, &requests)
+    }
+
     /// Records that a call is sent to an endpoint.
     pub fn start(&mut self, now: Duration, endpoint: EndpointId) {
         self.table.start(now, endpoint);
@@ -50,11 +105,25 @@
         now: Duration,
         endpoint: EndpointId,
         sent_at: Duration,
-        _statement: EndpointStatement,
+        statement: EndpointStatement,
     ) {
         let outcome = CallOutcome::Served(now.saturating_sub(sent_at));
         self.table.note(now, endpoint, outcome);
         self.table.note_activity(now, endpoint);
+        let change = self.table.note_statement(now, endpoint, sent_at, statement);
+        if let Some(StatementChange::Limit(_)) = change {
+            self.news.extend(self.table.notice(now, endpoint));
+        }
+    }
+
+    /// Records what another gateway was told. Returns whether it is new.
+    pub fn note_told(&mut self, now: Duration, notice: &LimitNotice) -> bool {
+        self.table.note_told(now, notice).is_some()
+    }
+
+    /// What is repeated to one other gateway after the other.
+    pub fn repetition(&self, now: Duration) -> Vec<LimitNotice> {
+        self.table.limit_notices(now, END_RETENTION)
     }
 
     /// Records that an answer is complete.
--- a/crates/measure/src/limit/mod.rs
+++ b/crates/measure/src/limit/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`endpoint`]: simulated endpoints.
 //! * [`gateway`]: a gateway with the decisions of crate `relay`.
+//! * `messages`: messages between the gateways, and which of them keeps the rates.
 //! * [`window`]: which windows hold more calls than the limit allows.
 //! * [`mod@replay`]: simulation of callers, gateways and endpoints.
 
 pub mod endpoint;
 pub mod gateway;
+mod messages;
 pub mod replay;
 pub mod window;
 
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -260,6 +260,7 @@
             instance: gateway as u64,
             domain: 0,
             tried,
+            may_ask: false,
             now,
         };
         let account = load_call.account.to_string();
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -72,6 +72,7 @@
             instance: self.number,
             domain: 0,
             tried,
+            may_ask: false,
             now,
         };
         choose(&PlacementSettings::default(), &self.table, &query)
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -8,15 +8,21 @@
 
 use std::time::Duration;
 
-use wire::id::EndpointId;
+use wire::id::{EndpointId, ServiceId};
 
 use crate::accounts::AccountLoads;
 use crate::backlog::BacklogWatch;
-use crate::placement::{PlacementQuery, PlacementSettings, choose, choose_least_utilized};
+use crate::placement::{
+    NextRoom, PlacementQuery, PlacementSettings, choose, choose_least_utilized,
+};
 use crate::ranks::RankStatistics;
 use crate::retry_schedule::RetrySchedule;
 use crate::table::EndpointTable;
 
+/// Maximum time between the returns of two callers that were refused for what endpoints state. Their
+/// rates say little of when a single instance gets a token.
+const MAX_ROOM_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Settings of admission control.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
@@ -226,6 +232,20 @@
         })
     }
 
+    /// Assigns the time after which a caller should retry that is refused as no endpoint of the
+    /// service is open to calls, if that many instances share the room.
+    pub fn schedule_return(
+        &mut self,
+        now: Duration,
+        service: ServiceId,
+        next: NextRoom,
+        instances: u32,
+    ) -> Duration {
+        let interval = Duration::try_from_secs_f64(f64::from(instances) / next.rate);
+        let interval = interval.map_or(MAX_ROOM_INTERVAL, |time| time.min(MAX_ROOM_INTERVAL));
+        self.schedule.assign(now, service, next.wait, interval)
+    }
+
     fn assess(
         &mut self,
         table: &EndpointTable,
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -278,7 +278,8 @@
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
             return Err(EndpointError::Misdelivered);
         }
-        state.log_statement(self.endpoint, metadata.statement);
+        let sent_at = self.progress.attempted_at;
+        state.note_statement(self.endpoint, sent_at, metadata.statement);
         if let Some(load) = metadata.load {
             let mut table = state.table.borrow_mut();
             table.note_report(now, self.endpoint, load);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,6 +13,7 @@
 use crate::attempt::{AttemptResult, CallProgress, EndpointAttempt, FailedAttempt};
 use crate::call::CallMetadata;
 use crate::health::CallOutcome;
+use crate::placement::{endpoints_to_ask, next_room};
 use crate::record::{AttemptRecord, CallEnd, CallRecord};
 use crate::refusal::CallRefusal;
 use crate::relay_call::{DEFAULT_CALLER_TIMEOUT, RelayCall};
@@ -22,6 +23,8 @@
 use crate::session::{IncomingCall, SessionWriter};
 use crate::state::RelayState;
 
+/// Maximum number of requests for tokens before one placement of a call.
+const MAX_TOKEN_ASKS: u32 = 3;
 /// Maximum time that a call waits for the first catalog and the first endpoint of an instance.
 const SET_UP_LIMIT: Duration = Duration::from_millis(800);
 /// A call spends at most its caller's timeout divided by this on that wait, which leaves time for
@@ -163,8 +166,9 @@
         let (state, call) = (self.state, self.call);
         state.note_request(call.service);
         loop {
+            self.ask_for_token().await;
             let Some(placed) = self.place() else {
-                return self.finish_failed().await;
+                return self.finish_without_room().await;
             };
             if let Some(wait) = placed.retry_after {
                 return self.refuse_overloaded(wait).await;
@@ -192,6 +196,29 @@
         }
     }
 
+    /// Asks for tokens of the endpoints that the call prefers to those that are open, until it has
+    /// one or there are no such endpoints.
+    async fn ask_for_token(&self) {
+        for _ in 0..MAX_TOKEN_ASKS {
+            let endpoints = self.endpoints_to_ask();
+            if endpoints.is_empty() {
+                return;
+            }
+            self.state.ask_for_token(&endpoints).await;
+        }
+    }
+
+    fn endpoints_to_ask(&self) -> Vec<EndpointId> {
+        let (state, call) = (self.state, self.call);
+        let table = state.table.borrow();
+        if !table.has_limit(call.service) {
+            return Vec::new();
+        }
+        let tried = self.record.tried();
+        let query = call.query(state, self.progress.begun_by, &tried);
+        endpoints_to_ask(&state.settings.placement, &table, &query)
+    }
+
     /// Chooses an endpoint that the call has not tried and applies admission control. Returns
     /// `None` if there is none.
     fn place(&mut self) -> Option<PlacedCall> {
@@ -284,6 +311,26 @@
         self.refuse_unless_run(refusal).await
     }
 
+    /// Ends a call for which no endpoint is left. If it could not be sent because of what endpoints
+    /// state, it may return when one of them takes calls again.
+    async fn finish_without_room(&mut self) -> CallEnd {
+        match self.wait_for_room() {
+            Some(wait) => self.refuse_overloaded(wait).await,
+            None => self.finish_failed().await,
+        }
+    }
+
+    /// Time after which a call returns that is kept from endpoints by what these state; `None` if it
+    /// is kept from none.
+    fn wait_for_room(&self) -> Option<Duration> {
+        let (state, call) = (self.state, self.call);
+        let query = call.query(state, self.progress.begun_by, &[]);
+        let next = next_room(&state.table.borrow(), &query)?;
+        let instances = state.budget.borrow().instances() as u32;
+        let mut admission = state.admission.borrow_mut();
+        Some(admission.schedule_return(query.now, call.service, next, instances))
+    }
+
     /// Refuses a call, which promises that it did not run. If it may have run already, or its
     /// answer has begun, it ends as failed.
     async fn refuse_unless_run(&mut self, refusal: CallRefusal) -> CallEnd {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,10 @@
 //! * [`table`]: the endpoints of the list.
 //! * [`row`]: load and health of one endpoint.
 //! * [`health`]: health of an endpoint, derived from the calls of this instance.
+//! * [`endpoint_limit`]: the limit of one endpoint, and this instance's share of it.
+//! * [`limit_statement`]: the latest of an endpoint's statements on its limit.
+//! * [`rate_keeper`]: the one instance that hands out the rates which endpoints name.
+//! * [`token_bucket`]: bucket of tokens that fills at a rate.
 //! * [`statement`]: what an endpoint states about itself in an answer.
 //! * [`placement`]: choice of the endpoint that runs a call.
 //! * [`admission`]: admission control for services with few or no free slots.
@@ -32,7 +36,9 @@
 //! * [`record`]: metrics and log line of a call.
 //! * [`crash_check`]: lost runs, and checks whether their endpoints are down.
 //! * [`crash_log`]: log lines and metrics of crash detection.
+//! * [`limit_sharing`]: messages by which instances share the limits of endpoints.
 //! * [`statement_log`]: log lines and metrics of what endpoints state.
+//! * [`peers`]: the other instances.
 //! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
 //! * [`state`]: state that all calls of one instance share.
 //! * [`slot`]: slots that calls occupy at endpoints.
@@ -50,12 +56,17 @@
 pub mod crash;
 pub mod crash_check;
 pub mod crash_log;
+pub mod endpoint_limit;
 pub mod forward;
 pub mod health;
+pub mod limit_sharing;
+pub mod limit_statement;
 pub mod origin;
 pub mod origin_lookup;
+pub mod peers;
 pub mod placement;
 pub mod ranks;
+pub mod rate_keeper;
 pub mod record;
 pub mod refusal;
 pub mod relay_call;
@@ -72,3 +83,4 @@
 pub mod statement_log;
 mod stream_answer;
 pub mod table;
+pub mod token_bucket;
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -8,6 +8,7 @@
 use catalog::CallKind;
 use fault::FaultKind;
 use tokio::time::timeout;
+use wire::gateway::GatewayDatagram;
 use wire::id::{FingerprintHash, InstanceId, StreamId, name_id};
 use wire::stream::{
     MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery, StreamMessage, StreamOrigin,
@@ -32,15 +33,6 @@
 /// Maximum number of streams that another instance is told of when it becomes live.
 const MAX_REFRESHED_STREAMS: usize = 2000;
 
-/// The other instances, as far as they share the origins of streams.
-pub trait StreamPeers {
-    /// Ids of the other instances that are probably live.
-    fn instances(&self) -> Vec<InstanceId>;
-
-    /// Sends a message, which may be lost.
-    fn send(&self, to: InstanceId, message: &StreamMessage);
-}
-
 /// The lookups in progress.
 #[derive(Debug, Default)]
 pub struct OriginLookups {
@@ -163,10 +155,10 @@
             lifetime_ms: whole_millis(caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT)),
         };
         self.origins.borrow_mut().note(self.now(), notice);
-        let Some(peers) = self.stream_peers.get() else {
+        let Some(peers) = self.peers.get() else {
             return;
         };
-        let message = StreamMessage::Origins(vec![notice]);
+        let message = GatewayDatagram::Stream(StreamMessage::Origins(vec![notice]));
         for keeper in rank_instances(request, &peers.instances(), KEEPERS) {
             peers.send(keeper, &message);
         }
@@ -190,7 +182,7 @@
     }
 
     async fn ask_for_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
-        let Some(peers) = self.stream_peers.get() else {
+        let Some(peers) = self.peers.get() else {
             return self.known_origin(query);
         };
         let guard = LookupGuard::start(&self.origin_lookups, query)?;
@@ -198,7 +190,8 @@
             let asked = rank_instances(query.request, &peers.instances(), ASKED_INSTANCES);
             guard.ask(&asked);
             for instance in asked {
-                peers.send(instance, &StreamMessage::Query(query));
+                let message = StreamMessage::Query(query);
+                peers.send(instance, &GatewayDatagram::Stream(message));
             }
             // In the first round, the notice of the stream may still be on its way.
             let may_be_unknown = round > 0;
@@ -263,22 +256,23 @@
             true => StreamMessage::Unknown(query),
             false => StreamMessage::Origins(notices),
         };
-        if let Some(peers) = self.stream_peers.get() {
-            peers.send(from, &answer);
+        if let Some(peers) = self.peers.get() {
+            peers.send(from, &GatewayDatagram::Stream(answer));
         }
     }
 
     /// Tells an instance that has become live, and may have lost its records, of the streams that
     /// it is a keeper of.
     pub fn refresh_keeper(&self, keeper: InstanceId) {
-        let Some(peers) = self.stream_peers.get() else {
+        let Some(peers) = self.peers.get() else {
             return;
         };
         let instances = peers.instances();
         let origins = self.origins.borrow();
         let notices = origins.notices_for(self.now(), keeper, &instances, MAX_REFRESHED_STREAMS);
         for notices in notices.chunks(MAX_MESSAGE_STREAMS) {
-            peers.send(keeper, &StreamMessage::Origins(notices.to_vec()));
+            let message = StreamMessage::Origins(notices.to_vec());
+            peers.send(keeper, &GatewayDatagram::Stream(message));
         }
     }
 }
--- /dev/null
+++ b/crates/relay/src/peers.rs
@@ -0,0 +1,23 @@
+//! The other instances.
+
+use wire::gateway::GatewayDatagram;
+use wire::id::InstanceId;
+
+use crate::rate_keeper::KeeperTerm;
+
+/// The other instances, as the calls of this one need them.
+pub trait InstancePeers {
+    /// Ids of the other instances that are probably live.
+    fn instances(&self) -> Vec<InstanceId>;
+
+    /// The instance that probably keeps the rates which endpoints name; may be this one. `None` if
+    /// none is known.
+    fn keeper(&self) -> Option<InstanceId>;
+
+    /// The term in which this instance keeps the rates; `None` if it certainly does not, or if a
+    /// majority has not confirmed it lately.
+    fn keeper_term(&self) -> Option<KeeperTerm>;
+
+    /// Sends a message, which may be lost.
+    fn send(&self, to: InstanceId, datagram: &GatewayDatagram);
+}
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -10,8 +10,10 @@
 use std::time::Duration;
 
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId, VersionId};
+use wire::statement::{CallRate, MAX_WISHES, TokenWish};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::endpoint_limit::EndpointRoom;
 use crate::row::{EndpointRow, EndpointStanding};
 use crate::table::EndpointTable;
 
@@ -62,6 +64,8 @@
     pub domain: DomainId,
     /// Endpoints that the call has tried already.
     pub tried: &'a [EndpointId],
+    /// Whether endpoints are considered for which a token must be asked for.
+    pub may_ask: bool,
     /// Current time.
     pub now: Duration,
 }
@@ -91,18 +95,110 @@
     chosen.map(|(id, _)| *id)
 }
 
+/// Endpoints of which tokens are to be asked for, in the order in which a call prefers them, before
+/// it takes the best of those that are open. Returns none if an open one is the best.
+pub fn endpoints_to_ask(
+    settings: &PlacementSettings,
+    table: &EndpointTable,
+    query: &PlacementQuery<'_>,
+) -> Vec<EndpointId> {
+    let mut skipped = query.tried.to_vec();
+    let mut asked = Vec::new();
+    while asked.len() < MAX_WISHES {
+        let query = PlacementQuery {
+            tried: &skipped,
+            may_ask: true,
+            ..*query
+        };
+        let Some(id) = choose(settings, table, &query) else {
+            break;
+        };
+        let room = table.row(id).map(|row| table.room(query.now, row));
+        if room != Some(EndpointRoom::Ask) {
+            break;
+        }
+        asked.push(id);
+        skipped.push(id);
+    }
+    asked
+}
+
+/// The wishes for tokens of endpoints, one for the call itself and some for those that follow it.
+pub fn token_wishes(
+    table: &mut EndpointTable,
+    now: Duration,
+    endpoints: &[EndpointId],
+) -> Vec<TokenWish> {
+    let mut wishes = Vec::new();
+    for id in endpoints {
+        let notice = table.notice(now, *id);
+        let row = table.row_mut(*id);
+        if let Some((notice, row)) = notice.zip(row) {
+            let count = row.limit.wanted_tokens(now);
+            wishes.push(TokenWish { notice, count });
+        }
+    }
+    wishes
+}
+
+/// When the endpoints of a service take the next calls, while none of them is open.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct NextRoom {
+    /// Time until one of them takes a call.
+    pub wait: Duration,
+    /// Calls per second that those with a limit take from all instances together.
+    pub rate: f64,
+}
+
+/// When the endpoints that a call may go on at take the next calls, if what they state keeps it from
+/// some of them.
+pub fn next_room(table: &EndpointTable, query: &PlacementQuery<'_>) -> Option<NextRoom> {
+    let rows = table.of_service(query.service);
+    let rows = rows.filter(|(_, row)| query.matches(row) && row.standing(query.now).is_some());
+    let mut next: Option<NextRoom> = None;
+    for (_, row) in rows {
+        let wait = match table.room(query.now, row) {
+            EndpointRoom::Closed { until } => until.saturating_sub(query.now),
+            EndpointRoom::Ask => Duration::ZERO,
+            EndpointRoom::Open => continue,
+        };
+        let rate = row.limit.rate().map_or(0.0, CallRate::per_second);
+        next = Some(match next {
+            Some(next) => NextRoom {
+                wait: next.wait.min(wait),
+                rate: next.rate + rate,
+            },
+            None => NextRoom { wait, rate },
+        });
+    }
+    next
+}
+
 impl PlacementQuery<'_> {
     /// Whether the call may go on at an endpoint.
     fn matches(&self, row: &EndpointRow) -> bool {
         self.version.is_none_or(|version| version == row.version_id)
     }
+
+    /// Whether the call has not tried an endpoint, may go on there, and the endpoint's statements
+    /// allow it.
+    fn admits(&self, table: &EndpointTable, id: EndpointId, row: &EndpointRow) -> bool {
+        !self.tried.contains(&id)
+            && self.matches(row)
+            && match table.room(self.now, row) {
+                EndpointRoom::Open => true,
+                EndpointRoom::Ask => self.may_ask,
+                EndpointRoom::Closed { .. } => false,
+            }
+    }
 }
 
-/// Returns the untried endpoints with the best standing that match the query, without draining and misplaced ones. If
-/// every endpoint is silent or left out, a call is sent to one of these rather than to none.
+/// Returns the untried endpoints with the best standing that match the query and have room, without
+/// draining and misplaced ones. If every endpoint is silent or left out, a call is sent to one of
+/// these rather than to none.
 fn best_standing<'a>(table: &'a EndpointTable, query: &PlacementQuery<'_>) -> Vec<Candidate<'a>> {
     let untried = table.of_service(query.service);
-    let untried = untried.filter(|(id, row)| !query.tried.contains(id) && query.matches(row));
+    let untried = untried.filter(|(id, row)| query.admits(table, *id, row));
     let standing = untried.filter_map(|(id, row)| Some((row.standing(query.now)?, (id, row))));
     let standing: Vec<_> = standing.collect();
     let best = standing.iter().map(|(standing, _)| *standing).min();
@@ -115,7 +211,7 @@
 /// Whether an untried endpoint that matches the query is sound and takes new calls.
 pub fn has_sound(table: &EndpointTable, query: &PlacementQuery<'_>) -> bool {
     let untried = table.of_service(query.service);
-    let mut untried = untried.filter(|(id, row)| !query.tried.contains(id) && query.matches(row));
+    let mut untried = untried.filter(|(id, row)| query.admits(table, *id, row));
     untried.any(|(_, row)| row.standing(query.now) == Some(EndpointStanding::Sound))
 }
 
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -127,6 +127,7 @@
             instance: state.settings.instance,
             domain: state.settings.domain,
             tried,
+            may_ask: false,
             now: state.now(),
         }
     }
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -5,10 +5,13 @@
 
 use wire::gateway::ListedEndpoint;
 use wire::id::{DomainId, VersionId, name_id};
+use wire::statement::LimitNotice;
 
 use crate::call::LoadReport;
+use crate::endpoint_limit::{EndpointLimit, EndpointRoom, KeeperView};
 use crate::health::EndpointHealth;
-use crate::statement_log::LoggedStatement;
+use crate::limit_statement::LimitStatement;
+use crate::statement::{EndpointStatement, StatedValue, StatementChange};
 
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
 /// long as a slow endpoint takes for an answer or between two events.
@@ -72,8 +75,10 @@
     report: Option<(LoadReport, Duration)>,
     /// Health, derived from the calls of this instance.
     pub health: EndpointHealth,
-    /// What the log has on the statements of the endpoint.
-    pub logged: LoggedStatement,
+    /// The limit that the endpoint names, and this instance's share of it.
+    pub limit: EndpointLimit,
+    /// Whether the endpoint has stated something unreadable.
+    has_unreadable: bool,
     /// Time since which the endpoint has continuously run requests of this instance.
     busy_since: Option<Duration>,
     /// Time of the latest bytes from the endpoint.
@@ -109,7 +114,8 @@
             others_running: 0,
             report: None,
             health: EndpointHealth::default(),
-            logged: LoggedStatement::default(),
+            limit: EndpointLimit::new(Duration::ZERO),
+            has_unreadable: false,
             busy_since: None,
             last_active_at: None,
             is_misplaced: false,
@@ -138,6 +144,42 @@
         })
     }
 
+    /// Whether the statements of the endpoint allow that calls are sent.
+    pub fn room(&self, now: Duration, view: KeeperView) -> EndpointRoom {
+        self.limit.room(now, view)
+    }
+
+    /// Records what the endpoint states in the head of an answer that has just arrived, to a call
+    /// that was sent at `sent_at`. Returns what changed.
+    pub fn note_statement(
+        &mut self,
+        now: Duration,
+        sent_at: Duration,
+        statement: EndpointStatement,
+    ) -> Option<StatementChange> {
+        if statement.limit == StatedValue::Unreadable {
+            let is_first = !std::mem::replace(&mut self.has_unreadable, true);
+            return is_first.then_some(StatementChange::Unreadable);
+        }
+        let limit = statement.limit.stated();
+        let is_changed = self.limit.note(LimitStatement {
+            limit,
+            sent_at,
+            read_at: now,
+        });
+        is_changed.then_some(StatementChange::Limit(self.limit.rate()))
+    }
+
+    /// Records what another instance was told. Returns what changed.
+    pub fn note_told(&mut self, now: Duration, notice: &LimitNotice) -> Option<StatementChange> {
+        if notice.address != self.address {
+            return None;
+        }
+        let statement = LimitStatement::of_notice(now, notice);
+        let is_changed = self.limit.note(statement);
+        is_changed.then_some(StatementChange::Limit(self.limit.rate()))
+    }
+
     /// Whether the endpoint runs requests of this instance and has sent nothing for a while.
     /// Detects hung and unreachable endpoints before their connections fail.
     pub fn is_silent(&self, now: Duration) -> bool {
@@ -253,7 +295,8 @@
     }
 
     /// Records that a call of this instance is sent to the endpoint.
-    pub fn start(&mut self, now: Duration) {
+    pub fn start(&mut self, now: Duration, view: KeeperView) {
+        self.limit.take_token(now, view);
         self.update_average(now);
         self.own_running += 1;
         self.busy_since.get_or_insert(now);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,9 +16,12 @@
 use crate::call::CallDialect;
 use crate::crash::CrashTracker;
 use crate::health::{CallOutcome, HealthChange};
+use crate::limit_sharing::PendingAsks;
 use crate::origin::{OriginSettings, OriginTable};
-use crate::origin_lookup::{OriginLookups, StreamPeers};
+use crate::origin_lookup::OriginLookups;
+use crate::peers::InstancePeers;
 use crate::placement::PlacementSettings;
+use crate::rate_keeper::RateKeeper;
 use crate::table::EndpointTable;
 use exchange::pool::ConnectionPool;
 
@@ -100,7 +103,11 @@
     /// Notified when another instance has sent a message about origins.
     pub origin_changed: Notify,
     /// The other instances; unset for an instance that has none.
-    pub stream_peers: OnceCell<Rc<dyn StreamPeers>>,
+    pub peers: OnceCell<Rc<dyn InstancePeers>>,
+    /// Hands out the rates which endpoints name, while this instance keeps them.
+    pub rate_keeper: RefCell<RateKeeper>,
+    /// Requests for tokens to the instance that keeps the rates.
+    pub pending_asks: RefCell<PendingAsks>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
     /// Settings of the HTTP codec. All connections share one value, as each new [`ServiceConfig`]
@@ -143,7 +150,9 @@
             crashes: RefCell::new(CrashTracker::new(rand::random())),
             origin_lookups: RefCell::default(),
             origin_changed: Notify::new(),
-            stream_peers: OnceCell::new(),
+            peers: OnceCell::new(),
+            rate_keeper: RefCell::default(),
+            pending_asks: RefCell::default(),
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
             phase: Cell::new(ServingPhase::Serving),
--- a/crates/relay/src/statement.rs
+++ b/crates/relay/src/statement.rs
@@ -30,3 +30,12 @@
     /// Rate of calls that the endpoint takes from all instances together.
     pub limit: StatedValue<CallRate>,
 }
+
+/// A change of what an endpoint states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatementChange {
+    /// It names another limit, or none any more.
+    Limit(Option<CallRate>),
+    /// It stated something unreadable, for the first time.
+    Unreadable,
+}
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -5,10 +5,13 @@
 
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, InstanceId, ServiceId};
+use wire::statement::{LimitNotice, TokenOutcome};
 
 use crate::call::LoadReport;
+use crate::endpoint_limit::{EndpointRoom, KeeperView};
 use crate::health::{CallOutcome, HealthChange};
 use crate::row::{EndpointRow, EndpointStanding};
+use crate::statement::{EndpointStatement, StatementChange};
 
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -36,6 +39,8 @@
     services: HashMap<ServiceId, Vec<EndpointId>>,
     /// Running requests by endpoint that each other instance announced last.
     instance_loads: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
+    /// What is known of the keeper of the rates that endpoints name.
+    pub keeper: KeeperView,
 }
 
 impl EndpointTable {
@@ -100,7 +105,7 @@
     /// Records that a call of this instance is sent to an endpoint.
     pub fn start(&mut self, now: Duration, id: EndpointId) {
         if let Some(row) = self.rows.get_mut(&id) {
-            row.start(now);
+            row.start(now, self.keeper);
         }
     }
 
@@ -168,6 +173,71 @@
         }
     }
 
+    /// Whether the statements of an endpoint allow that calls are sent to it.
+    pub fn room(&self, now: Duration, row: &EndpointRow) -> EndpointRoom {
+        row.room(now, self.keeper)
+    }
+
+    /// Records what an endpoint states in the head of an answer that has just arrived, to a call
+    /// that was sent at `sent_at`. Returns what changed.
+    pub fn note_statement(
+        &mut self,
+        now: Duration,
+        id: EndpointId,
+        sent_at: Duration,
+        statement: EndpointStatement,
+    ) -> Option<StatementChange> {
+        let row = self.rows.get_mut(&id)?;
+        row.note_statement(now, sent_at, statement)
+    }
+
+    /// Records what another instance was told. Returns what changed.
+    pub fn note_told(&mut self, now: Duration, notice: &LimitNotice) -> Option<StatementChange> {
+        let row = self.rows.get_mut(&notice.endpoint)?;
+        row.note_told(now, notice)
+    }
+
+    /// The notice of what an endpoint last stated.
+    pub fn notice(&self, now: Duration, id: EndpointId) -> Option<LimitNotice> {
+        let row = self.rows.get(&id)?;
+        let statement = row.limit.statement();
+        Some(statement.notice(now, id, row.address))
+    }
+
+    /// Notices of what endpoints stated on their limits, without those that have named none for
+    /// longer than `retention`.
+    pub fn limit_notices(&self, now: Duration, retention: Duration) -> Vec<LimitNotice> {
+        let is_known = |row: &EndpointRow| row.limit.is_known(now, retention);
+        let known = self.rows.iter().filter(|(_, row)| is_known(row));
+        let notices = known.map(|(id, row)| row.limit.statement().notice(now, *id, row.address));
+        notices.collect()
+    }
+
+    /// Whether an endpoint of a service names a limit.
+    pub fn has_limit(&self, service: ServiceId) -> bool {
+        let mut rows = self.of_service(service);
+        rows.any(|(_, row)| row.limit.rate().is_some())
+    }
+
+    /// Records the answer of the keeper to a request that was sent at `asked_at`.
+    pub fn note_tokens(&mut self, now: Duration, asked_at: Duration, outcome: &TokenOutcome) {
+        let TokenOutcome::Kept { lot, shortages } = outcome else {
+            self.keeper.note_silence(now);
+            return;
+        };
+        self.keeper.note_answer();
+        for shortage in shortages {
+            if let Some(row) = self.rows.get_mut(&shortage.endpoint) {
+                let next_in = Duration::from_millis(shortage.next_ms.into());
+                row.limit.note_shortage(asked_at, next_in);
+            }
+        }
+        let lot = lot.and_then(|lot| Some((lot, self.rows.get_mut(&lot.endpoint)?)));
+        if let Some((lot, row)) = lot {
+            row.limit.add_tokens(asked_at, lot.count);
+        }
+    }
+
     /// Records the load that an endpoint reported.
     pub fn note_report(&mut self, now: Duration, id: EndpointId, report: LoadReport) {
         if let Some(row) = self.rows.get_mut(&id) {
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -79,6 +79,7 @@
         instance: 1,
         domain: 0,
         tried: &[],
+        may_ask: false,
         now: NOW,
     };
     let call = AdmissionCall {
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -37,6 +37,7 @@
     crash_decisions: IntCounterVec,
     stream_returns: IntCounterVec,
     statements: IntCounterVec,
+    limit_messages: IntCounterVec,
     first_byte: HistogramVec,
     answer: HistogramVec,
     gateways: IntGauge,
@@ -92,6 +93,12 @@
                 "Statements of endpoints about themselves in the heads of their answers.",
                 &["kind"],
             )?,
+            limit_messages: counter_family(
+                registry,
+                "sapphire_gateway_limit_messages_total",
+                "Messages about limits of endpoints to other gateways, and requests without answer.",
+                &["kind"],
+            )?,
             first_byte: histogram_family(
                 registry,
                 HistogramKind::FirstToken,
@@ -161,6 +168,12 @@
         self.statements.with_label_values(&[kind]).inc();
     }
 
+    /// Counts a message about limits of endpoints. `kind` becomes a label and must be from a closed
+    /// set.
+    pub fn count_limit_message(&self, kind: &str) {
+        self.limit_messages.with_label_values(&[kind]).inc();
+    }
+
     /// Counts a decision on a call that may have crashed an endpoint. `decision` becomes a label and
     /// must be from a closed set.
     pub fn count_crash_decision(&self, decision: &str) {
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -8,6 +8,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId};
+use crate::statement::LimitMessage;
 use crate::stream::StreamMessage;
 
 /// Largest payload of a datagram in bytes; below the usual MTU, so that datagrams are not
@@ -232,6 +233,8 @@
     List(ListNotice),
     /// A message about origins of streams. Older gateways ignore it.
     Stream(StreamMessage),
+    /// A message about limits that endpoints name. Older gateways ignore it.
+    Limit(LimitMessage),
 }
 
 /// A catalog in the operator's text form, compressed.
