relay: log and count rests and leaving that endpoints state

The log shows that a call was turned away (`not-run`), but not what the answer stated, so a rest that nobody reads can't be told from one that is lost. Now the typed reading of a head holds the rest of statuses 503 and 429 and whether the endpoint leaves; a line and a metric tell. Absurd values (negative, NaN, empty, a date) are unreadable and change nothing else in the head. No decision depends on the reading yet.

--- a/crates/measure/src/limit/endpoint.rs
+++ b/crates/measure/src/limit/endpoint.rs
@@ -82,6 +82,7 @@
         let rate = CallRate::from_per_second(limit);
         EndpointStatement {
             limit: rate.map_or(StatedValue::Unreadable, StatedValue::Stated),
+            ..EndpointStatement::default()
         }
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -279,7 +279,8 @@
             return Err(EndpointError::Misdelivered);
         }
         let sent_at = self.progress.attempted_at;
-        state.note_statement(self.endpoint, sent_at, metadata.statement);
+        let statement = metadata.statement.of_answer(head.status);
+        state.note_statement(self.endpoint, sent_at, statement);
         if let Some(load) = metadata.load {
             let mut table = state.table.borrow_mut();
             table.note_report(now, self.endpoint, load);
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -65,6 +65,7 @@
         statement: EndpointStatement,
     ) {
         self.count_statement(statement);
+        self.log_rest(endpoint, statement);
         let now = self.now();
         let change = self
             .table
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -5,7 +5,7 @@
 
 use wire::gateway::ListedEndpoint;
 use wire::id::{DomainId, VersionId, name_id};
-use wire::statement::LimitNotice;
+use wire::statement::{CallRate, LimitNotice};
 
 use crate::call::LoadReport;
 use crate::endpoint_limit::{EndpointLimit, EndpointRoom, KeeperView};
@@ -157,17 +157,30 @@
         sent_at: Duration,
         statement: EndpointStatement,
     ) -> Option<StatementChange> {
-        if statement.limit == StatedValue::Unreadable {
-            let is_first = !std::mem::replace(&mut self.has_unreadable, true);
-            return is_first.then_some(StatementChange::Unreadable);
+        let is_unreadable = statement.is_unreadable();
+        let had_unreadable = self.has_unreadable;
+        self.has_unreadable |= is_unreadable;
+        if self.note_limit(now, sent_at, statement.limit) {
+            return Some(StatementChange::Limit(self.limit.rate()));
         }
-        let limit = statement.limit.stated();
-        let is_changed = self.limit.note(LimitStatement {
-            limit,
-            sent_at,
-            read_at: now,
-        });
-        is_changed.then_some(StatementChange::Limit(self.limit.rate()))
+        (is_unreadable && !had_unreadable).then_some(StatementChange::Unreadable)
+    }
+
+    /// Records the limit in the head of an answer. Returns whether it changed. What can't be read
+    /// changes nothing.
+    fn note_limit(
+        &mut self,
+        now: Duration,
+        sent_at: Duration,
+        limit: StatedValue<CallRate>,
+    ) -> bool {
+        let is_readable = limit != StatedValue::Unreadable;
+        is_readable
+            && self.limit.note(LimitStatement {
+                limit: limit.stated(),
+                sent_at,
+                read_at: now,
+            })
     }
 
     /// Records what another instance was told. Returns what changed.
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -8,10 +8,29 @@
 impl RelayState {
     /// Counts what an endpoint states in the head of an answer.
     pub fn count_statement(&self, statement: EndpointStatement) {
-        match statement.limit {
-            StatedValue::Absent => {}
-            StatedValue::Stated(_) => self.metrics.count_statement("limit"),
-            StatedValue::Unreadable => self.metrics.count_statement("unreadable"),
+        if let StatedValue::Stated(_) = statement.limit {
+            self.metrics.count_statement("limit");
+        }
+        if let StatedValue::Stated(_) = statement.rest {
+            self.metrics.count_statement("rest");
+        }
+        if statement.is_leaving == StatedValue::Stated(true) {
+            self.metrics.count_statement("leaving");
+        }
+        if statement.is_unreadable() {
+            self.metrics.count_statement("unreadable");
+        }
+    }
+
+    /// Logs that an endpoint asks for rest, or says that it leaves.
+    pub fn log_rest(&self, endpoint: EndpointId, statement: EndpointStatement) {
+        let table = self.table.borrow();
+        let name = table.row(endpoint).map_or("-", |row| row.name.as_str());
+        if let Some(rest) = statement.rest.stated() {
+            log::info!(endpoint = name, rest_ms = rest.as_millis() as u64; "relay: endpoint asks for rest");
+        }
+        if statement.is_leaving == StatedValue::Stated(true) {
+            log::info!(endpoint = name; "relay: endpoint says that it leaves");
         }
     }
 
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -58,6 +58,7 @@
 fn naming(limit: f64) -> EndpointStatement {
     EndpointStatement {
         limit: StatedValue::Stated(rate(limit)),
+        ..EndpointStatement::default()
     }
 }
 
@@ -247,6 +248,7 @@
     let mut table = table_of(1);
     let unreadable = EndpointStatement {
         limit: StatedValue::Unreadable,
+        ..EndpointStatement::default()
     };
     table.note_statement(millis(10), id(1), millis(1), naming(2.0));
 
