--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -42,31 +42,47 @@
         }
     }
 
-    fn query(&self, now: Duration, shared_part: u64) -> PlacementQuery<'static> {
+    fn query<'a>(
+        &self,
+        now: Duration,
+        shared_part: u64,
+        tried: &'a [EndpointId],
+    ) -> PlacementQuery<'a> {
         PlacementQuery {
             service: name_id(SERVICE),
             version: None,
             shared_part: Some(shared_part),
             instance: self.number,
             domain: 0,
-            tried: &[],
+            tried,
             may_ask: false,
             now,
         }
     }
 
     /// Chooses an open endpoint for a call. Returns `None` if it is refused.
-    pub fn choose(&self, now: Duration, shared_part: u64) -> Option<EndpointId> {
-        let query = self.query(now, shared_part);
+    pub fn choose(
+        &self,
+        now: Duration,
+        shared_part: u64,
+        tried: &[EndpointId],
+    ) -> Option<EndpointId> {
+        let query = self.query(now, shared_part, tried);
         choose(&PlacementSettings::default(), &self.table, &query)
     }
 
     /// The request for tokens before a call is placed; `None` if none is due.
-    pub fn ask(&mut self, now: Duration, shared_part: u64, id: u64) -> Option<TokenAsk> {
+    pub fn ask(
+        &mut self,
+        now: Duration,
+        shared_part: u64,
+        tried: &[EndpointId],
+        id: u64,
+    ) -> Option<TokenAsk> {
         if !self.table.has_limit(name_id(SERVICE)) {
             return None;
         }
-        let query = self.query(now, shared_part);
+        let query = self.query(now, shared_part, tried);
         let endpoints = endpoints_to_ask(&PlacementSettings::default(), &self.table, &query);
         let wishes = token_wishes(&mut self.table, now, &endpoints);
         (!wishes.is_empty()).then_some(TokenAsk { id, wishes })
--- a/crates/measure/src/limit/messages.rs
+++ b/crates/measure/src/limit/messages.rs
@@ -200,6 +200,7 @@
             self.end_ask(call, &outcome);
             return;
         }
+        let gateway = call.gateway;
         self.waiting.insert(ask.id, call);
         let [repeat_after, give_up_after] = ASK_WAITS;
         self.plan(
@@ -207,7 +208,7 @@
             FleetEvent::AskRepeats(ask.id, keeper, ask.clone()),
         );
         self.plan(give_up_after, FleetEvent::AskExpires(ask.id));
-        self.send(call.gateway, keeper, FleetMessage::Ask(ask));
+        self.send(gateway, keeper, FleetMessage::Ask(ask));
     }
 
     fn end_ask(&mut self, call: WaitingCall, outcome: &TokenOutcome) {
--- a/crates/measure/src/limit/mod.rs
+++ b/crates/measure/src/limit/mod.rs
@@ -1,4 +1,4 @@
-//! Endpoints that name a limit for the rate of their calls, before a fleet of gateways.
+//! Endpoints that name limits, ask for rest, or say that they leave, before a fleet of gateways.
 //!
 //! * [`endpoint`]: simulated endpoints.
 //! * [`gateway`]: a gateway with the decisions of crate `relay`.
@@ -14,14 +14,14 @@
 
 use argh::FromArgs;
 
-use self::replay::{LimitScope, ReplaySettings, replay};
+use self::replay::{ReplaySettings, StatementPattern, replay};
 
 /// Smallest share of its limit that an endpoint must serve while more calls prefer it.
 pub const MIN_USED: f64 = 0.8;
 /// Fleets that are measured without `--instances`.
 const FLEET_SIZES: [usize; 3] = [3, 30, 300];
 
-/// measure how a fleet shares the rates that endpoints name
+/// measure how a fleet obeys limits, rests and leaving that endpoints state
 #[derive(FromArgs)]
 #[argh(subcommand, name = "limit")]
 pub struct LimitArgs {
@@ -40,6 +40,10 @@
     pub calls: u32,
     /// Windows that hold more calls than the limit of their endpoint allows.
     pub breaches: u32,
+    /// Calls beyond the two that an endpoint may get from an instance of which it has asked a rest.
+    pub rest_breaches: u32,
+    /// Calls that were sent to an endpoint long after it had told their instance that it leaves.
+    pub leave_breaches: u32,
     /// Share of the limits that served calls, while more calls preferred the endpoints.
     pub used: f64,
     /// Calls that were refused.
@@ -56,7 +60,8 @@
 impl LimitResult {
     /// Whether the limits were kept and used, and no call was refused for which there was room.
     pub fn holds(&self) -> bool {
-        self.breaches == 0 && self.used >= MIN_USED && self.refused_with_room == 0
+        let breaches = self.breaches + self.rest_breaches + self.leave_breaches;
+        breaches == 0 && self.used >= MIN_USED && self.refused_with_room == 0
     }
 }
 
@@ -67,17 +72,19 @@
         .map_or(FLEET_SIZES.to_vec(), |size| vec![size]);
     let mut holds = true;
     for instances in sizes {
-        for scope in LimitScope::ALL {
+        for pattern in StatementPattern::ALL {
             let settings = ReplaySettings {
                 seed: args.seed,
-                ..ReplaySettings::new(instances, scope)
+                ..ReplaySettings::new(instances, pattern)
             };
             let result = replay(settings);
             println!(
-                "RESULT limit instances={instances} limited={scope} seed={} calls={} breaches={} used={:.3} refused={} refused_with_room={} datagrams={:.2} wait_p99_ms={}",
+                "RESULT limit instances={instances} pattern={pattern} seed={} calls={} breaches={} rest_breaches={} leave_breaches={} used={:.3} refused={} refused_with_room={} datagrams={:.2} wait_p99_ms={}",
                 args.seed,
                 result.calls,
                 result.breaches,
+                result.rest_breaches,
+                result.leave_breaches,
                 result.used,
                 result.refused,
                 result.refused_with_room,
--- a/crates/measure/src/limit/replay.rs
+++ b/crates/measure/src/limit/replay.rs
@@ -7,7 +7,7 @@
 use hdrhistogram::Histogram;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use relay::statement::EndpointStatement;
+use relay::statement::{EndpointStatement, StatedValue};
 use wire::gateway::ListedEndpoint;
 use wire::id::EndpointId;
 use wire::statement::TokenAsk;
@@ -43,6 +43,10 @@
 const ROOM_TIME: Duration = Duration::from_millis(150);
 /// Time after a restart or cut from which on a gateway is in touch.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
+/// Time after which the next endpoint asks for rest or leaves.
+const TURN_TIME: Duration = Duration::from_secs(6);
+/// Maximum number of endpoints that a call tries.
+const MAX_TRIED: usize = 5;
 /// Time in which each gateway restarts once.
 const RESTART_ROUND: Duration = Duration::from_secs(50);
 /// Downtime of a gateway that restarts.
@@ -52,20 +56,36 @@
 /// Length of a cut.
 const CUT_TIME: Duration = Duration::from_millis(2500);
 
-/// Which endpoints name limits.
+/// What the endpoints state.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum LimitScope {
-    /// Seven of ten endpoints.
-    #[display("some")]
-    Some,
-    /// All endpoints, so that calls must be refused.
-    #[display("all")]
-    All,
+pub enum StatementPattern {
+    /// Seven of ten endpoints name limits.
+    #[display("some-limited")]
+    SomeLimited,
+    /// All endpoints name limits, so that calls must be refused.
+    #[display("all-limited")]
+    AllLimited,
+    /// Endpoints turn calls away and ask for rest, one after the other.
+    #[display("resting")]
+    Resting,
+    /// Endpoints say that they leave, one after the other, long before the list says so.
+    #[display("leaving")]
+    Leaving,
 }
 
-impl LimitScope {
-    /// All scopes.
-    pub const ALL: [Self; 2] = [Self::Some, Self::All];
+impl StatementPattern {
+    /// All patterns.
+    pub const ALL: [Self; 4] = [
+        Self::SomeLimited,
+        Self::AllLimited,
+        Self::Resting,
+        Self::Leaving,
+    ];
+
+    /// Whether endpoints name limits.
+    pub fn has_limits(self) -> bool {
+        matches!(self, Self::SomeLimited | Self::AllLimited)
+    }
 }
 
 /// Settings of a replay.
@@ -75,8 +95,8 @@
     pub instances: usize,
     /// Number of endpoints.
     pub endpoints: usize,
-    /// Which endpoints name limits.
-    pub scope: LimitScope,
+    /// What the endpoints state.
+    pub pattern: StatementPattern,
     /// Limit of an endpoint, in calls per second.
     pub limit: f64,
     /// Seed of the calls and faults.
@@ -85,11 +105,11 @@
 
 impl ReplaySettings {
     /// A fleet of that many gateways.
-    pub fn new(instances: usize, scope: LimitScope) -> Self {
+    pub fn new(instances: usize, pattern: StatementPattern) -> Self {
         Self {
             instances,
             endpoints: if instances < 10 { 9 } else { 20 },
-            scope,
+            pattern,
             limit: 2.0,
             seed: 7,
         }
@@ -106,23 +126,23 @@
 }
 
 /// A call that was sent.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct SentCall {
-    gateway: usize,
-    /// Start of the gateway that sent it.
-    start: u32,
+    call: WaitingCall,
     endpoint: usize,
     sent_at: Duration,
 }
 
-/// A call that waits for a token.
-#[derive(Clone, Copy, Debug)]
+/// A call at the gateway that it arrived at.
+#[derive(Clone, Debug)]
 pub(super) struct WaitingCall {
     pub(super) gateway: usize,
     /// Start of the gateway that it arrived at.
     start: u32,
     part: u64,
     arrived_at: Duration,
+    /// Endpoints that turned it away.
+    tried: Vec<EndpointId>,
     /// When the latest request for tokens was sent.
     pub(super) asked_at: Duration,
     /// Number of requests for tokens.
@@ -213,6 +233,7 @@
     fn step(&mut self) {
         self.now += STEP;
         self.change_limits();
+        self.change_turns();
         self.disrupt();
         self.elect();
         self.note_room();
@@ -238,9 +259,10 @@
         let Some((_, factor)) = due.next() else {
             return;
         };
-        let is_limited = |number: usize| match self.settings.scope {
-            LimitScope::Some => number % 10 < 7,
-            LimitScope::All => true,
+        let is_limited = |number: usize| match self.settings.pattern {
+            StatementPattern::SomeLimited => number % 10 < 7,
+            StatementPattern::AllLimited => true,
+            StatementPattern::Resting | StatementPattern::Leaving => false,
         };
         let limit = (*factor > 0.0).then_some(self.settings.limit * factor);
         for (number, endpoint) in self.endpoints.iter_mut().enumerate() {
@@ -250,6 +272,23 @@
         }
     }
 
+    /// Lets the next endpoint rest or leave, and the one before it serve again.
+    fn change_turns(&mut self) {
+        if !self.now.as_millis().is_multiple_of(TURN_TIME.as_millis()) {
+            return;
+        }
+        let turn = (self.now.as_millis() / TURN_TIME.as_millis()) as usize;
+        let count = self.endpoints.len();
+        match self.settings.pattern {
+            StatementPattern::Resting => {
+                self.endpoints[(turn - 1) % count].overloaded_since = None;
+                self.endpoints[turn % count].overloaded_since = Some(self.now);
+            }
+            StatementPattern::Leaving => self.endpoints[turn % count].is_leaving = true,
+            StatementPattern::SomeLimited | StatementPattern::AllLimited => {}
+        }
+    }
+
     fn disrupt(&mut self) {
         if self.now >= self.next_restart_at {
             self.next_restart_at += RESTART_ROUND / self.gateways.len() as u32;
@@ -309,6 +348,7 @@
             start: self.gateways[number].starts,
             part,
             arrived_at: self.now,
+            tried: Vec::new(),
             asked_at: self.now,
             asks: 0,
         });
@@ -319,7 +359,7 @@
         let id = self.rng.random();
         let gateway = &mut self.gateways[call.gateway].gateway;
         let ask = match call.asks < MAX_ASKS {
-            true => gateway.ask(self.now, call.part, id),
+            true => gateway.ask(self.now, call.part, &call.tried, id),
             false => None,
         };
         if let Some(ask) = ask {
@@ -331,8 +371,8 @@
             self.ask_keeper(call, ask);
             return;
         }
-        match gateway.choose(self.now, call.part) {
-            Some(endpoint) => self.send_call(call.gateway, endpoint, call.arrived_at),
+        match gateway.choose(self.now, call.part, &call.tried) {
+            Some(endpoint) => self.send_call(call, endpoint),
             None => self.refuse(call),
         }
     }
@@ -360,18 +400,32 @@
         }
     }
 
-    fn send_call(&mut self, number: usize, endpoint: EndpointId, arrived_at: Duration) {
-        self.note_wait(arrived_at);
-        let slot = &mut self.gateways[number];
+    fn send_call(&mut self, call: WaitingCall, endpoint: EndpointId) {
+        if call.tried.is_empty() {
+            self.note_wait(call.arrived_at);
+        }
+        let slot = &mut self.gateways[call.gateway];
         slot.gateway.start(self.now, endpoint);
-        let call = SentCall {
-            gateway: number,
-            start: slot.starts,
+        let sent = SentCall {
+            call,
             endpoint: self.numbers[&endpoint],
             sent_at: self.now,
         };
         let transit = self.transit();
-        self.plan(transit, FleetEvent::CallReaches(call));
+        self.plan(transit, FleetEvent::CallReaches(sent));
+    }
+
+    /// Sends a call that was turned away to another endpoint.
+    fn retry(&mut self, call: WaitingCall, endpoint: EndpointId) {
+        let mut tried = call.tried.clone();
+        tried.push(endpoint);
+        if tried.len() < MAX_TRIED && self.waiting_gateway(&call).is_some() {
+            self.place(WaitingCall {
+                tried,
+                asks: 0,
+                ..call
+            });
+        }
     }
 
     fn refuse(&mut self, call: WaitingCall) {
@@ -414,42 +468,57 @@
             }
             FleetEvent::AskExpires(id) => self.expire_ask(id),
             FleetEvent::GatewayReturns(number) => self.greet(number),
-            FleetEvent::CallReaches(call) => {
-                let endpoint = &mut self.endpoints[call.endpoint];
-                let statement = endpoint.take_call(now, call.gateway);
+            FleetEvent::CallReaches(sent) => {
+                let WaitingCall {
+                    gateway,
+                    arrived_at,
+                    ..
+                } = sent.call;
+                let endpoint = &mut self.endpoints[sent.endpoint];
+                let statement = endpoint.take_call(now, gateway, arrived_at);
                 let transit = self.transit();
                 self.plan(
                     HEAD_TIME + transit,
-                    FleetEvent::HeadArrives(call, statement),
+                    FleetEvent::HeadArrives(sent, statement),
                 );
             }
-            FleetEvent::HeadArrives(call, statement) => {
-                if let Some(gateway) = self.sender_of(&call) {
-                    let endpoint = id_of(call.endpoint);
-                    gateway.note_head(now, endpoint, call.sent_at, statement);
-                }
-                let body = Duration::from_millis(self.rng.random_range(BODY_TIME));
-                self.plan(body, FleetEvent::AnswerEnds(call));
-            }
-            FleetEvent::AnswerEnds(call) => {
-                if let Some(gateway) = self.sender_of(&call) {
-                    gateway.finish(now, id_of(call.endpoint));
+            FleetEvent::HeadArrives(sent, statement) => self.note_head(sent, statement),
+            FleetEvent::AnswerEnds(sent) => {
+                if let Some(gateway) = self.waiting_gateway(&sent.call) {
+                    gateway.finish(now, id_of(sent.endpoint));
                 }
             }
         }
     }
 
-    /// The gateway that sent a call, unless it has restarted since.
-    fn sender_of(&mut self, call: &SentCall) -> Option<&mut SimulatedGateway> {
-        let slot = &mut self.gateways[call.gateway];
-        (slot.starts == call.start).then_some(&mut slot.gateway)
+    fn note_head(&mut self, sent: SentCall, statement: EndpointStatement) {
+        let (now, endpoint) = (self.now, id_of(sent.endpoint));
+        if let Some(gateway) = self.waiting_gateway(&sent.call) {
+            gateway.note_head(now, endpoint, sent.sent_at, statement);
+        }
+        if statement.rest == StatedValue::Absent {
+            let body = Duration::from_millis(self.rng.random_range(BODY_TIME));
+            self.plan(body, FleetEvent::AnswerEnds(sent));
+            return;
+        }
+        if let Some(gateway) = self.waiting_gateway(&sent.call) {
+            gateway.finish(now, endpoint);
+        }
+        self.retry(sent.call, endpoint);
     }
 
     fn result(mut self) -> LimitResult {
         let allowed: f64 = self.endpoints.iter().map(|one| one.allowed_calls).sum();
         let calls: u32 = self.endpoints.iter().map(|one| one.limited_calls).sum();
         self.result.breaches = self.endpoints.iter().map(|one| one.window.breaches).sum();
-        self.result.used = f64::from(calls) / allowed;
+        self.result.used = match self.settings.pattern.has_limits() {
+            true => f64::from(calls) / allowed,
+            false => 1.0,
+        };
+        let endpoints = self.endpoints.iter();
+        self.result.rest_breaches = endpoints.map(|one| one.rest_breaches).sum();
+        let endpoints = self.endpoints.iter();
+        self.result.leave_breaches = endpoints.map(|one| one.leave_breaches).sum();
         let gateway_time = RUN_TIME.as_secs_f64() * self.gateways.len() as f64;
         self.result.datagrams = self.datagrams as f64 / gateway_time;
         self.result.wait_p99_ms = self.waits.value_at_quantile(0.99);
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -8,7 +8,7 @@
 //! * [`overhead`]: latency and throughput cost of the path through entry and agent.
 //! * [`overload`](measure::overload): results of calls while the offered load exceeds the capacity
 //!   of the engines.
-//! * [`limit`](measure::limit): how a fleet shares the rates that endpoints name.
+//! * [`limit`](measure::limit): how a fleet obeys what endpoints state.
 //! * [`poison`](measure::poison): retries of a request that crashes each endpoint that runs it.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: simulation of one policy on one request sequence.
--- a/crates/measure/tests/limit.rs
+++ b/crates/measure/tests/limit.rs
@@ -1,19 +1,19 @@
-//! Endpoints that name limits, before a fleet of gateways. Each test is named after the failure that
+//! Endpoints that name limits, ask for rest or leave, before a fleet of gateways. Each test is named after the failure that
 //! it guards against.
 
 use googletest::prelude::*;
-use measure::limit::replay::{LimitScope, ReplaySettings, replay};
+use measure::limit::replay::{ReplaySettings, StatementPattern, replay};
 use measure::limit::{LimitResult, MIN_USED};
 
 const SEEDS: std::ops::Range<u64> = 1..4;
 
 fn each_replay(check: impl Fn(LimitResult, ReplaySettings)) {
     for instances in [3, 30] {
-        for scope in LimitScope::ALL {
+        for pattern in StatementPattern::ALL {
             for seed in SEEDS {
                 let settings = ReplaySettings {
                     seed,
-                    ..ReplaySettings::new(instances, scope)
+                    ..ReplaySettings::new(instances, pattern)
                 };
                 check(replay(settings), settings);
             }
@@ -42,3 +42,19 @@
         expect_that!(result.refused_with_room, eq(0), "{settings:?}: {result:?}");
     });
 }
+
+// Issue 29, BUDGET.
+#[gtest]
+fn endpoint_gets_calls_in_the_rest_that_it_asked_for() {
+    each_replay(|result, settings| {
+        expect_that!(result.rest_breaches, eq(0), "{settings:?}: {result:?}");
+    });
+}
+
+// Issue 29, DRAIN.
+#[gtest]
+fn endpoint_that_says_it_leaves_gets_new_calls() {
+    each_replay(|result, settings| {
+        expect_that!(result.leave_breaches, eq(0), "{settings:?}: {result:?}");
+    });
+}
