relay: send no calls to an endpoint that has asked for rest

Ruled out: a rest lost with a new list, and calls under way.

The row of an endpoint keeps the rest that was asked of this instance; placement passes to others, which is no retry. If all endpoints rest, calls are refused at once as not run, until the first of them takes calls again. After a rest a single call shows whether the endpoint takes them, so that those which have waited don't meet it at once. A shorter rest, or the answer to a call that was under way, does not end one; a rest is kept for a minute at most without such a call. An answer that has begun and can go on only at a resting endpoint waits for up to a second rather than being cut.

--- a/crates/gateway/tests/forwarding/limits.rs
+++ b/crates/gateway/tests/forwarding/limits.rs
@@ -1,8 +1,10 @@
-//! Calls to endpoints that name limits.
+//! Calls to endpoints that name limits, or ask for rest.
 
 use googletest::prelude::*;
 
-use crate::fixture::{CallerAnswer, ScriptedEndpoint, ScriptedReply, call, good_answer, request};
+use crate::fixture::{
+    CallerAnswer, ScriptedEndpoint, ScriptedReply, call, good_answer, not_run_answer, request,
+};
 use crate::{relay_before, run};
 
 fn answer_with_limit(limit: &str) -> String {
@@ -51,3 +53,45 @@
     expect_that!((first.status(), second.status()), eq((200, 200)));
     expect_that!(runs, eq([2, 0]));
 }
+
+fn rest_answer(seconds: &str) -> String {
+    let rest = format!("X-Not-Executed: 1\r\nRetry-After: {seconds}");
+    not_run_answer().replace("X-Not-Executed: 1", &rest)
+}
+
+#[gtest]
+fn endpoint_that_asked_for_rest_is_tried_by_the_next_call() {
+    let (statuses, runs) = run(async {
+        let rest = ScriptedReply::Keep(rest_answer("30"));
+        let resting = ScriptedEndpoint::start("e1", vec![rest]).await;
+        let other = ScriptedEndpoint::start("e2", vec![]).await;
+        let relay = relay_before(&[&resting, &other]).await;
+        let mut statuses = Vec::new();
+        for _ in 0..3 {
+            let answer = call(relay.address, &request("/unsafe/x", "")).await;
+            statuses.push(answer.status());
+        }
+        (statuses, [resting.runs(), other.runs()])
+    });
+
+    expect_that!(statuses, eq(&vec![200, 200, 200]));
+    expect_that!(runs, eq([1, 3]));
+}
+
+#[gtest]
+fn call_is_sent_or_held_while_all_endpoints_rest() {
+    let (first, second, runs) = run(async {
+        let rest = ScriptedReply::Keep(rest_answer("1.2"));
+        let resting = ScriptedEndpoint::start("e1", vec![rest]).await;
+        let relay = relay_before(&[&resting]).await;
+        let first = call(relay.address, &request("/unsafe/x", "")).await;
+        let second = call(relay.address, &request("/unsafe/x", "")).await;
+        (first, second, resting.runs())
+    });
+
+    expect_that!((first.status(), second.status()), eq((503, 503)));
+    expect_that!(runs, eq(1));
+    expect_that!(second.text.as_str(), contains_substring("not-run"));
+    let head = second.text.to_ascii_lowercase();
+    expect_that!(head, contains_substring("retry-after: 1."));
+}
--- a/crates/measure/tests/limit.rs
+++ b/crates/measure/tests/limit.rs
@@ -1,13 +1,19 @@
 //! Endpoints that name limits, ask for rest or leave, before a fleet of gateways. Each test is named after the failure that
 //! it guards against.
 
+use std::sync::LazyLock;
+
 use googletest::prelude::*;
 use measure::limit::replay::{ReplaySettings, StatementPattern, replay};
 use measure::limit::{LimitResult, MIN_USED};
 
 const SEEDS: std::ops::Range<u64> = 1..4;
 
-fn each_replay(check: impl Fn(LimitResult, ReplaySettings)) {
+/// The replays of all tests, which run once.
+static REPLAYS: LazyLock<Vec<(ReplaySettings, LimitResult)>> = LazyLock::new(replay_all);
+
+fn replay_all() -> Vec<(ReplaySettings, LimitResult)> {
+    let mut replays = Vec::new();
     for instances in [3, 30] {
         for pattern in StatementPattern::ALL {
             for seed in SEEDS {
@@ -15,10 +21,17 @@
                     seed,
                     ..ReplaySettings::new(instances, pattern)
                 };
-                check(replay(settings), settings);
+                replays.push((settings, replay(settings)));
             }
         }
     }
+    replays
+}
+
+fn each_replay(check: impl Fn(LimitResult, ReplaySettings)) {
+    for (settings, result) in REPLAYS.iter() {
+        check(*result, *settings);
+    }
 }
 
 // Issue 29, LIMIT.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -5,7 +5,7 @@
 
 use catalog::CatalogIndex;
 use fault::FaultKind;
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 use wire::id::EndpointId;
 use wire::stream::StreamOrigin;
 
@@ -25,6 +25,10 @@
 
 /// Maximum number of requests for tokens before one placement of a call.
 const MAX_TOKEN_ASKS: u32 = 3;
+/// Longest pause inside an answer until an endpoint that may go on with it takes calls again.
+const MAX_ANSWER_PAUSE: Duration = Duration::from_secs(1);
+/// Shortest such pause.
+const MIN_ANSWER_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum time that a call waits for the first catalog and the first endpoint of an instance.
 const SET_UP_LIMIT: Duration = Duration::from_millis(800);
 /// A call spends at most its caller's timeout divided by this on that wait, which leaves time for
@@ -168,6 +172,9 @@
         loop {
             self.ask_for_token().await;
             let Some(placed) = self.place() else {
+                if self.wait_inside_answer().await {
+                    continue;
+                }
                 return self.finish_without_room().await;
             };
             if let Some(wait) = placed.retry_after {
@@ -311,6 +318,27 @@
         self.refuse_unless_run(refusal).await
     }
 
+    /// Waits until an endpoint takes calls again that may go on inside the answer, if it does soon.
+    /// Returns whether it waited: the answer can go on nowhere else, and its caller could only
+    /// return later.
+    async fn wait_inside_answer(&self) -> bool {
+        if !self.writer.has_started {
+            return false;
+        }
+        let (state, call) = (self.state, self.call);
+        let tried = self.record.tried();
+        let query = call.query(state, self.progress.begun_by, &tried);
+        let next = next_room(&state.table.borrow(), &query);
+        let wait = next.map(|next| next.wait.max(MIN_ANSWER_PAUSE));
+        match wait.filter(|wait| *wait <= MAX_ANSWER_PAUSE) {
+            Some(wait) => {
+                sleep(wait).await;
+                true
+            }
+            None => false,
+        }
+    }
+
     /// Ends a call for which no endpoint is left. If it could not be sent because of what endpoints
     /// state, it may return when one of them takes calls again.
     async fn finish_without_room(&mut self) -> CallEnd {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`row`]: load and health of one endpoint.
 //! * [`health`]: health of an endpoint, derived from the calls of this instance.
 //! * [`endpoint_limit`]: the limit of one endpoint, and this instance's share of it.
+//! * [`endpoint_rest`]: the time of rest that an endpoint has asked of this instance.
 //! * [`limit_statement`]: the latest of an endpoint's statements on its limit.
 //! * [`rate_keeper`]: the one instance that hands out the rates which endpoints name.
 //! * [`token_bucket`]: bucket of tokens that fills at a rate.
@@ -57,6 +58,7 @@
 pub mod crash_check;
 pub mod crash_log;
 pub mod endpoint_limit;
+pub mod endpoint_rest;
 pub mod forward;
 pub mod health;
 pub mod limit_sharing;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId, VersionId};
-use wire::statement::{CallRate, MAX_WISHES, TokenWish};
+use wire::statement::{MAX_WISHES, TokenWish};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::endpoint_limit::EndpointRoom;
@@ -146,15 +146,16 @@
 pub struct NextRoom {
     /// Time until one of them takes a call.
     pub wait: Duration,
-    /// Calls per second that those with a limit take from all instances together.
+    /// Calls per second that these endpoints take from all instances together.
     pub rate: f64,
 }
 
-/// When the endpoints that a call may go on at take the next calls, if what they state keeps it from
+/// When the untried endpoints that a call may go on at take the next calls, if what they state keeps it from
 /// some of them.
 pub fn next_room(table: &EndpointTable, query: &PlacementQuery<'_>) -> Option<NextRoom> {
     let rows = table.of_service(query.service);
-    let rows = rows.filter(|(_, row)| query.matches(row) && row.standing(query.now).is_some());
+    let rows = rows.filter(|(id, row)| !query.tried.contains(id) && query.matches(row));
+    let rows = rows.filter(|(_, row)| row.standing(query.now).is_some());
     let mut next: Option<NextRoom> = None;
     for (_, row) in rows {
         let wait = match table.room(query.now, row) {
@@ -162,7 +163,7 @@
             EndpointRoom::Ask => Duration::ZERO,
             EndpointRoom::Open => continue,
         };
-        let rate = row.limit.rate().map_or(0.0, CallRate::per_second);
+        let rate = row.call_rate(query.now);
         next = Some(match next {
             Some(next) => NextRoom {
                 wait: next.wait.min(wait),
@@ -257,7 +258,7 @@
 
 /// Address of the endpoint that most probably has the shared part of the prompt in its cache, other
 /// than the one that runs the call: the first sound one of the same software version in the part's
-/// ranking. Draining endpoints are included, as they still serve their cache.
+/// ranking. Draining endpoints are included, as they still serve their cache, those that rest are not.
 pub fn warm_source(
     table: &EndpointTable,
     query: &PlacementQuery<'_>,
@@ -267,7 +268,7 @@
     let version = table.row(chosen)?.version_id;
     let others = table.of_service(query.service).filter(|(id, row)| {
         let is_other = *id != chosen && !query.tried.contains(id);
-        is_other && row.version_id == version && row.is_sound(query.now)
+        is_other && row.version_id == version && row.is_sound(query.now) && !row.rests(query.now)
     });
     let best = others.max_by_key(|(id, _)| affinity(part, *id));
     best.map(|(_, row)| row.address)
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -9,6 +9,7 @@
 
 use crate::call::LoadReport;
 use crate::endpoint_limit::{EndpointLimit, EndpointRoom, KeeperView};
+use crate::endpoint_rest::EndpointRest;
 use crate::health::EndpointHealth;
 use crate::limit_statement::LimitStatement;
 use crate::statement::{EndpointStatement, StatedValue, StatementChange};
@@ -27,6 +28,9 @@
 /// up to half of this time old, so for calls that end sooner only an average is meaningful.
 const AVERAGING_TIME: Duration = Duration::from_millis(500);
 
+/// Assumed time for which a call holds a slot before one has ended.
+const ASSUMED_HOLDING_TIME: Duration = Duration::from_millis(500);
+
 /// The time that a call spent at its endpoint, divided by this, is the minimum of its holding time,
 /// however long the expected wait was.
 const MIN_RUN_DIVISOR: u32 = 4;
@@ -77,6 +81,8 @@
     pub health: EndpointHealth,
     /// The limit that the endpoint names, and this instance's share of it.
     pub limit: EndpointLimit,
+    /// The rest that the endpoint has asked of this instance.
+    rest: EndpointRest,
     /// Whether the endpoint has stated something unreadable.
     has_unreadable: bool,
     /// Time since which the endpoint has continuously run requests of this instance.
@@ -115,6 +121,7 @@
             report: None,
             health: EndpointHealth::default(),
             limit: EndpointLimit::new(Duration::ZERO),
+            rest: EndpointRest::None,
             has_unreadable: false,
             busy_since: None,
             last_active_at: None,
@@ -146,7 +153,24 @@
 
     /// Whether the statements of the endpoint allow that calls are sent.
     pub fn room(&self, now: Duration, view: KeeperView) -> EndpointRoom {
-        self.limit.room(now, view)
+        match self.rest.room(now) {
+            EndpointRoom::Open => self.limit.room(now, view),
+            closed => closed,
+        }
+    }
+
+    /// Whether the endpoint has asked this instance for rest that is not over.
+    pub fn rests(&self, now: Duration) -> bool {
+        self.rest.room(now) != EndpointRoom::Open
+    }
+
+    /// Calls per second that the endpoint takes from all instances together: its limit, or an
+    /// estimate from its slots.
+    pub fn call_rate(&self, now: Duration) -> f64 {
+        let holding_time = self.holding_time.unwrap_or(ASSUMED_HOLDING_TIME);
+        let slots = f64::from(self.capacity(now).unwrap_or(1));
+        let estimate = slots / holding_time.as_secs_f64().max(f64::MIN_POSITIVE);
+        self.limit.rate().map_or(estimate, CallRate::per_second)
     }
 
     /// Records what the endpoint states in the head of an answer that has just arrived, to a call
@@ -160,6 +184,10 @@
         let is_unreadable = statement.is_unreadable();
         let had_unreadable = self.has_unreadable;
         self.has_unreadable |= is_unreadable;
+        match statement.rest {
+            StatedValue::Stated(rest) => self.rest.ask(now, rest),
+            StatedValue::Absent | StatedValue::Unreadable => self.rest.end(sent_at),
+        }
         if self.note_limit(now, sent_at, statement.limit) {
             return Some(StatementChange::Limit(self.limit.rate()));
         }
@@ -309,6 +337,7 @@
 
     /// Records that a call of this instance is sent to the endpoint.
     pub fn start(&mut self, now: Duration, view: KeeperView) {
+        self.rest.start(now);
         self.limit.take_token(now, view);
         self.update_average(now);
         self.own_running += 1;
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -1,4 +1,5 @@
-//! Limits that endpoints name: which statement holds, and how an instance uses its share.
+//! Limits that endpoints name and rests that they ask for: which statement holds, and what an
+//! instance sends.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
@@ -316,3 +317,108 @@
 
     expect_that!(tokens, all!(ge(10), le(13)));
 }
+
+fn asking_rest(millis: u64) -> EndpointStatement {
+    EndpointStatement {
+        rest: StatedValue::Stated(Duration::from_millis(millis)),
+        ..EndpointStatement::default()
+    }
+}
+
+fn closed_until(millis: u64) -> EndpointRoom {
+    EndpointRoom::Closed {
+        until: Duration::from_millis(millis),
+    }
+}
+
+#[gtest]
+fn endpoint_that_rests_gets_calls_of_the_instance_that_it_asked() {
+    let mut table = table_of(2);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(3000));
+
+    expect_that!(room(&table, 1, 20), eq(closed_until(3010)));
+    expect_that!(room(&table, 1, 3009), eq(closed_until(3010)));
+    let chosen = choose(&PlacementSettings::default(), &table, &query(20, true));
+    expect_that!(chosen, some(eq(id(2))));
+}
+
+#[gtest]
+fn rest_is_ended_by_a_call_that_was_under_way_or_by_a_shorter_one() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(3000));
+
+    table.note_statement(millis(20), id(1), millis(5), EndpointStatement::default());
+    table.note_statement(millis(30), id(1), millis(6), asking_rest(100));
+
+    expect_that!(room(&table, 1, 40), eq(closed_until(3010)));
+}
+
+#[gtest]
+fn calls_that_waited_for_the_end_of_a_rest_meet_the_endpoint_at_once() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(1000));
+
+    expect_that!(room(&table, 1, 1010), eq(EndpointRoom::Open));
+    table.start(millis(1010), id(1));
+    expect_that!(room(&table, 1, 1011), eq(closed_until(2010)));
+    table.note_statement(
+        millis(1030),
+        id(1),
+        millis(1010),
+        EndpointStatement::default(),
+    );
+    expect_that!(room(&table, 1, 1031), eq(EndpointRoom::Open));
+}
+
+#[gtest]
+fn rest_after_a_rest_is_taken_for_its_end() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(1000));
+    table.start(millis(1010), id(1));
+
+    table.note_statement(millis(1030), id(1), millis(1010), asking_rest(2000));
+
+    expect_that!(room(&table, 1, 1100), eq(closed_until(3030)));
+}
+
+#[gtest]
+fn call_after_a_rest_that_gets_no_answer_closes_the_endpoint_for_good() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(1000));
+
+    table.start(millis(1010), id(1));
+
+    expect_that!(room(&table, 1, 2010), eq(EndpointRoom::Open));
+}
+
+#[gtest]
+fn absurd_rest_closes_an_endpoint_for_good() {
+    let mut table = table_of(1);
+
+    table.note_statement(millis(0), id(1), millis(0), asking_rest(3_600_000));
+
+    expect_that!(room(&table, 1, 60_000), eq(EndpointRoom::Open));
+}
+
+#[gtest]
+fn rest_of_an_endpoint_is_taken_for_that_of_its_successor() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(3000));
+
+    table.replace(&[listed("e1", 99)]);
+
+    expect_that!(room(&table, 1, 20), eq(EndpointRoom::Open));
+}
+
+#[gtest]
+fn retry_time_of_a_caller_is_before_the_first_endpoint_ends_its_rest() {
+    let mut table = table_of(2);
+    table.note_statement(millis(10), id(1), millis(1), asking_rest(3000));
+    table.note_statement(millis(10), id(2), millis(1), asking_rest(800));
+
+    let chosen = choose(&PlacementSettings::default(), &table, &query(110, true));
+    let next = next_room(&table, &query(110, false)).expect("both rest");
+
+    expect_that!(chosen, none());
+    expect_that!(next.wait, eq(millis(700)));
+}
