relay: send no new calls to an endpoint that says it leaves

The row of an endpoint keeps its own word, which it says before the list does; placement, retries and resumed streams pass it over. A process that starts again under the same name and address would be avoided for good, as no call is left to tell: while the list shows such an endpoint as ready, its health is checked every 5 s, and it takes calls again if the check succeeds without the word. Endpoints that the list shows as draining, the usual case within 3 s, are never checked.

--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -19,8 +19,8 @@
 const EARLY_HEARTBEAT_DELAY: Duration = Duration::from_millis(20);
 /// The same delay for a heartbeat that announces a changed load.
 const LOAD_HEARTBEAT_DELAY: Duration = Duration::from_millis(40);
-/// Interval at which expired idle connections to endpoints are closed, and limits of endpoints are
-/// repeated to one other gateway. The pool does not hand out an expired connection in between
+/// Interval at which expired idle connections to endpoints are closed, limits of endpoints are
+/// repeated to one other gateway, and endpoints that leave are checked. The pool does not hand out an expired connection in between
 /// either.
 const SLOW_INTERVAL: Duration = Duration::from_secs(1);
 /// One of this many heartbeats names the live gateways; the others leave them out.
@@ -60,6 +60,7 @@
         if now >= expired_at + SLOW_INTERVAL {
             expired_at = now;
             node.relay_state.pool.expire(now);
+            node.relay_state.check_leaving();
             last_told = node.repeat_limits(last_told);
         }
     }
--- a/crates/gateway/tests/forwarding/limits.rs
+++ b/crates/gateway/tests/forwarding/limits.rs
@@ -1,9 +1,13 @@
-//! Calls to endpoints that name limits, or ask for rest.
+//! Calls to endpoints that name limits, ask for rest or leave.
+
+use std::time::Duration;
 
 use googletest::prelude::*;
+use wire::id::name_id;
 
 use crate::fixture::{
     CallerAnswer, ScriptedEndpoint, ScriptedReply, call, good_answer, not_run_answer, request,
+    signed_answer,
 };
 use crate::{relay_before, run};
 
@@ -95,3 +99,60 @@
     let head = second.text.to_ascii_lowercase();
     expect_that!(head, contains_substring("retry-after: 1."));
 }
+
+fn leaving_answer() -> String {
+    good_answer("last").replace(
+        "X-Server-Stamp: s1",
+        "X-Server-Stamp: s1\r\nServer-Leaving: 1",
+    )
+}
+
+#[gtest]
+fn endpoint_that_said_it_leaves_runs_the_next_call() {
+    let runs = run(async {
+        let leaving = ScriptedReply::Keep(leaving_answer());
+        let leaving = ScriptedEndpoint::start("e1", vec![leaving]).await;
+        let other = ScriptedEndpoint::start("e2", vec![]).await;
+        let relay = relay_before(&[&leaving, &other]).await;
+        for _ in 0..3 {
+            call(relay.address, &request("/unsafe/x", "")).await;
+        }
+        [leaving.runs(), other.runs()]
+    });
+
+    expect_that!(runs, eq([1, 2]));
+}
+
+/// Whether an endpoint that has said that it leaves serves the call after a health check with this
+/// answer.
+async fn serves_after_check(health: String) -> bool {
+    let replies = vec![
+        ScriptedReply::Keep(leaving_answer()),
+        ScriptedReply::Keep(health),
+    ];
+    let endpoint = ScriptedEndpoint::start("e1", replies).await;
+    let relay = relay_before(&[&endpoint]).await;
+    call(relay.address, &request("/unsafe/x", "")).await;
+    let past = Duration::from_secs(5);
+    let id = name_id("e1");
+    let mut table = relay.state.table.borrow_mut();
+    let due = table.begin_leave_checks(relay.state.now() + past);
+    expect_that!(due, eq(&vec![id]));
+    drop(table);
+    relay.state.check_leaving_endpoint(id).await;
+    call(relay.address, &request("/unsafe/x", ""))
+        .await
+        .status()
+        == 200
+}
+
+#[gtest]
+fn health_check_of_a_leaving_endpoint_is_misread() {
+    let healthy = good_answer("ok");
+    let leaving = leaving_answer();
+    let draining = signed_answer(503, "draining");
+
+    expect_that!(run(serves_after_check(healthy)), eq(true));
+    expect_that!(run(serves_after_check(leaving)), eq(false));
+    expect_that!(run(serves_after_check(draining)), eq(false));
+}
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -126,8 +126,10 @@
         let outcome = CallOutcome::Served(now.saturating_sub(sent_at));
         self.table.note(now, endpoint, outcome);
         self.table.note_activity(now, endpoint);
-        let change = self.table.note_statement(now, endpoint, sent_at, statement);
-        if let Some(StatementChange::Limit(_)) = change {
+        let table = &mut self.table;
+        let changes = table.note_statement(now, endpoint, sent_at, statement);
+        let is_limit = |change: &StatementChange| matches!(change, StatementChange::Limit(_));
+        if changes.iter().any(is_limit) {
             self.news.extend(self.table.notice(now, endpoint));
         }
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -6,6 +6,7 @@
 //! * [`row`]: load and health of one endpoint.
 //! * [`health`]: health of an endpoint, derived from the calls of this instance.
 //! * [`endpoint_limit`]: the limit of one endpoint, and this instance's share of it.
+//! * [`endpoint_leave`]: whether an endpoint has said that it leaves.
 //! * [`endpoint_rest`]: the time of rest that an endpoint has asked of this instance.
 //! * [`limit_statement`]: the latest of an endpoint's statements on its limit.
 //! * [`rate_keeper`]: the one instance that hands out the rates which endpoints name.
@@ -37,6 +38,7 @@
 //! * [`record`]: metrics and log line of a call.
 //! * [`crash_check`]: lost runs, and checks whether their endpoints are down.
 //! * [`crash_log`]: log lines and metrics of crash detection.
+//! * [`leave_check`]: health checks of endpoints that have said that they leave.
 //! * [`limit_sharing`]: messages by which instances share the limits of endpoints.
 //! * [`statement_log`]: log lines and metrics of what endpoints state.
 //! * [`peers`]: the other instances.
@@ -57,10 +59,12 @@
 pub mod crash;
 pub mod crash_check;
 pub mod crash_log;
+pub mod endpoint_leave;
 pub mod endpoint_limit;
 pub mod endpoint_rest;
 pub mod forward;
 pub mod health;
+pub mod leave_check;
 pub mod limit_sharing;
 pub mod limit_statement;
 pub mod origin;
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -67,16 +67,15 @@
         self.count_statement(statement);
         self.log_rest(endpoint, statement);
         let now = self.now();
-        let change = self
+        let changes = self
             .table
             .borrow_mut()
             .note_statement(now, endpoint, sent_at, statement);
-        let Some(change) = change else {
-            return;
-        };
-        self.log_statement(endpoint, change, false);
-        if let StatementChange::Limit(_) = change {
-            self.announce_limit(endpoint);
+        for change in changes {
+            self.log_statement(endpoint, change, false);
+            if let StatementChange::Limit(_) = change {
+                self.announce_limit(endpoint);
+            }
         }
     }
 
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use wire::gateway::ListedEndpoint;
-use wire::id::{DomainId, VersionId, name_id};
+use wire::id::{DomainId, ServiceId, VersionId, name_id};
 use wire::statement::{CallRate, LimitNotice};
 
 use crate::call::LoadReport;
+use crate::endpoint_leave::EndpointLeave;
 use crate::endpoint_limit::{EndpointLimit, EndpointRoom, KeeperView};
 use crate::endpoint_rest::EndpointRest;
 use crate::health::EndpointHealth;
@@ -59,6 +60,8 @@
     pub name: String,
     /// Address of its HTTP server.
     pub address: SocketAddrV4,
+    /// Service of the endpoint.
+    pub service: ServiceId,
     /// Failure domain of the endpoint.
     pub domain: DomainId,
     /// Version of the endpoint's software, according to the list.
@@ -83,6 +86,8 @@
     pub limit: EndpointLimit,
     /// The rest that the endpoint has asked of this instance.
     rest: EndpointRest,
+    /// Whether the endpoint has said that it leaves.
+    leave: EndpointLeave,
     /// Whether the endpoint has stated something unreadable.
     has_unreadable: bool,
     /// Time since which the endpoint has continuously run requests of this instance.
@@ -110,6 +115,7 @@
         Self {
             name: listed.name.clone(),
             address: listed.address,
+            service: listed.service_id(),
             domain: listed.domain,
             version: listed.version.clone(),
             version_id: name_id(&listed.version),
@@ -122,6 +128,7 @@
             health: EndpointHealth::default(),
             limit: EndpointLimit::new(Duration::ZERO),
             rest: EndpointRest::None,
+            leave: EndpointLeave::No,
             has_unreadable: false,
             busy_since: None,
             last_active_at: None,
@@ -139,9 +146,9 @@
     }
 
     /// Suitability of the endpoint for a call; `None` if calls must not be sent to it because it is
-    /// draining or misplaced.
+    /// draining, by the list or its own word, or misplaced.
     pub fn standing(&self, now: Duration) -> Option<EndpointStanding> {
-        if self.is_draining || self.is_misplaced {
+        if self.is_draining || self.is_misplaced || self.leave != EndpointLeave::No {
             return None;
         }
         Some(match (self.health.is_usable(now), self.is_silent(now)) {
@@ -159,6 +166,18 @@
         }
     }
 
+    /// Whether a health check is due, as the endpoint has said that it leaves and the list shows it
+    /// as ready. If so, records that it begins.
+    pub fn begin_leave_check(&mut self, now: Duration) -> bool {
+        let may_call = !self.is_draining && !self.is_misplaced && !self.rests(now);
+        may_call && self.limit.rate().is_none() && self.leave.begin_check(now)
+    }
+
+    /// Records that a process at the endpoint's address serves which does not say that it leaves.
+    pub fn note_returned(&mut self) {
+        self.leave = EndpointLeave::No;
+    }
+
     /// Whether the endpoint has asked this instance for rest that is not over.
     pub fn rests(&self, now: Duration) -> bool {
         self.rest.room(now) != EndpointRoom::Open
@@ -180,18 +199,24 @@
         now: Duration,
         sent_at: Duration,
         statement: EndpointStatement,
-    ) -> Option<StatementChange> {
-        let is_unreadable = statement.is_unreadable();
-        let had_unreadable = self.has_unreadable;
-        self.has_unreadable |= is_unreadable;
+    ) -> Vec<StatementChange> {
         match statement.rest {
             StatedValue::Stated(rest) => self.rest.ask(now, rest),
             StatedValue::Absent | StatedValue::Unreadable => self.rest.end(sent_at),
         }
+        let mut changes = Vec::new();
         if self.note_limit(now, sent_at, statement.limit) {
-            return Some(StatementChange::Limit(self.limit.rate()));
+            changes.push(StatementChange::Limit(self.limit.rate()));
+        }
+        let is_leaving = statement.is_leaving == StatedValue::Stated(true);
+        if is_leaving && self.leave.say(now) {
+            changes.push(StatementChange::Leaving);
+        }
+        let is_unreadable = statement.is_unreadable();
+        if is_unreadable && !std::mem::replace(&mut self.has_unreadable, true) {
+            changes.push(StatementChange::Unreadable);
         }
-        (is_unreadable && !had_unreadable).then_some(StatementChange::Unreadable)
+        changes
     }
 
     /// Records the limit in the head of an answer. Returns whether it changed. What can't be read
--- a/crates/relay/src/statement.rs
+++ b/crates/relay/src/statement.rs
@@ -69,6 +69,8 @@
 pub enum StatementChange {
     /// It names another limit, or none any more.
     Limit(Option<CallRate>),
+    /// It says that it leaves.
+    Leaving,
     /// It stated something unreadable, for the first time.
     Unreadable,
 }
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -22,16 +22,13 @@
         }
     }
 
-    /// Logs that an endpoint asks for rest, or says that it leaves.
+    /// Logs that an endpoint asks for rest.
     pub fn log_rest(&self, endpoint: EndpointId, statement: EndpointStatement) {
         let table = self.table.borrow();
         let name = table.row(endpoint).map_or("-", |row| row.name.as_str());
         if let Some(rest) = statement.rest.stated() {
             log::info!(endpoint = name, rest_ms = rest.as_millis() as u64; "relay: endpoint asks for rest");
         }
-        if statement.is_leaving == StatedValue::Stated(true) {
-            log::info!(endpoint = name; "relay: endpoint says that it leaves");
-        }
     }
 
     /// Logs a change of what an endpoint states. `is_told` tells whether another instance told it.
@@ -45,6 +42,9 @@
             StatementChange::Limit(None) => {
                 log::info!(endpoint = name, told = is_told; "relay: endpoint names no limit any more");
             }
+            StatementChange::Leaving => {
+                log::info!(endpoint = name; "relay: endpoint says that it leaves");
+            }
             StatementChange::Unreadable => {
                 log::warn!(endpoint = name; "relay: endpoint states what can't be read");
             }
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -186,9 +186,18 @@
         id: EndpointId,
         sent_at: Duration,
         statement: EndpointStatement,
-    ) -> Option<StatementChange> {
-        let row = self.rows.get_mut(&id)?;
-        row.note_statement(now, sent_at, statement)
+    ) -> Vec<StatementChange> {
+        match self.rows.get_mut(&id) {
+            Some(row) => row.note_statement(now, sent_at, statement),
+            None => Vec::new(),
+        }
+    }
+
+    /// The endpoints whose health checks are due, which begin now.
+    pub fn begin_leave_checks(&mut self, now: Duration) -> Vec<EndpointId> {
+        let rows = self.rows.iter_mut();
+        let due = rows.filter_map(|(id, row)| row.begin_leave_check(now).then_some(*id));
+        due.collect()
     }
 
     /// Records what another instance was told. Returns what changed.
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -1,4 +1,4 @@
-//! Limits that endpoints name and rests that they ask for: which statement holds, and what an
+//! Limits that endpoints name, rests that they ask for, and their leaving: which statement holds, and what an
 //! instance sends.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
@@ -160,7 +160,7 @@
 
     let change = table.note_statement(millis(40), id(1), millis(30), naming(2.0));
 
-    expect_that!(change, some(eq(StatementChange::Limit(Some(rate(2.0))))));
+    expect_that!(change, eq(&vec![StatementChange::Limit(Some(rate(2.0)))]));
     expect_that!(room(&table, 1, 40), eq(EndpointRoom::Ask));
 }
 
@@ -256,8 +256,8 @@
     let first = table.note_statement(millis(30), id(1), millis(20), unreadable);
     let second = table.note_statement(millis(50), id(1), millis(40), unreadable);
 
-    expect_that!(first, some(eq(StatementChange::Unreadable)));
-    expect_that!(second, none());
+    expect_that!(first, eq(&vec![StatementChange::Unreadable]));
+    expect_that!(second, is_empty());
     expect_that!(room(&table, 1, 50), eq(EndpointRoom::Ask));
 }
 
@@ -422,3 +422,64 @@
     expect_that!(chosen, none());
     expect_that!(next.wait, eq(millis(700)));
 }
+
+fn leaving() -> EndpointStatement {
+    EndpointStatement {
+        is_leaving: StatedValue::Stated(true),
+        ..EndpointStatement::default()
+    }
+}
+
+fn chosen_of(table: &EndpointTable, now_ms: u64) -> Option<EndpointId> {
+    choose(&PlacementSettings::default(), table, &query(now_ms, true))
+}
+
+#[gtest]
+fn endpoint_that_leaves_gets_calls_while_the_list_shows_it_as_ready() {
+    let mut table = table_of(1);
+
+    let change = table.note_statement(millis(10), id(1), millis(1), leaving());
+    table.note_statement(millis(20), id(1), millis(5), EndpointStatement::default());
+    table.replace(&[listed("e1", 1)]);
+
+    expect_that!(change, eq(&vec![StatementChange::Leaving]));
+    expect_that!(chosen_of(&table, 60_000), none());
+}
+
+#[gtest]
+fn endpoint_that_started_again_under_its_name_is_avoided_for_good() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), leaving());
+
+    expect_that!(table.begin_leave_checks(millis(5009)), is_empty());
+    expect_that!(table.begin_leave_checks(millis(5010)), eq(&vec![id(1)]));
+    expect_that!(table.begin_leave_checks(millis(6000)), is_empty());
+    table.row_mut(id(1)).expect("it is listed").note_returned();
+
+    expect_that!(chosen_of(&table, 6000), some(eq(id(1))));
+    expect_that!(table.begin_leave_checks(millis(60_000)), is_empty());
+}
+
+#[gtest]
+fn endpoint_that_the_list_shows_as_draining_is_checked() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), leaving());
+    let draining = ListedEndpoint {
+        is_draining: true,
+        ..listed("e1", 1)
+    };
+
+    table.replace(&[draining]);
+
+    expect_that!(table.begin_leave_checks(millis(60_000)), is_empty());
+}
+
+#[gtest]
+fn leaving_of_an_endpoint_is_taken_for_that_of_its_successor() {
+    let mut table = table_of(1);
+    table.note_statement(millis(10), id(1), millis(1), leaving());
+
+    table.replace(&[listed("e1", 99)]);
+
+    expect_that!(chosen_of(&table, 20), some(eq(id(1))));
+}
