--- a/crates/gateway/tests/forwarding/limits.rs
+++ b/crates/gateway/tests/forwarding/limits.rs
@@ -135,10 +135,13 @@
     call(relay.address, &request("/unsafe/x", "")).await;
     let past = Duration::from_secs(5);
     let id = name_id("e1");
-    let mut table = relay.state.table.borrow_mut();
-    let due = table.begin_leave_checks(relay.state.now() + past);
+    let now = relay.state.now();
+    let due = relay
+        .state
+        .table
+        .borrow_mut()
+        .begin_leave_checks(now + past);
     expect_that!(due, eq(&vec![id]));
-    drop(table);
     relay.state.check_leaving_endpoint(id).await;
     call(relay.address, &request("/unsafe/x", ""))
         .await
