--- a/crates/measure/src/limit/endpoint.rs
+++ b/crates/measure/src/limit/endpoint.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
-use relay::statement::{EndpointStatement, StatedValue};
+use pace::statement::{EndpointStatement, StatedValue};
 use wire::gateway::ListedEndpoint;
 use wire::statement::CallRate;
 
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
+use pace::statement::EndpointStatement;
 use relay::health::CallOutcome;
 use relay::limit_sharing::token_request;
 use relay::placement::{PlacementQuery, PlacementSettings, choose, endpoints_to_ask, token_wishes};
 use relay::rate_keeper::{KeeperTerm, RateKeeper, TokenRequest};
-use relay::statement::{EndpointStatement, StatementChange};
+use relay::statement_change::StatementChange;
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, name_id};
--- a/crates/measure/src/limit/replay.rs
+++ b/crates/measure/src/limit/replay.rs
@@ -5,9 +5,9 @@
 
 use derive_more::Display;
 use hdrhistogram::Histogram;
+use pace::statement::{EndpointStatement, StatedValue};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use relay::statement::{EndpointStatement, StatedValue};
 use wire::gateway::ListedEndpoint;
 use wire::id::EndpointId;
 use wire::statement::TokenAsk;
--- a/crates/relay/src/token_bucket.rs
+++ b/crates/pace/src/bucket.rs
@@ -4,6 +4,15 @@
 
 use wire::statement::CallRate;
 
+/// Time of a rate whose tokens are kept while none are used.
+const BURST_TIME: Duration = Duration::from_millis(500);
+/// Number of tokens that are kept at least. With a single one, the rate would be lost while that one
+/// waits for a call.
+const MIN_BURST: f64 = 2.0;
+/// Lowest rate of a limit, in calls per second. Without any call, no answer of an endpoint could end
+/// its limit.
+const MIN_RATE: f64 = 0.2;
+
 /// Rate and size of a [`TokenBucket`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct BucketSettings {
@@ -14,10 +23,19 @@
 }
 
 impl BucketSettings {
-    /// A bucket that holds one token, for a share of a rate.
-    pub fn new(rate: CallRate, share: f64) -> Self {
+    /// The bucket of an endpoint's limit, for all calls to it or a large share of them.
+    pub fn of_limit(limit: CallRate, share: f64) -> Self {
+        let rate = Self::of_share(limit, share).rate.max(MIN_RATE);
+        Self {
+            rate,
+            size: (rate * BURST_TIME.as_secs_f64()).max(MIN_BURST),
+        }
+    }
+
+    /// A bucket that holds one token, for a small share of a limit.
+    pub fn of_share(limit: CallRate, share: f64) -> Self {
         Self {
-            rate: rate.per_second() * share,
+            rate: limit.per_second() * share,
             size: 1.0,
         }
     }
--- a/crates/relay/src/endpoint_rest.rs
+++ b/crates/pace/src/rest.rs
@@ -1,11 +1,11 @@
-//! The time of rest that an endpoint has asked of this instance.
+//! The time of rest that an endpoint has asked for.
 //!
 //! After a rest, the calls that have waited for its end would meet the endpoint all at once. So a
 //! single call shows first whether the endpoint takes calls again.
 
 use std::time::Duration;
 
-use crate::endpoint_limit::EndpointRoom;
+use crate::room::EndpointRoom;
 
 /// Longest time for which a rest is kept without a call that shows whether it still holds.
 const MAX_REST: Duration = Duration::from_secs(60);
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -5,7 +5,7 @@
 
 use actix_http::header::HeaderMap;
 
-use crate::statement::EndpointStatement;
+use pace::statement::EndpointStatement;
 
 /// One part of a prompt. Prompts with the same parts up to and including this one can use the same
 /// prefix cache.
--- a/crates/relay/src/endpoint_limit.rs
+++ b/crates/relay/src/endpoint_limit.rs
@@ -4,11 +4,12 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use pace::bucket::{BucketSettings, TokenBucket};
+use pace::room::EndpointRoom;
 use wire::statement::CallRate;
 
-use crate::limit_statement::LimitStatement;
 use crate::rate_keeper::KEPT_SHARE;
-use crate::token_bucket::{BucketSettings, TokenBucket};
+use pace::limit::LimitStatement;
 
 /// Time from a request for tokens after which they can't be used any more.
 const TOKEN_LIFETIME: Duration = Duration::from_secs(1);
@@ -23,20 +24,6 @@
 /// Largest number of tokens in one request.
 const MAX_LOT: u16 = 1000;
 
-/// Whether calls may be sent to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndpointRoom {
-    /// They may.
-    Open,
-    /// They may once a token was asked for.
-    Ask,
-    /// None may be sent before this time.
-    Closed {
-        /// The time.
-        until: Duration,
-    },
-}
-
 /// What this instance knows of the keeper and of the others that share the rates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct KeeperView {
@@ -246,5 +233,5 @@
 
 fn reserve_settings(rate: CallRate, view: KeeperView) -> BucketSettings {
     let share = (1.0 - KEPT_SHARE) / view.instances.max(1) as f64;
-    BucketSettings::new(rate, share)
+    BucketSettings::of_share(rate, share)
 }
--- a/crates/relay/src/leave_check.rs
+++ b/crates/relay/src/leave_check.rs
@@ -12,7 +12,7 @@
 
 use crate::call::ForwardMetadata;
 use crate::state::RelayState;
-use crate::statement::StatedValue;
+use pace::statement::StatedValue;
 
 /// Maximum time for a health check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,11 +7,7 @@
 //! * [`health`]: health of an endpoint, derived from the calls of this instance.
 //! * [`endpoint_limit`]: the limit of one endpoint, and this instance's share of it.
 //! * [`endpoint_leave`]: whether an endpoint has said that it leaves.
-//! * [`endpoint_rest`]: the time of rest that an endpoint has asked of this instance.
-//! * [`limit_statement`]: the latest of an endpoint's statements on its limit.
 //! * [`rate_keeper`]: the one instance that hands out the rates which endpoints name.
-//! * [`token_bucket`]: bucket of tokens that fills at a rate.
-//! * [`statement`]: what an endpoint states about itself in an answer.
 //! * [`placement`]: choice of the endpoint that runs a call.
 //! * [`admission`]: admission control for services with few or no free slots.
 //! * [`accounts`]: number of running calls by client account.
@@ -40,6 +36,7 @@
 //! * [`crash_log`]: log lines and metrics of crash detection.
 //! * [`leave_check`]: health checks of endpoints that have said that they leave.
 //! * [`limit_sharing`]: messages by which instances share the limits of endpoints.
+//! * [`statement_change`]: changes of what an endpoint states.
 //! * [`statement_log`]: log lines and metrics of what endpoints state.
 //! * [`peers`]: the other instances.
 //! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
@@ -61,12 +58,10 @@
 pub mod crash_log;
 pub mod endpoint_leave;
 pub mod endpoint_limit;
-pub mod endpoint_rest;
 pub mod forward;
 pub mod health;
 pub mod leave_check;
 pub mod limit_sharing;
-pub mod limit_statement;
 pub mod origin;
 pub mod origin_lookup;
 pub mod peers;
@@ -85,8 +80,7 @@
 pub mod session;
 pub mod slot;
 pub mod state;
-pub mod statement;
+pub mod statement_change;
 pub mod statement_log;
 mod stream_answer;
 pub mod table;
-pub mod token_bucket;
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -16,8 +16,9 @@
 use crate::placement::token_wishes;
 use crate::rate_keeper::TokenRequest;
 use crate::state::RelayState;
-use crate::statement::{EndpointStatement, StatementChange};
+use crate::statement_change::StatementChange;
 use crate::table::EndpointTable;
+use pace::statement::EndpointStatement;
 
 /// How long the answer to a request for tokens is awaited, until it is sent again and then until it
 /// is given up.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -13,9 +13,9 @@
 use wire::statement::{MAX_WISHES, TokenWish};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::endpoint_limit::EndpointRoom;
 use crate::row::{EndpointRow, EndpointStanding};
 use crate::table::EndpointTable;
+use pace::room::EndpointRoom;
 
 /// Settings of placement.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/relay/src/rate_keeper.rs
+++ b/crates/relay/src/rate_keeper.rs
@@ -7,21 +7,12 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use pace::bucket::{BucketSettings, TokenBucket};
 use wire::id::EndpointId;
 use wire::statement::{CallRate, TokenLot, TokenOutcome, TokenShortage};
 
-use crate::token_bucket::{BucketSettings, TokenBucket};
-
 /// Share of a rate that the keeper hands out. The rest is for instances that do not reach it.
 pub const KEPT_SHARE: f64 = 0.95;
-/// Time of a rate whose tokens are kept while none are asked for.
-const BURST_TIME: Duration = Duration::from_millis(500);
-/// Number of tokens that are kept at least. With a single one, the rate would be lost while that one
-/// waits for a call.
-const MIN_BURST: f64 = 2.0;
-/// Lowest rate at which tokens are handed out, in calls per second. Without any call, no answer of
-/// an endpoint could end its limit.
-const MIN_RATE: f64 = 0.2;
 /// Time after which the bucket of an endpoint is dropped if nobody asks for its tokens.
 const RETENTION_TIME: Duration = Duration::from_secs(60);
 /// Maximum number of buckets. Endpoints beyond it get no calls.
@@ -132,9 +123,5 @@
 }
 
 fn bucket_settings(limit: CallRate) -> BucketSettings {
-    let rate = BucketSettings::new(limit, KEPT_SHARE).rate.max(MIN_RATE);
-    BucketSettings {
-        rate,
-        size: (rate * BURST_TIME.as_secs_f64()).max(MIN_BURST),
-    }
+    BucketSettings::of_limit(limit, KEPT_SHARE)
 }
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -9,11 +9,13 @@
 
 use crate::call::LoadReport;
 use crate::endpoint_leave::EndpointLeave;
-use crate::endpoint_limit::{EndpointLimit, EndpointRoom, KeeperView};
-use crate::endpoint_rest::EndpointRest;
+use crate::endpoint_limit::{EndpointLimit, KeeperView};
 use crate::health::EndpointHealth;
-use crate::limit_statement::LimitStatement;
-use crate::statement::{EndpointStatement, StatedValue, StatementChange};
+use crate::statement_change::StatementChange;
+use pace::limit::LimitStatement;
+use pace::rest::EndpointRest;
+use pace::room::EndpointRoom;
+use pace::statement::{EndpointStatement, StatedValue};
 
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
 /// long as a slow endpoint takes for an answer or between two events.
--- /dev/null
+++ b/crates/relay/src/statement_change.rs
@@ -0,0 +1,14 @@
+//! Changes of what an endpoint states about itself.
+
+use wire::statement::CallRate;
+
+/// A change of what an endpoint states.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StatementChange {
+    /// It names another limit, or none any more.
+    Limit(Option<CallRate>),
+    /// It says that it leaves.
+    Leaving,
+    /// It stated something unreadable, for the first time.
+    Unreadable,
+}
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -3,7 +3,8 @@
 use wire::id::EndpointId;
 
 use crate::state::RelayState;
-use crate::statement::{EndpointStatement, StatedValue, StatementChange};
+use crate::statement_change::StatementChange;
+use pace::statement::{EndpointStatement, StatedValue};
 
 impl RelayState {
     /// Counts what an endpoint states in the head of an answer.
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -8,10 +8,12 @@
 use wire::statement::{LimitNotice, TokenOutcome};
 
 use crate::call::LoadReport;
-use crate::endpoint_limit::{EndpointRoom, KeeperView};
+use crate::endpoint_limit::KeeperView;
 use crate::health::{CallOutcome, HealthChange};
 use crate::row::{EndpointRow, EndpointStanding};
-use crate::statement::{EndpointStatement, StatementChange};
+use crate::statement_change::StatementChange;
+use pace::room::EndpointRoom;
+use pace::statement::EndpointStatement;
 
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -5,11 +5,12 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
-use relay::endpoint_limit::EndpointRoom;
-use relay::limit_statement::LimitStatement;
+use pace::limit::LimitStatement;
+use pace::room::EndpointRoom;
+use pace::statement::{EndpointStatement, StatedValue};
 use relay::placement::{PlacementQuery, PlacementSettings, choose, endpoints_to_ask, next_room};
 use relay::rate_keeper::{RateKeeper, TokenRequest};
-use relay::statement::{EndpointStatement, StatedValue, StatementChange};
+use relay::statement_change::StatementChange;
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, name_id};
