soak: endpoints name limits, ask for rest and say that they leave

Beside the faults of each seed, one endpoint after the other names a limit of 1 to 11 calls a second, turns all calls away and asks for up to 3 s of rest, or says that it leaves, for 4 to 9 s. Their calls are held against the users' rules (3 s until a limit holds, half a second for a rest, 3 s and a call's wait for leaving), but for 4 s after each disruption of a gateway.

--- a/crates/soak/src/caller.rs
+++ b/crates/soak/src/caller.rs
@@ -65,7 +65,7 @@
     fn call_gateway(&mut self, gateway: SocketAddr, is_stopping: &AtomicBool) -> io::Result<()> {
         let mut stream = HttpStream::connect(gateway, CALL_TIMEOUT + Duration::from_secs(1))?;
         for _ in 0..self.random.random_range(1..MAX_CALLS_PER_CONNECTION) {
-            let answer = self.call(&mut stream)?;
+            let answer = self.call(&mut stream, gateway)?;
             let is_closing = answer.header("connection") == Some("close");
             if is_closing || !answer.is_whole || is_stopping.load(Ordering::SeqCst) {
                 break;
@@ -77,7 +77,7 @@
         Ok(())
     }
 
-    fn call(&mut self, stream: &mut HttpStream) -> io::Result<HttpMessage> {
+    fn call(&mut self, stream: &mut HttpStream, gateway: SocketAddr) -> io::Result<HttpMessage> {
         let kind = CALL_KINDS[self.random.random_range(0..CALL_KINDS.len())];
         self.calls += 1;
         let call = SoakCall {
@@ -86,6 +86,7 @@
             prompt: harmless_prompt(self.calls, &mut self.random),
         };
         self.history.record_call(&call.body, kind);
+        self.history.record_gateway(&call.body, gateway);
         stream.send(call.request(&call.body, "").as_bytes())?;
         if self.random.random_range(0..1000) < ABANDONED_PER_THOUSAND {
             return Err(io::ErrorKind::Interrupted.into());
--- a/crates/soak/src/crashes.rs
+++ b/crates/soak/src/crashes.rs
@@ -90,6 +90,7 @@
 
 fn bring_back(target: &CrashTarget, kind: EndpointReturn, pause: Duration, list: &SoakList) {
     thread::sleep(pause);
+    target.endpoint.statements.set(None);
     if kind == EndpointReturn::SameName {
         return target.forwarder.come_up();
     }
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -18,6 +18,7 @@
 use crate::history::SoakHistory;
 use crate::http::{HttpMessage, HttpStream, sized_answer};
 use crate::poison::scope_of;
+use crate::statements::{EndpointStatements, StatedAnswer};
 
 /// Number of events in a complete stream.
 pub const STREAM_EVENTS: u32 = 12;
@@ -30,6 +31,9 @@
 /// API key of that account.
 pub const ACCOUNT_KEY: &str = "key-of-the-parish";
 
+/// Path of health checks, which the catalog names.
+const HEALTH_PATH: &str = "/healthz";
+
 /// Calls per thousand that are refused with status 503 before they are executed.
 const REFUSED_PER_THOUSAND: u32 = 30;
 /// Calls per thousand that are executed and answered with status 500.
@@ -71,6 +75,8 @@
     pub address: SocketAddr,
     /// Whether it refuses all calls with status 503.
     pub is_draining: AtomicBool,
+    /// What it states about itself.
+    pub statements: EndpointStatements,
     history: Arc<SoakHistory>,
     /// Receives the address when the endpoint runs a request that crashes it.
     crashes: Sender<SocketAddr>,
@@ -93,6 +99,7 @@
             identity: Mutex::new(identity),
             address: listener.local_addr()?,
             is_draining: AtomicBool::new(false),
+            statements: EndpointStatements::default(),
             history: Arc::clone(history),
             crashes,
         });
@@ -145,6 +152,9 @@
         if call.header(EXPECT_INSTANCE) != Some(&name) {
             return stream.send(sized_answer(421, &not_run, "").as_bytes());
         }
+        if call.start_line.contains(HEALTH_PATH) {
+            return self.answer_health(stream, &name);
+        }
         let parts = call.header(PREFIX_HASH).unwrap_or_default();
         if let Some(scope) = scope_of(&call.text(), parts) {
             self.history.record_poison_run(scope);
@@ -152,14 +162,26 @@
             let _ = self.crashes.send(self.address);
             return Err(io::ErrorKind::ConnectionAborted.into());
         }
-        let is_refused = self.is_draining.load(Ordering::SeqCst)
+        let stated = match self.history.gateway_of(&attempt) {
+            Some(gateway) => self.statements.take(gateway),
+            None => StatedAnswer::default(),
+        };
+        if let Some(breach) = stated.breach {
+            self.history.record_breach(breach);
+        }
+        let not_run = not_run + &stated.headers;
+        let is_refused = stated.is_turned_away
+            || self.is_draining.load(Ordering::SeqCst)
             || random.random_range(0..1000) < REFUSED_PER_THOUSAND;
         if is_refused {
             return stream.send(sized_answer(503, &not_run, "").as_bytes());
         }
         self.check_call(call);
         self.history.record_execution(&attempt);
-        let headers = format!("{ATTEMPT_ID}: {attempt}\r\n{SERVER_STAMP}: {name}\r\n");
+        let headers = format!(
+            "{ATTEMPT_ID}: {attempt}\r\n{SERVER_STAMP}: {name}\r\n{}",
+            stated.headers
+        );
         if random.random_range(0..1000) < FAILED_PER_THOUSAND {
             return stream.send(sized_answer(500, &headers, "failed").as_bytes());
         }
@@ -178,6 +200,16 @@
         }
     }
 
+    /// Answers the health check of a gateway that was told that the endpoint leaves.
+    fn answer_health(&self, stream: &mut HttpStream, name: &str) -> io::Result<()> {
+        let status = match self.statements.is_leaving() {
+            true => 503,
+            false => 200,
+        };
+        let headers = format!("X-Instance-Id: {name}\r\n");
+        stream.send(sized_answer(status, &headers, "").as_bytes())
+    }
+
     fn check_call(&self, call: &HttpMessage) {
         if call.header(TENANT) != Some(ACCOUNT) {
             let account = call.header(TENANT).unwrap_or("none").to_owned();
--- a/crates/soak/src/history.rs
+++ b/crates/soak/src/history.rs
@@ -1,6 +1,7 @@
 //! The observed calls and changes of a run, and the guarantees that they violate.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -67,6 +68,8 @@
     kind: Option<CallKind>,
     outcome: Option<CallerOutcome>,
     executions: u32,
+    /// The gateway to which it was sent.
+    gateway: Option<SocketAddr>,
 }
 
 #[derive(Debug, Default)]
@@ -78,6 +81,8 @@
     poison_runs: Vec<(PoisonScope, Instant)>,
     /// When disruptions of gateways began, and ended if they have.
     disruptions: Vec<(Instant, Option<Instant>)>,
+    /// Calls that an endpoint got against what it stated, and when.
+    breaches: Vec<(String, Instant)>,
     /// Number of first attempts of resumable streams.
     streams: usize,
     /// Number of these that an endpoint answered.
@@ -102,16 +107,18 @@
         let Some(counted_from) = self.runs_of(scope).nth(scope.known_runs() - 1) else {
             return 0;
         };
-        let is_settled = |at: &&Instant| {
-            let is_disrupted = |(began, ended): &(Instant, Option<Instant>)| {
-                **at >= *began && ended.is_none_or(|ended| **at < ended + SETTLING_TIME)
-            };
-            !self.disruptions.iter().any(is_disrupted)
-        };
         let late = self
             .runs_of(scope)
             .filter(|at| **at >= *counted_from + SETTLING_TIME);
-        late.filter(is_settled).count()
+        late.filter(|at| self.is_settled(**at)).count()
+    }
+
+    /// Whether no gateway was disrupted then or shortly before.
+    fn is_settled(&self, at: Instant) -> bool {
+        let is_disrupted = |(began, ended): &(Instant, Option<Instant>)| {
+            at >= *began && ended.is_none_or(|ended| at < ended + SETTLING_TIME)
+        };
+        !self.disruptions.iter().any(is_disrupted)
     }
 }
 
@@ -165,6 +172,24 @@
             .kind = Some(kind);
     }
 
+    /// Records to which gateway a call is about to be sent.
+    pub fn record_gateway(&self, attempt: &str, gateway: SocketAddr) {
+        let mut state = self.state();
+        let record = state.calls.entry(attempt.to_owned()).or_default();
+        record.gateway = Some(gateway);
+    }
+
+    /// The gateway to which a call was sent; `None` if no caller sent it.
+    pub fn gateway_of(&self, attempt: &str) -> Option<SocketAddr> {
+        self.state().calls.get(attempt)?.gateway
+    }
+
+    /// Records that an endpoint got a call against what it stated. It counts if no gateway was
+    /// disrupted shortly before.
+    pub fn record_breach(&self, what: String) {
+        self.state().breaches.push((what, Instant::now()));
+    }
+
     /// Records the outcome that a caller observed.
     pub fn record_outcome(&self, attempt: &str, outcome: CallerOutcome) {
         self.state()
@@ -291,6 +316,9 @@
                 ));
             }
         }
+        let breaches = state.breaches.iter();
+        let settled = breaches.filter(|(_, at)| state.is_settled(*at));
+        violations.extend(settled.map(|(what, _)| what.clone()));
         violations.sort();
         violations
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,6 +4,7 @@
 //! callers and operators. Faults are injected by a seeded plan, and may overlap. The guarantees of
 //! the gateway are checked against what callers, endpoints and operators observe.
 //!
+//! * `statements`: what endpoints state about themselves.
 //! * [`run`]: one run, from the start of the fleet to the check of its history.
 //! * [`plan`]: the seeded sequence of faults.
 //! * [`fleet`]: the gateway processes, their settings and signals.
@@ -31,3 +32,4 @@
 pub mod poison;
 pub mod returns;
 pub mod run;
+mod statements;
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -38,6 +38,12 @@
     ListSlow,
     /// The endpoint list contains entries that can't be parsed.
     ListInvalid,
+    /// An endpoint names a limit, in calls per second.
+    LimitEndpoint(usize, u32),
+    /// An endpoint turns all calls away and asks for rest, in milliseconds.
+    RestEndpoint(usize, u32),
+    /// An endpoint says that it leaves, which the list does not show, and is replaced at the end.
+    LeaveEndpoint(usize),
 }
 
 impl FaultKind {
@@ -62,6 +68,15 @@
         }
     }
 
+    fn draw_statement(random: &mut Pcg64) -> Self {
+        let index = random.random_range(0..64);
+        match random.random_range(0..3) {
+            0 => Self::LimitEndpoint(index, random.random_range(1..12)),
+            1 => Self::RestEndpoint(index, random.random_range(900..3000)),
+            _ => Self::LeaveEndpoint(index),
+        }
+    }
+
     /// Whether the fault makes one or all gateways unavailable. Only one such fault at a time is
     /// tolerated.
     pub fn is_gateway_fault(self) -> bool {
@@ -109,6 +124,27 @@
     plan
 }
 
+/// Time between the starts of two statements of endpoints, in milliseconds.
+const STATEMENT_GAP_MS: std::ops::Range<u64> = 1500..5000;
+/// Time for which an endpoint states something, in milliseconds.
+const STATEMENT_MS: std::ops::Range<u64> = 4000..9000;
+
+/// Draws what endpoints state during a run, beside the faults of [`draw_plan`].
+pub fn draw_statements(seed: u64, length: Duration) -> Vec<PlannedFault> {
+    let mut random = Pcg64::seed_from_u64(seed.wrapping_add(1 << 41));
+    let mut plan = Vec::new();
+    let mut at = Duration::from_millis(random.random_range(STATEMENT_GAP_MS));
+    while at < length {
+        plan.push(PlannedFault {
+            kind: FaultKind::draw_statement(&mut random),
+            at,
+            duration: Duration::from_millis(random.random_range(STATEMENT_MS)),
+        });
+        at += Duration::from_millis(random.random_range(STATEMENT_GAP_MS));
+    }
+    plan
+}
+
 /// Minimum time between the end of a gateway fault and the next gateway fault. In this time the
 /// gateway catches up, and one whose data folder was deleted becomes a voter again.
 const RECOVERY_TIME: Duration = Duration::from_secs(5);
--- a/crates/soak/src/returns.rs
+++ b/crates/soak/src/returns.rs
@@ -113,7 +113,9 @@
             thread::sleep(retry_after.unwrap_or(Duration::from_millis(pause)));
             let attempt = format!("{}.{number}", call.body);
             history.record_call(&attempt, call.kind);
-            let Ok(answer) = self.send(call, &attempt, &received) else {
+            let gateway = self.gateways[self.random.random_range(0..self.gateways.len())];
+            history.record_gateway(&attempt, gateway);
+            let Ok(answer) = self.send(call, &attempt, &received, gateway) else {
                 continue;
             };
             retry_after = retry_time(&answer);
@@ -141,8 +143,8 @@
         call: &SoakCall,
         attempt: &str,
         received: &ReceivedEvents,
+        gateway: SocketAddr,
     ) -> io::Result<HttpMessage> {
-        let gateway = self.gateways[self.random.random_range(0..self.gateways.len())];
         let mut fields = format!("{LAST_EVENT_ID}: {}\r\n", received.last);
         if self.random.random_range(0..1000) >= UNNAMED_PER_THOUSAND {
             fields += &format!("{RESUMES}: {}\r\n", call.body);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -21,8 +21,9 @@
 use crate::operator::{
     SERVICE, catalog_text, read_catalog, send_catalog, start_operator, version_of,
 };
-use crate::plan::{FaultKind, PlannedFault, draw_plan};
+use crate::plan::{FaultKind, PlannedFault, draw_plan, draw_statements};
 use crate::poison::start_poison_caller;
+use crate::statements::EndpointTrouble;
 
 /// Interval at which due faults are started and ended.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -51,6 +52,8 @@
     pub endpoints: usize,
     /// Number of callers.
     pub callers: u64,
+    /// Whether endpoints name limits, ask for rest and say that they leave.
+    pub has_statements: bool,
 }
 
 impl Default for SoakSettings {
@@ -62,6 +65,7 @@
             plain: 2,
             endpoints: 4,
             callers: 12,
+            has_statements: true,
         }
     }
 }
@@ -145,8 +149,8 @@
             Arc::clone(&is_stopping),
         ));
     }
-    let faults =
-        environment.inject_faults(&draw_plan(settings.seed, settings.length), settings.length)?;
+    let plan = plan_of(settings);
+    let faults = environment.inject_faults(&plan, settings.length)?;
     is_stopping.store(true, Ordering::SeqCst);
     for thread in threads {
         if thread.join().is_err() {
@@ -164,6 +168,16 @@
     })
 }
 
+/// The faults of a run by their start.
+fn plan_of(settings: &SoakSettings) -> Vec<PlannedFault> {
+    let mut plan = draw_plan(settings.seed, settings.length);
+    if settings.has_statements {
+        plan.extend(draw_statements(settings.seed, settings.length));
+    }
+    plan.sort_by_key(|fault| fault.at);
+    plan
+}
+
 fn build_environment(settings: &SoakSettings, folder: &Path) -> io::Result<SoakEnvironment> {
     let history = Arc::new(SoakHistory::default());
     let (crashes, crashed) = crash_queue();
@@ -294,6 +308,16 @@
             FaultKind::ListRateLimited => self.list.set_mode(ListMode::RateLimited),
             FaultKind::ListSlow => self.list.set_mode(ListMode::Slow),
             FaultKind::ListInvalid => self.list.set_mode(ListMode::InvalidEntries),
+            FaultKind::LimitEndpoint(index, limit) => {
+                self.set_trouble(index, Some(EndpointTrouble::Limit(f64::from(limit))));
+            }
+            FaultKind::RestEndpoint(index, millis) => {
+                let rest = Duration::from_millis(millis.into());
+                self.set_trouble(index, Some(EndpointTrouble::Rest(rest)));
+            }
+            FaultKind::LeaveEndpoint(index) => {
+                self.set_trouble(index, Some(EndpointTrouble::Leave));
+            }
         }
         Ok(())
     }
@@ -315,6 +339,15 @@
                 target.forwarder.set_delay(Duration::ZERO);
             }
             FaultKind::DrainEndpoint(index) => self.drain(index, false),
+            FaultKind::LimitEndpoint(index, _) | FaultKind::RestEndpoint(index, _) => {
+                self.set_trouble(index, None);
+            }
+            FaultKind::LeaveEndpoint(index) => {
+                self.set_trouble(index, None);
+                let target = &self.targets[index % self.targets.len()];
+                // The receiver is gone at the end of a run only.
+                let _ = self.crashes.send(target.endpoint.address);
+            }
             FaultKind::ListRateLimited | FaultKind::ListSlow | FaultKind::ListInvalid => {
                 self.list.set_mode(ListMode::Normal);
             }
@@ -340,6 +373,11 @@
         }
     }
 
+    fn set_trouble(&self, index: usize, trouble: Option<EndpointTrouble>) {
+        let target = &self.targets[index % self.targets.len()];
+        target.endpoint.statements.set(trouble);
+    }
+
     fn drain(&self, index: usize, is_draining: bool) {
         let target = &self.targets[index % self.targets.len()];
         self.list
--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -49,6 +49,7 @@
 fn frequent_prompt_part_is_refused_when_all_endpoints_crash_at_the_start() {
     let settings = SoakSettings {
         seed: 1016,
+        has_statements: false,
         ..SoakSettings::default()
     };
     let folder = tempfile::tempdir().expect("a temporary directory can be created");
