relay: blame no prompt part that nearly all prompts have

Cause: a part that all prompts have is lost in every crash, so it leads before anything was served, and its blame explains the crashes of the part that is really at fault. Ruled out: that it was served before. A part that 9 of 10 of the latest calls of a service have (of at least 8) does not tell which requests crash, and is not blamed.

--- a/crates/fake/src/fleet/forward.rs
+++ b/crates/fake/src/fleet/forward.rs
@@ -35,6 +35,8 @@
     refuses: AtomicBool,
     /// Whether the listener is closed, or is to be closed at the next connection.
     is_down: AtomicBool,
+    /// Held while the listener is closed or opened again.
+    lifecycle: Mutex<()>,
     /// Delay of each forwarded block in milliseconds.
     delay_ms: AtomicU64,
     accepted: AtomicU64,
@@ -62,6 +64,7 @@
             connections: Mutex::default(),
             refuses: AtomicBool::new(false),
             is_down: AtomicBool::new(false),
+            lifecycle: Mutex::default(),
             delay_ms: AtomicU64::new(0),
             accepted: AtomicU64::new(0),
         });
@@ -104,6 +107,7 @@
 
     /// Closes all connections and the listener, like a process that crashes.
     pub fn go_down(&self) {
+        let _guard = self.state.lifecycle.lock();
         if !self.state.is_down.swap(true, Ordering::SeqCst) {
             // Ends the accepting thread, which closes the listener.
             let _ = TcpStream::connect(self.address);
@@ -113,6 +117,7 @@
 
     /// Accepts connections again after [`Self::go_down`].
     pub fn come_up(&self) {
+        let _guard = self.state.lifecycle.lock();
         if self.state.is_down.load(Ordering::SeqCst) {
             let listener = TcpListener::bind(self.address).expect("the address is still free");
             self.state.is_down.store(false, Ordering::SeqCst);
--- a/crates/measure/src/poison/gateway.rs
+++ b/crates/measure/src/poison/gateway.rs
@@ -51,9 +51,10 @@
         self.table.replace(listed);
     }
 
-    /// Whether a call is refused as suspected.
-    pub fn is_refused(&self, now: Duration, call: &SimulatedCall) -> bool {
-        let crashes = &self.crashes;
+    /// Records that a call arrived. Returns whether it is refused as suspected.
+    pub fn is_refused(&mut self, now: Duration, call: &SimulatedCall) -> bool {
+        let crashes = &mut self.crashes;
+        crashes.note_call(name_id(SERVICE), &call.parts);
         let refused_for = crashes.refused_for(now, call.fingerprint, &call.parts);
         refused_for.is_some()
     }
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -8,7 +8,8 @@
 //!
 //! It may also be a part of the prompt that crashes endpoints, whatever else the request holds. So
 //! the shared parts of each lost prompt are suspected, too, and requests with a blamed part are
-//! refused. Crashes that a blamed part explains count against nothing else.
+//! refused. Crashes that a blamed part explains count against nothing else. A part that nearly all
+//! prompts have is not blamed.
 //!
 //! What is known of suspects with several crashes is repeated by every instance, so that it
 //! survives the one that found it. What was served does not crash each endpoint that runs it:
@@ -16,6 +17,7 @@
 //! a crash objects.
 
 mod blame;
+mod frequency;
 mod loss;
 mod outage;
 mod served;
@@ -23,13 +25,15 @@
 mod suspicion;
 
 use std::collections::HashSet;
+use std::rc::Rc;
 use std::time::Duration;
 
 use wire::gateway::{CrashId, CrashNotice, EndpointCrash};
-use wire::id::{EndpointId, FingerprintHash};
+use wire::id::{EndpointId, FingerprintHash, ServiceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use self::blame::Blame;
+use self::frequency::PartFrequency;
 pub use self::loss::LostRun;
 use self::loss::PendingRuns;
 use self::outage::{KnownCrash, RecentCrashes};
@@ -84,7 +88,9 @@
     found: u64,
     requests: Suspicion,
     parts: Suspicion,
-    /// Which parts are to blame. Follows from `parts`.
+    /// Parts of the prompts of the latest calls.
+    frequency: PartFrequency,
+    /// Which parts are to blame. Follows from `parts` and `frequency`.
     blame: Blame,
     pending: PendingRuns,
     crashes: RecentCrashes,
@@ -109,6 +115,7 @@
             found: 0,
             requests: Suspicion::new(SuspectKind::Request),
             parts: Suspicion::new(SuspectKind::Part),
+            frequency: PartFrequency::default(),
             blame: Blame::default(),
             pending: PendingRuns::default(),
             crashes: RecentCrashes::default(),
@@ -117,6 +124,19 @@
         }
     }
 
+    /// Records a call to a service with these parts in its prompt, whether it is refused or not.
+    pub fn note_call(&mut self, service: ServiceId, parts: &Rc<[SuspectHash]>) {
+        if parts.is_empty() {
+            return;
+        }
+        self.frequency.note(service, parts);
+        let blamed = self.blame.groups.iter().flat_map(|group| &group.parts);
+        let mut common = blamed.filter(|part| self.frequency.is_common(**part));
+        if common.next().is_some() {
+            self.blame_anew();
+        }
+    }
+
     /// Records that a run of this instance was lost: its connection broke, or it was given up.
     pub fn note_lost(&mut self, now: Duration, run: LostRun) {
         let now = now + CLOCK_OFFSET;
@@ -202,7 +222,8 @@
         self.crashes.expire(now);
         self.requests.expire(now);
         self.parts.expire(now);
-        self.update_blame();
+        // What is common may have changed, too.
+        self.blame_anew();
     }
 
     /// Takes the decisions since the last call of this function, oldest first.
@@ -360,10 +381,14 @@
 
     /// Blames parts anew, if what is known of them has changed.
     fn update_blame(&mut self) {
-        if !self.parts.take_change() {
-            return;
+        if self.parts.take_change() {
+            self.blame_anew();
         }
-        let before = std::mem::replace(&mut self.blame, Blame::of(&self.parts));
+    }
+
+    fn blame_anew(&mut self) {
+        let blame = Blame::of(&self.parts, &self.frequency);
+        let before = std::mem::replace(&mut self.blame, blame);
         let was_blamed = |part: &SuspectHash| {
             let mut groups = before.groups.iter();
             groups.any(|group| group.parts.contains(part))
--- a/crates/relay/src/crash/blame.rs
+++ b/crates/relay/src/crash/blame.rs
@@ -11,6 +11,7 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
+use super::frequency::PartFrequency;
 use super::outage::KnownCrash;
 use super::suspect::BLOCKING_TIME;
 use super::suspicion::{SuspectHash, SuspectKind, Suspicion};
@@ -58,10 +59,11 @@
 }
 
 impl Blame {
-    /// Blames parts for their crashes.
-    pub(super) fn of(suspicion: &Suspicion) -> Self {
+    /// Blames parts for their crashes, but for those that nearly all prompts have.
+    pub(super) fn of(suspicion: &Suspicion, frequency: &PartFrequency) -> Self {
         let mut blame = Self::default();
         let mut candidates = candidates_of(suspicion);
+        candidates.retain(|candidate| !frequency.is_common(candidate.part));
         loop {
             for candidate in &mut candidates {
                 candidate.crashes.retain(|crash| !blame.explains(crash));
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -7,12 +7,18 @@
 use std::time::Duration;
 
 use exchange::connection::EndpointConnection;
-use wire::id::{EndpointId, FingerprintHash};
+use wire::id::{EndpointId, FingerprintHash, ServiceId};
 
 use crate::crash::{LostRun, SuspectHash};
 use crate::state::RelayState;
 
 impl RelayState {
+    /// Records a call to a service with these parts in its prompt.
+    pub fn note_call(&self, service: ServiceId, parts: &Rc<[SuspectHash]>) {
+        self.crashes.borrow_mut().note_call(service, parts);
+        self.publish_crash_decisions();
+    }
+
     /// Records that a run was lost.
     pub fn note_lost_run(&self, run: LostRun) {
         self.crashes.borrow_mut().note_lost(self.now(), run);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -57,6 +57,7 @@
             record.account = call.account_name().to_owned();
             record.fingerprint = call.fingerprint;
             record.parts = call.parts.to_vec();
+            state.note_call(call.service, &call.parts);
             record.crashes = state.crashes.borrow().crashes_of(call.fingerprint);
             let forward = CallForward::new(state, &call, writer, &mut record);
             record.end = forward.run().await;
--- a/crates/relay/tests/prompt_parts.rs
+++ b/crates/relay/tests/prompt_parts.rs
@@ -205,3 +205,50 @@
     expect_that!((let_through, after_one_crash), eq((false, true)));
     expect_that!(tracker.crashes_of_part(POISON), eq(0));
 }
+
+fn note_calls(tracker: &mut CrashTracker, count: u32, parts: &[SuspectHash]) {
+    let parts: Rc<[SuspectHash]> = Rc::from(parts);
+    for _ in 0..count {
+        tracker.note_call(7, &parts);
+    }
+}
+
+// Issue 23, soak seeds 9220 and 9237: at the start, or after all gateways restarted, nothing was
+// served yet, and both kinds of crashing requests have the part.
+#[gtest]
+fn part_that_all_prompts_have_is_blamed_and_every_call_refused() {
+    let mut tracker = CrashTracker::default();
+    note_calls(&mut tracker, 4, &[COMMON, RARE]);
+    note_calls(&mut tracker, 2, &[COMMON, POISON]);
+    lose_different(&mut tracker, 10 * SECOND, 3, &[COMMON, POISON]);
+    lose_different(&mut tracker, 13 * SECOND, 3, &[COMMON]);
+    note_calls(&mut tracker, 2, &[COMMON, 4]);
+
+    expect_that!(
+        is_refused(&tracker, 16 * SECOND, &[COMMON, RARE]),
+        eq(false)
+    );
+    lose_different(&mut tracker, 17 * SECOND, 2, &[COMMON, POISON]);
+    expect_that!(
+        is_refused(&tracker, 19 * SECOND, &[COMMON, RARE]),
+        eq(false)
+    );
+    expect_that!(
+        is_refused(&tracker, 19 * SECOND, &[COMMON, POISON]),
+        eq(true)
+    );
+}
+
+#[gtest]
+fn part_that_becomes_rare_is_not_blamed_for_its_crashes() {
+    let mut tracker = CrashTracker::default();
+    note_calls(&mut tracker, 10, &[POISON]);
+    lose_different(&mut tracker, 10 * SECOND, 5, &[POISON]);
+    let while_common = is_refused(&tracker, 15 * SECOND, &[POISON]);
+
+    note_calls(&mut tracker, 10, &[RARE]);
+    tracker.expire(16 * SECOND);
+
+    expect_that!(while_common, eq(false));
+    expect_that!(is_refused(&tracker, 16 * SECOND, &[POISON]), eq(true));
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -28,6 +28,9 @@
     /// number of callers (default 12)
     #[argh(option, default = "12")]
     callers: u64,
+    /// leave out limits, rests and leaving of endpoints, as in runs before there were any
+    #[argh(switch)]
+    no_statements: bool,
     /// directory that keeps the settings, data and logs of failed runs
     #[argh(option, default = "std::env::temp_dir().join(\"sapphire-soak\")")]
     folder: PathBuf,
@@ -43,6 +46,7 @@
             stores: args.stores,
             plain: args.plain,
             callers: args.callers,
+            has_statements: !args.no_statements,
             ..SoakSettings::default()
         };
         let folder = args.folder.join(format!("seed-{seed}"));
