relay: let callers that name no attempt resume their streams

A resumable stream whose caller sent no attempt id was not recorded, so that its return was refused as of unknown origin. It is recorded under a random id now and found by its request; streams of the same request from two versions stay disputed.

--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -70,14 +70,16 @@
 
     async fn serve(self: Rc<Self>, mut stream: TcpStream) {
         while let Some(head) = read_head(&mut stream).await {
-            let attempt = field(&head, "x-attempt-id").unwrap_or_default();
+            let attempt = field(&head, "x-attempt-id");
+            let attempt = attempt.map(|id| format!("X-Attempt-Id: {id}\r\n"));
+            let attempt = attempt.unwrap_or_default();
             let last: Option<u32> = field(&head, "last-event-id").and_then(|id| id.parse().ok());
             let first = last.unwrap_or(0) + 1;
             let cut_at = self.draw_cut(first);
             let events = (first..=cut_at.unwrap_or(EVENTS)).map(|id| self.event(id));
             let events: String = events.map(|event| chunk(&event)).collect();
             let answer = format!(
-                "HTTP/1.1 200 OK\r\nX-Attempt-Id: {attempt}\r\nX-Server-Stamp: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{events}"
+                "HTTP/1.1 200 OK\r\n{attempt}X-Server-Stamp: s1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n{events}"
             );
             let _ = stream.write_all(answer.as_bytes()).await;
             if cut_at.is_some() {
--- a/crates/gateway/tests/forwarding/versions.rs
+++ b/crates/gateway/tests/forwarding/versions.rs
@@ -132,6 +132,33 @@
     }
 }
 
+#[gtest]
+fn resumable_stream_of_a_caller_without_attempt_id_is_refused_on_its_return() {
+    for seed in SEEDS {
+        let received = run(async {
+            let fleet = TestFleet::start(seed, FleetLayout::default()).await;
+            let mut received = ReceivedStream {
+                number: seed as u32,
+                ..ReceivedStream::default()
+            };
+            for attempt in 0..MAX_ATTEMPTS {
+                let request = received.request("none");
+                let request = request.replace("X-Attempt-Id: none\r\n", "");
+                let instance = attempt as usize % fleet.instances.len();
+                let answer = call(fleet.instances[instance].address, &request).await;
+                received.add("none", &answer);
+                if received.is_whole {
+                    break;
+                }
+            }
+            received
+        });
+
+        expect_that!(received.is_whole, eq(true), "seed {seed}: {received:?}");
+        expect_that!(received.is_sound(), eq(true), "seed {seed}: {received:?}");
+    }
+}
+
 #[gtest]
 fn stream_of_another_request_does_not_go_on() {
     let answer = run(async {
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -123,11 +123,13 @@
         let version = self.progress.attempt_version;
         self.progress.begun_by = Some(version);
         let is_new = call.resumed_version.is_none() && call.route.kind.is_repeatable();
-        if let Some(attempt_id) = call.metadata.attempt_id.as_deref().filter(|_| is_new) {
+        if is_new {
             let service = call.service;
             let origin = StreamOrigin { service, version };
             let caller_timeout = call.metadata.caller_timeout;
-            let stream = stream_id(attempt_id);
+            // A caller that names no attempt finds its stream by the request alone.
+            let attempt_id = call.metadata.attempt_id.as_deref();
+            let stream = attempt_id.map_or_else(rand::random, stream_id);
             self.state
                 .publish_origin(call.fingerprint, stream, origin, caller_timeout);
         }
