--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU8, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -212,16 +212,9 @@
     let list = Arc::new(SoakList::start(rows)?);
     let crash_seed = settings.seed.wrapping_mul(1000) + 998;
     start_crashes(crash_seed, crashed, targets.clone(), Arc::clone(&list));
-    // A loopback network derived from the process and the seed, so that concurrent runs do not
-    // share addresses.
-    let process_id = std::process::id();
-    let network = [
-        (process_id >> 7 & 0x7f) as u8 + 64,
-        (process_id << 1 & 0xfe) as u8 | (settings.seed & 1) as u8,
-    ];
     let fleet = SoakFleet::start(
         folder,
-        network,
+        next_network(),
         settings.stores,
         settings.plain,
         list.address,
@@ -235,6 +228,18 @@
     })
 }
 
+/// Second and third byte of a loopback network that no other run uses at the same time: up to two of
+/// each process.
+fn next_network() -> [u8; 2] {
+    static RUNS: AtomicU8 = AtomicU8::new(0);
+    let run = RUNS.fetch_add(1, Ordering::SeqCst);
+    let process_id = std::process::id();
+    [
+        (process_id >> 7 & 0x7f) as u8 + 64,
+        (process_id << 1 & 0xfe) as u8 | run & 1,
+    ]
+}
+
 impl SoakEnvironment {
     fn submit_first_catalog(&self, operators: &[SocketAddr]) {
         let start = Instant::now();
