--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -228,15 +228,15 @@
     })
 }
 
-/// Second and third byte of a loopback network that no other run uses at the same time: up to two of
-/// each process.
+/// Second and third byte of a loopback network that no other run uses at the same time: each process
+/// has four, which its runs take in turn.
 fn next_network() -> [u8; 2] {
     static RUNS: AtomicU8 = AtomicU8::new(0);
     let run = RUNS.fetch_add(1, Ordering::SeqCst);
     let process_id = std::process::id();
     [
-        (process_id >> 7 & 0x7f) as u8 + 64,
-        (process_id << 1 & 0xfe) as u8 | run & 1,
+        (process_id >> 6 & 0x7f) as u8 + 64,
+        (process_id << 2 & 0xfc) as u8 | run & 3,
     ]
 }
 
