--- a/crates/soak/tests/short.rs
+++ b/crates/soak/tests/short.rs
@@ -47,16 +47,19 @@
 // In the first second, all endpoints crash before a harmless part of many prompts was ever served.
 #[gtest]
 fn frequent_prompt_part_is_refused_when_all_endpoints_crash_at_the_start() {
-    let settings = SoakSettings {
-        seed: 1016,
-        has_statements: false,
-        ..SoakSettings::default()
-    };
-    let folder = tempfile::tempdir().expect("a temporary directory can be created");
+    for seed in [1016, 9147] {
+        let settings = SoakSettings {
+            seed,
+            has_statements: false,
+            ..SoakSettings::default()
+        };
+        let folder = tempfile::tempdir().expect("a temporary directory can be created");
 
-    let outcome = run_seed(&settings, folder.path()).expect("the fleet and the stand-ins start");
+        let outcome =
+            run_seed(&settings, folder.path()).expect("the fleet and the stand-ins start");
 
-    expect_that!(outcome.violations, is_empty());
+        expect_that!(outcome.violations, is_empty(), "{settings:?}");
+    }
 }
 
 #[gtest]
