relay: bound announcements of limits, and health checks of leaving endpoints

Found while reading the change: an endpoint that names another limit in each answer was announced to all gateways each time, and one that leaves and names a limit was never checked, so that a process that starts again under its name and address would be avoided for good; in a fleet of 300 each gateway that was told would check it every 5 s. Now a changed limit is announced every 250 ms at most (its begin and end at once), and checks grow rarer with the number of gateways and for limited endpoints. Tests of each.

--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -131,7 +131,7 @@
         let changes = table.note_statement(now, endpoint, sent_at, statement);
         let is_limit = |change: &StatementChange| matches!(change, StatementChange::Limit(_));
         if changes.iter().any(is_limit) {
-            self.news.extend(self.table.notice(now, endpoint));
+            self.news.extend(self.table.announce_limit(now, endpoint));
         }
     }
 
--- a/crates/relay/src/endpoint_limit.rs
+++ b/crates/relay/src/endpoint_limit.rs
@@ -21,6 +21,9 @@
 const ASK_PAUSE: Duration = Duration::from_millis(300);
 /// Number of requests without answer from which on a keeper counts as silent.
 const SILENT_MISSES: u32 = 2;
+/// Least time between two announcements of other limits of one endpoint. That it begins or ends to
+/// name one is announced at once.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest number of tokens in one request.
 const MAX_LOT: u16 = 1000;
 
@@ -72,6 +75,13 @@
     }
 }
 
+/// An announcement of a limit to the other instances.
+#[derive(Clone, Copy, Debug)]
+struct LimitAnnouncement {
+    at: Duration,
+    is_limited: bool,
+}
+
 /// The limit of one endpoint and this instance's share of it.
 #[derive(Clone, Debug)]
 pub struct EndpointLimit {
@@ -79,6 +89,8 @@
     statement: LimitStatement,
     /// When the latest limit ended; `None` if there was none.
     ended_at: Option<Duration>,
+    /// When this instance last announced the limit, and whether there was one; `None` before.
+    announced: Option<LimitAnnouncement>,
     /// Times at which the unused tokens expire, in ascending order.
     tokens: VecDeque<Duration>,
     /// Time until which the keeper has no token.
@@ -97,6 +109,7 @@
         Self {
             statement: LimitStatement::default(),
             ended_at: None,
+            announced: None,
             tokens: VecDeque::new(),
             empty_until: Duration::ZERO,
             reserve: TokenBucket::new(now),
@@ -143,6 +156,20 @@
         is_changed
     }
 
+    /// Whether a change of the limit is to be announced to the other instances. If so, records that
+    /// it is. An endpoint may name another limit in each answer.
+    pub fn begin_announcement(&mut self, now: Duration) -> bool {
+        let is_limited = self.rate().is_some();
+        let is_due = self.announced.is_none_or(|announced| {
+            announced.is_limited != is_limited || now >= announced.at + ANNOUNCEMENT_INTERVAL
+        });
+        if is_due {
+            let at = now;
+            self.announced = Some(LimitAnnouncement { at, is_limited });
+        }
+        is_due
+    }
+
     /// Whether calls may be sent.
     pub fn room(&self, now: Duration, view: KeeperView) -> EndpointRoom {
         let Some(rate) = self.rate() else {
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -81,7 +81,7 @@
     }
 
     fn announce_limit(&self, endpoint: EndpointId) {
-        let notice = self.table.borrow().notice(self.now(), endpoint);
+        let notice = self.table.borrow_mut().announce_limit(self.now(), endpoint);
         let (Some(notice), Some(peers)) = (notice, self.peers.get()) else {
             return;
         };
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -170,9 +170,10 @@
 
     /// Whether a health check is due, as the endpoint has said that it leaves and the list shows it
     /// as ready. If so, records that it begins.
-    pub fn begin_leave_check(&mut self, now: Duration) -> bool {
+    pub fn begin_leave_check(&mut self, now: Duration, instances: usize) -> bool {
         let may_call = !self.is_draining && !self.is_misplaced && !self.rests(now);
-        may_call && self.limit.rate().is_none() && self.leave.begin_check(now)
+        let is_limited = self.limit.rate().is_some();
+        may_call && self.leave.begin_check(now, instances, is_limited)
     }
 
     /// Records that a process at the endpoint's address serves which does not say that it leaves.
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -197,8 +197,12 @@
 
     /// The endpoints whose health checks are due, which begin now.
     pub fn begin_leave_checks(&mut self, now: Duration) -> Vec<EndpointId> {
+        let instances = self.keeper.instances;
         let rows = self.rows.iter_mut();
-        let due = rows.filter_map(|(id, row)| row.begin_leave_check(now).then_some(*id));
+        let due = rows.filter_map(|(id, row)| {
+            let is_due = row.begin_leave_check(now, instances);
+            is_due.then_some(*id)
+        });
         due.collect()
     }
 
@@ -215,6 +219,15 @@
         Some(statement.notice(now, id, row.address))
     }
 
+    /// The notice to the other instances of a limit that has changed; `None` if none is due.
+    pub fn announce_limit(&mut self, now: Duration, id: EndpointId) -> Option<LimitNotice> {
+        let row = self.rows.get_mut(&id)?;
+        match row.limit.begin_announcement(now) {
+            true => self.notice(now, id),
+            false => None,
+        }
+    }
+
     /// Notices of what endpoints stated on their limits, without those that have named none for
     /// longer than `retention`.
     pub fn limit_notices(&self, now: Duration, retention: Duration) -> Vec<LimitNotice> {
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -484,3 +484,49 @@
 
     expect_that!(chosen_of(&table, 20), some(eq(id(1))));
 }
+
+#[gtest]
+fn endpoint_that_leaves_and_names_a_limit_is_avoided_for_good_or_checked_often() {
+    let mut table = table_of(1);
+    table.keeper.instances = 7;
+    let both = EndpointStatement {
+        is_leaving: StatedValue::Stated(true),
+        ..naming(1.0)
+    };
+    table.note_statement(millis(10), id(1), millis(1), both);
+
+    expect_that!(table.begin_leave_checks(millis(30_009)), is_empty());
+    expect_that!(table.begin_leave_checks(millis(30_010)), eq(&vec![id(1)]));
+}
+
+#[gtest]
+fn checks_of_a_large_fleet_flood_an_endpoint_that_leaves() {
+    let mut table = table_of(1);
+    table.keeper.instances = 300;
+    table.note_statement(millis(10), id(1), millis(1), leaving());
+
+    expect_that!(table.begin_leave_checks(millis(150_009)), is_empty());
+    expect_that!(table.begin_leave_checks(millis(150_010)), eq(&vec![id(1)]));
+}
+
+#[gtest]
+fn limit_that_differs_in_each_answer_is_announced_each_time() {
+    let mut table = table_of(1);
+    let announced = |table: &mut EndpointTable, now: u64, limit: f64| {
+        table.note_statement(millis(now), id(1), millis(now), naming(limit));
+        table.announce_limit(millis(now), id(1)).is_some()
+    };
+
+    let answers = (0..40).map(|number| announced(&mut table, number * 25, 2.0 + number as f64));
+    let count = answers.filter(|is_announced| *is_announced).count();
+    table.note_statement(
+        millis(1001),
+        id(1),
+        millis(1001),
+        EndpointStatement::default(),
+    );
+    let end = table.announce_limit(millis(1001), id(1));
+
+    expect_that!(count, eq(4));
+    expect_that!(end.map(|notice| notice.limit), some(none()));
+}
