--- a/crates/fake/src/fleet/forward.rs
+++ b/crates/fake/src/fleet/forward.rs
@@ -29,6 +29,11 @@
     is_reset: AtomicBool,
 }
 
+/// Number of attempts to bind the address again after [`TcpForwarder::go_down`].
+const BIND_ATTEMPTS: u32 = 50;
+/// Pause between two of them.
+const BIND_PAUSE: Duration = Duration::from_millis(20);
+
 struct ForwardState {
     target: SocketAddr,
     connections: Mutex<Vec<Arc<ConnectionState>>>,
@@ -119,13 +124,24 @@
     pub fn come_up(&self) {
         let _guard = self.state.lifecycle.lock();
         if self.state.is_down.load(Ordering::SeqCst) {
-            let listener = TcpListener::bind(self.address).expect("the address is still free");
+            let listener = self.bind_again();
             self.state.is_down.store(false, Ordering::SeqCst);
             let shared = Arc::clone(&self.state);
             thread::spawn(move || accept_all(&listener, &shared));
         }
     }
 
+    /// Binds the address, which the accepting thread may not have given up yet.
+    fn bind_again(&self) -> TcpListener {
+        for _ in 0..BIND_ATTEMPTS {
+            if let Ok(listener) = TcpListener::bind(self.address) {
+                return listener;
+            }
+            thread::sleep(BIND_PAUSE);
+        }
+        TcpListener::bind(self.address).expect("the address is still free")
+    }
+
     /// Returns the number of connections that were forwarded to the target so far.
     pub fn accepted(&self) -> u64 {
         self.state.accepted.load(Ordering::SeqCst)
