--- a/crates/relay/src/endpoint_limit.rs
+++ b/crates/relay/src/endpoint_limit.rs
@@ -5,11 +5,11 @@
 use std::time::Duration;
 
 use pace::bucket::{BucketSettings, TokenBucket};
+use pace::limit::LimitStatement;
 use pace::room::EndpointRoom;
 use wire::statement::CallRate;
 
 use crate::rate_keeper::KEPT_SHARE;
-use pace::limit::LimitStatement;
 
 /// Time from a request for tokens after which they can't be used any more.
 const TOKEN_LIFETIME: Duration = Duration::from_secs(1);
--- a/crates/relay/src/leave_check.rs
+++ b/crates/relay/src/leave_check.rs
@@ -7,12 +7,12 @@
 use actix_http::{Method, ResponseHead, StatusCode, Uri};
 use bytes::Bytes;
 use exchange::connection::{self, EndpointConnection, EndpointError, request_head};
+use pace::statement::StatedValue;
 use tokio::time::timeout;
 use wire::id::{EndpointId, name_id};
 
 use crate::call::ForwardMetadata;
 use crate::state::RelayState;
-use pace::statement::StatedValue;
 
 /// Maximum time for a health check.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use pace::statement::EndpointStatement;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 use wire::gateway::GatewayDatagram;
@@ -18,7 +19,6 @@
 use crate::state::RelayState;
 use crate::statement_change::StatementChange;
 use crate::table::EndpointTable;
-use pace::statement::EndpointStatement;
 
 /// How long the answer to a request for tokens is awaited, until it is sent again and then until it
 /// is given up.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -9,13 +9,13 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use pace::room::EndpointRoom;
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId, VersionId};
 use wire::statement::{MAX_WISHES, TokenWish};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::row::{EndpointRow, EndpointStanding};
 use crate::table::EndpointTable;
-use pace::room::EndpointRoom;
 
 /// Settings of placement.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -3,6 +3,10 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use pace::limit::LimitStatement;
+use pace::rest::EndpointRest;
+use pace::room::EndpointRoom;
+use pace::statement::{EndpointStatement, StatedValue};
 use wire::gateway::ListedEndpoint;
 use wire::id::{DomainId, ServiceId, VersionId, name_id};
 use wire::statement::{CallRate, LimitNotice};
@@ -12,10 +16,6 @@
 use crate::endpoint_limit::{EndpointLimit, KeeperView};
 use crate::health::EndpointHealth;
 use crate::statement_change::StatementChange;
-use pace::limit::LimitStatement;
-use pace::rest::EndpointRest;
-use pace::room::EndpointRoom;
-use pace::statement::{EndpointStatement, StatedValue};
 
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
 /// long as a slow endpoint takes for an answer or between two events.
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -1,10 +1,10 @@
 //! Log lines and metrics of what endpoints state about themselves.
 
+use pace::statement::{EndpointStatement, StatedValue};
 use wire::id::EndpointId;
 
 use crate::state::RelayState;
 use crate::statement_change::StatementChange;
-use pace::statement::{EndpointStatement, StatedValue};
 
 impl RelayState {
     /// Counts what an endpoint states in the head of an answer.
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -3,6 +3,8 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use pace::room::EndpointRoom;
+use pace::statement::EndpointStatement;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, InstanceId, ServiceId};
 use wire::statement::{LimitNotice, TokenOutcome};
@@ -12,8 +14,6 @@
 use crate::health::{CallOutcome, HealthChange};
 use crate::row::{EndpointRow, EndpointStanding};
 use crate::statement_change::StatementChange;
-use pace::room::EndpointRoom;
-use pace::statement::EndpointStatement;
 
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
