relay: obey no statement of an answer that may be an earlier call's

On a reused connection, an answer that names no call was refused as misdelivered, but only after its statement had been taken for one of the call that was sent. Now it is read after that check, as at the agent. The test fails without the change, and passes with it.

--- a/crates/gateway/tests/forwarding/limits.rs
+++ b/crates/gateway/tests/forwarding/limits.rs
@@ -159,3 +159,25 @@
     expect_that!(run(serves_after_check(leaving)), eq(false));
     expect_that!(run(serves_after_check(draining)), eq(false));
 }
+
+// A second answer to an earlier call may be older than it seems.
+#[gtest]
+fn statement_of_an_answer_that_names_no_call_on_a_reused_connection_is_obeyed() {
+    let has_limit = run(async {
+        let unnamed = answer_with_limit("0.5").replace("X-Attempt-Id: a1\r\n", "");
+        let replies = vec![
+            ScriptedReply::Keep(good_answer("first")),
+            ScriptedReply::Keep(unnamed),
+        ];
+        let endpoint = ScriptedEndpoint::start("e1", replies).await;
+        let relay = relay_before(&[&endpoint]).await;
+        for _ in 0..2 {
+            call(relay.address, &request("/unsafe/x", "")).await;
+        }
+        let table = relay.state.table.borrow();
+        let row = table.row(name_id("e1")).expect("it is listed");
+        row.limit.rate().is_some()
+    });
+
+    expect_that!(has_limit, eq(false));
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -210,6 +210,8 @@
             // It may be a second answer to an earlier call on the connection.
             return Err(EndpointError::Misdelivered);
         }
+        let statement = metadata.statement.of_answer(head.status);
+        state.note_statement(self.endpoint, self.progress.attempted_at, statement);
         Ok(OpenAnswer {
             connection,
             head,
@@ -278,9 +280,6 @@
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
             return Err(EndpointError::Misdelivered);
         }
-        let sent_at = self.progress.attempted_at;
-        let statement = metadata.statement.of_answer(head.status);
-        state.note_statement(self.endpoint, sent_at, statement);
         if let Some(load) = metadata.load {
             let mut table = state.table.borrow_mut();
             table.note_report(now, self.endpoint, load);
