agent: forget what a crashed endpoint stated

The limit, rest and leaving of a process that had crashed bound the next one: up to a minute of rest, and no health check for 5 s under a limit, so that the endpoint came back late. A statement belongs to the process that made it.

--- a/crates/admit/src/queue.rs
+++ b/crates/admit/src/queue.rs
@@ -94,6 +94,11 @@
         self.start_waiting(now)
     }
 
+    /// Forgets what the endpoint stated: it has crashed, and the next process has stated nothing.
+    pub fn forget_statements(&mut self, now: Instant) {
+        self.pace = StartPace::new(now);
+    }
+
     /// Whether the endpoint may be probed. The probe counts as a request.
     pub fn may_probe(&mut self, now: Instant) -> bool {
         self.pace.may_probe(now)
--- a/crates/admit/tests/pace.rs
+++ b/crates/admit/tests/pace.rs
@@ -145,3 +145,17 @@
     expect_that!(queue.may_probe(at(4)), eq(false));
     expect_that!(queue.may_probe(at(5)), eq(true));
 }
+
+#[gtest]
+fn statements_of_a_crashed_endpoint_bind_its_successor() {
+    let now = Instant::now();
+    let mut queue = queue(now);
+    queue.note_statement(now, now, limit(1.0));
+    queue.note_statement(now, now, rest(30));
+
+    queue.forget_statements(now + STEP);
+
+    let count = started_within(&mut queue, now + STEP, Duration::from_secs(1));
+    expect_that!(count, eq(100));
+    expect_that!(queue.may_probe(now + Duration::from_secs(2)), eq(true));
+}
--- a/crates/agent/src/endpoint.rs
+++ b/crates/agent/src/endpoint.rs
@@ -36,7 +36,8 @@
     };
     let status = response.status();
     let statement = EndpointStatement::read(response.headers(), STATEMENT_HEADERS);
-    core.note_statement(sent_at, statement.of_answer(status));
+    let statement = statement.of_answer(status);
+    core.note_statement(sent_at, statement);
     if status == StatusCode::OK && statement.is_leaving != StatedValue::Stated(true) {
         core.is_endpoint_leaving.set(false);
     }
@@ -104,6 +105,8 @@
         self.gate.borrow_mut().crashed(&suspects);
         self.attempts.borrow_mut().fail_running(Instant::now());
         self.is_endpoint_up.set(false);
+        self.is_endpoint_leaving.set(false);
+        self.queue.borrow_mut().forget_statements(Instant::now());
         self.refresh_state();
         self.pending_crash_reports
             .set(self.pending_crash_reports.get() + 1);
