--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -20,8 +20,8 @@
 /// The same delay for a heartbeat that announces a changed load.
 const LOAD_HEARTBEAT_DELAY: Duration = Duration::from_millis(40);
 /// Interval at which expired idle connections to endpoints are closed, limits of endpoints are
-/// repeated to one other gateway, and endpoints that leave are checked. The pool does not hand out an expired connection in between
-/// either.
+/// repeated to one other gateway, and endpoints that leave are checked. The pool does not hand out
+/// an expired connection in between either.
 const SLOW_INTERVAL: Duration = Duration::from_secs(1);
 /// One of this many heartbeats names the live gateways; the others leave them out.
 const HEARTBEATS_PER_PEER_LIST: u64 = 4;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -25,7 +25,7 @@
 
 /// Maximum number of requests for tokens before one placement of a call.
 const MAX_TOKEN_ASKS: u32 = 3;
-/// Longest pause inside an answer until an endpoint that may go on with it takes calls again.
+/// Longest time of all pauses inside an answer until an endpoint that may go on with it takes calls again.
 const MAX_ANSWER_PAUSE: Duration = Duration::from_secs(1);
 /// Shortest such pause.
 const MIN_ANSWER_PAUSE: Duration = Duration::from_millis(20);
@@ -109,6 +109,8 @@
     tally: AttemptTally,
     /// The last failed attempt.
     last: Option<FailedAttempt>,
+    /// When the pause inside the answer ends at the latest; `None` before it begins.
+    pause_ends_at: Option<Instant>,
 }
 
 impl<'a> CallForward<'a> {
@@ -129,6 +131,7 @@
             },
             tally: AttemptTally::default(),
             last: None,
+            pause_ends_at: None,
         }
     }
 
@@ -322,16 +325,18 @@
     /// Waits until an endpoint takes calls again that may go on inside the answer, if it does soon.
     /// Returns whether it waited: the answer can go on nowhere else, and its caller could only
     /// return later.
-    async fn wait_inside_answer(&self) -> bool {
+    async fn wait_inside_answer(&mut self) -> bool {
         if !self.writer.has_started {
             return false;
         }
+        let now = Instant::now();
+        let pause_ends_at = *self.pause_ends_at.get_or_insert(now + MAX_ANSWER_PAUSE);
         let (state, call) = (self.state, self.call);
         let tried = self.record.tried();
         let query = call.query(state, self.progress.begun_by, &tried);
         let next = next_room(&state.table.borrow(), &query);
         let wait = next.map(|next| next.wait.max(MIN_ANSWER_PAUSE));
-        match wait.filter(|wait| *wait <= MAX_ANSWER_PAUSE) {
+        match wait.filter(|wait| now + *wait <= pause_ends_at) {
             Some(wait) => {
                 sleep(wait).await;
                 true
