--- a/crates/gateway/tests/forwarding/limits.rs
+++ b/crates/gateway/tests/forwarding/limits.rs
@@ -3,13 +3,14 @@
 use std::time::Duration;
 
 use googletest::prelude::*;
+use pace::statement::{EndpointStatement, StatedValue};
 use wire::id::name_id;
 
 use crate::fixture::{
-    CallerAnswer, ScriptedEndpoint, ScriptedReply, call, good_answer, not_run_answer, request,
-    signed_answer,
+    CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, good_answer, not_run_answer,
+    request, signed_answer, stream_head,
 };
-use crate::{relay_before, run};
+use crate::{relay_before, run, stream_of};
 
 fn answer_with_limit(limit: &str) -> String {
     let head = format!("X-Server-Stamp: s1\r\nServer-Limit: {limit}");
@@ -181,3 +182,31 @@
 
     expect_that!(has_limit, eq(false));
 }
+
+/// Answer to a resumable call whose first endpoint breaks off inside the stream while the other one
+/// rests.
+async fn call_while_the_other_rests(rest: Duration) -> CallerAnswer {
+    let broken = ScriptedReply::Close(stream_head() + &stream_of(1..=2));
+    let whole = ScriptedReply::Keep(stream_head() + &stream_of(3..=4) + LAST_CHUNK);
+    let first = ScriptedEndpoint::start("e1", vec![broken]).await;
+    let second = ScriptedEndpoint::start("e2", vec![whole]).await;
+    let relay = relay_before(&[&first, &second]).await;
+    let statement = EndpointStatement {
+        rest: StatedValue::Stated(rest),
+        ..EndpointStatement::default()
+    };
+    let state = &relay.state;
+    state.note_statement(name_id("e2"), state.now(), statement);
+    call(relay.address, &request("/resumable/x", "b")).await
+}
+
+#[gtest]
+fn answer_is_cut_for_a_short_rest_or_held_for_a_long_one() {
+    let short = run(call_while_the_other_rests(Duration::from_millis(400)));
+    let long = run(call_while_the_other_rests(Duration::from_secs(30)));
+
+    expect_that!(short.is_whole, eq(true));
+    expect_that!(short.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
+    expect_that!(long.is_whole, eq(false));
+    expect_that!(long.events().join(" ").as_str(), eq("d1 d2"));
+}
--- a/crates/relay/src/crash_log.rs
+++ b/crates/relay/src/crash_log.rs
@@ -98,7 +98,7 @@
         );
     }
 
-    fn endpoint_name(&self, endpoint: EndpointId) -> String {
+    pub(crate) fn endpoint_name(&self, endpoint: EndpointId) -> String {
         let table = self.table.borrow();
         let row = table.row(endpoint);
         row.map_or_else(|| "-".to_owned(), |row| row.name.clone())
--- a/crates/relay/src/leave_check.rs
+++ b/crates/relay/src/leave_check.rs
@@ -23,6 +23,7 @@
         let due = self.table.borrow_mut().begin_leave_checks(self.now());
         for endpoint in due {
             let state = Rc::clone(self);
+            log::info!(endpoint = state.endpoint_name(endpoint).as_str(); "relay: endpoint that leaves is checked");
             actix_rt::spawn(async move { state.check_leaving_endpoint(endpoint).await });
         }
     }
@@ -30,10 +31,14 @@
     /// Checks the health of an endpoint that has said that it leaves. It takes calls again if it is
     /// healthy and does not say so.
     pub async fn check_leaving_endpoint(&self, endpoint: EndpointId) {
+        let sent_at = self.now();
+        self.metrics.count_statement("checked");
         let Some(head) = self.health_head(endpoint).await else {
             return;
         };
         let statement = self.dialect.read_answer(head.headers()).statement;
+        let statement = statement.of_answer(head.status);
+        self.note_statement(endpoint, sent_at, statement);
         let is_leaving = statement.is_leaving == StatedValue::Stated(true);
         if head.status == StatusCode::OK && !is_leaving {
             let mut table = self.table.borrow_mut();
