--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -4,7 +4,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use gateway::crash_notices::send_crash_notices;
 use gateway::datagrams::receive_datagrams;
@@ -20,23 +20,18 @@
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use platform::PlatformDialect;
 use relay::budget::BudgetSettings;
+use relay::drain::{DrainSettings, drain_callers};
 use relay::server::serve_callers;
-use relay::state::{RelaySettings, RelayState, ServingPhase};
+use relay::state::{RelaySettings, RelayState};
 use settings::process::GatewaySettings;
 use tokio::net::{TcpListener, UdpSocket};
-use tokio::time::sleep;
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
 use wire::gateway::instance_at;
 use wire::id::name_id;
 
-/// Time from the start of a drain until idle connections are closed. It lets callers reconnect
-/// elsewhere first, as each answer during a drain asks them to.
-const REROUTE_TIME: Duration = Duration::from_millis(2700);
 /// Time before the end of the grace period at which a drain ends, even if calls are still running.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
-/// Interval at which a drain checks whether all calls have ended.
-const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 /// Longest time for connecting a link, and again for its handshake.
 const LINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -166,26 +161,19 @@
     })
 }
 
-/// Asks callers to reconnect elsewhere, transfers the leadership and waits for running calls, at
-/// most until [`GRACE_MARGIN`] before the end of the grace period.
+/// Transfers the leadership and drains the relay, at most until [`GRACE_MARGIN`] before the end of
+/// the grace period.
 async fn drain(node: Rc<GatewayNode>, grace: Duration) -> kernel::service::StepResult {
-    let started = Instant::now();
     let relay_state = Rc::clone(&node.relay_state);
-    let time_limit = grace.saturating_sub(GRACE_MARGIN);
-    relay_state.set_exit_deadline(started + time_limit);
-    relay_state.enter_phase(ServingPhase::Draining);
-    node.heartbeat_due.notify_one();
-    node.transfer_leadership().await;
-    sleep(
-        REROUTE_TIME
-            .min(time_limit)
-            .saturating_sub(started.elapsed()),
-    )
-    .await;
-    relay_state.enter_phase(ServingPhase::Closing);
-    while !relay_state.is_drained() && started.elapsed() < time_limit {
-        sleep(DRAIN_POLL_INTERVAL).await;
-    }
-    log::info!(cut = relay_state.active_calls.get(); "gateway: drained");
+    let settings = DrainSettings {
+        time_limit: grace.saturating_sub(GRACE_MARGIN),
+        ..DrainSettings::default()
+    };
+    let transfer = async {
+        node.heartbeat_due.notify_one();
+        node.transfer_leadership().await;
+    };
+    let (cut, ()) = tokio::join!(drain_callers(&relay_state, settings), transfer);
+    log::info!(cut = cut; "gateway: drained");
     Ok(())
 }
--- /dev/null
+++ b/crates/relay/src/drain.rs
@@ -0,0 +1,44 @@
+//! Draining of caller connections before the process stops.
+
+use std::time::{Duration, Instant};
+
+use tokio::time::sleep;
+
+use crate::state::{RelayState, ServingPhase};
+
+/// Interval at which a drain checks whether all calls have ended.
+const POLL_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Settings of a drain.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DrainSettings {
+    /// Time from the start of a drain until idle connections are closed. It lets callers reconnect
+    /// elsewhere first, as each answer during a drain asks them to.
+    pub reroute_time: Duration,
+    /// Time after which a drain ends, even if calls are still running.
+    pub time_limit: Duration,
+}
+
+impl Default for DrainSettings {
+    fn default() -> Self {
+        Self {
+            reroute_time: Duration::from_millis(2700),
+            time_limit: Duration::from_millis(7600),
+        }
+    }
+}
+
+/// Asks callers to reconnect elsewhere and waits until their connections are closed. Returns the
+/// number of calls that the time limit cuts.
+pub async fn drain_callers(state: &RelayState, settings: DrainSettings) -> usize {
+    let started = Instant::now();
+    let ends_at = started + settings.time_limit;
+    state.set_exit_deadline(ends_at);
+    state.enter_phase(ServingPhase::Draining);
+    sleep(settings.reroute_time.min(settings.time_limit)).await;
+    state.enter_phase(ServingPhase::Closing);
+    while !state.is_drained() && Instant::now() < ends_at {
+        sleep(POLL_INTERVAL).await;
+    }
+    state.active_calls.get()
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -44,6 +44,7 @@
 //! * [`slot`]: slots that calls occupy at endpoints.
 //! * [`server`]: serving of caller connections.
 //! * [`accept`]: accept loop of a listener.
+//! * [`drain`]: draining of caller connections before the process stops.
 
 pub mod accept;
 pub mod accounts;
@@ -56,6 +57,7 @@
 pub mod crash;
 pub mod crash_check;
 pub mod crash_log;
+pub mod drain;
 pub mod endpoint_leave;
 pub mod endpoint_limit;
 pub mod forward;
