--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -27,6 +27,7 @@
 mod fixture;
 mod framing;
 mod limits;
+mod stopping;
 mod version_fleet;
 mod versions;
 
@@ -113,6 +114,26 @@
     }
 }
 
+/// A relay in front of one endpoint at this address.
+async fn relay_at(address: SocketAddrV4) -> RelayFixture {
+    let state = empty_state();
+    state.set_catalog(CatalogIndex::new(valid_catalog()));
+    state.set_endpoints(&[listed_at("e1", address, 0)]);
+    serve(state).await
+}
+
+fn listed_at(name: &str, address: SocketAddrV4, domain: u64) -> ListedEndpoint {
+    ListedEndpoint {
+        name: name.to_owned(),
+        service: SERVICE.to_owned(),
+        address,
+        domain,
+        slots: 4,
+        is_draining: false,
+        version: "v1".to_owned(),
+    }
+}
+
 /// A relay in front of these endpoints. Only the first is in the relay's failure domain, so it is
 /// tried first.
 async fn relay_before(endpoints: &[&Rc<ScriptedEndpoint>]) -> RelayFixture {
@@ -121,15 +142,7 @@
     let listed = endpoints
         .iter()
         .enumerate()
-        .map(|(place, endpoint)| ListedEndpoint {
-            name: endpoint.name.clone(),
-            service: SERVICE.to_owned(),
-            address: endpoint.address,
-            domain: u64::from(place > 0),
-            slots: 4,
-            is_draining: false,
-            version: "v1".to_owned(),
-        });
+        .map(|(place, endpoint)| listed_at(&endpoint.name, endpoint.address, u64::from(place > 0)));
     state.set_endpoints(&listed.collect::<Vec<_>>());
     serve(state).await
 }
