relay: accept no connection once a drain has seen none

Cause: the drain ends when no connection is open, but the listener stayed open until the end of the process, so that calls were begun while the other services stopped; a connection whose task had not run yet was not counted either.

Now the listener is closed in a phase of its own, the drain ends only when it is closed and no connection is left, and connections count from their acceptance. A caller that connects later is refused by the operating system, unread.

--- a/crates/relay/src/drain.rs
+++ b/crates/relay/src/drain.rs
@@ -37,8 +37,16 @@
     state.enter_phase(ServingPhase::Draining);
     sleep(settings.reroute_time.min(settings.time_limit)).await;
     state.enter_phase(ServingPhase::Closing);
-    while !state.is_drained() && Instant::now() < ends_at {
+    wait_until(ends_at, || state.is_drained()).await;
+    // A caller that connects from here on is refused by the operating system and goes elsewhere.
+    state.enter_phase(ServingPhase::Closed);
+    wait_until(ends_at, || state.is_closed()).await;
+    state.active_calls.get()
+}
+
+/// Waits until a condition holds, at most until `ends_at`.
+async fn wait_until(ends_at: Instant, condition: impl Fn() -> bool) {
+    while !condition() && Instant::now() < ends_at {
         sleep(POLL_INTERVAL).await;
     }
-    state.active_calls.get()
 }
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -1,5 +1,7 @@
 //! Serving of caller connections.
 
+use std::cell::Cell;
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,30 +17,65 @@
 use crate::session::{
     IncomingCall, SessionError, SessionLimits, SessionReader, SessionWriter, open,
 };
-use crate::state::RelayState;
+use crate::state::{RelayState, ServingPhase};
 
 /// Maximum time between two reads of a request body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Accepts and serves caller connections until the process ends.
+/// Accepts and serves caller connections until phase [`ServingPhase::Closed`] or the end of the
+/// process.
 pub async fn serve_callers(listener: TcpListener, state: Rc<RelayState>) {
-    accept_each(listener, "relay", |stream| {
+    let _open = CountGuard::new(&state, |state| &state.open_listeners);
+    let accepting = accept_each(listener, "relay", |stream| {
         serve_caller(stream, Rc::clone(&state))
-    })
-    .await;
+    });
+    tokio::select! {
+        biased;
+        () = state.until_phase(ServingPhase::Closed) => {}
+        () = accepting => {}
+    }
+}
+
+/// Counts a connection and returns the future that serves it. A connection whose future has not run
+/// yet must not escape a drain.
+fn serve_caller(stream: TcpStream, state: Rc<RelayState>) -> impl Future<Output = ()> {
+    let has_room = state.open_connections.get() < state.settings.max_connections;
+    let open = CountGuard::new(&state, |state| &state.open_connections);
+    async move {
+        if !has_room {
+            log::warn!("relay: caller connection closed: connection limit reached");
+            return;
+        }
+        state.metrics.set_connections(state.open_connections.get());
+        if let Err(error) = serve_calls(stream, &state).await {
+            log::debug!("relay: caller connection failed: {error}");
+        }
+        drop(open);
+    }
+}
+
+/// Counts something in the state for as long as it exists.
+struct CountGuard {
+    state: Rc<RelayState>,
+    counter: fn(&RelayState) -> &Cell<usize>,
 }
 
-async fn serve_caller(stream: TcpStream, state: Rc<RelayState>) {
-    if state.open_connections.get() >= state.settings.max_connections {
-        log::warn!("relay: caller connection closed: connection limit reached");
-        return;
+impl CountGuard {
+    fn new(state: &Rc<RelayState>, counter: fn(&RelayState) -> &Cell<usize>) -> Self {
+        let count = counter(state);
+        count.set(count.get() + 1);
+        Self {
+            state: Rc::clone(state),
+            counter,
+        }
     }
-    state.open_connections.set(state.open_connections.get() + 1);
-    state.metrics.set_connections(state.open_connections.get());
-    if let Err(error) = serve_calls(stream, &state).await {
-        log::debug!("relay: caller connection failed: {error}");
+}
+
+impl Drop for CountGuard {
+    fn drop(&mut self) {
+        let count = (self.counter)(&self.state);
+        count.set(count.get() - 1);
     }
-    state.open_connections.set(state.open_connections.get() - 1);
 }
 
 async fn serve_calls(stream: TcpStream, state: &Rc<RelayState>) -> crate::session::Result<()> {
@@ -76,7 +113,7 @@
     tokio::select! {
         biased;
         arrived = timeout(idle_timeout, reader.wait_for_bytes()) => arrived.unwrap_or(Ok(false)),
-        () = state.until_closing() => Ok(false),
+        () = state.until_phase(ServingPhase::Closing) => Ok(false),
     }
 }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -74,6 +74,8 @@
     Draining,
     /// Connections are closed as soon as they are idle.
     Closing,
+    /// No connection is accepted. The process ends when the last one is closed.
+    Closed,
 }
 
 /// State that all calls of one instance share. Calls run on a single thread.
@@ -125,8 +127,10 @@
     pub crash_notice_due: Notify,
     /// Number of calls in progress.
     pub active_calls: Cell<usize>,
-    /// Number of open caller connections.
+    /// Number of open caller connections, from the moment when they are accepted.
     pub open_connections: Cell<usize>,
+    /// Number of listeners that accept callers.
+    pub open_listeners: Cell<usize>,
     started: Instant,
 }
 
@@ -163,6 +167,7 @@
             crash_notice_due: Notify::new(),
             active_calls: Cell::new(0),
             open_connections: Cell::new(0),
+            open_listeners: Cell::new(0),
             started: Instant::now(),
         }
     }
@@ -268,13 +273,18 @@
         self.open_connections.get() == 0
     }
 
-    /// Waits until the phase is [`ServingPhase::Closing`].
-    pub async fn until_closing(&self) {
+    /// Whether no caller is connected and none can connect any more.
+    pub fn is_closed(&self) -> bool {
+        self.open_listeners.get() == 0 && self.is_drained()
+    }
+
+    /// Waits until the phase is `phase` or a later one.
+    pub async fn until_phase(&self, phase: ServingPhase) {
         loop {
             let changed = self.phase_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            if self.phase() == ServingPhase::Closing {
+            if self.phase() >= phase {
                 return;
             }
             changed.await;
