--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -27,6 +27,7 @@
 mod fixture;
 mod framing;
 mod limits;
+mod rejoined;
 mod stopping;
 mod version_fleet;
 mod versions;
--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -246,12 +246,34 @@
         catalog
     }
 
+    /// Replaces all instances at once by ones that know nothing of before. Then each notices the
+    /// others.
+    pub(crate) async fn restart_all(&mut self) {
+        self.network.states.borrow_mut().clear();
+        for number in 0..self.instances.len() {
+            self.instances[number] = self.start_instance(number as InstanceId).await;
+        }
+        for number in 0..self.instances.len() {
+            self.notice_start(number);
+        }
+    }
+
     /// Replaces an instance by one that knows nothing of before. The others notice it.
     pub(crate) async fn restart(&mut self, number: usize) {
-        let instance = number as InstanceId;
-        self.instances[number] = self.start_instance(instance).await;
-        for other in &self.instances {
-            other.state.refresh_keeper(instance);
+        self.instances[number] = self.start_instance(number as InstanceId).await;
+        self.notice_start(number);
+    }
+
+    /// Removes the endpoints of a version from the list, which instances that start receive.
+    pub(crate) fn retire_version(&mut self, version: &str) {
+        self.listed.retain(|listed| listed.version != version);
+    }
+
+    /// Lets the other instances notice that one has started.
+    fn notice_start(&self, number: usize) {
+        let others = self.instances.iter().enumerate();
+        for (_, other) in others.filter(|(other, _)| *other != number) {
+            other.state.refresh_keeper(number as InstanceId);
         }
     }
 }
