relay: let a caller that names no stream go on only if all streams are known

After all instances were killed at once, a caller that took its stream up without naming it was given the origin of another caller's stream of the same request, the only one that was still known, and its text was joined from two software versions. Cause: 'all known streams of the request have one origin' was taken for 'all streams have'.

Each instance now knows whether its records are complete: at the first start of the fleet, once earlier callers have left, or once all other instances but two have told it theirs, which are complete in turn.

--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -96,6 +96,13 @@
         live.map(|(instance, row)| (*instance, &row.heartbeat))
     }
 
+    /// The gateways whose latest heartbeat arrived within `window`, live or not.
+    pub fn heard_within(&self, now: Duration, window: Duration) -> Vec<InstanceId> {
+        let is_recent = |row: &GatewayRow| row.heard_at.is_some_and(|at| now <= at + window);
+        let recent = self.rows.iter().filter(|(_, row)| is_recent(row));
+        recent.map(|(instance, _)| *instance).collect()
+    }
+
     /// Recipients of the next heartbeat: the seeds, the gateways with a data folder, and at most
     /// `ROUND_GATEWAYS` of the others, in turn, so that the cost of a heartbeat does not grow with
     /// the number of gateways without a data folder.
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -137,6 +137,7 @@
     RelaySettings {
         instance: instance_at(settings.link),
         domain: name_id(&settings.failure_domain),
+        is_first_start: settings.first_start,
         budget: BudgetSettings {
             ratio: settings.retries.ratio,
             extra: settings.retries.extra,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,7 @@
 //! The other gateways as peers that share origins of streams and limits of endpoints.
 
 use std::rc::{Rc, Weak};
+use std::time::Duration;
 
 use relay::peers::InstancePeers;
 use relay::rate_keeper::KeeperTerm;
@@ -40,6 +41,14 @@
         seeds.filter(|seed| *seed != node.own).collect()
     }
 
+    fn lately_live(&self, window: Duration) -> Vec<InstanceId> {
+        let Some(node) = self.node.upgrade() else {
+            return Vec::new();
+        };
+        let directory = node.directory.borrow();
+        directory.heard_within(node.now(), window)
+    }
+
     fn keeper(&self) -> Option<InstanceId> {
         let node = self.node.upgrade()?;
         if node.keeper_term().is_some() {
--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -127,6 +127,10 @@
         others.copied().collect()
     }
 
+    fn lately_live(&self, _window: Duration) -> Vec<InstanceId> {
+        self.instances()
+    }
+
     fn keeper(&self) -> Option<InstanceId> {
         None
     }
@@ -207,16 +211,17 @@
             fleet.listed.push(listed);
         }
         for number in 0..INSTANCES {
-            let instance = fleet.start_instance(number).await;
+            let instance = fleet.start_instance(number, true).await;
             fleet.instances.push(instance);
         }
         fleet
     }
 
-    async fn start_instance(&self, number: u64) -> RelayFixture {
+    async fn start_instance(&self, number: u64, is_first_start: bool) -> RelayFixture {
         let metrics = GatewayMetrics::new(LabelSettings::default()).expect("names are free");
         let settings = RelaySettings {
             instance: number,
+            is_first_start,
             ..RelaySettings::default()
         };
         let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
@@ -251,7 +256,7 @@
     pub(crate) async fn restart_all(&mut self) {
         self.network.states.borrow_mut().clear();
         for number in 0..self.instances.len() {
-            self.instances[number] = self.start_instance(number as InstanceId).await;
+            self.instances[number] = self.start_instance(number as InstanceId, false).await;
         }
         for number in 0..self.instances.len() {
             self.notice_start(number);
@@ -260,7 +265,7 @@
 
     /// Replaces an instance by one that knows nothing of before. The others notice it.
     pub(crate) async fn restart(&mut self, number: usize) {
-        self.instances[number] = self.start_instance(number as InstanceId).await;
+        self.instances[number] = self.start_instance(number as InstanceId, false).await;
         self.notice_start(number);
     }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,7 @@
 //! * [`retry_schedule`]: retry times that are handed out to refused callers.
 //! * [`budget`]: retry budget of a service.
 //! * [`origin`]: which software version began a stream.
+//! * [`origin_coverage`]: whether the records of streams are complete.
 //! * [`crash`]: detection of requests that crash the endpoints that run them.
 //! * [`retry`]: whether a failed attempt is followed by another.
 //! * [`refusal`]: refused calls and their `Retry-After` time.
@@ -65,6 +66,7 @@
 pub mod leave_check;
 pub mod limit_sharing;
 pub mod origin;
+pub mod origin_coverage;
 pub mod origin_lookup;
 pub mod peers;
 pub mod placement;
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -115,9 +115,10 @@
         claims.reduce(merge)
     }
 
-    /// What to tell another instance that asks; empty if this instance has no record.
+    /// What to tell another instance that asks; empty if this instance has no record. More than
+    /// [`MAX_MESSAGE_STREAMS`] if one message can't hold all.
     pub fn notices_of(&self, now: Duration, query: OriginQuery) -> Vec<OriginNotice> {
-        let records = self.records_of(now, query).take(MAX_MESSAGE_STREAMS);
+        let records = self.records_of(now, query).take(MAX_MESSAGE_STREAMS + 1);
         records
             .map(|(key, record)| record.notice(now, key))
             .collect()
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -11,11 +11,13 @@
 use wire::gateway::GatewayDatagram;
 use wire::id::{FingerprintHash, InstanceId, StreamId, name_id};
 use wire::stream::{
-    MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery, StreamMessage, StreamOrigin,
+    FleetSize, MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery, StreamMessage,
+    StreamOrigin,
 };
 
 use crate::call::CallMetadata;
 use crate::origin::{ASKED_INSTANCES, KEEPERS, rank_instances, whole_millis};
+use crate::origin_coverage::{COVERAGE_TIME, covering_count};
 use crate::relay_call::DEFAULT_CALLER_TIMEOUT;
 use crate::state::RelayState;
 
@@ -45,6 +47,8 @@
     waiting: usize,
     /// Instances that were asked in the latest round and have not answered.
     unanswered: BTreeSet<InstanceId>,
+    /// Instances with complete records that have answered.
+    complete: BTreeSet<InstanceId>,
 }
 
 impl OriginLookups {
@@ -54,6 +58,13 @@
             lookup.unanswered.remove(&from);
         }
     }
+
+    /// Records that an instance with complete records has answered a query.
+    fn note_complete(&mut self, from: InstanceId, query: OriginQuery) {
+        if let Some(lookup) = self.lookups.get_mut(&query) {
+            lookup.complete.insert(from);
+        }
+    }
 }
 
 /// Guard of a lookup, which ends with the last guard of its query.
@@ -81,6 +92,13 @@
         }
     }
 
+    /// Whether the answers so far hold every stream of the request, of `asked` instances.
+    fn is_covered(&self, asked: usize) -> bool {
+        let table = self.lookups.borrow();
+        let lookup = table.lookups.get(&self.query);
+        lookup.is_some_and(|lookup| lookup.complete.len() >= covering_count(asked))
+    }
+
     /// Whether all instances that were asked in the latest round have answered.
     fn is_answered(&self) -> bool {
         let table = self.lookups.borrow();
@@ -164,15 +182,17 @@
         }
     }
 
-    /// Looks up the origin of a stream. A record of this instance suffices if the query names the
-    /// stream; other instances may know further streams of its request.
+    /// Looks up the origin of a stream.
     async fn find_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
         let own = self.known_origin(query);
         if own.is_some() && query.stream.is_some() {
             self.metrics.count_stream_return("recorded");
             return own;
         }
-        let claim = self.ask_for_origin(query).await;
+        let claim = match query.stream {
+            Some(_) => self.ask_for_stream(query).await,
+            None => self.ask_for_request(query).await,
+        };
         let result = match claim {
             Some(_) => "found",
             None => "unknown",
@@ -181,21 +201,19 @@
         claim
     }
 
-    async fn ask_for_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
-        let Some(peers) = self.peers.get() else {
-            return self.known_origin(query);
-        };
+    /// Asks for the origin of a stream that its caller names.
+    async fn ask_for_stream(&self, query: OriginQuery) -> Option<OriginClaim> {
+        let peers = self.peers.get()?;
         let guard = LookupGuard::start(&self.origin_lookups, query)?;
         for (round, wait) in ROUND_WAITS.into_iter().enumerate() {
             let asked = rank_instances(query.request, &peers.instances(), ASKED_INSTANCES);
-            guard.ask(&asked);
-            for instance in asked {
-                let message = StreamMessage::Query(query);
-                peers.send(instance, &GatewayDatagram::Stream(message));
-            }
+            self.send_queries(&guard, &asked);
             // In the first round, the notice of the stream may still be on its way.
             let may_be_unknown = round > 0;
-            let settled = self.until_settled(&guard, may_be_unknown);
+            let settled = self.until(|| {
+                let is_known = self.known_origin(query).is_some();
+                is_known || may_be_unknown && guard.is_answered()
+            });
             let is_settled = timeout(wait, settled).await.is_ok();
             let claim = self.known_origin(query);
             if is_settled || claim.is_some() {
@@ -205,16 +223,47 @@
         None
     }
 
-    /// Waits until the named stream is known, or all instances that were asked have answered. The
-    /// stream may still be unknown then only if `may_be_unknown`.
-    async fn until_settled(&self, guard: &LookupGuard<'_>, may_be_unknown: bool) {
+    /// Asks for the origin of all streams of a request. `None` unless every stream of the request
+    /// is certainly known: one that is missing may be the caller's.
+    async fn ask_for_request(&self, query: OriginQuery) -> Option<OriginClaim> {
+        if !self.origin_coverage.borrow().is_complete(self.now()) {
+            return None;
+        }
+        let Some(peers) = self.peers.get() else {
+            return self.known_origin(query);
+        };
+        let guard = LookupGuard::start(&self.origin_lookups, query)?;
+        for wait in ROUND_WAITS {
+            // An instance that was killed lately may hold the only record.
+            let holders = peers.lately_live(COVERAGE_TIME);
+            let asked = rank_instances(query.request, &holders, ASKED_INSTANCES);
+            self.send_queries(&guard, &asked);
+            let is_alone = asked.is_empty();
+            let covered = self.until(|| is_alone || guard.is_covered(asked.len()));
+            if timeout(wait, covered).await.is_ok() {
+                return self.known_origin(query);
+            }
+        }
+        None
+    }
+
+    fn send_queries(&self, guard: &LookupGuard<'_>, asked: &[InstanceId]) {
+        guard.ask(asked);
+        let query = GatewayDatagram::Stream(StreamMessage::Query(guard.query));
+        for instance in asked {
+            if let Some(peers) = self.peers.get() {
+                peers.send(*instance, &query);
+            }
+        }
+    }
+
+    /// Waits until a condition holds that messages of other instances change.
+    async fn until(&self, condition: impl Fn() -> bool) {
         loop {
             let changed = self.origin_changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
-            let is_known = self.known_origin(guard.query).is_some();
-            let is_found = is_known && guard.query.stream.is_some();
-            if is_found || guard.is_answered() && (is_known || may_be_unknown) {
+            if condition() {
                 return;
             }
             changed.await;
@@ -237,6 +286,18 @@
             StreamMessage::Unknown(query) => {
                 self.origin_lookups.borrow_mut().note_answer(from, query);
             }
+            StreamMessage::AllOrigins(query, notices) => {
+                for notice in notices {
+                    self.note_origin(from, notice);
+                }
+                let mut lookups = self.origin_lookups.borrow_mut();
+                lookups.note_answer(from, query);
+                lookups.note_complete(from, query);
+            }
+            StreamMessage::Told(fleet_size) => {
+                let mut coverage = self.origin_coverage.borrow_mut();
+                coverage.note_told(from, fleet_size as usize);
+            }
         }
         self.origin_changed.notify_waiters();
     }
@@ -251,10 +312,14 @@
     }
 
     fn answer_query(&self, from: InstanceId, query: OriginQuery) {
-        let notices = self.origins.borrow().notices_of(self.now(), query);
-        let answer = match notices.is_empty() {
-            true => StreamMessage::Unknown(query),
-            false => StreamMessage::Origins(notices),
+        let mut notices = self.origins.borrow().notices_of(self.now(), query);
+        let is_complete = self.origin_coverage.borrow().is_complete(self.now());
+        let has_all = is_complete && notices.len() <= MAX_MESSAGE_STREAMS;
+        notices.truncate(MAX_MESSAGE_STREAMS);
+        let answer = match query.stream {
+            None if has_all => StreamMessage::AllOrigins(query, notices),
+            _ if notices.is_empty() => StreamMessage::Unknown(query),
+            _ => StreamMessage::Origins(notices),
         };
         if let Some(peers) = self.peers.get() {
             peers.send(from, &GatewayDatagram::Stream(answer));
@@ -274,5 +339,11 @@
             let message = StreamMessage::Origins(notices.to_vec());
             peers.send(keeper, &GatewayDatagram::Stream(message));
         }
+        let has_all = notices.len() < MAX_REFRESHED_STREAMS;
+        if has_all && self.origin_coverage.borrow().is_complete(self.now()) {
+            let known = peers.lately_live(COVERAGE_TIME).len() + 1;
+            let message = StreamMessage::Told(FleetSize::try_from(known).unwrap_or(FleetSize::MAX));
+            peers.send(keeper, &GatewayDatagram::Stream(message));
+        }
     }
 }
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,5 +1,7 @@
 //! The other instances.
 
+use std::time::Duration;
+
 use wire::gateway::GatewayDatagram;
 use wire::id::InstanceId;
 
@@ -10,6 +12,9 @@
     /// Ids of the other instances that are probably live.
     fn instances(&self) -> Vec<InstanceId>;
 
+    /// Ids of the other instances that were live at some time within `window`.
+    fn lately_live(&self, window: Duration) -> Vec<InstanceId>;
+
     /// The instance that probably keeps the rates which endpoints name; may be this one. `None` if
     /// none is known.
     fn keeper(&self) -> Option<InstanceId>;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,6 +18,7 @@
 use crate::health::{CallOutcome, HealthChange};
 use crate::limit_sharing::PendingAsks;
 use crate::origin::{OriginSettings, OriginTable};
+use crate::origin_coverage::OriginCoverage;
 use crate::origin_lookup::OriginLookups;
 use crate::peers::InstancePeers;
 use crate::placement::PlacementSettings;
@@ -40,6 +41,8 @@
     pub budget: BudgetSettings,
     /// Settings of the table of origins of streams.
     pub origins: OriginSettings,
+    /// Whether the whole fleet starts for the first time.
+    pub is_first_start: bool,
     /// Maximum time for connecting to an endpoint.
     pub connect_limit: Duration,
     /// Maximum size of an answer that is buffered whole before it is forwarded, in bytes.
@@ -57,6 +60,7 @@
             admission: AdmissionSettings::default(),
             budget: BudgetSettings::default(),
             origins: OriginSettings::default(),
+            is_first_start: false,
             connect_limit: Duration::from_millis(350),
             whole_answer_bytes: 4 * 1024 * 1024,
             max_connections: 2500,
@@ -100,6 +104,8 @@
     pub crashes: RefCell<CrashTracker>,
     /// Origins of the streams that callers may resume.
     pub origins: RefCell<OriginTable>,
+    /// Whether these records are complete.
+    pub origin_coverage: RefCell<OriginCoverage>,
     /// Streams whose origin is being looked up at other instances.
     pub origin_lookups: RefCell<OriginLookups>,
     /// Notified when another instance has sent a message about origins.
@@ -146,6 +152,7 @@
             budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
             admission: RefCell::new(AdmissionControl::new(settings.admission.clone())),
             origins: RefCell::new(OriginTable::new(settings.origins.clone())),
+            origin_coverage: RefCell::new(OriginCoverage::new(settings.is_first_start)),
             settings,
             dialect,
             catalog: RefCell::default(),
--- a/crates/relay/tests/origins.rs
+++ b/crates/relay/tests/origins.rs
@@ -5,7 +5,8 @@
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use relay::origin::{KEEPERS, OriginSettings, OriginTable, rank_instances};
+use relay::origin::{ASKED_INSTANCES, KEEPERS, OriginSettings, OriginTable, rank_instances};
+use relay::origin_coverage::{COVERAGE_TIME, OriginCoverage, covering_count};
 use wire::codec;
 use wire::gateway::{GatewayDatagram, MAX_DATAGRAM_BYTES};
 use wire::id::InstanceId;
@@ -120,11 +121,19 @@
         }),
         lifetime_ms: u32::MAX,
     };
-    let message = StreamMessage::Origins(vec![largest; MAX_MESSAGE_STREAMS]);
-
-    let bytes = codec::encode(&GatewayDatagram::Stream(message)).expect("it can be encoded");
-
-    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+    let query = OriginQuery {
+        request: u64::MAX,
+        stream: Some(u64::MAX),
+    };
+    let notices = vec![largest; MAX_MESSAGE_STREAMS];
+    for message in [
+        StreamMessage::Origins(notices.clone()),
+        StreamMessage::AllOrigins(query, notices),
+    ] {
+        let bytes = codec::encode(&GatewayDatagram::Stream(message)).expect("it can be encoded");
+
+        expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+    }
 }
 
 #[gtest]
@@ -151,3 +160,38 @@
     expect_that!(disputed, some(eq(OriginClaim::Disputed)));
     expect_that!(told, len(eq(3)));
 }
+
+#[gtest]
+fn records_are_complete_once_all_instances_but_two_have_told_them() {
+    let mut coverage = OriginCoverage::new(false);
+    let mut complete = Vec::new();
+
+    for instance in 1..=5 {
+        coverage.note_told(instance, 6);
+        coverage.note_told(instance, 2);
+        complete.push(coverage.is_complete(Duration::ZERO));
+    }
+
+    expect_that!(complete, eq(&vec![false, false, true, true, true]));
+}
+
+#[gtest]
+fn records_are_complete_from_the_first_start_or_once_earlier_callers_have_left() {
+    let first = OriginCoverage::new(true);
+    let later = OriginCoverage::new(false);
+    let early = COVERAGE_TIME - Duration::from_millis(1);
+
+    expect_that!(first.is_complete(Duration::ZERO), eq(true));
+    expect_that!(later.is_complete(early), eq(false));
+    expect_that!(later.is_complete(COVERAGE_TIME), eq(true));
+}
+
+// Any instances of this number hold a record that its beginner has told to the keepers.
+#[gtest]
+fn covering_instances_have_a_keeper_among_them() {
+    for others in 1..=ASKED_INSTANCES {
+        let keepers = KEEPERS.min(others);
+
+        expect_that!(covering_count(others) + keepers, gt(others));
+    }
+}
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -18,6 +18,9 @@
     pub version: VersionId,
 }
 
+/// Number of gateways that the sender has lately heard from, itself included.
+pub type FleetSize = u32;
+
 /// What a gateway knows of the origin of a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum OriginClaim {
@@ -58,4 +61,10 @@
     Query(OriginQuery),
     /// The sender was asked this and knows no such stream.
     Unknown(OriginQuery),
+    /// The sender was asked this and knows exactly these streams, at most [`MAX_MESSAGE_STREAMS`].
+    /// Its records are complete.
+    AllOrigins(OriginQuery, Vec<OriginNotice>),
+    /// The sender, whose records are complete, has told the receiver all streams that the receiver
+    /// is a keeper of.
+    Told(FleetSize),
 }
