relay: clear requests of crashes that another request explains

Cause: each crash counted against every request lost in it, though one request already explained it.

Requests are now blamed like parts of prompts: the one with the most crashes first, of several the one that had enough of them first, and its crashes count against no other. If the wrong one had enough first, one more crash turns it.

--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -17,6 +17,7 @@
 //! a crash objects.
 
 mod blame;
+mod culprit;
 mod frequency;
 mod loss;
 mod outage;
@@ -33,6 +34,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use self::blame::Blame;
+use self::culprit::RequestBlame;
 use self::frequency::PartFrequency;
 pub use self::loss::LostRun;
 use self::loss::PendingRuns;
@@ -92,6 +94,8 @@
     frequency: PartFrequency,
     /// Which parts are to blame. Follows from `parts` and `frequency`.
     blame: Blame,
+    /// Which requests are to blame. Follows from `requests` and `blame`.
+    culprits: RequestBlame,
     pending: PendingRuns,
     crashes: RecentCrashes,
     /// Endpoints that are being checked by this instance.
@@ -117,6 +121,7 @@
             parts: Suspicion::new(SuspectKind::Part),
             frequency: PartFrequency::default(),
             blame: Blame::default(),
+            culprits: RequestBlame::default(),
             pending: PendingRuns::default(),
             crashes: RecentCrashes::default(),
             checking: HashSet::new(),
@@ -187,6 +192,7 @@
         let now = now + CLOCK_OFFSET;
         self.requests
             .note_served(now, fingerprint, &mut self.decisions);
+        self.update_blame();
     }
 
     /// Records that an endpoint generated a whole answer to a prompt with these parts.
@@ -257,10 +263,17 @@
         crashes < SuspectKind::Request.blocking_crashes()
     }
 
-    /// Number of crashes in which a request was lost, but for those that a blamed part explains.
+    /// Number of crashes in which a request was lost, but for those that a blamed part or another
+    /// blamed request explains.
     pub fn crashes_of(&self, fingerprint: FingerprintHash) -> usize {
-        let suspect = self.requests.suspects.get(fingerprint);
-        suspect.map_or(0, |suspect| suspect.count_unexplained(&self.blame))
+        let Some(suspect) = self.requests.suspects.get(fingerprint) else {
+            return 0;
+        };
+        let is_explained = |crash: &KnownCrash| {
+            self.blame.explains(crash) || self.culprits.clears(fingerprint, crash)
+        };
+        let unexplained = suspect.different().filter(|crash| !is_explained(crash));
+        unexplained.count()
     }
 
     /// Number of crashes in which requests with a part in their prompts were lost.
@@ -379,14 +392,31 @@
         }
     }
 
-    /// Blames parts anew, if what is known of them has changed.
+    /// Blames parts and requests anew, if what is known of them has changed.
     fn update_blame(&mut self) {
         if self.parts.take_change() {
             self.blame_anew();
+        } else if self.requests.take_change() {
+            self.blame_requests();
         }
     }
 
     fn blame_anew(&mut self) {
+        self.blame_parts();
+        self.requests.take_change();
+        self.blame_requests();
+    }
+
+    fn blame_requests(&mut self) {
+        let culprits = RequestBlame::of(&self.requests, &self.blame);
+        let before = std::mem::replace(&mut self.culprits, culprits);
+        let blamed = self.culprits.requests();
+        let new = blamed.filter(|request| !before.requests().any(|one| one == *request));
+        let blocked = new.map(|request| CrashDecision::Blocked(SuspectKind::Request, request));
+        self.decisions.extend(blocked);
+    }
+
+    fn blame_parts(&mut self) {
         let blame = Blame::of(&self.parts, &self.frequency);
         let before = std::mem::replace(&mut self.blame, blame);
         let was_blamed = |part: &SuspectHash| {
--- a/crates/relay/src/crash/suspect.rs
+++ b/crates/relay/src/crash/suspect.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::blame::Blame;
 use super::outage::KnownCrash;
 use super::suspicion::SuspectHash;
 
@@ -45,12 +44,6 @@
         self.count() >= REPEATED_CRASHES
     }
 
-    /// Number of different crashes for which no part of a prompt is to blame.
-    pub(super) fn count_unexplained(&self, blame: &Blame) -> usize {
-        let different = self.different();
-        different.filter(|crash| !blame.explains(crash)).count()
-    }
-
     /// Time for which a request that is to blame is refused; `None` once it is over.
     pub(super) fn blocked_for(&self, now: Duration) -> Option<Duration> {
         let time = (self.latest_at() + BLOCKING_TIME).saturating_sub(now);
--- a/crates/relay/src/crash/suspicion.rs
+++ b/crates/relay/src/crash/suspicion.rs
@@ -152,10 +152,6 @@
             crashes,
             is_own,
         });
-        // Whether a part is blamed depends on the other parts, too.
-        if self.kind == SuspectKind::Request && crashes == self.kind.blocking_crashes() {
-            decisions.push(CrashDecision::Blocked(self.kind, hash));
-        }
         true
     }
 
--- a/crates/relay/tests/crashes.rs
+++ b/crates/relay/tests/crashes.rs
@@ -400,3 +400,50 @@
     expect_that!(objections.served.len(), le(MAX_NOTICE_SERVED));
     expect_that!(counted.count(), gt(0));
 }
+
+/// Requests of one instance that are lost in the same crash.
+fn lose_together(tracker: &mut CrashTracker, now: Duration, endpoint: u64, requests: &[u64]) {
+    for request in requests {
+        let run = LostRun {
+            fingerprint: *request,
+            ..run_at(endpoint, now - MILLI)
+        };
+        tracker.note_lost(now, run);
+    }
+    tracker.note_down(now + MILLI, endpoint);
+}
+
+// Issue 23: a popular request is lost in two crashes of the one that crashes endpoints, and in one
+// of another cause.
+#[gtest]
+fn request_is_refused_for_crashes_of_another_that_is_to_blame() {
+    const POPULAR: u64 = 8;
+    let mut tracker = CrashTracker::default();
+
+    lose_together(&mut tracker, SECOND, 1, &[REQUEST]);
+    lose_together(&mut tracker, 2 * SECOND, 2, &[REQUEST, POPULAR]);
+    lose_together(&mut tracker, 3 * SECOND, 3, &[REQUEST, POPULAR]);
+    lose_together(&mut tracker, 4 * SECOND, 4, &[POPULAR]);
+
+    expect_that!(is_refused(&tracker, 4 * SECOND, REQUEST), eq(true));
+    expect_that!(is_refused(&tracker, 4 * SECOND, POPULAR), eq(false));
+    expect_that!(tracker.crashes_of(POPULAR), eq(1));
+}
+
+// A harmless request had enough crashes first; the next crash shows which one causes them.
+#[gtest]
+fn request_that_crashes_endpoints_is_let_through_for_one_that_was_lost_beside_it() {
+    const POPULAR: u64 = 8;
+    let mut tracker = CrashTracker::default();
+
+    lose_together(&mut tracker, SECOND, 1, &[POPULAR]);
+    for endpoint in 2..=3 {
+        lose_together(&mut tracker, 2 * SECOND, endpoint, &[REQUEST, POPULAR]);
+    }
+    for endpoint in 4..=5 {
+        lose_together(&mut tracker, 3 * SECOND, endpoint, &[REQUEST]);
+    }
+
+    expect_that!(is_refused(&tracker, 3 * SECOND, REQUEST), eq(true));
+    expect_that!(is_refused(&tracker, 3 * SECOND, POPULAR), eq(false));
+}
