relay: correct expected waits by the queues that endpoints report

Callers before many gateways got late answers in bursts: each gateway sees a hundredth of the calls, hears of the others' up to a second late, and chooses the endpoints that seem free, which are busier than it believes. Its calls were admitted and came late.

Each report of an endpoint now says how long calls wait beyond what was known when they were placed; admission adds that, by service, unless half of the endpoint's slots are free.

--- a/crates/measure/src/overload/engine.rs
+++ b/crates/measure/src/overload/engine.rs
@@ -5,8 +5,6 @@
 
 use relay::call::LoadReport;
 
-/// Number of engines.
-pub const ENGINES: usize = 9;
 /// Requests that an engine runs at once. Fewer than in a real engine, so that few callers saturate
 /// it.
 pub const SLOTS: usize = 8;
--- a/crates/measure/src/overload/load.rs
+++ b/crates/measure/src/overload/load.rs
@@ -9,17 +9,18 @@
 use rand_pcg::Pcg64Mcg;
 
 use super::engine::EngineRequest;
+use super::size::FleetSize;
 
 /// Time in which calls arrive.
 pub const RUN_TIME: Duration = Duration::from_secs(20);
 /// Time range in which a pattern differs from the usual load.
 pub const PEAK: std::ops::Range<Duration> = Duration::from_secs(5)..Duration::from_secs(11);
-/// Calls per second of the usual load, which occupies about half of all slots.
+/// Calls per second of the usual load of a small fleet, which occupies about half of all slots.
 const USUAL_RATE: f64 = 45.0;
 /// Number of client accounts; account 0 sends the most calls.
 const ACCOUNTS: u64 = 10;
-/// Number of different shared prompt parts of each kind of call.
-const PARTS_PER_KIND: u64 = 24;
+/// Number of different shared prompt parts of each kind of call in a small fleet.
+const PARTS_PER_KIND: f64 = 24.0;
 
 /// What differs from the usual load during the peak.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -177,24 +178,33 @@
     }
 }
 
-/// Generates the calls of a pattern in order of arrival.
-pub fn draw_load(pattern: LoadPattern, seed: u64) -> Vec<LoadCall> {
+/// Generates the calls of a pattern in order of arrival, for a fleet of some size.
+pub fn draw_load(pattern: LoadPattern, size: FleetSize, seed: u64) -> Vec<LoadCall> {
+    let usual_rate = USUAL_RATE * size.scale();
+    let parts = (PARTS_PER_KIND * size.scale()) as u64;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
     let mut calls = Vec::new();
     let mut at = Duration::ZERO;
     loop {
         let is_peak = PEAK.contains(&at);
         let rate_factor = if is_peak { pattern.rate_factor() } else { 1.0 };
-        let gap = -(1.0 - rng.random::<f64>()).ln() / (USUAL_RATE * rate_factor);
+        let gap = -(1.0 - rng.random::<f64>()).ln() / (usual_rate * rate_factor);
         at += Duration::from_secs_f64(gap);
         if at >= RUN_TIME {
             return calls;
         }
-        calls.push(draw_call(pattern, at, is_peak, &mut rng));
+        calls.push(draw_call(pattern, parts, at, is_peak, &mut rng));
     }
 }
 
-fn draw_call(pattern: LoadPattern, at: Duration, is_peak: bool, rng: &mut Pcg64Mcg) -> LoadCall {
+/// Draws a call. There are `parts` shared prompt parts of each kind.
+fn draw_call(
+    pattern: LoadPattern,
+    parts: u64,
+    at: Duration,
+    is_peak: bool,
+    rng: &mut Pcg64Mcg,
+) -> LoadCall {
     let kind = draw_kind(rng.random());
     let call_kind = &CALL_KINDS[kind];
     let skewed: f64 = rng.random::<f64>().powi(2);
@@ -202,7 +212,7 @@
         at,
         kind,
         account: (skewed * ACCOUNTS as f64) as u64,
-        part: kind as u64 * PARTS_PER_KIND + rng.random_range(0..PARTS_PER_KIND),
+        part: kind as u64 * parts + rng.random_range(0..parts),
         output_tokens: (call_kind.output_tokens * (0.4 + 1.2 * rng.random::<f64>())) as u32,
         caller_timeout: call_kind.caller_timeout,
         max_retries: 1,
@@ -210,7 +220,7 @@
     };
     let is_chosen = is_peak && rng.random_bool(0.5);
     match pattern {
-        LoadPattern::HotPrompt if is_chosen => call.part = kind as u64 * PARTS_PER_KIND,
+        LoadPattern::HotPrompt if is_chosen => call.part = kind as u64 * parts,
         LoadPattern::HotAccount if is_chosen => call.account = ACCOUNTS - 1,
         LoadPattern::AngryRetries if is_peak => {
             call.retries_immediately = true;
--- a/crates/measure/src/overload/mod.rs
+++ b/crates/measure/src/overload/mod.rs
@@ -1,6 +1,7 @@
 //! Results of calls while the offered load exceeds the capacity of the engines.
 //!
 //! * [`load`]: generates the calls of a load pattern.
+//! * [`size`]: sizes of simulated fleets.
 //! * [`engine`]: simulated engines.
 //! * [`tally`]: results of the calls, and an estimate of the best possible result.
 //! * [`mod@replay`]: simulation of gateways and engines with the decisions of crate `relay`.
@@ -8,12 +9,14 @@
 pub mod engine;
 pub mod load;
 pub mod replay;
+pub mod size;
 pub mod tally;
 
 use argh::FromArgs;
 
 use self::load::{CALL_KINDS, LoadPattern, draw_load};
 use self::replay::{AdmissionPolicy, replay};
+use self::size::FleetSize;
 use self::tally::{OverloadResult, ideal_worth};
 
 /// measure the results of calls while the load exceeds the capacity of the engines
@@ -27,6 +30,9 @@
     /// give-up; without it, all of them
     #[argh(option)]
     pub pattern: Option<LoadPattern>,
+    /// number of gateways and engines, such as 7x9
+    #[argh(option, default = "FleetSize::SMALL")]
+    pub size: FleetSize,
 }
 
 /// Smallest accepted served share of a kind of call, as a fraction of the served share of all
@@ -38,6 +44,8 @@
 pub struct PatternResult {
     /// Result when every call is admitted.
     pub open: OverloadResult,
+    /// Result when admission control decides by waits that it does not correct.
+    pub uncorrected: OverloadResult,
     /// Result when the gateways' admission control decides.
     pub bounded: OverloadResult,
     /// Estimate of the largest worth that a fleet can earn.
@@ -59,12 +67,13 @@
 }
 
 /// Replays a pattern under both policies.
-pub fn measure(pattern: LoadPattern, seed: u64) -> PatternResult {
-    let calls = draw_load(pattern, seed);
+pub fn measure(pattern: LoadPattern, size: FleetSize, seed: u64) -> PatternResult {
+    let calls = draw_load(pattern, size, seed);
     PatternResult {
-        open: replay(pattern, AdmissionPolicy::Open, &calls, seed),
-        bounded: replay(pattern, AdmissionPolicy::Bounded, &calls, seed),
-        ideal: ideal_worth(&calls),
+        open: replay(pattern, AdmissionPolicy::Open, size, &calls, seed),
+        uncorrected: replay(pattern, AdmissionPolicy::Uncorrected, size, &calls, seed),
+        bounded: replay(pattern, AdmissionPolicy::Bounded, size, &calls, seed),
+        ideal: ideal_worth(&calls, size.engines),
     }
 }
 
@@ -76,9 +85,16 @@
     };
     let mut holds = true;
     for pattern in patterns {
-        let result = measure(pattern, args.seed);
-        print_result(pattern, args.seed, "open", &result.open, result.ideal);
-        print_result(pattern, args.seed, "bounded", &result.bounded, result.ideal);
+        let result = measure(pattern, args.size, args.seed);
+        print_result(pattern, args, "open", &result.open, result.ideal);
+        print_result(
+            pattern,
+            args,
+            "uncorrected",
+            &result.uncorrected,
+            result.ideal,
+        );
+        print_result(pattern, args, "bounded", &result.bounded, result.ideal);
         holds &= result.holds();
     }
     holds
@@ -86,7 +102,7 @@
 
 fn print_result(
     pattern: LoadPattern,
-    seed: u64,
+    args: &OverloadArgs,
     policy: &str,
     result: &OverloadResult,
     ideal: f64,
@@ -99,8 +115,10 @@
     });
     let kinds: Vec<String> = kinds.collect();
     println!(
-        "RESULT overload pattern={pattern} policy={policy} seed={seed} worth={:.3} ideal={ideal:.3} \
+        "RESULT overload pattern={pattern} policy={policy} size={} seed={} worth={:.3} ideal={ideal:.3} \
          served={:.3} {} refused_half_free={}",
+        args.size,
+        args.seed,
         result.worth(),
         result.served(),
         kinds.join(" "),
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -8,21 +8,25 @@
 use derive_more::Display;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use relay::admission::{AdmissionCall, AdmissionControl, AdmissionSettings};
+use relay::admission::{AdmissionCall, AdmissionControl, AdmissionSettings, MetLoad};
 use relay::health::CallOutcome;
 use relay::placement::{PlacementQuery, PlacementSettings};
 use relay::refusal::CallRefusal;
 use relay::row::estimated_holding_time;
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
-use wire::id::{EndpointId, ServiceId, name_id};
+use wire::id::{DomainId, EndpointId, ServiceId, name_id};
 
-use super::engine::{ENGINES, SLOTS, SimulatedEngine};
+use super::engine::{SLOTS, SimulatedEngine};
 use super::load::{CALL_KINDS, LoadCall, LoadPattern, PEAK, RUN_TIME};
+use super::size::FleetSize;
 use super::tally::OverloadResult;
 
-/// Number of gateways.
-const GATEWAYS: usize = 7;
+/// Number of other gateways that one round of heartbeats reaches. In larger fleets the gateways take
+/// turns, and changes are not announced between rounds.
+const ROUND_GATEWAYS: usize = 32;
+/// Number of failure domains of fleets that are larger than a round.
+const DOMAINS: usize = 5;
 /// Time between two periodic heartbeats of a gateway.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time from the change of a load until it is announced between periodic heartbeats.
@@ -42,19 +46,32 @@
     /// Every call, without ranks.
     #[display("open")]
     Open,
+    /// The calls that the gateway's admission control accepts, by waits that it does not correct.
+    #[display("uncorrected")]
+    Uncorrected,
     /// The calls that the gateway's admission control accepts.
     #[display("bounded")]
     Bounded,
 }
 
+impl AdmissionPolicy {
+    fn settings(self) -> AdmissionSettings {
+        AdmissionSettings {
+            corrects_waits: self == Self::Bounded,
+            ..AdmissionSettings::default()
+        }
+    }
+}
+
 /// Simulates calls under a policy.
 pub fn replay(
     pattern: LoadPattern,
     policy: AdmissionPolicy,
+    size: FleetSize,
     calls: &[LoadCall],
     seed: u64,
 ) -> OverloadResult {
-    let mut fleet = GatewayFleet::new(policy, calls, seed);
+    let mut fleet = GatewayFleet::new(policy, size, calls, seed);
     fleet.schedule_faults(pattern);
     fleet.run();
     fleet.result
@@ -64,6 +81,8 @@
     table: EndpointTable,
     admission: AdmissionControl,
     is_announcement_scheduled: bool,
+    /// The other gateway that the next round of heartbeats begins with.
+    next_recipient: usize,
 }
 
 /// An attempt of a caller.
@@ -77,6 +96,8 @@
     engine: Option<(usize, Duration)>,
     /// Expected wait at the engine when the attempt was sent.
     wait: Duration,
+    /// Wait by the loads that its gateway knew when the attempt was sent.
+    known_wait: Duration,
     is_over: bool,
 }
 
@@ -102,6 +123,9 @@
 
 struct GatewayFleet<'a> {
     policy: AdmissionPolicy,
+    size: FleetSize,
+    /// Ids of the engines, in their order.
+    endpoints: Vec<EndpointId>,
     calls: &'a [LoadCall],
     now: Duration,
     events: BinaryHeap<Reverse<(Duration, u64, FleetEvent)>>,
@@ -117,25 +141,31 @@
 }
 
 impl<'a> GatewayFleet<'a> {
-    fn new(policy: AdmissionPolicy, calls: &'a [LoadCall], seed: u64) -> Self {
-        let listed: Vec<ListedEndpoint> = (0..ENGINES).map(listed).collect();
+    fn new(policy: AdmissionPolicy, size: FleetSize, calls: &'a [LoadCall], seed: u64) -> Self {
+        let listed = (0..size.engines).map(|engine| listed(engine, size));
+        let listed: Vec<ListedEndpoint> = listed.collect();
         let gateway = |_| {
             let mut table = EndpointTable::default();
             table.replace(&listed);
             Gateway {
                 table,
-                admission: AdmissionControl::new(AdmissionSettings::default()),
+                admission: AdmissionControl::new(policy.settings()),
                 is_announcement_scheduled: false,
+                next_recipient: 0,
             }
         };
         let mut fleet = Self {
             policy,
+            size,
+            endpoints: listed.iter().map(ListedEndpoint::id).collect(),
             calls,
             now: Duration::ZERO,
             events: BinaryHeap::new(),
             last_event: 0,
-            gateways: (0..GATEWAYS).map(gateway).collect(),
-            engines: (0..ENGINES).map(|_| SimulatedEngine::default()).collect(),
+            gateways: (0..size.gateways).map(gateway).collect(),
+            engines: (0..size.engines)
+                .map(|_| SimulatedEngine::default())
+                .collect(),
             attempts: Vec::new(),
             answered: BTreeMap::new(),
             rng: Pcg64Mcg::seed_from_u64(seed),
@@ -145,8 +175,8 @@
             fleet.schedule(load_call.at, FleetEvent::Arrive { call, retries: 0 });
             fleet.result.kinds[load_call.kind].calls += 1;
         }
-        for gateway in 0..GATEWAYS {
-            let offset = HEARTBEAT_INTERVAL * gateway as u32 / GATEWAYS as u32;
+        for gateway in 0..size.gateways {
+            let offset = HEARTBEAT_INTERVAL * gateway as u32 / size.gateways as u32;
             let is_periodic = true;
             fleet.schedule(
                 offset,
@@ -161,7 +191,8 @@
 
     /// Schedules the engine faults of a pattern.
     fn schedule_faults(&mut self, pattern: LoadPattern) {
-        let third = (0..ENGINES).step_by(3);
+        let engines = self.size.engines;
+        let third = (0..engines).step_by(3);
         match pattern {
             LoadPattern::EnginesLost => {
                 for engine in third {
@@ -176,8 +207,9 @@
                 }
             }
             LoadPattern::Release => {
-                for engine in 0..ENGINES {
-                    let down = PEAK.start + ENGINE_DOWNTIME / 2 * engine as u32;
+                let gap = ENGINE_DOWNTIME.mul_f64(0.5 / self.size.scale());
+                for engine in 0..engines {
+                    let down = PEAK.start + gap * engine as u32;
                     self.schedule(down, FleetEvent::EngineDown { engine });
                     self.schedule(down + ENGINE_DOWNTIME, FleetEvent::EngineUp { engine });
                 }
@@ -217,10 +249,11 @@
         let attempt = self.attempts.len();
         self.attempts.push(CallAttempt {
             call,
-            gateway: self.rng.random_range(0..GATEWAYS),
+            gateway: self.rng.random_range(0..self.size.gateways),
             retries,
             engine: None,
             wait: Duration::ZERO,
+            known_wait: Duration::ZERO,
             is_over: false,
         });
         self.schedule(
@@ -258,7 +291,7 @@
             version: None,
             shared_part: Some(load_call.part),
             instance: gateway as u64,
-            domain: 0,
+            domain: domain_of(gateway, self.size),
             tried,
             may_ask: false,
             now,
@@ -270,7 +303,7 @@
             objective: kind.objective,
             is_stream: true,
             time_left: (load_call.at + load_call.caller_timeout).saturating_sub(now),
-            instances: GATEWAYS,
+            instances: self.size.gateways,
         };
         let placement = PlacementSettings::default();
         let placed =
@@ -278,15 +311,15 @@
                 .admission
                 .place(&placement, &gateway_state.table, &query, &asked);
         let placed = placed.ok_or(None)?;
-        if self.policy == AdmissionPolicy::Bounded && placed.retry_after.is_some() {
+        if self.policy != AdmissionPolicy::Open && placed.retry_after.is_some() {
             return Err(placed.retry_after);
         }
         let endpoint = placed.endpoint;
         tried.push(endpoint);
-        let engine = engine_index(endpoint);
+        let engine = engine_index(&self.endpoints, endpoint);
         let rank = match self.policy {
             AdmissionPolicy::Open => 0,
-            AdmissionPolicy::Bounded => placed.rank,
+            AdmissionPolicy::Uncorrected | AdmissionPolicy::Bounded => placed.rank,
         };
         if !self.engines[engine].push(load_call.request(attempt, rank)) {
             let report = self.engines[engine].report();
@@ -300,10 +333,12 @@
         }
         gateway_state.table.start(now, endpoint);
         gateway_state.admission.accounts.start(service(), &account);
-        let needs_announcement = gateway_state.table.is_announcement_due(endpoint)
+        let needs_announcement = self.size.gateways <= ROUND_GATEWAYS + 1
+            && gateway_state.table.is_announcement_due(endpoint)
             && !gateway_state.is_announcement_scheduled;
         self.attempts[attempt].engine = Some((engine, now));
         self.attempts[attempt].wait = placed.wait;
+        self.attempts[attempt].known_wait = placed.known_wait;
         if needs_announcement {
             self.gateways[gateway].is_announcement_scheduled = true;
             let is_periodic = false;
@@ -371,6 +406,7 @@
             call,
             gateway,
             engine: Some((engine, sent_at)),
+            known_wait,
             is_over,
             ..
         } = self.attempts[attempt]
@@ -383,9 +419,18 @@
         let load_call = self.calls[call];
         let in_time = self.now <= load_call.at + CALL_KINDS[load_call.kind].objective;
         self.answered.insert(call, in_time);
-        let endpoint = listed(engine).id();
+        let endpoint = self.endpoints[engine];
         let report = self.engines[engine].report();
-        let table = &mut self.gateways[gateway].table;
+        let Gateway {
+            table, admission, ..
+        } = &mut self.gateways[gateway];
+        let met = MetLoad {
+            service: service(),
+            endpoint,
+            known_wait,
+            report,
+        };
+        admission.note_met(self.now, table, met);
         table.note_activity(self.now, endpoint);
         table.note_report(self.now, endpoint, report);
         let latency = self.now.saturating_sub(sent_at);
@@ -405,7 +450,10 @@
         } = self.attempts[attempt];
         if let Some((engine, _)) = engine {
             let table = &mut self.gateways[gateway].table;
-            table.note_holding_time(listed(engine).id(), estimated_holding_time(ran_for, wait));
+            table.note_holding_time(
+                self.endpoints[engine],
+                estimated_holding_time(ran_for, wait),
+            );
         }
         let tally = &mut self.result.kinds[self.calls[call].kind];
         match self.answered.get(&call) {
@@ -434,7 +482,7 @@
         self.attempts[attempt].is_over = true;
         self.engines[engine].remove(attempt);
         let gateway_state = &mut self.gateways[gateway];
-        gateway_state.table.finish(self.now, listed(engine).id());
+        gateway_state.table.finish(self.now, self.endpoints[engine]);
         let account = self.calls[call].account.to_string();
         gateway_state.admission.accounts.finish(service(), &account);
         self.start_runs(engine);
@@ -456,16 +504,29 @@
         }
         self.gateways[gateway].is_announcement_scheduled = false;
         let loads = self.gateways[gateway].table.announce_loads();
-        for other in (0..GATEWAYS).filter(|other| *other != gateway) {
+        for other in self.take_recipients(gateway) {
             let table = &mut self.gateways[other].table;
             table.set_instance_loads(self.now, gateway as u64, loads.clone());
         }
     }
 
+    /// The other gateways that the next round of heartbeats of a gateway reaches.
+    fn take_recipients(&mut self, gateway: usize) -> Vec<usize> {
+        let count = self.gateways.len();
+        let first = self.gateways[gateway].next_recipient;
+        let reached = ROUND_GATEWAYS.min(count - 1);
+        self.gateways[gateway].next_recipient = (first + reached) % (count - 1);
+        let recipients = (0..reached).map(|step| {
+            let distance = 1 + (first + step) % (count - 1);
+            (gateway + distance) % count
+        });
+        recipients.collect()
+    }
+
     fn engine_down(&mut self, engine: usize) {
         for attempt in self.engines[engine].stop() {
             let gateway = self.attempts[attempt].gateway;
-            let endpoint = listed(engine).id();
+            let endpoint = self.endpoints[engine];
             let table = &mut self.gateways[gateway].table;
             table.note(self.now, endpoint, CallOutcome::Broken);
             self.give_up(attempt);
@@ -477,19 +538,28 @@
     name_id(SERVICE)
 }
 
-fn listed(engine: usize) -> ListedEndpoint {
+fn listed(engine: usize, size: FleetSize) -> ListedEndpoint {
     ListedEndpoint {
         name: format!("engine-{engine}"),
         service: SERVICE.to_owned(),
-        address: SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, engine as u8 + 1), 80),
-        domain: 0,
+        address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a00_0001 + engine as u32), 80),
+        domain: domain_of(engine, size),
         slots: SLOTS as u16,
         is_draining: false,
         version: "v1".to_owned(),
     }
 }
 
-fn engine_index(endpoint: EndpointId) -> usize {
-    let found = (0..ENGINES).find(|engine| listed(*engine).id() == endpoint);
+fn engine_index(endpoints: &[EndpointId], endpoint: EndpointId) -> usize {
+    let found = endpoints.iter().position(|id| *id == endpoint);
     found.expect("only these engines are listed")
 }
+
+/// Failure domain of a gateway or an engine.
+fn domain_of(number: usize, size: FleetSize) -> DomainId {
+    let has_domains = size.gateways > ROUND_GATEWAYS + 1;
+    match has_domains {
+        true => (number % DOMAINS) as DomainId,
+        false => 0,
+    }
+}
--- a/crates/measure/src/overload/tally.rs
+++ b/crates/measure/src/overload/tally.rs
@@ -1,6 +1,6 @@
 //! Results of calls, and an estimate of the best possible result.
 
-use super::engine::{ENGINES, SLOTS, SimulatedEngine};
+use super::engine::{SLOTS, SimulatedEngine};
 use super::load::{CALL_KINDS, CallKind, LoadCall, RUN_TIME};
 
 /// Results of the calls of one kind.
@@ -60,11 +60,11 @@
 /// Returns an estimate of the largest worth that a fleet can earn, as a fraction of the worth of
 /// all calls: slots are never idle, and the calls with the most worth per engine time run first.
 /// Each call takes the time that it takes alone on an engine with an empty cache.
-pub fn ideal_worth(calls: &[LoadCall]) -> f64 {
+pub fn ideal_worth(calls: &[LoadCall], engines: usize) -> f64 {
     let mut values: Vec<(f64, f64)> = calls.iter().map(value_and_time).collect();
     let total: f64 = values.iter().map(|(value, _)| value).sum();
     values.sort_by(|left, right| (right.0 / right.1).total_cmp(&(left.0 / left.1)));
-    let mut time = RUN_TIME.as_secs_f64() * (ENGINES * SLOTS) as f64;
+    let mut time = RUN_TIME.as_secs_f64() * (engines * SLOTS) as f64;
     let mut earned = 0.0;
     for (value, needed) in values {
         let part = (time / needed).clamp(0.0, 1.0);
--- a/crates/measure/tests/overload.rs
+++ b/crates/measure/tests/overload.rs
@@ -2,6 +2,7 @@
 
 use googletest::prelude::*;
 use measure::overload::load::{CALL_KINDS, LoadPattern};
+use measure::overload::size::FleetSize;
 use measure::overload::{PatternResult, measure};
 
 const SEEDS: std::ops::Range<u64> = 1..4;
@@ -12,7 +13,7 @@
 fn each_run(check: impl Fn(LoadPattern, u64, &PatternResult)) {
     for pattern in LoadPattern::ALL {
         for seed in SEEDS {
-            check(pattern, seed, &measure(pattern, seed));
+            check(pattern, seed, &measure(pattern, FleetSize::SMALL, seed));
         }
     }
 }
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -12,17 +12,23 @@
 
 use crate::accounts::AccountLoads;
 use crate::backlog::BacklogWatch;
+use crate::call::LoadReport;
 use crate::placement::{
     NextRoom, PlacementQuery, PlacementSettings, choose, choose_least_utilized,
 };
 use crate::ranks::RankStatistics;
 use crate::retry_schedule::RetrySchedule;
 use crate::table::EndpointTable;
+use crate::wait_correction::WaitCorrection;
 
 /// Maximum time between the returns of two callers that were refused for what endpoints state. Their
 /// rates say little of when a single instance gets a token.
 const MAX_ROOM_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Free fraction of an endpoint's capacity from which on it has a free slot even if the load of the
+/// other instances is known late.
+const PROBABLY_FREE: f64 = 0.5;
+
 /// Settings of admission control.
 #[derive(Clone, Debug, PartialEq)]
 pub struct AdmissionSettings {
@@ -48,6 +54,8 @@
     /// calls are more urgent and none of them finds a free slot. It shrinks with the share of more
     /// urgent calls and with the share of these that find no free slot.
     pub reserved_fraction: f64,
+    /// Whether expected waits are corrected by those that calls met.
+    pub corrects_waits: bool,
 }
 
 impl Default for AdmissionSettings {
@@ -60,6 +68,7 @@
             fair_ratio: 2.0,
             min_account_factor: 0.4,
             reserved_fraction: 0.4,
+            corrects_waits: true,
         }
     }
 }
@@ -165,12 +174,27 @@
     pub endpoint: EndpointId,
     /// Rank that the call is given in the endpoint's queue; 0 is the most urgent.
     pub rank: u8,
+    /// Wait for a slot at the endpoint by the loads that are known.
+    pub known_wait: Duration,
     /// Expected wait for a slot at the endpoint.
     pub wait: Duration,
     /// Time after which the caller should retry; `None` if the call is admitted.
     pub retry_after: Option<Duration>,
 }
 
+/// Load that an endpoint reports with its answer to a call.
+#[derive(Clone, Copy, Debug)]
+pub struct MetLoad {
+    /// Service of the call.
+    pub service: ServiceId,
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Wait by the loads that were known when the call was placed, see [`PlacedCall::known_wait`].
+    pub known_wait: Duration,
+    /// The report.
+    pub report: LoadReport,
+}
+
 /// Admission control of one instance, with the history that its decisions depend on.
 #[derive(Debug, Default)]
 pub struct AdmissionControl {
@@ -179,6 +203,7 @@
     pub accounts: AccountLoads,
     ranks: RankStatistics,
     backlog: BacklogWatch,
+    correction: WaitCorrection,
     schedule: RetrySchedule,
 }
 
@@ -227,11 +252,21 @@
         Some(PlacedCall {
             endpoint: best.endpoint,
             rank,
+            known_wait: best.known_wait,
             wait: best.wait,
             retry_after,
         })
     }
 
+    /// Records the load that a call met at its endpoint.
+    pub fn note_met(&mut self, now: Duration, table: &EndpointTable, met: MetLoad) {
+        let Some(holding_time) = table.holding_time(met.service, met.endpoint) else {
+            return;
+        };
+        let wait = holding_time.mul_f64(met.report.waiting_ratio());
+        self.correction.note(now, met.service, met.known_wait, wait);
+    }
+
     /// Assigns the time after which a caller should retry that is refused as no endpoint of the
     /// service is open to calls, if that many instances share the room.
     pub fn schedule_return(
@@ -259,7 +294,14 @@
         // objective stands in for it.
         let holding_time = table.holding_time(service, endpoint);
         let holding_time = holding_time.unwrap_or(call.objective);
-        let wait = table.expected_wait(now, endpoint, holding_time);
+        let known_wait = table.expected_wait(now, endpoint, holding_time);
+        let row = table.row(endpoint);
+        let free_fraction = row.map_or(0.0, |row| row.free_fraction(now));
+        let is_corrected = self.settings.corrects_waits && free_fraction <= PROBABLY_FREE;
+        let wait = match is_corrected {
+            true => self.correction.apply(now, service, known_wait),
+            false => known_wait,
+        };
         let pressure = self.ranks.pressure(now, service, rank);
         // `slot_interval` iterates over every endpoint of the service, so it is computed only if
         // the call may be refused.
@@ -268,7 +310,6 @@
             true => table.slot_interval(now, service, holding_time) * call.instances as u32,
             false => Duration::ZERO,
         };
-        let row = table.row(endpoint);
         let asked = AdmissionQuery {
             wait,
             objective: call.objective,
@@ -280,12 +321,13 @@
             more_urgent_share: self.ranks.more_urgent_share(now, service, rank),
             is_sustained: self.backlog.note(now, service, wait, call.objective),
             account_load_ratio: self.accounts.load_ratio(service, call.account),
-            free_fraction: row.map_or(0.0, |row| row.free_fraction(now)),
+            free_fraction,
             pressure,
             interval,
         };
         AssessedEndpoint {
             endpoint,
+            known_wait,
             wait,
             interval,
             verdict: decide(&self.settings, &asked),
@@ -297,6 +339,8 @@
 #[derive(Clone, Copy, Debug)]
 struct AssessedEndpoint {
     endpoint: EndpointId,
+    /// Wait for a slot at the endpoint by the loads that are known.
+    known_wait: Duration,
     /// Expected wait for a slot at the endpoint.
     wait: Duration,
     /// Expected time until a slot of the service becomes free for this instance; zero if the call
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, timeout};
 use wire::id::{EndpointId, VersionId};
 
+use crate::admission::MetLoad;
 use crate::call::{AnswerMetadata, CallMetadata, ForwardMetadata};
 use crate::health::CallOutcome;
 use crate::placement;
@@ -80,6 +81,8 @@
     pub rank: u8,
     /// Expected wait of the current attempt for a slot at its endpoint.
     pub queue_wait: Duration,
+    /// The same by the loads that were known when it was placed.
+    pub known_wait: Duration,
     /// Time from the arrival of the call until a good answer began to be forwarded.
     pub first_byte: Option<Duration>,
     /// How the last answer ended, for the log.
@@ -280,9 +283,16 @@
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
             return Err(EndpointError::Misdelivered);
         }
-        if let Some(load) = metadata.load {
+        if let Some(report) = metadata.load {
             let mut table = state.table.borrow_mut();
-            table.note_report(now, self.endpoint, load);
+            let met = MetLoad {
+                service: self.call.service,
+                endpoint: self.endpoint,
+                known_wait: self.progress.known_wait,
+                report,
+            };
+            state.admission.borrow_mut().note_met(now, &table, met);
+            table.note_report(now, self.endpoint, report);
         }
         Ok(metadata)
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -86,6 +86,13 @@
     pub slots: u32,
 }
 
+impl LoadReport {
+    /// Number of queued requests relative to the slots; 0 if the slots are not known.
+    pub fn waiting_ratio(self) -> f64 {
+        f64::from(self.waiting) / f64::from(self.slots.max(1))
+    }
+}
+
 /// Metadata in the head of an answer, besides the status.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct AnswerMetadata {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -242,6 +242,7 @@
         let placed = admission.place(&state.settings.placement, &table, &query, &asked)?;
         self.record.rank = placed.rank;
         self.record.queue_wait = placed.wait;
+        self.progress.known_wait = placed.known_wait;
         self.progress.rank = placed.rank;
         Some(placed)
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -12,6 +12,7 @@
 //! * [`admission`]: admission control for services with few or no free slots.
 //! * [`accounts`]: number of running calls by client account.
 //! * [`backlog`]: detection of sustained backlogs.
+//! * [`wait_correction`]: correction of expected waits by those that calls met.
 //! * [`ranks`]: admission statistics by rank.
 //! * [`retry_schedule`]: retry times that are handed out to refused callers.
 //! * [`budget`]: retry budget of a service.
@@ -88,3 +89,4 @@
 pub mod statement_log;
 mod stream_answer;
 pub mod table;
+pub mod wait_correction;
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -6,7 +6,7 @@
 use googletest::prelude::*;
 use relay::accounts::AccountLoads;
 use relay::admission::{
-    AdmissionCall, AdmissionControl, AdmissionQuery, AdmissionSettings, AdmissionVerdict,
+    AdmissionCall, AdmissionControl, AdmissionQuery, AdmissionSettings, AdmissionVerdict, MetLoad,
     PlacedCall, decide,
 };
 use relay::backlog::BacklogWatch;
@@ -16,6 +16,7 @@
 use relay::refusal::CallRefusal;
 use relay::retry_schedule::RetrySchedule;
 use relay::table::EndpointTable;
+use relay::wait_correction::WaitCorrection;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, name_id};
 
@@ -474,3 +475,77 @@
     expect_that!(before, gt(Duration::ZERO));
     expect_that!(after, eq(Duration::ZERO));
 }
+
+/// Tells an instance of a queue that calls met where it knew of none.
+fn meet_queues(control: &mut AdmissionControl, table: &EndpointTable, calls: u32) {
+    let met = MetLoad {
+        service: name_id(SERVICE),
+        endpoint: listed(1).id(),
+        known_wait: Duration::ZERO,
+        report: LoadReport {
+            running: u32::from(SLOTS),
+            waiting: 6 * u32::from(SLOTS),
+            slots: u32::from(SLOTS),
+        },
+    };
+    for _ in 0..calls {
+        control.note_met(NOW, table, met);
+    }
+}
+
+// A burst in a large fleet: most of the load is that of others, and is known late.
+#[gtest]
+fn call_is_admitted_to_an_endpoint_whose_queue_other_instances_fill_unseen() {
+    let table = table_of(&[3, 3]);
+    let mut control = AdmissionControl::default();
+    let mut trusting = AdmissionControl::new(AdmissionSettings {
+        corrects_waits: false,
+        ..AdmissionSettings::default()
+    });
+
+    let before = place(&mut control, &table, 0);
+    for control in [&mut control, &mut trusting] {
+        meet_queues(control, &table, 50);
+    }
+    let after = place(&mut control, &table, 0);
+
+    expect_that!(
+        (before.wait, before.retry_after),
+        eq((Duration::ZERO, None))
+    );
+    expect_that!(after.wait, gt(OBJECTIVE));
+    expect_that!(after.known_wait, eq(Duration::ZERO));
+    expect_that!(after.retry_after, some(anything()));
+    expect_that!(place(&mut trusting, &table, 0).retry_after, none());
+}
+
+#[gtest]
+fn call_is_refused_for_queues_elsewhere_while_half_of_the_slots_are_free() {
+    let table = table_of(&[1, 1]);
+    let mut control = AdmissionControl::default();
+
+    meet_queues(&mut control, &table, 50);
+    let placed = place(&mut control, &table, 0);
+
+    expect_that!(
+        (placed.wait, placed.retry_after),
+        eq((Duration::ZERO, None))
+    );
+}
+
+#[gtest]
+fn correction_of_waits_fades_and_is_never_negative() {
+    let mut correction = WaitCorrection::default();
+    let (service, second) = (name_id(SERVICE), Duration::from_secs(1));
+
+    correction.note(NOW, service, Duration::ZERO, second);
+    let waits = [0, 1, 10].map(|age| correction.apply(NOW + second * age, service, second));
+    for _ in 0..100 {
+        correction.note(NOW, service, second, Duration::ZERO);
+    }
+
+    expect_that!(waits[0], gt(waits[1]));
+    expect_that!(waits[1], gt(waits[2]));
+    expect_that!(waits[2], ge(second));
+    expect_that!(correction.apply(NOW, service, second), eq(second));
+}
