--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -123,7 +123,7 @@
     /// Number of data folders that may be lost at the same time.
     #[serde(default = "default_tolerated_losses")]
     pub tolerated_losses: usize,
-    /// Whether the fleet as a whole is starting for the first time.
+    /// Whether the fleet as a whole is starting for the first time, so that no stream has begun.
     #[serde(default)]
     pub first_start: bool,
     /// File with the secret that authenticates the gateways to each other.
