--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -201,7 +201,7 @@
         ValueType::Boolean,
         DefaultValue::Boolean(false),
         "Whether the fleet as a whole is starting for the first time, so that a cluster may be \
-         bootstrapped.",
+         bootstrapped, and no stream has begun before. Must be false at every later start.",
     ),
     key(
         "secret_file",
