--- a/crates/measure/src/overload/mod.rs
+++ b/crates/measure/src/overload/mod.rs
@@ -2,11 +2,13 @@
 //!
 //! * [`load`]: generates the calls of a load pattern.
 //! * [`size`]: sizes of simulated fleets.
+//! * [`layout`]: names, places and failure domains of the simulated engines and gateways.
 //! * [`engine`]: simulated engines.
 //! * [`tally`]: results of the calls, and an estimate of the best possible result.
 //! * [`mod@replay`]: simulation of gateways and engines with the decisions of crate `relay`.
 
 pub mod engine;
+pub mod layout;
 pub mod load;
 pub mod replay;
 pub mod size;
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -2,7 +2,6 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
-use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use derive_more::Display;
@@ -15,18 +14,14 @@
 use relay::row::estimated_holding_time;
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
-use wire::id::{DomainId, EndpointId, ServiceId, name_id};
+use wire::id::EndpointId;
 
 use super::engine::{SLOTS, SimulatedEngine};
+use super::layout::{ROUND_GATEWAYS, domain_of, engine_index, listed, service};
 use super::load::{CALL_KINDS, LoadCall, LoadPattern, PEAK, RUN_TIME};
 use super::size::FleetSize;
 use super::tally::OverloadResult;
 
-/// Number of other gateways that one round of heartbeats reaches. In larger fleets the gateways take
-/// turns, and changes are not announced between rounds.
-const ROUND_GATEWAYS: usize = 32;
-/// Number of failure domains of fleets that are larger than a round.
-const DOMAINS: usize = 5;
 /// Time between two periodic heartbeats of a gateway.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(250);
 /// Time from the change of a load until it is announced between periodic heartbeats.
@@ -37,8 +32,6 @@
 const ENGINE_DOWNTIME: Duration = Duration::from_millis(1500);
 /// Most engines that a gateway tries for one attempt of a caller.
 const MAX_TRIES: usize = 5;
-/// Name of the service of all calls.
-const SERVICE: &str = "engines";
 
 /// Which calls are admitted.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -533,33 +526,3 @@
         }
     }
 }
-
-fn service() -> ServiceId {
-    name_id(SERVICE)
-}
-
-fn listed(engine: usize, size: FleetSize) -> ListedEndpoint {
-    ListedEndpoint {
-        name: format!("engine-{engine}"),
-        service: SERVICE.to_owned(),
-        address: SocketAddrV4::new(Ipv4Addr::from_bits(0x0a00_0001 + engine as u32), 80),
-        domain: domain_of(engine, size),
-        slots: SLOTS as u16,
-        is_draining: false,
-        version: "v1".to_owned(),
-    }
-}
-
-fn engine_index(endpoints: &[EndpointId], endpoint: EndpointId) -> usize {
-    let found = endpoints.iter().position(|id| *id == endpoint);
-    found.expect("only these engines are listed")
-}
-
-/// Failure domain of a gateway or an engine.
-fn domain_of(number: usize, size: FleetSize) -> DomainId {
-    let has_domains = size.gateways > ROUND_GATEWAYS + 1;
-    match has_domains {
-        true => (number % DOMAINS) as DomainId,
-        false => 0,
-    }
-}
