relay: claim to have told all streams only if the table holds no more

The receiver took its records for complete. Now the whole table decides.

instance_that_was_told_a_part_of_the_streams_takes_them_for_all failed before.

--- a/crates/gateway/tests/forwarding/rejoined.rs
+++ b/crates/gateway/tests/forwarding/rejoined.rs
@@ -1,15 +1,20 @@
 //! Returns of callers whose stream began before all instances were killed at once. No record of
 //! these streams survives, so none of them may go on.
 
+use std::time::Duration;
+
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use tokio::time::sleep;
+use wire::id::name_id;
+use wire::stream::StreamOrigin;
 
 use crate::fixture::{
     LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, chunk, request, stream_head,
 };
 use crate::version_fleet::{FleetLayout, ReceivedStream, TestFleet};
-use crate::{relay_before, run};
+use crate::{SERVICE, relay_before, run};
 
 /// Seeds of the generated fleets.
 const SEEDS: std::ops::RangeInclusive<u64> = 1..=12;
@@ -150,3 +155,34 @@
         contains_substring("last-event-id: \u{e9}1")
     );
 }
+
+/// Longer than messages between instances take.
+const MESSAGE_TIME: Duration = Duration::from_millis(300);
+/// Streams of which each keeper holds more than it tells an instance that starts.
+const MANY_STREAMS: u64 = 6000;
+
+#[gtest]
+fn instance_that_was_told_a_part_of_the_streams_takes_them_for_all() {
+    let is_complete = run(async {
+        let layout = FleetLayout {
+            instances: 8,
+            ..FleetLayout::default()
+        };
+        let mut fleet = TestFleet::start(1, layout).await;
+        let origin = StreamOrigin {
+            service: name_id(SERVICE),
+            version: name_id("v1"),
+        };
+        for stream in 0..MANY_STREAMS {
+            let state = &fleet.instances[0].state;
+            state.publish_origin(stream, stream, origin, None);
+        }
+        sleep(MESSAGE_TIME).await;
+        fleet.restart(1).await;
+        sleep(MESSAGE_TIME).await;
+        let state = &fleet.instances[1].state;
+        state.origin_coverage.borrow().is_complete(state.now())
+    });
+
+    expect_that!(is_complete, eq(false));
+}
--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -24,7 +24,6 @@
 use crate::fixture::{CallerAnswer, LAST_CHUNK, chunk, read_head};
 use crate::{RelayFixture, SERVICE, serve, valid_catalog};
 
-const INSTANCES: u64 = 4;
 /// Software version of each endpoint.
 const VERSIONS: [&str; 4] = ["v1", "v2", "v1", "v2"];
 /// Number of events of a whole stream.
@@ -172,6 +171,8 @@
     pub(crate) has_services: bool,
     /// Whether callers that return name the stream.
     pub(crate) is_named: bool,
+    /// Number of instances.
+    pub(crate) instances: u64,
 }
 
 impl Default for FleetLayout {
@@ -179,6 +180,7 @@
         Self {
             has_services: false,
             is_named: true,
+            instances: 4,
         }
     }
 }
@@ -210,7 +212,7 @@
             }
             fleet.listed.push(listed);
         }
-        for number in 0..INSTANCES {
+        for number in 0..layout.instances {
             let instance = fleet.start_instance(number, true).await;
             fleet.instances.push(instance);
         }
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -339,7 +339,7 @@
             let message = StreamMessage::Origins(notices.to_vec());
             peers.send(keeper, &GatewayDatagram::Stream(message));
         }
-        let has_all = notices.len() < MAX_REFRESHED_STREAMS;
+        let has_all = origins.len() <= MAX_REFRESHED_STREAMS;
         if has_all && self.origin_coverage.borrow().is_complete(self.now()) {
             let known = peers.lately_live(COVERAGE_TIME).len() + 1;
             let message = StreamMessage::Told(FleetSize::try_from(known).unwrap_or(FleetSize::MAX));
