relay: count records as incomplete after some were dropped for lack of room

Such an instance now answers without that claim until the dropped records would have expired, and the caller is refused. full_table_counts_as_holding_all_streams fails without the mark.

--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -65,6 +65,8 @@
     records: BTreeMap<RecordKey, OriginRecord>,
     /// Keys of the same records, first to expire first.
     by_expiry: BTreeSet<(Duration, RecordKey)>,
+    /// When the last of the records would have expired that were dropped for lack of room.
+    lacks_until: Duration,
 }
 
 impl OriginTable {
@@ -86,6 +88,11 @@
         self.records.is_empty()
     }
 
+    /// Whether no record is missing that was dropped for lack of room and has not expired.
+    pub fn holds_all(&self, now: Duration) -> bool {
+        now >= self.lacks_until
+    }
+
     /// Records the origin of a stream. A known origin is never replaced: another claim makes the
     /// origin disputed. The later expiry holds.
     pub fn note(&mut self, now: Duration, notice: OriginNotice) {
@@ -104,6 +111,8 @@
         self.records.insert(key, record);
         self.by_expiry.insert((record.expires_at, key));
         if self.records.len() > self.settings.max_streams {
+            let first = self.by_expiry.first().map(|(expires_at, _)| *expires_at);
+            self.lacks_until = self.lacks_until.max(first.unwrap_or_default());
             self.drop_first();
         }
     }
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -226,7 +226,7 @@
     /// Asks for the origin of all streams of a request. `None` unless every stream of the request
     /// is certainly known: one that is missing may be the caller's.
     async fn ask_for_request(&self, query: OriginQuery) -> Option<OriginClaim> {
-        if !self.origin_coverage.borrow().is_complete(self.now()) {
+        if !self.knows_all_streams() {
             return None;
         }
         let Some(peers) = self.peers.get() else {
@@ -270,6 +270,13 @@
         }
     }
 
+    /// Whether this instance has a record of each stream that it began or is a keeper of.
+    fn knows_all_streams(&self) -> bool {
+        let now = self.now();
+        let is_complete = self.origin_coverage.borrow().is_complete(now);
+        is_complete && self.origins.borrow().holds_all(now)
+    }
+
     fn known_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
         self.origins.borrow().find(self.now(), query)
     }
@@ -313,7 +320,7 @@
 
     fn answer_query(&self, from: InstanceId, query: OriginQuery) {
         let mut notices = self.origins.borrow().notices_of(self.now(), query);
-        let is_complete = self.origin_coverage.borrow().is_complete(self.now());
+        let is_complete = self.knows_all_streams();
         let has_all = is_complete && notices.len() <= MAX_MESSAGE_STREAMS;
         notices.truncate(MAX_MESSAGE_STREAMS);
         let answer = match query.stream {
@@ -340,7 +347,7 @@
             peers.send(keeper, &GatewayDatagram::Stream(message));
         }
         let has_all = origins.len() <= MAX_REFRESHED_STREAMS;
-        if has_all && self.origin_coverage.borrow().is_complete(self.now()) {
+        if has_all && self.knows_all_streams() {
             let known = peers.lately_live(COVERAGE_TIME).len() + 1;
             let message = StreamMessage::Told(FleetSize::try_from(known).unwrap_or(FleetSize::MAX));
             peers.send(keeper, &GatewayDatagram::Stream(message));
--- a/crates/relay/tests/origins.rs
+++ b/crates/relay/tests/origins.rs
@@ -161,6 +161,21 @@
     expect_that!(told, len(eq(3)));
 }
 
+#[gtest]
+fn full_table_counts_as_holding_all_streams() {
+    let mut table = OriginTable::new(OriginSettings { max_streams: 2 });
+
+    for stream in 1..=2 {
+        table.note(Duration::ZERO, notice(stream, 1, 4000));
+    }
+    let before = table.holds_all(Duration::ZERO);
+    table.note(Duration::ZERO, notice(3, 1, 9000));
+    let full = table.holds_all(Duration::ZERO);
+
+    expect_that!((before, full), eq((true, false)));
+    expect_that!(table.holds_all(Duration::from_secs(6)), eq(true));
+}
+
 #[gtest]
 fn records_are_complete_once_all_instances_but_two_have_told_them() {
     let mut coverage = OriginCoverage::new(false);
