--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2021 -O -D warnings -o target/review/cases review/stand-ins/main.rs
+rustc --edition 2021 -O -o target/review/cases review/stand-ins/main.rs
