relay: count the constant retry budget as spent for one window after a restart

Cause: a gateway that starts knew nothing of the retries that its predecessor had made, and began with its whole part of the constant budget. Change: unless the fleet starts for the first time, the part counts as spent for the first window. The part in proportion to requests stays, as it counts the process's own requests only. Excluded: a wrong number of instances; the directory keeps the peak. Measured: the new test of seven instances that all restart failed before (more than ratio and constant allow) and passes now.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -48,6 +48,8 @@
     /// Number of instances that share `BudgetSettings::extra`; at least 1.
     instances: usize,
     services: HashMap<ServiceId, ServiceWindow>,
+    /// Until when this instance's part of `BudgetSettings::extra` counts as spent.
+    extra_spent_until: Duration,
 }
 
 impl RetryBudget {
@@ -57,6 +59,18 @@
             settings,
             instances: 1,
             services: HashMap::new(),
+            extra_spent_until: Duration::ZERO,
+        }
+    }
+
+    /// Creates the budget of an instance that starts at time zero in place of an earlier process.
+    /// That process may have spent its part of `BudgetSettings::extra` just before, so the part
+    /// counts as spent for one window.
+    pub fn after_restart(settings: BudgetSettings) -> Self {
+        let extra_spent_until = settings.window;
+        Self {
+            extra_spent_until,
+            ..Self::new(settings)
         }
     }
 
@@ -77,7 +91,10 @@
 
     /// Takes one retry from the budget of a service. Returns `false` if the budget is used up.
     pub fn take_retry(&mut self, now: Duration, service: ServiceId) -> bool {
-        let extra = self.settings.extra / self.instances as f64;
+        let extra = match now < self.extra_spent_until {
+            true => 0.0,
+            false => self.settings.extra / self.instances as f64,
+        };
         let ratio = self.settings.ratio;
         let window = self.window(now, service);
         let limit = (window.requests.len() as f64 * ratio + extra) * SPENDABLE_FRACTION;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -147,9 +147,13 @@
         dialect: Rc<dyn CallDialect>,
         metrics: GatewayMetrics,
     ) -> Self {
+        let budget = match settings.is_first_start {
+            true => RetryBudget::new(settings.budget.clone()),
+            false => RetryBudget::after_restart(settings.budget.clone()),
+        };
         Self {
             metrics,
-            budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
+            budget: RefCell::new(budget),
             admission: RefCell::new(AdmissionControl::new(settings.admission.clone())),
             origins: RefCell::new(OriginTable::new(settings.origins.clone())),
             origin_coverage: RefCell::new(OriginCoverage::new(settings.is_first_start)),
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -117,6 +117,44 @@
     expect_that!((first, second, later), eq((true, false, true)));
 }
 
+/// Guards against restarts that multiply the budget: all instances spend theirs, restart and spend
+/// again within one window.
+#[gtest]
+fn retries_stay_within_the_budget_when_all_instances_restart() {
+    let settings = BudgetSettings::default();
+    let instances = 7;
+    let (mut requests, mut retries) = (0, 0);
+    let starts = [RetryBudget::new, RetryBudget::after_restart];
+    for start in starts.into_iter().cycle().take(2 * instances) {
+        let mut budget = start(settings.clone());
+        budget.set_instances(instances);
+        for millis in (0..3000).step_by(3) {
+            let now = Duration::from_millis(millis);
+            budget.note_request(now, 1);
+            requests += 1;
+            // A call that fails is repeated at once, as long as the budget allows it.
+            retries += u32::from(budget.take_retry(now, 1));
+        }
+    }
+
+    let limit = settings.ratio * f64::from(requests) + settings.extra;
+    expect_that!(f64::from(retries), le(limit));
+}
+
+#[gtest]
+fn restarted_instance_has_its_part_of_the_constant_budget_after_one_window() {
+    let settings = BudgetSettings {
+        extra: 2.0,
+        ..BudgetSettings::default()
+    };
+    let mut budget = RetryBudget::after_restart(settings.clone());
+
+    let early = budget.take_retry(settings.window - SECOND, 1);
+    let late = budget.take_retry(settings.window, 1);
+
+    expect_that!((early, late), eq((false, true)));
+}
+
 #[gtest]
 fn endpoint_that_breaks_is_left_out_for_longer_each_time() {
     let mut health = EndpointHealth::default();
