--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -1,9 +1,11 @@
 //! Reading the platform's endpoint list, and publishing each reading to the other gateways.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use awc::Client;
+use percent_encoding::{NON_ALPHANUMERIC, utf8_percent_encode};
 use platform::endpoint_list::read_page;
 use platform::paths::{ENDPOINT_LIST, PAGE_PARAMETER};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
@@ -13,6 +15,7 @@
 };
 use wire::id::InstanceId;
 
+use crate::list_readings::without_duplicates;
 use crate::node::GatewayNode;
 
 /// Interval at which a gateway checks whether it has to read the list.
@@ -51,13 +54,22 @@
 
 type Result<T> = std::result::Result<T, ReadError>;
 
+/// A list as it was read.
+#[derive(Debug, Default)]
+struct ReadList {
+    endpoints: Vec<ListedEndpoint>,
+    /// Number of entries that could not be read.
+    skipped: usize,
+}
+
 /// Reads the list whenever this gateway is due to, until the process ends. Of several failures in a
-/// row only the first is logged.
+/// row only the first is logged, and unreadable entries only when their number changes.
 pub async fn follow_list(node: Rc<GatewayNode>) {
     let client = Client::builder().timeout(PAGE_TIMEOUT).finish();
     let mut ticks = interval(CHECK_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     let mut has_failed = false;
+    let mut skipped = 0;
     loop {
         ticks.tick().await;
         if !node.is_reading_due() {
@@ -66,12 +78,16 @@
         node.readings.borrow_mut().note_attempt(node.now());
         let read = timeout(READING_TIMEOUT, node.read_list(&client)).await;
         match read.unwrap_or(Err(ReadError::TimedOut)) {
-            Ok(endpoints) => {
+            Ok(list) => {
                 if has_failed {
                     log::info!("gateway: endpoint list read again after a failure");
                 }
                 has_failed = false;
-                node.publish_reading(endpoints);
+                if std::mem::replace(&mut skipped, list.skipped) != list.skipped {
+                    log::warn!(skipped = list.skipped; "gateway: number of unreadable entries of the endpoint list changed");
+                }
+                node.relay_state.metrics.set_skipped_entries(skipped);
+                node.publish_reading(list.endpoints);
             }
             Err(error) => {
                 if !has_failed {
@@ -104,26 +120,35 @@
         }
     }
 
-    async fn read_list(&self, client: &Client) -> Result<Vec<ListedEndpoint>> {
+    async fn read_list(&self, client: &Client) -> Result<ReadList> {
         let address = self.settings.borrow().list.address;
-        let mut endpoints = Vec::new();
-        let mut page: Option<String> = None;
+        let mut list = ReadList::default();
+        let mut read_pages = BTreeSet::new();
+        let mut query = String::new();
         for _ in 0..MAX_PAGES {
-            let query = page.map_or_else(String::new, |page| format!("?{PAGE_PARAMETER}={page}"));
             let url = format!("http://{address}{ENDPOINT_LIST}{query}");
             let body = fetch_page(client, &url).await?;
             let read =
                 read_page(&body).map_err(|error| ReadError::Unreadable(error.to_string()))?;
-            if read.skipped > 0 {
-                log::warn!(skipped = read.skipped; "gateway: unreadable entries of the endpoint list skipped");
-            }
-            endpoints.extend(read.endpoints);
-            page = read.next;
-            if page.is_none() {
+            list.skipped += read.skipped;
+            list.endpoints.extend(read.endpoints);
+            // A page whose token was read before would lead around in a circle.
+            let Some(page) = read.next.filter(|page| read_pages.insert(page.clone())) else {
                 break;
-            }
+            };
+            let token = utf8_percent_encode(&page, NON_ALPHANUMERIC);
+            query = format!("?{PAGE_PARAMETER}={token}");
         }
-        Ok(endpoints)
+        list.endpoints = self.resolve_duplicates(list.endpoints);
+        Ok(list)
+    }
+
+    fn resolve_duplicates(&self, endpoints: Vec<ListedEndpoint>) -> Vec<ListedEndpoint> {
+        let catalog = self.relay_state.catalog();
+        without_duplicates(endpoints, |service| {
+            let known = catalog.as_ref().map(|index| index.find_service(service));
+            known.is_none_or(|rule| rule.is_some())
+        })
     }
 
     /// Activates this gateway's own reading and sends a notice of it to the live gateways.
--- a/crates/gateway/src/list_readings.rs
+++ b/crates/gateway/src/list_readings.rs
@@ -173,6 +173,25 @@
     }
 }
 
+/// Resolves entries with the same id, which stem from pages that overlap or from another writer of
+/// the list. An entry of a service that `is_known` goes before others, later entries before earlier
+/// ones: without this, a foreign entry would hide the endpoint whose id it has.
+pub fn without_duplicates(
+    endpoints: Vec<ListedEndpoint>,
+    is_known: impl Fn(&str) -> bool,
+) -> Vec<ListedEndpoint> {
+    let mut unique: BTreeMap<EndpointId, ListedEndpoint> = BTreeMap::new();
+    for endpoint in endpoints {
+        let held = unique.get(&endpoint.id());
+        let is_hidden =
+            held.is_some_and(|held| is_known(&held.service) && !is_known(&endpoint.service));
+        if !is_hidden {
+            unique.insert(endpoint.id(), endpoint);
+        }
+    }
+    unique.into_values().collect()
+}
+
 fn by_id(endpoints: Vec<ListedEndpoint>) -> BTreeMap<EndpointId, ListedEndpoint> {
     let with_ids = endpoints
         .into_iter()
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -7,7 +7,7 @@
 use gateway::bootstrap::{BootstrapView, may_bootstrap};
 use gateway::catalog_codec::{compress, decompress};
 use gateway::directory::GatewayDirectory;
-use gateway::list_readings::{ListReadings, NoticeAction};
+use gateway::list_readings::{ListReadings, NoticeAction, without_duplicates};
 use googletest::prelude::*;
 use wire::codec;
 use wire::gateway::{
@@ -56,6 +56,31 @@
     readings.record_own(SECOND, reading(number), endpoints)
 }
 
+/// Guards against an entry of another writer that hides the endpoint whose id it has.
+#[gtest]
+fn entry_of_an_unknown_service_does_not_hide_the_endpoint_of_that_id() {
+    let foreign = ListedEndpoint {
+        service: "batch".to_owned(),
+        ..listed(1)
+    };
+    let draining = ListedEndpoint {
+        is_draining: true,
+        ..listed(2)
+    };
+    let orders = [
+        vec![foreign.clone(), listed(1), listed(2), draining.clone()],
+        vec![listed(2), draining.clone(), listed(1), foreign],
+    ];
+    for read in orders {
+        let unique = without_duplicates(read, |service| service == "s");
+
+        expect_that!(unique.len(), eq(2));
+        expect_that!(unique.contains(&listed(1)), eq(true));
+        // A later entry of the same service is the newer one.
+        expect_that!(unique.contains(&draining), eq(true));
+    }
+}
+
 #[gtest]
 fn ids_are_addresses() {
     let address = "10.1.2.3:7340".parse().unwrap();
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -42,6 +42,7 @@
     answer: HistogramVec,
     gateways: IntGauge,
     endpoints: IntGauge,
+    skipped_entries: IntGauge,
     connections: IntGauge,
 }
 
@@ -123,6 +124,11 @@
                 "sapphire_gateway_endpoints",
                 "Endpoints of the list in force.",
             )?,
+            skipped_entries: int_gauge(
+                registry,
+                "sapphire_gateway_list_entries_skipped",
+                "Entries of this gateway's latest reading of the endpoint list that could not be read.",
+            )?,
             connections: int_gauge(
                 registry,
                 "sapphire_gateway_connections",
@@ -190,6 +196,11 @@
         self.endpoints.set(to_gauge_value(count as u64));
     }
 
+    /// Sets the number of unreadable entries in this gateway's latest reading of the endpoint list.
+    pub fn set_skipped_entries(&self, count: usize) {
+        self.skipped_entries.set(to_gauge_value(count as u64));
+    }
+
     /// Sets the number of open client connections.
     pub fn set_connections(&self, count: usize) {
         self.connections.set(to_gauge_value(count as u64));
