relay: track all shared parts of a prompt in crash detection

Cause: only the first sixteen shared parts were hashed, so a part in place 17 or later crashed endpoints without end: 17 requests with it reached endpoints after it was due to be refused. Change: all shared parts are hashed.

--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -21,9 +21,6 @@
 /// Assumed timeout of a caller that states none.
 pub const DEFAULT_CALLER_TIMEOUT: Duration = Duration::from_secs(60);
 
-/// Maximum number of parts of a prompt that are hashed.
-const MAX_HASHED_PARTS: usize = 16;
-
 /// A call whose route and client account are known.
 pub struct RelayCall<'a> {
     /// Head as received.
@@ -133,10 +130,11 @@
     }
 }
 
-/// Hashes of the parts of a prompt that calls of other chats may share, for one service.
+/// Hashes of the parts of a prompt that calls of other chats may share, for one service. All of
+/// them, as any may crash endpoints; the size limit of a head bounds their number.
 fn part_hashes(prompt: &PromptOutline, service: ServiceId) -> Rc<[SuspectHash]> {
-    let parts = prompt.shared_parts().take(MAX_HASHED_PARTS);
-    parts
+    prompt
+        .shared_parts()
         .map(|part| xxh3_64_with_seed(&part.to_le_bytes(), service))
         .collect()
 }
