gateway: keep crash suspects in a file of the data folder

Cause: what is known of requests and parts that crash endpoints was held in memory only. After all gateways were killed, five more endpoints crashed for each known part.

--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`quorum`]: this gateway's member of the replicated log.
 //! * [`catalog_sync`]: replacing and reading the catalog through any gateway.
 //! * [`http`]: HTTP server for operators, readiness checks and metrics.
+//! * [`suspect_file`]: what is known of crash suspects, kept over restarts of all gateways.
 //! * [`status`]: status report for operators.
 //! * [`reload`]: reloading of the settings file.
 
@@ -39,3 +40,4 @@
 pub mod quorum;
 pub mod reload;
 pub mod status;
+pub mod suspect_file;
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -16,6 +16,7 @@
 use gateway::peers::GatewayPeers;
 use gateway::quorum::open_quorum;
 use gateway::reload::follow_settings;
+use gateway::suspect_file::keep_suspects;
 use kernel::{ServiceKernel, TaskFuture, TaskService, program};
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use platform::PlatformDialect;
@@ -126,11 +127,13 @@
         return TaskService::new();
     };
     let kernel = Rc::clone(kernel);
-    TaskService::spawning(vec![Box::pin(async move {
+    let suspects = keep_suspects(Rc::clone(&node), data.clone());
+    let quorum = async move {
         if let Err(reason) = open_quorum(node, data).await {
             kernel.report_failure("quorum", reason);
         }
-    })])
+    };
+    TaskService::spawning(vec![Box::pin(suspects), Box::pin(quorum)])
 }
 
 fn relay_settings(settings: &GatewaySettings) -> RelaySettings {
--- a/crates/relay/src/crash.rs
+++ b/crates/relay/src/crash.rs
@@ -375,6 +375,16 @@
         self.suspicion(kind).0.next_repetition(now)
     }
 
+    /// All that this instance knows of suspects with several crashes. [`Self::note_notice`] of
+    /// another instance, or of one that starts later, takes it over.
+    pub fn known_suspects(&self, now: Duration, kind: SuspectKind) -> CrashNotice {
+        let now = now + CLOCK_OFFSET;
+        match kind {
+            SuspectKind::Request => self.requests.known(now),
+            SuspectKind::Part => self.parts.known(now),
+        }
+    }
+
     /// Learns of a crash that another instance told of. Returns the suspects to which this instance
     /// objects.
     fn learn_crash(
--- a/crates/relay/src/crash/suspicion.rs
+++ b/crates/relay/src/crash/suspicion.rs
@@ -285,6 +285,22 @@
         })
     }
 
+    /// All suspects with several crashes, whoever found these.
+    pub(super) fn known(&self, now: Duration) -> CrashNotice {
+        let mut told: BTreeMap<CrashId, EndpointCrash> = BTreeMap::new();
+        for (hash, suspect) in self.suspects.repeated_from(0) {
+            for crash in suspect.different() {
+                let entry = told.entry(crash.id);
+                let entry = entry.or_insert_with(|| crash.to_notice(now, Vec::new()));
+                entry.requests.push(hash);
+            }
+        }
+        CrashNotice {
+            crashes: told.into_values().collect(),
+            ..CrashNotice::default()
+        }
+    }
+
     /// The next part of what this instance knows of suspects with several crashes, whoever found
     /// these; `None` if there are none.
     pub(super) fn next_repetition(&mut self, now: Duration) -> Option<CrashNotice> {
--- a/crates/relay/tests/prompt_parts.rs
+++ b/crates/relay/tests/prompt_parts.rs
@@ -340,3 +340,19 @@
 
     expect_that!(is_refused(&tracker, 18 * SECOND, &[RARE]), eq(false));
 }
+
+/// Guards against suspects that crash five more endpoints each after all instances were killed.
+#[gtest]
+fn suspects_are_known_to_an_instance_that_takes_them_over() {
+    let mut tracker = CrashTracker::default();
+    lose_different(&mut tracker, 10 * SECOND, 5, &[POISON]);
+    let mut restarted = CrashTracker::new(2);
+
+    for kind in [SuspectKind::Request, SuspectKind::Part] {
+        let known = tracker.known_suspects(16 * SECOND, kind);
+        restarted.note_notice(SECOND, kind, &known);
+    }
+
+    expect_that!(is_refused(&restarted, 2 * SECOND, &[POISON]), eq(true));
+    expect_that!(is_refused(&restarted, 2 * SECOND, &[RARE]), eq(false));
+}
