settings: regions of failure domains in the file of the gateway

Cause: orders to evacuate a failure domain and lists of allowed regions need to know which domains exist, and in which region each lies. The settings of a gateway had its own domain only.

Change: the key `domains` of the gateway's file maps domains to regions. It is a table, or a JSON object in a text: the platform's template writes values as JSON, which is not TOML for a table.

--- a/crates/gateway/tests/list_reading.rs
+++ b/crates/gateway/tests/list_reading.rs
@@ -90,6 +90,7 @@
     let settings = GatewaySettings {
         name: "gateway-1".to_owned(),
         failure_domain: "rennes".to_owned(),
+        domains: Default::default(),
         callers: unused,
         readiness: unused,
         operators: unused,
--- a/crates/settings/src/check.rs
+++ b/crates/settings/src/check.rs
@@ -1,6 +1,6 @@
 //! Checks a table against its key table: unknown and missing keys, types and ranges.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 
 use toml::{Table, Value};
@@ -162,6 +162,24 @@
         (ValueType::Names, Value::Array(items)) => {
             check_items(items, |text| ensure(is_name(text), || invalid_name(text)))
         }
+        (ValueType::NameMap, Value::Table(table)) => table.iter().try_for_each(|(name, value)| {
+            let text = value.as_str().ok_or_else(|| {
+                Some(format!(
+                    "names {} for `{name}`, expected a name",
+                    type_name(value)
+                ))
+            })?;
+            check_map_entry(name, text)
+        }),
+        (ValueType::NameMap, Value::String(text)) => {
+            let map: BTreeMap<String, String> = serde_json::from_str(text).map_err(|error| {
+                Some(format!(
+                    "is `{text}`, expected a JSON object from names to names: {error}"
+                ))
+            })?;
+            map.iter()
+                .try_for_each(|(name, text)| check_map_entry(name, text))
+        }
         (ValueType::Methods, Value::Array(items)) => check_items(items, check_method),
         (ValueType::Addresses, Value::Array(items)) => {
             ensure(!items.is_empty(), || {
@@ -173,6 +191,14 @@
     }
 }
 
+/// Checks an entry of a map whose names are given by the platform, and may be no names of ours.
+fn check_map_entry(name: &str, text: &str) -> Result<(), Option<String>> {
+    let is_valid = |text: &str| !text.is_empty() && text.len() <= MAX_TEXT_BYTES;
+    ensure(is_valid(name) && is_valid(text), || {
+        format!("maps `{name}` to `{text}`, expected 1 to {MAX_TEXT_BYTES} bytes on both sides")
+    })
+}
+
 fn ensure(is_valid: bool, reason: impl FnOnce() -> String) -> Result<(), Option<String>> {
     if is_valid {
         Ok(())
@@ -267,6 +293,7 @@
         ValueType::Name => "a name".to_owned(),
         ValueType::Choice(words) => quoted_list(words),
         ValueType::Names => "a list of names".to_owned(),
+        ValueType::NameMap => "a table from names to names".to_owned(),
         ValueType::Methods => "a list of HTTP methods".to_owned(),
         ValueType::KeyHash => "a SHA-256 in hexadecimal".to_owned(),
         ValueType::Address => "an IP number and a port".to_owned(),
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -146,6 +146,13 @@
         ValueType::Name,
         "Failure domain that it runs in.",
     ),
+    key(
+        "domains",
+        ValueType::NameMap,
+        DefaultValue::Absent,
+        "Region of each failure domain, by name. May also be a JSON object in a text. Operators can \
+         evacuate these domains, and those in which an endpoint is listed.",
+    ),
     required(
         "callers",
         ValueType::Address,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -2,12 +2,12 @@
 //!
 //! It is validated like the settings tree: all faults are reported at once, each with its path.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::{SocketAddr, SocketAddrV4};
 use std::path::{Path, PathBuf};
 
-use serde::Deserialize;
 use serde::de::DeserializeOwned;
+use serde::{Deserialize, Deserializer};
 use toml::{Table, Value};
 
 use crate::check::check_table;
@@ -104,6 +104,9 @@
     pub name: String,
     /// Failure domain that the instance runs in.
     pub failure_domain: String,
+    /// Region of each failure domain, by name. Failure domains may be missing.
+    #[serde(default, deserialize_with = "read_name_map")]
+    pub domains: BTreeMap<String, String>,
     /// Address that serves callers.
     pub callers: SocketAddr,
     /// Address that serves the load balancer's readiness checks.
@@ -170,6 +173,22 @@
     }
 }
 
+/// Reads a table, or a JSON object in a string.
+fn read_name_map<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> std::result::Result<BTreeMap<String, String>, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum NameMap {
+        Table(BTreeMap<String, String>),
+        Json(String),
+    }
+    match NameMap::deserialize(deserializer)? {
+        NameMap::Table(map) => Ok(map),
+        NameMap::Json(text) => serde_json::from_str(&text).map_err(serde::de::Error::custom),
+    }
+}
+
 fn default_tolerated_losses() -> usize {
     defaults::TOLERATED_LOSSES as usize
 }
--- a/crates/settings/src/schema.rs
+++ b/crates/settings/src/schema.rs
@@ -28,6 +28,9 @@
     Choice(&'static [&'static str]),
     /// A list of distinct names.
     Names,
+    /// A table from names to names, or the same as a JSON object in a string, for templates that
+    /// can't write TOML tables.
+    NameMap,
     /// A list of distinct HTTP methods in upper case.
     Methods,
     /// A SHA-256 hash as 64 lower-case hexadecimal digits.
--- a/crates/settings/tests/files.rs
+++ b/crates/settings/tests/files.rs
@@ -82,6 +82,37 @@
     );
 }
 
+// A platform's template can write its zones as JSON only, and a table that can't be read must not be
+// taken for an empty one.
+#[gtest]
+fn domains_are_read_from_a_table_and_from_json() {
+    let table = example("gateway.toml");
+    let with = |domains: &str| {
+        let lines = table.lines();
+        let lines = lines.map(|line| match line.starts_with("domains") {
+            true => format!("domains = {domains}\n"),
+            false => format!("{line}\n"),
+        });
+        process::parse::<GatewaySettings>(&lines.collect::<String>())
+    };
+
+    let from_table = process::parse::<GatewaySettings>(&table).expect("the example is valid");
+    let from_json = with(r#"'''{"rennes": "west", "paris": "centre", "lyon": "east"}'''"#);
+    let wrong_json = fault_lines(with("'[\"rennes\"]'"));
+    let wrong_region = fault_lines(with("{ rennes = 3 }"));
+
+    expect_that!(from_table.domains.len(), eq(3));
+    expect_that!(
+        from_json.map(|settings| settings.domains),
+        ok(eq(&from_table.domains))
+    );
+    expect_that!(wrong_json, starts_with("domains: is `[\"rennes\"]`"));
+    expect_that!(
+        wrong_region,
+        eq("domains: names a whole number for `rennes`, expected a name")
+    );
+}
+
 #[gtest]
 fn every_fault_of_a_file_is_reported_at_once() {
     let text = r#"
