store: state machine of the simulated member in a file of its own

Cause: the seeded cluster of the store's tests could replicate a list of numbers only. Tests of other replicated states would have to copy it.

Change: `FakeMachine` holds the state and its encoding. No check is changed.

--- a/crates/store/tests/quorum.rs
+++ b/crates/store/tests/quorum.rs
@@ -5,6 +5,7 @@
 mod quorum {
     pub(crate) mod cluster;
     pub(crate) mod folder;
+    pub(crate) mod machine;
     pub(crate) mod member;
     pub(crate) mod oracle;
 }
@@ -46,7 +47,7 @@
     for seed in 0..SEEDS {
         let cluster = run_seed(seed);
 
-        let values = &cluster.members[0].running.as_ref().unwrap().values;
+        let values = &cluster.members[0].running.as_ref().unwrap().machine.values;
         let mut known = values.iter();
         for value in cluster.oracle.accepted.values() {
             assert!(
@@ -198,7 +199,7 @@
 
         cluster.converge();
 
-        let values = &cluster.members[0].running.as_ref().unwrap().values;
+        let values = &cluster.members[0].running.as_ref().unwrap().machine.values;
         let mut known = values.iter();
         for value in cluster.oracle.accepted.values() {
             assert!(
--- a/crates/store/tests/quorum/cluster.rs
+++ b/crates/store/tests/quorum/cluster.rs
@@ -7,7 +7,8 @@
 use rand_pcg::Pcg64;
 use replica::{MemberKey, ReplicaMessage};
 
-use super::member::{FakeMember, MemberEvent, encode_values};
+use super::machine::command_of;
+use super::member::{FakeMember, MemberEvent};
 use super::oracle::Oracle;
 
 const MAX_MESSAGES: usize = 400;
@@ -276,7 +277,7 @@
         let Some(running) = &mut member.running else {
             return;
         };
-        let command = encode_values(&[self.next_value]);
+        let command = command_of(self.next_value);
         let Ok(entry_id) = running.core.propose(now, command) else {
             return;
         };
--- a/crates/store/tests/quorum/member.rs
+++ b/crates/store/tests/quorum/member.rs
@@ -1,4 +1,4 @@
-//! A simulated member: consensus, store, and a list of values as its state machine.
+//! A simulated member: consensus, store and state machine.
 
 use std::time::Duration;
 
@@ -11,6 +11,7 @@
 use store::{MemberStore, StoreError};
 
 use super::folder::FakeFolder;
+use super::machine::FakeMachine;
 
 /// Effects of a running member that the cluster or the oracle handles.
 #[derive(Debug)]
@@ -26,8 +27,7 @@
     pub(crate) core: ReplicaCore,
     store: MemberStore<FakeFolder>,
     pending: Vec<PersistBatch>,
-    /// Values of all applied commands.
-    pub(crate) values: Vec<u64>,
+    pub(crate) machine: FakeMachine,
     pub(crate) applied: u64,
 }
 
@@ -101,7 +101,7 @@
             core,
             store,
             pending: Vec::new(),
-            values: Vec::new(),
+            machine: FakeMachine::default(),
             applied: 0,
         });
         self.drain()
@@ -190,22 +190,22 @@
                 ReplicaAction::Send(message) => events.push(MemberEvent::Sent(message)),
                 ReplicaAction::Persist(batch) => running.pending.push(batch),
                 ReplicaAction::Restore(snapshot) => {
-                    running.values = decode_values(&snapshot.state);
+                    running.machine = FakeMachine::restore(&snapshot.state);
                     running.applied = snapshot.index;
-                    let values = running.values.clone();
+                    let values = running.machine.values.clone();
                     events.push(MemberEvent::Restored(snapshot.index, values));
                 }
                 ReplicaAction::Apply(entry) => {
                     assert_eq!(entry.index, running.applied + 1, "applied out of order");
                     running.applied = entry.index;
                     if let EntryPayload::Command(bytes) = &entry.payload {
-                        running.values.extend(decode_values(bytes));
+                        running.machine.apply(bytes);
                     }
                     events.push(MemberEvent::Applied(entry));
                 }
                 ReplicaAction::TakeSnapshot(index) => {
                     assert_eq!(index, running.applied, "snapshot of another state");
-                    let state = encode_values(&running.values);
+                    let state = running.machine.snapshot();
                     running.core.snapshot_taken(index, state);
                 }
                 ReplicaAction::ReadConfirmed(ticket) => {
@@ -221,16 +221,3 @@
         events
     }
 }
-
-pub(crate) fn encode_values(values: &[u64]) -> Vec<u8> {
-    values
-        .iter()
-        .flat_map(|value| value.to_le_bytes())
-        .collect()
-}
-
-fn decode_values(bytes: &[u8]) -> Vec<u64> {
-    let chunks = bytes.chunks_exact(8);
-    let parse = |chunk: &[u8]| u64::from_le_bytes(chunk.try_into().expect("chunk has 8 bytes"));
-    chunks.map(parse).collect()
-}
--- a/crates/store/tests/quorum/oracle.rs
+++ b/crates/store/tests/quorum/oracle.rs
@@ -4,7 +4,7 @@
 
 use replica::{EntryPayload, LogEntry, MemberKey, MemberSet, ReplicaStatus, RoleKind};
 
-use super::member::encode_values;
+use super::machine::command_of;
 
 /// Record of applied entries, accepted values, reads and leaders.
 #[derive(Default)]
@@ -39,7 +39,8 @@
             _ => None,
         });
         let expected: Vec<u8> = commands.flatten().collect();
-        assert_eq!(encode_values(values), expected, "snapshot is another state");
+        let restored: Vec<u8> = values.iter().copied().flat_map(command_of).collect();
+        assert_eq!(restored, expected, "snapshot is another state");
     }
 
     pub(crate) fn check_leader(&mut self, status: &ReplicaStatus) {
