gateway: evacuation of failure domains

Cause: operators could not order that nothing more is sent to the endpoints of a failure domain.

Change: POST /v1/evacuations/ZONE/begin and /finish at any gateway, committed by the quorum before they are acknowledged. A gateway that learns of a newer revision marks the rows of the endpoints and announces it to up to 32 others at once; rounds of three announcements make up for lost ones; one that is new or back is sent it before the list, and one without a catalog fetches it before the catalog. Marked rows have no standing: no placement, retry, resumed stream, token request or health check of a leaving endpoint; running work goes on, and warm caches may still be named. Status, metrics and log show domains, times and revisions.

An endpoint that the list moves to another domain now begins with a new row.

--- a/crates/gateway/src/catalog_sync.rs
+++ b/crates/gateway/src/catalog_sync.rs
@@ -51,7 +51,7 @@
 
     /// Sends a request to the leader and retries until it succeeds or [`OPERATOR_CALL_TIMEOUT`]
     /// elapses.
-    async fn request_from_leader(
+    pub(crate) async fn request_from_leader(
         self: &Rc<Self>,
         request: &GatewayRequest,
     ) -> Option<GatewayReply> {
@@ -84,6 +84,7 @@
         if leader == self.own {
             return Some(match request.clone() {
                 GatewayRequest::Replace(text) => self.replace_as_leader(text).await,
+                GatewayRequest::Evacuate(order) => self.evacuate_as_leader(order).await,
                 _ => self.read_as_leader().await,
             });
         }
@@ -126,6 +127,10 @@
         self.is_fetching_catalog.set(true);
         let node = Rc::clone(self);
         actix_rt::spawn(async move {
+            if version == 0 {
+                // This gateway sends calls once it has a catalog, so it learns of evacuations first.
+                node.fetch_evacuations(source).await;
+            }
             let request = GatewayRequest::FetchAbove(version);
             match node.send_request(source, &request, FETCH_TIMEOUT).await {
                 Ok(GatewayReply::Catalog(text)) => node.install(text, "gateway"),
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -77,6 +77,7 @@
             GatewayDatagram::PartCrashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Part, &notice);
             }
+            GatewayDatagram::Evacuations(notice) => self.handle_evacuations(from, notice),
         }
     }
 
@@ -93,6 +94,8 @@
         if is_new {
             log::info!(peer = address_of(from).to_string().as_str(); "gateway: peer is live");
             self.heartbeat_due.notify_one();
+            // Before the list, without which a gateway that has restarted sends no calls.
+            self.send_evacuations(from);
             self.send_list_notice(from);
             self.repeat_crashes_to(from);
             self.relay_state.refresh_keeper(from);
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -23,6 +23,8 @@
     known_at: Duration,
     /// Its latest heartbeat.
     heartbeat: GatewayHeartbeat,
+    /// Revision of the evacuations that it last announced; 0 for none.
+    evacuation_revision: u64,
 }
 
 /// The other gateways and their latest heartbeats.
@@ -81,6 +83,9 @@
         if has_storage && (row.heard_at.is_none() || row.heartbeat.storage == StorageState::None) {
             self.storage_changed_at = now;
         }
+        if has_restarted {
+            row.evacuation_revision = 0;
+        }
         row.heard_at = Some(now);
         row.known_at = now;
         row.heartbeat = heartbeat;
@@ -88,6 +93,20 @@
         was_silent || has_restarted
     }
 
+    /// Records the revision of the evacuations that a gateway announced.
+    pub fn record_evacuation_revision(&mut self, from: InstanceId, revision: u64) {
+        if let Some(row) = self.rows.get_mut(&from) {
+            row.evacuation_revision = revision;
+        }
+    }
+
+    /// Revision of the evacuations that a gateway last announced; 0 for none.
+    pub fn evacuation_revision(&self, instance: InstanceId) -> u64 {
+        self.rows
+            .get(&instance)
+            .map_or(0, |row| row.evacuation_revision)
+    }
+
     /// The live gateways in ascending order of their ids, with their latest heartbeats.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = (InstanceId, &GatewayHeartbeat)> {
         let limit = self.silence_timeout();
--- /dev/null
+++ b/crates/gateway/src/evacuation_sync.rs
@@ -0,0 +1,185 @@
+//! Carrying out operators' orders through any gateway, and spreading the evacuations to all
+//! gateways.
+//!
+//! The leader of the quorum commits an order. A gateway that learns of a newer revision, from the
+//! log or from another gateway, obeys it and announces it to some others at once. Each gateway also
+//! announces its revision to some others in turn, so that one that missed an announcement learns of
+//! it soon.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use wire::gateway::{
+    EvacuationAction, EvacuationNotice, EvacuationOrder, EvacuationState, GatewayDatagram,
+    GatewayReply, GatewayRequest, address_of,
+};
+use wire::id::{InstanceId, name_id};
+
+use crate::evacuation::{is_evacuated, whole_notice};
+use crate::node::GatewayNode;
+
+/// Live gateways to which the evacuations are announced at each regular heartbeat. With 3, a
+/// gateway hears of a revision that it missed within about a third of a second, for 12 datagrams a
+/// second.
+const NOTICES_PER_ROUND: usize = 3;
+/// Shortest time between two such rounds; heartbeats that are sent early have none of their own.
+const ROUND_INTERVAL: Duration = Duration::from_millis(240);
+/// Longest wait for the reply to a fetch. Gateways of earlier builds end the link instead.
+const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Result of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OrderOutcome {
+    /// A quorum has committed the order.
+    Committed,
+    /// The failure domain is unknown, and the order is not in force.
+    UnknownDomain,
+    /// No quorum confirmed the order in time; it may still be committed later.
+    Unconfirmed,
+}
+
+impl GatewayNode {
+    /// Carries out an order and waits for a quorum to commit it.
+    pub async fn order_evacuation(
+        self: &Rc<Self>,
+        domain: String,
+        action: EvacuationAction,
+    ) -> OrderOutcome {
+        if !self.knows_domain(&domain) {
+            // A gateway without list can't tell that a domain is unknown.
+            return match self.relay_state.list_age() {
+                Some(_) => OrderOutcome::UnknownDomain,
+                None => OrderOutcome::Unconfirmed,
+            };
+        }
+        let order = EvacuationOrder {
+            domain,
+            action,
+            at_ms: unix_millis(),
+        };
+        let request = GatewayRequest::Evacuate(order);
+        match self.request_from_leader(&request).await {
+            Some(GatewayReply::Done) => OrderOutcome::Committed,
+            _ => OrderOutcome::Unconfirmed,
+        }
+    }
+
+    /// Whether a failure domain is named in the settings, contains a listed endpoint or is
+    /// evacuated.
+    fn knows_domain(&self, domain: &str) -> bool {
+        self.settings.borrow().domains.contains_key(domain)
+            || self.relay_state.table.borrow().has_domain(name_id(domain))
+            || is_evacuated(&self.evacuations.borrow(), domain)
+    }
+
+    /// Obeys evacuations that a quorum has committed, if they are newer than those in force, and
+    /// announces them.
+    pub fn install_evacuations(&self, state: EvacuationState, source: &str) {
+        if state.revision <= self.evacuations.borrow().revision {
+            return;
+        }
+        let held = self.evacuations.replace(state);
+        let state = self.evacuations.borrow();
+        log_changes(&held, &state, source);
+        let domains: BTreeSet<_> = state.domains.iter().map(|one| name_id(&one.name)).collect();
+        self.relay_state.set_evacuated(&domains);
+        let domains = state.domains.iter();
+        let domains = domains.map(|domain| (domain.name.as_str(), domain.since_ms));
+        let metrics = &self.relay_state.metrics;
+        metrics.set_evacuations(state.revision, domains);
+        for instance in self.directory.borrow().notice_recipients(self.now()) {
+            self.send_evacuations(instance);
+        }
+    }
+
+    /// Announces the evacuations in force to another gateway, unless there never were any.
+    pub fn send_evacuations(&self, to: InstanceId) {
+        let state = self.evacuations.borrow();
+        if state.revision == 0 {
+            return;
+        }
+        let notice = GatewayDatagram::Evacuations(whole_notice(&state));
+        if !self.send_datagram(to, &notice) {
+            let short = EvacuationNotice {
+                revision: state.revision,
+                domains: None,
+            };
+            self.send_datagram(to, &GatewayDatagram::Evacuations(short));
+        }
+    }
+
+    /// Announces the evacuations in force to the live gateways that follow the last one to which
+    /// they were announced, if a round is due.
+    pub fn announce_evacuations(&self) {
+        let now = self.now();
+        let (announced_at, mut last) = self.evacuations_announced.get();
+        if now < announced_at + ROUND_INTERVAL {
+            return;
+        }
+        for _ in 0..NOTICES_PER_ROUND {
+            let next = self.directory.borrow().next_live(now, last);
+            if let Some(next) = next {
+                self.send_evacuations(next);
+                last = next;
+            }
+        }
+        self.evacuations_announced.set((now, last));
+    }
+
+    /// Handles an announcement: obeys newer evacuations, or answers with them if the sender's are
+    /// older.
+    pub fn handle_evacuations(self: &Rc<Self>, from: InstanceId, notice: EvacuationNotice) {
+        let mut directory = self.directory.borrow_mut();
+        directory.record_evacuation_revision(from, notice.revision);
+        drop(directory);
+        let held = self.evacuations.borrow().revision;
+        if notice.revision < held {
+            self.send_evacuations(from);
+            return;
+        }
+        match notice.domains {
+            Some(domains) => {
+                let revision = notice.revision;
+                self.install_evacuations(EvacuationState { revision, domains }, "gateway");
+            }
+            None if notice.revision > held => {
+                let node = Rc::clone(self);
+                actix_rt::spawn(async move { node.fetch_evacuations(from).await });
+            }
+            None => {}
+        }
+    }
+
+    /// Fetches the evacuations from another gateway, if it has newer ones.
+    pub async fn fetch_evacuations(&self, source: InstanceId) {
+        let request = GatewayRequest::FetchEvacuations(self.evacuations.borrow().revision);
+        match self.send_request(source, &request, FETCH_TIMEOUT).await {
+            Ok(GatewayReply::Evacuations(state)) => self.install_evacuations(state, "gateway"),
+            Ok(_) => log::warn!(
+                "gateway: {} answered a fetch of evacuations with another reply",
+                address_of(source)
+            ),
+            Err(error) => log::debug!("gateway: fetch of evacuations failed: {error}"),
+        }
+    }
+}
+
+fn log_changes(held: &EvacuationState, state: &EvacuationState, source: &str) {
+    let revision = state.revision;
+    for domain in &state.domains {
+        if !held.domains.contains(domain) {
+            log::info!(domain = domain.name.as_str(), revision = revision, source = source; "gateway: evacuation of a failure domain began");
+        }
+    }
+    for domain in &held.domains {
+        if !is_evacuated(state, &domain.name) {
+            log::info!(domain = domain.name.as_str(), revision = revision, source = source; "gateway: evacuation of a failure domain ended");
+        }
+    }
+}
+
+fn unix_millis() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -57,6 +57,7 @@
         for instance in recipients {
             node.send_datagram(instance, &heartbeat);
         }
+        node.announce_evacuations();
         if now >= expired_at + SLOW_INTERVAL {
             expired_at = now;
             node.relay_state.pool.expire(now);
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -16,6 +16,8 @@
 use watch::TEXT_CONTENT_TYPE;
 
 use crate::catalog_codec::{compress, decompress};
+use crate::evacuation::{OrderPath, read_order_path};
+use crate::evacuation_sync::OrderOutcome;
 use crate::node::GatewayNode;
 
 /// Limits on requests of operators, the load balancer and metrics scrapers.
@@ -46,6 +48,15 @@
 }
 
 impl HttpAnswer {
+    /// A success without a body.
+    fn empty() -> Self {
+        Self {
+            status: StatusCode::OK,
+            content_type: JSON_CONTENT_TYPE,
+            body: Bytes::new(),
+        }
+    }
+
     fn done(message: &str) -> Self {
         Self {
             status: StatusCode::OK,
@@ -115,7 +126,31 @@
             (&Method::GET, CATALOG) => self.answer_read().await,
             (&Method::GET, STATUS) => self.answer_status(),
             (&Method::GET, METRICS) => self.answer_metrics(),
-            _ => HttpAnswer::fault(&FaultKind::UnknownService.because("there is no such path")),
+            (&Method::POST, path) => self.answer_order(path).await,
+            _ => no_such_path(),
+        }
+    }
+
+    async fn answer_order(self: &Rc<Self>, path: &str) -> HttpAnswer {
+        let (domain, action) = match read_order_path(path) {
+            OrderPath::Order(domain, action) => (domain, action),
+            OrderPath::Malformed(reason) => {
+                return HttpAnswer::fault(&FaultKind::MalformedRequest.because(reason));
+            }
+            OrderPath::Other => return no_such_path(),
+        };
+        let outcome = self.order_evacuation(domain.clone(), action).await;
+        log::info!(
+            domain = domain.as_str(), action = format!("{action:?}").as_str(), outcome = format!("{outcome:?}").as_str();
+            "gateway: order for a failure domain ended"
+        );
+        match outcome {
+            OrderOutcome::Committed => HttpAnswer::empty(),
+            OrderOutcome::UnknownDomain => {
+                let reason = format!("there is no failure domain `{domain}`");
+                HttpAnswer::fault(&FaultKind::UnknownService.because(reason))
+            }
+            OrderOutcome::Unconfirmed => HttpAnswer::fault(&no_quorum()),
         }
     }
 
@@ -197,6 +232,10 @@
     }
 }
 
+fn no_such_path() -> HttpAnswer {
+    HttpAnswer::fault(&FaultKind::UnknownService.because("there is no such path"))
+}
+
 fn no_quorum() -> Fault {
     FaultKind::ControlUnreachable.because("no quorum answered in time")
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! Decisions, without I/O:
 //!
 //! * [`bootstrap`]: whether a gateway may bootstrap the cluster of the quorum at the first start.
+//! * [`evacuation`]: the evacuated failure domains in the replicated log, and operators' orders.
 //! * [`directory`]: the other gateways that this one knows of, and which of them are live.
 //! * [`list_readings`]: which gateway reads the endpoint list, and the active list.
 //!
@@ -19,6 +20,7 @@
 //! * [`endpoint_list`]: reading the platform's endpoint list and publishing it to other gateways.
 //! * [`quorum`]: this gateway's member of the replicated log.
 //! * [`catalog_sync`]: replacing and reading the catalog through any gateway.
+//! * [`evacuation_sync`]: evacuating a failure domain through any gateway, and obeying it at all.
 //! * [`http`]: HTTP server for operators, readiness checks and metrics.
 //! * [`status`]: status report for operators.
 //! * [`reload`]: reloading of the settings file.
@@ -30,6 +32,8 @@
 pub mod datagrams;
 pub mod directory;
 pub mod endpoint_list;
+pub mod evacuation;
+pub mod evacuation_sync;
 pub mod heartbeat;
 pub mod http;
 pub mod list_readings;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -11,7 +11,7 @@
 use settings::process::GatewaySettings;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use wire::gateway::{CatalogText, GatewayDatagram, instance_at};
+use wire::gateway::{CatalogText, EvacuationState, GatewayDatagram, instance_at};
 use wire::id::{IncarnationNumber, InstanceId};
 
 use crate::catalog_codec::decode_catalog;
@@ -40,6 +40,11 @@
     pub quorum: RefCell<Option<Rc<GatewayQuorum>>>,
     /// The newest catalog that this gateway knows to be committed by a quorum.
     newest_catalog: RefCell<CatalogText>,
+    /// The evacuations that this gateway obeys: the newest that it knows to be committed by a
+    /// quorum.
+    pub evacuations: RefCell<EvacuationState>,
+    /// When evacuations were last announced in turn, and to which gateway.
+    pub evacuations_announced: Cell<(Duration, InstanceId)>,
     /// Number of heartbeats sent. One that goes to several gateways counts once.
     pub heartbeats_sent: Cell<u64>,
     /// Notified when the next heartbeat should not wait for the regular interval.
@@ -80,6 +85,8 @@
             reading_number: Cell::new(0),
             quorum: RefCell::default(),
             newest_catalog: RefCell::default(),
+            evacuations: RefCell::default(),
+            evacuations_announced: Cell::new((Duration::ZERO, own)),
             heartbeats_sent: Cell::new(0),
             heartbeat_due: Notify::new(),
             last_list_notice: RefCell::default(),
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -119,6 +119,16 @@
                 self.receive_replica_bytes(&bytes);
                 GatewayReply::Done
             }
+            GatewayRequest::Evacuate(order) => self.evacuate_as_leader(order).await,
+            GatewayRequest::FetchEvacuations(revision) => {
+                let evacuations = self.evacuations.borrow().clone();
+                let is_newer = evacuations.revision > revision;
+                GatewayReply::Evacuations(if is_newer {
+                    evacuations
+                } else {
+                    Default::default()
+                })
+            }
         }
     }
 }
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -1,6 +1,6 @@
 //! This gateway's member of the replicated log, and the disk behind it.
 //!
-//! The replicated state is the newest catalog. Consensus messages that fit into a datagram are sent
+//! The replicated state is the newest catalog and the evacuated failure domains. Consensus messages that fit into a datagram are sent
 //! as one; larger ones go over links, one after the other for each gateway.
 
 use std::cell::{Cell, RefCell};
@@ -17,12 +17,15 @@
 use store::{DiskFolder, MemberStore, OpenedMember};
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::{sleep, timeout};
-use wire::codec;
 use wire::gateway::{
-    CatalogText, GatewayDatagram, GatewayReply, GatewayRequest, StorageState, address_of,
+    CatalogText, EvacuationOrder, EvacuationState, GatewayDatagram, GatewayReply, GatewayRequest,
+    StorageState, address_of,
 };
 use wire::id::InstanceId;
 
+use crate::evacuation::{
+    LogCommand, apply_order, decode_command, decode_snapshot, encode_command, encode_snapshot,
+};
 use crate::node::GatewayNode;
 
 /// Longest time between two ticks of the consensus core.
@@ -57,6 +60,9 @@
     next_ticket: Cell<ReadTicket>,
     /// The newest catalog that was applied or restored from a snapshot but is not activated yet.
     staged: RefCell<Option<CatalogText>>,
+    /// The evacuations by the entries that this member has applied. The node may know newer ones
+    /// from other gateways, but the revision must count the entries of the log.
+    evacuations: RefCell<EvacuationState>,
     send_queues: RefCell<HashMap<InstanceId, mpsc::Sender<Vec<u8>>>>,
     /// Origin of the clock of the consensus core.
     started: Instant,
@@ -100,6 +106,7 @@
         pending_reads: RefCell::default(),
         next_ticket: Cell::new(1),
         staged: RefCell::default(),
+        evacuations: RefCell::default(),
         send_queues: RefCell::default(),
         started: Instant::now(),
     });
@@ -157,8 +164,11 @@
 
     fn apply(&self, entry: LogEntry) {
         if let EntryPayload::Command(bytes) = &entry.payload {
-            match codec::decode_as::<CatalogText>(bytes) {
-                Ok(text) => self.stage(text),
+            match decode_command(bytes) {
+                Ok(LogCommand::Catalog(text)) => self.stage(text),
+                Ok(LogCommand::Evacuate(order)) => {
+                    apply_order(&mut self.evacuations.borrow_mut(), &order);
+                }
                 Err(error) => log::error!(
                     "gateway: log entry {} can't be decoded and is skipped: {error}",
                     entry.index
@@ -227,13 +237,33 @@
         if text.version <= self.catalog_version() {
             return GatewayReply::Done;
         }
-        let command = match codec::encode(&text) {
+        let reply = self.commit(&quorum, &LogCommand::Catalog(text)).await;
+        if reply == GatewayReply::Done {
+            self.push_newest();
+        }
+        reply
+    }
+
+    /// Proposes an order and waits until it is applied, if this gateway is the leader. A repeated
+    /// order is committed again, as the entry that first carried it may be known here and not yet
+    /// be committed.
+    pub async fn evacuate_as_leader(self: &Rc<Self>, order: EvacuationOrder) -> GatewayReply {
+        let Some(quorum) = self.quorum() else {
+            return GatewayReply::NotLeader(self.directory.borrow().leader(self.now()));
+        };
+        self.commit(&quorum, &LogCommand::Evacuate(order)).await
+    }
+
+    /// Proposes a command and waits until it is applied.
+    async fn commit(
+        self: &Rc<Self>,
+        quorum: &Rc<GatewayQuorum>,
+        command: &LogCommand,
+    ) -> GatewayReply {
+        let command = match encode_command(command) {
             Ok(command) => command,
             Err(error) => {
-                log::error!(
-                    "gateway: catalog {} can't be encoded for the log: {error}",
-                    text.version
-                );
+                log::error!("gateway: command can't be encoded for the log: {error}");
                 return GatewayReply::NoQuorum;
             }
         };
@@ -241,20 +271,17 @@
         let key = match proposed {
             Ok(key) => key,
             Err(error) => {
-                log::info!(version = text.version; "gateway: catalog not proposed: {error}");
-                return not_leader(&quorum);
+                log::info!("gateway: command not proposed: {error}");
+                return not_leader(quorum);
             }
         };
         let (done, applied) = oneshot::channel();
         quorum.pending_proposals.borrow_mut().insert(key, done);
-        self.run_actions(&quorum);
+        self.run_actions(quorum);
         let outcome = timeout(COMMIT_TIMEOUT, applied).await;
         quorum.pending_proposals.borrow_mut().remove(&key);
         match outcome {
-            Ok(Ok(())) => {
-                self.push_newest();
-                GatewayReply::Done
-            }
+            Ok(Ok(())) => GatewayReply::Done,
             _ => GatewayReply::NoQuorum,
         }
     }
@@ -297,8 +324,8 @@
         }
     }
 
-    /// Carries out the actions of the consensus core until there are none, then activates the
-    /// staged catalog.
+    /// Carries out the actions of the consensus core until there are none, then obeys the applied
+    /// evacuations and activates the staged catalog.
     fn run_actions(self: &Rc<Self>, quorum: &Rc<GatewayQuorum>) {
         loop {
             let actions = quorum.core.borrow_mut().take_actions();
@@ -309,6 +336,13 @@
                 self.run_action(quorum, action);
             }
         }
+        // Evacuations come first, so that a gateway that restarts has no catalog, and sends no
+        // calls, before it obeys those of its log.
+        let revision = quorum.evacuations.borrow().revision;
+        if revision > self.evacuations.borrow().revision {
+            let evacuations = quorum.evacuations.borrow().clone();
+            self.install_evacuations(evacuations, "log");
+        }
         self.install_staged(quorum);
     }
 
@@ -327,14 +361,18 @@
                 // Sending fails if the disk thread has ended, which ends the process.
                 let _ = quorum.disk.send(batch);
             }
-            ReplicaAction::Restore(snapshot) => match codec::decode_state(&snapshot.state) {
-                Ok(text) => quorum.stage(text),
+            ReplicaAction::Restore(snapshot) => match decode_snapshot(&snapshot.state) {
+                Ok((text, evacuations)) => {
+                    quorum.stage(text);
+                    *quorum.evacuations.borrow_mut() = evacuations;
+                }
                 Err(error) => log::error!("gateway: snapshot can't be decoded: {error}"),
             },
             ReplicaAction::Apply(entry) => quorum.apply(entry),
             ReplicaAction::TakeSnapshot(index) => {
                 self.install_staged(quorum);
-                match codec::encode_state(&self.newest_catalog()) {
+                let evacuations = quorum.evacuations.borrow();
+                match encode_snapshot(&self.newest_catalog(), &evacuations) {
                     Ok(state) => quorum.core.borrow_mut().snapshot_taken(index, state),
                     Err(error) => log::error!("gateway: no snapshot taken: {error}"),
                 }
@@ -361,6 +399,7 @@
             heartbeat.storage != StorageState::Formed && heartbeat.catalog < text.version
         });
         for (instance, _) in behind {
+            self.send_evacuations(instance);
             let (node, request) = (Rc::clone(self), GatewayRequest::Install(text.clone()));
             actix_rt::spawn(async move {
                 if let Err(error) = node.send_request(instance, &request, INSTALL_TIMEOUT).await {
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -1,7 +1,7 @@
 //! Status report of this gateway, for operators.
 
 use relay::row::EndpointStanding;
-use watch::gateway_status::{GatewayEndpoint, GatewayStatus, PeerStatus};
+use watch::gateway_status::{EvacuatedDomainStatus, GatewayEndpoint, GatewayStatus, PeerStatus};
 use wire::gateway::{GatewayHeartbeat, StorageState, address_of};
 use wire::id::InstanceId;
 
@@ -16,9 +16,16 @@
         let known = known.map(|(_, leader)| leader);
         let leader = known.or_else(|| self.directory.borrow().leader(now));
         let directory = self.directory.borrow();
-        let peers = directory
-            .live(now)
-            .map(|(id, heartbeat)| peer_status(id, heartbeat));
+        let peers = directory.live(now).map(|(id, heartbeat)| PeerStatus {
+            evacuation_revision: directory.evacuation_revision(id),
+            ..peer_status(id, heartbeat)
+        });
+        let evacuations = self.evacuations.borrow();
+        let evacuated = evacuations.domains.iter();
+        let evacuated = evacuated.map(|domain| EvacuatedDomainStatus {
+            domain: domain.name.clone(),
+            since_unix_ms: domain.since_ms,
+        });
         let table = self.relay_state.table.borrow();
         let mut endpoints: Vec<GatewayEndpoint> = table
             .rows()
@@ -26,13 +33,18 @@
                 name: row.name.clone(),
                 address: row.address.to_string(),
                 load: row.load(now),
-                standing: standing_label(row.standing(now)).to_owned(),
+                standing: match row.is_evacuated {
+                    true => "evacuated".to_owned(),
+                    false => standing_label(row.standing(now)).to_owned(),
+                },
             })
             .collect();
         endpoints.sort_by(|one, other| one.name.cmp(&other.name));
         GatewayStatus {
             name: self.settings.borrow().name.clone(),
             catalog: self.catalog_version(),
+            evacuation_revision: evacuations.revision,
+            evacuated: evacuated.collect(),
             is_ready: self.is_ready(),
             leader: leader.map(|leader| address_of(leader).to_string()),
             is_leader: quorum.is_some_and(|quorum| quorum.is_leader()),
@@ -50,6 +62,7 @@
         catalog: heartbeat.catalog,
         stores: heartbeat.storage != StorageState::None,
         is_leaving: heartbeat.is_leaving,
+        evacuation_revision: 0,
     }
 }
 
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -74,6 +74,8 @@
     pub slots: u32,
     /// Whether the endpoint is draining and accepts no new calls.
     pub is_draining: bool,
+    /// Whether the failure domain of the endpoint is evacuated.
+    pub is_evacuated: bool,
     /// Number of this instance's requests at the endpoint.
     own_running: u32,
     /// Value of `own_running` that was last announced to other instances.
@@ -123,6 +125,7 @@
             version_id: name_id(&listed.version),
             slots: u32::from(listed.slots),
             is_draining: listed.is_draining,
+            is_evacuated: false,
             own_running: 0,
             announced_running: 0,
             others_running: 0,
@@ -144,13 +147,15 @@
 
     /// Whether an entry of the list is this endpoint, not one that replaced it under its name.
     pub fn is_same(&self, listed: &ListedEndpoint) -> bool {
-        self.address == listed.address && self.version == listed.version
+        let is_in_place = self.address == listed.address && self.domain == listed.domain;
+        is_in_place && self.version == listed.version
     }
 
     /// Suitability of the endpoint for a call; `None` if calls must not be sent to it because it is
-    /// draining, by the list or its own word, or misplaced.
+    /// draining, by the list or its own word, misplaced, or its failure domain is evacuated.
     pub fn standing(&self, now: Duration) -> Option<EndpointStanding> {
-        if self.is_draining || self.is_misplaced || self.leave != EndpointLeave::No {
+        let is_leaving = self.is_draining || self.leave != EndpointLeave::No;
+        if is_leaving || self.is_misplaced || self.is_evacuated {
             return None;
         }
         Some(match (self.health.is_usable(now), self.is_silent(now)) {
@@ -160,6 +165,18 @@
         })
     }
 
+    /// Sets whether the failure domain of the endpoint is evacuated. The endpoint may have
+    /// restarted unnoticed during an evacuation, so it may be cold when the evacuation ends.
+    pub fn set_evacuated(&mut self, now: Duration, is_evacuated: bool) {
+        let was_evacuated = std::mem::replace(&mut self.is_evacuated, is_evacuated);
+        if was_evacuated && !is_evacuated {
+            self.note_maybe_cold(now);
+        }
+    }
+
+    /// Records that the endpoint may have become cold just now.
+    pub fn note_maybe_cold(&mut self, _now: Duration) {}
+
     /// Whether the statements of the endpoint allow that calls are sent.
     pub fn room(&self, now: Duration, view: KeeperView) -> EndpointRoom {
         match self.rest.room(now) {
@@ -171,7 +188,8 @@
     /// Whether a health check is due, as the endpoint has said that it leaves and the list shows it
     /// as ready. If so, records that it begins.
     pub fn begin_leave_check(&mut self, now: Duration, instances: usize) -> bool {
-        let may_call = !self.is_draining && !self.is_misplaced && !self.rests(now);
+        let is_excluded = self.is_draining || self.is_misplaced || self.is_evacuated;
+        let may_call = !is_excluded && !self.rests(now);
         let is_limited = self.limit.rate().is_some();
         may_call && self.leave.begin_check(now, instances, is_limited)
     }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! State that all calls of one instance share.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -213,6 +214,17 @@
         self.set_up.notify_waiters();
     }
 
+    /// Sets the evacuated failure domains. No call is sent to their endpoints; calls that run there
+    /// go on.
+    pub fn set_evacuated(&self, domains: &BTreeSet<DomainId>) {
+        let now = self.now();
+        let mut table = self.table.borrow_mut();
+        table.set_evacuated(now, domains);
+        if table.is_all_evacuated() {
+            log::warn!("relay: all endpoints are in evacuated failure domains; calls are refused");
+        }
+    }
+
     /// Records that the latest list of endpoints is the same as the previous one.
     pub fn confirm_list(&self) {
         self.listed_at.set(Some(self.now()));
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -1,12 +1,12 @@
 //! Table of the listed endpoints.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use pace::room::EndpointRoom;
 use pace::statement::EndpointStatement;
 use wire::gateway::ListedEndpoint;
-use wire::id::{EndpointId, InstanceId, ServiceId};
+use wire::id::{DomainId, EndpointId, InstanceId, ServiceId};
 use wire::statement::{LimitNotice, TokenOutcome};
 
 use crate::call::LoadReport;
@@ -41,6 +41,8 @@
     services: HashMap<ServiceId, Vec<EndpointId>>,
     /// Running requests by endpoint that each other instance announced last.
     instance_loads: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
+    /// Evacuated failure domains, for endpoints that are listed later.
+    evacuated: BTreeSet<DomainId>,
     /// What is known of the keeper of the rates that endpoints name.
     pub keeper: KeeperView,
 }
@@ -58,7 +60,9 @@
                 Some(row) if row.is_same(endpoint) => row,
                 _ => {
                     change.joined.push(joined_text(endpoint));
-                    EndpointRow::new(endpoint)
+                    let mut row = EndpointRow::new(endpoint);
+                    row.is_evacuated = self.evacuated.contains(&row.domain);
+                    row
                 }
             };
             if endpoint.is_draining && !row.is_draining {
@@ -75,6 +79,24 @@
         change
     }
 
+    /// Sets the evacuated failure domains.
+    pub fn set_evacuated(&mut self, now: Duration, domains: &BTreeSet<DomainId>) {
+        self.evacuated.clone_from(domains);
+        for row in self.rows.values_mut() {
+            row.set_evacuated(now, domains.contains(&row.domain));
+        }
+    }
+
+    /// Whether an endpoint is listed and all endpoints are in evacuated failure domains.
+    pub fn is_all_evacuated(&self) -> bool {
+        !self.rows.is_empty() && self.rows.values().all(|row| row.is_evacuated)
+    }
+
+    /// Whether an endpoint of this failure domain is listed.
+    pub fn has_domain(&self, domain: DomainId) -> bool {
+        self.rows.values().any(|row| row.domain == domain)
+    }
+
     /// Whether the list is empty.
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -1,6 +1,6 @@
 //! Tests of the choice of endpoints under load.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -321,3 +321,44 @@
         }
     }
 }
+
+// An evacuated domain must get no calls, also at endpoints that are listed after the order, and its
+// warm caches must still be fetched.
+#[gtest]
+fn evacuated_domain_gets_no_calls_and_remains_a_cache_source() {
+    let mut table = table_of(9);
+    let settings = PlacementSettings::default();
+    let home = place(&table, 7);
+    let domain = table.row(home).expect("it is listed").domain;
+
+    table.set_evacuated(Duration::ZERO, &BTreeSet::from([domain]));
+    let later: Vec<ListedEndpoint> = (1..=12).map(listed).collect();
+    table.replace(&later);
+
+    let mut chosen = Vec::new();
+    for part in 0..200 {
+        for part in [Some(part), None] {
+            let id = choose(&settings, &table, &query(part)).expect("two domains are left");
+            chosen.push(table.row(id).expect("it is listed").domain);
+        }
+    }
+    let at_home = table.row(home).expect("it is listed").address;
+    let source = warm_source(&table, &query(Some(7)), place(&table, 7));
+    expect_that!(chosen, not(contains(eq(&domain))));
+    expect_that!(source, some(eq(at_home)));
+}
+
+#[gtest]
+fn evacuation_of_all_domains_leaves_none_and_its_end_brings_all_back() {
+    let mut table = table_of(6);
+    let settings = PlacementSettings::default();
+
+    table.set_evacuated(Duration::ZERO, &BTreeSet::from([0, 1, 2]));
+    let during = choose(&settings, &table, &query(Some(7)));
+    let is_all_evacuated = table.is_all_evacuated();
+    table.set_evacuated(Duration::ZERO, &BTreeSet::new());
+
+    expect_that!(during, none());
+    expect_that!(is_all_evacuated, eq(true));
+    expect_that!(choose(&settings, &table, &query(Some(7))), some(anything()));
+}
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::label::{LabelLimiter, LabelSettings};
 use crate::metric::{
-    HistogramKind, Result, counter_family, histogram_family, int_gauge, observe, to_gauge_value,
+    HistogramKind, Result, counter_family, histogram_family, int_gauge, int_gauge_family, observe,
+    to_gauge_value,
 };
 use crate::process::ProcessMetrics;
 
@@ -43,6 +44,8 @@
     gateways: IntGauge,
     endpoints: IntGauge,
     connections: IntGauge,
+    evacuation_revision: IntGauge,
+    evacuated_since: IntGaugeVec,
 }
 
 impl GatewayMetrics {
@@ -128,6 +131,17 @@
                 "sapphire_gateway_connections",
                 "Open connections of callers.",
             )?,
+            evacuation_revision: int_gauge(
+                registry,
+                "sapphire_gateway_evacuation_revision",
+                "Revision of the evacuations that this gateway obeys; 0 for none.",
+            )?,
+            evacuated_since: int_gauge_family(
+                registry,
+                "sapphire_gateway_evacuated_since_seconds",
+                "Evacuated failure domains, with the Unix time of the order.",
+                &["domain"],
+            )?,
             process,
         })
     }
@@ -190,6 +204,21 @@
         self.endpoints.set(to_gauge_value(count as u64));
     }
 
+    /// Sets the revision of the evacuations in force, and each evacuated failure domain with the
+    /// time of its order in milliseconds since the Unix epoch.
+    pub fn set_evacuations<'a>(
+        &self,
+        revision: u64,
+        domains: impl Iterator<Item = (&'a str, u64)>,
+    ) {
+        self.evacuation_revision.set(to_gauge_value(revision));
+        self.evacuated_since.reset();
+        for (domain, since_ms) in domains {
+            let since = self.evacuated_since.with_label_values(&[domain]);
+            since.set(to_gauge_value(since_ms / 1000));
+        }
+    }
+
     /// Sets the number of open client connections.
     pub fn set_connections(&self, count: usize) {
         self.connections.set(to_gauge_value(count as u64));
--- a/crates/watch/src/gateway_status.rs
+++ b/crates/watch/src/gateway_status.rs
@@ -17,6 +17,19 @@
     pub stores: bool,
     /// Whether it is shutting down.
     pub is_leaving: bool,
+    /// Revision of the evacuations that it obeys, as it last announced; 0 for none. A gateway
+    /// announces it to each other in turn, so it may be some seconds old in a large fleet.
+    #[serde(default)]
+    pub evacuation_revision: u64,
+}
+
+/// A failure domain to which no calls are sent.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedDomainStatus {
+    /// Its name.
+    pub domain: String,
+    /// When the evacuation was ordered, in milliseconds since the Unix epoch.
+    pub since_unix_ms: u64,
 }
 
 /// An endpoint of the endpoint list, as known to this gateway.
@@ -28,7 +41,7 @@
     pub address: String,
     /// Requests in progress there, as far as this gateway knows.
     pub load: u32,
-    /// Health of the endpoint: `sound`, `silent`, `left-out` or `leaving`.
+    /// Health of the endpoint: `sound`, `silent`, `left-out`, `leaving` or `evacuated`.
     pub standing: String,
 }
 
@@ -39,6 +52,12 @@
     pub name: String,
     /// Version of the catalog in force; 0 for none.
     pub catalog: u64,
+    /// Revision of the evacuations that it obeys; 0 for none.
+    #[serde(default)]
+    pub evacuation_revision: u64,
+    /// The evacuated failure domains.
+    #[serde(default)]
+    pub evacuated: Vec<EvacuatedDomainStatus>,
     /// Whether its readiness check succeeds.
     pub is_ready: bool,
     /// Link address of the leader, if known.
--- a/crates/watch/src/metric.rs
+++ b/crates/watch/src/metric.rs
@@ -6,7 +6,7 @@
 use prometheus::core::Collector;
 use prometheus::{
     Counter, GaugeVec, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    Opts, Registry,
+    IntGaugeVec, Opts, Registry,
 };
 use wire::answer::PriorityClass;
 
@@ -103,6 +103,15 @@
     register(registry, IntGauge::new(name, help)?)
 }
 
+pub(crate) fn int_gauge_family(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec> {
+    register(registry, IntGaugeVec::new(Opts::new(name, help), labels)?)
+}
+
 fn register<C: Collector + Clone + 'static>(registry: &Registry, metric: C) -> Result<C> {
     registry.register(Box::new(metric.clone()))?;
     Ok(metric)
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -214,6 +214,53 @@
     pub removed: Vec<EndpointId>,
 }
 
+/// A failure domain that is evacuated: no calls are sent to its endpoints.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuatedDomain {
+    /// Name of the failure domain.
+    pub name: String,
+    /// When the evacuation was ordered, in milliseconds since the Unix epoch.
+    pub since_ms: u64,
+}
+
+/// The evacuated failure domains.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationState {
+    /// Number of changes so far, counted in the order of the quorum's log.
+    pub revision: u64,
+    /// The evacuated domains, sorted by name.
+    pub domains: Vec<EvacuatedDomain>,
+}
+
+/// What an operator orders for a failure domain.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EvacuationAction {
+    /// Evacuate the domain.
+    Begin,
+    /// Revoke the evacuation.
+    Finish,
+}
+
+/// An operator's order to evacuate a failure domain, or to revoke the evacuation.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationOrder {
+    /// Name of the failure domain.
+    pub domain: String,
+    /// What is ordered.
+    pub action: EvacuationAction,
+    /// When a gateway received the order, in milliseconds since the Unix epoch. For display only.
+    pub at_ms: u64,
+}
+
+/// Announces the evacuations that the sender obeys.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EvacuationNotice {
+    /// Revision of the sender's [`EvacuationState`].
+    pub revision: u64,
+    /// Its domains; `None` if they do not fit into a datagram.
+    pub domains: Option<Vec<EvacuatedDomain>>,
+}
+
 /// Payload of a datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GatewayDatagram {
@@ -235,6 +282,8 @@
     Stream(StreamMessage),
     /// A message about limits that endpoints name. Older gateways ignore it.
     Limit(LimitMessage),
+    /// The evacuations that the sender obeys. Older gateways ignore it.
+    Evacuations(EvacuationNotice),
 }
 
 /// A catalog in the operator's text form, compressed.
@@ -262,6 +311,10 @@
     Install(CatalogText),
     /// A message of the consensus protocol that is too large for a datagram.
     Replica(Vec<u8>),
+    /// To the leader: carry out this order.
+    Evacuate(EvacuationOrder),
+    /// Return the evacuations, if the receiver has a later revision than this.
+    FetchEvacuations(u64),
 }
 
 /// The answer to a [`GatewayRequest`].
@@ -277,4 +330,6 @@
     NotLeader(Option<InstanceId>),
     /// No quorum answered in time.
     NoQuorum,
+    /// The evacuations; revision 0 when there is none, or none later than asked for.
+    Evacuations(EvacuationState),
 }
--- a/crates/wire/tests/gateway.rs
+++ b/crates/wire/tests/gateway.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use wire::codec::{decode_as, encode};
 use wire::gateway::{
-    CrashNotice, GatewayDatagram, ListNotice, ListedEndpoint, MAX_DATAGRAM_BYTES,
+    CrashNotice, EvacuationNotice, GatewayDatagram, ListNotice, ListedEndpoint, MAX_DATAGRAM_BYTES,
     VersionlessEndpoint, VersionlessNotice,
 };
 use wire::statement::{
@@ -48,11 +48,12 @@
             id: 1,
             outcome: TokenOutcome::NotKeeper,
         }),
+        GatewayDatagram::Evacuations(EvacuationNotice::default()),
     ];
 
     let numbers: Vec<u8> = datagrams.iter().map(variant_of).collect();
 
-    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7]));
+    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7, 8]));
 }
 
 // The bytes of an earlier build: a notice without change, and one with an endpoint.
