relay: calls stay in the regions that their route and account allow

Cause: routes and client accounts could not name regions that their calls and data must not leave.

Change: `allowedRegions` in routes and tenants of the catalog; the settings map failure domains to regions. The domains of a call are found once, from both lists, and every choice asks them through PlacementQuery: first attempt, retry, resumed stream, token request, source of a warm cache. A domain that the settings do not name is in no region. Without an endpoint the call is refused at once as not run, and counted. A region in which no domain lies is logged when a catalog or settings are taken over; the catalog stays valid. Bodies never go from gateway to gateway, so nothing is decided there.

An idle connection is now used only if it leads to the listed address of its endpoint: a predecessor under the same name may have been in another region, or of another software version.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -73,6 +73,8 @@
     pub is_public: bool,
     /// Whether requests carry the parts of a prompt.
     pub has_prompt: bool,
+    /// Regions in which the route's requests stay; empty for any.
+    pub allowed_regions: Vec<String>,
 }
 
 /// Share of a route's requests that goes to one service.
@@ -139,4 +141,6 @@
     pub keys: Vec<String>,
     /// Priority of the account's requests, which is compared before that of the route.
     pub priority: Option<u8>,
+    /// Regions in which the account's requests stay; empty for any.
+    pub allowed_regions: Vec<String>,
 }
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -35,6 +35,7 @@
         max_attempts: 2,
         is_public: false,
         has_prompt: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -43,6 +44,7 @@
         name: name.to_owned(),
         keys: keys.iter().map(|key| (*key).to_owned()).collect(),
         priority: None,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -155,6 +155,8 @@
 
 /// An open connection to an endpoint.
 pub struct EndpointConnection {
+    /// Address of the endpoint.
+    pub address: SocketAddr,
     /// Bounds on each answer.
     pub limits: AnswerLimits,
     /// Time at which the current answer must have ended.
@@ -183,11 +185,12 @@
         let connected = timeout(limit, TcpStream::connect(address)).await;
         let stream = connected.map_err(|_| EndpointError::ConnectTimeout)??;
         set_options(&stream)?;
-        Ok(Self::new(stream))
+        Ok(Self::new(address, stream))
     }
 
-    fn new(stream: TcpStream) -> Self {
+    fn new(address: SocketAddr, stream: TcpStream) -> Self {
         Self {
+            address,
             limits: AnswerLimits::default(),
             ends_at: Instant::now(),
             body_length: 0,
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -7,6 +7,7 @@
 
 use catalog::CatalogIndex;
 use link::{DatagramSeal, Link, LinkSettings};
+use relay::region::DomainRegions;
 use relay::state::RelayState;
 use settings::process::GatewaySettings;
 use tokio::net::UdpSocket;
@@ -75,6 +76,7 @@
         link_settings: LinkSettings,
     ) -> Self {
         let own = instance_at(settings.link);
+        relay_state.set_regions(DomainRegions::new(&settings.domains));
         Self {
             settings: RefCell::new(settings),
             own,
--- a/crates/gateway/src/reload.rs
+++ b/crates/gateway/src/reload.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use actix_rt::signal::unix::{SignalKind, signal};
+use relay::region::DomainRegions;
 use settings::process::{GatewaySettings, load};
 use tokio::time::sleep;
 
@@ -13,8 +14,8 @@
 /// Interval at which the file is read, as it may change without a signal.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reloads the settings on SIGHUP, and when the file has changed, until the process ends. The seeds
-/// and the settings of the endpoint list take effect while the process runs. Listen addresses, the
+/// Reloads the settings on SIGHUP, and when the file has changed, until the process ends. The seeds,
+/// the regions and the settings of the endpoint list take effect while the process runs. Listen addresses, the
 /// data folder, the secret, the grace period and the retry budget are read at the start only.
 pub async fn follow_settings(node: Rc<GatewayNode>, path: PathBuf) {
     let mut hang_up = match signal(SignalKind::hangup()) {
@@ -32,6 +33,8 @@
         match load::<GatewaySettings>(&path) {
             Ok(settings) if settings != *node.settings.borrow() => {
                 log::info!(seeds = format!("{:?}", settings.seeds).as_str(); "gateway: settings reloaded");
+                let regions = DomainRegions::new(&settings.domains);
+                node.relay_state.set_regions(regions);
                 *node.settings.borrow_mut() = settings;
             }
             Ok(_) => {}
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -27,6 +27,7 @@
 mod fixture;
 mod framing;
 mod limits;
+mod regions;
 mod rejoined;
 mod stopping;
 mod version_fleet;
@@ -66,6 +67,7 @@
         max_attempts: 2,
         is_public: false,
         has_prompt: false,
+        allowed_regions: Vec::new(),
     }
 }
 
@@ -89,6 +91,7 @@
             name: "one".to_owned(),
             keys: vec!["k1".to_owned()],
             priority: None,
+            allowed_regions: Vec::new(),
         }],
         ..RouteCatalog::default()
     }
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -52,6 +52,7 @@
         PlacementQuery {
             service: name_id(SERVICE),
             version: None,
+            domains: None,
             shared_part: Some(shared_part),
             instance: self.number,
             domain: 0,
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -282,6 +282,7 @@
         let query = PlacementQuery {
             service: service(),
             version: None,
+            domains: None,
             shared_part: Some(load_call.part),
             instance: gateway as u64,
             domain: domain_of(gateway, self.size),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -187,7 +187,10 @@
             (row.address, row.name.clone(), row.version_id)
         };
         self.progress.attempt_version = version;
+        // An idle connection may lead to an endpoint that was replaced under its name, which may be
+        // in another region.
         let idle = state.pool.take(state.now(), self.endpoint);
+        let idle = idle.filter(|idle| idle.address == address.into());
         let is_reused = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -52,7 +52,10 @@
     match resolve_call(state, catalog.as_deref(), incoming, &metadata).await {
         Ok((rules, origin)) => {
             let version = origin.map(|origin| origin.version);
-            let call = RelayCall::new(incoming, metadata, rules, version, started);
+            let call = {
+                let regions = state.regions.borrow();
+                RelayCall::new(incoming, metadata, rules, version, &regions, started)
+            };
             record.route.clone_from(&call.route.name);
             record.account = call.account_name().to_owned();
             record.fingerprint = call.fingerprint;
@@ -349,6 +352,9 @@
     /// Ends a call for which no endpoint is left. If it could not be sent because of what endpoints
     /// state, it may return when one of them takes calls again.
     async fn finish_without_room(&mut self) -> CallEnd {
+        if self.call.domains.is_some() {
+            self.state.metrics.count_region_refusal();
+        }
         match self.wait_for_room() {
             Some(wait) => self.refuse_overloaded(wait).await,
             None => self.finish_failed().await,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`origin_coverage`]: whether the records of streams are complete.
 //! * [`crash`]: detection of requests that crash the endpoints that run them.
 //! * [`retry`]: whether a failed attempt is followed by another.
+//! * [`region`]: regions in which calls must stay.
 //! * [`refusal`]: refused calls and their `Retry-After` time.
 //!
 //! Serving of calls, with I/O:
@@ -75,6 +76,7 @@
 pub mod rate_keeper;
 pub mod record;
 pub mod refusal;
+pub mod region;
 pub mod relay_call;
 pub mod reply;
 pub mod retry;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -6,6 +6,7 @@
 //! the least utilized endpoint within the bound takes it. Calls without a prompt go to the endpoint
 //! that is expected to answer first.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
@@ -56,6 +57,9 @@
     /// The only software version whose endpoints are considered: that which began the stream which
     /// the call resumes. `None` if any version may run the call.
     pub version: Option<VersionId>,
+    /// The only failure domains whose endpoints are considered, for the call and as sources of its
+    /// cache: those of the regions in which it must stay. `None` if it may go anywhere.
+    pub domains: Option<&'a BTreeSet<DomainId>>,
     /// Id of the prompt part by which endpoints are ranked; `None` for calls without a prompt.
     pub shared_part: Option<u64>,
     /// Id of this instance.
@@ -178,7 +182,14 @@
 impl PlacementQuery<'_> {
     /// Whether the call may go on at an endpoint.
     fn matches(&self, row: &EndpointRow) -> bool {
-        self.version.is_none_or(|version| version == row.version_id)
+        let is_version = self.version.is_none_or(|version| version == row.version_id);
+        is_version && self.stays(row)
+    }
+
+    /// Whether an endpoint is where the call must stay.
+    fn stays(&self, row: &EndpointRow) -> bool {
+        self.domains
+            .is_none_or(|domains| domains.contains(&row.domain))
     }
 
     /// Whether the call has not tried an endpoint, may go on there, and the endpoint's statements
@@ -267,7 +278,7 @@
     let part = query.shared_part?;
     let version = table.row(chosen)?.version_id;
     let others = table.of_service(query.service).filter(|(id, row)| {
-        let is_other = *id != chosen && !query.tried.contains(id);
+        let is_other = *id != chosen && !query.tried.contains(id) && query.stays(row);
         is_other && row.version_id == version && row.is_sound(query.now) && !row.rests(query.now)
     });
     let best = others.max_by_key(|(id, _)| affinity(part, *id));
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -1,5 +1,6 @@
 //! A call together with the rules that apply to it.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,13 +8,14 @@
 use bytes::Bytes;
 use catalog::{AccountRule, RouteRule};
 use tokio::time::Instant;
-use wire::id::{EndpointId, FingerprintHash, ServiceId, VersionId};
+use wire::id::{DomainId, EndpointId, FingerprintHash, ServiceId, VersionId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::admission::AdmissionCall;
 use crate::call::{CallMetadata, PromptOutline};
 use crate::crash::SuspectHash;
 use crate::placement::PlacementQuery;
+use crate::region::{DomainRegions, allowed_domains};
 use crate::rules::{CallRules, fingerprint};
 use crate::session::IncomingCall;
 use crate::state::RelayState;
@@ -40,6 +42,8 @@
     pub service: ServiceId,
     /// Software version that began the stream which the caller resumes; `None` if it begins one.
     pub resumed_version: Option<VersionId>,
+    /// Failure domains in which the call must stay; `None` if it may go anywhere.
+    pub domains: Option<BTreeSet<DomainId>>,
     /// Rank among the calls of the service; 0 is the most urgent.
     pub rank: u8,
     /// Maximum number of connections that an endpoint of the service accepts from all instances
@@ -56,13 +60,14 @@
 }
 
 impl<'a> RelayCall<'a> {
-    /// Combines a call that arrived at `started` with its rules and the software version that began
-    /// the stream which it resumes.
+    /// Combines a call that arrived at `started` with its rules, the software version that began
+    /// the stream which it resumes, and the regions of failure domains.
     pub fn new(
         incoming: &'a IncomingCall,
         metadata: CallMetadata,
         rules: CallRules<'a>,
         resumed_version: Option<VersionId>,
+        regions: &DomainRegions,
         started: Instant,
     ) -> Self {
         let caller_timeout = metadata.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
@@ -78,6 +83,7 @@
             account: rules.account,
             service: rules.service,
             resumed_version,
+            domains: allowed_domains(regions, rules.route, rules.account),
             rank: rules.rank,
             max_connections: rules.max_connections,
             started,
@@ -111,7 +117,7 @@
     /// Builds the call's input to the choice of an endpoint of `version`, or of any version, given
     /// the endpoints that it has tried.
     pub fn query<'b>(
-        &self,
+        &'b self,
         state: &RelayState,
         version: Option<VersionId>,
         tried: &'b [EndpointId],
@@ -119,6 +125,7 @@
         PlacementQuery {
             service: self.service,
             version,
+            domains: self.domains.as_ref(),
             shared_part: self
                 .metadata
                 .prompt
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -24,6 +24,7 @@
 use crate::peers::InstancePeers;
 use crate::placement::PlacementSettings;
 use crate::rate_keeper::RateKeeper;
+use crate::region::DomainRegions;
 use crate::table::EndpointTable;
 use exchange::pool::ConnectionPool;
 
@@ -91,6 +92,8 @@
     pub dialect: Rc<dyn CallDialect>,
     /// The active catalog; `None` before the first one arrived.
     catalog: RefCell<Option<Rc<CatalogIndex>>>,
+    /// Regions of the failure domains.
+    pub regions: RefCell<DomainRegions>,
     /// Metrics of the instance.
     pub metrics: GatewayMetrics,
     /// Listed endpoints with their load and health.
@@ -157,6 +160,7 @@
             settings,
             dialect,
             catalog: RefCell::default(),
+            regions: RefCell::default(),
             table: RefCell::default(),
             listed_at: Cell::new(None),
             crashes: RefCell::new(CrashTracker::new(rand::random())),
@@ -194,9 +198,32 @@
     /// Activates a catalog. Calls in progress keep the previous one.
     pub fn set_catalog(&self, catalog: CatalogIndex) {
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        self.warn_of_unknown_regions();
         self.set_up.notify_waiters();
     }
 
+    /// Sets the regions of the failure domains. Calls in progress keep the previous ones.
+    pub fn set_regions(&self, regions: DomainRegions) {
+        *self.regions.borrow_mut() = regions;
+        self.warn_of_unknown_regions();
+    }
+
+    /// Logs the regions that the catalog names and in which no failure domain lies. Calls that must
+    /// stay there are refused, so a misspelt name shows here.
+    fn warn_of_unknown_regions(&self) {
+        let Some(index) = self.catalog() else {
+            return;
+        };
+        let catalog = index.catalog();
+        let of_routes = catalog.routes.iter().flat_map(|one| &one.allowed_regions);
+        let of_accounts = catalog.accounts.iter().flat_map(|one| &one.allowed_regions);
+        let named: BTreeSet<&String> = of_routes.chain(of_accounts).collect();
+        let regions = self.regions.borrow();
+        for region in named.into_iter().filter(|one| !regions.contains(one)) {
+            log::warn!(region = region.as_str(); "relay: catalog names a region without a failure domain");
+        }
+    }
+
     /// Replaces the list of endpoints.
     pub fn set_endpoints(&self, listed: &[ListedEndpoint]) {
         let change = self.table.borrow_mut().replace(listed);
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -76,6 +76,7 @@
     let query = PlacementQuery {
         service: name_id(SERVICE),
         version: None,
+        domains: None,
         shared_part: Some(7),
         instance: 1,
         domain: 0,
--- a/crates/relay/tests/decisions.rs
+++ b/crates/relay/tests/decisions.rs
@@ -249,6 +249,7 @@
         max_attempts,
         is_public: false,
         has_prompt: false,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -36,6 +36,7 @@
     PlacementQuery {
         service: name_id(SERVICE),
         version: None,
+        domains: None,
         shared_part,
         instance: 0,
         domain: 0,
@@ -362,3 +363,45 @@
     expect_that!(is_all_evacuated, eq(true));
     expect_that!(choose(&settings, &table, &query(Some(7))), some(anything()));
 }
+
+// A call that must stay in a region must not go elsewhere when its region is loaded, and must not
+// fetch its cache from elsewhere.
+#[gtest]
+fn call_and_its_cache_stay_in_the_allowed_domains() {
+    let mut table = table_of(9);
+    for number in (1..=9).filter(|number| number % 3 == 1) {
+        for _ in 0..200 {
+            table.start(Duration::ZERO, listed(number).id());
+        }
+    }
+    let allowed = BTreeSet::from([1]);
+    let settings = PlacementSettings::default();
+    let stays = |part| PlacementQuery {
+        domains: Some(&allowed),
+        ..query(part)
+    };
+
+    let mut domains = Vec::new();
+    for part in 0..100 {
+        for part in [Some(part), None] {
+            let chosen = choose(&settings, &table, &stays(part)).expect("three endpoints are left");
+            domains.push(table.row(chosen).expect("it is listed").domain);
+            if let Some(source) = warm_source(&table, &stays(part), chosen) {
+                let mut rows = table.rows();
+                let row = rows
+                    .find(|row| row.address == source)
+                    .expect("it is listed");
+                domains.push(row.domain);
+            }
+        }
+    }
+    let all: Vec<EndpointId> = [1, 4, 7].map(|number| listed(number).id()).to_vec();
+    let retry = PlacementQuery {
+        tried: &all,
+        ..stays(Some(7))
+    };
+
+    expect_that!(domains.len(), eq(300));
+    expect_that!(domains, each(eq(&1)));
+    expect_that!(choose(&settings, &table, &retry), none());
+}
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -44,6 +44,7 @@
             name: ACCOUNT.to_owned(),
             keys: vec![ACCOUNT_KEY.to_owned(), format!("old-{version}")],
             priority: None,
+            allowed_regions: Vec::new(),
         }],
         ..RouteCatalog::default()
     };
@@ -67,6 +68,7 @@
         max_attempts: 3,
         is_public: false,
         has_prompt: false,
+        allowed_regions: Vec::new(),
     }
 }
 
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -2,12 +2,12 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounterVec, IntGauge, IntGaugeVec};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::label::{LabelLimiter, LabelSettings};
 use crate::metric::{
-    HistogramKind, Result, counter_family, histogram_family, int_gauge, int_gauge_family, observe,
-    to_gauge_value,
+    HistogramKind, Result, counter, counter_family, histogram_family, int_gauge, int_gauge_family,
+    observe, to_gauge_value,
 };
 use crate::process::ProcessMetrics;
 
@@ -46,6 +46,7 @@
     connections: IntGauge,
     evacuation_revision: IntGauge,
     evacuated_since: IntGaugeVec,
+    region_refusals: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -142,6 +143,11 @@
                 "Evacuated failure domains, with the Unix time of the order.",
                 &["domain"],
             )?,
+            region_refusals: counter(
+                registry,
+                "sapphire_gateway_region_refusals_total",
+                "Calls that must stay in certain regions and for which no endpoint there was left.",
+            )?,
             process,
         })
     }
@@ -204,6 +210,11 @@
         self.endpoints.set(to_gauge_value(count as u64));
     }
 
+    /// Counts a call that must stay in certain regions and for which no endpoint there was left.
+    pub fn count_region_refusal(&self) {
+        self.region_refusals.inc();
+    }
+
     /// Sets the revision of the evacuations in force, and each evacuated failure domain with the
     /// time of its order in milliseconds since the Unix epoch.
     pub fn set_evacuations<'a>(
