ctl: begin, finish and show evacuations of failure domains

Cause: operators had to send orders by an HTTP client of their own.

Change: `sapphirectl gateway evacuate begin DOMAIN`, `finish DOMAIN` and `show`. An answer without a body is a success.

--- a/crates/ctl/src/args.rs
+++ b/crates/ctl/src/args.rs
@@ -76,7 +76,7 @@
     Watch(WatchArgs),
     /// Lists or lifts quarantines.
     Quarantine(QuarantineArgs),
-    /// Shows a gateway, and reads or replaces its catalog.
+    /// Shows a gateway, reads or replaces its catalog, and evacuates failure domains.
     Gateway(GatewayArgs),
     /// Prints the hash of a key.
     HashKey(HashKeyArgs),
@@ -264,7 +264,7 @@
     pub fingerprint: String,
 }
 
-/// Show a gateway, and read or replace its catalog; --control is a gateway's operator address.
+/// Show a gateway, read or replace its catalog, evacuate failure domains; --control is a gateway's operator address.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "gateway")]
 pub struct GatewayArgs {
@@ -283,6 +283,8 @@
     Catalog(CatalogArgs),
     /// Replaces the catalog.
     Replace(ReplaceArgs),
+    /// Evacuates failure domains.
+    Evacuate(EvacuateArgs),
 }
 
 /// Show the status of a gateway: catalog, leader, other gateways, endpoints.
@@ -304,6 +306,51 @@
     pub file: PathBuf,
 }
 
+/// Order that no calls are sent to the endpoints of a failure domain, revoke the order, or show which
+/// gateways obey.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "evacuate")]
+pub struct EvacuateArgs {
+    /// command to run
+    #[argh(subcommand)]
+    pub command: EvacuateCommand,
+}
+
+/// Commands for evacuations.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand)]
+pub enum EvacuateCommand {
+    /// Orders an evacuation.
+    Begin(BeginArgs),
+    /// Revokes an evacuation.
+    Finish(FinishArgs),
+    /// Shows the evacuations.
+    Show(ShowArgs),
+}
+
+/// Send no calls to the endpoints of a failure domain; calls that run there finish.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "begin")]
+pub struct BeginArgs {
+    /// failure domain
+    #[argh(positional)]
+    pub domain: String,
+}
+
+/// Send calls to the endpoints of a failure domain again.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "finish")]
+pub struct FinishArgs {
+    /// failure domain
+    #[argh(positional)]
+    pub domain: String,
+}
+
+/// Show the evacuated failure domains, and the revision that each gateway obeys.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "show")]
+pub struct ShowArgs {}
+
 /// Print the hash of the key in --key-file or on standard input.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "hash-key")]
--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -108,6 +108,21 @@
         self.send(&self.control, call).await
     }
 
+    /// Sends a POST request without a body, whose answer has none. It may be received more than
+    /// once, because failed attempts are retried.
+    ///
+    /// # Errors
+    /// The request was refused, or no instance answered in time.
+    pub async fn order(&self, path: &str) -> Result<()> {
+        let call = OperatorCall::<_, ()> {
+            method: Method::POST,
+            path,
+            query: &(),
+            body: None,
+        };
+        self.send(&self.control, call).await
+    }
+
     /// Sends a DELETE request to a control instance.
     ///
     /// # Errors
@@ -222,6 +237,8 @@
         AttemptError::Final(CtlError::Malformed(message))
     };
     if status.is_success() {
+        // An answer without a body is read as `()`.
+        let body = if body.is_empty() { b"null" } else { body };
         return serde_json::from_slice(body).map_err(malformed);
     }
     let response: FaultResponse = serde_json::from_slice(body).map_err(malformed)?;
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -196,3 +196,20 @@
 
     insta::assert_snapshot!(text.replace(&folder.display().to_string(), "FOLDER"));
 }
+
+// A name with a slash must reach the gateway as one name, and an answer without body is a success.
+#[gtest]
+fn failure_domain_is_evacuated_and_the_obeying_gateways_are_shown() {
+    let lines = [
+        "gateway evacuate begin rennes",
+        "gateway evacuate begin rennes/2 --json",
+        "gateway evacuate begin nowhere",
+        "gateway evacuate finish rennes",
+        "gateway evacuate show",
+        "gateway evacuate show --json",
+    ];
+
+    let text = golden(fake_control(), &lines);
+
+    insta::assert_snapshot!(text);
+}
