--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -2,11 +2,12 @@
 
 use std::time::Duration;
 
-use prometheus::{HistogramVec, IntCounterVec, IntGauge};
+use prometheus::{HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec};
 
 use crate::label::{LabelLimiter, LabelSettings};
 use crate::metric::{
-    HistogramKind, Result, counter_family, histogram_family, int_gauge, observe, to_gauge_value,
+    HistogramKind, Result, counter, counter_family, histogram_family, int_gauge, int_gauge_family,
+    observe, to_gauge_value,
 };
 use crate::process::ProcessMetrics;
 
@@ -44,6 +45,9 @@
     endpoints: IntGauge,
     skipped_entries: IntGauge,
     connections: IntGauge,
+    evacuation_revision: IntGauge,
+    evacuated_since: IntGaugeVec,
+    region_refusals: IntCounter,
 }
 
 impl GatewayMetrics {
@@ -134,6 +138,22 @@
                 "sapphire_gateway_connections",
                 "Open connections of callers.",
             )?,
+            evacuation_revision: int_gauge(
+                registry,
+                "sapphire_gateway_evacuation_revision",
+                "Revision of the evacuations that this gateway obeys; 0 for none.",
+            )?,
+            evacuated_since: int_gauge_family(
+                registry,
+                "sapphire_gateway_evacuated_since_seconds",
+                "Evacuated failure domains, with the Unix time of the order.",
+                &["domain"],
+            )?,
+            region_refusals: counter(
+                registry,
+                "sapphire_gateway_region_refusals_total",
+                "Calls that must stay in certain regions and for which no endpoint there was left.",
+            )?,
             process,
         })
     }
@@ -201,6 +221,26 @@
         self.skipped_entries.set(to_gauge_value(count as u64));
     }
 
+    /// Counts a call that must stay in certain regions and for which no endpoint there was left.
+    pub fn count_region_refusal(&self) {
+        self.region_refusals.inc();
+    }
+
+    /// Sets the revision of the evacuations in force, and each evacuated failure domain with the
+    /// time of its order in milliseconds since the Unix epoch.
+    pub fn set_evacuations<'a>(
+        &self,
+        revision: u64,
+        domains: impl Iterator<Item = (&'a str, u64)>,
+    ) {
+        self.evacuation_revision.set(to_gauge_value(revision));
+        self.evacuated_since.reset();
+        for (domain, since_ms) in domains {
+            let since = self.evacuated_since.with_label_values(&[domain]);
+            since.set(to_gauge_value(since_ms / 1000));
+        }
+    }
+
     /// Sets the number of open client connections.
     pub fn set_connections(&self, count: usize) {
         self.connections.set(to_gauge_value(count as u64));
