Catalog: cold time and rate of services, and the state of a cold endpoint

Cause: an endpoint that has just started is slow for some seconds and crashes at a rate of calls that a warm one takes. The catalog states both, and nothing read it.

--- a/crates/catalog/src/catalog.rs
+++ b/crates/catalog/src/catalog.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use wire::statement::CallRate;
+
 /// Version number of a catalog. The highest takes effect; numbers need not be consecutive.
 pub type CatalogVersion = u64;
 
@@ -95,6 +97,11 @@
     pub max_connections: u32,
     /// Capacity of its endpoints if they are model engines.
     pub engine: Option<EngineRule>,
+    /// Time for which an endpoint is cold after a start; zero for never.
+    pub cold_start: Duration,
+    /// Rate of calls that a cold endpoint tolerates from all instances together; `None` if endpoints
+    /// are never cold.
+    pub cold_rate: Option<CallRate>,
 }
 
 /// Capacity of the model engines of one service.
--- a/crates/catalog/tests/catalog.rs
+++ b/crates/catalog/tests/catalog.rs
@@ -15,6 +15,8 @@
         health_path: "/healthz".to_owned(),
         max_connections: 10,
         engine: None,
+        cold_start: Duration::ZERO,
+        cold_rate: None,
     }
 }
 
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -84,6 +84,8 @@
             health_path: "/healthz".to_owned(),
             max_connections: 10,
             engine: None,
+            cold_start: Duration::ZERO,
+            cold_rate: None,
         }],
         accounts: vec![AccountRule {
             name: "one".to_owned(),
--- a/crates/pace/src/bucket.rs
+++ b/crates/pace/src/bucket.rs
@@ -9,6 +9,9 @@
 /// Number of tokens that are kept at least. With a single one, the rate would be lost while that one
 /// waits for a call.
 const MIN_BURST: f64 = 2.0;
+/// The same for a cold endpoint. Its bound holds in each second, and tokens that were granted within
+/// their lifetime may be used at once.
+const COLD_BURST_TIME: Duration = Duration::from_millis(250);
 /// Lowest rate of a limit, in calls per second. Without any call, no answer of an endpoint could end
 /// its limit.
 const MIN_RATE: f64 = 0.2;
@@ -32,6 +35,15 @@
         }
     }
 
+    /// The bucket of a cold endpoint, for all calls to it or a large share of them.
+    pub fn of_cold(rate: CallRate, share: f64) -> Self {
+        let rate = Self::of_share(rate, share).rate.max(MIN_RATE);
+        Self {
+            rate,
+            size: (rate * COLD_BURST_TIME.as_secs_f64()).max(MIN_BURST),
+        }
+    }
+
     /// A bucket that holds one token, for a small share of a limit.
     pub fn of_share(limit: CallRate, share: f64) -> Self {
         Self {
--- a/crates/soak/src/operator.rs
+++ b/crates/soak/src/operator.rs
@@ -39,6 +39,8 @@
             health_path: "/healthz".to_owned(),
             max_connections: 200,
             engine: None,
+            cold_start: Duration::ZERO,
+            cold_rate: None,
         }],
         accounts: vec![AccountRule {
             name: ACCOUNT.to_owned(),
