Relay: cold endpoints share a rate through the tokens of limits

Cause: gateways send calls to an endpoint that has returned after a crash as if it were warm, each of them without knowing of the others.

Change: `EndpointRow::note_maybe_cold` marks a row as cold, and the row counts as cold until it has answered and its cold time has passed. The keeper of the rates hands out tokens of cold endpoints at `coldPerS`; these expire after 300 ms, as the bound holds in each second. Signs of a restart and first answers are told to all gateways (`LimitMessage::Cold`), carried by requests for tokens (`ColdAsk`) and repeated like limits. A gateway that has restarted asks for tokens of all endpoints until another one has told it what is cold. Cold times of the list go to all gateways in the new datagram `ColdList`; `X-Cold-Ms` is read from answers.

--- a/crates/agent/src/client.rs
+++ b/crates/agent/src/client.rs
@@ -25,6 +25,7 @@
 pub const STATEMENT_HEADERS: StatementHeaders = StatementHeaders {
     limit: "x-rate-limit",
     leaving: "x-leaving",
+    cold: "x-cold-ms",
 };
 /// Headers of an answer that are not forwarded, because the sender on each connection sets its own.
 const CONNECTION_HEADERS: [&str; 7] = [
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -8,10 +8,10 @@
 use platform::paths::{ENDPOINT_LIST, PAGE_PARAMETER};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use wire::gateway::{
-    GatewayDatagram, GatewayReply, GatewayRequest, ListNotice, ListedEndpoint, ReadingKey,
-    address_of,
+    ColdListNotice, GatewayDatagram, GatewayReply, GatewayRequest, ListNotice, ListedEndpoint,
+    MAX_COLD_ENDPOINTS, ReadingKey, address_of,
 };
-use wire::id::InstanceId;
+use wire::id::{EndpointId, InstanceId};
 
 use crate::node::GatewayNode;
 
@@ -49,6 +49,9 @@
     TimedOut,
 }
 
+/// How much longer endpoints are cold after a start.
+type ColdTimes = Vec<(EndpointId, Duration)>;
+
 type Result<T> = std::result::Result<T, ReadError>;
 
 /// Reads the list whenever this gateway is due to, until the process ends. Of several failures in a
@@ -66,12 +69,13 @@
         node.readings.borrow_mut().note_attempt(node.now());
         let read = timeout(READING_TIMEOUT, node.read_list(&client)).await;
         match read.unwrap_or(Err(ReadError::TimedOut)) {
-            Ok(endpoints) => {
+            Ok((endpoints, cold)) => {
                 if has_failed {
                     log::info!("gateway: endpoint list read again after a failure");
                 }
                 has_failed = false;
                 node.publish_reading(endpoints);
+                node.publish_cold(cold);
             }
             Err(error) => {
                 if !has_failed {
@@ -104,9 +108,10 @@
         }
     }
 
-    async fn read_list(&self, client: &Client) -> Result<Vec<ListedEndpoint>> {
+    async fn read_list(&self, client: &Client) -> Result<(Vec<ListedEndpoint>, ColdTimes)> {
         let address = self.settings.borrow().list.address;
         let mut endpoints = Vec::new();
+        let mut cold = Vec::new();
         let mut page: Option<String> = None;
         for _ in 0..MAX_PAGES {
             let query = page.map_or_else(String::new, |page| format!("?{PAGE_PARAMETER}={page}"));
@@ -118,12 +123,13 @@
                 log::warn!(skipped = read.skipped; "gateway: unreadable entries of the endpoint list skipped");
             }
             endpoints.extend(read.endpoints);
+            cold.extend(read.cold);
             page = read.next;
             if page.is_none() {
                 break;
             }
         }
-        Ok(endpoints)
+        Ok((endpoints, cold))
     }
 
     /// Activates this gateway's own reading and sends a notice of it to the live gateways.
@@ -165,6 +171,21 @@
         }
     }
 
+    /// Records the cold times of this gateway's own reading, and sends those that matter to the live
+    /// gateways.
+    fn publish_cold(&self, cold: ColdTimes) {
+        let endpoints = self.relay_state.note_cold_reading(&cold);
+        for endpoints in endpoints.chunks(MAX_COLD_ENDPOINTS) {
+            let notice = GatewayDatagram::ColdList(ColdListNotice {
+                age_ms: 0,
+                endpoints: endpoints.to_vec(),
+            });
+            for (instance, _) in self.directory.borrow().live(self.now()) {
+                self.send_datagram(instance, &notice);
+            }
+        }
+    }
+
     /// Sends the notice of this gateway's latest reading to a gateway that has just become live, if
     /// the reading is recent.
     pub fn send_list_notice(&self, newcomer: InstanceId) {
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -80,7 +80,7 @@
         tried: &[EndpointId],
         id: u64,
     ) -> Option<TokenAsk> {
-        if !self.table.has_limit(name_id(SERVICE)) {
+        if !self.table.has_limit(now, name_id(SERVICE)) {
             return None;
         }
         let query = self.query(now, shared_part, tried);
@@ -106,7 +106,7 @@
         let requests = ask
             .wishes
             .iter()
-            .map(|wish| token_request(&self.table, wish));
+            .map(|wish| token_request(now, &self.table, wish));
         let requests: Vec<TokenRequest> = requests.collect();
         self.keeper.hand_out(now, &requests)
     }
--- a/crates/pace/src/statement.rs
+++ b/crates/pace/src/statement.rs
@@ -16,6 +16,8 @@
     pub limit: &'static str,
     /// Whether the endpoint is leaving: 1 if it is.
     pub leaving: &'static str,
+    /// For how much longer the endpoint is cold after a start, in milliseconds.
+    pub cold: &'static str,
 }
 
 /// A value in the head of an answer.
@@ -50,6 +52,8 @@
     pub rest: StatedValue<Duration>,
     /// Whether the endpoint is leaving and wants no new calls.
     pub is_leaving: StatedValue<bool>,
+    /// For how much longer the endpoint is cold after a start. Only health answers state it.
+    pub cold: StatedValue<Duration>,
 }
 
 impl EndpointStatement {
@@ -59,6 +63,7 @@
             limit: read_strictest(headers, names.limit, read_rate, CallRate::min),
             rest: read_strictest(headers, RETRY_AFTER.as_str(), read_rest, Duration::max),
             is_leaving: read_strictest(headers, names.leaving, read_flag, bool::max),
+            cold: read_strictest(headers, names.cold, read_cold, Duration::max),
         }
     }
 
@@ -83,6 +88,7 @@
         self.limit == StatedValue::Unreadable
             || self.rest == StatedValue::Unreadable
             || self.is_leaving == StatedValue::Unreadable
+            || self.cold == StatedValue::Unreadable
     }
 }
 
@@ -121,6 +127,15 @@
     Duration::try_from_secs_f64(seconds.min(MAX_REST_SECONDS)).ok()
 }
 
+/// Reads a number of milliseconds, which may have a fraction.
+fn read_cold(millis: &str) -> Option<Duration> {
+    let millis: f64 = millis
+        .parse()
+        .ok()
+        .filter(|millis: &f64| millis.is_finite())?;
+    Duration::try_from_secs_f64((millis / 1000.0).min(MAX_REST_SECONDS)).ok()
+}
+
 fn read_flag(flag: &str) -> Option<bool> {
     match flag {
         "1" => Some(true),
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -206,7 +206,7 @@
         let exchanged = with_time_limit(self.head_limit(), exchange).await;
         self.progress.may_run = connection.has_sent;
         let head = exchanged?;
-        slot.note_alive();
+        slot.note_head();
         let metadata = self.read_head(&head)?;
         let is_named = self.is_named(&metadata);
         if is_reused && !is_named {
@@ -277,7 +277,11 @@
         state.table.borrow_mut().note_activity(now, self.endpoint);
         match head.status {
             StatusCode::MISDIRECTED_REQUEST => state.note_endpoint_down(self.endpoint),
-            _ => state.note_endpoint_alive(self.endpoint, self.progress.attempted_at),
+            _ => {
+                let sent_at = self.progress.attempted_at;
+                state.note_answer(self.endpoint, sent_at, now);
+                state.note_endpoint_alive(self.endpoint, sent_at);
+            }
         }
         let metadata = state.dialect.read_answer(head.headers());
         if metadata.attempt_id.is_some() && metadata.attempt_id != self.call.metadata.attempt_id {
--- /dev/null
+++ b/crates/relay/src/cold_sharing.rs
@@ -0,0 +1,174 @@
+//! What the instances tell each other of restarts of endpoints, which are cold afterwards.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use catalog::CatalogIndex;
+use pace::cold::{ColdRule, LIST_LAG};
+use wire::gateway::ColdListNotice;
+use wire::id::{EndpointId, InstanceId, ServiceId, name_id};
+use wire::statement::{ColdNotice, LimitMessage, MAX_NOTICES};
+
+use crate::state::RelayState;
+
+/// The services of a catalog that have cold endpoints.
+pub fn cold_rules(catalog: &CatalogIndex) -> HashMap<ServiceId, ColdRule> {
+    let services = catalog.catalog().services.iter();
+    let rules = services.filter_map(|service| {
+        let rule = ColdRule {
+            start: service.cold_start,
+            rate: service.cold_rate?,
+        };
+        (!rule.start.is_zero()).then_some((name_id(&service.name), rule))
+    });
+    rules.collect()
+}
+
+impl RelayState {
+    /// Updates the time until which this instance may not know of restarts that others know of. An
+    /// instance that is alone for that long learns of them by the list and its own calls.
+    pub(crate) fn refresh_informed(&self) {
+        let mut table = self.table.borrow_mut();
+        let longest = table.longest_cold_start();
+        let is_informed = self.settings.is_first_start || self.is_cold_informed.get();
+        table.keeper.uninformed_until = match longest.filter(|_| !is_informed) {
+            Some(longest) => longest + LIST_LAG,
+            None => Duration::ZERO,
+        };
+    }
+
+    /// Records that an endpoint could not be reached or broke a connection, and tells the other
+    /// instances, as it is cold when it returns.
+    pub(crate) fn note_maybe_cold(&self, endpoint: EndpointId) {
+        let now = self.now();
+        let is_new = self.table.borrow_mut().note_maybe_cold(now, endpoint);
+        if is_new {
+            let table = self.table.borrow();
+            let name = table.row(endpoint).map_or("-", |row| row.name.as_str());
+            log::info!(endpoint = name; "relay: endpoint may be cold when it answers again");
+        }
+        self.announce_cold(is_new, endpoint);
+    }
+
+    /// Records bytes of an answer to a call that was sent at `sent_at`, whose head arrived at
+    /// `since`.
+    pub(crate) fn note_answer(&self, endpoint: EndpointId, sent_at: Duration, since: Duration) {
+        let now = self.now();
+        let is_first = self
+            .table
+            .borrow_mut()
+            .note_answer(now, endpoint, sent_at, since);
+        if is_first {
+            self.log_cold(endpoint, false);
+        }
+        self.announce_cold(is_first, endpoint);
+    }
+
+    /// Records the cold times of this instance's own reading of the list. Returns those that the other
+    /// instances are told, in milliseconds.
+    pub fn note_cold_reading(&self, cold: &[(EndpointId, Duration)]) -> Vec<(EndpointId, u32)> {
+        let now = self.now();
+        let table = self.table.borrow();
+        let matters = |(id, remaining): &&(EndpointId, Duration)| {
+            let row = table.row(*id);
+            row.is_some_and(|row| row.has_cold_rule() && (row.is_cold(now) || !remaining.is_zero()))
+        };
+        let told = cold.iter().filter(matters);
+        let told: Vec<(EndpointId, u32)> = told
+            .map(|(id, remaining)| {
+                let millis = u32::try_from(remaining.as_millis()).unwrap_or(u32::MAX);
+                (*id, millis)
+            })
+            .collect();
+        drop(table);
+        self.note_cold_list(&ColdListNotice {
+            age_ms: 0,
+            endpoints: told.clone(),
+        });
+        told
+    }
+
+    /// Records what a reading of the list says about cold endpoints.
+    pub fn note_cold_list(&self, notice: &ColdListNotice) {
+        let age = Duration::from_millis(notice.age_ms.into());
+        let read_at = self.now().saturating_sub(age);
+        let mut table = self.table.borrow_mut();
+        for (id, remaining_ms) in &notice.endpoints {
+            if let Some(row) = table.row_mut(*id) {
+                let remaining = Duration::from_millis((*remaining_ms).into());
+                row.note_listed_cold(read_at, remaining);
+            }
+        }
+    }
+
+    fn announce_cold(&self, is_new: bool, endpoint: EndpointId) {
+        let notice = self.table.borrow().cold_notice(self.now(), endpoint);
+        if let Some(notice) = notice.filter(|_| is_new) {
+            self.metrics.count_statement("cold");
+            self.send_to_all(|forward| LimitMessage::Cold {
+                notices: vec![notice],
+                is_whole: false,
+                forward,
+            });
+        }
+    }
+
+    /// Tells another instance of all cold endpoints.
+    pub(crate) fn repeat_cold_to(&self, to: InstanceId) {
+        let now = self.now();
+        let (notices, is_whole) = {
+            let table = self.table.borrow();
+            if !table.has_cold_rules() {
+                return;
+            }
+            (table.cold_notices(now), table.keeper.is_informed(now))
+        };
+        let mut chunks = notices.chunks(MAX_NOTICES).map(<[_]>::to_vec).peekable();
+        let mut next = chunks.next().or_else(|| is_whole.then(Vec::new));
+        while let Some(notices) = next {
+            next = chunks.next();
+            let message = LimitMessage::Cold {
+                notices,
+                is_whole: is_whole && next.is_none(),
+                forward: 0,
+            };
+            self.send_limit_message(to, message);
+        }
+    }
+
+    /// Records what another instance knows of restarts.
+    pub(crate) fn note_cold_notices(&self, notices: Vec<ColdNotice>, is_whole: bool, forward: u16) {
+        let now = self.now();
+        let mut new = Vec::new();
+        for notice in notices {
+            let is_new = self.table.borrow_mut().note_told_cold(now, &notice);
+            if is_new {
+                self.log_cold(notice.endpoint, true);
+                new.push(notice);
+            }
+        }
+        if is_whole && !self.is_cold_informed.replace(true) {
+            self.refresh_informed();
+        }
+        if !new.is_empty() && forward > 0 {
+            self.pass_on(forward, |_| LimitMessage::Cold {
+                notices: new.clone(),
+                is_whole: false,
+                forward: 0,
+            });
+        }
+    }
+
+    fn log_cold(&self, endpoint: EndpointId, is_told: bool) {
+        let table = self.table.borrow();
+        let Some(row) = table.row(endpoint) else {
+            return;
+        };
+        let until = row.cold_until().filter(|until| *until != Duration::MAX);
+        let cold_ms = until.map(|until| until.saturating_sub(self.now()).as_millis() as u64);
+        log::info!(
+            endpoint = row.name.as_str(), cold_ms = cold_ms, told = is_told;
+            "relay: endpoint is cold"
+        );
+    }
+}
--- a/crates/relay/src/endpoint_limit.rs
+++ b/crates/relay/src/endpoint_limit.rs
@@ -13,6 +13,9 @@
 
 /// Time from a request for tokens after which they can't be used any more.
 const TOKEN_LIFETIME: Duration = Duration::from_secs(1);
+/// The same for tokens of a cold endpoint, whose bound holds in each second: the tokens of a longer
+/// time, used at once, would exceed it.
+const COLD_TOKEN_LIFETIME: Duration = Duration::from_millis(300);
 /// Time whose calls an instance asks tokens for at once.
 const LOT_TIME: Duration = Duration::from_millis(200);
 /// Time over which the demand for an endpoint is averaged.
@@ -38,6 +41,9 @@
     ask_at: Duration,
     /// Number of instances that share what the keeper does not hand out; at least 1.
     pub instances: usize,
+    /// Time until which this instance may not know of restarts that others know of, so that each
+    /// endpoint of a service with cold endpoints may be cold; zero if it knows.
+    pub uninformed_until: Duration,
 }
 
 impl Default for KeeperView {
@@ -47,11 +53,17 @@
             silent_since: None,
             ask_at: Duration::ZERO,
             instances: 1,
+            uninformed_until: Duration::ZERO,
         }
     }
 }
 
 impl KeeperView {
+    /// Whether this instance knows of the restarts that others know of.
+    pub fn is_informed(&self, now: Duration) -> bool {
+        now >= self.uninformed_until
+    }
+
     /// Records that the keeper answered.
     pub fn note_answer(&mut self) {
         self.misses = 0;
@@ -75,6 +87,17 @@
     }
 }
 
+/// A rate that all instances share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct SharedRate {
+    /// The rate.
+    pub rate: CallRate,
+    /// Time from which on the share of what the keeper does not hand out fills.
+    pub since: Duration,
+    /// Whether the rate is that of a cold endpoint.
+    pub is_cold: bool,
+}
+
 /// An announcement of a limit to the other instances.
 #[derive(Clone, Copy, Debug)]
 struct LimitAnnouncement {
@@ -148,10 +171,9 @@
             self.ended_at = Some(statement.read_at);
         }
         if has_fallen {
-            self.tokens.clear();
-            self.reserve = TokenBucket::new(statement.read_at);
+            self.drop_tokens(statement.read_at);
         } else if is_changed {
-            self.empty_until = Duration::ZERO;
+            self.note_risen();
         }
         is_changed
     }
@@ -170,9 +192,9 @@
         is_due
     }
 
-    /// Whether calls may be sent.
-    pub fn room(&self, now: Duration, view: KeeperView) -> EndpointRoom {
-        let Some(rate) = self.rate() else {
+    /// Whether calls may be sent. `share` is the rate in force, if there is one.
+    pub fn room(&self, now: Duration, view: KeeperView, share: Option<SharedRate>) -> EndpointRoom {
+        let Some(share) = share else {
             return EndpointRoom::Open;
         };
         if self.held(now) > 0 {
@@ -187,8 +209,8 @@
             return EndpointRoom::Ask;
         };
         let next_in = self
-            .reserve_since(silent_since)
-            .next_in(now, reserve_settings(rate, view));
+            .reserve_since(silent_since.max(share.since))
+            .next_in(now, reserve_settings(share.rate, view));
         if next_in.is_zero() {
             return EndpointRoom::Open;
         }
@@ -201,18 +223,30 @@
     }
 
     /// Takes a token for a call that is sent, if there is one.
-    pub fn take_token(&mut self, now: Duration, view: KeeperView) {
-        let Some(rate) = self.rate() else {
+    pub fn take_token(&mut self, now: Duration, view: KeeperView, share: Option<SharedRate>) {
+        let Some(share) = share else {
             return;
         };
         self.drop_expired(now);
         let is_held = self.tokens.pop_front().is_some();
         if let Some(silent_since) = view.silent_since.filter(|_| !is_held) {
-            self.reserve = self.reserve_since(silent_since);
-            self.reserve.take(now, reserve_settings(rate, view), 1);
+            self.reserve = self.reserve_since(silent_since.max(share.since));
+            self.reserve
+                .take(now, reserve_settings(share.rate, view), 1);
         }
     }
 
+    /// Drops the tokens of a higher rate.
+    pub fn drop_tokens(&mut self, now: Duration) {
+        self.tokens.clear();
+        self.reserve = TokenBucket::new(now);
+    }
+
+    /// Forgets that the keeper had no token, as a rate has risen or ended.
+    pub fn note_risen(&mut self) {
+        self.empty_until = Duration::ZERO;
+    }
+
     /// Records that a call prefers the endpoint and needs a token. Returns how many tokens to ask
     /// for, so that the next calls find some.
     pub fn wanted_tokens(&mut self, now: Duration) -> u16 {
@@ -225,8 +259,12 @@
     }
 
     /// Adds tokens that were asked for at `asked_at`.
-    pub fn add_tokens(&mut self, asked_at: Duration, count: u16) {
-        let expires_at = asked_at + TOKEN_LIFETIME;
+    pub fn add_tokens(&mut self, asked_at: Duration, count: u16, is_cold: bool) {
+        let lifetime = match is_cold {
+            true => COLD_TOKEN_LIFETIME,
+            false => TOKEN_LIFETIME,
+        };
+        let expires_at = asked_at + lifetime;
         let at = self.tokens.partition_point(|other| *other <= expires_at);
         for _ in 0..count {
             self.tokens.insert(at, expires_at);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -222,7 +222,7 @@
     fn endpoints_to_ask(&self) -> Vec<EndpointId> {
         let (state, call) = (self.state, self.call);
         let table = state.table.borrow();
-        if !table.has_limit(call.service) {
+        if !table.has_limit(state.now(), call.service) {
             return Vec::new();
         }
         let tried = self.record.tried();
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -11,7 +11,8 @@
 use wire::gateway::GatewayDatagram;
 use wire::id::{EndpointId, InstanceId};
 use wire::statement::{
-    AskId, LimitMessage, LimitNotice, MAX_NOTICES, TokenAsk, TokenOutcome, TokenWish,
+    AskId, ColdNotice, LimitMessage, LimitNotice, MAX_COLD_WISHES, MAX_NOTICES, TokenAsk,
+    TokenOutcome, TokenWish,
 };
 
 use crate::placement::token_wishes;
@@ -82,23 +83,34 @@
 
     fn announce_limit(&self, endpoint: EndpointId) {
         let notice = self.table.borrow_mut().announce_limit(self.now(), endpoint);
-        let (Some(notice), Some(peers)) = (notice, self.peers.get()) else {
+        if let Some(notice) = notice {
+            self.send_to_all(|forward| LimitMessage::Notices {
+                notices: vec![notice],
+                forward,
+            });
+        }
+    }
+
+    fn send_notices(&self, to: InstanceId, notices: Vec<LimitNotice>, forward: u16) {
+        let message = LimitMessage::Notices { notices, forward };
+        self.send_limit_message(to, message);
+    }
+
+    /// Sends a message to all other instances, in large fleets through some that pass it on. `message`
+    /// takes the number of instances to which the receiver does.
+    pub(crate) fn send_to_all(&self, message: impl Fn(u16) -> LimitMessage) {
+        let Some(peers) = self.peers.get() else {
             return;
         };
         let instances = following(self.settings.instance, &peers.instances());
         let span = instances.len().div_ceil(MAX_RECIPIENTS).max(1);
         for recipients in instances.chunks(span) {
             let forward = u16::try_from(recipients.len() - 1).unwrap_or(u16::MAX);
-            self.send_notices(recipients[0], vec![notice], forward);
+            self.send_limit_message(recipients[0], message(forward));
         }
     }
 
-    fn send_notices(&self, to: InstanceId, notices: Vec<LimitNotice>, forward: u16) {
-        let message = LimitMessage::Notices { notices, forward };
-        self.send_limit_message(to, message);
-    }
-
-    fn send_limit_message(&self, to: InstanceId, message: LimitMessage) {
+    pub(crate) fn send_limit_message(&self, to: InstanceId, message: LimitMessage) {
         if let Some(peers) = self.peers.get() {
             self.metrics.count_limit_message(kind_of(&message));
             peers.send(to, &GatewayDatagram::Limit(message));
@@ -111,6 +123,7 @@
         for notices in notices.chunks(MAX_NOTICES) {
             self.send_notices(to, notices.to_vec(), 0);
         }
+        self.repeat_cold_to(to);
     }
 
     /// Handles a message of another instance.
@@ -123,18 +136,39 @@
                 self.send_limit_message(from, LimitMessage::Reply { id, outcome });
             }
             LimitMessage::Reply { id, outcome } => self.note_reply(id, &outcome),
+            LimitMessage::Cold {
+                notices,
+                is_whole,
+                forward,
+            } => self.note_cold_notices(notices, is_whole, forward),
+            LimitMessage::ColdAsk { ask, notices } => {
+                self.note_cold_notices(notices, false, 0);
+                let id = ask.id;
+                let outcome = self.keep_rates(&ask);
+                self.send_limit_message(from, LimitMessage::Reply { id, outcome });
+            }
         }
     }
 
     fn note_notices(&self, notices: Vec<LimitNotice>, forward: u16) {
         let is_new = |notice: &LimitNotice| self.note_told(notice);
         let new: Vec<LimitNotice> = notices.into_iter().filter(is_new).collect();
-        let Some(peers) = self.peers.get().filter(|_| !new.is_empty() && forward > 0) else {
+        if !new.is_empty() && forward > 0 {
+            self.pass_on(forward, |forward| LimitMessage::Notices {
+                notices: new.clone(),
+                forward,
+            });
+        }
+    }
+
+    /// Sends a message to the next `count` instances, which do not pass it on.
+    pub(crate) fn pass_on(&self, count: u16, message: impl Fn(u16) -> LimitMessage) {
+        let Some(peers) = self.peers.get() else {
             return;
         };
         let instances = following(self.settings.instance, &peers.instances());
-        for instance in instances.into_iter().take(forward.into()) {
-            self.send_notices(instance, new.clone(), 0);
+        for instance in instances.into_iter().take(count.into()) {
+            self.send_limit_message(instance, message(0));
         }
     }
 
@@ -173,6 +207,21 @@
         }
     }
 
+    /// The message that asks for tokens: with what is known of the cold endpoints, if there are any.
+    fn ask_message(&self, ask: TokenAsk) -> LimitMessage {
+        let now = self.now();
+        let table = self.table.borrow();
+        let wishes = ask.wishes.iter().take(MAX_COLD_WISHES);
+        let notices = wishes.filter_map(|wish| table.cold_notice(now, wish.notice.endpoint));
+        let notices: Vec<ColdNotice> = notices.collect();
+        if notices.is_empty() {
+            return LimitMessage::Ask(ask);
+        }
+        let mut ask = ask;
+        ask.wishes.truncate(MAX_COLD_WISHES);
+        LimitMessage::ColdAsk { ask, notices }
+    }
+
     async fn ask_instance(&self, keeper: InstanceId, ask: TokenAsk, asked_at: Duration) {
         let id = ask.id;
         let (answered, mut answer) = oneshot::channel();
@@ -188,7 +237,7 @@
             id,
         };
         for wait in ASK_WAITS {
-            self.send_limit_message(keeper, LimitMessage::Ask(ask.clone()));
+            self.send_limit_message(keeper, self.ask_message(ask.clone()));
             if timeout(wait, &mut answer).await.is_ok() {
                 return;
             }
@@ -223,21 +272,25 @@
             self.note_told(&wish.notice);
         }
         let table = self.table.borrow();
-        let requests = ask.wishes.iter().map(|wish| token_request(&table, wish));
+        let now = self.now();
+        let requests = ask.wishes.iter();
+        let requests = requests.map(|wish| token_request(now, &table, wish));
         let requests: Vec<TokenRequest> = requests.collect();
-        keeper.hand_out(self.now(), &requests)
+        keeper.hand_out(now, &requests)
     }
 }
 
 /// The request of a wish. The limit is that of the table, or that of the wish if the endpoint is not
 /// listed here.
-pub fn token_request(table: &EndpointTable, wish: &TokenWish) -> TokenRequest {
+pub fn token_request(now: Duration, table: &EndpointTable, wish: &TokenWish) -> TokenRequest {
     let notice = &wish.notice;
     let row = table.row(notice.endpoint);
     let row = row.filter(|row| row.address == notice.address);
+    let share = row.and_then(|row| row.shared_rate(now, table.keeper));
     TokenRequest {
         endpoint: notice.endpoint,
-        limit: row.map_or(notice.limit, |row| row.limit.rate()),
+        limit: row.map_or(notice.limit, |_| share.map(|share| share.rate)),
+        is_cold: share.is_some_and(|share| share.is_cold),
         count: wish.count,
     }
 }
@@ -256,5 +309,7 @@
         LimitMessage::Notices { .. } => "notices",
         LimitMessage::Ask(_) => "ask",
         LimitMessage::Reply { .. } => "reply",
+        LimitMessage::Cold { .. } => "cold",
+        LimitMessage::ColdAsk { .. } => "ask",
     }
 }
--- a/crates/relay/src/rate_keeper.rs
+++ b/crates/relay/src/rate_keeper.rs
@@ -28,6 +28,8 @@
     pub endpoint: EndpointId,
     /// Its limit; `None` for none.
     pub limit: Option<CallRate>,
+    /// Whether the limit is the rate of a cold endpoint.
+    pub is_cold: bool,
     /// Number of tokens; at least 1.
     pub count: u16,
 }
@@ -84,7 +86,9 @@
     /// Number of tokens of an endpoint that are left.
     pub fn count(&self, now: Duration, endpoint: EndpointId, limit: CallRate) -> u16 {
         let kept = self.buckets.get(&endpoint);
-        kept.map_or(0, |kept| kept.bucket.count(now, bucket_settings(limit)))
+        kept.map_or(0, |kept| {
+            kept.bucket.count(now, bucket_settings(limit, false))
+        })
     }
 
     fn take(&mut self, now: Duration, request: &TokenRequest) -> u16 {
@@ -101,13 +105,14 @@
             asked_at: now,
         });
         kept.asked_at = now;
-        kept.bucket.take(now, bucket_settings(limit), request.count)
+        let settings = bucket_settings(limit, request.is_cold);
+        kept.bucket.take(now, settings, request.count)
     }
 
     fn next_ms(&self, now: Duration, request: &TokenRequest) -> u32 {
         let kept = self.buckets.get(&request.endpoint);
         let next_in = kept.zip(request.limit).map(|(kept, limit)| {
-            let settings = bucket_settings(limit);
+            let settings = bucket_settings(limit, request.is_cold);
             kept.bucket.next_in(now, settings)
         });
         let next_in = next_in.unwrap_or(RETENTION_TIME).min(RETENTION_TIME);
@@ -122,6 +127,9 @@
     }
 }
 
-fn bucket_settings(limit: CallRate) -> BucketSettings {
-    BucketSettings::of_limit(limit, KEPT_SHARE)
+fn bucket_settings(limit: CallRate, is_cold: bool) -> BucketSettings {
+    match is_cold {
+        true => BucketSettings::of_cold(limit, KEPT_SHARE),
+        false => BucketSettings::of_limit(limit, KEPT_SHARE),
+    }
 }
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -3,17 +3,18 @@
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use pace::cold::{ColdKnowledge, ColdRule, ColdState};
 use pace::limit::LimitStatement;
 use pace::rest::EndpointRest;
 use pace::room::EndpointRoom;
 use pace::statement::{EndpointStatement, StatedValue};
 use wire::gateway::ListedEndpoint;
-use wire::id::{DomainId, ServiceId, VersionId, name_id};
-use wire::statement::{CallRate, LimitNotice};
+use wire::id::{DomainId, EndpointId, ServiceId, VersionId, name_id};
+use wire::statement::{CallRate, ColdNotice, LimitNotice};
 
 use crate::call::LoadReport;
 use crate::endpoint_leave::EndpointLeave;
-use crate::endpoint_limit::{EndpointLimit, KeeperView};
+use crate::endpoint_limit::{EndpointLimit, KeeperView, SharedRate};
 use crate::health::EndpointHealth;
 use crate::statement_change::StatementChange;
 
@@ -86,6 +87,10 @@
     pub health: EndpointHealth,
     /// The limit that the endpoint names, and this instance's share of it.
     pub limit: EndpointLimit,
+    /// How long endpoints of its service are cold after a start; `None` for never.
+    cold_rule: Option<ColdRule>,
+    /// What is known of its latest restart.
+    cold: ColdState,
     /// The rest that the endpoint has asked of this instance.
     rest: EndpointRest,
     /// Whether the endpoint has said that it leaves.
@@ -129,6 +134,8 @@
             report: None,
             health: EndpointHealth::default(),
             limit: EndpointLimit::new(Duration::ZERO),
+            cold_rule: None,
+            cold: ColdState::default(),
             rest: EndpointRest::None,
             leave: EndpointLeave::No,
             has_unreadable: false,
@@ -163,11 +170,127 @@
     /// Whether the statements of the endpoint allow that calls are sent.
     pub fn room(&self, now: Duration, view: KeeperView) -> EndpointRoom {
         match self.rest.room(now) {
-            EndpointRoom::Open => self.limit.room(now, view),
+            EndpointRoom::Open => self.limit.room(now, view, self.shared_rate(now, view)),
             closed => closed,
         }
     }
 
+    /// The rate that all instances share: the endpoint's limit, or a lower one while it is cold.
+    pub fn shared_rate(&self, now: Duration, view: KeeperView) -> Option<SharedRate> {
+        let limit = self.limit.rate().map(|rate| SharedRate {
+            rate,
+            since: Duration::ZERO,
+            is_cold: false,
+        });
+        let is_cold = self.is_cold(now) || !view.is_informed(now);
+        let cold = self.cold_rule.filter(|_| is_cold).map(|rule| SharedRate {
+            rate: rule.rate,
+            since: self.cold.since(),
+            is_cold: true,
+        });
+        match (limit, cold) {
+            (Some(limit), Some(cold)) if limit.rate < cold.rate => Some(SharedRate {
+                rate: limit.rate,
+                ..cold
+            }),
+            (limit, cold) => cold.or(limit),
+        }
+    }
+
+    /// Time until which the endpoint counts as cold; `Duration::MAX` if it has not answered since a
+    /// sign of a restart.
+    pub fn cold_until(&self) -> Option<Duration> {
+        let rule = self.cold_rule?;
+        self.cold.until(rule.start)
+    }
+
+    /// Whether the endpoint counts as cold.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        self.cold_until().is_some_and(|until| now < until)
+    }
+
+    /// Whether endpoints of the service are cold after a start.
+    pub fn has_cold_rule(&self) -> bool {
+        self.cold_rule.is_some()
+    }
+
+    /// Sets how long endpoints of the service are cold after a start; `None` for never.
+    pub fn set_cold_rule(&mut self, rule: Option<ColdRule>) {
+        self.cold_rule = rule;
+    }
+
+    /// Records that the endpoint is new in the list, or has replaced another one.
+    pub fn note_new(&mut self, now: Duration) {
+        self.cold = ColdState::of_new(now);
+    }
+
+    /// Records that the endpoint may have become cold: it could not be reached, broke a connection,
+    /// has another process start, or was evacuated until now. It counts as cold until it has
+    /// answered a call that is sent later, and then for the cold time of its service. Returns
+    /// whether this is new.
+    pub fn note_maybe_cold(&mut self, now: Duration) -> bool {
+        let is_new = self.cold.note_sign(now);
+        if is_new {
+            self.limit.drop_tokens(now);
+        }
+        is_new && self.cold_rule.is_some()
+    }
+
+    /// Records bytes of an answer to a call that was sent at `sent_at`, whose head arrived at
+    /// `since`. Returns whether it is the first answer after a sign of a restart.
+    pub fn note_answer(&mut self, now: Duration, sent_at: Duration, since: Duration) -> bool {
+        let is_first = self.cold.note_answer(sent_at, since, now);
+        is_first && self.cold_rule.is_some()
+    }
+
+    /// Records what a reading of the list says about the cold time.
+    pub fn note_listed_cold(&mut self, read_at: Duration, remaining: Duration) {
+        let was_cold = self.is_cold(read_at);
+        self.cold.note_listed(read_at, remaining);
+        if !was_cold && self.is_cold(read_at) {
+            self.limit.drop_tokens(read_at);
+        }
+    }
+
+    /// Records what another instance knows of the latest restart. Returns whether this is new.
+    pub fn note_told_cold(&mut self, now: Duration, notice: &ColdNotice) -> bool {
+        if notice.address != self.address {
+            return false;
+        }
+        let before = |age_ms: u32| now.saturating_sub(Duration::from_millis(age_ms.into()));
+        let is_new = self.cold.merge(&ColdKnowledge {
+            sign_at: notice.sign_age_ms.map(before),
+            answered_at: notice.answer_age_ms.map(before),
+            stated_until: notice
+                .remaining_ms
+                .map(|remaining| now + Duration::from_millis(remaining.into())),
+        });
+        let is_sign = is_new && notice.answer_age_ms.is_none();
+        if is_sign {
+            self.limit.drop_tokens(now);
+        }
+        is_new && self.cold_rule.is_some()
+    }
+
+    /// What other instances are told of the latest restart; `None` while the endpoint is not cold.
+    pub fn cold_notice(&self, now: Duration, endpoint: EndpointId) -> Option<ColdNotice> {
+        if !self.is_cold(now) {
+            return None;
+        }
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        let age = |at: Duration| millis(now.saturating_sub(at));
+        let knowledge = self.cold.knowledge();
+        Some(ColdNotice {
+            endpoint,
+            address: self.address,
+            sign_age_ms: knowledge.sign_at.map(age),
+            answer_age_ms: knowledge.answered_at.map(age),
+            remaining_ms: knowledge
+                .stated_until
+                .map(|until| millis(until.saturating_sub(now))),
+        })
+    }
+
     /// Whether a health check is due, as the endpoint has said that it leaves and the list shows it
     /// as ready. If so, records that it begins.
     pub fn begin_leave_check(&mut self, now: Duration, instances: usize) -> bool {
@@ -192,7 +315,10 @@
         let holding_time = self.holding_time.unwrap_or(ASSUMED_HOLDING_TIME);
         let slots = f64::from(self.capacity(now).unwrap_or(1));
         let estimate = slots / holding_time.as_secs_f64().max(f64::MIN_POSITIVE);
-        self.limit.rate().map_or(estimate, CallRate::per_second)
+        let cold_rate = self.cold_rule.filter(|_| self.is_cold(now));
+        let rates = [self.limit.rate(), cold_rate.map(|rule| rule.rate)];
+        let strictest = rates.into_iter().flatten().min();
+        strictest.map_or(estimate, CallRate::per_second)
     }
 
     /// Records what the endpoint states in the head of an answer that has just arrived, to a call
@@ -208,6 +334,16 @@
             StatedValue::Absent | StatedValue::Unreadable => self.rest.end(sent_at),
         }
         let mut changes = Vec::new();
+        if let StatedValue::Stated(remaining) = statement.cold {
+            let was_cold = self.is_cold(now);
+            self.cold.note_stated(now, sent_at, remaining);
+            if !was_cold && self.is_cold(now) {
+                self.limit.drop_tokens(now);
+            }
+            if was_cold && self.cold_rule.is_some() {
+                changes.push(StatementChange::Cold(remaining));
+            }
+        }
         if self.note_limit(now, sent_at, statement.limit) {
             changes.push(StatementChange::Limit(self.limit.rate()));
         }
@@ -366,7 +502,8 @@
     /// Records that a call of this instance is sent to the endpoint.
     pub fn start(&mut self, now: Duration, view: KeeperView) {
         self.rest.start(now);
-        self.limit.take_token(now, view);
+        let share = self.shared_rate(now, view);
+        self.limit.take_token(now, view, share);
         self.update_average(now);
         self.own_running += 1;
         self.busy_since.get_or_insert(now);
--- a/crates/relay/src/slot.rs
+++ b/crates/relay/src/slot.rs
@@ -34,6 +34,7 @@
             began,
             wait,
             alive_at: Cell::new(None),
+            head_at: Cell::new(None),
             is_whole: Cell::new(false),
             is_ended: false,
         }
@@ -56,6 +57,8 @@
     /// When the endpoint last sent bytes for the call, or else when the call was sent; `None`
     /// before.
     alive_at: Cell<Option<Duration>>,
+    /// When the head of the answer arrived.
+    head_at: Cell<Option<Duration>>,
     /// Whether the endpoint stated the end of its answer, and sent all of it.
     is_whole: Cell<bool>,
     is_ended: bool,
@@ -67,6 +70,17 @@
         self.alive_at.set(Some(self.state.now()));
     }
 
+    /// Records that the head of the answer arrived.
+    pub fn note_head(&self) {
+        self.note_alive();
+        self.head_at.set(Some(self.state.now()));
+    }
+
+    /// When the head of the answer arrived; `None` before.
+    pub fn head_at(&self) -> Option<Duration> {
+        self.head_at.get()
+    }
+
     /// Records that the answer arrived up to the end that the endpoint stated for it.
     pub fn note_whole(&self) {
         self.is_whole.set(true);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,6 +14,7 @@
 use crate::admission::{AdmissionControl, AdmissionSettings};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
+use crate::cold_sharing::cold_rules;
 use crate::crash::CrashTracker;
 use crate::health::{CallOutcome, HealthChange};
 use crate::limit_sharing::PendingAsks;
@@ -116,6 +117,8 @@
     pub rate_keeper: RefCell<RateKeeper>,
     /// Requests for tokens to the instance that keeps the rates.
     pub pending_asks: RefCell<PendingAsks>,
+    /// Whether another instance has told this one of the restarts of all endpoints.
+    pub(crate) is_cold_informed: Cell<bool>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
     /// Settings of the HTTP codec. All connections share one value, as each new [`ServiceConfig`]
@@ -164,6 +167,7 @@
             peers: OnceCell::new(),
             rate_keeper: RefCell::default(),
             pending_asks: RefCell::default(),
+            is_cold_informed: Cell::new(false),
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
             phase: Cell::new(ServingPhase::Serving),
@@ -192,13 +196,15 @@
 
     /// Activates a catalog. Calls in progress keep the previous one.
     pub fn set_catalog(&self, catalog: CatalogIndex) {
+        self.table.borrow_mut().set_cold_rules(cold_rules(&catalog));
+        self.refresh_informed();
         *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         self.set_up.notify_waiters();
     }
 
     /// Replaces the list of endpoints.
     pub fn set_endpoints(&self, listed: &[ListedEndpoint]) {
-        let change = self.table.borrow_mut().replace(listed);
+        let change = self.table.borrow_mut().replace_at(self.now(), listed);
         self.listed_at.set(Some(self.now()));
         self.metrics.set_endpoints(listed.len());
         if !change.is_empty() {
@@ -307,6 +313,9 @@
 
     /// Records the outcome of a call in the health of its endpoint. `reason` is for the log.
     pub fn note_health(&self, endpoint: EndpointId, outcome: CallOutcome, reason: &str) {
+        if outcome == CallOutcome::Broken {
+            self.note_maybe_cold(endpoint);
+        }
         let now = self.now();
         let mut table = self.table.borrow_mut();
         let change = table.note(now, endpoint, outcome);
--- a/crates/relay/src/statement_change.rs
+++ b/crates/relay/src/statement_change.rs
@@ -1,5 +1,7 @@
 //! Changes of what an endpoint states about itself.
 
+use std::time::Duration;
+
 use wire::statement::CallRate;
 
 /// A change of what an endpoint states.
@@ -7,6 +9,8 @@
 pub enum StatementChange {
     /// It names another limit, or none any more.
     Limit(Option<CallRate>),
+    /// It states for how much longer it is cold after a start.
+    Cold(Duration),
     /// It says that it leaves.
     Leaving,
     /// It stated something unreadable, for the first time.
--- a/crates/relay/src/statement_log.rs
+++ b/crates/relay/src/statement_log.rs
@@ -43,6 +43,10 @@
             StatementChange::Limit(None) => {
                 log::info!(endpoint = name, told = is_told; "relay: endpoint names no limit any more");
             }
+            StatementChange::Cold(remaining) => {
+                let cold_ms = remaining.as_millis() as u64;
+                log::info!(endpoint = name, cold_ms = cold_ms, told = is_told; "relay: endpoint is cold");
+            }
             StatementChange::Leaving => {
                 log::info!(endpoint = name; "relay: endpoint says that it leaves");
             }
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -112,6 +112,9 @@
     fn note_bytes(&self, slot: &OccupiedSlot) {
         let state = self.state;
         slot.note_alive();
+        if let Some(head_at) = slot.head_at() {
+            state.note_answer(self.endpoint, self.progress.attempted_at, head_at);
+        }
         let mut table = state.table.borrow_mut();
         table.note_activity(state.now(), self.endpoint);
     }
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -1,13 +1,15 @@
 //! Table of the listed endpoints.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddrV4;
 use std::time::Duration;
 
+use pace::cold::ColdRule;
 use pace::room::EndpointRoom;
 use pace::statement::EndpointStatement;
 use wire::gateway::ListedEndpoint;
-use wire::id::{EndpointId, InstanceId, ServiceId};
-use wire::statement::{LimitNotice, TokenOutcome};
+use wire::id::{EndpointId, InstanceId, ServiceId, VersionId};
+use wire::statement::{ColdNotice, LimitNotice, TokenOutcome};
 
 use crate::call::LoadReport;
 use crate::endpoint_limit::KeeperView;
@@ -43,6 +45,8 @@
     instance_loads: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
     /// What is known of the keeper of the rates that endpoints name.
     pub keeper: KeeperView,
+    /// How long the endpoints of services are cold after a start.
+    cold_rules: HashMap<ServiceId, ColdRule>,
 }
 
 impl EndpointTable {
@@ -58,7 +62,9 @@
                 Some(row) if row.is_same(endpoint) => row,
                 _ => {
                     change.joined.push(joined_text(endpoint));
-                    EndpointRow::new(endpoint)
+                    let mut row = EndpointRow::new(endpoint);
+                    row.set_cold_rule(self.cold_rules.get(&row.service).copied());
+                    row
                 }
             };
             if endpoint.is_draining && !row.is_draining {
@@ -75,6 +81,81 @@
         change
     }
 
+    /// Sets how long the endpoints of services are cold after a start; services that are left out
+    /// have no cold endpoints.
+    pub fn set_cold_rules(&mut self, rules: HashMap<ServiceId, ColdRule>) {
+        for row in self.rows.values_mut() {
+            row.set_cold_rule(rules.get(&row.service).copied());
+        }
+        self.cold_rules = rules;
+    }
+
+    /// Whether any service has endpoints that are cold after a start.
+    pub fn has_cold_rules(&self) -> bool {
+        !self.cold_rules.is_empty()
+    }
+
+    /// The longest time for which endpoints are cold after a start; `None` if none ever is.
+    pub fn longest_cold_start(&self) -> Option<Duration> {
+        self.cold_rules.values().map(|rule| rule.start).max()
+    }
+
+    /// Replaces the list as [`Self::replace`] does. Endpoints that are new in it count as cold,
+    /// except in the first list.
+    pub fn replace_at(&mut self, now: Duration, listed: &[ListedEndpoint]) -> ListChange {
+        let is_first = self.rows.is_empty();
+        let before: HashMap<EndpointId, (SocketAddrV4, VersionId)> = self
+            .rows
+            .iter()
+            .map(|(id, row)| (*id, (row.address, row.version_id)))
+            .collect();
+        let change = self.replace(listed);
+        for (id, row) in self.rows.iter_mut().filter(|_| !is_first) {
+            if before.get(id) != Some(&(row.address, row.version_id)) {
+                row.note_new(now);
+            }
+        }
+        change
+    }
+
+    /// Records that an endpoint may have become cold. Returns whether this is new.
+    pub fn note_maybe_cold(&mut self, now: Duration, id: EndpointId) -> bool {
+        let row = self.rows.get_mut(&id);
+        row.is_some_and(|row| row.note_maybe_cold(now))
+    }
+
+    /// Records bytes of an answer to a call that was sent at `sent_at`, whose head arrived at
+    /// `since`. Returns whether it is the first answer after a sign of a restart.
+    pub fn note_answer(
+        &mut self,
+        now: Duration,
+        id: EndpointId,
+        sent_at: Duration,
+        since: Duration,
+    ) -> bool {
+        let row = self.rows.get_mut(&id);
+        row.is_some_and(|row| row.note_answer(now, sent_at, since))
+    }
+
+    /// Records what another instance knows of the latest restart of an endpoint. Returns whether
+    /// this is new.
+    pub fn note_told_cold(&mut self, now: Duration, notice: &ColdNotice) -> bool {
+        let row = self.rows.get_mut(&notice.endpoint);
+        row.is_some_and(|row| row.note_told_cold(now, notice))
+    }
+
+    /// What other instances are told of the latest restart of an endpoint, if it is cold.
+    pub fn cold_notice(&self, now: Duration, id: EndpointId) -> Option<ColdNotice> {
+        self.rows.get(&id)?.cold_notice(now, id)
+    }
+
+    /// What other instances are told of all cold endpoints.
+    pub fn cold_notices(&self, now: Duration) -> Vec<ColdNotice> {
+        let rows = self.rows.iter();
+        rows.filter_map(|(id, row)| row.cold_notice(now, *id))
+            .collect()
+    }
+
     /// Whether the list is empty.
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
@@ -237,10 +318,10 @@
         notices.collect()
     }
 
-    /// Whether an endpoint of a service names a limit.
-    pub fn has_limit(&self, service: ServiceId) -> bool {
+    /// Whether an endpoint of a service names a limit or is cold.
+    pub fn has_limit(&self, now: Duration, service: ServiceId) -> bool {
         let mut rows = self.of_service(service);
-        rows.any(|(_, row)| row.limit.rate().is_some())
+        rows.any(|(_, row)| row.shared_rate(now, self.keeper).is_some())
     }
 
     /// Records the answer of the keeper to a request that was sent at `asked_at`.
@@ -258,7 +339,9 @@
         }
         let lot = lot.and_then(|lot| Some((lot, self.rows.get_mut(&lot.endpoint)?)));
         if let Some((lot, row)) = lot {
-            row.limit.add_tokens(asked_at, lot.count);
+            let share = row.shared_rate(now, self.keeper);
+            let is_cold = share.is_some_and(|share| share.is_cold);
+            row.limit.add_tokens(asked_at, lot.count, is_cold);
         }
     }
 
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -266,6 +266,7 @@
     TokenRequest {
         endpoint: id(1),
         limit: Some(rate(limit)),
+        is_cold: false,
         count,
     }
 }
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -214,6 +214,21 @@
     pub removed: Vec<EndpointId>,
 }
 
+/// Largest number of endpoints in a [`ColdListNotice`], which keeps it within
+/// [`MAX_DATAGRAM_BYTES`].
+pub const MAX_COLD_ENDPOINTS: usize = 64;
+
+/// How much longer endpoints are cold after a start, by a read of the endpoint list. Endpoints that are
+/// not cold are included only if the reader took them for cold.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdListNotice {
+    /// Time since the list was read, in milliseconds.
+    pub age_ms: u32,
+    /// The endpoints with the remaining time in milliseconds when the list was read; at most
+    /// [`MAX_COLD_ENDPOINTS`].
+    pub endpoints: Vec<(EndpointId, u32)>,
+}
+
 /// Payload of a datagram between gateways.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum GatewayDatagram {
@@ -235,6 +250,9 @@
     Stream(StreamMessage),
     /// A message about limits that endpoints name. Older gateways ignore it.
     Limit(LimitMessage),
+    /// The cold endpoints of the sender's latest read of the endpoint list. Older gateways ignore
+    /// it.
+    ColdList(ColdListNotice),
 }
 
 /// A catalog in the operator's text form, compressed.
--- a/crates/wire/src/statement.rs
+++ b/crates/wire/src/statement.rs
@@ -52,6 +52,24 @@
     pub read_age_ms: u32,
 }
 
+/// Largest number of endpoints in a [`LimitMessage::ColdAsk`], which has two entries for each.
+pub const MAX_COLD_WISHES: usize = 12;
+
+/// What a gateway knows of the latest restart of an endpoint that is cold after a start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ColdNotice {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its address. A notice says nothing of another process that has the name at another address.
+    pub address: SocketAddrV4,
+    /// Time since the latest sign of a restart, in milliseconds; `None` if there was none.
+    pub sign_age_ms: Option<u32>,
+    /// Time since the first answer after it, in milliseconds; `None` if there was none.
+    pub answer_age_ms: Option<u32>,
+    /// How much longer the endpoint is cold by its own statement or the list's, in milliseconds.
+    pub remaining_ms: Option<u32>,
+}
+
 /// Tokens of one endpoint that a gateway asks for. Each token is the right to send one call.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TokenWish {
@@ -122,4 +140,21 @@
         /// The answer.
         outcome: TokenOutcome,
     },
+    /// Endpoints that are cold, or may be. Older gateways ignore it.
+    Cold {
+        /// What is known of them; at most [`MAX_NOTICES`].
+        notices: Vec<ColdNotice>,
+        /// Whether the sender knew of the restarts of all endpoints when it sent this and the
+        /// messages just before it, so that the receiver now does, too.
+        is_whole: bool,
+        /// Number of gateways to which the receiver passes on what is new to it.
+        forward: u16,
+    },
+    /// Asks for tokens of endpoints of which some are cold, or may be.
+    ColdAsk {
+        /// The request; with at most [`MAX_COLD_WISHES`] endpoints.
+        ask: TokenAsk,
+        /// What the sender knows of the cold ones.
+        notices: Vec<ColdNotice>,
+    },
 }
