Measure: replay of failure domains that come back cold into a burst

Cause: nothing showed that gateways keep together to the rate of cold endpoints.

Change: `sapphire-measure cold` replays 36 s with 7, 30 and 105 gateways: domains of 17 endpoints are down for 2 to 4.5 s and come back cold under 2.5 times the calls, 30 % of them with three prompt parts, while gateways of the domain, or all, restart, others are cut off and 2 % of messages are lost. It compares each sliding second with 1.5 x 8.2 + 5 calls. The quiet load has 50 times fewer calls before the burst.

--- a/crates/measure/src/limit/endpoint.rs
+++ b/crates/measure/src/limit/endpoint.rs
@@ -1,6 +1,6 @@
 //! Simulated endpoints, which name limits, ask for rest, or leave.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
@@ -35,6 +35,15 @@
     calls: u32,
 }
 
+/// A crash of an endpoint's process and the start that follows it.
+#[derive(Clone, Copy, Debug)]
+pub struct EndpointRestart {
+    /// When it crashed.
+    pub crashed_at: Duration,
+    /// When it started again, cold.
+    pub started_at: Duration,
+}
+
 /// An endpoint.
 #[derive(Debug)]
 pub struct SimulatedEndpoint {
@@ -55,6 +64,16 @@
     pub rest_breaches: u32,
     /// Calls of an instance that arrived at it long after it was told that the endpoint leaves.
     pub leave_breaches: u32,
+    /// Starts of its process, and the crashes before them.
+    pub restarts: Vec<EndpointRestart>,
+    /// Calls of the last second that reached it while it was cold.
+    pub cold_calls: VecDeque<Duration>,
+    /// Number of all calls that reached it while it was cold.
+    pub cold_calls_total: u32,
+    /// Windows of a second with more calls than a cold endpoint bears.
+    pub cold_breaches: u32,
+    /// Largest number of calls in a second while it was cold.
+    pub most_cold_calls: u32,
     /// Calls that reached it.
     pub window: CallWindow,
     /// Calls that reached it while it named a limit.
@@ -76,6 +95,11 @@
             left_at: HashMap::new(),
             rest_breaches: 0,
             leave_breaches: 0,
+            restarts: Vec::new(),
+            cold_calls: VecDeque::new(),
+            cold_calls_total: 0,
+            cold_breaches: 0,
+            most_cold_calls: 0,
             window: CallWindow::default(),
             limited_calls: 0,
             allowed_calls: 0.0,
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -1,7 +1,9 @@
 //! A gateway with the decisions of crate `relay`, as its calls take them.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use pace::cold::{ColdRule, LIST_LAG};
 use pace::statement::EndpointStatement;
 use relay::health::CallOutcome;
 use relay::limit_sharing::token_request;
@@ -11,7 +13,7 @@
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, name_id};
-use wire::statement::{LimitNotice, TokenAsk, TokenOutcome};
+use wire::statement::{ColdNotice, LimitNotice, MAX_COLD_WISHES, TokenAsk, TokenOutcome};
 
 use super::endpoint::SERVICE;
 
@@ -27,6 +29,8 @@
     pub keeper: RateKeeper,
     /// What is to be told to the other gateways.
     pub news: Vec<LimitNotice>,
+    /// What is to be told of restarts of endpoints.
+    pub cold_news: Vec<ColdNotice>,
 }
 
 impl SimulatedGateway {
@@ -40,9 +44,52 @@
             table,
             keeper: RateKeeper::default(),
             news: Vec::new(),
+            cold_news: Vec::new(),
         }
     }
 
+    /// Sets that endpoints are cold for `start` after a start, and whether this gateway started with
+    /// the whole fleet, at `now`.
+    pub fn set_cold_rule(&mut self, now: Duration, rule: ColdRule, is_first_start: bool) {
+        let rules = HashMap::from([(name_id(SERVICE), rule)]);
+        self.table.set_cold_rules(rules);
+        self.table.keeper.uninformed_until = match is_first_start {
+            true => Duration::ZERO,
+            false => now + rule.start + LIST_LAG,
+        };
+    }
+
+    /// Records that an endpoint could not be reached or broke a connection.
+    pub fn note_break(&mut self, now: Duration, endpoint: EndpointId) {
+        self.table.note(now, endpoint, CallOutcome::Broken);
+        if self.table.note_maybe_cold(now, endpoint) {
+            self.cold_news.extend(self.table.cold_notice(now, endpoint));
+        }
+    }
+
+    /// Records what another gateway knows of restarts. Returns what is new.
+    pub fn note_told_cold(
+        &mut self,
+        now: Duration,
+        notices: Vec<ColdNotice>,
+        is_whole: bool,
+    ) -> Vec<ColdNotice> {
+        if is_whole {
+            self.table.keeper.uninformed_until = Duration::ZERO;
+        }
+        let notices = notices.into_iter();
+        let new = notices.filter(|notice| self.table.note_told_cold(now, notice));
+        new.collect()
+    }
+
+    /// What a request for tokens tells of cold endpoints.
+    pub fn cold_notices_of(&self, now: Duration, ask: &TokenAsk) -> Vec<ColdNotice> {
+        let wishes = ask.wishes.iter().take(MAX_COLD_WISHES);
+        wishes
+            .filter_map(|wish| self.table.cold_notice(now, wish.notice.endpoint))
+            .collect()
+    }
+
     fn query<'a>(
         &self,
         now: Duration,
@@ -126,6 +173,9 @@
     ) {
         let outcome = CallOutcome::Served(now.saturating_sub(sent_at));
         self.table.note(now, endpoint, outcome);
+        if self.table.note_answer(now, endpoint, sent_at, now) {
+            self.cold_news.extend(self.table.cold_notice(now, endpoint));
+        }
         self.table.note_activity(now, endpoint);
         let table = &mut self.table;
         let changes = table.note_statement(now, endpoint, sent_at, statement);
--- a/crates/measure/src/limit/messages.rs
+++ b/crates/measure/src/limit/messages.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
-use wire::statement::{LimitNotice, MAX_NOTICES, TokenAsk, TokenOutcome};
+use wire::statement::{ColdNotice, LimitNotice, MAX_NOTICES, TokenAsk, TokenOutcome};
 
 use super::replay::{ASK_WAITS, FleetEvent, LimitFleet, WaitingCall};
 
@@ -29,8 +29,10 @@
 pub(super) enum FleetMessage {
     /// What endpoints stated lately, and to how many gateways the receiver passes it on.
     Notices(Vec<LimitNotice>, usize),
-    /// Asks for tokens.
-    Ask(TokenAsk),
+    /// What is known of restarts, whether it is all, and to how many gateways the receiver passes it on.
+    Cold(Vec<ColdNotice>, bool, usize),
+    /// Asks for tokens, with what is known of cold endpoints.
+    Ask(TokenAsk, Vec<ColdNotice>),
     /// The answer to a request for tokens.
     Reply(u64, TokenOutcome),
 }
@@ -104,6 +106,9 @@
             for notice in std::mem::take(&mut self.gateways[number].gateway.news) {
                 self.announce(number, notice);
             }
+            for notice in std::mem::take(&mut self.gateways[number].gateway.cold_news) {
+                self.announce_cold(number, notice);
+            }
             let since_tick = (self.now + Duration::from_millis(7) * number as u32).as_millis();
             if since_tick.is_multiple_of(REPETITION_INTERVAL.as_millis()) {
                 let slot = &mut self.gateways[number];
@@ -130,7 +135,32 @@
         }
     }
 
+    fn announce_cold(&mut self, sender: usize, notice: ColdNotice) {
+        let others = self.following(sender);
+        let span = others.len().div_ceil(MAX_RECIPIENTS).max(1);
+        for recipients in others.chunks(span) {
+            let message = FleetMessage::Cold(vec![notice], false, recipients.len() - 1);
+            self.send(sender, recipients[0], message);
+        }
+    }
+
+    fn repeat_cold(&mut self, sender: usize, recipient: usize) {
+        let table = &self.gateways[sender].gateway.table;
+        let is_whole = table.keeper.is_informed(self.now);
+        let notices = table.cold_notices(self.now);
+        let count = notices.len().div_ceil(MAX_NOTICES).max(1);
+        for part in 0..count {
+            let part_of = notices.iter().skip(part * MAX_NOTICES).take(MAX_NOTICES);
+            let is_whole = is_whole && part + 1 == count;
+            let message = FleetMessage::Cold(part_of.copied().collect(), is_whole, 0);
+            self.send(sender, recipient, message);
+        }
+    }
+
     pub(super) fn repeat(&mut self, sender: usize, recipient: usize) {
+        if sender != recipient && self.has_cold() {
+            self.repeat_cold(sender, recipient);
+        }
         let notices = self.gateways[sender].gateway.repetition(self.now);
         for notices in notices.chunks(MAX_NOTICES).filter(|_| sender != recipient) {
             self.send(
@@ -173,9 +203,18 @@
                     self.send(recipient, other, FleetMessage::Notices(new.clone(), 0));
                 }
             }
-            FleetMessage::Ask(ask) => {
+            FleetMessage::Cold(notices, is_whole, forward) => {
+                let gateway = &mut self.gateways[recipient].gateway;
+                let new = gateway.note_told_cold(now, notices, is_whole);
+                let others = self.following(recipient);
+                for other in others.into_iter().take(forward).filter(|_| !new.is_empty()) {
+                    self.send(recipient, other, FleetMessage::Cold(new.clone(), false, 0));
+                }
+            }
+            FleetMessage::Ask(ask, cold) => {
                 let term = self.term_of(recipient);
                 let gateway = &mut self.gateways[recipient].gateway;
+                gateway.note_told_cold(now, cold, false);
                 let outcome = gateway.answer(now, term, &ask);
                 self.send(recipient, sender, FleetMessage::Reply(ask.id, outcome));
             }
@@ -201,14 +240,17 @@
             return;
         }
         let gateway = call.gateway;
+        let cold = self.gateways[gateway]
+            .gateway
+            .cold_notices_of(self.now, &ask);
         self.waiting.insert(ask.id, call);
         let [repeat_after, give_up_after] = ASK_WAITS;
         self.plan(
             repeat_after,
-            FleetEvent::AskRepeats(ask.id, keeper, ask.clone()),
+            FleetEvent::AskRepeats(ask.id, keeper, ask.clone(), cold.clone()),
         );
         self.plan(give_up_after, FleetEvent::AskExpires(ask.id));
-        self.send(gateway, keeper, FleetMessage::Ask(ask));
+        self.send(gateway, keeper, FleetMessage::Ask(ask, cold));
     }
 
     fn end_ask(&mut self, call: WaitingCall, outcome: &TokenOutcome) {
--- a/crates/measure/src/limit/replay.rs
+++ b/crates/measure/src/limit/replay.rs
@@ -10,15 +10,18 @@
 use rand_pcg::Pcg64Mcg;
 use wire::gateway::ListedEndpoint;
 use wire::id::EndpointId;
-use wire::statement::TokenAsk;
+use wire::statement::{ColdNotice, TokenAsk};
 
 use super::LimitResult;
+use super::cold::{ColdDay, ColdLoad, cold_rule};
 use super::endpoint::SimulatedEndpoint;
 use super::gateway::SimulatedGateway;
 use super::messages::{CORE_SIZE, FleetMessage, KeeperElection};
 
 /// Simulated time.
 const RUN_TIME: Duration = Duration::from_secs(36);
+/// Time after the first start of the fleet in which no call may be refused.
+const FIRST_TIME: Duration = Duration::from_secs(4);
 /// Length of a step.
 const STEP: Duration = Duration::from_millis(1);
 /// Time for which a message or the bytes of a call are under way.
@@ -71,10 +74,13 @@
     /// Endpoints say that they leave, one after the other, long before the list says so.
     #[display("leaving")]
     Leaving,
+    /// Failure domains of endpoints are down for seconds, and come back cold into a burst.
+    #[display("cold")]
+    Cold,
 }
 
 impl StatementPattern {
-    /// All patterns.
+    /// The patterns without cold endpoints.
     pub const ALL: [Self; 4] = [
         Self::SomeLimited,
         Self::AllLimited,
@@ -99,6 +105,10 @@
     pub pattern: StatementPattern,
     /// Limit of an endpoint, in calls per second.
     pub limit: f64,
+    /// Load before cold endpoints.
+    pub cold_load: ColdLoad,
+    /// Whether the gateways know that endpoints are cold after a start.
+    pub knows_cold: bool,
     /// Seed of the calls and faults.
     pub seed: u64,
 }
@@ -108,9 +118,15 @@
     pub fn new(instances: usize, pattern: StatementPattern) -> Self {
         Self {
             instances,
-            endpoints: if instances < 10 { 9 } else { 20 },
+            endpoints: match (pattern, instances) {
+                (StatementPattern::Cold, _) => 50,
+                (_, ..10) => 9,
+                (_, _) => 20,
+            },
             pattern,
             limit: 2.0,
+            cold_load: ColdLoad::Steady,
+            knows_cold: true,
             seed: 7,
         }
     }
@@ -153,10 +169,11 @@
 #[derive(Clone, Debug)]
 pub(super) enum FleetEvent {
     Message(usize, usize, FleetMessage),
-    AskRepeats(u64, usize, TokenAsk),
+    AskRepeats(u64, usize, TokenAsk, Vec<ColdNotice>),
     AskExpires(u64),
     GatewayReturns(usize),
     CallReaches(SentCall),
+    CallBreaks(SentCall),
     HeadArrives(SentCall, EndpointStatement),
     AnswerEnds(SentCall),
 }
@@ -174,7 +191,7 @@
 }
 
 pub(super) struct LimitFleet {
-    settings: ReplaySettings,
+    pub(super) settings: ReplaySettings,
     pub(super) now: Duration,
     pub(super) rng: Pcg64Mcg,
     pub(super) gateways: Vec<GatewaySlot>,
@@ -185,14 +202,15 @@
     pub(super) datagrams: u64,
     /// Since when each endpoint has had a token or no limit.
     room_since: Vec<Option<Duration>>,
-    endpoints: Vec<SimulatedEndpoint>,
+    pub(super) endpoints: Vec<SimulatedEndpoint>,
     numbers: HashMap<EndpointId, usize>,
     agenda: BTreeMap<Duration, Vec<FleetEvent>>,
     next_restart_at: Duration,
     next_cut_at: Duration,
     next_gateway: usize,
+    pub(super) cold: ColdDay,
     waits: Histogram<u64>,
-    result: LimitResult,
+    pub(super) result: LimitResult,
 }
 
 impl LimitFleet {
@@ -225,6 +243,7 @@
             next_restart_at: Duration::from_secs(2),
             next_cut_at: CUT_INTERVAL,
             next_gateway: 0,
+            cold: ColdDay::default(),
             waits: Histogram::new(3).expect("three digits are valid"),
             result: LimitResult::default(),
         }
@@ -232,6 +251,9 @@
 
     fn step(&mut self) {
         self.now += STEP;
+        if self.has_cold() {
+            self.step_cold();
+        }
         self.change_limits();
         self.change_turns();
         self.disrupt();
@@ -262,7 +284,7 @@
         let is_limited = |number: usize| match self.settings.pattern {
             StatementPattern::SomeLimited => number % 10 < 7,
             StatementPattern::AllLimited => true,
-            StatementPattern::Resting | StatementPattern::Leaving => false,
+            StatementPattern::Resting | StatementPattern::Leaving | StatementPattern::Cold => false,
         };
         let limit = (*factor > 0.0).then_some(self.settings.limit * factor);
         for (number, endpoint) in self.endpoints.iter_mut().enumerate() {
@@ -285,7 +307,9 @@
                 self.endpoints[turn % count].overloaded_since = Some(self.now);
             }
             StatementPattern::Leaving => self.endpoints[turn % count].is_leaving = true,
-            StatementPattern::SomeLimited | StatementPattern::AllLimited => {}
+            StatementPattern::SomeLimited
+            | StatementPattern::AllLimited
+            | StatementPattern::Cold => {}
         }
     }
 
@@ -312,10 +336,15 @@
         }
     }
 
-    fn restart_gateway(&mut self, number: usize) {
+    pub(super) fn restart_gateway(&mut self, number: usize) {
         let listed = list_of(&self.endpoints);
         let slot = &mut self.gateways[number];
         slot.gateway = SimulatedGateway::new(number as u64, self.settings.instances, &listed);
+        if self.settings.pattern == StatementPattern::Cold && self.settings.knows_cold {
+            let rule = cold_rule();
+            slot.gateway
+                .set_cold_rule(self.now + RESTART_TIME, rule, false);
+        }
         slot.starts += 1;
         slot.down_until = self.now + RESTART_TIME;
         self.plan(RESTART_TIME, FleetEvent::GatewayReturns(number));
@@ -325,7 +354,11 @@
     }
 
     fn start_calls(&mut self) {
-        let mean = CALLS_PER_ENDPOINT * self.endpoints.len() as f64 * STEP.as_secs_f64();
+        let calls = match self.has_cold() {
+            true => self.cold_calls_per_endpoint(),
+            false => CALLS_PER_ENDPOINT,
+        };
+        let mean = calls * self.endpoints.len() as f64 * STEP.as_secs_f64();
         let mut left = mean;
         while left > 0.0 {
             if self.rng.random_bool(left.min(1.0)) {
@@ -338,6 +371,10 @@
     fn start_call(&mut self) {
         let number = self.rng.random_range(0..self.gateways.len());
         let parts = PARTS_PER_ENDPOINT * self.endpoints.len() as u64;
+        let parts = match self.has_cold() {
+            true => self.cold_parts(parts),
+            false => parts,
+        };
         let part = self.rng.random_range(0..parts);
         if self.gateways[number].down_until > self.now {
             return;
@@ -431,6 +468,9 @@
     fn refuse(&mut self, call: WaitingCall) {
         self.note_wait(call.arrived_at);
         self.result.refused += 1;
+        if self.now < FIRST_TIME {
+            self.result.refused_first += 1;
+        }
         let slot = &self.gateways[call.gateway];
         let settled_at = slot.down_until.max(slot.cut_until) + SETTLING_TIME;
         let had_room = |since: &Option<Duration>| {
@@ -461,9 +501,9 @@
             FleetEvent::Message(sender, recipient, message) => {
                 self.receive(sender, recipient, message);
             }
-            FleetEvent::AskRepeats(id, keeper, ask) => {
+            FleetEvent::AskRepeats(id, keeper, ask, cold) => {
                 if let Some(call) = self.waiting.get(&id) {
-                    self.send(call.gateway, keeper, FleetMessage::Ask(ask));
+                    self.send(call.gateway, keeper, FleetMessage::Ask(ask, cold));
                 }
             }
             FleetEvent::AskExpires(id) => self.expire_ask(id),
@@ -475,6 +515,14 @@
                     ..
                 } = sent.call;
                 let endpoint = &mut self.endpoints[sent.endpoint];
+                if endpoint.is_down(now) {
+                    let transit = self.transit();
+                    self.plan(transit, FleetEvent::CallBreaks(sent));
+                    return;
+                }
+                endpoint.note_cold_call(now);
+                self.note_after_cold(sent.endpoint);
+                let endpoint = &mut self.endpoints[sent.endpoint];
                 let statement = endpoint.take_call(now, gateway, arrived_at);
                 let transit = self.transit();
                 self.plan(
@@ -483,15 +531,33 @@
                 );
             }
             FleetEvent::HeadArrives(sent, statement) => self.note_head(sent, statement),
+            FleetEvent::CallBreaks(sent) => self.break_call(sent),
             FleetEvent::AnswerEnds(sent) => {
+                let has_crashed = self.endpoints[sent.endpoint].has_crashed_since(sent.sent_at);
                 if let Some(gateway) = self.waiting_gateway(&sent.call) {
                     gateway.finish(now, id_of(sent.endpoint));
+                    if has_crashed {
+                        gateway.note_break(now, id_of(sent.endpoint));
+                    }
                 }
             }
         }
     }
 
+    fn break_call(&mut self, sent: SentCall) {
+        let (now, endpoint) = (self.now, id_of(sent.endpoint));
+        if let Some(gateway) = self.waiting_gateway(&sent.call) {
+            gateway.note_break(now, endpoint);
+            gateway.finish(now, endpoint);
+        }
+        self.retry(sent.call, endpoint);
+    }
+
     fn note_head(&mut self, sent: SentCall, statement: EndpointStatement) {
+        if self.endpoints[sent.endpoint].has_crashed_since(sent.sent_at) {
+            self.break_call(sent);
+            return;
+        }
         let (now, endpoint) = (self.now, id_of(sent.endpoint));
         if let Some(gateway) = self.waiting_gateway(&sent.call) {
             gateway.note_head(now, endpoint, sent.sent_at, statement);
@@ -511,10 +577,14 @@
         let allowed: f64 = self.endpoints.iter().map(|one| one.allowed_calls).sum();
         let calls: u32 = self.endpoints.iter().map(|one| one.limited_calls).sum();
         self.result.breaches = self.endpoints.iter().map(|one| one.window.breaches).sum();
-        self.result.used = match self.settings.pattern.has_limits() {
-            true => f64::from(calls) / allowed,
-            false => 1.0,
+        self.result.used = match self.settings.pattern {
+            StatementPattern::Cold => self.cold_used(),
+            pattern if pattern.has_limits() => f64::from(calls) / allowed,
+            _ => 1.0,
         };
+        if self.has_cold() {
+            self.note_cold_result();
+        }
         let endpoints = self.endpoints.iter();
         self.result.rest_breaches = endpoints.map(|one| one.rest_breaches).sum();
         let endpoints = self.endpoints.iter();
@@ -526,7 +596,7 @@
     }
 }
 
-fn id_of(number: usize) -> EndpointId {
+pub(super) fn id_of(number: usize) -> EndpointId {
     SimulatedEndpoint::new(number).listed().id()
 }
 
--- a/crates/measure/src/main.rs
+++ b/crates/measure/src/main.rs
@@ -9,6 +9,7 @@
 //! * [`overload`](measure::overload): results of calls while the offered load exceeds the capacity
 //!   of the engines.
 //! * [`limit`](measure::limit): how a fleet obeys what endpoints state.
+//!   `cold` measures how it sends calls to endpoints that are cold after a start.
 //! * [`poison`](measure::poison): retries of a request that crashes each endpoint that runs it.
 //! * [`suite`]: the services that skew and reuse are measured on.
 //! * [`trial`]: simulation of one policy on one request sequence.
@@ -59,6 +60,7 @@
     Overload(overload::OverloadArgs),
     Poison(poison::PoisonArgs),
     Limit(limit::LimitArgs),
+    Cold(limit::ColdArgs),
 }
 
 /// Whether the bound of a measurement holds.
@@ -99,6 +101,7 @@
         MeasureCommand::Overload(args) => BoundVerdict::of(overload::run(&args)),
         MeasureCommand::Poison(args) => BoundVerdict::of(poison::run(&args)),
         MeasureCommand::Limit(args) => BoundVerdict::of(limit::run(&args)),
+        MeasureCommand::Cold(args) => BoundVerdict::of(limit::run_cold(&args)),
     }
 }
 
--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -9,6 +9,7 @@
 use pace::cold::ColdRule;
 use pace::room::EndpointRoom;
 use relay::rate_keeper::{RateKeeper, TokenRequest};
+use relay::row::EndpointRow;
 use relay::table::EndpointTable;
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, name_id};
@@ -58,7 +59,7 @@
 }
 
 fn cold_until(table: &EndpointTable) -> Option<Duration> {
-    table.row(id()).and_then(|row| row.cold_until())
+    table.row(id()).and_then(EndpointRow::cold_until)
 }
 
 #[gtest]
