--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -1,6 +1,6 @@
 //! Reading the platform's endpoint list, and publishing each reading to the other gateways.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,10 +10,10 @@
 use platform::paths::{ENDPOINT_LIST, PAGE_PARAMETER};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use wire::gateway::{
-    GatewayDatagram, GatewayReply, GatewayRequest, ListNotice, ListedEndpoint, ReadingKey,
-    address_of,
+    ColdListNotice, GatewayDatagram, GatewayReply, GatewayRequest, ListNotice, ListedEndpoint,
+    MAX_COLD_ENDPOINTS, ReadingKey, address_of,
 };
-use wire::id::InstanceId;
+use wire::id::{EndpointId, InstanceId};
 
 use crate::list_readings::without_duplicates;
 use crate::node::GatewayNode;
@@ -58,6 +58,8 @@
 #[derive(Debug, Default)]
 struct ReadList {
     endpoints: Vec<ListedEndpoint>,
+    /// How much longer endpoints are cold after a start; of several entries, the longest.
+    cold: BTreeMap<EndpointId, Duration>,
     /// Number of entries that could not be read.
     skipped: usize,
 }
@@ -88,6 +90,7 @@
                 }
                 node.relay_state.metrics.set_skipped_entries(skipped);
                 node.publish_reading(list.endpoints);
+                node.publish_cold(list.cold.into_iter().collect());
             }
             Err(error) => {
                 if !has_failed {
@@ -132,6 +135,10 @@
                 read_page(&body).map_err(|error| ReadError::Unreadable(error.to_string()))?;
             list.skipped += read.skipped;
             list.endpoints.extend(read.endpoints);
+            for (id, remaining) in read.cold {
+                let longest = list.cold.entry(id).or_default();
+                *longest = remaining.max(*longest);
+            }
             // A page whose token was read before would lead around in a circle.
             let Some(page) = read.next.filter(|page| read_pages.insert(page.clone())) else {
                 break;
@@ -190,6 +197,21 @@
         }
     }
 
+    /// Records the cold times of this gateway's own reading, and sends those that matter to the live
+    /// gateways.
+    fn publish_cold(&self, cold: Vec<(EndpointId, Duration)>) {
+        let endpoints = self.relay_state.note_cold_reading(&cold);
+        for endpoints in endpoints.chunks(MAX_COLD_ENDPOINTS) {
+            let notice = GatewayDatagram::ColdList(ColdListNotice {
+                age_ms: 0,
+                endpoints: endpoints.to_vec(),
+            });
+            for (instance, _) in self.directory.borrow().live(self.now()) {
+                self.send_datagram(instance, &notice);
+            }
+        }
+    }
+
     /// Sends the notice of this gateway's latest reading to a gateway that has just become live, if
     /// the reading is recent.
     pub fn send_list_notice(&self, newcomer: InstanceId) {
