relay: probe endpoints that stay silent, and go on elsewhere if they accept no connection

Load pattern: a failure domain loses power, and its connections neither close nor are reset. Change: after 0.7 s without bytes, an endpoint that is silent to all calls of the instance is probed by a connect, at most once in 0.36 s. After two failed probes in a row its repeatable calls go on elsewhere. Endpoints that accept connections are waited for as before. Excluded: shorter silence limits, as calls that wait in long queues would run twice.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -12,6 +12,7 @@
     AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
 };
 use crate::health::CallOutcome;
+use crate::reach_check::wait_while_reachable;
 use crate::record::CallEnd;
 use crate::reply::{WholeAnswer, deliver_whole};
 use crate::retry::AttemptEnd;
@@ -62,7 +63,8 @@
     async fn take_whole(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
         let limit = self.state.settings.whole_answer_bytes;
         let reading = read_whole(&mut answer.connection, limit);
-        let read = with_time_limit(self.progress.silence_limit, reading).await;
+        let limit = self.progress.silence_limit;
+        let read = wait_while_reachable(self.state, self.endpoint, limit, reading).await;
         let framing = answer.connection.framing;
         self.note_end(framing, read.is_ok(), 0);
         let body = match read {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::call::{AnswerMetadata, CallMetadata, ForwardMetadata};
 use crate::health::CallOutcome;
 use crate::placement;
+use crate::reach_check::wait_while_reachable;
 use crate::relay_call::RelayCall;
 use crate::reply::WholeAnswer;
 use crate::retry::AttemptEnd;
@@ -206,7 +207,8 @@
         self.progress.may_run = true;
         slot.note_alive();
         let exchange = connection.exchange(&state.http, head, call.body);
-        let exchanged = with_time_limit(self.head_limit(), exchange).await;
+        let limit = self.head_limit();
+        let exchanged = wait_while_reachable(state, self.endpoint, limit, exchange).await;
         self.progress.may_run = connection.has_sent;
         let head = exchanged?;
         slot.note_head();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -37,6 +37,7 @@
 //! * [`record`]: metrics and log line of a call.
 //! * [`crash_check`]: lost runs, and checks whether their endpoints are down.
 //! * [`crash_log`]: log lines and metrics of crash detection.
+//! * [`reach_check`]: detection of unreachable endpoints while calls wait for their bytes.
 //! * [`leave_check`]: health checks of endpoints that have said that they leave.
 //! * [`limit_sharing`]: messages by which instances share the limits of endpoints.
 //! * [`statement_change`]: changes of what an endpoint states.
@@ -75,6 +76,7 @@
 pub mod placement;
 pub mod ranks;
 pub mod rate_keeper;
+pub mod reach_check;
 pub mod record;
 pub mod refusal;
 pub mod region;
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -16,11 +16,15 @@
 use crate::endpoint_leave::EndpointLeave;
 use crate::endpoint_limit::{EndpointLimit, KeeperView, SharedRate};
 use crate::health::EndpointHealth;
+use crate::reach_check::MAX_FAILED_PROBES;
 use crate::statement_change::StatementChange;
 
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
 /// long as a slow endpoint takes for an answer or between two events.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Shortest time between two probes of one silent endpoint by this instance. A probe that succeeds
+/// costs the endpoint a connection.
+const PROBE_INTERVAL: Duration = Duration::from_millis(360);
 /// Age up to which the load that an endpoint reported is taken at face value.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
 /// Change of this instance's running requests at one endpoint, since the last announcement, from
@@ -103,6 +107,10 @@
     busy_since: Option<Duration>,
     /// Time of the latest bytes from the endpoint.
     last_active_at: Option<Duration>,
+    /// Probes in a row that found that the endpoint accepts no connection.
+    failed_probes: u32,
+    /// Time of the latest probe.
+    probed_at: Option<Duration>,
     /// Whether a call to its address was declined as misdirected, which means that another endpoint
     /// has taken over the address.
     is_misplaced: bool,
@@ -144,6 +152,8 @@
             has_unreadable: false,
             busy_since: None,
             last_active_at: None,
+            failed_probes: 0,
+            probed_at: None,
             is_misplaced: false,
             holding_time: None,
             average_load: 0.0,
@@ -409,6 +419,30 @@
         since.is_some_and(|since| now >= since + SILENCE_LIMIT)
     }
 
+    /// Whether the endpoint is silent and has accepted no connection of the latest probes.
+    pub fn is_unreachable(&self, now: Duration) -> bool {
+        self.failed_probes >= MAX_FAILED_PROBES && self.is_silent(now)
+    }
+
+    /// Whether the endpoint is to be probed, as it is silent and no probe was made lately. If so,
+    /// records that a probe begins.
+    pub fn begin_probe(&mut self, now: Duration) -> bool {
+        let is_due = self.probed_at.is_none_or(|at| now >= at + PROBE_INTERVAL);
+        let begins = is_due && self.is_silent(now);
+        if begins {
+            self.probed_at = Some(now);
+        }
+        begins
+    }
+
+    /// Records whether a probe found that the endpoint accepts connections.
+    pub fn note_probe(&mut self, is_reached: bool) {
+        self.failed_probes = match is_reached {
+            true => 0,
+            false => self.failed_probes + 1,
+        };
+    }
+
     /// Whether the endpoint is usable and neither misplaced nor silent. A draining endpoint may be
     /// sound.
     pub fn is_sound(&self, now: Duration) -> bool {
@@ -537,6 +571,7 @@
     /// Records that bytes arrived from the endpoint.
     pub fn note_activity(&mut self, now: Duration) {
         self.last_active_at = Some(now);
+        self.failed_probes = 0;
     }
 
     /// Records the time for which a successful call held a slot.
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -8,8 +8,9 @@
 use tokio::time::Instant;
 use wire::stream::StreamOrigin;
 
-use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
+use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer};
 use crate::origin_lookup::stream_id;
+use crate::reach_check::wait_while_reachable;
 use crate::retry::AttemptEnd;
 use crate::session::{self, CallerFraming};
 use crate::slot::OccupiedSlot;
@@ -35,7 +36,8 @@
             let limit = self.progress.silence_limit;
             let left = limit.map(|limit| limit.saturating_sub(event_at.elapsed()));
             let waiting = answer.connection.next_chunk();
-            let chunk = match with_time_limit(left, waiting).await {
+            let waited = wait_while_reachable(self.state, self.endpoint, left, waiting).await;
+            let chunk = match waited {
                 Ok(Some(chunk)) => chunk,
                 Ok(None) => return self.end_stream(answer, content, slot).await,
                 Err(EndpointError::Silent) if !self.may_go_on_elsewhere() => {
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -405,3 +405,28 @@
     expect_that!(domains, each(eq(&1)));
     expect_that!(choose(&settings, &table, &retry), none());
 }
+
+/// Guards against calls that wait for seconds at an endpoint without power.
+#[gtest]
+fn silent_endpoint_is_unreachable_after_two_failed_probes_and_no_longer_once_it_sends() {
+    let mut table = table_of(1);
+    let id = listed(1).id();
+    table.start(Duration::ZERO, id);
+    let row = table.row_mut(id).expect("it is listed");
+    let millis = Duration::from_millis;
+
+    let early = row.begin_probe(millis(600));
+    let first = row.begin_probe(millis(800));
+    let too_soon = row.begin_probe(millis(900));
+    row.note_probe(false);
+    let after_one = row.is_unreachable(millis(1000));
+    let second = row.begin_probe(millis(1200));
+    row.note_probe(false);
+    let after_two = row.is_unreachable(millis(1300));
+    row.note_activity(millis(1400));
+    let after_bytes = row.is_unreachable(millis(2500));
+
+    expect_that!((early, first, too_soon), eq((false, true, false)));
+    expect_that!((after_one, second, after_two), eq((false, true, true)));
+    expect_that!(after_bytes, eq(false));
+}
