Relay: a gateway that hears few others trusts only endpoints that keep answering it

A third of the gateways is cut off for 2.5 s at a time; those had not been told of the outage, had not tried the endpoint during it, and took it for warm.

Change: a gateway that hears fewer than half of the instances of the last minute needs tokens for endpoints of services with cold endpoints, except for those that have answered it without a break of 1.5 s since before it was cut off. When it hears the others again, it needs tokens until one of them has sent it all cold endpoints.

--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -120,6 +120,8 @@
                 .borrow_mut()
                 .set_instance_loads(now, instance, Vec::new());
         }
+        let live = self.directory.borrow().live(now).count() + 1;
+        self.relay_state.note_live_instances(live);
         let peak_live = self.directory.borrow().peak_live();
         self.relay_state.table.borrow_mut().keeper.instances = peak_live;
         self.relay_state
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -74,7 +74,7 @@
         notices: Vec<ColdNotice>,
         is_whole: bool,
     ) -> Vec<ColdNotice> {
-        if is_whole {
+        if is_whole && self.table.keeper.cut_since.is_none() {
             self.table.keeper.uninformed_until = Duration::ZERO;
         }
         let notices = notices.into_iter();
@@ -82,6 +82,12 @@
         new.collect()
     }
 
+    /// Records that this gateway notices that it hears none, or most, of the others.
+    pub fn set_cut(&mut self, now: Duration, is_cut: bool, rule: ColdRule) {
+        self.table.keeper.cut_since = is_cut.then_some(now);
+        self.table.keeper.uninformed_until = now + rule.start + LIST_LAG;
+    }
+
     /// What a request for tokens tells of cold endpoints.
     pub fn cold_notices_of(&self, now: Duration, ask: &TokenAsk) -> Vec<ColdNotice> {
         let wishes = ask.wishes.iter().take(MAX_COLD_WISHES);
--- a/crates/measure/src/limit/messages.rs
+++ b/crates/measure/src/limit/messages.rs
@@ -146,7 +146,7 @@
 
     fn repeat_cold(&mut self, sender: usize, recipient: usize) {
         let table = &self.gateways[sender].gateway.table;
-        let is_whole = table.keeper.is_informed(self.now);
+        let is_whole = table.keeper.is_informed(self.now) && table.keeper.cut_since.is_none();
         let notices = table.cold_notices(self.now);
         let count = notices.len().div_ceil(MAX_NOTICES).max(1);
         for part in 0..count {
--- a/crates/measure/src/limit/replay.rs
+++ b/crates/measure/src/limit/replay.rs
@@ -56,6 +56,10 @@
 const RESTART_TIME: Duration = Duration::from_millis(800);
 /// Interval at which gateways are cut off from each other.
 const CUT_INTERVAL: Duration = Duration::from_millis(5300);
+/// Time until a gateway notices that it is cut off, as the heartbeats of the others are missing, and
+/// until it hears the others again after the cut.
+const CUT_NOTICE_TIME: Duration = Duration::from_millis(1500);
+const CUT_END_TIME: Duration = Duration::from_millis(300);
 /// Length of a cut.
 const CUT_TIME: Duration = Duration::from_millis(2500);
 
@@ -172,6 +176,8 @@
     AskRepeats(u64, usize, TokenAsk, Vec<ColdNotice>),
     AskExpires(u64),
     GatewayReturns(usize),
+    /// A gateway, in this start, notices the beginning or the end of a cut.
+    CutNoticed(usize, u32, bool),
     CallReaches(SentCall),
     CallBreaks(SentCall),
     HeadArrives(SentCall, EndpointStatement),
@@ -332,6 +338,12 @@
             let number = self.rng.random_range(0..self.gateways.len());
             if number >= CORE_SIZE || number == core {
                 self.gateways[number].cut_until = self.now + CUT_TIME;
+                if self.has_cold() && self.settings.knows_cold {
+                    let start = self.gateways[number].starts;
+                    self.plan(CUT_NOTICE_TIME, FleetEvent::CutNoticed(number, start, true));
+                    let after = CUT_TIME + CUT_END_TIME;
+                    self.plan(after, FleetEvent::CutNoticed(number, start, false));
+                }
             }
         }
     }
@@ -508,6 +520,15 @@
             }
             FleetEvent::AskExpires(id) => self.expire_ask(id),
             FleetEvent::GatewayReturns(number) => self.greet(number),
+            FleetEvent::CutNoticed(number, start, is_cut) => {
+                let slot = &mut self.gateways[number];
+                if slot.starts == start {
+                    slot.gateway.set_cut(now, is_cut, cold_rule());
+                }
+                if !is_cut {
+                    self.greet(number);
+                }
+            }
             FleetEvent::CallReaches(sent) => {
                 let WaitingCall {
                     gateway,
--- a/crates/relay/src/cold_sharing.rs
+++ b/crates/relay/src/cold_sharing.rs
@@ -30,13 +30,31 @@
     pub(crate) fn refresh_informed(&self) {
         let mut table = self.table.borrow_mut();
         let longest = table.longest_cold_start();
-        let is_informed = self.settings.is_first_start || self.is_cold_informed.get();
-        table.keeper.uninformed_until = match longest.filter(|_| !is_informed) {
-            Some(longest) => longest + LIST_LAG,
-            None => Duration::ZERO,
+        table.keeper.cut_since = self.fleet_contact.borrow().lost_at();
+        table.keeper.uninformed_until = match (longest, self.uninformed_since.get()) {
+            (Some(longest), Some(since)) => since + longest + LIST_LAG,
+            _ => Duration::ZERO,
         };
     }
 
+    /// Records the number of live instances, this one included. An instance that has heard fewer than
+    /// half of them does not know of restarts until another one that does has told it.
+    pub fn note_live_instances(&self, live: usize) {
+        let now = self.now();
+        if !self.fleet_contact.borrow_mut().note_live(now, live) {
+            return;
+        }
+        let is_lost = self.fleet_contact.borrow().lost_at().is_some();
+        if self.table.borrow().has_cold_rules() {
+            log::info!(
+                live = live, is_lost = is_lost;
+                "relay: knowledge of restarted endpoints depends on other gateways"
+            );
+        }
+        self.uninformed_since.set(Some(now));
+        self.refresh_informed();
+    }
+
     /// Records that an endpoint could not be reached or broke a connection, and tells the other
     /// instances, as it is cold when it returns.
     pub(crate) fn note_maybe_cold(&self, endpoint: EndpointId) {
@@ -121,7 +139,9 @@
             if !table.has_cold_rules() {
                 return;
             }
-            (table.cold_notices(now), table.keeper.is_informed(now))
+            let keeper = table.keeper;
+            let is_whole = keeper.is_informed(now) && keeper.cut_since.is_none();
+            (table.cold_notices(now), is_whole)
         };
         let mut chunks = notices.chunks(MAX_NOTICES).map(<[_]>::to_vec).peekable();
         let mut next = chunks.next().or_else(|| is_whole.then(Vec::new));
@@ -147,7 +167,8 @@
                 new.push(notice);
             }
         }
-        if is_whole && !self.is_cold_informed.replace(true) {
+        let is_cut = self.fleet_contact.borrow().lost_at().is_some();
+        if is_whole && !is_cut && self.uninformed_since.take().is_some() {
             self.refresh_informed();
         }
         if !new.is_empty() && forward > 0 {
--- a/crates/relay/src/endpoint_limit.rs
+++ b/crates/relay/src/endpoint_limit.rs
@@ -44,6 +44,9 @@
     /// Time until which this instance may not know of restarts that others know of, so that each
     /// endpoint of a service with cold endpoints may be cold; zero if it knows.
     pub uninformed_until: Duration,
+    /// Since when this instance hears fewer than half of the others; `None` while it hears more. It
+    /// then goes on only at endpoints that have answered it without a longer break ever since.
+    pub cut_since: Option<Duration>,
 }
 
 impl Default for KeeperView {
@@ -54,6 +57,7 @@
             ask_at: Duration::ZERO,
             instances: 1,
             uninformed_until: Duration::ZERO,
+            cut_since: None,
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -63,6 +63,7 @@
 pub mod drain;
 pub mod endpoint_leave;
 pub mod endpoint_limit;
+pub mod fleet_contact;
 pub mod forward;
 pub mod health;
 pub mod leave_check;
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -21,6 +21,9 @@
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
 /// long as a slow endpoint takes for an answer or between two events.
 const SILENCE_LIMIT: Duration = Duration::from_millis(700);
+/// Time without bytes from an endpoint after which an instance that hears nothing of the others does
+/// not know whether the endpoint has restarted. Shorter than a restart of a whole failure domain.
+const ACTIVITY_GAP: Duration = Duration::from_millis(1500);
 /// Age up to which the load that an endpoint reported is taken at face value.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
 /// Change of this instance's running requests at one endpoint, since the last announcement, from
@@ -101,6 +104,8 @@
     busy_since: Option<Duration>,
     /// Time of the latest bytes from the endpoint.
     last_active_at: Option<Duration>,
+    /// Time since which bytes have arrived without a break of [`ACTIVITY_GAP`].
+    active_since: Duration,
     /// Whether a call to its address was declined as misdirected, which means that another endpoint
     /// has taken over the address.
     is_misplaced: bool,
@@ -141,6 +146,7 @@
             has_unreadable: false,
             busy_since: None,
             last_active_at: None,
+            active_since: Duration::ZERO,
             is_misplaced: false,
             holding_time: None,
             average_load: 0.0,
@@ -182,7 +188,11 @@
             since: Duration::ZERO,
             is_cold: false,
         });
-        let is_cold = self.is_cold(now) || !view.is_informed(now);
+        let is_known = match view.cut_since {
+            Some(since) => self.is_active(now) && self.active_since <= since,
+            None => view.is_informed(now),
+        };
+        let is_cold = self.is_cold(now) || !is_known;
         let cold = self.cold_rule.filter(|_| is_cold).map(|rule| SharedRate {
             rate: rule.rate,
             since: self.cold.since(),
@@ -197,6 +207,12 @@
         }
     }
 
+    /// Whether bytes have arrived so lately that a restart meanwhile would have been noticed.
+    fn is_active(&self, now: Duration) -> bool {
+        let latest = self.last_active_at;
+        latest.is_some_and(|at| now < at + ACTIVITY_GAP)
+    }
+
     /// Time until which the endpoint counts as cold; `Duration::MAX` if it has not answered since a
     /// sign of a restart.
     pub fn cold_until(&self) -> Option<Duration> {
@@ -521,6 +537,9 @@
 
     /// Records that bytes arrived from the endpoint.
     pub fn note_activity(&mut self, now: Duration) {
+        if !self.is_active(now) {
+            self.active_since = now;
+        }
         self.last_active_at = Some(now);
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,6 +16,7 @@
 use crate::call::CallDialect;
 use crate::cold_sharing::cold_rules;
 use crate::crash::CrashTracker;
+use crate::fleet_contact::FleetContact;
 use crate::health::{CallOutcome, HealthChange};
 use crate::limit_sharing::PendingAsks;
 use crate::origin::{OriginSettings, OriginTable};
@@ -117,8 +118,10 @@
     pub rate_keeper: RefCell<RateKeeper>,
     /// Requests for tokens to the instance that keeps the rates.
     pub pending_asks: RefCell<PendingAsks>,
-    /// Whether another instance has told this one of the restarts of all endpoints.
-    pub(crate) is_cold_informed: Cell<bool>,
+    /// Since when this instance may not know of restarts of endpoints; `None` if it does.
+    pub(crate) uninformed_since: Cell<Option<Duration>>,
+    /// Whether this instance hears enough of the others.
+    pub(crate) fleet_contact: RefCell<FleetContact>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
     /// Settings of the HTTP codec. All connections share one value, as each new [`ServiceConfig`]
@@ -150,6 +153,7 @@
         dialect: Rc<dyn CallDialect>,
         metrics: GatewayMetrics,
     ) -> Self {
+        let uninformed_since = (!settings.is_first_start).then_some(Duration::ZERO);
         Self {
             metrics,
             budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
@@ -167,7 +171,8 @@
             peers: OnceCell::new(),
             rate_keeper: RefCell::default(),
             pending_asks: RefCell::default(),
-            is_cold_informed: Cell::new(false),
+            uninformed_since: Cell::new(uninformed_since),
+            fleet_contact: RefCell::default(),
             pool: ConnectionPool::default(),
             http: ServiceConfig::default(),
             phase: Cell::new(ServingPhase::Serving),
--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -8,6 +8,7 @@
 use googletest::prelude::*;
 use pace::cold::ColdRule;
 use pace::room::EndpointRoom;
+use relay::fleet_contact::FleetContact;
 use relay::rate_keeper::{RateKeeper, TokenRequest};
 use relay::row::EndpointRow;
 use relay::table::EndpointTable;
@@ -81,6 +82,44 @@
     expect_that!(rooms, eq([EndpointRoom::Ask, EndpointRoom::Open]));
 }
 
+#[gtest]
+fn instance_that_is_cut_off_sends_to_endpoints_that_restarted_meanwhile() {
+    let mut table = table();
+    table.note_activity(millis(900), id());
+    table.keeper.cut_since = Some(millis(1000));
+    table.note_activity(millis(2300), id());
+    let rooms = [room(&table, 2400), room(&table, 3800)];
+
+    table.note_activity(millis(3900), id());
+
+    expect_that!(rooms, eq([EndpointRoom::Open, EndpointRoom::Ask]));
+    expect_that!(room(&table, 4000), eq(EndpointRoom::Ask));
+}
+
+#[gtest]
+fn instance_counts_as_cut_off_while_it_hears_most_of_the_others() {
+    let mut contact = FleetContact::default();
+    contact.note_live(millis(1000), 30);
+    contact.note_live(millis(2000), 20);
+    let with_domain_lost = contact.lost_at();
+
+    contact.note_live(millis(3000), 14);
+
+    expect_that!(with_domain_lost, none());
+    expect_that!(contact.lost_at(), some(eq(millis(3000))));
+}
+
+#[gtest]
+fn instance_counts_as_cut_off_for_good_after_the_fleet_has_shrunk() {
+    let mut contact = FleetContact::default();
+    contact.note_live(millis(1000), 30);
+    contact.note_live(millis(2000), 10);
+
+    contact.note_live(millis(61_000), 10);
+
+    expect_that!(contact.lost_at(), none());
+}
+
 #[gtest]
 fn service_without_cold_endpoints_asks_for_tokens() {
     let mut table = table();
