Relay: three faults in what gateways know of cold endpoints

Cause: found by reading the code once more. A gateway that restarted took itself for informed when notices arrived before its list, which dropped them. A keeper whose own stream had refuted a sign granted as many tokens as an asker wanted that took the endpoint for cold. A call that waited long at a busy endpoint counted as a sign of a restart, so that slow endpoints would have been held at the rate of cold ones.

Change: notices count as all only once there is a list; the keeper applies the cold rate if either side takes the endpoint for cold; silence alone is no sign, the check whether the endpoint accepts connections is. A backoff ends when another gateway tells of an answer.

--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -142,12 +142,14 @@
         (!wishes.is_empty()).then_some(TokenAsk { id, wishes })
     }
 
-    /// Answers a request for tokens, as the keeper in `term`.
+    /// Answers a request for tokens, whose sender takes the endpoints `cold` for cold, as the keeper in
+    /// `term`.
     pub fn answer(
         &mut self,
         now: Duration,
         term: Option<KeeperTerm>,
         ask: &TokenAsk,
+        cold: &[EndpointId],
     ) -> TokenOutcome {
         self.keeper.set_term(term);
         if term.is_none() {
@@ -159,7 +161,7 @@
         let requests = ask
             .wishes
             .iter()
-            .map(|wish| token_request(now, &self.table, wish));
+            .map(|wish| token_request(now, &self.table, wish, cold));
         let requests: Vec<TokenRequest> = requests.collect();
         self.keeper.hand_out(now, &requests)
     }
--- a/crates/measure/src/limit/messages.rs
+++ b/crates/measure/src/limit/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use wire::id::EndpointId;
 use wire::statement::{ColdNotice, LimitNotice, MAX_NOTICES, TokenAsk, TokenOutcome};
 
 use super::replay::{ASK_WAITS, FleetEvent, LimitFleet, WaitingCall};
@@ -214,8 +215,9 @@
             FleetMessage::Ask(ask, cold) => {
                 let term = self.term_of(recipient);
                 let gateway = &mut self.gateways[recipient].gateway;
+                let known: Vec<EndpointId> = cold.iter().map(|notice| notice.endpoint).collect();
                 gateway.note_told_cold(now, cold, false);
-                let outcome = gateway.answer(now, term, &ask);
+                let outcome = gateway.answer(now, term, &ask, &known);
                 self.send(recipient, sender, FleetMessage::Reply(ask.id, outcome));
             }
             FleetMessage::Reply(id, outcome) => {
@@ -235,7 +237,9 @@
         };
         if keeper == call.gateway {
             let term = self.term_of(keeper);
-            let outcome = self.gateways[keeper].gateway.answer(self.now, term, &ask);
+            let outcome = self.gateways[keeper]
+                .gateway
+                .answer(self.now, term, &ask, &[]);
             self.end_ask(call, &outcome);
             return;
         }
--- a/crates/measure/src/limit/mod.rs
+++ b/crates/measure/src/limit/mod.rs
@@ -90,6 +90,9 @@
     /// number of gateways; without it 7, 30 and 105
     #[argh(option)]
     pub instances: Option<usize>,
+    /// load outside the bursts: steady or quiet; without it both
+    #[argh(option)]
+    pub load: Option<String>,
     /// let the gateways take cold endpoints for warm ones
     #[argh(switch)]
     pub ignore: bool,
@@ -105,6 +108,12 @@
     let runs = sizes
         .into_iter()
         .flat_map(|size| ColdLoad::ALL.map(|load| (size, load)));
+    let is_wanted = |load: ColdLoad| {
+        args.load
+            .as_ref()
+            .is_none_or(|only| *only == load.to_string())
+    };
+    let runs = runs.filter(|(_, load)| is_wanted(*load));
     for (instances, load) in runs {
         let seeds = args.seed..args.seed + args.seeds;
         let results = seeds.map(|seed| replay_cold(instances, load, seed, !args.ignore));
--- a/crates/relay/src/cold_sharing.rs
+++ b/crates/relay/src/cold_sharing.rs
@@ -168,7 +168,9 @@
             }
         }
         let is_cut = self.fleet_contact.borrow().lost_at().is_some();
-        if is_whole && !is_cut && self.uninformed_since.take().is_some() {
+        // Notices that arrive before the list find no rows.
+        let has_rows = !self.table.borrow().is_empty();
+        if is_whole && !is_cut && has_rows && self.uninformed_since.take().is_some() {
             self.refresh_informed();
         }
         if !new.is_empty() && forward > 0 {
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -103,6 +103,14 @@
         }
     }
 
+    /// Records that the endpoint has answered another instance. The backoff ends, and the next call
+    /// probes the endpoint.
+    pub fn note_answered_elsewhere(&mut self) {
+        if self.breaks > 0 {
+            self.left_out_until = None;
+        }
+    }
+
     /// Moving average of the time to an answer; `None` before the first answer.
     pub fn latency(&self) -> Option<Duration> {
         (self.latency_ms > 0.0).then(|| Duration::from_secs_f64(self.latency_ms / 1000.0))
--- a/crates/relay/src/limit_sharing.rs
+++ b/crates/relay/src/limit_sharing.rs
@@ -132,7 +132,7 @@
             LimitMessage::Notices { notices, forward } => self.note_notices(notices, forward),
             LimitMessage::Ask(ask) => {
                 let id = ask.id;
-                let outcome = self.keep_rates(&ask);
+                let outcome = self.keep_rates(&ask, &[]);
                 self.send_limit_message(from, LimitMessage::Reply { id, outcome });
             }
             LimitMessage::Reply { id, outcome } => self.note_reply(id, &outcome),
@@ -142,9 +142,10 @@
                 forward,
             } => self.note_cold_notices(notices, is_whole, forward),
             LimitMessage::ColdAsk { ask, notices } => {
+                let cold: Vec<EndpointId> = notices.iter().map(|notice| notice.endpoint).collect();
                 self.note_cold_notices(notices, false, 0);
                 let id = ask.id;
-                let outcome = self.keep_rates(&ask);
+                let outcome = self.keep_rates(&ask, &cold);
                 self.send_limit_message(from, LimitMessage::Reply { id, outcome });
             }
         }
@@ -198,7 +199,7 @@
         match keeper {
             None => self.table.borrow_mut().keeper.note_silence(asked_at),
             Some(keeper) if keeper == self.settings.instance => {
-                let outcome = self.keep_rates(&ask);
+                let outcome = self.keep_rates(&ask, &[]);
                 self.table
                     .borrow_mut()
                     .note_tokens(self.now(), asked_at, &outcome);
@@ -257,8 +258,8 @@
         let _ = answered.send(());
     }
 
-    /// Answers a request for tokens.
-    fn keep_rates(&self, ask: &TokenAsk) -> TokenOutcome {
+    /// Answers a request for tokens, whose sender takes the endpoints `cold` for cold.
+    fn keep_rates(&self, ask: &TokenAsk, cold: &[EndpointId]) -> TokenOutcome {
         let term = self
             .peers
             .get()
@@ -274,19 +275,27 @@
         let table = self.table.borrow();
         let now = self.now();
         let requests = ask.wishes.iter();
-        let requests = requests.map(|wish| token_request(now, &table, wish));
+        let requests = requests.map(|wish| token_request(now, &table, wish, cold));
         let requests: Vec<TokenRequest> = requests.collect();
         keeper.hand_out(now, &requests)
     }
 }
 
 /// The request of a wish. The limit is that of the table, or that of the wish if the endpoint is not
-/// listed here.
-pub fn token_request(now: Duration, table: &EndpointTable, wish: &TokenWish) -> TokenRequest {
+/// listed here. An endpoint that either side takes for cold has the rate of a cold one.
+pub fn token_request(
+    now: Duration,
+    table: &EndpointTable,
+    wish: &TokenWish,
+    cold: &[EndpointId],
+) -> TokenRequest {
     let notice = &wish.notice;
     let row = table.row(notice.endpoint);
     let row = row.filter(|row| row.address == notice.address);
-    let share = row.and_then(|row| row.shared_rate(now, table.keeper));
+    let share = row.and_then(|row| match cold.contains(&notice.endpoint) {
+        true => row.rate_if(true),
+        false => row.shared_rate(now, table.keeper),
+    });
     TokenRequest {
         endpoint: notice.endpoint,
         limit: row.map_or(notice.limit, |_| share.map(|share| share.rate)),
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -183,16 +183,20 @@
 
     /// The rate that all instances share: the endpoint's limit, or a lower one while it is cold.
     pub fn shared_rate(&self, now: Duration, view: KeeperView) -> Option<SharedRate> {
+        let is_known = match view.cut_since {
+            Some(since) => self.is_active(now) && self.active_since <= since,
+            None => view.is_informed(now),
+        };
+        self.rate_if(self.is_cold(now) || !is_known)
+    }
+
+    /// The rate that all instances share if the endpoint is cold, or is not.
+    pub fn rate_if(&self, is_cold: bool) -> Option<SharedRate> {
         let limit = self.limit.rate().map(|rate| SharedRate {
             rate,
             since: Duration::ZERO,
             is_cold: false,
         });
-        let is_known = match view.cut_since {
-            Some(since) => self.is_active(now) && self.active_since <= since,
-            None => view.is_informed(now),
-        };
-        let is_cold = self.is_cold(now) || !is_known;
         let cold = self.cold_rule.filter(|_| is_cold).map(|rule| SharedRate {
             rate: rule.rate,
             since: self.cold.since(),
@@ -282,6 +286,9 @@
                 .map(|remaining| now + Duration::from_millis(remaining.into())),
         });
         let is_sign = is_new && notice.answer_age_ms.is_none();
+        if is_new && !is_sign {
+            self.health.note_answered_elsewhere();
+        }
         if is_sign {
             self.limit.drop_tokens(now);
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -318,9 +318,6 @@
 
     /// Records the outcome of a call in the health of its endpoint. `reason` is for the log.
     pub fn note_health(&self, endpoint: EndpointId, outcome: CallOutcome, reason: &str) {
-        if outcome == CallOutcome::Broken {
-            self.note_maybe_cold(endpoint);
-        }
         let now = self.now();
         let mut table = self.table.borrow_mut();
         let change = table.note(now, endpoint, outcome);
