--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -123,6 +123,8 @@
         }
         let is_prober = self.directory.borrow().own_rank(now) == 0;
         self.relay_state.crashes.borrow_mut().set_prober(is_prober);
+        let live = self.directory.borrow().live(now).count() + 1;
+        self.relay_state.note_live_instances(live);
         let peak_live = self.directory.borrow().peak_live();
         self.relay_state.table.borrow_mut().keeper.instances = peak_live;
         self.relay_state
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -74,7 +74,7 @@
         notices: Vec<ColdNotice>,
         is_whole: bool,
     ) -> Vec<ColdNotice> {
-        if is_whole {
+        if is_whole && self.table.keeper.cut_since.is_none() {
             self.table.keeper.uninformed_until = Duration::ZERO;
         }
         let notices = notices.into_iter();
@@ -82,6 +82,12 @@
         new.collect()
     }
 
+    /// Records that this gateway notices that it hears none, or most, of the others.
+    pub fn set_cut(&mut self, now: Duration, is_cut: bool, rule: ColdRule) {
+        self.table.keeper.cut_since = is_cut.then_some(now);
+        self.table.keeper.uninformed_until = now + rule.start + LIST_LAG;
+    }
+
     /// What a request for tokens tells of cold endpoints.
     pub fn cold_notices_of(&self, now: Duration, ask: &TokenAsk) -> Vec<ColdNotice> {
         let wishes = ask.wishes.iter().take(MAX_COLD_WISHES);
@@ -137,12 +143,14 @@
         (!wishes.is_empty()).then_some(TokenAsk { id, wishes })
     }
 
-    /// Answers a request for tokens, as the keeper in `term`.
+    /// Answers a request for tokens, whose sender takes the endpoints `cold` for cold, as the keeper in
+    /// `term`.
     pub fn answer(
         &mut self,
         now: Duration,
         term: Option<KeeperTerm>,
         ask: &TokenAsk,
+        cold: &[EndpointId],
     ) -> TokenOutcome {
         self.keeper.set_term(term);
         if term.is_none() {
@@ -154,7 +162,7 @@
         let requests = ask
             .wishes
             .iter()
-            .map(|wish| token_request(now, &self.table, wish));
+            .map(|wish| token_request(now, &self.table, wish, cold));
         let requests: Vec<TokenRequest> = requests.collect();
         self.keeper.hand_out(now, &requests)
     }
--- a/crates/measure/src/limit/messages.rs
+++ b/crates/measure/src/limit/messages.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use rand::RngExt;
+use wire::id::EndpointId;
 use wire::statement::{ColdNotice, LimitNotice, MAX_NOTICES, TokenAsk, TokenOutcome};
 
 use super::replay::{ASK_WAITS, FleetEvent, LimitFleet, WaitingCall};
@@ -146,7 +147,7 @@
 
     fn repeat_cold(&mut self, sender: usize, recipient: usize) {
         let table = &self.gateways[sender].gateway.table;
-        let is_whole = table.keeper.is_informed(self.now);
+        let is_whole = table.keeper.is_informed(self.now) && table.keeper.cut_since.is_none();
         let notices = table.cold_notices(self.now);
         let count = notices.len().div_ceil(MAX_NOTICES).max(1);
         for part in 0..count {
@@ -214,8 +215,9 @@
             FleetMessage::Ask(ask, cold) => {
                 let term = self.term_of(recipient);
                 let gateway = &mut self.gateways[recipient].gateway;
+                let known: Vec<EndpointId> = cold.iter().map(|notice| notice.endpoint).collect();
                 gateway.note_told_cold(now, cold, false);
-                let outcome = gateway.answer(now, term, &ask);
+                let outcome = gateway.answer(now, term, &ask, &known);
                 self.send(recipient, sender, FleetMessage::Reply(ask.id, outcome));
             }
             FleetMessage::Reply(id, outcome) => {
@@ -235,7 +237,9 @@
         };
         if keeper == call.gateway {
             let term = self.term_of(keeper);
-            let outcome = self.gateways[keeper].gateway.answer(self.now, term, &ask);
+            let outcome = self.gateways[keeper]
+                .gateway
+                .answer(self.now, term, &ask, &[]);
             self.end_ask(call, &outcome);
             return;
         }
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -25,6 +25,9 @@
 /// Shortest time between two probes of one silent endpoint by this instance. A probe that succeeds
 /// costs the endpoint a connection.
 const PROBE_INTERVAL: Duration = Duration::from_millis(360);
+/// Time without bytes from an endpoint after which an instance that hears nothing of the others does
+/// not know whether the endpoint has restarted. Shorter than a restart of a whole failure domain.
+const ACTIVITY_GAP: Duration = Duration::from_millis(1500);
 /// Age up to which the load that an endpoint reported is taken at face value.
 const REPORT_LIMIT: Duration = Duration::from_millis(400);
 /// Change of this instance's running requests at one endpoint, since the last announcement, from
@@ -111,6 +114,8 @@
     failed_probes: u32,
     /// Time of the latest probe.
     probed_at: Option<Duration>,
+    /// Time since which bytes have arrived without a break of [`ACTIVITY_GAP`].
+    active_since: Duration,
     /// Whether a call to its address was declined as misdirected, which means that another endpoint
     /// has taken over the address.
     is_misplaced: bool,
@@ -154,6 +159,7 @@
             last_active_at: None,
             failed_probes: 0,
             probed_at: None,
+            active_since: Duration::ZERO,
             is_misplaced: false,
             holding_time: None,
             average_load: 0.0,
@@ -201,12 +207,20 @@
 
     /// The rate that all instances share: the endpoint's limit, or a lower one while it is cold.
     pub fn shared_rate(&self, now: Duration, view: KeeperView) -> Option<SharedRate> {
+        let is_known = match view.cut_since {
+            Some(since) => self.is_active(now) && self.active_since <= since,
+            None => view.is_informed(now),
+        };
+        self.rate_if(self.is_cold(now) || !is_known)
+    }
+
+    /// The rate that all instances share if the endpoint is cold, or is not.
+    pub fn rate_if(&self, is_cold: bool) -> Option<SharedRate> {
         let limit = self.limit.rate().map(|rate| SharedRate {
             rate,
             since: Duration::ZERO,
             is_cold: false,
         });
-        let is_cold = self.is_cold(now) || !view.is_informed(now);
         let cold = self.cold_rule.filter(|_| is_cold).map(|rule| SharedRate {
             rate: rule.rate,
             since: self.cold.since(),
@@ -221,6 +235,12 @@
         }
     }
 
+    /// Whether bytes have arrived so lately that a restart meanwhile would have been noticed.
+    fn is_active(&self, now: Duration) -> bool {
+        let latest = self.last_active_at;
+        latest.is_some_and(|at| now < at + ACTIVITY_GAP)
+    }
+
     /// Time until which the endpoint counts as cold; `Duration::MAX` if it has not answered since a
     /// sign of a restart.
     pub fn cold_until(&self) -> Option<Duration> {
@@ -290,6 +310,9 @@
                 .map(|remaining| now + Duration::from_millis(remaining.into())),
         });
         let is_sign = is_new && notice.answer_age_ms.is_none();
+        if is_new && !is_sign {
+            self.health.note_answered_elsewhere();
+        }
         if is_sign {
             self.limit.drop_tokens(now);
         }
@@ -570,6 +593,9 @@
 
     /// Records that bytes arrived from the endpoint.
     pub fn note_activity(&mut self, now: Duration) {
+        if !self.is_active(now) {
+            self.active_since = now;
+        }
         self.last_active_at = Some(now);
         self.failed_probes = 0;
     }
