Quorum: one bootstrap, by a majority of the founders

Cause: the gateway with the lowest address wrote the first entry of the log and waited 0.4 to 0.8 s for its first election. A member that had joined by a pre-vote did not know its voters, so that the loss of a bootstrapping member's disk could leave a fleet without any cluster.

Change: the seeds with a data folder are the founders. A majority of them bootstraps, and all are first voters; one that was not heard is a voter with an unknown data folder, which never votes and is replaced when the instance joins. A folder belongs to one cluster for life, and a folder created after the first start does not count. The first entry is sent to all voters (message Found), any of which can complete the bootstrap. A member whose cluster can't get a quorum, as its first voters belong to another one, gives it up and joins anew. Leaders probe all instances every 2 s, and a peer of another cluster is logged by name; clusters are never merged.

--- a/crates/control/src/quorum.rs
+++ b/crates/control/src/quorum.rs
@@ -284,6 +284,10 @@
                 self.quorum.pending_reads.borrow_mut().remove(&ticket);
             }
             ReplicaAction::RoleChanged => self.quorum.log_role(),
+            ReplicaAction::Abandon => log::error!(
+                "control: the cluster of the data folder never had a leader, as its voters belong \
+                 to others; empty the folder to let this instance join them"
+            ),
         }
     }
 
--- a/crates/gateway/src/directory.rs
+++ b/crates/gateway/src/directory.rs
@@ -192,6 +192,14 @@
         with_storage.map(|(instance, _)| *instance).collect()
     }
 
+    /// Gateways that reported no data folder in their latest heartbeat, live or not, without this
+    /// one.
+    pub fn without_storage(&self) -> BTreeSet<InstanceId> {
+        let heard = self.rows.iter().filter(|(_, row)| row.heard_at.is_some());
+        let without = heard.filter(|(_, row)| row.heartbeat.storage == StorageState::None);
+        without.map(|(instance, _)| *instance).collect()
+    }
+
     /// Number of live gateways with a lower id than this one.
     pub fn own_rank(&self, now: Duration) -> usize {
         self.live(now)
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -10,7 +10,7 @@
 };
 use wire::id::{InstanceId, name_id};
 
-use crate::bootstrap::{BootstrapView, may_bootstrap};
+use crate::bootstrap::{QuorumStanding, quorum_peers};
 use crate::node::GatewayNode;
 
 /// Regular interval between heartbeats.
@@ -98,11 +98,15 @@
 
     fn storage(&self) -> StorageState {
         let Some(quorum) = self.quorum() else {
-            return StorageState::None;
+            // A folder that is being opened exists: its gateway counts as a founder.
+            return match self.settings.borrow().data {
+                Some(_) => StorageState::Joining,
+                None => StorageState::None,
+            };
         };
         if quorum.has_cluster() {
             StorageState::Formed
-        } else if self.settings.borrow().first_start {
+        } else if quorum.is_founding() {
             StorageState::Bootstrapping
         } else {
             StorageState::Joining
@@ -144,35 +148,13 @@
         let Some(quorum) = self.quorum() else {
             return;
         };
-        let directory = self.directory.borrow();
-        let live_in_state = |wanted: StorageState| {
-            let live = directory
-                .live(now)
-                .filter(move |(_, heartbeat)| heartbeat.storage == wanted);
-            live.map(|(instance, _)| instance)
-                .collect::<Vec<InstanceId>>()
-        };
-        let seeds = self.seeds();
-        let is_live = |seed: &&InstanceId| {
-            **seed == self.own || directory.live(now).any(|(instance, _)| instance == **seed)
-        };
-        let view = BootstrapView {
-            is_first_start: self.settings.borrow().first_start,
-            since_start: now,
-            since_storage_change: now.saturating_sub(directory.storage_changed_at()),
-            seeds: seeds.len(),
-            live_seeds: seeds.iter().filter(is_live).count(),
-            has_cluster: !live_in_state(StorageState::Formed).is_empty(),
-        };
-        let may_bootstrap = !quorum.has_cluster() && may_bootstrap(&view);
-        let peers = match may_bootstrap {
-            true => live_in_state(StorageState::Bootstrapping),
-            false => directory.with_storage(),
+        let standing = QuorumStanding {
+            own: self.own,
+            seeds: self.seeds(),
+            is_first_start: quorum.is_founding(),
+            min_voters: self.min_voters(),
+            has_cluster: quorum.has_cluster(),
         };
-        let leaving = directory
-            .live(now)
-            .filter(|(_, heartbeat)| heartbeat.is_leaving);
-        let leaving = leaving.map(|(instance, _)| instance).collect();
-        quorum.set_peers(peers, leaving, may_bootstrap);
+        quorum.set_peers(quorum_peers(&self.directory.borrow(), now, &standing));
     }
 }
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -10,7 +10,9 @@
 use std::time::{Duration, Instant};
 
 use control::disk::{DiskQueue, DiskReport, DiskReports, start_disk};
-use replica::id::{LogIndex, ReadTicket, TermNumber};
+use replica::id::{
+    ClusterId, LogIndex, MemberIdentity, ReadTicket, TermNumber, is_founding, new_identity,
+};
 use replica::{
     EntryPayload, LogEntry, MemberKey, ReplicaAction, ReplicaCore, ReplicaMessage, ReplicaSettings,
 };
@@ -23,6 +25,7 @@
 };
 use wire::id::InstanceId;
 
+use crate::bootstrap::QuorumPeers;
 use crate::node::GatewayNode;
 
 /// Longest time between two ticks of the consensus core.
@@ -50,7 +53,13 @@
 /// Consensus core and disk queue of one gateway, on one thread.
 pub struct GatewayQuorum {
     core: RefCell<ReplicaCore>,
-    disk: DiskQueue,
+    /// `None` once the member has ended.
+    disk: RefCell<Option<DiskQueue>>,
+    identity: MemberIdentity,
+    /// Whether the member gave up its cluster.
+    is_abandoned: Cell<bool>,
+    /// The other cluster that was logged last.
+    named_foreign: Cell<Option<ClusterId>>,
     /// Notifies the proposer of each entry that is not applied yet.
     pending_proposals: RefCell<BTreeMap<EntryKey, oneshot::Sender<()>>>,
     pending_reads: RefCell<BTreeMap<ReadTicket, oneshot::Sender<()>>>,
@@ -68,7 +77,41 @@
 /// # Errors
 /// Always returns one: why the folder could not be opened, or failed.
 pub async fn open_quorum(node: Rc<GatewayNode>, data: std::path::PathBuf) -> Result<(), String> {
-    let opened = actix_rt::task::spawn_blocking(move || open_store(&data)).await;
+    let mut origin = match node.settings.borrow().first_start {
+        true => FolderOrigin::FirstStart,
+        false => FolderOrigin::LaterStart,
+    };
+    loop {
+        let end = run_member(&node, data.clone(), origin).await?;
+        let QuorumEnd::Abandoned = end;
+        origin = FolderOrigin::Abandoned;
+    }
+}
+
+/// How a data folder is opened.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FolderOrigin {
+    /// A new folder is one of the first start of all gateways.
+    FirstStart,
+    /// A new folder replaces one that was lost.
+    LaterStart,
+    /// The content is dropped: it belongs to a cluster that never had a leader.
+    Abandoned,
+}
+
+/// Why a member ended without a failure.
+enum QuorumEnd {
+    /// Its cluster can never have a leader.
+    Abandoned,
+}
+
+/// Opens the data folder and runs its member until it fails or gives up its cluster.
+async fn run_member(
+    node: &Rc<GatewayNode>,
+    data: std::path::PathBuf,
+    origin: FolderOrigin,
+) -> Result<QuorumEnd, String> {
+    let opened = actix_rt::task::spawn_blocking(move || open_store(&data, origin)).await;
     let opened = opened.map_err(|error| error.to_string())?;
     let (store, opened) = opened.map_err(|error| error.to_string())?;
     let own = MemberKey {
@@ -79,7 +122,7 @@
     let (disk, reports) = start_disk(store);
     let settings = ReplicaSettings {
         max_voters: MAX_VOTERS,
-        min_voters: 2 * node.settings.borrow().tolerated_losses + 1,
+        min_voters: node.min_voters(),
         snapshot_entries: SNAPSHOT_ENTRIES,
         kept_entries: KEPT_ENTRIES,
         ..ReplicaSettings::default()
@@ -95,7 +138,10 @@
     core.set_bootstrap_allowed(false);
     let quorum = Rc::new(GatewayQuorum {
         core: RefCell::new(core),
-        disk,
+        disk: RefCell::new(Some(disk)),
+        identity: opened.identity,
+        is_abandoned: Cell::new(false),
+        named_foreign: Cell::new(None),
         pending_proposals: RefCell::default(),
         pending_reads: RefCell::default(),
         next_ticket: Cell::new(1),
@@ -104,12 +150,33 @@
         started: Instant::now(),
     });
     *node.quorum.borrow_mut() = Some(Rc::clone(&quorum));
-    Err(node.run_quorum(&quorum, reports).await)
+    let mut reports = reports;
+    let reason = node.run_quorum(&quorum, &mut reports).await;
+    if !quorum.is_abandoned.get() {
+        return Err(reason);
+    }
+    log::error!(
+        "gateway: the cluster {} of the data folder never had a leader, as its voters belong to \
+         others; the folder is emptied and joins anew",
+        quorum.cluster().unwrap_or_default()
+    );
+    *node.quorum.borrow_mut() = None;
+    // The disk thread ends with its queue and then unlocks the folder.
+    quorum.disk.take();
+    while reports.recv().await.is_some() {}
+    Ok(QuorumEnd::Abandoned)
 }
 
-fn open_store(data: &Path) -> store::Result<(MemberStore<DiskFolder>, OpenedMember)> {
+fn open_store(
+    data: &Path,
+    origin: FolderOrigin,
+) -> store::Result<(MemberStore<DiskFolder>, OpenedMember)> {
     let folder = DiskFolder::open(data)?;
-    MemberStore::open(folder, rand::random_range(1..u64::MAX))
+    let identity = new_identity(rand::random(), origin == FolderOrigin::FirstStart);
+    match origin {
+        FolderOrigin::Abandoned => MemberStore::start_over(folder, identity),
+        FolderOrigin::FirstStart | FolderOrigin::LaterStart => MemberStore::open(folder, identity),
+    }
 }
 
 impl GatewayQuorum {
@@ -117,6 +184,33 @@
         self.started.elapsed()
     }
 
+    /// The cluster of this member; `None` if it belongs to none.
+    pub fn cluster(&self) -> Option<ClusterId> {
+        self.core.borrow().cluster()
+    }
+
+    /// Whether the data folder was created at the first start of all gateways, so that it may take
+    /// part in the bootstrap.
+    pub fn is_founding(&self) -> bool {
+        is_founding(self.identity)
+    }
+
+    /// Logs another cluster when a member of it is first heard.
+    fn name_foreign_cluster(&self) {
+        let core = self.core.borrow();
+        let Some((member, foreign)) = core.foreign_cluster() else {
+            return;
+        };
+        if self.named_foreign.replace(Some(foreign)) != Some(foreign) {
+            log::error!(
+                cluster = core.cluster().unwrap_or_default(),
+                other = foreign,
+                peer = address_of(member.instance).to_string().as_str();
+                "gateway: a peer belongs to another cluster; clusters are not merged"
+            );
+        }
+    }
+
     /// Whether this member belongs to a cluster.
     pub fn has_cluster(&self) -> bool {
         self.core.borrow().has_cluster()
@@ -177,23 +271,30 @@
 
     /// Sets the gateways that may be members, those that are about to stop, and whether this member
     /// may bootstrap a cluster.
-    pub fn set_peers(&self, peers: Vec<InstanceId>, leaving: Vec<InstanceId>, may_bootstrap: bool) {
+    pub fn set_peers(&self, peers: QuorumPeers) {
         let mut core = self.core.borrow_mut();
-        core.set_peers(peers);
-        core.set_leaving(leaving);
-        core.set_bootstrap_allowed(may_bootstrap);
+        core.set_peers(peers.peers);
+        core.set_leaving(peers.leaving);
+        core.set_founders(peers.founders);
+        core.set_bootstrap_allowed(peers.may_bootstrap);
     }
 }
 
 impl GatewayNode {
+    /// Smallest number of voters of the quorum: more than twice the number of disks that may be
+    /// lost at once.
+    pub fn min_voters(&self) -> usize {
+        2 * self.settings.borrow().tolerated_losses + 1
+    }
+
     /// Drives the consensus core until the data folder fails. Returns why it failed.
     async fn run_quorum(
         self: &Rc<Self>,
         quorum: &Rc<GatewayQuorum>,
-        mut reports: DiskReports,
+        reports: &mut DiskReports,
     ) -> String {
         self.run_actions(quorum);
-        loop {
+        while !quorum.is_abandoned.get() {
             match timeout(TICK_INTERVAL, reports.recv()).await {
                 Ok(Some(DiskReport::Durable(number))) => {
                     let mut core = quorum.core.borrow_mut();
@@ -210,7 +311,9 @@
             }
             quorum.core.borrow_mut().tick(quorum.now());
             self.run_actions(quorum);
+            quorum.name_foreign_cluster();
         }
+        "the cluster was abandoned".to_owned()
     }
 
     /// Hands a message of another member to the consensus core.
@@ -324,8 +427,10 @@
         match action {
             ReplicaAction::Send(message) => self.send_replica(quorum, &message),
             ReplicaAction::Persist(batch) => {
-                // Sending fails if the disk thread has ended, which ends the process.
-                let _ = quorum.disk.send(batch);
+                if let Some(disk) = quorum.disk.borrow().as_ref() {
+                    // Sending fails if the disk thread has ended, which ends the process.
+                    let _ = disk.send(batch);
+                }
             }
             ReplicaAction::Restore(snapshot) => match codec::decode_state(&snapshot.state) {
                 Ok(text) => quorum.stage(text),
@@ -349,6 +454,7 @@
                 quorum.pending_reads.borrow_mut().remove(&ticket);
             }
             ReplicaAction::RoleChanged => log_role(quorum),
+            ReplicaAction::Abandon => quorum.is_abandoned.set(true),
         }
     }
 
--- a/crates/replica/src/action.rs
+++ b/crates/replica/src/action.rs
@@ -29,4 +29,8 @@
     ReadFailed(ReadTicket),
     /// The role or the known leader changed.
     RoleChanged,
+    /// The cluster of this member can never have a leader, as too many of its first voters belong
+    /// to other clusters. The data folder holds nothing that was committed; the caller may empty it
+    /// and start again as a new member.
+    Abandon,
 }
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -10,7 +10,8 @@
 use crate::action::ReplicaAction;
 use crate::error::{ReplicaError, Result};
 use crate::id::{
-    LogIndex, MemberIdentity, MemberKey, PersistNumber, ProbeNumber, ReadTicket, TermNumber,
+    ClusterId, LogIndex, MemberIdentity, MemberKey, PersistNumber, ProbeNumber, ReadTicket,
+    TermNumber,
 };
 use crate::log::{EntryPayload, ReplicaLog};
 use crate::message::{MessageBody, ReplicaMessage};
@@ -50,6 +51,8 @@
     pub(crate) peers: Vec<InstanceId>,
     /// Whether this member may bootstrap a cluster.
     pub(crate) is_bootstrap_allowed: bool,
+    /// The instances of which a majority bootstraps a cluster; `None` if all of `peers` must.
+    pub(crate) founders: Option<Vec<InstanceId>>,
     /// Instances that are about to stop.
     pub(crate) leaving: BTreeSet<InstanceId>,
     pub(crate) rng: Pcg64,
@@ -84,6 +87,14 @@
     pub(crate) probe: ProbeNumber,
     /// Members that answered the current round of probes and belong to no cluster.
     pub(crate) empty_peers: BTreeMap<InstanceId, MemberIdentity>,
+    /// Rounds of probes that ended without a bootstrap, although this member may begin one.
+    pub(crate) partial_rounds: u32,
+    /// First voters of this member's cluster that belong to another one, with that cluster.
+    pub(crate) defectors: BTreeMap<MemberKey, ClusterId>,
+    /// When this member gives up its cluster, which can never have a leader.
+    pub(crate) abandon_at: Option<Duration>,
+    /// A member of another cluster that was heard last, with its cluster.
+    pub(crate) foreign: Option<(MemberKey, ClusterId)>,
     pub(crate) incoming: Option<IncomingSnapshot>,
     /// Bytes of the entries applied since the last snapshot.
     pub(crate) applied_bytes: usize,
@@ -118,6 +129,7 @@
             own,
             peers,
             is_bootstrap_allowed: true,
+            founders: None,
             leaving: BTreeSet::new(),
             rng,
             process_nonce,
@@ -138,6 +150,10 @@
             probe_at: now,
             probe: 0,
             empty_peers: BTreeMap::new(),
+            partial_rounds: 0,
+            defectors: BTreeMap::new(),
+            abandon_at: None,
+            foreign: None,
             incoming: None,
             applied_bytes: 0,
             requested_snapshot: None,
@@ -157,6 +173,7 @@
     /// Advances the time and carries out what is due: probes, elections and heartbeats.
     pub fn tick(&mut self, now: Duration) {
         self.advance(now);
+        self.abandon_if_due();
         if !self.is_voter() {
             self.tick_non_voter();
         } else if matches!(self.role, ReplicaRole::Leader(_)) {
@@ -241,6 +258,27 @@
         self.is_bootstrap_allowed = allowed;
     }
 
+    /// Sets the instances that count in the bootstrap. A majority of them is needed, and all of them
+    /// become voters, so that any two bootstraps have an instance in common and at most one of them
+    /// gets a leader. Every instance must be given the same ones, except for some that can't hold a
+    /// member. Without this call, all peers must take part.
+    pub fn set_founders(&mut self, mut founders: Vec<InstanceId>) {
+        founders.sort_unstable();
+        founders.dedup();
+        self.founders = Some(founders);
+    }
+
+    /// The cluster of this member; `None` if it belongs to none.
+    pub fn cluster(&self) -> Option<ClusterId> {
+        (self.hard.cluster != 0).then_some(self.hard.cluster)
+    }
+
+    /// A member that belongs to another cluster than this one, and that cluster. Two clusters are
+    /// never merged: which of them holds the accepted commands is for operators to decide.
+    pub fn foreign_cluster(&self) -> Option<(MemberKey, ClusterId)> {
+        self.foreign
+    }
+
     /// Whether this member belongs to a cluster.
     pub fn has_cluster(&self) -> bool {
         self.hard.cluster != 0
--- a/crates/replica/src/election.rs
+++ b/crates/replica/src/election.rs
@@ -58,6 +58,7 @@
         };
         self.actions.push(ReplicaAction::RoleChanged);
         self.probe_all();
+        self.announce_founding();
         let (last_term, last_index) = self.log_end();
         self.send_voters(&MessageBody::PreVote {
             election: self.hard.term + 1,
@@ -185,7 +186,7 @@
         (self.log.last_term(), self.log.last_index())
     }
 
-    fn send_voters(&mut self, body: &MessageBody) {
+    pub(crate) fn send_voters(&mut self, body: &MessageBody) {
         for member in self.log.members().1.all() {
             if member != self.own {
                 self.send(member, body.clone());
--- a/crates/replica/src/lead.rs
+++ b/crates/replica/src/lead.rs
@@ -11,6 +11,9 @@
 use crate::message::{ClockStamp, MessageBody};
 use crate::progress::{LeaderState, LeadershipTransfer, PeerProgress, PendingRead};
 
+/// Interval at which a leader probes all instances for members of other clusters.
+const LEADER_PROBE_INTERVAL: Duration = Duration::from_secs(2);
+
 impl ReplicaCore {
     /// Stops accepting proposals and asks a voter that holds the whole log to take over. This
     /// member keeps the leadership when none does within the longest election timeout.
@@ -72,6 +75,14 @@
             self.become_follower();
             return;
         }
+        // A cluster that was bootstrapped separately hears nothing of this one otherwise.
+        if now >= self.probe_at {
+            self.probe_at = now + LEADER_PROBE_INTERVAL;
+            self.probe_all();
+        }
+        let ReplicaRole::Leader(state) = &self.role else {
+            return;
+        };
         if now >= state.heartbeat_at {
             self.start_round();
             self.change_voters();
--- a/crates/replica/src/message.rs
+++ b/crates/replica/src/message.rs
@@ -149,6 +149,12 @@
     },
     /// Leader: asks the receiver to start an election at once, as part of a leadership transfer.
     TimeoutNow,
+    /// The first entry of the cluster's log, from a member that holds it durably to a voter that it
+    /// names. A receiver without a cluster joins this one. Older builds ignore it.
+    Found {
+        /// The first voters.
+        members: MemberSet,
+    },
 }
 
 impl ReplicaMessage {
--- a/crates/replica/src/receive.rs
+++ b/crates/replica/src/receive.rs
@@ -15,7 +15,10 @@
         match message.body {
             MessageBody::Probe { probe } => self.on_probe(&message, probe),
             MessageBody::ProbeReply { probe, has_cluster } => {
-                self.on_probe_reply(message.from, probe, has_cluster);
+                self.on_probe_reply(&message, probe, has_cluster);
+            }
+            MessageBody::Found { members } if message.identity == self.own.identity => {
+                self.on_found(message.cluster, members);
             }
             _ if message.identity == self.own.identity => self.receive_addressed(message),
             _ => {}
@@ -24,7 +27,10 @@
 
     /// Handles a message addressed to this member's data folder.
     fn receive_addressed(&mut self, message: ReplicaMessage) {
-        if self.hard.cluster == 0 {
+        let is_pre_vote = matches!(message.body, MessageBody::PreVote { .. });
+        // A pre-vote alone does not make a member join: if its sender were lost, the member would
+        // belong to a cluster whose voters it does not know.
+        if self.hard.cluster == 0 && !is_pre_vote {
             self.hard.cluster = message.cluster;
         }
         if message.cluster == 0 || message.cluster != self.hard.cluster {
@@ -33,7 +39,6 @@
         if self.must_ignore(&message) {
             return;
         }
-        let is_pre_vote = matches!(message.body, MessageBody::PreVote { .. });
         if message.term > self.hard.term && !is_pre_vote {
             self.enter_term(message.term);
         }
@@ -76,7 +81,9 @@
     fn dispatch(&mut self, message: ReplicaMessage) {
         let from = message.from;
         match message.body {
-            MessageBody::Probe { .. } | MessageBody::ProbeReply { .. } => {}
+            MessageBody::Probe { .. }
+            | MessageBody::ProbeReply { .. }
+            | MessageBody::Found { .. } => {}
             MessageBody::PreVote {
                 election,
                 last_index,
--- a/crates/replica/tests/rules.rs
+++ b/crates/replica/tests/rules.rs
@@ -335,3 +335,88 @@
     expect_that!(has_cluster_before, eq(false));
     expect_that!(core.has_cluster(), eq(true));
 }
+
+/// A member that was lost after it had bootstrapped a cluster of three, and is back.
+fn lost_founder() -> ReplicaCore {
+    let entry = LogEntry {
+        index: 1,
+        term: 1,
+        payload: EntryPayload::Members(MemberSet::new(vec![key(1), key(2), key(3)])),
+    };
+    let recovered = RecoveredState {
+        hard: HardState {
+            cluster: key(1).identity,
+            term: 1,
+            vote: Some(key(1)),
+        },
+        snapshot: None,
+        entries: vec![entry],
+    };
+    let settings = ReplicaSettings::default();
+    ReplicaCore::new(
+        settings,
+        key(1),
+        vec![1, 2, 3],
+        recovered,
+        Duration::ZERO,
+        1,
+    )
+}
+
+fn member_of(cluster: u64, from: u64) -> ReplicaMessage {
+    ReplicaMessage {
+        cluster,
+        ..probe_reply(from, 1, 0, true)
+    }
+}
+
+/// A cluster that was bootstrapped without a lost founder must get it back.
+#[gtest]
+fn cluster_whose_voters_belong_to_another_one_is_given_up() {
+    let mut core = lost_founder();
+
+    core.receive(Duration::ZERO, member_of(7, 2));
+    core.receive(Duration::ZERO, member_of(7, 3));
+    core.tick(Duration::from_secs(3));
+
+    expect_that!(core.take_actions(), contains(eq(&ReplicaAction::Abandon)));
+}
+
+/// As long as a quorum may exist, something may be committed that must not be given up.
+#[gtest]
+fn cluster_that_may_have_a_quorum_is_kept_and_the_other_named() {
+    let mut core = lost_founder();
+
+    core.receive(Duration::ZERO, member_of(7, 3));
+    core.tick(Duration::from_secs(3));
+
+    expect_that!(
+        core.take_actions(),
+        not(contains(eq(&ReplicaAction::Abandon)))
+    );
+    expect_that!(core.foreign_cluster(), some(eq((key(3), 7))));
+}
+
+/// A member that a pre-vote made join would not know the voters of its cluster if the sender were
+/// lost for good.
+#[gtest]
+fn member_joins_by_the_first_entry_and_not_by_a_pre_vote() {
+    let mut core = empty_member(2, vec![1, 2, 3]);
+    let pre_vote = MessageBody::PreVote {
+        election: 2,
+        last_index: 1,
+        last_term: 1,
+    };
+    let members = MemberSet::new(vec![key(1), key(2), key(3)]);
+
+    core.receive(Duration::ZERO, message(1, 2, 1, pre_vote));
+    let has_cluster_before = core.has_cluster();
+    core.receive(
+        Duration::ZERO,
+        message(1, 2, 1, MessageBody::Found { members }),
+    );
+
+    expect_that!(has_cluster_before, eq(false));
+    expect_that!(core.cluster(), some(eq(CLUSTER)));
+    expect_that!(core.is_voter(), eq(true));
+}
--- a/crates/store/src/store.rs
+++ b/crates/store/src/store.rs
@@ -94,6 +94,31 @@
         Ok((store, opened))
     }
 
+    /// Drops the content of a data folder, which becomes that of a new member with the identity
+    /// `new_identity`. For a folder that holds nothing committed.
+    ///
+    /// # Errors
+    /// When the folder holds a snapshot, which only committed entries get into, or when the file
+    /// system fails.
+    pub fn start_over(mut folder: F, new_identity: MemberIdentity) -> Result<(Self, OpenedMember)> {
+        if folder.read(SNAPSHOT_FILE)?.is_some() {
+            return Err(StoreError::Damaged {
+                file: SNAPSHOT_FILE,
+                offset: 0,
+                reason: "a folder that is given up has a snapshot",
+            });
+        }
+        let mut store = Self {
+            folder,
+            identity: new_identity,
+            log_bytes: 0,
+            durable: 0,
+            poisoned: false,
+        };
+        let opened = store.create_member()?;
+        Ok((store, opened))
+    }
+
     /// Makes operations durable, in order, and returns the number of the last one. Operations that
     /// are durable already are skipped, so a call that failed because the disk is full may be
     /// retried.
--- a/crates/store/tests/quorum/member.rs
+++ b/crates/store/tests/quorum/member.rs
@@ -211,7 +211,9 @@
                 ReplicaAction::ReadConfirmed(ticket) => {
                     events.push(MemberEvent::ReadConfirmed(ticket));
                 }
-                ReplicaAction::ReadFailed(_) | ReplicaAction::RoleChanged => {}
+                ReplicaAction::ReadFailed(_)
+                | ReplicaAction::RoleChanged
+                | ReplicaAction::Abandon => {}
             }
         }
         let is_done = running.core.clone().take_actions().is_empty();
