--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -157,6 +157,8 @@
 pub struct EndpointConnection {
     /// Bounds on each answer.
     pub limits: AnswerLimits,
+    /// Time at which the endpoint accepted the connection.
+    accepted_at: Instant,
     /// Time at which the current answer must have ended.
     ends_at: Instant,
     /// Size of the current body so far, in bytes.
@@ -189,6 +191,7 @@
     fn new(stream: TcpStream) -> Self {
         Self {
             limits: AnswerLimits::default(),
+            accepted_at: Instant::now(),
             ends_at: Instant::now(),
             body_length: 0,
             stream,
@@ -201,6 +204,11 @@
         }
     }
 
+    /// Time since the endpoint accepted the connection. One process has served it all this time.
+    pub fn age(&self) -> Duration {
+        self.accepted_at.elapsed()
+    }
+
     /// Whether the connection is still open and the endpoint has sent nothing on it since the last
     /// answer. May only be called between calls.
     pub fn is_idle(&self) -> bool {
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -74,6 +74,11 @@
             GatewayDatagram::Limit(message) => {
                 self.relay_state.handle_limit_message(from, message);
             }
+            GatewayDatagram::Restarts(notice) => self.relay_state.handle_restart_notice(&notice),
+            GatewayDatagram::ListAge(age) => {
+                self.readings.borrow_mut().note_age(self.now(), &age);
+                self.note_list_stated();
+            }
             GatewayDatagram::PartCrashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Part, &notice);
             }
@@ -96,6 +101,7 @@
             self.send_list_notice(from);
             self.repeat_crashes_to(from);
             self.relay_state.refresh_keeper(from);
+            self.relay_state.repeat_restart_signs_to(from);
             self.relay_state.repeat_limits_to(from);
         }
         self.fetch_newer_catalog();
--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -6,9 +6,10 @@
 use awc::Client;
 use platform::endpoint_list::read_page;
 use platform::paths::{ENDPOINT_LIST, PAGE_PARAMETER};
+use relay::origin::whole_millis;
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 use wire::gateway::{
-    GatewayDatagram, GatewayReply, GatewayRequest, ListNotice, ListedEndpoint, ReadingKey,
+    GatewayDatagram, GatewayReply, GatewayRequest, ListAge, ListNotice, ListedEndpoint, ReadingKey,
     address_of,
 };
 use wire::id::InstanceId;
@@ -63,7 +64,8 @@
         if !node.is_reading_due() {
             continue;
         }
-        node.readings.borrow_mut().note_attempt(node.now());
+        let began_at = node.now();
+        node.readings.borrow_mut().note_attempt(began_at);
         let read = timeout(READING_TIMEOUT, node.read_list(&client)).await;
         match read.unwrap_or(Err(ReadError::TimedOut)) {
             Ok(endpoints) => {
@@ -71,7 +73,7 @@
                     log::info!("gateway: endpoint list read again after a failure");
                 }
                 has_failed = false;
-                node.publish_reading(endpoints);
+                node.publish_reading(began_at, endpoints);
             }
             Err(error) => {
                 if !has_failed {
@@ -127,7 +129,7 @@
     }
 
     /// Activates this gateway's own reading and sends a notice of it to the live gateways.
-    fn publish_reading(&self, endpoints: Vec<ListedEndpoint>) {
+    fn publish_reading(&self, began_at: Duration, endpoints: Vec<ListedEndpoint>) {
         let now = self.now();
         let number = self.reading_number.get() + 1;
         self.reading_number.set(number);
@@ -146,6 +148,14 @@
                 .relay_state
                 .set_endpoints(&self.readings.borrow().list()),
         }
+        self.readings
+            .borrow_mut()
+            .note_began(notice.digest, began_at);
+        self.note_list_stated();
+        let age = GatewayDatagram::ListAge(ListAge {
+            digest: notice.digest,
+            age_ms: whole_millis(now.saturating_sub(began_at)),
+        });
         let digest_only = ListNotice {
             base_digest: 0,
             changed: Vec::new(),
@@ -162,6 +172,14 @@
             if !self.send_datagram(instance, &notice) {
                 self.send_datagram(instance, &digest_only);
             }
+            self.send_datagram(instance, &age);
+        }
+    }
+
+    /// Tells the relay when the latest reading began that states its list.
+    pub fn note_list_stated(&self) {
+        if let Some(began_at) = self.readings.borrow().stated_at() {
+            self.relay_state.note_list_stated(began_at);
         }
     }
 
@@ -192,6 +210,7 @@
                     let now = node.now();
                     let endpoints = node.readings.borrow_mut().replace_list(now, endpoints);
                     node.relay_state.set_endpoints(&endpoints);
+                    node.note_list_stated();
                 }
                 Ok(_) => log::warn!(
                     "gateway: {} answered a list fetch with another reply",
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -45,6 +45,7 @@
         last = now;
         node.relay_state.crashes.borrow_mut().expire(now);
         node.relay_state.publish_crash_decisions();
+        node.readings.borrow_mut().note_running(now);
         node.update_quorum_peers(now);
         node.heartbeats_sent.set(node.heartbeats_sent.get() + 1);
         let heartbeat = GatewayDatagram::Heartbeat(Box::new(node.own_heartbeat(now)));
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -11,6 +11,7 @@
 use gateway::endpoint_list::follow_list;
 use gateway::heartbeat::send_heartbeats;
 use gateway::http::serve_http;
+use gateway::list_readings::MAX_STALL;
 use gateway::node::GatewayNode;
 use gateway::peer_requests::serve_peers;
 use gateway::peers::GatewayPeers;
@@ -138,6 +139,7 @@
         instance: instance_at(settings.link),
         domain: name_id(&settings.failure_domain),
         is_first_start: settings.first_start,
+        list_lag: Duration::from_millis(settings.list.lag_ms) + MAX_STALL,
         budget: BudgetSettings {
             ratio: settings.retries.ratio,
             extra: settings.retries.extra,
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -11,8 +11,8 @@
 use googletest::prelude::*;
 use wire::codec;
 use wire::gateway::{
-    CrashNotice, CrashReport, EndpointCrash, GatewayDatagram, GatewayHeartbeat, ListNotice,
-    ListedEndpoint, MAX_CRASHES, MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS, MAX_LOADS,
+    CrashNotice, CrashReport, EndpointCrash, GatewayDatagram, GatewayHeartbeat, ListAge,
+    ListNotice, ListedEndpoint, MAX_CRASHES, MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS, MAX_LOADS,
     MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS, MAX_NOTICE_SERVED, ReadingKey, ServedRequest,
     StorageState, address_of, instance_at,
 };
@@ -375,3 +375,36 @@
     expect_that!(decompress(&text).unwrap() == body, eq(true));
     expect_that!(text.compressed.len(), le(body.len() / 8));
 }
+
+/// A process that was stopped finds messages that are older than they say.
+#[gtest]
+fn age_of_a_reading_is_not_believed_after_a_stall() {
+    let mut readings = ListReadings::default();
+    let notice = read(&mut readings, 1, &[1]);
+    let age = ListAge {
+        digest: notice.digest,
+        age_ms: 100,
+    };
+
+    readings.note_running(SECOND / 2);
+    readings.note_age(SECOND, &age);
+    let before = readings.stated_at();
+    readings.note_age(5 * SECOND, &age);
+
+    expect_that!(before, some(eq(Duration::from_millis(900))));
+    expect_that!(readings.stated_at(), eq(before));
+}
+
+/// A reading says nothing of a list that is not the active one.
+#[gtest]
+fn reading_of_another_list_does_not_state_the_active_one() {
+    let mut readings = ListReadings::default();
+    let notice = read(&mut readings, 1, &[1]);
+
+    readings.note_began(notice.digest, SECOND);
+    let before = readings.stated_at();
+    read(&mut readings, 2, &[2]);
+
+    expect_that!(before, some(eq(SECOND)));
+    expect_that!(readings.stated_at(), none());
+}
--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -31,6 +31,7 @@
 const CUT_PROBABILITY: f64 = 0.6;
 /// Share of the messages between instances that are lost.
 const LOSS: f64 = 0.1;
+const READING_INTERVAL: Duration = Duration::from_millis(5);
 /// Exclusive upper bound of the delay of a message, in milliseconds.
 const MAX_DELAY_MS: u64 = 12;
 
@@ -229,6 +230,7 @@
         let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
         state.set_catalog(CatalogIndex::new(self.catalog()));
         state.set_endpoints(&self.listed);
+        read_list(&state);
         let peers = TestPeers {
             own: number,
             network: Rc::clone(&self.network),
@@ -285,6 +287,17 @@
     }
 }
 
+/// Reads the list, which has no lag in these tests, again and again.
+fn read_list(state: &Rc<RelayState>) {
+    let state = Rc::clone(state);
+    actix_rt::spawn(async move {
+        loop {
+            state.note_list_stated(state.now());
+            sleep(READING_INTERVAL).await;
+        }
+    });
+}
+
 /// Service of the endpoints that send this version in their events.
 fn service_of(version: &str) -> String {
     format!("service-{version}")
--- a/crates/gateway/tests/forwarding/versions.rs
+++ b/crates/gateway/tests/forwarding/versions.rs
@@ -2,14 +2,17 @@
 //! send does not fit together, so a stream may go on only at the version that began it.
 
 use std::net::SocketAddrV4;
+use std::time::Duration;
 
 use googletest::prelude::*;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
+use tokio::time::sleep;
 use wire::gateway::ListedEndpoint;
 
 use crate::fixture::{
-    CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, request, stream_head,
+    CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, good_answer, request,
+    stream_head,
 };
 use crate::version_fleet::{FleetLayout, ReceivedStream, TestFleet};
 use crate::{SERVICE, relay_before, run, stream_of};
@@ -20,6 +23,8 @@
 const STREAMS: u32 = 12;
 /// Number of attempts after which a caller gives a stream up.
 const MAX_ATTEMPTS: u32 = 12;
+/// Time after which a caller comes back.
+const RETURN_PAUSE: Duration = Duration::from_millis(30);
 const RESTART_PROBABILITY: f64 = 0.3;
 
 async fn receive_stream(fleet: &mut TestFleet, random: &mut StdRng, number: u32) -> ReceivedStream {
@@ -40,6 +45,8 @@
         if random.random_bool(RESTART_PROBABILITY) {
             fleet.restart(instance).await;
         }
+        // Several readings of the list, which tell that the endpoints have not restarted.
+        sleep(RETURN_PAUSE).await;
     }
     received
 }
@@ -244,3 +251,58 @@
         expect_that!(answer.events().join(" ").as_str(), eq("d1 d2 d3 d4"));
     }
 }
+
+/// An endpoint that crashed takes calls again, as other software, before any list shows it. A stream
+/// that breaks off elsewhere must not go on there.
+#[gtest]
+fn stream_goes_on_at_an_endpoint_that_has_restarted_under_its_id() {
+    let (answer, received) = run(async {
+        let second = format!("{}{}", stream_head(), stream_of(4..=6));
+        let restarted = vec![
+            ScriptedReply::Reset(String::new()),
+            ScriptedReply::Close(second.clone()),
+            ScriptedReply::Close(second),
+        ];
+        let first = format!("{}{}", stream_head(), stream_of(1..=3));
+        let sound = vec![
+            ScriptedReply::Keep(good_answer("whole")),
+            ScriptedReply::Reset(first),
+        ];
+        let restarted = ScriptedEndpoint::start("e1", restarted).await;
+        let sound = ScriptedEndpoint::start("e2", sound).await;
+        let relay = relay_before(&[&restarted, &sound]).await;
+        call(relay.address, &request("/safe/1", "")).await;
+        let answer = call(relay.address, &request("/resumable/1", "")).await;
+        let received = restarted.received.borrow().join("").to_ascii_lowercase();
+        (answer, received)
+    });
+
+    expect_that!(answer.is_whole, eq(false));
+    expect_that!(answer.events().len(), eq(3));
+    expect_that!(received, not(contains_substring("last-event-id")));
+}
+
+/// The same when the stream itself began at the restarted endpoint: the list does not say which
+/// version that was, so that its caller must not be sent to one that has the listed version.
+#[gtest]
+fn stream_that_began_at_a_restarted_endpoint_is_taken_for_one_of_the_listed_version() {
+    let answer = run(async {
+        let first = format!("{}{}", stream_head(), stream_of(1..=3));
+        let rest = format!("{}{}{LAST_CHUNK}", stream_head(), stream_of(4..=6));
+        let replies = vec![
+            ScriptedReply::Reset(String::new()),
+            ScriptedReply::Reset(first),
+            ScriptedReply::Keep(rest),
+        ];
+        let endpoint = ScriptedEndpoint::start("e1", replies).await;
+        let relay = relay_before(&[&endpoint]).await;
+        call(relay.address, &request("/unsafe/1", "")).await;
+        call(relay.address, &request("/resumable/1", "")).await;
+        let returned = request("/resumable/1", "")
+            .replace("Host: ", "Last-Event-Id: 3\r\nResumes: a1\r\nHost: ");
+        call(relay.address, &returned).await
+    });
+
+    expect_that!(answer.status(), eq(503));
+    expect_that!(answer.text.as_str(), contains_substring("not-run"));
+}
--- a/crates/gateway/tests/list_reading.rs
+++ b/crates/gateway/tests/list_reading.rs
@@ -105,6 +105,7 @@
         list: ListSettings {
             address: list,
             interval_ms: 300,
+            lag_ms: 800,
         },
         retries: RetrySettings::default(),
     };
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -65,6 +65,13 @@
     pub events: EventSplitter,
     /// Software version of the endpoint of the current attempt, by the list when it began.
     pub attempt_version: VersionId,
+    /// Address of the endpoint of the current attempt.
+    pub attempt_address: Option<SocketAddrV4>,
+    /// When the endpoint accepted the connection of the current attempt.
+    pub accepted_at: Duration,
+    /// Whether the version that began the stream is not certain yet, so that it goes on nowhere
+    /// else.
+    pub is_begun_uncertain: bool,
     /// Software version that began the stream, in this call or in the one that it resumes; `None`
     /// until then. Only endpoints of this version may go on.
     pub begun_by: Option<VersionId>,
@@ -100,9 +107,9 @@
     }
 
     /// Whether another attempt can go on exactly where the answer stands: it has not begun, or its
-    /// last event carries an id.
+    /// last event carries an id and the version that began it is certain.
     pub fn may_go_on(&self, writer: &SessionWriter) -> bool {
-        !writer.has_started || self.events.ends_at_id()
+        !writer.has_started || (self.events.ends_at_id() && !self.is_begun_uncertain)
     }
 }
 
@@ -187,12 +194,14 @@
             (row.address, row.name.clone(), row.version_id)
         };
         self.progress.attempt_version = version;
+        self.progress.attempt_address = Some(address);
         let idle = state.pool.take(state.now(), self.endpoint);
         let is_reused = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
             None => self.open_connection(address).await?,
         };
+        self.progress.accepted_at = state.now().saturating_sub(connection.age());
         let headers = {
             let metadata = self.forward_metadata(&name);
             let incoming = call.head.head().headers();
@@ -213,6 +222,10 @@
             // It may be a second answer to an earlier call on the connection.
             return Err(EndpointError::Misdelivered);
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            let (since, sent_at) = (self.progress.accepted_at, self.progress.attempted_at);
+            state.note_process(self.endpoint, since, sent_at);
+        }
         let statement = metadata.statement.of_answer(head.status);
         state.note_statement(self.endpoint, self.progress.attempted_at, statement);
         Ok(OpenAnswer {
@@ -311,6 +324,12 @@
         let is_silent_call = matches!(error, EndpointError::Silent);
         if !is_silent_call || state.is_silent(self.endpoint) {
             state.note_health(self.endpoint, CallOutcome::Broken, &reason);
+            if error.is_lost_connection() {
+                state.note_restart_sign(self.endpoint);
+                if self.progress.begun_by.is_some() {
+                    state.check_processes(&[self.endpoint]);
+                }
+            }
         }
         self.progress.last_error = Some(reason);
         if !may_run {
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -122,6 +122,13 @@
     /// Reads the metadata in the head of an answer.
     fn read_answer(&self, headers: &HeaderMap) -> AnswerMetadata;
 
+    /// Path of an endpoint's report about itself.
+    fn report_path(&self) -> &'static str;
+
+    /// Reads from a report when the endpoint's process started, in any unit that differs between
+    /// processes; `None` if it does not say.
+    fn read_process_start(&self, report: &[u8]) -> Option<u64>;
+
     /// Builds the head of an answer for the caller. Drops hop-by-hop headers.
     fn forward_answer(&self, headers: &HeaderMap) -> HeaderMap;
 }
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -28,6 +28,7 @@
     /// Records that an endpoint accepted no connection, or that another one has taken over its
     /// address.
     pub fn note_endpoint_down(&self, endpoint: EndpointId) {
+        self.note_restart_sign(endpoint);
         self.crashes.borrow_mut().note_down(self.now(), endpoint);
         self.announce_crashes();
     }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::attempt::{AttemptResult, CallProgress, EndpointAttempt, FailedAttempt};
 use crate::call::CallMetadata;
 use crate::health::CallOutcome;
-use crate::placement::{endpoints_to_ask, next_room};
+use crate::placement::{endpoints_to_ask, next_room, uncertain};
 use crate::record::{AttemptRecord, CallEnd, CallRecord};
 use crate::refusal::CallRefusal;
 use crate::relay_call::{DEFAULT_CALLER_TIMEOUT, RelayCall};
@@ -27,6 +27,8 @@
 const MAX_TOKEN_ASKS: u32 = 3;
 /// Longest time of all pauses inside an answer until an endpoint that may go on with it takes calls again.
 const MAX_ANSWER_PAUSE: Duration = Duration::from_secs(1);
+/// Pause until endpoints are looked at again whose software version is not certain.
+const UNCERTAIN_PAUSE: Duration = Duration::from_millis(100);
 /// Shortest such pause.
 const MIN_ANSWER_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum time that a call waits for the first catalog and the first endpoint of an instance.
@@ -291,6 +293,7 @@
             let reason = "no answer until the deadline";
             self.state
                 .note_health(endpoint, CallOutcome::Broken, reason);
+            self.state.note_restart_sign(endpoint);
             self.state.pool.close(endpoint);
             self.state.check_endpoint(endpoint);
         }
@@ -323,20 +326,26 @@
         self.refuse_unless_run(refusal).await
     }
 
-    /// Waits until an endpoint takes calls again that may go on inside the answer, if it does soon.
-    /// Returns whether it waited: the answer can go on nowhere else, and its caller could only
-    /// return later.
+    /// Waits until an endpoint takes calls again that may go on inside the answer, if it does soon,
+    /// or until the software version of one is certain that may go on with the stream. Returns
+    /// whether it waited: the answer can go on nowhere else, and its caller could only return later.
     async fn wait_inside_answer(&mut self) -> bool {
-        if !self.writer.has_started {
+        let (state, call) = (self.state, self.call);
+        let is_resumed = call.resumed_version.is_some();
+        if !self.writer.has_started && !is_resumed {
             return false;
         }
         let now = Instant::now();
         let pause_ends_at = *self.pause_ends_at.get_or_insert(now + MAX_ANSWER_PAUSE);
-        let (state, call) = (self.state, self.call);
         let tried = self.record.tried();
         let query = call.query(state, self.progress.begun_by, &tried);
-        let next = next_room(&state.table.borrow(), &query);
-        let wait = next.map(|next| next.wait.max(MIN_ANSWER_PAUSE));
+        let next = next_room(&state.table.borrow(), &query).map(|next| next.wait);
+        // A caller that returns is not held until an endpoint has room: it may return later.
+        let next = next.filter(|_| self.writer.has_started);
+        let uncertain = uncertain(&state.table.borrow(), &query);
+        state.check_processes(&uncertain);
+        let next = next.or_else(|| (!uncertain.is_empty()).then_some(UNCERTAIN_PAUSE));
+        let wait = next.map(|wait| wait.max(MIN_ANSWER_PAUSE));
         match wait.filter(|wait| now + *wait <= pause_ends_at) {
             Some(wait) => {
                 sleep(wait).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 //! * [`statement_change`]: changes of what an endpoint states.
 //! * [`statement_log`]: log lines and metrics of what endpoints state.
 //! * [`peers`]: the other instances.
+//! * [`restart_signs`]: signs of restarts of endpoints, and what other instances are told of them.
 //! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
 //! * [`state`]: state that all calls of one instance share.
 //! * [`slot`]: slots that calls occupy at endpoints.
@@ -77,6 +78,7 @@
 pub mod refusal;
 pub mod relay_call;
 pub mod reply;
+pub mod restart_signs;
 pub mod retry;
 pub mod retry_schedule;
 pub mod row;
@@ -89,4 +91,5 @@
 pub mod statement_log;
 mod stream_answer;
 pub mod table;
+pub mod version_certainty;
 pub mod wait_correction;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -154,7 +154,9 @@
 /// some of them.
 pub fn next_room(table: &EndpointTable, query: &PlacementQuery<'_>) -> Option<NextRoom> {
     let rows = table.of_service(query.service);
-    let rows = rows.filter(|(id, row)| !query.tried.contains(id) && query.matches(row));
+    let rows = rows.filter(|(id, row)| {
+        !query.tried.contains(id) && query.matches(row) && query.is_certain(table, *id)
+    });
     let rows = rows.filter(|(_, row)| row.standing(query.now).is_some());
     let mut next: Option<NextRoom> = None;
     for (_, row) in rows {
@@ -181,11 +183,17 @@
         self.version.is_none_or(|version| version == row.version_id)
     }
 
+    /// Whether the version of an endpoint is certain, if the call depends on it.
+    fn is_certain(&self, table: &EndpointTable, id: EndpointId) -> bool {
+        self.version.is_none() || table.versions.is_certain(id)
+    }
+
     /// Whether the call has not tried an endpoint, may go on there, and the endpoint's statements
     /// allow it.
     fn admits(&self, table: &EndpointTable, id: EndpointId, row: &EndpointRow) -> bool {
         !self.tried.contains(&id)
             && self.matches(row)
+            && self.is_certain(table, id)
             && match table.room(self.now, row) {
                 EndpointRoom::Open => true,
                 EndpointRoom::Ask => self.may_ask,
@@ -209,6 +217,16 @@
     of_best.map(|(_, candidate)| candidate).collect()
 }
 
+/// The untried endpoints that may have the version which a call depends on, but not certainly.
+pub fn uncertain(table: &EndpointTable, query: &PlacementQuery<'_>) -> Vec<EndpointId> {
+    let rows = table.of_service(query.service);
+    let uncertain = rows.filter(|(id, row)| {
+        let may_serve = !query.tried.contains(id) && row.standing(query.now).is_some();
+        may_serve && query.matches(row) && !query.is_certain(table, *id)
+    });
+    uncertain.map(|(id, _)| id).collect()
+}
+
 /// Whether an untried endpoint that matches the query is sound and takes new calls.
 pub fn has_sound(table: &EndpointTable, query: &PlacementQuery<'_>) -> bool {
     let untried = table.of_service(query.service);
@@ -266,9 +284,13 @@
 ) -> Option<SocketAddrV4> {
     let part = query.shared_part?;
     let version = table.row(chosen)?.version_id;
+    if !table.versions.is_certain(chosen) {
+        return None;
+    }
     let others = table.of_service(query.service).filter(|(id, row)| {
         let is_other = *id != chosen && !query.tried.contains(id);
-        is_other && row.version_id == version && row.is_sound(query.now) && !row.rests(query.now)
+        let is_same = row.version_id == version && table.versions.is_certain(*id);
+        is_other && is_same && row.is_sound(query.now) && !row.rests(query.now)
     });
     let best = others.max_by_key(|(id, _)| affinity(part, *id));
     best.map(|(_, row)| row.address)
--- /dev/null
+++ b/crates/relay/src/restart_signs.rs
@@ -0,0 +1,137 @@
+//! Signs that endpoints have restarted: what this instance sees of them, and the messages by which
+//! instances tell each other.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::header::HeaderMap;
+use actix_http::{Method, StatusCode, Uri};
+use bytes::Bytes;
+use exchange::connection::{self, EndpointConnection, EndpointError, request_head};
+use tokio::time::timeout;
+use wire::gateway::GatewayDatagram;
+use wire::id::{EndpointId, InstanceId};
+use wire::stream::{RestartNotice, RestartSign};
+
+use crate::call::ForwardMetadata;
+use crate::state::RelayState;
+
+/// Maximum time for the check of an endpoint.
+const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// Bytes of a report that are read at most.
+const MAX_REPORT_BYTES: usize = 64 * 1024;
+/// Endpoints that are checked for one call at a time.
+const MAX_CHECKS: usize = 2;
+/// Number of other instances that are told of a sign, so that its cost does not grow with the
+/// fleet. Each instance tells those that follow it in the order of ids, and most instances have
+/// calls at an endpoint that restarts.
+const TOLD_INSTANCES: usize = 32;
+
+impl RelayState {
+    /// Records that an endpoint refused a connection, or that one broke or fell silent.
+    pub fn note_restart_sign(&self, endpoint: EndpointId) {
+        let now = self.now();
+        let is_due = self.table.borrow_mut().versions.note_sign(endpoint, now);
+        let Some(peers) = self.peers.get().filter(|_| is_due) else {
+            return;
+        };
+        let notice = RestartNotice {
+            watched_ms: 0,
+            signs: vec![RestartSign {
+                endpoint,
+                age_ms: 0,
+            }],
+        };
+        let notice = GatewayDatagram::Restarts(notice);
+        let instances = peers.instances();
+        let own = self.settings.instance;
+        let (before, after): (Vec<InstanceId>, Vec<InstanceId>) =
+            instances.into_iter().partition(|instance| *instance < own);
+        for instance in after.into_iter().chain(before).take(TOLD_INSTANCES) {
+            peers.send(instance, &notice);
+        }
+    }
+
+    /// Records that an endpoint answered a call that was sent at `sent_at`, on a connection that it
+    /// accepted at `since`.
+    pub fn note_process(&self, endpoint: EndpointId, since: Duration, sent_at: Duration) {
+        let mut table = self.table.borrow_mut();
+        table.versions.note_answer(endpoint, since, sent_at);
+    }
+
+    /// Checks endpoints whose software version is not certain, so that streams may go on there.
+    pub fn check_processes(self: &Rc<Self>, endpoints: &[EndpointId]) {
+        for endpoint in endpoints.iter().take(MAX_CHECKS) {
+            let now = self.now();
+            if self.table.borrow_mut().versions.begin_check(*endpoint, now) {
+                let (state, endpoint) = (Rc::clone(self), *endpoint);
+                actix_rt::spawn(async move {
+                    let checked = timeout(CHECK_TIMEOUT, state.check_process(endpoint)).await;
+                    if let Ok(Err(error)) = checked {
+                        log::debug!("relay: report of an endpoint not read: {error}");
+                    }
+                });
+            }
+        }
+    }
+
+    /// Asks an endpoint for its report. Any answer shows that a process serves.
+    async fn check_process(&self, endpoint: EndpointId) -> connection::Result<()> {
+        let (address, name) = {
+            let table = self.table.borrow();
+            let row = table.row(endpoint).ok_or(EndpointError::ConnectTimeout)?;
+            (row.address, row.name.clone())
+        };
+        let sent_at = self.now();
+        let limit = self.settings.connect_limit;
+        // A connection from before the sign shows at once that there was no restart.
+        let idle = self.pool.take(sent_at, endpoint);
+        let mut connection = match idle {
+            Some(connection) => connection,
+            None => EndpointConnection::open(address.into(), limit).await?,
+        };
+        let since = self.now().saturating_sub(connection.age());
+        let metadata = ForwardMetadata {
+            time_left: CHECK_TIMEOUT,
+            endpoint: &name,
+            account: None,
+            rank: 0,
+            resume_after: None,
+            warm_source: None,
+        };
+        let headers = self.dialect.forward_call(&HeaderMap::new(), &metadata);
+        let path = Uri::from_static(self.dialect.report_path());
+        let head = request_head(Method::GET, path, headers);
+        let head = connection.exchange(&self.http, head, &Bytes::new()).await?;
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            return Ok(());
+        }
+        self.note_process(endpoint, since, sent_at);
+        let mut report = Vec::new();
+        while head.status == StatusCode::OK
+            && report.len() < MAX_REPORT_BYTES
+            && let Some(bytes) = connection.next_chunk().await?
+        {
+            report.extend_from_slice(&bytes);
+        }
+        if let Some(start) = self.dialect.read_process_start(&report) {
+            let mut table = self.table.borrow_mut();
+            table.versions.note_start(endpoint, start, since, sent_at);
+        }
+        Ok(())
+    }
+
+    /// Tells an instance that has become live of the signs that this one knows.
+    pub fn repeat_restart_signs_to(&self, instance: InstanceId) {
+        let notice = self.table.borrow().versions.notice(self.now());
+        if let Some((peers, notice)) = self.peers.get().zip(notice) {
+            peers.send(instance, &GatewayDatagram::Restarts(notice));
+        }
+    }
+
+    /// Handles a notice of another instance.
+    pub fn handle_restart_notice(&self, notice: &RestartNotice) {
+        let now = self.now();
+        self.table.borrow_mut().versions.note_notice(now, notice);
+    }
+}
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -24,6 +24,7 @@
 use crate::placement::PlacementSettings;
 use crate::rate_keeper::RateKeeper;
 use crate::table::EndpointTable;
+use crate::version_certainty::VersionCertainty;
 use exchange::pool::ConnectionPool;
 
 /// Settings of the relay.
@@ -43,6 +44,8 @@
     pub origins: OriginSettings,
     /// Whether the whole fleet starts for the first time.
     pub is_first_start: bool,
+    /// Longest time by which the list of endpoints is behind when a reading of it begins.
+    pub list_lag: Duration,
     /// Maximum time for connecting to an endpoint.
     pub connect_limit: Duration,
     /// Maximum size of an answer that is buffered whole before it is forwarded, in bytes.
@@ -61,6 +64,7 @@
             budget: BudgetSettings::default(),
             origins: OriginSettings::default(),
             is_first_start: false,
+            list_lag: Duration::ZERO,
             connect_limit: Duration::from_millis(350),
             whole_answer_bytes: 4 * 1024 * 1024,
             max_connections: 2500,
@@ -147,16 +151,18 @@
         dialect: Rc<dyn CallDialect>,
         metrics: GatewayMetrics,
     ) -> Self {
+        let mut table = EndpointTable::default();
+        table.versions = VersionCertainty::new(settings.list_lag);
         Self {
             metrics,
             budget: RefCell::new(RetryBudget::new(settings.budget.clone())),
             admission: RefCell::new(AdmissionControl::new(settings.admission.clone())),
             origins: RefCell::new(OriginTable::new(settings.origins.clone())),
             origin_coverage: RefCell::new(OriginCoverage::new(settings.is_first_start)),
+            table: RefCell::new(table),
             settings,
             dialect,
             catalog: RefCell::default(),
-            table: RefCell::default(),
             listed_at: Cell::new(None),
             crashes: RefCell::new(CrashTracker::new(rand::random())),
             origin_lookups: RefCell::default(),
@@ -213,6 +219,12 @@
         self.set_up.notify_waiters();
     }
 
+    /// Records that the active list was stated by a reading that began at `began_at`.
+    pub fn note_list_stated(&self, began_at: Duration) {
+        let now = self.now();
+        self.table.borrow_mut().versions.note_stated(now, began_at);
+    }
+
     /// Records that the latest list of endpoints is the same as the previous one.
     pub fn confirm_list(&self) {
         self.listed_at.set(Some(self.now()));
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -4,6 +4,7 @@
 use exchange::connection::EndpointError;
 use exchange::events::ContentKind;
 use tokio::time::Instant;
+use wire::id::VersionId;
 use wire::stream::StreamOrigin;
 
 use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
@@ -112,18 +113,34 @@
     fn note_bytes(&self, slot: &OccupiedSlot) {
         let state = self.state;
         slot.note_alive();
+        let now = state.now();
         let mut table = state.table.borrow_mut();
-        table.note_activity(state.now(), self.endpoint);
+        table.note_activity(now, self.endpoint);
+        let since = self.progress.accepted_at;
+        table.versions.note_bytes(self.endpoint, since, now);
     }
 
     /// Records that the caller is about to get the first event of its stream, or of the rest of one
     /// that it resumes.
     fn note_begun(&mut self) {
         let call = self.call;
-        let version = self.progress.attempt_version;
+        if call.resumed_version.is_some() {
+            return;
+        }
+        self.progress.begun_by = Some(self.progress.attempt_version);
+        self.progress.is_begun_uncertain = true;
+        self.settle_version();
+    }
+
+    /// Records the software version that began the stream, and publishes it, once it is certain.
+    fn settle_version(&mut self) {
+        let Some(version) = self.certain_version() else {
+            return;
+        };
+        let call = self.call;
         self.progress.begun_by = Some(version);
-        let is_new = call.resumed_version.is_none() && call.route.kind.is_repeatable();
-        if is_new {
+        self.progress.is_begun_uncertain = false;
+        if call.route.kind.is_repeatable() {
             let service = call.service;
             let origin = StreamOrigin { service, version };
             let caller_timeout = call.metadata.caller_timeout;
@@ -135,6 +152,20 @@
         }
     }
 
+    /// The software version of the process that sends the stream; `None` while it is not certain.
+    fn certain_version(&self) -> Option<VersionId> {
+        let progress = &self.progress;
+        let table = self.state.table.borrow();
+        let row = table.row(self.endpoint)?;
+        if Some(row.address) != progress.attempt_address {
+            return None;
+        }
+        let is_same = row.version_id == progress.attempt_version;
+        let is_certain = is_same && table.versions.is_certain(self.endpoint);
+        let is_stated = table.versions.states(progress.accepted_at);
+        (is_certain || is_stated).then_some(row.version_id)
+    }
+
     /// Sends whole events to the caller, preceded by the head of the answer if nothing has been
     /// sent.
     async fn send_events(&mut self, answer: &OpenAnswer, bytes: Bytes) -> session::Result<()> {
@@ -149,6 +180,8 @@
             let status = answer.head.status;
             self.writer
                 .put_head(status, headers, framing, state.is_stopping())?;
+        } else if self.progress.is_begun_uncertain {
+            self.settle_version();
         }
         self.writer.send_bytes(bytes).await
     }
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -14,6 +14,7 @@
 use crate::health::{CallOutcome, HealthChange};
 use crate::row::{EndpointRow, EndpointStanding};
 use crate::statement_change::StatementChange;
+use crate::version_certainty::VersionCertainty;
 
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -41,6 +42,8 @@
     services: HashMap<ServiceId, Vec<EndpointId>>,
     /// Running requests by endpoint that each other instance announced last.
     instance_loads: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
+    /// Whether the listed software versions are those of the present processes.
+    pub versions: VersionCertainty,
     /// What is known of the keeper of the rates that endpoints name.
     pub keeper: KeeperView,
 }
--- /dev/null
+++ b/crates/relay/src/version_certainty.rs
@@ -0,0 +1,226 @@
+//! Whether the software version that the list states for an endpoint is that of its present process.
+//!
+//! The list lags, and an endpoint that crashes stays listed. Load pattern: endpoints crash while
+//! they stream and are back under their ids with other software before any list shows it; the
+//! streams that they broke off look for an endpoint of their version at that moment.
+//!
+//! A sign of a restart makes the version uncertain. It is certain again once the endpoint has
+//! answered after the sign, and a reading of the list began at least the lag of the list after the
+//! connection of that answer was accepted: that reading shows the process that answered. A
+//! connection from before the sign shows that there was no restart.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use wire::id::EndpointId;
+use wire::stream::{MAX_RESTART_SIGNS, RestartNotice, RestartSign};
+
+use crate::origin::whole_millis;
+
+/// Time for which a sign is kept if the endpoint does not answer: longer than any stream lives that
+/// could return to it.
+const SIGN_RETENTION: Duration = Duration::from_secs(600);
+/// Time for which a sign is told to other instances after the list has overcome it here: their lists
+/// may be older.
+const TOLD_TIME: Duration = Duration::from_secs(10);
+/// Time within which bytes that a process has sent arrive, also if packets are lost.
+const TRANSIT_TIME: Duration = Duration::from_secs(1);
+/// Interval at which one more check may begin, and after which an endpoint is checked again because
+/// of the same sign. Checks have a price.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Number of checks that may begin at once: several endpoints may crash together.
+const MAX_CHECK_CREDIT: f64 = 20.0;
+/// Time within which further signs of an endpoint are not announced: a crash breaks off many runs.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Time for which one process of an endpoint has served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ServedSpan {
+    /// When it accepted a connection.
+    since: Duration,
+    /// When a call was sent on that connection that it answered.
+    until: Duration,
+}
+
+/// A sign that an endpoint may have restarted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct SignRecord {
+    /// When it was seen.
+    seen_at: Duration,
+    /// What is known of the process that served after that; `None` before.
+    served: Option<ServedSpan>,
+    /// When the endpoint was last checked because of it.
+    checked_at: Option<Duration>,
+    /// When a sign of this endpoint was last announced to other instances.
+    announced_at: Option<Duration>,
+}
+
+/// Signs of restarts, and the readings of the list that overcome them.
+#[derive(Clone, Debug, Default)]
+pub struct VersionCertainty {
+    /// Longest time by which a reading of the list is behind.
+    lag: Duration,
+    /// When the latest reading began that states the active list; zero before the first.
+    stated_at: Duration,
+    /// Time before the start of this instance for which the signs are known, from an instance that
+    /// was watching.
+    known_before: Duration,
+    signs: HashMap<EndpointId, SignRecord>,
+    /// Number of checks that may begin at once, as of `credited_at`.
+    check_credit: f64,
+    credited_at: Duration,
+    /// Start of the process that an endpoint last reported, and since when it has certainly served.
+    starts: HashMap<EndpointId, (u64, Duration)>,
+}
+
+impl VersionCertainty {
+    /// No signs, before the first reading.
+    pub fn new(lag: Duration) -> Self {
+        Self {
+            lag,
+            check_credit: MAX_CHECK_CREDIT,
+            ..Self::default()
+        }
+    }
+
+    /// Whether the version in the list is that of the endpoint's present process.
+    pub fn is_certain(&self, endpoint: EndpointId) -> bool {
+        match self.signs.get(&endpoint) {
+            None => self.stated_at + self.known_before >= self.lag,
+            Some(sign) => sign.served.is_some_and(|served| self.states(served.since)),
+        }
+    }
+
+    /// Whether the active list shows a process that has served since `at`.
+    pub fn states(&self, at: Duration) -> bool {
+        self.stated_at >= at + self.lag
+    }
+
+    /// Records a sign that was seen at `at`. Returns whether other instances should be told.
+    pub fn note_sign(&mut self, endpoint: EndpointId, at: Duration) -> bool {
+        let sign = self.note_told(endpoint, at);
+        let is_due = sign
+            .announced_at
+            .is_none_or(|last| at >= last + ANNOUNCEMENT_INTERVAL);
+        if is_due {
+            sign.announced_at = Some(at);
+        }
+        is_due
+    }
+
+    fn note_told(&mut self, endpoint: EndpointId, at: Duration) -> &mut SignRecord {
+        let sign = self.signs.entry(endpoint).or_insert(SignRecord {
+            seen_at: at,
+            served: None,
+            checked_at: None,
+            announced_at: None,
+        });
+        sign.seen_at = sign.seen_at.max(at);
+        sign.served = sign.served.filter(|served| served.until >= at);
+        sign
+    }
+
+    /// Records that an endpoint answered a call that was sent at `sent_at`, on a connection that it
+    /// accepted at `since`: one process has served all this time.
+    pub fn note_answer(&mut self, endpoint: EndpointId, since: Duration, sent_at: Duration) {
+        let Some(sign) = self.signs.get_mut(&endpoint) else {
+            return;
+        };
+        if sent_at < sign.seen_at {
+            return;
+        }
+        let known = sign.served.map_or(since, |served| served.since);
+        sign.served = Some(ServedSpan {
+            since: known.min(since),
+            until: sent_at,
+        });
+    }
+
+    /// Records that an endpoint reported when its process started, in answer to a request that was
+    /// sent at `sent_at` on a connection that it accepted at `since`. The same start as before shows
+    /// that there was no restart in between.
+    pub fn note_start(
+        &mut self,
+        endpoint: EndpointId,
+        start: u64,
+        since: Duration,
+        sent_at: Duration,
+    ) {
+        let served_since = match self.starts.get(&endpoint) {
+            Some((known, known_since)) if *known == start => since.min(*known_since),
+            Some(_) => {
+                self.note_told(endpoint, sent_at);
+                since
+            }
+            None => since,
+        };
+        self.starts.insert(endpoint, (start, served_since));
+        self.note_answer(endpoint, served_since, sent_at);
+    }
+
+    /// Whether an endpoint is to be checked, as a stream would go on there if its version were
+    /// certain. If so, records that the check begins.
+    pub fn begin_check(&mut self, endpoint: EndpointId, now: Duration) -> bool {
+        let Some(sign) = self.signs.get_mut(&endpoint) else {
+            return false;
+        };
+        let is_recent = sign
+            .checked_at
+            .is_some_and(|last| last >= sign.seen_at && now < last + CHECK_INTERVAL);
+        if sign.served.is_some() || is_recent {
+            return false;
+        }
+        let earned = now
+            .saturating_sub(self.credited_at)
+            .div_duration_f64(CHECK_INTERVAL);
+        let credit = (self.check_credit + earned).min(MAX_CHECK_CREDIT);
+        (self.check_credit, self.credited_at) = (credit, now);
+        if credit < 1.0 {
+            return false;
+        }
+        self.check_credit -= 1.0;
+        sign.checked_at = Some(now);
+        true
+    }
+
+    /// Records that a stream goes on that an endpoint sends on a connection which it accepted at
+    /// `since`. Bytes that a crashed process has sent may arrive for a while after it.
+    pub fn note_bytes(&mut self, endpoint: EndpointId, since: Duration, now: Duration) {
+        self.note_answer(endpoint, since, now.saturating_sub(TRANSIT_TIME));
+    }
+
+    /// Records that the active list was stated by a reading that began at `began_at`.
+    pub fn note_stated(&mut self, now: Duration, began_at: Duration) {
+        self.stated_at = self.stated_at.max(began_at);
+        let overcome_at = self.stated_at.saturating_sub(self.lag + TOLD_TIME);
+        self.signs.retain(|_, sign| {
+            let is_over = sign.served.is_some_and(|served| served.since < overcome_at);
+            !is_over && now < sign.seen_at + SIGN_RETENTION
+        });
+    }
+
+    /// What to tell an instance that has become live; `None` if not all signs fit, as it would take
+    /// those that are told for all.
+    pub fn notice(&self, now: Duration) -> Option<RestartNotice> {
+        let signs = self.signs.iter().map(|(endpoint, sign)| RestartSign {
+            endpoint: *endpoint,
+            age_ms: whole_millis(now.saturating_sub(sign.seen_at)),
+        });
+        let signs: Vec<RestartSign> = signs.collect();
+        (signs.len() <= MAX_RESTART_SIGNS).then(|| RestartNotice {
+            watched_ms: whole_millis(now + self.known_before),
+            signs,
+        })
+    }
+
+    /// Records what another instance was watching for and has seen.
+    pub fn note_notice(&mut self, now: Duration, notice: &RestartNotice) {
+        for sign in &notice.signs {
+            let age = Duration::from_millis(u64::from(sign.age_ms));
+            self.note_told(sign.endpoint, now.saturating_sub(age));
+        }
+        let watched = Duration::from_millis(u64::from(notice.watched_ms));
+        let before = watched.saturating_sub(now);
+        self.known_before = self.known_before.max(before);
+    }
+}
--- /dev/null
+++ b/crates/relay/tests/versions.rs
@@ -0,0 +1,123 @@
+//! Whether the listed software version of an endpoint is that of its present process: signs of
+//! restarts, and what overcomes them.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use relay::version_certainty::VersionCertainty;
+
+const ENDPOINT: u64 = 7;
+const LAG: Duration = Duration::from_millis(800);
+
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// What an instance knows that has watched for 10 s, with a reading of that moment.
+fn watching() -> VersionCertainty {
+    let mut versions = VersionCertainty::new(LAG);
+    versions.note_stated(ms(10_000), ms(10_000));
+    versions
+}
+
+/// An endpoint that crashed and is back as other software stays listed as the earlier one.
+#[gtest]
+fn version_is_certain_again_once_a_reading_shows_the_process_that_answered() {
+    let mut versions = watching();
+    let certain_before = versions.is_certain(ENDPOINT);
+
+    versions.note_sign(ENDPOINT, ms(10_100));
+    versions.note_stated(ms(11_500), ms(11_500));
+    let certain_without_an_answer = versions.is_certain(ENDPOINT);
+    versions.note_answer(ENDPOINT, ms(11_600), ms(11_590));
+    versions.note_stated(ms(12_300), ms(12_300));
+    let certain_within_the_lag = versions.is_certain(ENDPOINT);
+    versions.note_stated(ms(12_400), ms(12_400));
+
+    expect_that!(certain_before, eq(true));
+    expect_that!(certain_without_an_answer, eq(false));
+    expect_that!(certain_within_the_lag, eq(false));
+    expect_that!(versions.is_certain(ENDPOINT), eq(true));
+}
+
+/// Connections break without a restart, too: calls that go on must not become rarer then.
+#[gtest]
+fn answer_on_a_connection_from_before_the_sign_shows_that_there_was_no_restart() {
+    let mut versions = watching();
+    versions.note_sign(ENDPOINT, ms(10_100));
+
+    versions.note_answer(ENDPOINT, ms(5_000), ms(10_150));
+
+    expect_that!(versions.is_certain(ENDPOINT), eq(true));
+}
+
+/// Bytes that a crashed process has sent arrive after the sign of its crash.
+#[gtest]
+fn stream_shows_that_there_was_no_restart_only_after_a_while() {
+    let mut versions = watching();
+    versions.note_sign(ENDPOINT, ms(10_100));
+
+    versions.note_bytes(ENDPOINT, ms(5_000), ms(10_300));
+    let certain_at_once = versions.is_certain(ENDPOINT);
+    versions.note_bytes(ENDPOINT, ms(5_000), ms(11_200));
+
+    expect_that!(certain_at_once, eq(false));
+    expect_that!(versions.is_certain(ENDPOINT), eq(true));
+}
+
+/// An answer from before a second crash must not count for the process after it.
+#[gtest]
+fn sign_makes_earlier_answers_void() {
+    let mut versions = watching();
+    versions.note_sign(ENDPOINT, ms(10_100));
+    versions.note_answer(ENDPOINT, ms(10_200), ms(10_200));
+
+    versions.note_sign(ENDPOINT, ms(10_300));
+    versions.note_stated(ms(12_000), ms(12_000));
+
+    expect_that!(versions.is_certain(ENDPOINT), eq(false));
+}
+
+/// The start of the process that an endpoint reports tells restarts that no connection showed.
+#[gtest]
+fn reported_start_tells_whether_the_process_is_the_same() {
+    let mut same = watching();
+    same.note_start(ENDPOINT, 1_000, ms(2_000), ms(2_000));
+    same.note_sign(ENDPOINT, ms(10_100));
+    let mut different = same.clone();
+
+    same.note_start(ENDPOINT, 1_000, ms(10_200), ms(10_200));
+    different.note_start(ENDPOINT, 9_000, ms(10_200), ms(10_200));
+
+    expect_that!(same.is_certain(ENDPOINT), eq(true));
+    expect_that!(different.is_certain(ENDPOINT), eq(false));
+}
+
+/// An instance that has just started has seen no signs, and must not take that for a proof.
+#[gtest]
+fn instance_that_starts_is_uncertain_until_it_has_watched_or_was_told() {
+    let mut alone = VersionCertainty::new(LAG);
+    alone.note_stated(ms(100), ms(100));
+    let mut told = alone.clone();
+    let mut peer = watching();
+    peer.note_sign(ENDPOINT, ms(19_900));
+
+    told.note_notice(ms(200), &peer.notice(ms(20_000)).expect("it fits"));
+
+    expect_that!(alone.is_certain(1), eq(false));
+    expect_that!(told.is_certain(1), eq(true));
+    expect_that!(told.is_certain(ENDPOINT), eq(false));
+    alone.note_stated(ms(900), ms(900));
+    expect_that!(alone.is_certain(1), eq(true));
+}
+
+/// A check has a price, so that an endpoint is not checked again and again because of one sign.
+#[gtest]
+fn endpoint_is_checked_once_a_second_at_most_because_of_a_sign() {
+    let mut versions = watching();
+    versions.note_sign(ENDPOINT, ms(10_100));
+
+    let checks = (0..20).filter(|step| versions.begin_check(ENDPOINT, ms(10_200 + step * 100)));
+
+    expect_that!(checks.count(), eq(2));
+}
--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -37,6 +37,8 @@
 pub const GRACE_S: f64 = 8.0;
 /// Default of `list.interval_ms`.
 pub const LIST_INTERVAL_MS: u64 = 500;
+/// Default of `list.lag_ms`.
+pub const LIST_LAG_MS: u64 = 800;
 /// Default of `retries.ratio`.
 pub const RETRY_RATIO: f64 = 0.2;
 /// Default of `retries.extra`.
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -236,6 +236,13 @@
         DefaultValue::Integer(d::LIST_INTERVAL_MS),
         "Polling interval in milliseconds. One gateway polls for all.",
     ),
+    key(
+        "lag_ms",
+        integer(0, 60_000),
+        DefaultValue::Integer(d::LIST_LAG_MS),
+        "Longest time in milliseconds by which the list is behind when it is read. An endpoint that \
+         may have restarted takes no resumed stream until a later reading shows its version.",
+    ),
 ];
 
 const RETRY_KEYS: &[KeySpec] = &[
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -146,6 +146,9 @@
     /// Polling interval in milliseconds.
     #[serde(default = "default_list_interval_ms")]
     pub interval_ms: u64,
+    /// Longest time in milliseconds by which the list is behind when it is read.
+    #[serde(default = "default_list_lag_ms")]
+    pub lag_ms: u64,
 }
 
 /// The retry budget of a service.
@@ -182,6 +185,10 @@
     defaults::LIST_INTERVAL_MS
 }
 
+fn default_list_lag_ms() -> u64 {
+    defaults::LIST_LAG_MS
+}
+
 impl GatewaySettings {
     /// Link addresses of the seeds.
     pub fn seed_links(&self) -> Vec<SocketAddrV4> {
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -9,7 +9,7 @@
 
 use crate::id::{DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId};
 use crate::statement::LimitMessage;
-use crate::stream::StreamMessage;
+use crate::stream::{RestartNotice, StreamMessage};
 
 /// Largest payload of a datagram in bytes; below the usual MTU, so that datagrams are not
 /// fragmented.
@@ -182,6 +182,15 @@
     pub removed: Vec<EndpointId>,
 }
 
+/// Age of a reading of the endpoint list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListAge {
+    /// Digest of the list.
+    pub digest: u64,
+    /// Time since the reading began, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// An endpoint in the lists of earlier gateways, which do not know software versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionlessEndpoint {
@@ -235,6 +244,10 @@
     Stream(StreamMessage),
     /// A message about limits that endpoints name. Older gateways ignore it.
     Limit(LimitMessage),
+    /// Signs that endpoints may have restarted. Older gateways ignore it.
+    Restarts(RestartNotice),
+    /// When the reading of the preceding [`Self::List`] began. Older gateways ignore it.
+    ListAge(ListAge),
 }
 
 /// A catalog in the operator's text form, compressed.
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::id::{FingerprintHash, ServiceId, StreamId, VersionId};
+use crate::id::{EndpointId, FingerprintHash, ServiceId, StreamId, VersionId};
 
 /// Largest number of streams in one message, which keeps it within
 /// [`crate::gateway::MAX_DATAGRAM_BYTES`].
@@ -52,6 +52,29 @@
     pub lifetime_ms: u32,
 }
 
+/// Largest number of signs in a notice of restarts, which keeps it within
+/// [`crate::gateway::MAX_DATAGRAM_BYTES`].
+pub const MAX_RESTART_SIGNS: usize = 60;
+
+/// A sign that an endpoint may have restarted: a refused, broken or silent connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestartSign {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Time since the sign was seen, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Tells another gateway of signs of restarts.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RestartNotice {
+    /// Time for which the signs are all that the sender has seen, in milliseconds; 0 for single
+    /// signs.
+    pub watched_ms: u32,
+    /// The signs; at most [`MAX_RESTART_SIGNS`].
+    pub signs: Vec<RestartSign>,
+}
+
 /// A message about origins of streams.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum StreamMessage {
--- a/crates/wire/tests/gateway.rs
+++ b/crates/wire/tests/gateway.rs
@@ -5,14 +5,14 @@
 use googletest::prelude::*;
 use wire::codec::{decode_as, encode};
 use wire::gateway::{
-    CrashNotice, GatewayDatagram, ListNotice, ListedEndpoint, MAX_DATAGRAM_BYTES,
+    CrashNotice, GatewayDatagram, ListAge, ListNotice, ListedEndpoint, MAX_DATAGRAM_BYTES,
     VersionlessEndpoint, VersionlessNotice,
 };
 use wire::statement::{
     CallRate, LimitMessage, LimitNotice, MAX_NOTICES, MAX_WISHES, TokenAsk, TokenOutcome,
     TokenShortage, TokenWish,
 };
-use wire::stream::{OriginQuery, StreamMessage};
+use wire::stream::{MAX_RESTART_SIGNS, OriginQuery, RestartNotice, RestartSign, StreamMessage};
 
 /// Number by which postcard names the variant of a datagram.
 fn variant_of(datagram: &GatewayDatagram) -> u8 {
@@ -48,11 +48,13 @@
             id: 1,
             outcome: TokenOutcome::NotKeeper,
         }),
+        GatewayDatagram::Restarts(RestartNotice::default()),
+        GatewayDatagram::ListAge(ListAge::default()),
     ];
 
     let numbers: Vec<u8> = datagrams.iter().map(variant_of).collect();
 
-    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7]));
+    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7, 8, 9]));
 }
 
 // The bytes of an earlier build: a notice without change, and one with an endpoint.
@@ -135,3 +137,20 @@
         expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
     }
 }
+
+/// A notice that is too large for a datagram would not be sent.
+#[gtest]
+fn largest_notice_of_restarts_fits_into_a_datagram() {
+    let sign = RestartSign {
+        endpoint: u64::MAX,
+        age_ms: u32::MAX,
+    };
+    let notice = RestartNotice {
+        watched_ms: u32::MAX,
+        signs: vec![sign; MAX_RESTART_SIGNS],
+    };
+
+    let bytes = encode(&GatewayDatagram::Restarts(notice)).expect("it can be encoded");
+
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+}
