--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -159,6 +159,8 @@
     pub address: SocketAddr,
     /// Bounds on each answer.
     pub limits: AnswerLimits,
+    /// Time at which the endpoint accepted the connection.
+    accepted_at: Instant,
     /// Time at which the current answer must have ended.
     ends_at: Instant,
     /// Size of the current body so far, in bytes.
@@ -192,6 +194,7 @@
         Self {
             address,
             limits: AnswerLimits::default(),
+            accepted_at: Instant::now(),
             ends_at: Instant::now(),
             body_length: 0,
             stream,
@@ -204,6 +207,11 @@
         }
     }
 
+    /// Time since the endpoint accepted the connection. One process has served it all this time.
+    pub fn age(&self) -> Duration {
+        self.accepted_at.elapsed()
+    }
+
     /// Whether the connection is still open and the endpoint has sent nothing on it since the last
     /// answer. May only be called between calls.
     pub fn is_idle(&self) -> bool {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -66,6 +66,13 @@
     pub events: EventSplitter,
     /// Software version of the endpoint of the current attempt, by the list when it began.
     pub attempt_version: VersionId,
+    /// Address of the endpoint of the current attempt.
+    pub attempt_address: Option<SocketAddrV4>,
+    /// When the endpoint accepted the connection of the current attempt.
+    pub accepted_at: Duration,
+    /// Whether the version that began the stream is not certain yet, so that it goes on nowhere
+    /// else.
+    pub is_begun_uncertain: bool,
     /// Software version that began the stream, in this call or in the one that it resumes; `None`
     /// until then. Only endpoints of this version may go on.
     pub begun_by: Option<VersionId>,
@@ -101,9 +108,9 @@
     }
 
     /// Whether another attempt can go on exactly where the answer stands: it has not begun, or its
-    /// last event carries an id.
+    /// last event carries an id and the version that began it is certain.
     pub fn may_go_on(&self, writer: &SessionWriter) -> bool {
-        !writer.has_started || self.events.ends_at_id()
+        !writer.has_started || (self.events.ends_at_id() && !self.is_begun_uncertain)
     }
 }
 
@@ -188,6 +195,7 @@
             (row.address, row.name.clone(), row.version_id)
         };
         self.progress.attempt_version = version;
+        self.progress.attempt_address = Some(address);
         // An idle connection may lead to an endpoint that was replaced under its name, which may be
         // in another region.
         let idle = state.pool.take(state.now(), self.endpoint);
@@ -197,6 +205,7 @@
             Some(connection) => connection,
             None => self.open_connection(address).await?,
         };
+        self.progress.accepted_at = state.now().saturating_sub(connection.age());
         let headers = {
             let metadata = self.forward_metadata(&name);
             let incoming = call.head.head().headers();
@@ -218,6 +227,10 @@
             // It may be a second answer to an earlier call on the connection.
             return Err(EndpointError::Misdelivered);
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            let (since, sent_at) = (self.progress.accepted_at, self.progress.attempted_at);
+            state.note_process(self.endpoint, since, sent_at);
+        }
         let statement = metadata.statement.of_answer(head.status);
         state.note_statement(self.endpoint, self.progress.attempted_at, statement);
         Ok(OpenAnswer {
@@ -323,6 +336,12 @@
         }
         if !is_silent_call || state.is_silent(self.endpoint) {
             state.note_health(self.endpoint, CallOutcome::Broken, &reason);
+            if error.is_lost_connection() {
+                state.note_restart_sign(self.endpoint);
+                if self.progress.begun_by.is_some() {
+                    state.check_processes(&[self.endpoint]);
+                }
+            }
         }
         self.progress.last_error = Some(reason);
         if !may_run {
--- a/crates/relay/src/crash_check.rs
+++ b/crates/relay/src/crash_check.rs
@@ -29,6 +29,7 @@
     /// address.
     pub fn note_endpoint_down(&self, endpoint: EndpointId) {
         self.note_maybe_cold(endpoint);
+        self.note_restart_sign(endpoint);
         self.crashes.borrow_mut().note_down(self.now(), endpoint);
         self.announce_crashes();
     }
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -16,6 +16,7 @@
 use crate::health::{CallOutcome, HealthChange};
 use crate::row::{EndpointRow, EndpointStanding};
 use crate::statement_change::StatementChange;
+use crate::version_certainty::VersionCertainty;
 
 /// Names of the endpoints that a new list changed.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -45,6 +46,8 @@
     instance_loads: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
     /// Evacuated failure domains, for endpoints that are listed later.
     evacuated: BTreeSet<DomainId>,
+    /// Whether the listed software versions are those of the present processes.
+    pub versions: VersionCertainty,
     /// What is known of the keeper of the rates that endpoints name.
     pub keeper: KeeperView,
     /// How long the endpoints of services are cold after a start.
