Fault: heads over the limit get their own kind

Cause: a head over the size limit was answered as an oversized body, status 413. Change: kind oversized-head, status 431, not run.

--- a/crates/ctl/src/error.rs
+++ b/crates/ctl/src/error.rs
@@ -111,9 +111,13 @@
         Some(K::MissingKey | K::UnknownKey | K::Forbidden) => ExitKind::Forbidden,
         Some(K::UnknownService | K::UnknownModel) => ExitKind::NotFound,
         Some(K::ControlUnreachable | K::Draining | K::SettingsStale) => ExitKind::Unreachable,
-        Some(K::InvalidSettings | K::MalformedRequest | K::OversizedBody | K::StoreFull) => {
-            ExitKind::Refused
-        }
+        Some(
+            K::InvalidSettings
+            | K::MalformedRequest
+            | K::OversizedBody
+            | K::OversizedHead
+            | K::StoreFull,
+        ) => ExitKind::Refused,
         _ => ExitKind::Internal,
     }
 }
--- a/crates/fault/src/answer.rs
+++ b/crates/fault/src/answer.rs
@@ -58,6 +58,7 @@
             K::StoreFull => row(507, NotRun, Some(5), Level::Error),
             K::Internal => row(500, Unknown, None, Level::Error),
             K::OriginUnknown => row(503, NotRun, Some(1), Level::Warn),
+            K::OversizedHead => row(431, NotRun, None, Level::Info),
         }
     }
 }
--- a/crates/fault/src/kind.rs
+++ b/crates/fault/src/kind.rs
@@ -109,11 +109,14 @@
     /// route does not lead there any more.
     #[display("origin-unknown")]
     OriginUnknown,
+    /// The head of the request exceeds the accepted size or number of fields.
+    #[display("oversized-head")]
+    OversizedHead,
 }
 
 impl FaultKind {
     /// Every kind, in declaration order.
-    pub const ALL: [Self; 32] = [
+    pub const ALL: [Self; 33] = [
         Self::MissingKey,
         Self::UnknownKey,
         Self::Forbidden,
@@ -146,6 +149,7 @@
         Self::StoreFull,
         Self::Internal,
         Self::OriginUnknown,
+        Self::OversizedHead,
     ];
 
     /// Returns how this kind is reported: HTTP status, outcome, retry delay and log level.
