Settings: limits on clients of the gateway

Cause: clients decide how much memory and how many connections a process holds for them. Change: table limits: memory of the machine, byte budget, connections, connections per address, pipelined requests, times and minimum rate of bodies and answers. The budget defaults to 0.3 of the memory, or to 48 MB without that value, and may be at most half of it.

--- a/crates/gateway/tests/list_reading.rs
+++ b/crates/gateway/tests/list_reading.rs
@@ -15,7 +15,7 @@
 use platform::PlatformDialect;
 use platform::endpoint_list::write_page;
 use relay::state::{RelaySettings, RelayState};
-use settings::process::{GatewaySettings, ListSettings, RetrySettings};
+use settings::process::{GatewaySettings, LimitSettings, ListSettings, RetrySettings};
 use tokio::net::UdpSocket;
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
@@ -107,6 +107,7 @@
             interval_ms: 300,
         },
         retries: RetrySettings::default(),
+        limits: LimitSettings::default(),
     };
     let metrics = GatewayMetrics::new(LabelSettings::default()).expect("names are free");
     let relay_settings = RelaySettings::default();
--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -45,3 +45,28 @@
 pub const RETRY_WINDOW_S: f64 = 10.0;
 /// Default of `tolerated_losses`.
 pub const TOLERATED_LOSSES: u64 = 1;
+/// Default of `limits.connections`.
+pub const CONNECTIONS: usize = 2500;
+/// Default of `limits.connections_per_address`; 0 is unlimited, as callers may share the address of
+/// a load balancer.
+pub const CONNECTIONS_PER_ADDRESS: usize = 0;
+/// Default of `limits.pipelined_requests`.
+pub const PIPELINED_REQUESTS: usize = 64;
+/// Default of `limits.body_pause_ms`.
+pub const BODY_PAUSE_MS: u64 = 10_000;
+/// Default of `limits.body_time_s`.
+pub const BODY_TIME_S: f64 = 300.0;
+/// Default of `limits.min_bytes_per_s`.
+pub const MIN_BYTES_PER_S: u64 = 1024;
+/// Default of `limits.grace_s`.
+pub const LIMITS_GRACE_S: f64 = 10.0;
+/// Byte budget in MB if neither `limits.budget_mb` nor `limits.memory_mb` is set: that of a machine
+/// with 160 MB.
+pub const BUDGET_MB: u64 = 48;
+/// Share of `limits.memory_mb` that is the default of `limits.budget_mb`. The rest is for the
+/// process itself (10 to 30 MB), its calls, and what the allocator and the kernel hold in addition.
+pub const BUDGET_SHARE: f64 = 0.3;
+/// Largest part of `limits.memory_mb` that `limits.budget_mb` may be.
+pub const MAX_BUDGET_SHARE: f64 = 0.5;
+/// Smallest `limits.budget_mb`: two requests of the largest size, with their answers.
+pub const MIN_BUDGET_MB: u64 = 16;
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -6,7 +6,7 @@
 
 /// The tables of all configuration files, in the order of the settings reference.
 pub static FILES: &[&BranchSpec] = &[
-    &ENTRY, &AGENT, &CONTROL, &GATEWAY, &PEER, &INSTANCE, &LIST, &RETRIES,
+    &ENTRY, &AGENT, &CONTROL, &GATEWAY, &PEER, &INSTANCE, &LIST, &RETRIES, &LIMITS,
 ];
 
 pub(crate) static ENTRY: BranchSpec = BranchSpec {
@@ -45,6 +45,12 @@
     groups: &[RETRY_KEYS],
 };
 
+static LIMITS: BranchSpec = BranchSpec {
+    label: "limits",
+    help: "Limits on clients that hold memory or connections, in the file of every program.",
+    groups: &[LIMIT_KEYS],
+};
+
 static INSTANCE: BranchSpec = BranchSpec {
     label: "instance",
     help: "The instance itself, in the file of every program but `sapphire-gateway`.",
@@ -226,6 +232,80 @@
         "The platform's list of endpoints.",
     ),
     required("retries", ValueType::Section(&RETRIES), "The retry budget."),
+    LIMITS_SECTION,
+];
+
+const LIMITS_SECTION: KeySpec = key(
+    "limits",
+    ValueType::Section(&LIMITS),
+    DefaultValue::Absent,
+    "Limits on clients.",
+);
+
+const LIMIT_KEYS: &[KeySpec] = &[
+    key(
+        "memory_mb",
+        integer(64, 1024 * 1024),
+        DefaultValue::Absent,
+        "Memory of the machine in MB, from which the default of `budget_mb` follows.",
+    ),
+    key(
+        "budget_mb",
+        integer(d::MIN_BUDGET_MB, 1024 * 1024),
+        DefaultValue::Absent,
+        "Byte budget in MB: what all clients together can make the process hold. Default: 0.3 of \
+         `memory_mb`, or 48 without that; at most half of `memory_mb`.",
+    ),
+    key(
+        "connections",
+        integer(16, 1_000_000),
+        DefaultValue::Integer(d::CONNECTIONS as u64),
+        "Maximum number of connections of callers. Beyond it, the connection that has been without \
+         progress for the longest is closed.",
+    ),
+    key(
+        "connections_per_address",
+        integer(0, 1_000_000),
+        DefaultValue::Integer(d::CONNECTIONS_PER_ADDRESS as u64),
+        "Maximum number of connections from one peer address; 0 is unlimited.",
+    ),
+    key(
+        "pipelined_requests",
+        integer(1, 1_000_000),
+        DefaultValue::Integer(d::PIPELINED_REQUESTS as u64),
+        "Requests in a row that a caller may send on one connection without waiting for the answer \
+         before.",
+    ),
+    key(
+        "body_pause_ms",
+        integer(100, 600_000),
+        DefaultValue::Integer(d::BODY_PAUSE_MS),
+        "Maximum time between two parts of a body, in milliseconds.",
+    ),
+    key(
+        "body_time_s",
+        ValueType::Number {
+            min: 1.0,
+            max: 86_400.0,
+        },
+        DefaultValue::Number(d::BODY_TIME_S),
+        "Maximum time for a body, in seconds.",
+    ),
+    key(
+        "min_bytes_per_s",
+        integer(0, 1_000_000_000),
+        DefaultValue::Integer(d::MIN_BYTES_PER_S),
+        "Minimum rate at which a body is sent and an answer is taken, in bytes a second; 0 is none.",
+    ),
+    key(
+        "grace_s",
+        ValueType::Number {
+            min: 0.1,
+            max: 3600.0,
+        },
+        DefaultValue::Number(d::LIMITS_GRACE_S),
+        "Time by which a body or an answer may be late at that rate, in seconds.",
+    ),
 ];
 
 const LIST_KEYS: &[KeySpec] = &[
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -135,6 +135,70 @@
     pub list: ListSettings,
     /// The retry budget.
     pub retries: RetrySettings,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Limits on clients that hold memory or connections.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Memory of the machine in MB.
+    pub memory_mb: Option<u64>,
+    /// Byte budget in MB.
+    pub budget_mb: Option<u64>,
+    /// Maximum number of connections of callers.
+    pub connections: usize,
+    /// Maximum number of connections from one peer address; 0 is unlimited.
+    pub connections_per_address: usize,
+    /// Requests in a row on one connection without waiting for the answer before.
+    pub pipelined_requests: usize,
+    /// Maximum time between two parts of a body in milliseconds.
+    pub body_pause_ms: u64,
+    /// Maximum time for a body in seconds.
+    pub body_time_s: f64,
+    /// Minimum rate of bodies and answers in bytes a second.
+    pub min_bytes_per_s: u64,
+    /// Time by which a body or an answer may be late, in seconds.
+    pub grace_s: f64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            memory_mb: None,
+            budget_mb: None,
+            connections: defaults::CONNECTIONS,
+            connections_per_address: defaults::CONNECTIONS_PER_ADDRESS,
+            pipelined_requests: defaults::PIPELINED_REQUESTS,
+            body_pause_ms: defaults::BODY_PAUSE_MS,
+            body_time_s: defaults::BODY_TIME_S,
+            min_bytes_per_s: defaults::MIN_BYTES_PER_S,
+            grace_s: defaults::LIMITS_GRACE_S,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Size of the byte budget in bytes.
+    pub fn budget_bytes(&self) -> usize {
+        let by_memory = |memory: u64| (memory as f64 * defaults::BUDGET_SHARE) as u64;
+        let default = self.memory_mb.map_or(defaults::BUDGET_MB, by_memory);
+        let megabytes = self.budget_mb.unwrap_or(default);
+        megabytes.max(defaults::MIN_BUDGET_MB) as usize * 1024 * 1024
+    }
+
+    fn faults(&self) -> Vec<SettingFault> {
+        let (Some(memory), Some(budget)) = (self.memory_mb, self.budget_mb) else {
+            return Vec::new();
+        };
+        if budget as f64 <= memory as f64 * defaults::MAX_BUDGET_SHARE {
+            return Vec::new();
+        }
+        let reason = format!("is {budget} MB, more than half of `memory_mb`, {memory} MB");
+        vec![setting_fault("limits.budget_mb", reason)]
+    }
 }
 
 /// The platform's list of endpoints.
@@ -344,7 +408,7 @@
             let reason = "`callers`, `readiness` and `operators` must be different addresses";
             return vec![setting_fault("callers", reason)];
         }
-        Vec::new()
+        self.limits.faults()
     }
 
     fn referenced_files(&self) -> Vec<ReferencedFile<'_>> {
