Gateway: bound what clients make the process hold

Cause: 60 legal bodies of 4 MB, each one byte short of its end, took 243 MB; 100 connections with 2,000 pipelined requests each took 230 MB, and /metrics did not answer for 3 s. Change: crate quota holds a byte budget, which is charged before bytes are read, and a limit on connections. When the budget is exhausted, the client with the most bytes times time without progress is evicted and told 503, not run. A request that is being served is not evicted, and an eighth of the budget is left to small requests. Answers that are not taken and partial events are charged, too. Bodies are collected in segments, a length over the limit is refused before the body is read, bodies and answers have a minimum rate, a run of pipelined requests is bounded and yields between two, an idle connection holds no buffer, and socket buffers shrink with the number of connections. Listeners for checks, operators and links have a connection limit of their own.

--- a/crates/exchange/src/events.rs
+++ b/crates/exchange/src/events.rs
@@ -43,6 +43,11 @@
         self.buffer.split().freeze()
     }
 
+    /// Number of bytes that follow the last whole event.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Discards the incomplete event at the end of the buffer.
     pub fn drop_partial(&mut self) {
         self.buffer.clear();
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -8,8 +8,13 @@
 use bytes::Bytes;
 use fault::{Fault, FaultKind};
 use platform::paths::{READ_CATALOG, READINESS, REPLACE_CATALOG};
+use quota::connections::{ConnectionLimits, ConnectionUse};
+use quota::gate::{ConnectionGate, ConnectionPass};
+use quota::progress::ProgressLimits;
 use relay::accept::accept_each;
-use relay::session::{self, CallerFraming, IncomingCall, SessionLimits};
+use relay::session::{
+    self, CallerFraming, IncomingCall, SessionError, SessionLimits, SessionReader, SessionWriter,
+};
 use settings::operator::FaultResponse;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -24,6 +29,22 @@
     body_bytes: 8 * 1024 * 1024,
     header_timeout: Duration::from_secs(5),
     body_timeout: Duration::from_secs(5),
+    body_progress: ProgressLimits {
+        bytes_per_second: 1024,
+        grace: Duration::from_secs(5),
+        total: Duration::from_secs(60),
+    },
+};
+/// Maximum size of a body at a listener that takes no catalogs, in bytes.
+const MAX_PLAIN_BODY_BYTES: usize = 16 * 1024;
+/// Maximum number of connections of one such listener. They are apart from those of callers, so
+/// that readiness checks are answered while callers hold all theirs.
+const MAX_CONNECTIONS: usize = 64;
+/// Minimum rate at which an answer is taken.
+const ANSWER_PROGRESS: ProgressLimits = ProgressLimits {
+    bytes_per_second: 1024,
+    grace: Duration::from_secs(5),
+    total: Duration::from_secs(60),
 };
 /// Path at which operators read and replace the catalog.
 pub const CATALOG: &str = "/operator/catalog";
@@ -66,44 +87,128 @@
     }
 }
 
-/// Serves operators, readiness checks and metrics until the process ends.
-pub async fn serve_http(listener: TcpListener, node: Rc<GatewayNode>) {
-    accept_each(listener, "gateway", |stream| {
-        serve_connection(stream, Rc::clone(&node))
+/// Who a listener is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum HttpAudience {
+    /// Operators, who send catalogs.
+    Operators,
+    /// Readiness checks and metrics scrapers, who send no bodies.
+    Checks,
+}
+
+/// Serves operators, readiness checks or metrics until the process ends.
+pub async fn serve_http(listener: TcpListener, audience: HttpAudience, node: Rc<GatewayNode>) {
+    let gate = ConnectionGate::new(ConnectionLimits {
+        connections: MAX_CONNECTIONS,
+        per_address: 0,
+    });
+    accept_each(listener, "gateway", gate, |stream, pass| {
+        serve_connection(stream, pass, audience, Rc::clone(&node))
     })
     .await;
 }
 
-async fn serve_connection(stream: TcpStream, node: Rc<GatewayNode>) {
-    if let Err(error) = serve_requests(stream, &node).await {
+async fn serve_connection(
+    stream: TcpStream,
+    pass: ConnectionPass,
+    audience: HttpAudience,
+    node: Rc<GatewayNode>,
+) {
+    if let Err(error) = serve_requests(stream, &pass, audience, &node).await {
         log::debug!("gateway: HTTP connection ended: {error}");
     }
 }
 
-async fn serve_requests(stream: TcpStream, node: &Rc<GatewayNode>) -> session::Result<()> {
-    let (mut reader, mut writer) = session::open(stream, &node.relay_state.http)?;
+async fn serve_requests(
+    stream: TcpStream,
+    pass: &ConnectionPass,
+    audience: HttpAudience,
+    node: &Rc<GatewayNode>,
+) -> session::Result<()> {
+    let state = &node.relay_state;
+    let (mut reader, mut writer) =
+        session::open(stream, &state.http, &state.bytes, ANSWER_PROGRESS)?;
+    let limits = SessionLimits {
+        body_bytes: match audience {
+            HttpAudience::Operators => LIMITS.body_bytes,
+            HttpAudience::Checks => MAX_PLAIN_BODY_BYTES,
+        },
+        ..LIMITS
+    };
     loop {
-        let arrived = timeout(IDLE_TIMEOUT, reader.wait_for_bytes()).await;
-        if !arrived.unwrap_or(Ok(false))? {
-            return Ok(());
-        }
-        let incoming = reader.read_call(&mut writer, &LIMITS).await?;
+        let received = tokio::select! {
+            biased;
+            received = receive_request(&mut reader, &mut writer, pass, &limits) => received,
+            () = pass.evicted() => return Ok(()),
+        };
+        let incoming = match received {
+            Ok(Some(incoming)) => incoming,
+            Ok(None) => return Ok(()),
+            Err(error) => return reject(error, &mut reader, &mut writer).await,
+        };
+        pass.note_use(ConnectionUse::Serving);
+        reader.share.set_pinned(true);
         let answer = node.answer_http(&incoming).await;
-        let mut headers = HeaderMap::new();
-        headers.insert(CONTENT_TYPE, HeaderValue::from_static(answer.content_type));
-        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
-            headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
-        }
-        let framing = CallerFraming::Length(answer.body.len() as u64);
-        writer
-            .send_whole(answer.status, headers, answer.body, framing, false)
-            .await?;
+        drop(incoming);
+        // An answer that its client does not take counts towards the byte budget.
+        let sent = send(answer, &mut writer).await;
+        reader.share.set_pinned(false);
+        pass.note_use(ConnectionUse::Idle);
+        sent?;
         if !writer.keeps_alive() {
             return Ok(());
         }
+        if reader.has_bytes() {
+            // Other connections take their turn between two pipelined requests.
+            tokio::task::yield_now().await;
+        }
     }
 }
 
+/// Receives the next request. Returns `None` if the client closed the connection, or was idle for
+/// too long.
+async fn receive_request(
+    reader: &mut SessionReader,
+    writer: &mut SessionWriter,
+    pass: &ConnectionPass,
+    limits: &SessionLimits,
+) -> session::Result<Option<IncomingCall>> {
+    let arrived = timeout(IDLE_TIMEOUT, reader.wait_for_bytes()).await;
+    if !arrived.unwrap_or(Ok(false))? {
+        return Ok(None);
+    }
+    pass.note_use(ConnectionUse::Receiving);
+    reader.read_call(writer, limits).await.map(Some)
+}
+
+async fn send(answer: HttpAnswer, writer: &mut SessionWriter) -> session::Result<()> {
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static(answer.content_type));
+    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_SECONDS));
+    }
+    let framing = CallerFraming::Length(answer.body.len() as u64);
+    writer
+        .send_whole(answer.status, headers, answer.body, framing, false)
+        .await
+}
+
+/// Answers a request that can't be read with a fault, and closes the connection.
+async fn reject(
+    error: SessionError,
+    reader: &mut SessionReader,
+    writer: &mut SessionWriter,
+) -> session::Result<()> {
+    let Some(kind) = error.fault_kind() else {
+        return Err(error);
+    };
+    writer.closes = true;
+    send(HttpAnswer::fault(&kind.because(error.to_string())), writer).await?;
+    writer.shut_down().await?;
+    reader.discard().await;
+    Ok(())
+}
+
 impl GatewayNode {
     async fn answer_http(self: &Rc<Self>, incoming: &IncomingCall) -> HttpAnswer {
         let path = incoming.head.path();
@@ -144,6 +249,8 @@
         metrics.process.set_settings_version(self.catalog_version());
         let live = self.directory.borrow().live(self.now()).count();
         metrics.set_gateways(live + 1);
+        let budget = &self.relay_state.bytes;
+        metrics.set_byte_budget(budget.held(), budget.evictions());
         match metrics.process.expose() {
             Ok(text) => HttpAnswer {
                 status: StatusCode::OK,
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -10,7 +10,7 @@
 use gateway::datagrams::receive_datagrams;
 use gateway::endpoint_list::follow_list;
 use gateway::heartbeat::send_heartbeats;
-use gateway::http::serve_http;
+use gateway::http::{HttpAudience, serve_http};
 use gateway::node::GatewayNode;
 use gateway::peer_requests::serve_peers;
 use gateway::peers::GatewayPeers;
@@ -19,11 +19,14 @@
 use kernel::{ServiceKernel, TaskFuture, TaskService, program};
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use platform::PlatformDialect;
+use quota::connections::ConnectionLimits;
+use quota::progress::ProgressLimits;
 use relay::budget::BudgetSettings;
+use relay::caller_limits::CallerLimits;
 use relay::drain::{DrainSettings, drain_callers};
 use relay::server::serve_callers;
 use relay::state::{RelaySettings, RelayState};
-use settings::process::GatewaySettings;
+use settings::process::{GatewaySettings, LimitSettings};
 use tokio::net::{TcpListener, UdpSocket};
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
@@ -35,6 +38,11 @@
 /// Longest time for connecting a link, and again for its handshake.
 const LINK_CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Share of the file descriptors, as a divisor, that is not left to callers' connections: those that
+/// the machine itself needs (200 of 4,100), and those of connections to endpoints, of links, of the
+/// listeners for checks, and of files.
+const RESERVED_DESCRIPTORS_DIVISOR: usize = 4;
+
 type BoxedError = Box<dyn std::error::Error>;
 
 #[actix_web::main]
@@ -100,11 +108,15 @@
     let list = TaskService::spawning(vec![Box::pin(follow_list(shared()))]);
     kernel.register("list", shared(), list)?;
     let mut served: Vec<TaskFuture> = vec![
-        Box::pin(serve_http(operators, shared())),
-        Box::pin(serve_http(readiness, shared())),
+        Box::pin(serve_http(operators, HttpAudience::Operators, shared())),
+        Box::pin(serve_http(readiness, HttpAudience::Checks, shared())),
     ];
     if let Some(metrics) = metrics {
-        served.push(Box::pin(serve_http(metrics, shared())));
+        served.push(Box::pin(serve_http(
+            metrics,
+            HttpAudience::Checks,
+            shared(),
+        )));
     }
     let operators = TaskService::spawning(served);
     kernel.register("operators", shared(), operators)?;
@@ -143,10 +155,52 @@
             extra: settings.retries.extra,
             window: Duration::from_secs_f64(settings.retries.window_s),
         },
+        callers: caller_limits(&settings.limits),
         ..RelaySettings::default()
     }
 }
 
+fn caller_limits(limits: &LimitSettings) -> CallerLimits {
+    let connections = descriptor_limit().map_or(limits.connections, |descriptors| {
+        let reserved = descriptors / RESERVED_DESCRIPTORS_DIVISOR;
+        limits.connections.min(descriptors - reserved)
+    });
+    if connections < limits.connections {
+        log::warn!(
+            connections = connections, configured = limits.connections;
+            "gateway: fewer connections of callers than configured, as descriptors are short"
+        );
+    }
+    let progress = ProgressLimits {
+        bytes_per_second: limits.min_bytes_per_s,
+        grace: Duration::from_secs_f64(limits.grace_s),
+        total: Duration::MAX,
+    };
+    CallerLimits {
+        budget_bytes: limits.budget_bytes(),
+        connections: ConnectionLimits {
+            connections,
+            per_address: limits.connections_per_address,
+        },
+        pipelined_requests: limits.pipelined_requests,
+        body_timeout: Duration::from_millis(limits.body_pause_ms),
+        body_progress: ProgressLimits {
+            total: Duration::from_secs_f64(limits.body_time_s),
+            ..progress
+        },
+        answer_progress: progress,
+    }
+}
+
+/// Number of file descriptors that this process may open; `None` if the system does not tell.
+fn descriptor_limit() -> Option<usize> {
+    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
+    let line = limits
+        .lines()
+        .find_map(|line| line.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
 fn link_settings(settings: &GatewaySettings) -> Result<LinkSettings, BoxedError> {
     let secret = match &settings.secret_file {
         Some(path) => LinkSecret::load(path)?,
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -5,6 +5,8 @@
 
 use derive_more::{Display, Error, From};
 use link::{Link, LinkError, accept, connect};
+use quota::connections::{ConnectionLimits, ConnectionUse};
+use quota::gate::{ConnectionGate, ConnectionPass};
 use relay::accept::accept_each;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::timeout;
@@ -16,6 +18,9 @@
 
 /// Idle links that are kept to one gateway at most.
 const MAX_IDLE_LINKS: usize = 4;
+/// Maximum number of links from other gateways. Each of 105 gateways keeps at most
+/// [`MAX_IDLE_LINKS`] to one other.
+const MAX_LINKS: usize = 768;
 
 /// Why a request has no reply.
 #[derive(Debug, Display, Error, From)]
@@ -125,24 +130,39 @@
 
 /// Answers requests of other gateways until the process ends.
 pub async fn serve_peers(listener: TcpListener, node: Rc<GatewayNode>) {
-    accept_each(listener, "gateway", |stream| {
-        serve_link(stream, Rc::clone(&node))
+    let gate = ConnectionGate::new(ConnectionLimits {
+        connections: MAX_LINKS,
+        per_address: 0,
+    });
+    accept_each(listener, "gateway", gate, |stream, pass| {
+        serve_link(stream, pass, Rc::clone(&node))
     })
     .await;
 }
 
-async fn serve_link(stream: TcpStream, node: Rc<GatewayNode>) {
-    if let Err(error) = answer_requests(stream, &node).await {
+async fn serve_link(stream: TcpStream, pass: ConnectionPass, node: Rc<GatewayNode>) {
+    let ended = tokio::select! {
+        biased;
+        ended = answer_requests(stream, &pass, &node) => ended,
+        () = pass.evicted() => return,
+    };
+    if let Err(error) = ended {
         log::debug!("gateway: link from another gateway ended: {error}");
     }
 }
 
-async fn answer_requests(stream: TcpStream, node: &Rc<GatewayNode>) -> Result<()> {
+async fn answer_requests(
+    stream: TcpStream,
+    pass: &ConnectionPass,
+    node: &Rc<GatewayNode>,
+) -> Result<()> {
     let mut link = accept(stream, &node.link_settings).await?;
     loop {
+        pass.note_use(ConnectionUse::Idle);
         let LinkMessage::GatewayRequest(request) = link.receiver.next().await? else {
             return Err(RequestError::Unexpected);
         };
+        pass.note_use(ConnectionUse::Serving);
         let reply = node.answer(request).await;
         link.sender.send(LinkMessage::GatewayReply(reply)).await?;
     }
--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -26,6 +26,7 @@
 mod endless;
 mod fixture;
 mod framing;
+mod hostile;
 mod limits;
 mod rejoined;
 mod stopping;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -7,6 +7,7 @@
 use bytes::{Bytes, BytesMut};
 use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError, is_bodiless};
 use exchange::pool::idle_share;
+use quota::budget::{BudgetExhausted, HeldBytes};
 
 use crate::attempt::{
     AnswerEnd, AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit,
@@ -50,10 +51,12 @@
     /// further use of the connection.
     async fn take_refusal(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
         let status = answer.head.status;
-        let reading = read_whole(&mut answer.connection, MAX_REFUSAL_BYTES);
+        let mut held = HeldBytes::new(&self.writer.share);
+        let reading = read_whole(&mut answer.connection, MAX_REFUSAL_BYTES, &mut held);
         let read = with_time_limit(Some(REFUSAL_BODY_LIMIT), reading).await;
-        self.note_end(answer.connection.framing, read.is_ok(), 0);
-        if read.is_ok() {
+        let is_read = matches!(read, Ok(Some(_)));
+        self.note_end(answer.connection.framing, is_read, 0);
+        if is_read {
             self.end_answer(answer, slot);
         }
         AttemptResult::Failed(self.note_not_run(status))
@@ -61,12 +64,14 @@
 
     async fn take_whole(&mut self, mut answer: OpenAnswer, slot: &OccupiedSlot) -> AttemptResult {
         let limit = self.state.settings.whole_answer_bytes;
-        let reading = read_whole(&mut answer.connection, limit);
+        let mut held = HeldBytes::new(&self.writer.share);
+        let reading = read_whole(&mut answer.connection, limit, &mut held);
         let read = with_time_limit(self.progress.silence_limit, reading).await;
         let framing = answer.connection.framing;
-        self.note_end(framing, read.is_ok(), 0);
+        self.note_end(framing, matches!(read, Ok(Some(_))), 0);
         let body = match read {
-            Ok(body) => body,
+            Ok(Some(body)) => body,
+            Ok(None) => return AttemptResult::Failed(self.note_exhausted()),
             Err(error) => return AttemptResult::Failed(self.note_break(&error, true)),
         };
         let status = answer.head.status;
@@ -76,6 +81,7 @@
             framing: caller_framing(framing, &answer.head, body.len()),
             headers: self.state.dialect.forward_answer(headers),
             body,
+            held,
         };
         self.end_answer(answer, slot);
         // Nothing but the rest of its stream can follow an answer that has begun.
@@ -137,6 +143,13 @@
         }
     }
 
+    /// Records that the byte budget had no room for an answer of an endpoint that ran the call. The
+    /// endpoint is not to blame.
+    pub(crate) fn note_exhausted(&mut self) -> FailedAttempt {
+        self.progress.last_error = Some(BudgetExhausted.to_string());
+        FailedAttempt::without_answer(AttemptEnd::Broken)
+    }
+
     /// Records whether the answer is whole, and keeps its connection for further calls if its
     /// answers can be told apart.
     pub(crate) fn end_answer(&self, answer: OpenAnswer, slot: &OccupiedSlot) {
@@ -186,17 +199,23 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-/// Reads the body of an answer of at most `limit` bytes.
+/// Reads the body of an answer of at most `limit` bytes, each part of which is charged to `held`.
+/// Returns `None` if the byte budget is exhausted.
 async fn read_whole(
     connection: &mut EndpointConnection,
     limit: usize,
-) -> connection::Result<Bytes> {
+    held: &mut HeldBytes,
+) -> connection::Result<Option<Bytes>> {
     let mut body = BytesMut::new();
     while let Some(chunk) = connection.next_chunk().await? {
-        if body.len() + chunk.len() > limit {
+        let length = body.len() + chunk.len();
+        if length > limit {
             return Err(EndpointError::Oversized);
         }
+        if held.grow_to(length).await.is_err() {
+            return Ok(None);
+        }
         body.extend_from_slice(&chunk);
     }
-    Ok(body.freeze())
+    Ok(Some(body.freeze()))
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -56,6 +56,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod call;
+pub mod caller_limits;
 pub mod crash;
 pub mod crash_check;
 pub mod crash_log;
--- a/crates/relay/src/reply.rs
+++ b/crates/relay/src/reply.rs
@@ -5,6 +5,7 @@
 use actix_http::StatusCode;
 use actix_http::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
 use bytes::Bytes;
+use quota::budget::HeldBytes;
 
 use crate::record::CallEnd;
 use crate::refusal::CallRefusal;
@@ -22,6 +23,8 @@
     pub body: Bytes,
     /// How the answer states its end to the caller.
     pub framing: CallerFraming,
+    /// Charge for the body.
+    pub held: HeldBytes,
 }
 
 /// Sends a whole answer to the caller.
@@ -32,6 +35,7 @@
 ) -> CallEnd {
     let status = answer.status;
     let close = state.is_stopping();
+    writer.hold(answer.held);
     let sent = writer.send_whole(status, answer.headers, answer.body, answer.framing, close);
     match sent.await {
         Ok(()) => CallEnd::Answered(status),
--- a/crates/relay/src/server.rs
+++ b/crates/relay/src/server.rs
@@ -5,9 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use fault::FaultKind;
+use quota::connections::ConnectionUse;
+use quota::gate::{ConnectionGate, ConnectionPass};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use crate::accept::accept_each;
 use crate::forward::serve_call;
@@ -19,15 +20,13 @@
 };
 use crate::state::{RelayState, ServingPhase};
 
-/// Maximum time between two reads of a request body.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// Accepts and serves caller connections until phase [`ServingPhase::Closed`] or the end of the
 /// process.
 pub async fn serve_callers(listener: TcpListener, state: Rc<RelayState>) {
     let _open = CountGuard::new(&state, |state| &state.open_listeners);
-    let accepting = accept_each(listener, "relay", |stream| {
-        serve_caller(stream, Rc::clone(&state))
+    let gate = ConnectionGate::new(state.settings.callers.connections);
+    let accepting = accept_each(listener, "relay", gate, |stream, pass| {
+        serve_caller(stream, pass, Rc::clone(&state))
     });
     tokio::select! {
         biased;
@@ -38,18 +37,18 @@
 
 /// Counts a connection and returns the future that serves it. A connection whose future has not run
 /// yet must not escape a drain.
-fn serve_caller(stream: TcpStream, state: Rc<RelayState>) -> impl Future<Output = ()> {
-    let has_room = state.open_connections.get() < state.settings.max_connections;
+fn serve_caller(
+    stream: TcpStream,
+    pass: ConnectionPass,
+    state: Rc<RelayState>,
+) -> impl Future<Output = ()> {
     let open = CountGuard::new(&state, |state| &state.open_connections);
     async move {
-        if !has_room {
-            log::warn!("relay: caller connection closed: connection limit reached");
-            return;
-        }
         state.metrics.set_connections(state.open_connections.get());
-        if let Err(error) = serve_calls(stream, &state).await {
+        if let Err(error) = serve_calls(stream, &pass, &state).await {
             log::debug!("relay: caller connection failed: {error}");
         }
+        drop(pass);
         drop(open);
     }
 }
@@ -78,19 +77,44 @@
     }
 }
 
-async fn serve_calls(stream: TcpStream, state: &Rc<RelayState>) -> crate::session::Result<()> {
-    let (mut reader, mut writer) = open(stream, &state.http)?;
+async fn serve_calls(
+    stream: TcpStream,
+    pass: &ConnectionPass,
+    state: &Rc<RelayState>,
+) -> crate::session::Result<()> {
+    let answer_progress = state.settings.callers.answer_progress;
+    let (mut reader, mut writer) = open(stream, &state.http, &state.bytes, answer_progress)?;
+    let mut pipelined = 0;
     loop {
-        if !wait_for_call(&mut reader, state).await? {
-            return Ok(());
-        }
-        let limits = session_limits(state);
-        let incoming = match reader.read_call(&mut writer, &limits).await {
-            Ok(incoming) => incoming,
-            Err(error) => return reject_request(state, error, &mut writer).await,
+        pipelined = match reader.has_bytes() {
+            true => pipelined + 1,
+            false => 0,
+        };
+        writer.closes = pipelined >= state.settings.callers.pipelined_requests;
+        let received = tokio::select! {
+            biased;
+            received = receive_call(&mut reader, &mut writer, pass, state) => received,
+            () = pass.evicted() => return Ok(()),
+        };
+        let incoming = match received {
+            Ok(Some(incoming)) => incoming,
+            Ok(None) => return Ok(()),
+            Err(refused) => return reject_request(state, refused, &mut reader, &mut writer).await,
         };
-        let Some(record) = serve_while_connected(state, &incoming, &mut reader, &mut writer).await
-        else {
+        pass.note_use(ConnectionUse::Serving);
+        reader.share.set_pinned(true);
+        // Boxed so that a connection without a call takes little memory.
+        let serving = Box::pin(serve_while_connected(
+            state,
+            &incoming,
+            &mut reader,
+            &mut writer,
+        ));
+        let record = serving.await;
+        reader.share.set_pinned(false);
+        pass.note_use(ConnectionUse::Idle);
+        drop(incoming);
+        let Some(record) = record else {
             return Ok(());
         };
         record.note(&state.metrics);
@@ -98,9 +122,61 @@
         if is_over || !writer.keeps_alive() {
             return Ok(());
         }
+        if writer.closes {
+            log::info!("relay: connection closed: too many pipelined requests");
+            return close_after_answer(&mut reader, &mut writer).await;
+        }
+        if reader.has_bytes() {
+            // Other connections take their turn between two pipelined requests.
+            tokio::task::yield_now().await;
+        }
+    }
+}
+
+/// A request that can't be read, and the time until its caller stops waiting, if it is known.
+struct RejectedRequest {
+    error: SessionError,
+    time_left: Option<Duration>,
+}
+
+impl From<SessionError> for RejectedRequest {
+    fn from(error: SessionError) -> Self {
+        Self {
+            error,
+            time_left: None,
+        }
     }
 }
 
+/// Receives the next call. Returns `None` if the connection is to be closed.
+async fn receive_call(
+    reader: &mut SessionReader,
+    writer: &mut SessionWriter,
+    pass: &ConnectionPass,
+    state: &RelayState,
+) -> Result<Option<IncomingCall>, RejectedRequest> {
+    if !wait_for_call(reader, state).await? {
+        return Ok(None);
+    }
+    pass.note_use(ConnectionUse::Receiving);
+    let started = Instant::now();
+    let limits = session_limits(state);
+    let head = reader.read_head(writer, &limits).await?;
+    if writer.is_bodiless() {
+        return Ok(Some(reader.read_body(head, writer, &limits).await?));
+    }
+    let caller_timeout = state
+        .dialect
+        .read_call(head.head().headers())
+        .caller_timeout;
+    let received = reader.read_body(head, writer, &limits).await;
+    let incoming = received.map_err(|error| RejectedRequest {
+        error,
+        time_left: caller_timeout.map(|limit| limit.saturating_sub(started.elapsed())),
+    });
+    Ok(Some(incoming?))
+}
+
 /// Waits for the first bytes of the next call. Returns `false` if the connection is to be closed:
 /// by the caller, after the idle timeout, or because the instance closes idle connections.
 async fn wait_for_call(
@@ -124,7 +200,8 @@
         header_bytes: limits.header_bytes,
         body_bytes: limits.body_bytes,
         header_timeout: limits.header_timeout,
-        body_timeout: BODY_TIMEOUT,
+        body_timeout: state.settings.callers.body_timeout,
+        body_progress: state.settings.callers.body_progress,
     }
 }
 
@@ -151,16 +228,27 @@
 /// Answers a request that can't be read with a fault. The connection is closed afterwards.
 async fn reject_request(
     state: &RelayState,
-    error: SessionError,
+    rejected: RejectedRequest,
+    reader: &mut SessionReader,
     writer: &mut SessionWriter,
 ) -> crate::session::Result<()> {
-    let kind = match &error {
-        SessionError::Socket(_) => return Err(error),
-        SessionError::Parse(_) | SessionError::Payload(_) => FaultKind::MalformedRequest,
-        SessionError::OversizedHead | SessionError::OversizedBody => FaultKind::OversizedBody,
-        SessionError::Slow => FaultKind::SlowCaller,
+    let error = rejected.error;
+    let Some(kind) = error.fault_kind() else {
+        return Err(error);
     };
     log::info!("relay: request rejected: {error}");
-    refuse(state, &CallRefusal::new(kind, None), writer).await;
+    state.metrics.count_rejected(kind);
+    writer.closes = true;
+    refuse(state, &CallRefusal::new(kind, rejected.time_left), writer).await;
+    close_after_answer(reader, writer).await
+}
+
+/// Closes a connection whose caller may still be sending, such that it can read its last answer.
+async fn close_after_answer(
+    reader: &mut SessionReader,
+    writer: &mut SessionWriter,
+) -> crate::session::Result<()> {
+    writer.shut_down().await?;
+    reader.discard().await;
     Ok(())
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -14,6 +14,7 @@
 use crate::admission::{AdmissionControl, AdmissionSettings};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
+use crate::caller_limits::CallerLimits;
 use crate::crash::CrashTracker;
 use crate::health::{CallOutcome, HealthChange};
 use crate::limit_sharing::PendingAsks;
@@ -25,6 +26,7 @@
 use crate::rate_keeper::RateKeeper;
 use crate::table::EndpointTable;
 use exchange::pool::ConnectionPool;
+use quota::budget::ByteBudget;
 
 /// Settings of the relay.
 #[derive(Clone, Debug, PartialEq)]
@@ -47,8 +49,8 @@
     pub connect_limit: Duration,
     /// Maximum size of an answer that is buffered whole before it is forwarded, in bytes.
     pub whole_answer_bytes: usize,
-    /// Maximum number of caller connections.
-    pub max_connections: usize,
+    /// Limits on callers.
+    pub callers: CallerLimits,
 }
 
 impl Default for RelaySettings {
@@ -63,7 +65,7 @@
             is_first_start: false,
             connect_limit: Duration::from_millis(350),
             whole_answer_bytes: 4 * 1024 * 1024,
-            max_connections: 2500,
+            callers: CallerLimits::default(),
         }
     }
 }
@@ -118,6 +120,8 @@
     pub pending_asks: RefCell<PendingAsks>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// The byte budget of the process, which the connections of all its listeners share.
+    pub bytes: ByteBudget,
     /// Settings of the HTTP codec. All connections share one value, as each new [`ServiceConfig`]
     /// starts a task that updates its cached date.
     pub http: ServiceConfig,
@@ -153,6 +157,7 @@
             admission: RefCell::new(AdmissionControl::new(settings.admission.clone())),
             origins: RefCell::new(OriginTable::new(settings.origins.clone())),
             origin_coverage: RefCell::new(OriginCoverage::new(settings.is_first_start)),
+            bytes: ByteBudget::new(settings.callers.budget_bytes),
             settings,
             dialect,
             catalog: RefCell::default(),
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use exchange::connection::EndpointError;
 use exchange::events::ContentKind;
+use quota::budget::HeldBytes;
 use tokio::time::Instant;
 use wire::stream::StreamOrigin;
 
@@ -12,6 +13,10 @@
 use crate::session::{self, CallerFraming};
 use crate::slot::OccupiedSlot;
 
+/// Maximum size of the begin of an event that is not charged to the caller, in bytes. Ordinary events
+/// are far smaller.
+const MAX_UNCHARGED_BYTES: usize = 64 * 1024;
+
 impl EndpointAttempt<'_> {
     /// Forwards a successful answer of a stream route, whole events at a time. A stream that ends
     /// inside an event was broken off, whatever its framing says. One that sends no whole event for
@@ -24,6 +29,7 @@
         let content = ContentKind::of(answer.head.headers());
         let mut has_first = false;
         let mut event_at = Instant::now();
+        let mut partial = HeldBytes::new(&self.writer.share);
         loop {
             let limit = self.progress.silence_limit;
             let left = limit.map(|limit| limit.saturating_sub(event_at.elapsed()));
@@ -44,9 +50,19 @@
             };
             let bytes = match whole {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) => continue,
+                Ok(None) => {
+                    let buffered = self.progress.events.buffered();
+                    let is_large = buffered > MAX_UNCHARGED_BYTES;
+                    if is_large && partial.grow_to(buffered).await.is_err() {
+                        self.note_end(answer.connection.framing, false, 0);
+                        self.progress.events.drop_partial();
+                        return AttemptResult::Failed(self.note_exhausted());
+                    }
+                    continue;
+                }
                 Err(error) => return self.break_off(&answer, &error),
             };
+            partial.shrink_to(0);
             event_at = Instant::now();
             if !has_first {
                 has_first = true;
--- a/crates/watch/src/gateway.rs
+++ b/crates/watch/src/gateway.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use fault::FaultKind;
 use prometheus::{HistogramVec, IntCounterVec, IntGauge};
 
 use crate::label::{LabelLimiter, LabelSettings};
@@ -43,6 +44,9 @@
     gateways: IntGauge,
     endpoints: IntGauge,
     connections: IntGauge,
+    rejected: IntCounterVec,
+    held_bytes: IntGauge,
+    evictions: IntGauge,
 }
 
 impl GatewayMetrics {
@@ -128,6 +132,22 @@
                 "sapphire_gateway_connections",
                 "Open connections of callers.",
             )?,
+            rejected: counter_family(
+                registry,
+                "sapphire_gateway_rejected_requests_total",
+                "Requests of callers that were not received whole, by the fault they were answered with.",
+                &["kind"],
+            )?,
+            held_bytes: int_gauge(
+                registry,
+                "sapphire_gateway_held_bytes",
+                "Bytes of the byte budget that clients hold.",
+            )?,
+            evictions: int_gauge(
+                registry,
+                "sapphire_gateway_evictions",
+                "Clients that were evicted from the byte budget since the start.",
+            )?,
             process,
         })
     }
@@ -190,6 +210,18 @@
         self.endpoints.set(to_gauge_value(count as u64));
     }
 
+    /// Counts a request that was not received whole. `kind` becomes a label.
+    pub fn count_rejected(&self, kind: FaultKind) {
+        let kind = kind.to_string();
+        self.rejected.with_label_values(&[kind.as_str()]).inc();
+    }
+
+    /// Sets the number of bytes that clients hold and the number of evictions since the start.
+    pub fn set_byte_budget(&self, held: usize, evictions: u64) {
+        self.held_bytes.set(to_gauge_value(held as u64));
+        self.evictions.set(to_gauge_value(evictions));
+    }
+
     /// Sets the number of open client connections.
     pub fn set_connections(&self, count: usize) {
         self.connections.set(to_gauge_value(count as u64));
