Soak: real gateways beside clients that hold memory and connections

Cause: the bounds on clients were shown only inside one process. The first run refused 19 of 275 readiness checks beside 4,000 idle connections, as no connection was older than 500 ms; one gives way after 20 ms now, and the listeners for checks take 128.

--- a/crates/fake/src/fleet/process.rs
+++ b/crates/fake/src/fleet/process.rs
@@ -85,6 +85,11 @@
         );
     }
 
+    /// Id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process and waits until it has ended.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -39,7 +39,7 @@
 const MAX_PLAIN_BODY_BYTES: usize = 16 * 1024;
 /// Maximum number of connections of one such listener. They are apart from those of callers, so
 /// that readiness checks are answered while callers hold all theirs.
-const MAX_CONNECTIONS: usize = 64;
+const MAX_CONNECTIONS: usize = 128;
 /// Minimum rate at which an answer is taken.
 const ANSWER_PROGRESS: ProgressLimits = ProgressLimits {
     bytes_per_second: 1024,
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -19,8 +19,8 @@
 /// Idle links that are kept to one gateway at most.
 const MAX_IDLE_LINKS: usize = 4;
 /// Maximum number of links from other gateways. Each of 105 gateways keeps at most
-/// [`MAX_IDLE_LINKS`] to one other.
-const MAX_LINKS: usize = 768;
+/// [`MAX_IDLE_LINKS`] to one other; beyond it, the link that was idle for the longest is closed.
+const MAX_LINKS: usize = 512;
 
 /// Why a request has no reply.
 #[derive(Debug, Display, Error, From)]
--- a/crates/quota/src/connections.rs
+++ b/crates/quota/src/connections.rs
@@ -11,8 +11,9 @@
 pub type ConnectionId = u64;
 
 /// A connection is not closed in favour of a new one unless it has been without progress for this
-/// time. Callers that have just connected need a moment to send their request.
-const MIN_STALL: Duration = Duration::from_millis(500);
+/// time. Callers that have just connected need a moment to send their request. With 500 ms, new
+/// connections were refused while idle ones were opened faster than they came of age.
+const MIN_STALL: Duration = Duration::from_millis(20);
 
 /// What a connection is doing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/soak/src/fleet.rs
+++ b/crates/soak/src/fleet.rs
@@ -45,6 +45,25 @@
         (self.ip, OPERATORS_PORT).into()
     }
 
+    /// Address that serves readiness checks.
+    pub fn readiness_address(&self) -> SocketAddr {
+        (self.ip, READINESS_PORT).into()
+    }
+
+    /// Id of the process; `None` if it is not running.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.as_ref().map(FleetProcess::id)
+    }
+
+    /// Appends lines to the settings file, for the next start.
+    ///
+    /// # Errors
+    /// The error of the file system operation.
+    pub fn append_settings(&self, text: &str) -> io::Result<()> {
+        let settings = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, settings + text)
+    }
+
     /// Whether the process was started and is not frozen.
     pub fn is_up(&self) -> bool {
         self.process.is_some() && !self.is_frozen
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -15,6 +15,7 @@
 //! * [`returns`]: callers that resume a stream at another gateway.
 //! * [`poison`]: a caller whose request crashes endpoints.
 //! * [`crashes`]: crashes and restarts of endpoints.
+//! * [`hostile`]: clients that hold memory and connections of a gateway.
 //! * [`operator`]: operators that replace and read the catalog.
 //! * [`history`]: the observed calls and changes, and the guarantees that they violate.
 //! * [`http`]: minimal HTTP/1.1 client and server for the stand-ins.
@@ -25,6 +26,7 @@
 pub mod endpoint;
 pub mod fleet;
 pub mod history;
+pub mod hostile;
 pub mod http;
 pub mod list;
 pub mod operator;
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use soak::hostile::{HostileKind, HostileSettings, run_hostile};
 use soak::run::{SoakSettings, run_seed};
 
 /// Runs gateways under random faults and checks their guarantees.
@@ -31,6 +32,9 @@
     /// leave out limits, rests and leaving of endpoints, as in runs before there were any
     #[argh(switch)]
     no_statements: bool,
+    /// run clients that hold memory and connections, each kind alone and each pair, in place of faults
+    #[argh(switch)]
+    hostile: bool,
     /// directory that keeps the settings, data and logs of failed runs
     #[argh(option, default = "std::env::temp_dir().join(\"sapphire-soak\")")]
     folder: PathBuf,
@@ -38,6 +42,9 @@
 
 fn main() -> ExitCode {
     let args: SoakArgs = argh::from_env();
+    if args.hostile {
+        return run_hostile_kinds(&args);
+    }
     let mut failed = Vec::new();
     for seed in args.seed..args.seed + args.seeds {
         let settings = SoakSettings {
@@ -93,3 +100,57 @@
         false => ExitCode::FAILURE,
     }
 }
+
+/// Memory of the machines that the limits are made for, in MB.
+const MEMORY_MB: u64 = 160;
+
+fn run_hostile_kinds(args: &SoakArgs) -> ExitCode {
+    let mut sets: Vec<Vec<HostileKind>> = Vec::new();
+    for (index, first) in HostileKind::ALL.into_iter().enumerate() {
+        sets.push(vec![first]);
+        let others = HostileKind::ALL[index + 1..].iter();
+        sets.extend(others.map(|second| vec![first, *second]));
+    }
+    let mut failed = 0;
+    for seed in args.seed..args.seed + args.seeds {
+        for kinds in &sets {
+            let settings = HostileSettings {
+                seed,
+                kinds: kinds.clone(),
+                length: Duration::from_secs_f64(args.minutes * 60.0),
+                memory_mb: MEMORY_MB,
+                limits: String::new(),
+            };
+            let folder = args.folder.join(format!("hostile-{seed}-{kinds:?}"));
+            let ran = std::fs::create_dir_all(&folder);
+            let outcome = match ran.and_then(|()| run_hostile(&settings, &folder)) {
+                Ok(outcome) => outcome,
+                Err(error) => {
+                    eprintln!("soak: run of {kinds:?} aborted: {error}");
+                    return ExitCode::from(2);
+                }
+            };
+            let violations = outcome.violations(MEMORY_MB);
+            println!(
+                "RESULT hostile seed={seed} kinds={kinds:?} peak_mb={:.1} calls={} served={} checks={} late={} longest_ms={} opened={} violations={violations:?}",
+                outcome.peak_mb,
+                outcome.calls,
+                outcome.served,
+                outcome.checks,
+                outcome.late_checks,
+                outcome.longest_check.as_millis(),
+                outcome.opened
+            );
+            if violations.is_empty() {
+                let _ = std::fs::remove_dir_all(&folder);
+            } else {
+                failed += 1;
+            }
+        }
+    }
+    println!("RESULT hostile failed={failed}");
+    match failed {
+        0 => ExitCode::SUCCESS,
+        _ => ExitCode::FAILURE,
+    }
+}
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -230,7 +230,7 @@
 
 /// Second and third byte of a loopback network that no other run uses at the same time: each process
 /// has four, which its runs take in turn.
-fn next_network() -> [u8; 2] {
+pub(crate) fn next_network() -> [u8; 2] {
     static RUNS: AtomicU8 = AtomicU8::new(0);
     let run = RUNS.fetch_add(1, Ordering::SeqCst);
     let process_id = std::process::id();
