Soak: the clean endpoint names no attempt where the call names none

Pipelined requests carry no attempt id, the stand-in answered them with an empty one, and the gateway left the endpoint out for an answer that belongs to another call. Change: the stand-in leaves the header out.

--- a/crates/soak/src/hostile.rs
+++ b/crates/soak/src/hostile.rs
@@ -268,9 +268,10 @@
 fn serve_calls(stream: &mut HttpStream) -> io::Result<()> {
     loop {
         let call = stream.read()?;
+        // An answer to a call that names no attempt must not name one either.
         let attempt = call.header(&ATTEMPT_ID.to_ascii_lowercase());
-        let attempt = attempt.unwrap_or_default();
-        let headers = format!("{ATTEMPT_ID}: {attempt}\r\n{SERVER_STAMP}: s\r\n");
+        let attempt = attempt.map_or_else(String::new, |id| format!("{ATTEMPT_ID}: {id}\r\n"));
+        let headers = format!("{attempt}{SERVER_STAMP}: s\r\n");
         let body = match call.body.starts_with(LARGE_ANSWER.as_bytes()) {
             true => "y".repeat(LARGE_ANSWER_BYTES),
             false => "done".to_owned(),
