Entry, agent, control: bound what clients make the processes hold

Cause: 100 bodies of 4 MB, each one byte short of its end, took 435 MB at an entry; a control instance buffers changes of settings before it knows their operator; held connections use up descriptors. Change: kernel::body collects bodies within a byte budget with a minimum rate; entries and control instances use it. kernel::http limits connections on all threads of a server and closes the one without progress for the longest in favour of a new one; one that serves a call is not closed. Links have a limit, and accepting pauses after a failure. The table limits is part of every file.

--- a/crates/agent/src/http.rs
+++ b/crates/agent/src/http.rs
@@ -7,10 +7,11 @@
 use actix_web::dev::Server;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
 use fault::{Fault, FaultKind};
-use kernel::http::set_nodelay;
+use kernel::http::ConnectionLimiter;
 use serde::Deserialize;
 use serde_json::json;
 use settings::fleet::OperatorRole;
+use settings::process::LimitSettings;
 use watch::record::request_from_text;
 use watch::{RecordFilter, TEXT_CONTENT_TYPE};
 
@@ -23,7 +24,12 @@
 ///
 /// # Errors
 /// An I/O error if the address can't be bound.
-pub fn bind_server(address: SocketAddr, shared: Arc<AgentShared>) -> std::io::Result<Server> {
+pub fn bind_server(
+    address: SocketAddr,
+    limits: &LimitSettings,
+    shared: Arc<AgentShared>,
+) -> std::io::Result<Server> {
+    let limiter = ConnectionLimiter::new(limits);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::from(Arc::clone(&shared)))
@@ -33,7 +39,7 @@
             .route("/operator/decisions", web::get().to(get_decisions))
     });
     Ok(server
-        .on_connect(set_nodelay)
+        .on_connect(move |connection, extensions| limiter.admit(connection, extensions))
         .workers(1)
         .disable_signals()
         .bind(address)?
--- a/crates/agent/src/main.rs
+++ b/crates/agent/src/main.rs
@@ -64,8 +64,9 @@
         Some(InstanceRole::Entry),
         Arc::clone(&entry_settings.counters),
     );
+    let limits = settings.limits.clone();
     let shared = Arc::new(AgentShared::new(settings, metrics));
-    let server = bind_server(http, Arc::clone(&shared))?;
+    let server = bind_server(http, &limits, Arc::clone(&shared))?;
     let core = Rc::new(AgentCore::new(
         Arc::clone(&shared),
         new_incarnation(),
--- a/crates/agent/src/server.rs
+++ b/crates/agent/src/server.rs
@@ -1,26 +1,46 @@
 //! Connections from entries.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use claim::ResumeVerdict;
 use fault::{Fault, FaultKind};
+use kernel::limits::max_links;
 use link::{Link, LinkSender, LinkSettings, PeerRole, accept};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::time::sleep;
 use wire::LinkMessage;
 use wire::answer::{AttemptKey, RefuseNotice, ResumeRequest};
 use wire::message::DecisionReply;
 
 use crate::core::AgentCore;
 
+/// Pause after `accept` failed. The usual cause is a lack of file descriptors, so that an immediate
+/// retry would fail as well.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Accepts connections from entries until the process ends.
 pub async fn serve_links(listener: TcpListener, settings: LinkSettings, core: Rc<AgentCore>) {
+    let max_links = max_links();
+    // Each open link holds a clone.
+    let open = Rc::new(());
     loop {
         match listener.accept().await {
+            Ok(_) if Rc::strong_count(&open) > max_links => {
+                log::warn!("agent: link closed: limit of {max_links} links reached.");
+            }
             Ok((stream, _)) => {
-                actix_rt::spawn(serve_link(stream, settings.clone(), Rc::clone(&core)));
+                let link = serve_link(stream, settings.clone(), Rc::clone(&core));
+                let counted = Rc::clone(&open);
+                actix_rt::spawn(async move {
+                    link.await;
+                    drop(counted);
+                });
+            }
+            Err(error) => {
+                log::warn!("agent: failed to accept a connection: {error}.");
+                sleep(ACCEPT_PAUSE).await;
             }
-            Err(error) => log::warn!("agent: failed to accept a connection: {error}."),
         }
     }
 }
--- a/crates/control/src/main.rs
+++ b/crates/control/src/main.rs
@@ -123,9 +123,10 @@
     let kernel = Rc::clone(kernel);
     TaskService::new().on_start(async move {
         let (queue, requests) = operator_queue();
+        let limits = node.settings.limits.clone();
         actix_rt::spawn(serve_operators(node, requests));
         actix_rt::spawn(async move {
-            let served = serve_http(http, queue).await;
+            let served = serve_http(http, &limits, queue).await;
             let reason = served.map_or_else(
                 |error| error.to_string(),
                 |()| "the HTTP server ended".to_owned(),
--- a/crates/control/src/operator.rs
+++ b/crates/control/src/operator.rs
@@ -9,13 +9,15 @@
 
 use actix_web::error::InternalError;
 use actix_web::http::StatusCode;
-use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use actix_web::{App, HttpMessage, HttpRequest, HttpResponse, HttpServer, web};
 use fault::{Fault, FaultKind};
-use kernel::http::set_nodelay;
+use kernel::body::BodyIntake;
+use kernel::http::ConnectionLimiter;
 use serde::Deserialize;
 use serde_json::Value;
 use settings::history::MAX_TREE_BYTES;
 use settings::operator::{ChangeRequest, DEFAULT_HISTORY_LIMIT, FaultResponse, parse_fingerprint};
+use settings::process::LimitSettings;
 use tokio::sync::{mpsc, oneshot};
 use watch::page::{PAGE_CONTENT_TYPE, PAGE_POLICY, render};
 use watch::{FleetStatus, TEXT_CONTENT_TYPE};
@@ -117,13 +119,20 @@
 ///
 /// # Errors
 /// The address can't be bound, or the HTTP server failed.
-pub async fn serve_http(address: SocketAddr, queue: OperatorQueue) -> std::io::Result<()> {
+pub async fn serve_http(
+    address: SocketAddr,
+    limits: &LimitSettings,
+    queue: OperatorQueue,
+) -> std::io::Result<()> {
+    let limiter = ConnectionLimiter::new(limits);
+    let bodies = BodyIntake::new(limits);
     HttpServer::new(move || {
         App::new()
             .app_data(web::Data::new(queue.clone()))
+            .app_data(web::Data::new(bodies.clone()))
             .configure(add_routes)
     })
-    .on_connect(set_nodelay)
+    .on_connect(move |connection, extensions| limiter.admit(connection, extensions))
     .workers(1)
     .disable_signals()
     .bind(address)?
@@ -133,12 +142,8 @@
 
 /// Adds the routes for operators.
 pub fn add_routes(config: &mut web::ServiceConfig) {
-    let json = web::JsonConfig::default()
-        .limit(MAX_CHANGE_BYTES)
-        .error_handler(|error, _| malformed(error));
     let query = web::QueryConfig::default().error_handler(|error, _| malformed(error));
     config
-        .app_data(json)
         .app_data(query)
         .route("/healthz", web::get().to(HttpResponse::Ok))
         .route("/operator/settings", web::get().to(get_settings))
@@ -173,11 +178,26 @@
 
 async fn post_change(
     request: HttpRequest,
-    change: web::Json<ChangeRequest>,
+    payload: web::Payload,
     queue: web::Data<OperatorQueue>,
-) -> HttpResponse {
-    let action = OperatorAction::Change(change.into_inner());
-    respond_json(&request, &queue, action).await
+) -> actix_web::Result<HttpResponse> {
+    if !request.content_type().ends_with("json") {
+        return Err(malformed("the content type is not JSON"));
+    }
+    let bodies = request.app_data::<web::Data<BodyIntake>>().cloned();
+    let bodies = bodies.unwrap_or_else(|| web::Data::new(BodyIntake::default()));
+    let read = bodies
+        .read(&request, payload, MAX_CHANGE_BYTES as u64)
+        .await;
+    let (body, held) = match read {
+        Ok(read) => read,
+        Err(fault) => return Ok(fault_response(&fault)),
+    };
+    let change: ChangeRequest = serde_json::from_slice(&body).map_err(malformed)?;
+    drop(body);
+    let answer = respond_json(&request, &queue, OperatorAction::Change(change)).await;
+    drop(held);
+    Ok(answer)
 }
 
 async fn get_history(
--- a/crates/control/src/server.rs
+++ b/crates/control/src/server.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use kernel::limits::max_links;
 use link::{
     Link, LinkError, LinkIdentity, LinkReceiver, LinkSender, LinkSettings, PeerRole, accept,
 };
@@ -29,14 +30,32 @@
 /// so that they try another instance.
 const UNCONFIRMED_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Pause after `accept` failed. The usual cause is a lack of file descriptors, so that an immediate
+/// retry would fail as well.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Accepts connections until the process ends.
 pub async fn serve_links(listener: TcpListener, settings: LinkSettings, node: Rc<ControlNode>) {
+    let max_links = max_links();
+    // Each open link holds a clone.
+    let open = Rc::new(());
     loop {
         match listener.accept().await {
+            Ok(_) if Rc::strong_count(&open) > max_links => {
+                log::warn!("control: link closed: limit of {max_links} links reached.");
+            }
             Ok((stream, _)) => {
-                actix_rt::spawn(serve_link(stream, settings.clone(), Rc::clone(&node)));
+                let link = serve_link(stream, settings.clone(), Rc::clone(&node));
+                let counted = Rc::clone(&open);
+                actix_rt::spawn(async move {
+                    link.await;
+                    drop(counted);
+                });
+            }
+            Err(error) => {
+                log::warn!("control: failed to accept a connection: {error}.");
+                sleep(ACCEPT_PAUSE).await;
             }
-            Err(error) => log::warn!("control: failed to accept a connection: {error}."),
         }
     }
 }
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -1,18 +1,11 @@
 //! Connection of a caller, as far as the framing of answers depends on it.
 
-use std::any::Any;
 use std::sync::Arc;
 use std::time::Duration;
 
-use actix_web::dev::Extensions;
 use actix_web::http::Version;
-use actix_web::rt::net::TcpStream;
 use actix_web::{HttpRequest, HttpResponse};
-use kernel::http::set_nodelay;
-use socket2::{SockRef, Socket};
-
-/// Second handle of a caller's socket.
-struct CallerSocket(Socket);
+use kernel::http::{OpenConnection, ServingMark};
 
 /// Connection on which a call arrived.
 #[derive(Clone)]
@@ -20,21 +13,7 @@
     /// Whether the caller knows chunked encoding.
     pub knows_chunks: bool,
     /// `None` if the system gave no second handle.
-    socket: Option<Arc<CallerSocket>>,
-}
-
-/// Prepares an accepted connection; a callback for `HttpServer::on_connect`.
-pub fn prepare_connection(connection: &dyn Any, extensions: &mut Extensions) {
-    set_nodelay(connection, extensions);
-    let Some(stream) = connection.downcast_ref::<TcpStream>() else {
-        return;
-    };
-    match SockRef::from(stream).try_clone() {
-        Ok(socket) => {
-            extensions.insert(Arc::new(CallerSocket(socket)));
-        }
-        Err(error) => log::warn!("entry: cannot keep a handle of a connection: {error}."),
-    }
+    open: Option<Arc<OpenConnection>>,
 }
 
 impl CallerConnection {
@@ -42,10 +21,15 @@
     pub fn of(request: &HttpRequest) -> Self {
         Self {
             knows_chunks: request.version() >= Version::HTTP_11,
-            socket: request.conn_data::<Arc<CallerSocket>>().cloned(),
+            open: OpenConnection::of(request),
         }
     }
 
+    /// Marks the connection as serving a call until the mark is dropped.
+    pub fn serving(&self) -> Option<ServingMark> {
+        self.open.clone().map(ServingMark::new)
+    }
+
     /// Lets a response end with the connection. Until [`Self::end_until_close`], whatever closes
     /// the connection, even the end of this process, resets it.
     pub fn begin_until_close(&self, response: &mut HttpResponse) {
@@ -59,10 +43,10 @@
     }
 
     fn set_linger(&self, linger: Option<Duration>) {
-        let Some(socket) = &self.socket else {
+        let Some(open) = &self.open else {
             return;
         };
-        if let Err(error) = socket.0.set_linger(linger) {
+        if let Err(error) = open.socket.set_linger(linger) {
             log::warn!("entry: cannot choose how a connection ends: {error}.");
         }
     }
--- a/crates/entry/src/core.rs
+++ b/crates/entry/src/core.rs
@@ -6,6 +6,8 @@
 
 use arc_swap::ArcSwap;
 use fault::FaultKind;
+use kernel::body::BodyIntake;
+use kernel::http::ServingMark;
 use settings::FleetSettings;
 use settings::holder::SettingsHolder;
 use settings::process::EntrySettings;
@@ -32,6 +34,8 @@
     pub proposals: ProposalQueue,
     /// Metrics of this entry.
     pub metrics: EntryMetrics,
+    /// Reads the bodies of requests.
+    pub bodies: BodyIntake,
     holder: Mutex<SettingsHolder>,
     decisions: Mutex<DecisionRing>,
     /// Whether readiness fails because the entry is stopping. Set before `is_stopping`.
@@ -53,6 +57,7 @@
     ) -> Self {
         let selector = EndpointSelector::new(&settings.instance.failure_domain);
         Self {
+            bodies: BodyIntake::new(&settings.limits),
             settings,
             incarnation,
             fleet: ArcSwap::default(),
@@ -111,6 +116,7 @@
         self.active.fetch_add(1, Ordering::SeqCst);
         let guard = CallGuard {
             core: Arc::clone(self),
+            serving: None,
         };
         if self.is_stopping.load(Ordering::SeqCst) {
             return Err(FaultKind::Draining.because("this entry is stopping"));
@@ -131,9 +137,16 @@
 /// Keeps a call counted as active until it is dropped.
 pub struct CallGuard {
     core: Arc<EntryCore>,
+    /// Marks the caller's connection, once its request has been received.
+    serving: Option<ServingMark>,
 }
 
 impl CallGuard {
+    /// Keeps the mark of the caller's connection until the answer has ended.
+    pub fn set_serving(&mut self, serving: Option<ServingMark>) {
+        self.serving = serving;
+    }
+
     /// The core that counts the call.
     pub fn core(&self) -> &Arc<EntryCore> {
         &self.core
--- a/crates/entry/src/intake.rs
+++ b/crates/entry/src/intake.rs
@@ -5,14 +5,13 @@
 
 use actix_web::HttpRequest;
 use actix_web::web::Payload;
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use fault::{Fault, FaultKind};
-use futures::StreamExt;
+use quota::budget::HeldBytes;
 use route::WarmHint;
 use route::preference::{AffinityKey, chat_key};
 use settings::fleet::{ServiceKind, ServiceSettings};
 use settings::{FleetSettings, PolicySettings};
-use tokio::time::timeout;
 use wire::answer::{AttemptKey, HeaderField, PriorityClass, SubmitRequest};
 use wire::id::{RequestId, name_id};
 use xxhash_rust::xxh3::Xxh3;
@@ -20,8 +19,6 @@
 use crate::chat::ChatRequest;
 use crate::core::EntryCore;
 
-/// Longest wait for the next part of a request body.
-const BODY_PART_TIMEOUT: Duration = Duration::from_secs(10);
 /// Largest accepted length of an idempotency key.
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
 /// Request headers that are forwarded to the endpoint.
@@ -54,6 +51,8 @@
     pub affinity: AffinityKey,
     /// When the call arrived.
     pub arrived: Instant,
+    /// Charge for the body.
+    pub held: HeldBytes,
 }
 
 /// Account, service, path and policy of a request that is being checked.
@@ -78,7 +77,7 @@
     let fleet = core.fleet.load_full();
     let account = find_account(&fleet, request)?;
     let limit = fleet.request_policy(&account, "").max_body_bytes;
-    let body = read_body(payload, limit).await?;
+    let (body, held) = core.bodies.read(request, payload, limit).await?;
     let chat = ChatRequest::read(&body)?;
     let (service, _, model) = fleet
         .service_of_model(&chat.model)
@@ -95,7 +94,7 @@
         path: request_path(request),
     };
     target.check(core, &fleet)?;
-    let mut call = target.build(request, body, id, arrived)?;
+    let mut call = target.build(request, (body, held), id, arrived)?;
     call.submit.model = Some(name_id(&chat.model));
     call.submit.idempotent = true;
     call.submit.claim = None;
@@ -132,8 +131,9 @@
         path: endpoint_path(request, service),
     };
     target.check(core, &fleet)?;
-    let body = read_body(payload, target.policy.max_body_bytes).await?;
-    let mut call = target.build(request, body, id, arrived)?;
+    let limit = target.policy.max_body_bytes;
+    let (body, held) = core.bodies.read(request, payload, limit).await?;
+    let mut call = target.build(request, (body, held), id, arrived)?;
     call.submit.idempotent = idempotent;
     if idempotent {
         call.submit.claim = None;
@@ -157,7 +157,7 @@
     fn build(
         self,
         request: &HttpRequest,
-        body: Bytes,
+        (body, held): (Bytes, HeldBytes),
         id: RequestId,
         arrived: Instant,
     ) -> Result<CallRequest> {
@@ -192,6 +192,7 @@
             policy: self.policy,
             hint: warm_hint(request),
             arrived,
+            held,
         })
     }
 
@@ -219,25 +220,6 @@
     found.ok_or_else(|| FaultKind::UnknownService.because(format!("no plain service {name}")))
 }
 
-async fn read_body(mut payload: Payload, limit: u64) -> Result<Bytes> {
-    let mut body = BytesMut::new();
-    loop {
-        let part = timeout(BODY_PART_TIMEOUT, payload.next()).await;
-        let part = part.map_err(|_| FaultKind::SlowCaller.because("the body came too slowly"))?;
-        let Some(part) = part else {
-            return Ok(body.freeze());
-        };
-        let part = part.map_err(|error| {
-            FaultKind::MalformedRequest.because(format!("the body is unreadable: {error}"))
-        })?;
-        if (body.len() + part.len()) as u64 > limit {
-            let message = format!("the body exceeds {limit} bytes");
-            return Err(FaultKind::OversizedBody.because(message));
-        }
-        body.extend_from_slice(&part);
-    }
-}
-
 fn request_path(request: &HttpRequest) -> String {
     request
         .uri()
--- a/crates/entry/src/server.rs
+++ b/crates/entry/src/server.rs
@@ -5,10 +5,11 @@
 
 use actix_web::dev::Server;
 use actix_web::{App, HttpRequest, HttpResponse, HttpServer, web};
+use kernel::http::ConnectionLimiter;
 use wire::id::RequestId;
 
 use crate::answer::{fault_response, recorded_response, started_response};
-use crate::caller::{CallerConnection, prepare_connection};
+use crate::caller::CallerConnection;
 use crate::core::{CallGuard, EntryCore};
 use crate::dispatch::{CallDispatch, CallResult};
 use crate::intake::{self, CallRequest, read_chat, read_service_call};
@@ -25,6 +26,7 @@
 /// # Errors
 /// If the address cannot be bound.
 pub fn bind_server(address: SocketAddr, core: Arc<EntryCore>) -> std::io::Result<Server> {
+    let limiter = ConnectionLimiter::new(&core.settings.limits);
     let server = HttpServer::new(move || {
         App::new()
             .app_data(web::Data::from(Arc::clone(&core)))
@@ -34,7 +36,7 @@
             .route("/service/{name}/{path:.*}", web::route().to(call_service))
     });
     let bound = server
-        .on_connect(prepare_connection)
+        .on_connect(move |connection, extensions| limiter.admit(connection, extensions))
         .workers(WORKERS)
         .disable_signals()
         .shutdown_timeout(SHUTDOWN_SECONDS)
@@ -74,7 +76,7 @@
 }
 
 async fn answer_call(
-    guard: CallGuard,
+    mut guard: CallGuard,
     call: intake::Result<CallRequest>,
     id: RequestId,
     connection: CallerConnection,
@@ -88,6 +90,7 @@
         }
     };
     trace.identify(&call);
+    guard.set_serving(connection.serving());
     if call.submit.idempotent {
         return run_call(guard, call, id, trace, connection).await;
     }
--- a/crates/gateway/src/http.rs
+++ b/crates/gateway/src/http.rs
@@ -101,6 +101,8 @@
     let gate = ConnectionGate::new(ConnectionLimits {
         connections: MAX_CONNECTIONS,
         per_address: 0,
+        waiting: 0,
+        closing: 0,
     });
     accept_each(listener, "gateway", gate, |stream, pass| {
         serve_connection(stream, pass, audience, Rc::clone(&node))
--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -161,10 +161,11 @@
 }
 
 fn caller_limits(limits: &LimitSettings) -> CallerLimits {
-    let connections = descriptor_limit().map_or(limits.connections, |descriptors| {
-        let reserved = descriptors / RESERVED_DESCRIPTORS_DIVISOR;
-        limits.connections.min(descriptors - reserved)
-    });
+    let connections =
+        kernel::limits::descriptor_limit().map_or(limits.connections, |descriptors| {
+            let reserved = descriptors / RESERVED_DESCRIPTORS_DIVISOR;
+            limits.connections.min(descriptors - reserved)
+        });
     if connections < limits.connections {
         log::warn!(
             connections = connections, configured = limits.connections;
@@ -181,6 +182,8 @@
         connections: ConnectionLimits {
             connections,
             per_address: limits.connections_per_address,
+            waiting: 0,
+            closing: 0,
         },
         pipelined_requests: limits.pipelined_requests,
         body_timeout: Duration::from_millis(limits.body_pause_ms),
@@ -192,15 +195,6 @@
     }
 }
 
-/// Number of file descriptors that this process may open; `None` if the system does not tell.
-fn descriptor_limit() -> Option<usize> {
-    let limits = std::fs::read_to_string("/proc/self/limits").ok()?;
-    let line = limits
-        .lines()
-        .find_map(|line| line.strip_prefix("Max open files"))?;
-    line.split_whitespace().next()?.parse().ok()
-}
-
 fn link_settings(settings: &GatewaySettings) -> Result<LinkSettings, BoxedError> {
     let secret = match &settings.secret_file {
         Some(path) => LinkSecret::load(path)?,
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -133,6 +133,8 @@
     let gate = ConnectionGate::new(ConnectionLimits {
         connections: MAX_LINKS,
         per_address: 0,
+        waiting: 0,
+        closing: 0,
     });
     accept_each(listener, "gateway", gate, |stream, pass| {
         serve_link(stream, pass, Rc::clone(&node))
--- a/crates/quota/src/connections.rs
+++ b/crates/quota/src/connections.rs
@@ -33,6 +33,12 @@
     pub connections: usize,
     /// Maximum number of connections from one peer address; 0 for no limit of its own.
     pub per_address: usize,
+    /// Maximum number of connections on which no request is being served; 0 for no limit of its own.
+    pub waiting: usize,
+    /// Maximum number of connections that gave way and have not been closed yet; 0 for no limit.
+    /// While there are more, the processor is short, and new connections are refused: each would
+    /// hold memory in addition.
+    pub closing: usize,
 }
 
 /// Answer to a new connection.
@@ -82,7 +88,8 @@
     /// Decides on a new connection.
     pub fn admit(&mut self, now: Duration, address: IpAddr) -> AdmitResult {
         let per_address = self.limits.per_address;
-        let is_full = self.count() >= self.limits.connections;
+        let has_waiting = self.limits.waiting > 0 && self.waiting() >= self.limits.waiting;
+        let is_full = has_waiting || self.count() >= self.limits.connections;
         let same = match per_address {
             0 => 0,
             _ => self.count_of(address),
@@ -93,7 +100,8 @@
             (_, true) => self.victim(now, Some(address)),
             (true, false) => self.victim(now, None),
         };
-        if (is_full || has_too_many) && victim.is_none() {
+        let has_backlog = self.limits.closing > 0 && self.evicted >= self.limits.closing;
+        if (is_full || has_too_many) && (victim.is_none() || has_backlog) {
             return AdmitResult::Refused;
         }
         self.next += 1;
@@ -139,6 +147,15 @@
         same.count()
     }
 
+    /// Number of connections on which no request is being served.
+    fn waiting(&self) -> usize {
+        let waiting = self
+            .open
+            .values()
+            .filter(|other| !other.is_evicted && other.used_for != ConnectionUse::Serving);
+        waiting.count()
+    }
+
     /// The connection that gives way: one whose request is overdue before one that is idle between
     /// requests, and the one without progress for the longest of these.
     fn victim(&self, now: Duration, address: Option<IpAddr>) -> Option<ConnectionId> {
--- a/crates/quota/tests/decisions.rs
+++ b/crates/quota/tests/decisions.rs
@@ -34,6 +34,8 @@
     ConnectionTable::new(ConnectionLimits {
         connections,
         per_address,
+        waiting: 0,
+        closing: 0,
     })
 }
 
@@ -175,3 +177,25 @@
     expect_that!(limits.time_for(50_000), eq(Duration::from_secs(60)));
     expect_that!(limits.time_for(MEGABYTE), eq(Duration::from_secs(300)));
 }
+
+#[gtest]
+fn new_connection_is_refused_while_those_that_gave_way_are_not_closed() {
+    // Guards against memory of connections that a busy process has not closed yet.
+    let mut table = ConnectionTable::new(ConnectionLimits {
+        connections: 10,
+        per_address: 0,
+        waiting: 1,
+        closing: 1,
+    });
+    table.admit(at(0), address(1));
+    let AdmitResult::Replaces(second, first) = table.admit(at(1000), address(1)) else {
+        panic!("one connection may wait");
+    };
+
+    let while_closing = table.admit(at(2000), address(1));
+    table.remove(first);
+    let after = table.admit(at(3000), address(1));
+
+    expect_that!(while_closing, eq(AdmitResult::Refused));
+    expect_that!(after, eq(AdmitResult::Replaces(second + 1, second)));
+}
--- a/crates/relay/src/caller_limits.rs
+++ b/crates/relay/src/caller_limits.rs
@@ -30,6 +30,8 @@
             connections: ConnectionLimits {
                 connections: 2500,
                 per_address: 0,
+                waiting: 0,
+                closing: 0,
             },
             pipelined_requests: 64,
             body_timeout: Duration::from_secs(10),
--- a/crates/relay/src/session.rs
+++ b/crates/relay/src/session.rs
@@ -1,6 +1,5 @@
 //! Server side of one HTTP connection, of a caller or of another client of an instance.
 
-use std::collections::VecDeque;
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +15,7 @@
 use fault::FaultKind;
 use quota::budget::{BudgetExhausted, BudgetShare, ByteBudget, HeldBytes};
 use quota::progress::ProgressLimits;
+use quota::segments::BodySegments;
 use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -31,9 +31,6 @@
 const READ_BYTES: usize = 16 * 1024;
 /// Maximum size of pipelined requests that are buffered while one is served, in bytes.
 const MAX_PIPELINED_BYTES: usize = 64 * 1024;
-/// A body larger than this is collected in segments of this size, in bytes. A single buffer that
-/// grows would be copied each time, and the allocator would keep its former places.
-const SEGMENT_BYTES: usize = 64 * 1024;
 /// Memory that a parsed header field takes in addition to its text, in bytes.
 const FIELD_BYTES: usize = 256;
 /// Maximum time for which the rest of a refused request is read and dropped. Closing earlier would
@@ -346,7 +343,7 @@
         loop {
             match codec.decode(&mut self.read_buffer)? {
                 Some(Message::Chunk(Some(chunk))) => {
-                    let length = collected.length + chunk.len();
+                    let length = collected.length() + chunk.len();
                     if length > limits.body_bytes {
                         return Err(SessionError::OversizedBody);
                     }
@@ -356,7 +353,7 @@
                 Some(Message::Chunk(None)) => return Ok(collected.join()),
                 Some(Message::Item(_)) => return Err(SessionError::Parse(ParseError::Incomplete)),
                 None => {
-                    let left = limits.body_progress.time_for(collected.length);
+                    let left = limits.body_progress.time_for(collected.length());
                     let left = left.saturating_sub(started.elapsed());
                     let more = timeout(limits.body_timeout.min(left), self.read_more());
                     more.await.map_err(|_| SessionError::Slow)??;
@@ -445,43 +442,6 @@
     value.to_str().ok()?.trim().parse().ok()
 }
 
-/// The parts of a body, while it is received.
-#[derive(Default)]
-struct BodySegments {
-    full: VecDeque<Bytes>,
-    last: BytesMut,
-    length: usize,
-}
-
-impl BodySegments {
-    fn push(&mut self, mut bytes: &[u8]) {
-        self.length += bytes.len();
-        while !bytes.is_empty() {
-            let fitting = bytes.len().min(SEGMENT_BYTES - self.last.len());
-            self.last.extend_from_slice(&bytes[..fitting]);
-            bytes = &bytes[fitting..];
-            if self.last.len() == SEGMENT_BYTES {
-                let full =
-                    std::mem::replace(&mut self.last, BytesMut::with_capacity(SEGMENT_BYTES));
-                self.full.push_back(full.freeze());
-            }
-        }
-    }
-
-    /// Joins the parts. Each is dropped once it is copied.
-    fn join(mut self) -> Bytes {
-        if self.full.is_empty() {
-            return self.last.freeze();
-        }
-        let mut whole = BytesMut::with_capacity(self.length);
-        while let Some(segment) = self.full.pop_front() {
-            whole.extend_from_slice(&segment);
-        }
-        whole.extend_from_slice(&self.last);
-        whole.freeze()
-    }
-}
-
 impl SessionWriter {
     /// Whether the connection is kept open for another request after the answer.
     pub fn keeps_alive(&self) -> bool {
--- a/crates/settings/src/defaults.rs
+++ b/crates/settings/src/defaults.rs
@@ -66,6 +66,9 @@
 /// Share of `limits.memory_mb` that is the default of `limits.budget_mb`. The rest is for the
 /// process itself (10 to 30 MB), its calls, and what the allocator and the kernel hold in addition.
 pub const BUDGET_SHARE: f64 = 0.3;
+/// Part of that default which programs with several threads use. Each thread's allocator keeps what
+/// was freed in it: an entry with two threads peaked at 129 MB with a budget of 48 MB.
+pub const THREADED_BUDGET_PART: f64 = 0.6;
 /// Largest part of `limits.memory_mb` that `limits.budget_mb` may be.
 pub const MAX_BUDGET_SHARE: f64 = 0.5;
 /// Smallest `limits.budget_mb`: two requests of the largest size, with their answers.
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -12,25 +12,30 @@
 pub(crate) static ENTRY: BranchSpec = BranchSpec {
     label: "file of sapphire-entry",
     help: "One entry instance.",
-    groups: &[INSTANCE_SECTION, CONTROL_ADDRESSES],
+    groups: &[INSTANCE_SECTION, CONTROL_ADDRESSES, LIMITS_GROUP],
 };
 
 pub(crate) static AGENT: BranchSpec = BranchSpec {
     label: "file of sapphire-agent",
     help: "One agent, beside its endpoint.",
-    groups: &[INSTANCE_SECTION, CONTROL_ADDRESSES, AGENT_KEYS],
+    groups: &[
+        INSTANCE_SECTION,
+        CONTROL_ADDRESSES,
+        AGENT_KEYS,
+        LIMITS_GROUP,
+    ],
 };
 
 pub(crate) static CONTROL: BranchSpec = BranchSpec {
     label: "file of sapphire-control",
     help: "One control instance.",
-    groups: &[INSTANCE_SECTION, CONTROL_KEYS],
+    groups: &[INSTANCE_SECTION, CONTROL_KEYS, LIMITS_GROUP],
 };
 
 pub(crate) static GATEWAY: BranchSpec = BranchSpec {
     label: "file of sapphire-gateway",
     help: "One gateway, which accepts calls on routes and forwards them directly to endpoints.",
-    groups: &[GATEWAY_KEYS],
+    groups: &[GATEWAY_KEYS, LIMITS_GROUP],
 };
 
 static LIST: BranchSpec = BranchSpec {
@@ -232,15 +237,14 @@
         "The platform's list of endpoints.",
     ),
     required("retries", ValueType::Section(&RETRIES), "The retry budget."),
-    LIMITS_SECTION,
 ];
 
-const LIMITS_SECTION: KeySpec = key(
+const LIMITS_GROUP: &[KeySpec] = &[key(
     "limits",
     ValueType::Section(&LIMITS),
     DefaultValue::Absent,
     "Limits on clients.",
-);
+)];
 
 const LIMIT_KEYS: &[KeySpec] = &[
     key(
@@ -254,7 +258,8 @@
         integer(d::MIN_BUDGET_MB, 1024 * 1024),
         DefaultValue::Absent,
         "Byte budget in MB: what all clients together can make the process hold. Default: 0.3 of \
-         `memory_mb`, or 48 without that; at most half of `memory_mb`.",
+         `memory_mb`, or 48 without that, and 0.6 of this in programs with several threads (all but \
+         `sapphire-gateway`); at most half of `memory_mb`.",
     ),
     key(
         "connections",
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -50,6 +50,9 @@
     pub instance: InstanceSettings,
     /// Link addresses of the control instances.
     pub control: Vec<SocketAddr>,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Configuration file of the agent program.
@@ -66,6 +69,9 @@
     pub endpoint: String,
     /// Address of the endpoint's HTTP server.
     pub endpoint_http: SocketAddr,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// One of the control instances.
@@ -94,6 +100,9 @@
     pub first_tree: Option<PathBuf>,
     /// Address of the platform's list of instances.
     pub platform_list: Option<SocketAddr>,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Configuration file of the gateway program.
@@ -181,11 +190,21 @@
 }
 
 impl LimitSettings {
-    /// Size of the byte budget in bytes.
+    /// Size of the byte budget of a program with one thread, in bytes.
     pub fn budget_bytes(&self) -> usize {
-        let by_memory = |memory: u64| (memory as f64 * defaults::BUDGET_SHARE) as u64;
-        let default = self.memory_mb.map_or(defaults::BUDGET_MB, by_memory);
-        let megabytes = self.budget_mb.unwrap_or(default);
+        self.budget_or(1.0)
+    }
+
+    /// Size of the byte budget of a program with several threads, in bytes.
+    pub fn threaded_budget_bytes(&self) -> usize {
+        self.budget_or(defaults::THREADED_BUDGET_PART)
+    }
+
+    /// The configured budget, or else this part of the default.
+    fn budget_or(&self, part: f64) -> usize {
+        let by_memory = |memory: u64| memory as f64 * defaults::BUDGET_SHARE;
+        let default = self.memory_mb.map_or(defaults::BUDGET_MB as f64, by_memory);
+        let megabytes = self.budget_mb.unwrap_or((default * part) as u64);
         megabytes.max(defaults::MIN_BUDGET_MB) as usize * 1024 * 1024
     }
 
@@ -357,7 +376,9 @@
     const SPEC: &'static BranchSpec = &ENTRY;
 
     fn consistency_faults(&self) -> Vec<SettingFault> {
-        control_faults(&self.control)
+        let mut faults = control_faults(&self.control);
+        faults.extend(self.limits.faults());
+        faults
     }
 
     fn referenced_files(&self) -> Vec<ReferencedFile<'_>> {
@@ -371,6 +392,7 @@
     fn consistency_faults(&self) -> Vec<SettingFault> {
         let mut faults = control_faults(&self.control);
         faults.extend(listener_faults(&self.instance, self.link));
+        faults.extend(self.limits.faults());
         faults
     }
 
@@ -385,6 +407,7 @@
     fn consistency_faults(&self) -> Vec<SettingFault> {
         let mut faults = listener_faults(&self.instance, self.link);
         faults.extend(peer_faults(self));
+        faults.extend(self.limits.faults());
         faults
     }
 
