--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod call;
+pub mod caller_limits;
 pub mod cold_sharing;
 pub mod crash;
 pub mod crash_check;
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -15,6 +15,7 @@
 use crate::admission::{AdmissionControl, AdmissionSettings};
 use crate::budget::{BudgetSettings, RetryBudget};
 use crate::call::CallDialect;
+use crate::caller_limits::CallerLimits;
 use crate::cold_sharing::cold_rules;
 use crate::crash::CrashTracker;
 use crate::fleet_contact::FleetContact;
@@ -30,6 +31,7 @@
 use crate::table::EndpointTable;
 use crate::version_certainty::VersionCertainty;
 use exchange::pool::ConnectionPool;
+use quota::budget::ByteBudget;
 
 /// Settings of the relay.
 #[derive(Clone, Debug, PartialEq)]
@@ -54,8 +56,8 @@
     pub connect_limit: Duration,
     /// Maximum size of an answer that is buffered whole before it is forwarded, in bytes.
     pub whole_answer_bytes: usize,
-    /// Maximum number of caller connections.
-    pub max_connections: usize,
+    /// Limits on callers.
+    pub callers: CallerLimits,
 }
 
 impl Default for RelaySettings {
@@ -71,7 +73,7 @@
             list_lag: Duration::ZERO,
             connect_limit: Duration::from_millis(350),
             whole_answer_bytes: 4 * 1024 * 1024,
-            max_connections: 2500,
+            callers: CallerLimits::default(),
         }
     }
 }
@@ -132,6 +134,8 @@
     pub(crate) fleet_contact: RefCell<FleetContact>,
     /// Idle connections to endpoints.
     pub pool: ConnectionPool,
+    /// The byte budget of the process, which the connections of all its listeners share.
+    pub bytes: ByteBudget,
     /// Settings of the HTTP codec. All connections share one value, as each new [`ServiceConfig`]
     /// starts a task that updates its cached date.
     pub http: ServiceConfig,
@@ -175,6 +179,7 @@
             origins: RefCell::new(OriginTable::new(settings.origins.clone())),
             origin_coverage: RefCell::new(OriginCoverage::new(settings.is_first_start)),
             table: RefCell::new(table),
+            bytes: ByteBudget::new(settings.callers.budget_bytes),
             settings,
             dialect,
             catalog: RefCell::default(),
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use exchange::connection::EndpointError;
 use exchange::events::ContentKind;
+use quota::budget::HeldBytes;
 use tokio::time::Instant;
 use wire::id::VersionId;
 use wire::stream::StreamOrigin;
@@ -19,6 +20,9 @@
 /// Time from the first event of a stream to a later one, from which on no part of its prompt counts
 /// as crashing endpoints. Such a part crashes its endpoint within 0.1 s after the run began.
 const SURVIVAL_TIME: Duration = Duration::from_millis(250);
+/// Maximum size of the begin of an event that is not charged to the caller, in bytes. Ordinary events
+/// are far smaller.
+const MAX_UNCHARGED_BYTES: usize = 64 * 1024;
 
 impl EndpointAttempt<'_> {
     /// Forwards a successful answer of a stream route, whole events at a time. A stream that ends
@@ -33,6 +37,7 @@
         let mut first_at: Option<Instant> = None;
         let mut has_survived = false;
         let mut event_at = Instant::now();
+        let mut partial = HeldBytes::new(&self.writer.share);
         loop {
             let limit = self.progress.silence_limit;
             let left = limit.map(|limit| limit.saturating_sub(event_at.elapsed()));
@@ -54,9 +59,19 @@
             };
             let bytes = match whole {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) => continue,
+                Ok(None) => {
+                    let buffered = self.progress.events.buffered();
+                    let is_large = buffered > MAX_UNCHARGED_BYTES;
+                    if is_large && partial.grow_to(buffered).await.is_err() {
+                        self.note_end(answer.connection.framing, false, 0);
+                        self.progress.events.drop_partial();
+                        return AttemptResult::Failed(self.note_exhausted());
+                    }
+                    continue;
+                }
                 Err(error) => return self.break_off(&answer, &error),
             };
+            partial.shrink_to(0);
             event_at = Instant::now();
             if first_at.is_none() {
                 self.note_served();
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -50,6 +50,9 @@
     pub instance: InstanceSettings,
     /// Link addresses of the control instances.
     pub control: Vec<SocketAddr>,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Configuration file of the agent program.
@@ -66,6 +69,9 @@
     pub endpoint: String,
     /// Address of the endpoint's HTTP server.
     pub endpoint_http: SocketAddr,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// One of the control instances.
@@ -94,6 +100,9 @@
     pub first_tree: Option<PathBuf>,
     /// Address of the platform's list of instances.
     pub platform_list: Option<SocketAddr>,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
 }
 
 /// Configuration file of the gateway program.
@@ -138,6 +147,80 @@
     pub list: ListSettings,
     /// The retry budget.
     pub retries: RetrySettings,
+    /// Limits on clients.
+    #[serde(default)]
+    pub limits: LimitSettings,
+}
+
+/// Limits on clients that hold memory or connections.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct LimitSettings {
+    /// Memory of the machine in MB.
+    pub memory_mb: Option<u64>,
+    /// Byte budget in MB.
+    pub budget_mb: Option<u64>,
+    /// Maximum number of connections of callers.
+    pub connections: usize,
+    /// Maximum number of connections from one peer address; 0 is unlimited.
+    pub connections_per_address: usize,
+    /// Requests in a row on one connection without waiting for the answer before.
+    pub pipelined_requests: usize,
+    /// Maximum time between two parts of a body in milliseconds.
+    pub body_pause_ms: u64,
+    /// Maximum time for a body in seconds.
+    pub body_time_s: f64,
+    /// Minimum rate of bodies and answers in bytes a second.
+    pub min_bytes_per_s: u64,
+    /// Time by which a body or an answer may be late, in seconds.
+    pub grace_s: f64,
+}
+
+impl Default for LimitSettings {
+    fn default() -> Self {
+        Self {
+            memory_mb: None,
+            budget_mb: None,
+            connections: defaults::CONNECTIONS,
+            connections_per_address: defaults::CONNECTIONS_PER_ADDRESS,
+            pipelined_requests: defaults::PIPELINED_REQUESTS,
+            body_pause_ms: defaults::BODY_PAUSE_MS,
+            body_time_s: defaults::BODY_TIME_S,
+            min_bytes_per_s: defaults::MIN_BYTES_PER_S,
+            grace_s: defaults::LIMITS_GRACE_S,
+        }
+    }
+}
+
+impl LimitSettings {
+    /// Size of the byte budget of a program with one thread, in bytes.
+    pub fn budget_bytes(&self) -> usize {
+        self.budget_or(1.0)
+    }
+
+    /// Size of the byte budget of a program with several threads, in bytes.
+    pub fn threaded_budget_bytes(&self) -> usize {
+        self.budget_or(defaults::THREADED_BUDGET_PART)
+    }
+
+    /// The configured budget, or else this part of the default.
+    fn budget_or(&self, part: f64) -> usize {
+        let by_memory = |memory: u64| memory as f64 * defaults::BUDGET_SHARE;
+        let default = self.memory_mb.map_or(defaults::BUDGET_MB as f64, by_memory);
+        let megabytes = self.budget_mb.unwrap_or((default * part) as u64);
+        megabytes.max(defaults::MIN_BUDGET_MB) as usize * 1024 * 1024
+    }
+
+    fn faults(&self) -> Vec<SettingFault> {
+        let (Some(memory), Some(budget)) = (self.memory_mb, self.budget_mb) else {
+            return Vec::new();
+        };
+        if budget as f64 <= memory as f64 * defaults::MAX_BUDGET_SHARE {
+            return Vec::new();
+        }
+        let reason = format!("is {budget} MB, more than half of `memory_mb`, {memory} MB");
+        vec![setting_fault("limits.budget_mb", reason)]
+    }
 }
 
 /// The platform's list of endpoints.
@@ -319,7 +402,9 @@
     const SPEC: &'static BranchSpec = &ENTRY;
 
     fn consistency_faults(&self) -> Vec<SettingFault> {
-        control_faults(&self.control)
+        let mut faults = control_faults(&self.control);
+        faults.extend(self.limits.faults());
+        faults
     }
 
     fn referenced_files(&self) -> Vec<ReferencedFile<'_>> {
@@ -333,6 +418,7 @@
     fn consistency_faults(&self) -> Vec<SettingFault> {
         let mut faults = control_faults(&self.control);
         faults.extend(listener_faults(&self.instance, self.link));
+        faults.extend(self.limits.faults());
         faults
     }
 
@@ -347,6 +433,7 @@
     fn consistency_faults(&self) -> Vec<SettingFault> {
         let mut faults = listener_faults(&self.instance, self.link);
         faults.extend(peer_faults(self));
+        faults.extend(self.limits.faults());
         faults
     }
 
@@ -370,7 +457,7 @@
             let reason = "`callers`, `readiness` and `operators` must be different addresses";
             return vec![setting_fault("callers", reason)];
         }
-        Vec::new()
+        self.limits.faults()
     }
 
     fn referenced_files(&self) -> Vec<ReferencedFile<'_>> {
