--- a/crates/gateway/src/evacuation_sync.rs
+++ b/crates/gateway/src/evacuation_sync.rs
@@ -17,14 +17,9 @@
 use wire::id::{InstanceId, name_id};
 
 use crate::evacuation::{is_evacuated, whole_notice};
+use crate::evacuation_spread::NoticeReaction;
 use crate::node::GatewayNode;
 
-/// Live gateways to which the evacuations are announced at each regular heartbeat. With 3, a
-/// gateway hears of a revision that it missed within about a third of a second, for 12 datagrams a
-/// second.
-const NOTICES_PER_ROUND: usize = 3;
-/// Shortest time between two such rounds; heartbeats that are sent early have none of their own.
-const ROUND_INTERVAL: Duration = Duration::from_millis(240);
 /// Longest wait for the reply to a fetch. Gateways of earlier builds end the link instead.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -70,18 +65,18 @@
     fn knows_domain(&self, domain: &str) -> bool {
         self.settings.borrow().domains.contains_key(domain)
             || self.relay_state.table.borrow().has_domain(name_id(domain))
-            || is_evacuated(&self.evacuations.borrow(), domain)
+            || is_evacuated(self.evacuations.borrow().state(), domain)
     }
 
     /// Obeys evacuations that a quorum has committed, if they are newer than those in force, and
     /// announces them.
     pub fn install_evacuations(&self, state: EvacuationState, source: &str) {
-        if state.revision <= self.evacuations.borrow().revision {
+        let Some(held) = self.evacuations.borrow_mut().take_over(state) else {
             return;
-        }
-        let held = self.evacuations.replace(state);
-        let state = self.evacuations.borrow();
-        log_changes(&held, &state, source);
+        };
+        let spread = self.evacuations.borrow();
+        let state = spread.state();
+        log_changes(&held, state, source);
         let domains: BTreeSet<_> = state.domains.iter().map(|one| name_id(&one.name)).collect();
         self.relay_state.set_evacuated(&domains);
         let domains = state.domains.iter();
@@ -95,11 +90,12 @@
 
     /// Announces the evacuations in force to another gateway, unless there never were any.
     pub fn send_evacuations(&self, to: InstanceId) {
-        let state = self.evacuations.borrow();
+        let spread = self.evacuations.borrow();
+        let state = spread.state();
         if state.revision == 0 {
             return;
         }
-        let notice = GatewayDatagram::Evacuations(whole_notice(&state));
+        let notice = GatewayDatagram::Evacuations(whole_notice(state));
         if !self.send_datagram(to, &notice) {
             let short = EvacuationNotice {
                 revision: state.revision,
@@ -109,22 +105,14 @@
         }
     }
 
-    /// Announces the evacuations in force to the live gateways that follow the last one to which
-    /// they were announced, if a round is due.
+    /// Announces the evacuations in force to some other gateways, if a round is due.
     pub fn announce_evacuations(&self) {
-        let now = self.now();
-        let (announced_at, mut last) = self.evacuations_announced.get();
-        if now < announced_at + ROUND_INTERVAL {
-            return;
-        }
-        for _ in 0..NOTICES_PER_ROUND {
-            let next = self.directory.borrow().next_live(now, last);
-            if let Some(next) = next {
-                self.send_evacuations(next);
-                last = next;
-            }
+        let mut spread = self.evacuations.borrow_mut();
+        let told = spread.next_round(self.now(), &self.directory.borrow());
+        drop(spread);
+        for instance in told {
+            self.send_evacuations(instance);
         }
-        self.evacuations_announced.set((now, last));
     }
 
     /// Handles an announcement: obeys newer evacuations, or answers with them if the sender's are
@@ -133,27 +121,21 @@
         let mut directory = self.directory.borrow_mut();
         directory.record_evacuation_revision(from, notice.revision);
         drop(directory);
-        let held = self.evacuations.borrow().revision;
-        if notice.revision < held {
-            self.send_evacuations(from);
-            return;
-        }
-        match notice.domains {
-            Some(domains) => {
-                let revision = notice.revision;
-                self.install_evacuations(EvacuationState { revision, domains }, "gateway");
-            }
-            None if notice.revision > held => {
+        let reaction = self.evacuations.borrow().react(notice);
+        match reaction {
+            NoticeReaction::None => {}
+            NoticeReaction::Obey(state) => self.install_evacuations(state, "gateway"),
+            NoticeReaction::Answer => self.send_evacuations(from),
+            NoticeReaction::Fetch => {
                 let node = Rc::clone(self);
                 actix_rt::spawn(async move { node.fetch_evacuations(from).await });
             }
-            None => {}
         }
     }
 
     /// Fetches the evacuations from another gateway, if it has newer ones.
     pub async fn fetch_evacuations(&self, source: InstanceId) {
-        let request = GatewayRequest::FetchEvacuations(self.evacuations.borrow().revision);
+        let request = GatewayRequest::FetchEvacuations(self.evacuations.borrow().state().revision);
         match self.send_request(source, &request, FETCH_TIMEOUT).await {
             Ok(GatewayReply::Evacuations(state)) => self.install_evacuations(state, "gateway"),
             Ok(_) => log::warn!(
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! * [`bootstrap`]: whether a gateway may bootstrap the cluster of the quorum at the first start.
 //! * [`evacuation`]: the evacuated failure domains in the replicated log, and operators' orders.
+//! * [`evacuation_spread`]: which evacuations a gateway obeys, and whom it tells.
 //! * [`directory`]: the other gateways that this one knows of, and which of them are live.
 //! * [`list_readings`]: which gateway reads the endpoint list, and the active list.
 //!
@@ -33,6 +34,7 @@
 pub mod directory;
 pub mod endpoint_list;
 pub mod evacuation;
+pub mod evacuation_spread;
 pub mod evacuation_sync;
 pub mod heartbeat;
 pub mod http;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -12,11 +12,12 @@
 use settings::process::GatewaySettings;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
-use wire::gateway::{CatalogText, EvacuationState, GatewayDatagram, instance_at};
+use wire::gateway::{CatalogText, GatewayDatagram, instance_at};
 use wire::id::{IncarnationNumber, InstanceId};
 
 use crate::catalog_codec::decode_catalog;
 use crate::directory::GatewayDirectory;
+use crate::evacuation_spread::EvacuationSpread;
 use crate::list_readings::ListReadings;
 use crate::quorum::GatewayQuorum;
 
@@ -41,11 +42,8 @@
     pub quorum: RefCell<Option<Rc<GatewayQuorum>>>,
     /// The newest catalog that this gateway knows to be committed by a quorum.
     newest_catalog: RefCell<CatalogText>,
-    /// The evacuations that this gateway obeys: the newest that it knows to be committed by a
-    /// quorum.
-    pub evacuations: RefCell<EvacuationState>,
-    /// When evacuations were last announced in turn, and to which gateway.
-    pub evacuations_announced: Cell<(Duration, InstanceId)>,
+    /// The evacuations that this gateway obeys, and whom it told.
+    pub evacuations: RefCell<EvacuationSpread>,
     /// Number of heartbeats sent. One that goes to several gateways counts once.
     pub heartbeats_sent: Cell<u64>,
     /// Notified when the next heartbeat should not wait for the regular interval.
@@ -87,8 +85,7 @@
             reading_number: Cell::new(0),
             quorum: RefCell::default(),
             newest_catalog: RefCell::default(),
-            evacuations: RefCell::default(),
-            evacuations_announced: Cell::new((Duration::ZERO, own)),
+            evacuations: RefCell::new(EvacuationSpread::new(own)),
             heartbeats_sent: Cell::new(0),
             heartbeat_due: Notify::new(),
             last_list_notice: RefCell::default(),
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -121,7 +121,7 @@
             }
             GatewayRequest::Evacuate(order) => self.evacuate_as_leader(order).await,
             GatewayRequest::FetchEvacuations(revision) => {
-                let evacuations = self.evacuations.borrow().clone();
+                let evacuations = self.evacuations.borrow().state().clone();
                 let is_newer = evacuations.revision > revision;
                 GatewayReply::Evacuations(if is_newer {
                     evacuations
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -339,7 +339,7 @@
         // Evacuations come first, so that a gateway that restarts has no catalog, and sends no
         // calls, before it obeys those of its log.
         let revision = quorum.evacuations.borrow().revision;
-        if revision > self.evacuations.borrow().revision {
+        if revision > self.evacuations.borrow().state().revision {
             let evacuations = quorum.evacuations.borrow().clone();
             self.install_evacuations(evacuations, "log");
         }
--- a/crates/gateway/src/status.rs
+++ b/crates/gateway/src/status.rs
@@ -20,7 +20,8 @@
             evacuation_revision: directory.evacuation_revision(id),
             ..peer_status(id, heartbeat)
         });
-        let evacuations = self.evacuations.borrow();
+        let spread = self.evacuations.borrow();
+        let evacuations = spread.state();
         let evacuated = evacuations.domains.iter();
         let evacuated = evacuated.map(|domain| EvacuatedDomainStatus {
             domain: domain.name.clone(),
