gateway: restarted gateways exclude the domains of orders in their logs

Change: a member sends no calls to the domains that are evacuated by all of its recovered entries, until it has applied those that are committed, or has learned of a newer state. It does not announce them. Until then, and for 4 s at most, it gives no catalog to a gateway without one, which could not exclude the domains. A gateway without catalog now fetches the evacuations after the catalog has arrived and before it is activated.

--- a/crates/gateway/src/catalog_sync.rs
+++ b/crates/gateway/src/catalog_sync.rs
@@ -127,13 +127,16 @@
         self.is_fetching_catalog.set(true);
         let node = Rc::clone(self);
         actix_rt::spawn(async move {
-            if version == 0 {
-                // This gateway sends calls once it has a catalog, so it learns of evacuations first.
-                node.fetch_evacuations(source).await;
-            }
             let request = GatewayRequest::FetchAbove(version);
             match node.send_request(source, &request, FETCH_TIMEOUT).await {
-                Ok(GatewayReply::Catalog(text)) => node.install(text, "gateway"),
+                Ok(GatewayReply::Catalog(text)) => {
+                    if version == 0 && text.version > 0 {
+                        // This gateway sends calls once it has a catalog, so it learns of
+                        // evacuations first.
+                        node.fetch_evacuations(source).await;
+                    }
+                    node.install(text, "gateway");
+                }
                 Ok(_) => log::warn!(
                     "gateway: {} answered a catalog fetch with another reply",
                     address_of(source)
--- a/crates/gateway/src/evacuation.rs
+++ b/crates/gateway/src/evacuation.rs
@@ -3,6 +3,8 @@
 
 use percent_encoding::percent_decode_str;
 use platform::paths::EVACUATIONS;
+use replica::id::LogIndex;
+use replica::{EntryPayload, LogEntry};
 use wire::codec;
 use wire::gateway::{
     CatalogText, EvacuatedDomain, EvacuationAction, EvacuationNotice, EvacuationOrder,
@@ -109,6 +111,27 @@
     }
 }
 
+/// The evacuations by a snapshot and all entries after it, whether or not they are committed. `None`
+/// if no entry after the snapshot is an order. What can't be decoded is skipped here; applying it
+/// logs the error.
+pub fn recovered_evacuations(
+    snapshot: Option<(LogIndex, &[u8])>,
+    entries: &[LogEntry],
+) -> Option<EvacuationState> {
+    let (start, bytes) = snapshot.unwrap_or_default();
+    let of_snapshot = decode_snapshot(bytes).map(|(_, state)| state);
+    let mut state = of_snapshot.unwrap_or_default();
+    let mut is_changed = false;
+    for entry in entries.iter().filter(|entry| entry.index > start) {
+        if let EntryPayload::Command(bytes) = &entry.payload
+            && let Ok(LogCommand::Evacuate(order)) = decode_command(bytes)
+        {
+            is_changed |= apply_order(&mut state, &order);
+        }
+    }
+    is_changed.then_some(state)
+}
+
 /// Result of reading the path of a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum OrderPath {
--- a/crates/gateway/src/evacuation_spread.rs
+++ b/crates/gateway/src/evacuation_spread.rs
@@ -35,6 +35,9 @@
 pub struct EvacuationSpread {
     /// The newest evacuations that this gateway knows to be committed by a quorum.
     state: EvacuationState,
+    /// After a restart: the state by all entries of the recovered log, of which the last ones may not
+    /// be committed. `None` once it is known which are.
+    recovered: Option<EvacuationState>,
     /// When the last round began.
     round_at: Duration,
     /// The gateway that the last round told last.
@@ -46,20 +49,47 @@
     pub fn new(own: InstanceId) -> Self {
         Self {
             state: EvacuationState::default(),
+            recovered: None,
             round_at: Duration::ZERO,
             told_last: own,
         }
     }
 
-    /// The evacuations to obey.
+    /// The newest evacuations that this gateway knows to be committed by a quorum.
     pub fn state(&self) -> &EvacuationState {
         &self.state
     }
 
+    /// Sets the state by all entries of the recovered log. Its domains get no calls until it is known
+    /// which entries are committed: an acknowledged order may be among them.
+    pub fn recover(&mut self, recovered: EvacuationState) {
+        self.recovered = (recovered.revision > self.state.revision).then_some(recovered);
+    }
+
+    /// Records that all recovered entries that are committed were applied. Returns whether this was
+    /// not known before.
+    pub fn settle(&mut self) -> bool {
+        self.recovered.take().is_some()
+    }
+
+    /// Whether recovered orders may be committed that are not applied yet.
+    pub fn is_unsettled(&self) -> bool {
+        self.recovered.is_some()
+    }
+
+    /// Names of the failure domains to which no calls are sent.
+    pub fn excluded_domains(&self) -> impl Iterator<Item = &str> {
+        let recovered = self.recovered.iter().flat_map(|state| &state.domains);
+        let domains = self.state.domains.iter().chain(recovered);
+        domains.map(|domain| domain.name.as_str())
+    }
+
     /// Takes over evacuations that a quorum has committed. Returns those that were obeyed before;
     /// `None` if they are not newer, and nothing changes.
     pub fn take_over(&mut self, state: EvacuationState) -> Option<EvacuationState> {
         let is_newer = state.revision > self.state.revision;
+        let recovered = self.recovered.take();
+        self.recovered = recovered.filter(|recovered| recovered.revision > state.revision);
         is_newer.then(|| std::mem::replace(&mut self.state, state))
     }
 
--- a/crates/gateway/src/evacuation_sync.rs
+++ b/crates/gateway/src/evacuation_sync.rs
@@ -17,9 +17,12 @@
 use wire::id::{InstanceId, name_id};
 
 use crate::evacuation::{is_evacuated, whole_notice};
-use crate::evacuation_spread::NoticeReaction;
+use crate::evacuation_spread::{EvacuationSpread, NoticeReaction};
 use crate::node::GatewayNode;
 
+/// Time after the start for which a catalog may be withheld. Electing a leader takes about a second;
+/// without a majority, gateways that restart are to serve all the same.
+const WITHHOLD_LIMIT: Duration = Duration::from_secs(4);
 /// Longest wait for the reply to a fetch. Gateways of earlier builds end the link instead.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -77,8 +80,7 @@
         let spread = self.evacuations.borrow();
         let state = spread.state();
         log_changes(&held, state, source);
-        let domains: BTreeSet<_> = state.domains.iter().map(|one| name_id(&one.name)).collect();
-        self.relay_state.set_evacuated(&domains);
+        self.exclude_domains(&spread);
         let domains = state.domains.iter();
         let domains = domains.map(|domain| (domain.name.as_str(), domain.since_ms));
         let metrics = &self.relay_state.metrics;
@@ -88,6 +90,35 @@
         }
     }
 
+    /// Spares the domains that orders in the recovered log evacuate, until it is known whether these
+    /// orders are committed.
+    pub fn recover_evacuations(&self, recovered: EvacuationState) {
+        let mut spread = self.evacuations.borrow_mut();
+        spread.recover(recovered);
+        let domains: Vec<&str> = spread.excluded_domains().collect();
+        log::info!(domains = domains.join(",").as_str(); "gateway: evacuations recovered, not known to be committed yet");
+        self.exclude_domains(&spread);
+    }
+
+    /// Records that all recovered orders that are committed were applied.
+    pub fn settle_evacuations(&self) {
+        let mut spread = self.evacuations.borrow_mut();
+        if spread.settle() {
+            self.exclude_domains(&spread);
+        }
+    }
+
+    fn exclude_domains(&self, spread: &EvacuationSpread) {
+        let domains: BTreeSet<_> = spread.excluded_domains().map(name_id).collect();
+        self.relay_state.set_evacuated(&domains);
+    }
+
+    /// Whether a catalog is withheld from gateways without one: they could not exclude the domains of
+    /// recovered orders, and would send calls there.
+    pub fn withholds_catalog(&self) -> bool {
+        self.now() < WITHHOLD_LIMIT && self.evacuations.borrow().is_unsettled()
+    }
+
     /// Announces the evacuations in force to another gateway, unless there never were any.
     pub fn send_evacuations(&self, to: InstanceId) {
         let spread = self.evacuations.borrow();
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -107,7 +107,8 @@
             GatewayRequest::ReadLatest => self.read_as_leader().await,
             GatewayRequest::FetchAbove(version) => {
                 let newest = self.newest_catalog();
-                let is_newer = newest.version > version;
+                let is_withheld = version == 0 && self.withholds_catalog();
+                let is_newer = newest.version > version && !is_withheld;
                 GatewayReply::Catalog(if is_newer { newest } else { Default::default() })
             }
             GatewayRequest::FetchList => GatewayReply::List(self.readings.borrow().list()),
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -25,6 +25,7 @@
 
 use crate::evacuation::{
     LogCommand, apply_order, decode_command, decode_snapshot, encode_command, encode_snapshot,
+    recovered_evacuations,
 };
 use crate::node::GatewayNode;
 
@@ -63,6 +64,9 @@
     /// The evacuations by the entries that this member has applied. The node may know newer ones
     /// from other gateways, but the revision must count the entries of the log.
     evacuations: RefCell<EvacuationState>,
+    /// Index and term of the last recovered entry, until it is known which of the recovered entries
+    /// are committed.
+    recovered_end: Cell<Option<EntryKey>>,
     send_queues: RefCell<HashMap<InstanceId, mpsc::Sender<Vec<u8>>>>,
     /// Origin of the clock of the consensus core.
     started: Instant,
@@ -90,6 +94,13 @@
         kept_entries: KEPT_ENTRIES,
         ..ReplicaSettings::default()
     };
+    let recovered = &opened.recovered;
+    let snapshot = recovered.snapshot.as_ref();
+    let snapshot = snapshot.map(|snapshot| (snapshot.index, &snapshot.state[..]));
+    let recovered_end = recovered.entries.last().map(|last| (last.index, last.term));
+    if let Some(evacuations) = recovered_evacuations(snapshot, &recovered.entries) {
+        node.recover_evacuations(evacuations);
+    }
     let mut core = ReplicaCore::new(
         settings,
         own,
@@ -107,6 +118,7 @@
         next_ticket: Cell::new(1),
         staged: RefCell::default(),
         evacuations: RefCell::default(),
+        recovered_end: Cell::new(recovered_end),
         send_queues: RefCell::default(),
         started: Instant::now(),
     });
@@ -162,7 +174,16 @@
         }
     }
 
+    /// Records that the entries up to this one are applied. Entries of a later term than the
+    /// recovered ones follow all of those that are committed.
+    fn note_applied(&self, (index, term): EntryKey) {
+        let end = self.recovered_end.get();
+        let end = end.filter(|(last, last_term)| index < *last && term <= *last_term);
+        self.recovered_end.set(end);
+    }
+
     fn apply(&self, entry: LogEntry) {
+        self.note_applied((entry.index, entry.term));
         if let EntryPayload::Command(bytes) = &entry.payload {
             match decode_command(bytes) {
                 Ok(LogCommand::Catalog(text)) => self.stage(text),
@@ -343,6 +364,9 @@
             let evacuations = quorum.evacuations.borrow().clone();
             self.install_evacuations(evacuations, "log");
         }
+        if quorum.recovered_end.get().is_none() {
+            self.settle_evacuations();
+        }
         self.install_staged(quorum);
     }
 
@@ -365,6 +389,7 @@
                 Ok((text, evacuations)) => {
                     quorum.stage(text);
                     *quorum.evacuations.borrow_mut() = evacuations;
+                    quorum.note_applied((snapshot.index, snapshot.term));
                 }
                 Err(error) => log::error!("gateway: snapshot can't be decoded: {error}"),
             },
--- a/crates/gateway/tests/evacuation.rs
+++ b/crates/gateway/tests/evacuation.rs
@@ -1,10 +1,14 @@
 //! Evacuated failure domains: the replicated state and the paths of orders.
 
+use std::collections::BTreeSet;
+
 use gateway::evacuation::{
     LogCommand, OrderPath, apply_order, decode_command, decode_snapshot, encode_command,
-    encode_snapshot, read_order_path,
+    encode_snapshot, read_order_path, recovered_evacuations,
 };
+use gateway::evacuation_spread::EvacuationSpread;
 use googletest::prelude::*;
+use replica::{EntryPayload, LogEntry};
 use wire::codec;
 use wire::gateway::{CatalogText, EvacuationAction, EvacuationOrder, EvacuationState};
 
@@ -128,3 +132,59 @@
         expect_that!(is_malformed(path), eq(true), "{path}");
     }
 }
+
+fn entry(index: u64, order: EvacuationOrder) -> LogEntry {
+    let command = encode_command(&LogCommand::Evacuate(order)).expect("a small order");
+    LogEntry {
+        index,
+        term: 1,
+        payload: EntryPayload::Command(command),
+    }
+}
+
+#[gtest]
+fn orders_after_the_snapshot_are_recovered_and_those_within_it_count_once() {
+    use EvacuationAction::{Begin, Finish};
+    let in_snapshot = state_after(&[order("a", Begin, 1), order("b", Begin, 2)]);
+    let bytes = encode_snapshot(&catalog(), &in_snapshot).expect("a small state");
+    let entries = [
+        entry(4, order("b", Begin, 2)),
+        entry(5, order("a", Finish, 3)),
+        entry(6, order("c", Begin, 4)),
+    ];
+
+    let recovered = recovered_evacuations(Some((4, &bytes)), &entries);
+    let nothing_new = recovered_evacuations(Some((6, &bytes)), &entries);
+
+    let recovered = recovered.expect("two orders follow the snapshot");
+    let names = recovered.domains.iter().map(|domain| domain.name.as_str());
+    expect_that!(names.collect::<Vec<_>>(), eq(&vec!["b", "c"]));
+    expect_that!(recovered.revision, eq(4));
+    expect_that!(nothing_new, none());
+}
+
+// Guards against a domain that is excluded for good because an order in the log was never committed, and
+// against one that is released by an older state of another gateway.
+#[gtest]
+fn recovered_order_excludes_its_domain_until_the_log_or_a_newer_state_decides() {
+    use EvacuationAction::Begin;
+    let older = state_after(&[order("a", Begin, 1)]);
+    let recovered = state_after(&[order("a", Begin, 1), order("b", Begin, 2)]);
+    let excluded = |spread: &EvacuationSpread| {
+        let domains: BTreeSet<String> = spread.excluded_domains().map(str::to_owned).collect();
+        domains.into_iter().collect::<Vec<_>>().join(" ")
+    };
+    let mut lost = EvacuationSpread::new(1);
+    lost.recover(recovered.clone());
+
+    lost.take_over(older);
+    let before = (excluded(&lost), lost.is_unsettled(), lost.state().revision);
+    let mut confirmed = lost.clone();
+    confirmed.take_over(recovered);
+    lost.settle();
+
+    expect_that!(before, eq(&("a b".to_owned(), true, 1)));
+    expect_that!(excluded(&lost), eq("a"));
+    expect_that!(excluded(&confirmed), eq("a b"));
+    expect_that!(confirmed.is_unsettled(), eq(false));
+}
--- a/crates/gateway/tests/evacuation_fleet/fixture.rs
+++ b/crates/gateway/tests/evacuation_fleet/fixture.rs
@@ -154,13 +154,13 @@
 }
 
 impl GatewayFleet {
-    /// Starts a fleet with a catalog, and waits until all gateways are ready. `number` keeps the
-    /// addresses of fleets in one process apart.
+    /// Starts a fleet with a catalog, and waits until all gateways are ready. `number`, below
+    /// 8, keeps the addresses of fleets in one process apart.
     pub(crate) fn start(number: u8, endpoints: &Endpoints) -> Self {
         let id = std::process::id();
         let mut fleet = Self {
             folder: tempfile::tempdir().expect("a folder"),
-            network: [(64 + id % 64) as u8, (number << 6) | (id / 64 % 64) as u8],
+            network: [(64 + id % 64) as u8, (number << 5) | (id / 64 % 32) as u8],
             processes: (0..GATEWAYS).map(|_| None).collect(),
         };
         for place in 0..GATEWAYS {
--- a/crates/gateway/tests/evacuation_fleet/main.rs
+++ b/crates/gateway/tests/evacuation_fleet/main.rs
@@ -11,6 +11,8 @@
 
 const BEGIN: &str = "/v1/evacuations/rennes/begin";
 const FINISH: &str = "/v1/evacuations/rennes/finish";
+/// Pairs of orders after which the members have taken a snapshot.
+const SNAPSHOT_ORDERS: usize = 16;
 /// Calls to each gateway that show whether it obeys an order.
 const CALLS: usize = 6;
 
@@ -130,3 +132,31 @@
 
     expect_that!((begun, finished), eq((200, 200)));
 }
+
+// Guards against calls that are sent to the domain while restarted gateways have a catalog from their
+// snapshots, and do not know yet that the order in their logs is committed.
+#[gtest]
+fn restarted_fleet_obeys_an_order_that_is_newer_than_its_snapshots() {
+    let endpoints = Endpoints::start(["rennes", "paris"]);
+    let mut fleet = GatewayFleet::start(4, &endpoints);
+    for _ in 0..SNAPSHOT_ORDERS {
+        fleet.order(0, "/v1/evacuations/empty/begin");
+        fleet.order(0, "/v1/evacuations/empty/finish");
+    }
+    let begun = fleet.order(0, BEGIN);
+    fleet.wait_evacuated("rennes");
+
+    fleet.kill_all();
+    let received = endpoints.received("rennes");
+    fleet.start_all();
+    let mut served = 0;
+    wait_until("all gateways obey after the restart", || {
+        let statuses = fleet.call_all(1);
+        served += statuses.iter().filter(|status| **status == 200).count();
+        (0..GATEWAYS).all(|place| fleet.evacuated(place).as_deref() == Some("rennes"))
+    });
+
+    expect_that!(begun, eq(200));
+    expect_that!(endpoints.received("rennes"), eq(received));
+    println!("RESULT evacuation-restart served_before_all_obey={served}");
+}
