--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -112,7 +112,8 @@
             GatewayRequest::ReadLatest => self.read_as_leader().await,
             GatewayRequest::FetchAbove(version) => {
                 let newest = self.newest_catalog();
-                let is_newer = newest.version > version;
+                let is_withheld = version == 0 && self.withholds_catalog();
+                let is_newer = newest.version > version && !is_withheld;
                 GatewayReply::Catalog(if is_newer { newest } else { Default::default() })
             }
             GatewayRequest::FetchList => GatewayReply::List(self.readings.borrow().list()),
@@ -126,7 +127,7 @@
             }
             GatewayRequest::Evacuate(order) => self.evacuate_as_leader(order).await,
             GatewayRequest::FetchEvacuations(revision) => {
-                let evacuations = self.evacuations.borrow().clone();
+                let evacuations = self.evacuations.borrow().state().clone();
                 let is_newer = evacuations.revision > revision;
                 GatewayReply::Evacuations(if is_newer {
                     evacuations
