--- a/crates/gateway/tests/forwarding/limits.rs
+++ b/crates/gateway/tests/forwarding/limits.rs
@@ -1,10 +1,13 @@
 //! Calls to endpoints that name limits, ask for rest or leave.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use googletest::prelude::*;
+use pace::cold::ColdRule;
 use pace::statement::{EndpointStatement, StatedValue};
 use wire::id::name_id;
+use wire::statement::CallRate;
 
 use crate::fixture::{
     CallerAnswer, LAST_CHUNK, ScriptedEndpoint, ScriptedReply, call, good_answer, not_run_answer,
@@ -210,3 +213,30 @@
     expect_that!(long.is_whole, eq(false));
     expect_that!(long.events().join(" ").as_str(), eq("d1 d2"));
 }
+
+#[gtest]
+fn endpoint_that_broke_a_connection_counts_as_warm() {
+    let is_cold = run(async {
+        let replies = vec![ScriptedReply::Close(String::new())];
+        let endpoint = ScriptedEndpoint::start("e1", replies).await;
+        let relay = relay_before(&[&endpoint]).await;
+        let state = &relay.state;
+        let rule = ColdRule {
+            start: Duration::from_secs(3),
+            rate: CallRate::from_per_second(8.2).expect("a rate"),
+        };
+        let service = state
+            .table
+            .borrow()
+            .row(name_id("e1"))
+            .map(|row| row.service);
+        let rules = HashMap::from([(service.expect("it is listed"), rule)]);
+        state.table.borrow_mut().set_cold_rules(rules);
+        call(relay.address, &request("/unsafe/x", "")).await;
+        let table = state.table.borrow();
+        let row = table.row(name_id("e1")).expect("it is listed");
+        row.is_cold(state.now())
+    });
+
+    expect_that!(is_cold, eq(true));
+}
--- a/crates/wire/tests/gateway.rs
+++ b/crates/wire/tests/gateway.rs
@@ -5,12 +5,12 @@
 use googletest::prelude::*;
 use wire::codec::{decode_as, encode};
 use wire::gateway::{
-    CrashNotice, GatewayDatagram, ListNotice, ListedEndpoint, MAX_DATAGRAM_BYTES,
-    VersionlessEndpoint, VersionlessNotice,
+    ColdListNotice, CrashNotice, GatewayDatagram, ListNotice, ListedEndpoint, MAX_COLD_ENDPOINTS,
+    MAX_DATAGRAM_BYTES, VersionlessEndpoint, VersionlessNotice,
 };
 use wire::statement::{
-    CallRate, LimitMessage, LimitNotice, MAX_NOTICES, MAX_WISHES, TokenAsk, TokenOutcome,
-    TokenShortage, TokenWish,
+    CallRate, ColdNotice, LimitMessage, LimitNotice, MAX_COLD_WISHES, MAX_NOTICES, MAX_WISHES,
+    TokenAsk, TokenOutcome, TokenShortage, TokenWish,
 };
 use wire::stream::{OriginQuery, StreamMessage};
 
@@ -112,6 +112,13 @@
         endpoint: u64::MAX,
         next_ms: u32::MAX,
     };
+    let cold = ColdNotice {
+        endpoint: u64::MAX,
+        address: SocketAddrV4::new(Ipv4Addr::BROADCAST, u16::MAX),
+        sign_age_ms: Some(u32::MAX),
+        answer_age_ms: Some(u32::MAX),
+        remaining_ms: Some(u32::MAX),
+    };
     let messages = [
         LimitMessage::Notices {
             notices: vec![notice; MAX_NOTICES],
@@ -121,6 +128,18 @@
             id: u64::MAX,
             wishes: vec![wish; MAX_WISHES],
         }),
+        LimitMessage::Cold {
+            notices: vec![cold; MAX_NOTICES],
+            is_whole: true,
+            forward: u16::MAX,
+        },
+        LimitMessage::ColdAsk {
+            ask: TokenAsk {
+                id: u64::MAX,
+                wishes: vec![wish; MAX_COLD_WISHES],
+            },
+            notices: vec![cold; MAX_COLD_WISHES],
+        },
         LimitMessage::Reply {
             id: u64::MAX,
             outcome: TokenOutcome::Kept {
@@ -135,3 +154,15 @@
         expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
     }
 }
+
+#[gtest]
+fn largest_notice_of_cold_endpoints_fits_into_a_datagram() {
+    let notice = ColdListNotice {
+        age_ms: u32::MAX,
+        endpoints: vec![(u64::MAX, u32::MAX); MAX_COLD_ENDPOINTS],
+    };
+
+    let bytes = encode(&GatewayDatagram::ColdList(notice)).expect("a small datagram");
+
+    expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+}
