Relay: announcements of restarts share datagrams

Cause: when a failure domain of 17 endpoints is lost, each gateway that had calls there sent 17 notices to up to 32 others at the same moment: 544 datagrams where control traffic has 4 KB a second.

Change: announcements wait for 3 to 20 ms and share datagrams; who has been told the same meanwhile sends none.

The bytes of a lost domain are not measured.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -20,6 +20,7 @@
 use link::{LinkIdentity, LinkSecret, LinkSettings, PeerRole};
 use platform::PlatformDialect;
 use relay::budget::BudgetSettings;
+use relay::cold_sharing::send_cold_notices;
 use relay::drain::{DrainSettings, drain_callers};
 use relay::server::serve_callers;
 use relay::state::{RelaySettings, RelayState};
@@ -92,6 +93,7 @@
         Box::pin(serve_peers(link_listener, shared())),
         Box::pin(send_heartbeats(shared())),
         Box::pin(send_crash_notices(shared())),
+        Box::pin(send_cold_notices(Rc::clone(&relay_state))),
         Box::pin(follow_settings(shared(), path)),
     ]);
     kernel.register("peers", shared(), peers)?;
--- a/crates/relay/src/cold_sharing.rs
+++ b/crates/relay/src/cold_sharing.rs
@@ -1,16 +1,24 @@
 //! What the instances tell each other of restarts of endpoints, which are cold afterwards.
 
 use std::collections::HashMap;
+use std::ops::Range;
+use std::rc::Rc;
 use std::time::Duration;
 
 use catalog::CatalogIndex;
 use pace::cold::{ColdRule, LIST_LAG};
+use rand::RngExt;
+use tokio::time::sleep;
 use wire::gateway::ColdListNotice;
 use wire::id::{EndpointId, InstanceId, ServiceId, name_id};
 use wire::statement::{ColdNotice, LimitMessage, MAX_NOTICES};
 
 use crate::state::RelayState;
 
+/// Delay of an announcement, so that the endpoints of a failure domain that is lost share one, and
+/// that of the instances that find the same most need not announce it. Far shorter than a restart.
+const NOTICE_DELAY: Range<Duration> = Duration::from_millis(3)..Duration::from_millis(20);
+
 /// The services of a catalog that have cold endpoints.
 pub fn cold_rules(catalog: &CatalogIndex) -> HashMap<ServiceId, ColdRule> {
     let services = catalog.catalog().services.iter();
@@ -24,6 +32,15 @@
     rules.collect()
 }
 
+/// Announces restarts to the other instances, until the process ends.
+pub async fn send_cold_notices(state: Rc<RelayState>) {
+    loop {
+        state.cold_notice_due.notified().await;
+        sleep(rand::rng().random_range(NOTICE_DELAY)).await;
+        state.send_pending_cold();
+    }
+}
+
 impl RelayState {
     /// Updates the time until which this instance may not know of restarts that others know of. An
     /// instance that is alone for that long learns of them by the list and its own calls.
@@ -120,17 +137,42 @@
     }
 
     fn announce_cold(&self, is_new: bool, endpoint: EndpointId) {
-        let notice = self.table.borrow().cold_notice(self.now(), endpoint);
-        if let Some(notice) = notice.filter(|_| is_new) {
+        if is_new {
             self.metrics.count_statement("cold");
+            self.pending_cold.borrow_mut().insert(endpoint);
+            self.cold_notice_due.notify_one();
+        }
+    }
+
+    /// Tells the other instances of the restarts that are to be announced.
+    fn send_pending_cold(&self) {
+        let now = self.now();
+        let pending = std::mem::take(&mut *self.pending_cold.borrow_mut());
+        let notices: Vec<ColdNotice> = {
+            let table = self.table.borrow();
+            let notices = pending.iter();
+            notices
+                .filter_map(|id| table.cold_notice(now, *id))
+                .collect()
+        };
+        for notices in notices.chunks(MAX_NOTICES) {
             self.send_to_all(|forward| LimitMessage::Cold {
-                notices: vec![notice],
+                notices: notices.to_vec(),
                 is_whole: false,
                 forward,
             });
         }
     }
 
+    /// Drops an announcement that another instance has made already, with as much knowledge.
+    fn drop_pending_cold(&self, now: Duration, notice: &ColdNotice) {
+        let own = self.table.borrow().cold_notice(now, notice.endpoint);
+        let has_answer = own.is_some_and(|own| own.answer_age_ms.is_some());
+        if notice.answer_age_ms.is_some() || !has_answer {
+            self.pending_cold.borrow_mut().remove(&notice.endpoint);
+        }
+    }
+
     /// Tells another instance of all cold endpoints.
     pub(crate) fn repeat_cold_to(&self, to: InstanceId) {
         let now = self.now();
@@ -165,6 +207,8 @@
             if is_new {
                 self.log_cold(notice.endpoint, true);
                 new.push(notice);
+            } else {
+                self.drop_pending_cold(now, &notice);
             }
         }
         let is_cut = self.fleet_contact.borrow().lost_at().is_some();
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -1,6 +1,7 @@
 //! State that all calls of one instance share.
 
 use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -135,6 +136,10 @@
     set_up: Notify,
     /// Notified when a changed load should be announced to other instances at once.
     pub announcement_due: Notify,
+    /// Endpoints whose restarts are to be announced to other instances.
+    pub(crate) pending_cold: RefCell<BTreeSet<EndpointId>>,
+    /// Notified when there are such endpoints.
+    pub(crate) cold_notice_due: Notify,
     /// Notified when a crash of an endpoint should be announced to other instances.
     pub crash_notice_due: Notify,
     /// Number of calls in progress.
@@ -180,6 +185,8 @@
             phase_changed: Notify::new(),
             set_up: Notify::new(),
             announcement_due: Notify::new(),
+            pending_cold: RefCell::default(),
+            cold_notice_due: Notify::new(),
             crash_notice_due: Notify::new(),
             active_calls: Cell::new(0),
             open_connections: Cell::new(0),
