--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -25,6 +25,7 @@
 use quota::progress::ProgressLimits;
 use relay::budget::BudgetSettings;
 use relay::caller_limits::CallerLimits;
+use relay::cold_sharing::send_cold_notices;
 use relay::drain::{DrainSettings, drain_callers};
 use relay::server::serve_callers;
 use relay::state::{RelaySettings, RelayState};
@@ -102,6 +103,7 @@
         Box::pin(serve_peers(link_listener, shared())),
         Box::pin(send_heartbeats(shared())),
         Box::pin(send_crash_notices(shared())),
+        Box::pin(send_cold_notices(Rc::clone(&relay_state))),
         Box::pin(follow_settings(shared(), path)),
     ]);
     kernel.register("peers", shared(), peers)?;
