Quorum: a record of software versions lets streams go on after all gateways were lost

Cause: the origins of streams are held in memory by the gateway that began them and three others.

Change: the quorum's log holds the versions that each service has had, "only this one" or "several", and a digest of the routes of streams. A leader of the first start adds what the list shows at once, a later one adds a service after it has watched the list for a minute. While the record holds one version of a service, no resumable stream begins at another before it is recorded. A return that nobody knows goes on at the only version if a quorum confirms the record, the routes never changed, the route has one service, and the list shows no other version; else it is refused as before. Versions and routes are never taken back, so a fleet that had a release does not guess. A stream that begins at an endpoint whose version is not certain is told to its keepers as unsettled, so that it is not taken for one of the only version.

Trial: the first form of the test had 1 or 2 returns go on without a record, as notices in flight reached the restarted instances; it waits for them.

--- a/crates/gateway/src/catalog_sync.rs
+++ b/crates/gateway/src/catalog_sync.rs
@@ -51,7 +51,7 @@
 
     /// Sends a request to the leader and retries until it succeeds or [`OPERATOR_CALL_TIMEOUT`]
     /// elapses.
-    async fn request_from_leader(
+    pub(crate) async fn request_from_leader(
         self: &Rc<Self>,
         request: &GatewayRequest,
     ) -> Option<GatewayReply> {
@@ -84,6 +84,7 @@
         if leader == self.own {
             return Some(match request.clone() {
                 GatewayRequest::Replace(text) => self.replace_as_leader(text).await,
+                GatewayRequest::ReadVersions => self.read_versions_as_leader().await,
                 _ => self.read_as_leader().await,
             });
         }
--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -75,6 +75,7 @@
                 self.relay_state.handle_limit_message(from, message);
             }
             GatewayDatagram::Restarts(notice) => self.relay_state.handle_restart_notice(&notice),
+            GatewayDatagram::Versions(record) => self.note_recorded(&record),
             GatewayDatagram::ListAge(age) => {
                 self.readings.borrow_mut().note_age(self.now(), &age);
                 self.note_list_stated();
@@ -102,6 +103,7 @@
             self.repeat_crashes_to(from);
             self.relay_state.refresh_keeper(from);
             self.relay_state.repeat_restart_signs_to(from);
+            self.send_recorded(from);
             self.relay_state.repeat_limits_to(from);
         }
         self.fetch_newer_catalog();
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -47,6 +47,7 @@
         node.relay_state.publish_crash_decisions();
         node.readings.borrow_mut().note_running(now);
         node.update_quorum_peers(now);
+        node.update_version_record();
         node.heartbeats_sent.set(node.heartbeats_sent.get() + 1);
         let heartbeat = GatewayDatagram::Heartbeat(Box::new(node.own_heartbeat(now)));
         let seeds = node.seeds();
@@ -139,6 +140,7 @@
         let next = self.directory.borrow().next_live(self.now(), last_told);
         if let Some(recipient) = next {
             self.relay_state.repeat_limits_to(recipient);
+            self.send_recorded(recipient);
         }
         next.unwrap_or(last_told)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -39,3 +39,4 @@
 pub mod quorum;
 pub mod reload;
 pub mod status;
+pub mod version_record;
--- a/crates/gateway/src/node.rs
+++ b/crates/gateway/src/node.rs
@@ -13,6 +13,7 @@
 use tokio::sync::Notify;
 use wire::gateway::{CatalogText, GatewayDatagram, instance_at};
 use wire::id::{IncarnationNumber, InstanceId};
+use wire::version_record::VersionRecord;
 
 use crate::catalog_codec::decode_catalog;
 use crate::directory::GatewayDirectory;
@@ -50,6 +51,10 @@
     pub is_fetching_list: Cell<bool>,
     /// Whether a catalog is being fetched from another gateway.
     pub is_fetching_catalog: Cell<bool>,
+    /// Software versions that the lists since the start of this gateway have shown.
+    pub seen_versions: RefCell<VersionRecord>,
+    /// Digest of the latest list of these.
+    pub seen_digest: Cell<u64>,
     /// Socket for datagrams to and from other gateways.
     pub socket: UdpSocket,
     /// Authenticates datagrams.
@@ -85,6 +90,8 @@
             last_list_notice: RefCell::default(),
             is_fetching_list: Cell::new(false),
             is_fetching_catalog: Cell::new(false),
+            seen_versions: RefCell::default(),
+            seen_digest: Cell::new(0),
             socket,
             seal: DatagramSeal::new(&link_settings.secret),
             link_settings,
--- a/crates/gateway/src/peer_requests.rs
+++ b/crates/gateway/src/peer_requests.rs
@@ -104,6 +104,7 @@
     async fn answer(self: &Rc<Self>, request: GatewayRequest) -> GatewayReply {
         match request {
             GatewayRequest::Replace(text) => self.replace_as_leader(text).await,
+            GatewayRequest::ReadVersions => self.read_versions_as_leader().await,
             GatewayRequest::ReadLatest => self.read_as_leader().await,
             GatewayRequest::FetchAbove(version) => {
                 let newest = self.newest_catalog();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -3,7 +3,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
-use relay::peers::InstancePeers;
+use relay::peers::{InstancePeers, VersionsFuture};
 use relay::rate_keeper::KeeperTerm;
 use wire::gateway::GatewayDatagram;
 use wire::id::InstanceId;
@@ -64,6 +64,11 @@
         self.node.upgrade()?.keeper_term()
     }
 
+    fn read_versions(&self) -> VersionsFuture {
+        let node = self.node.upgrade();
+        Box::pin(async move { node?.read_versions().await })
+    }
+
     fn send(&self, to: InstanceId, datagram: &GatewayDatagram) {
         if let Some(node) = self.node.upgrade() {
             node.send_datagram(to, datagram);
--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -10,6 +10,7 @@
 use std::time::{Duration, Instant};
 
 use control::disk::{DiskQueue, DiskReport, DiskReports, start_disk};
+use relay::sole_version::routing_digest;
 use replica::id::{
     ClusterId, LogIndex, MemberIdentity, ReadTicket, TermNumber, is_founding, new_identity,
 };
@@ -24,9 +25,12 @@
     CatalogText, GatewayDatagram, GatewayReply, GatewayRequest, StorageState, address_of,
 };
 use wire::id::InstanceId;
+use wire::version_record::VersionRecord;
 
 use crate::bootstrap::QuorumPeers;
+use crate::catalog_codec::decode_catalog;
 use crate::node::GatewayNode;
+use crate::version_record::{PROPOSAL_INTERVAL, additions, decode_command, encode_command};
 
 /// Longest time between two ticks of the consensus core.
 const TICK_INTERVAL: Duration = Duration::from_millis(25);
@@ -66,6 +70,11 @@
     next_ticket: Cell<ReadTicket>,
     /// The newest catalog that was applied or restored from a snapshot but is not activated yet.
     staged: RefCell<Option<CatalogText>>,
+    /// The record of software versions as of the applied entries, and the last entry that held it.
+    record: RefCell<VersionRecord>,
+    record_index: Cell<LogIndex>,
+    /// When this member last proposed the record.
+    record_proposed_at: Cell<Option<Duration>>,
     send_queues: RefCell<HashMap<InstanceId, mpsc::Sender<Vec<u8>>>>,
     /// Origin of the clock of the consensus core.
     started: Instant,
@@ -146,6 +155,9 @@
         pending_reads: RefCell::default(),
         next_ticket: Cell::new(1),
         staged: RefCell::default(),
+        record: RefCell::default(),
+        record_index: Cell::new(0),
+        record_proposed_at: Cell::new(None),
         send_queues: RefCell::default(),
         started: Instant::now(),
     });
@@ -249,14 +261,32 @@
         }
     }
 
+    /// Adds the routing of a catalog to the record. Each catalog of the log is counted, also one
+    /// that is not activated because a newer one follows.
+    fn record_routing(&self, text: &CatalogText) {
+        if let Ok(catalog) = decode_catalog(text) {
+            let digest = routing_digest(&catalog);
+            self.record.borrow_mut().add_routing(digest);
+        }
+    }
+
     fn apply(&self, entry: LogEntry) {
         if let EntryPayload::Command(bytes) = &entry.payload {
-            match codec::decode_as::<CatalogText>(bytes) {
-                Ok(text) => self.stage(text),
-                Err(error) => log::error!(
+            let applied = match decode_command(bytes) {
+                Some(record) => record.map(|record| {
+                    self.record.borrow_mut().merge(&record);
+                    self.record_index.set(entry.index);
+                }),
+                None => codec::decode_as::<CatalogText>(bytes).map(|text| {
+                    self.record_routing(&text);
+                    self.stage(text);
+                }),
+            };
+            if let Err(error) = applied {
+                log::error!(
                     "gateway: log entry {} can't be decoded and is skipped: {error}",
                     entry.index
-                ),
+                );
             }
         }
         let proposer = self
@@ -364,8 +394,59 @@
 
     /// The newest catalog, confirmed by a quorum, if this gateway is the leader.
     pub async fn read_as_leader(self: &Rc<Self>) -> GatewayReply {
+        match self.confirm_read().await {
+            Ok(_) => GatewayReply::Catalog(self.newest_catalog()),
+            Err(reply) => reply,
+        }
+    }
+
+    /// The record of software versions, confirmed by a quorum, if this gateway is the leader.
+    pub async fn read_versions_as_leader(self: &Rc<Self>) -> GatewayReply {
+        match self.confirm_read().await {
+            Ok(quorum) => GatewayReply::Versions(quorum.record.borrow().clone()),
+            Err(reply) => reply,
+        }
+    }
+
+    /// Proposes the record with what is missing in it, or again if a snapshot has covered the entry
+    /// that held it. Snapshots hold the catalog only.
+    pub fn propose_versions(
+        self: &Rc<Self>,
+        quorum: &Rc<GatewayQuorum>,
+        seen: &VersionRecord,
+        is_first_start: bool,
+    ) {
+        let now = self.now();
+        let is_recent = |at: Duration| now < at + PROPOSAL_INTERVAL;
+        if !quorum.is_leader() || quorum.record_proposed_at.get().is_some_and(is_recent) {
+            return;
+        }
+        let record = additions(&quorum.record.borrow(), seen, is_first_start, now);
+        let is_covered = quorum.record_index.get() <= quorum.core.borrow().snapshot_index();
+        let is_empty = record.versions.is_empty();
+        if is_empty || (record == *quorum.record.borrow() && !is_covered) {
+            return;
+        }
+        let Ok(command) = encode_command(&record) else {
+            log::error!("gateway: the record of software versions is too large for the log");
+            return;
+        };
+        quorum.record_proposed_at.set(Some(now));
+        let proposed = quorum.core.borrow_mut().propose(quorum.now(), command);
+        match proposed {
+            Ok(_) => self.run_actions(quorum),
+            Err(error) => log::debug!("gateway: software versions not proposed: {error}"),
+        }
+    }
+
+    /// Waits until a quorum has confirmed that this gateway leads.
+    ///
+    /// # Errors
+    /// The reply to who has asked.
+    async fn confirm_read(self: &Rc<Self>) -> Result<Rc<GatewayQuorum>, GatewayReply> {
         let Some(quorum) = self.quorum() else {
-            return GatewayReply::NotLeader(self.directory.borrow().leader(self.now()));
+            let leader = self.directory.borrow().leader(self.now());
+            return Err(GatewayReply::NotLeader(leader));
         };
         let ticket = quorum.next_ticket.replace(quorum.next_ticket.get() + 1);
         let (done, confirmed) = oneshot::channel();
@@ -374,13 +455,13 @@
         self.run_actions(&quorum);
         if started.is_err() {
             quorum.pending_reads.borrow_mut().remove(&ticket);
-            return not_leader(&quorum);
+            return Err(not_leader(&quorum));
         }
         let outcome = timeout(COMMIT_TIMEOUT, confirmed).await;
         quorum.pending_reads.borrow_mut().remove(&ticket);
         match outcome {
-            Ok(Ok(())) => GatewayReply::Catalog(self.newest_catalog()),
-            _ => GatewayReply::NoQuorum,
+            Ok(Ok(())) => Ok(quorum),
+            _ => Err(GatewayReply::NoQuorum),
         }
     }
 
@@ -413,6 +494,8 @@
             }
         }
         self.install_staged(quorum);
+        let record = quorum.record.borrow().clone();
+        self.note_recorded(&record);
     }
 
     /// Activates the newest of the applied catalogs. After a restart many entries are applied in a
@@ -433,7 +516,10 @@
                 }
             }
             ReplicaAction::Restore(snapshot) => match codec::decode_state(&snapshot.state) {
-                Ok(text) => quorum.stage(text),
+                Ok(text) => {
+                    quorum.record_routing(&text);
+                    quorum.stage(text);
+                }
                 Err(error) => log::error!("gateway: snapshot can't be decoded: {error}"),
             },
             ReplicaAction::Apply(entry) => quorum.apply(entry),
--- a/crates/gateway/tests/decisions.rs
+++ b/crates/gateway/tests/decisions.rs
@@ -8,15 +8,19 @@
 use gateway::catalog_codec::{compress, decompress};
 use gateway::directory::GatewayDirectory;
 use gateway::list_readings::{ListReadings, NoticeAction};
+use gateway::version_record::{additions, decode_command, encode_command, listed_versions, parts};
 use googletest::prelude::*;
 use wire::codec;
 use wire::gateway::{
-    CrashNotice, CrashReport, EndpointCrash, GatewayDatagram, GatewayHeartbeat, ListAge,
-    ListNotice, ListedEndpoint, MAX_CRASHES, MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS, MAX_LOADS,
-    MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS, MAX_NOTICE_SERVED, ReadingKey, ServedRequest,
-    StorageState, address_of, instance_at,
+    CatalogText, CrashNotice, CrashReport, EndpointCrash, GatewayDatagram, GatewayHeartbeat,
+    ListAge, ListNotice, ListedEndpoint, MAX_CRASHES, MAX_DATAGRAM_BYTES, MAX_KNOWN_GATEWAYS,
+    MAX_LOADS, MAX_NOTICE_CRASHES, MAX_NOTICE_REQUESTS, MAX_NOTICE_SERVED, ReadingKey,
+    ServedRequest, StorageState, address_of, instance_at,
 };
 
+use wire::id::name_id;
+use wire::version_record::{RecordedValue, VersionRecord};
+
 const SECOND: Duration = Duration::from_secs(1);
 const INTERVAL: Duration = Duration::from_millis(500);
 
@@ -408,3 +412,85 @@
     expect_that!(before, some(eq(SECOND)));
     expect_that!(readings.stated_at(), none());
 }
+
+fn listed_of(service: &str, version: &str) -> ListedEndpoint {
+    ListedEndpoint {
+        service: service.to_owned(),
+        version: version.to_owned(),
+        ..listed(1)
+    }
+}
+
+/// A service whose versions of the last minute are not known must not be recorded as one with a
+/// single version.
+#[gtest]
+fn versions_of_a_service_are_recorded_once_all_are_known() {
+    let seen = listed_versions(&[listed_of("s", "v1")]);
+    let known = seen.clone();
+    let later = listed_versions(&[listed_of("s", "v2"), listed_of("t", "v1")]);
+
+    let after_a_restart = additions(&VersionRecord::default(), &seen, false, 59 * SECOND);
+    let after_a_minute = additions(&VersionRecord::default(), &seen, false, 60 * SECOND);
+    let at_the_first_start = additions(&VersionRecord::default(), &seen, true, SECOND);
+    let of_a_release = additions(&known, &later, false, SECOND);
+
+    expect_that!(after_a_restart, eq(&VersionRecord::default()));
+    expect_that!(after_a_minute, eq(&known));
+    expect_that!(at_the_first_start, eq(&known));
+    let several = Some(&RecordedValue::Several);
+    expect_that!(of_a_release.versions.get(&name_id("s")), eq(several));
+    expect_that!(of_a_release.versions.get(&name_id("t")), none());
+}
+
+/// A route that led to another service began streams there.
+#[gtest]
+fn only_version_is_not_known_after_a_change_of_the_routes() {
+    let mut record = listed_versions(&[listed_of("s", "v1")]);
+    record.add_routing(7);
+    let before = record.only_version(name_id("s"), 7);
+    let of_another = record.only_version(name_id("s"), 8);
+
+    record.add_routing(8);
+    record.add_routing(7);
+
+    expect_that!(before, some(eq(name_id("v1"))));
+    expect_that!(of_another, none());
+    expect_that!(record.only_version(name_id("s"), 7), none());
+}
+
+/// Logs of earlier builds hold catalogs only, and these skip what they can't read.
+#[gtest]
+fn record_of_versions_is_no_catalog_and_a_catalog_no_record() {
+    let record = listed_versions(&[listed_of("s", "v1")]);
+    let catalog = CatalogText {
+        version: u64::MAX,
+        compressed: vec![0xff; 9],
+    };
+
+    let command = encode_command(&record).expect("a small record");
+    let of_catalog = codec::encode(&catalog).expect("a small catalog");
+
+    expect_that!(codec::decode_as::<CatalogText>(&command), err(anything()));
+    expect_that!(decode_command(&of_catalog).is_none(), eq(true));
+    expect_that!(decode_command(&command), some(ok(eq(&record))));
+}
+
+/// A part that is too large for a datagram would never arrive.
+#[gtest]
+fn parts_of_a_record_fit_into_datagrams() {
+    let mut record = VersionRecord::default();
+    for service in 0..300 {
+        record.add(u64::MAX - service, u64::MAX);
+    }
+
+    let parts = parts(&record);
+
+    let mut merged = VersionRecord::default();
+    for part in &parts {
+        let datagram = GatewayDatagram::Versions(part.clone());
+        let bytes = codec::encode(&datagram).expect("it can be encoded");
+        expect_that!(bytes.len(), le(MAX_DATAGRAM_BYTES));
+        merged.merge(part);
+    }
+    expect_that!(merged, eq(&record));
+}
--- a/crates/gateway/tests/forwarding/rejoined.rs
+++ b/crates/gateway/tests/forwarding/rejoined.rs
@@ -1,5 +1,5 @@
 //! Returns of callers whose stream began before all instances were killed at once. No record of
-//! these streams survives, so none of them may go on.
+//! these streams survives. They go on only where the quorum's record of versions holds one version.
 
 use std::time::Duration;
 
@@ -156,6 +156,8 @@
     );
 }
 
+/// Longer than one message between instances takes.
+const NOTICE_TIME: Duration = Duration::from_millis(30);
 /// Longer than messages between instances take.
 const MESSAGE_TIME: Duration = Duration::from_millis(300);
 /// Streams of which each keeper holds more than it tells an instance that starts.
@@ -186,3 +188,58 @@
 
     expect_that!(is_complete, eq(false));
 }
+
+/// Numbers of returns of callers after all instances were killed, and of those that went on.
+async fn take_up_recorded(seed: u64, layout: FleetLayout, has_record: bool) -> (u32, u32) {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut fleet = TestFleet::start(seed, layout).await;
+    if has_record {
+        fleet.record_versions();
+    }
+    let mut streams = begin_streams(&fleet, &mut random, "before").await;
+    // Otherwise a notice of a stream may reach an instance that has just started.
+    sleep(NOTICE_TIME).await;
+    // What is listed does not count: the version may have been in service until just now.
+    fleet.retire_version("v2");
+    fleet.restart_all().await;
+    for stream in &mut streams {
+        attempt(&fleet, &mut random, stream, "return").await;
+    }
+    let sound = streams.iter().filter(|stream| stream.is_sound()).count();
+    expect_that!(sound, eq(streams.len()), "seed {seed}");
+    let returns = streams.iter().map(|stream| stream.returns).sum();
+    let went_on = streams.iter().map(|stream| stream.went_on).sum();
+    (returns, went_on)
+}
+
+/// LOST, review/3: all returns were refused after all instances were killed, although the service
+/// has had one version all the time. The code as found is that without a record.
+#[gtest]
+fn streams_of_a_service_with_one_version_are_lost_with_all_instances() {
+    let layout = FleetLayout {
+        has_one_version: true,
+        ..FleetLayout::default()
+    };
+    for is_named in [true, false] {
+        let layout = FleetLayout { is_named, ..layout };
+        for seed in SEEDS {
+            let (returns, went_on) = run(take_up_recorded(seed, layout, true));
+            let (_, without_record) = run(take_up_recorded(seed, layout, false));
+
+            expect_that!(returns, gt(0), "seed {seed}");
+            expect_that!(went_on, eq(returns), "seed {seed}, named: {is_named}");
+            expect_that!(without_record, eq(0), "seed {seed}, named: {is_named}");
+        }
+    }
+}
+
+/// After a release, the version of a stream must not be guessed, also if only one is listed.
+#[gtest]
+fn stream_is_taken_for_one_of_the_only_version_that_is_listed() {
+    for seed in SEEDS {
+        let (returns, went_on) = run(take_up_recorded(seed, FleetLayout::default(), true));
+
+        expect_that!(returns, gt(0), "seed {seed}");
+        expect_that!(went_on, eq(0), "seed {seed}");
+    }
+}
--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use catalog::{CatalogIndex, RouteCatalog, ServiceShare};
+use gateway::version_record::listed_versions;
 use platform::PlatformDialect;
 use rand::rngs::StdRng;
 use rand::{RngExt, SeedableRng};
-use relay::peers::InstancePeers;
+use relay::peers::{InstancePeers, VersionsFuture};
 use relay::rate_keeper::KeeperTerm;
+use relay::sole_version::routing_digest;
 use relay::state::{RelaySettings, RelayState};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -20,6 +22,7 @@
 use watch::label::LabelSettings;
 use wire::gateway::{GatewayDatagram, ListedEndpoint};
 use wire::id::InstanceId;
+use wire::version_record::VersionRecord;
 
 use crate::fixture::{CallerAnswer, LAST_CHUNK, chunk, read_head};
 use crate::{RelayFixture, SERVICE, serve, valid_catalog};
@@ -43,13 +46,13 @@
 
 impl VersionedEndpoint {
     /// Starts an endpoint and returns its entry of the endpoint list.
-    async fn start(number: usize, seed: u64) -> ListedEndpoint {
+    async fn start(number: usize, version: &'static str, seed: u64) -> ListedEndpoint {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("loopback works");
         let address = listener.local_addr().expect("loopback works").to_string();
         let endpoint = Rc::new(Self {
-            version: VERSIONS[number],
+            version,
             random: RefCell::new(StdRng::seed_from_u64(seed * 100 + number as u64)),
         });
         actix_rt::spawn(async move {
@@ -64,7 +67,7 @@
             domain: 0,
             slots: 4,
             is_draining: false,
-            version: VERSIONS[number].to_owned(),
+            version: version.to_owned(),
         }
     }
 
@@ -112,6 +115,8 @@
     /// The process that runs at present, by instance.
     states: RefCell<BTreeMap<InstanceId, Rc<RelayState>>>,
     random: RefCell<StdRng>,
+    /// The quorum's record of software versions; `None` without a quorum.
+    record: RefCell<Option<VersionRecord>>,
 }
 
 /// The other instances, as one of them sees them.
@@ -139,6 +144,11 @@
         None
     }
 
+    fn read_versions(&self) -> VersionsFuture {
+        let record = self.network.record.borrow().clone();
+        Box::pin(async move { record })
+    }
+
     fn send(&self, to: InstanceId, datagram: &GatewayDatagram) {
         let GatewayDatagram::Stream(message) = datagram.clone() else {
             return;
@@ -172,6 +182,8 @@
     pub(crate) has_services: bool,
     /// Whether callers that return name the stream.
     pub(crate) is_named: bool,
+    /// Whether all endpoints have version v1.
+    pub(crate) has_one_version: bool,
     /// Number of instances.
     pub(crate) instances: u64,
 }
@@ -181,6 +193,7 @@
         Self {
             has_services: false,
             is_named: true,
+            has_one_version: false,
             instances: 4,
         }
     }
@@ -203,10 +216,15 @@
             network: Rc::new(TestNetwork {
                 states: RefCell::default(),
                 random: RefCell::new(StdRng::seed_from_u64(seed)),
+                record: RefCell::default(),
             }),
         };
-        for number in 0..VERSIONS.len() {
-            let mut listed = VersionedEndpoint::start(number, seed).await;
+        for (number, listed) in VERSIONS.into_iter().enumerate() {
+            let version = match layout.has_one_version {
+                true => VERSIONS[0],
+                false => listed,
+            };
+            let mut listed = VersionedEndpoint::start(number, version, seed).await;
             if layout.has_services {
                 let version = std::mem::replace(&mut listed.version, "v1".to_owned());
                 listed.service = service_of(&version);
@@ -273,6 +291,13 @@
         self.notice_start(number);
     }
 
+    /// Records the versions that are listed and the routes, as a quorum does.
+    pub(crate) fn record_versions(&self) {
+        let mut record = listed_versions(&self.listed);
+        record.add_routing(routing_digest(&self.catalog()));
+        *self.network.record.borrow_mut() = Some(record);
+    }
+
     /// Removes the endpoints of a version from the list, which instances that start receive.
     pub(crate) fn retire_version(&mut self, version: &str) {
         self.listed.retain(|listed| listed.version != version);
--- a/crates/measure/src/limit/gateway.rs
+++ b/crates/measure/src/limit/gateway.rs
@@ -56,6 +56,7 @@
             instance: self.number,
             domain: 0,
             tried,
+            is_resumable: false,
             may_ask: false,
             now,
         }
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -286,6 +286,7 @@
             instance: gateway as u64,
             domain: domain_of(gateway, self.size),
             tried,
+            is_resumable: false,
             may_ask: false,
             now,
         };
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -8,7 +8,7 @@
 use exchange::connection::{self, AnswerFraming, EndpointConnection, EndpointError};
 use exchange::events::EventSplitter;
 use tokio::time::{Instant, timeout};
-use wire::id::{EndpointId, VersionId};
+use wire::id::{EndpointId, StreamId, VersionId};
 
 use crate::admission::MetLoad;
 use crate::call::{AnswerMetadata, CallMetadata, ForwardMetadata};
@@ -69,6 +69,8 @@
     pub attempt_address: Option<SocketAddrV4>,
     /// When the endpoint accepted the connection of the current attempt.
     pub accepted_at: Duration,
+    /// Id by which other instances know the stream; `None` until they were told.
+    pub published_stream: Option<StreamId>,
     /// Whether the version that began the stream is not certain yet, so that it goes on nowhere
     /// else.
     pub is_begun_uncertain: bool,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -21,6 +21,7 @@
 use crate::retry::{AttemptEnd, AttemptTally, NextStep, last_step, next_step, silence_limit};
 use crate::rules::{CallRules, fingerprint, resolve_rules, rules_at};
 use crate::session::{IncomingCall, SessionWriter};
+use crate::sole_version::{routing_digest, sole_service};
 use crate::state::RelayState;
 
 /// Maximum number of requests for tokens before one placement of a call.
@@ -97,7 +98,9 @@
         return Ok((rules, None));
     };
     let request = fingerprint(incoming, rules.account);
-    let origin = state.resumed_origin(kind, request, metadata).await?;
+    let routing = routing_digest(catalog.catalog());
+    let sole = sole_service(rules.route).map(|service| (service, routing));
+    let origin = state.resumed_origin(kind, request, metadata, sole).await?;
     Ok((rules_at(catalog, rules, origin.service)?, Some(origin)))
 }
 
@@ -331,8 +334,8 @@
     /// whether it waited: the answer can go on nowhere else, and its caller could only return later.
     async fn wait_inside_answer(&mut self) -> bool {
         let (state, call) = (self.state, self.call);
-        let is_resumed = call.resumed_version.is_some();
-        if !self.writer.has_started && !is_resumed {
+        let is_resumable = call.route.kind.is_stream() && call.route.kind.is_repeatable();
+        if !self.writer.has_started && !is_resumable {
             return false;
         }
         let now = Instant::now();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 //! * [`statement_change`]: changes of what an endpoint states.
 //! * [`statement_log`]: log lines and metrics of what endpoints state.
 //! * [`peers`]: the other instances.
+//! * [`sole_version`]: the origin of a stream that nobody knows, where it can have only one.
 //! * [`restart_signs`]: signs of restarts of endpoints, and what other instances are told of them.
 //! * [`origin_lookup`]: which version a stream of a returning caller goes on at.
 //! * [`state`]: state that all calls of one instance share.
@@ -86,6 +87,7 @@
 pub mod server;
 pub mod session;
 pub mod slot;
+pub mod sole_version;
 pub mod state;
 pub mod statement_change;
 pub mod statement_log;
--- a/crates/relay/src/origin.rs
+++ b/crates/relay/src/origin.rs
@@ -93,8 +93,8 @@
         now >= self.lacks_until
     }
 
-    /// Records the origin of a stream. A known origin is never replaced: another claim makes the
-    /// origin disputed. The later expiry holds.
+    /// Records the origin of a stream. A known origin is never replaced, but an unsettled one is
+    /// settled: another claim makes the origin disputed. The later expiry holds.
     pub fn note(&mut self, now: Duration, notice: OriginNotice) {
         self.expire(now);
         let key = (notice.request, notice.stream);
@@ -106,7 +106,7 @@
         if let Some(known) = self.records.remove(&key) {
             self.by_expiry.remove(&(known.expires_at, key));
             record.expires_at = record.expires_at.max(known.expires_at);
-            record.claim = merge(known.claim, record.claim);
+            record.claim = settle(known.claim, record.claim);
         }
         self.records.insert(key, record);
         self.by_expiry.insert((record.expires_at, key));
@@ -179,6 +179,15 @@
     }
 }
 
+/// What two claims about one stream say together.
+fn settle(one: OriginClaim, other: OriginClaim) -> OriginClaim {
+    match (one, other) {
+        (OriginClaim::Unsettled, claim) | (claim, OriginClaim::Unsettled) => claim,
+        _ => merge(one, other),
+    }
+}
+
+/// What the claims about two streams say of a caller that may mean either.
 fn merge(one: OriginClaim, other: OriginClaim) -> OriginClaim {
     match one == other {
         true => one,
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -9,7 +9,7 @@
 use fault::FaultKind;
 use tokio::time::timeout;
 use wire::gateway::GatewayDatagram;
-use wire::id::{FingerprintHash, InstanceId, StreamId, name_id};
+use wire::id::{FingerprintHash, InstanceId, ServiceId, StreamId, name_id};
 use wire::stream::{
     FleetSize, MAX_MESSAGE_STREAMS, OriginClaim, OriginNotice, OriginQuery, StreamMessage,
     StreamOrigin,
@@ -125,7 +125,8 @@
 }
 
 impl RelayState {
-    /// Finds the origin of the stream that a request resumes. A caller that does not name the
+    /// Finds the origin of the stream that a request resumes. `sole` is the only service of its
+    /// route, if there is one, and the digest of the routes of streams. A caller that does not name the
     /// stream resumes one of the same request: it goes on if all known ones have one origin.
     ///
     /// # Errors
@@ -136,6 +137,7 @@
         kind: CallKind,
         request: FingerprintHash,
         metadata: &CallMetadata,
+        sole: Option<(ServiceId, u64)>,
     ) -> Result<StreamOrigin, FaultKind> {
         if !kind.is_repeatable() {
             return Err(FaultKind::OriginUnknown);
@@ -146,14 +148,22 @@
         };
         let caller_timeout = metadata.caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT);
         let finding = timeout(caller_timeout / LOOKUP_DIVISOR, self.find_origin(query));
-        match finding.await.ok().flatten() {
+        let mut claim = finding.await.ok().flatten();
+        if let (None, Some((service, routing))) = (claim, sole) {
+            let origin = self.sole_origin(service, routing).await;
+            claim = origin.map(OriginClaim::Known);
+        }
+        match claim {
             Some(OriginClaim::Known(origin)) => {
                 if let Some(stream) = query.stream {
-                    self.publish_origin(request, stream, origin, metadata.caller_timeout);
+                    let claim = OriginClaim::Known(origin);
+                    self.publish_claim(request, stream, claim, metadata.caller_timeout);
                 }
                 Ok(origin)
             }
-            Some(OriginClaim::Disputed) | None => Err(FaultKind::OriginUnknown),
+            Some(OriginClaim::Disputed | OriginClaim::Unsettled) | None => {
+                Err(FaultKind::OriginUnknown)
+            }
         }
     }
 
@@ -165,11 +175,22 @@
         stream: StreamId,
         origin: StreamOrigin,
         caller_timeout: Option<Duration>,
+    ) {
+        self.publish_claim(request, stream, OriginClaim::Known(origin), caller_timeout);
+    }
+
+    /// Records what is known of the origin of a stream and tells its keepers.
+    pub fn publish_claim(
+        &self,
+        request: FingerprintHash,
+        stream: StreamId,
+        claim: OriginClaim,
+        caller_timeout: Option<Duration>,
     ) {
         let notice = OriginNotice {
             request,
             stream,
-            claim: OriginClaim::Known(origin),
+            claim,
             lifetime_ms: whole_millis(caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT)),
         };
         self.origins.borrow_mut().note(self.now(), notice);
--- a/crates/relay/src/peers.rs
+++ b/crates/relay/src/peers.rs
@@ -1,12 +1,17 @@
 //! The other instances.
 
+use std::pin::Pin;
 use std::time::Duration;
 
 use wire::gateway::GatewayDatagram;
 use wire::id::InstanceId;
+use wire::version_record::VersionRecord;
 
 use crate::rate_keeper::KeeperTerm;
 
+/// Reading of the record of software versions.
+pub type VersionsFuture = Pin<Box<dyn Future<Output = Option<VersionRecord>>>>;
+
 /// The other instances, as the calls of this one need them.
 pub trait InstancePeers {
     /// Ids of the other instances that are probably live.
@@ -23,6 +28,11 @@
     /// majority has not confirmed it lately.
     fn keeper_term(&self) -> Option<KeeperTerm>;
 
+    /// Reads the record of software versions, confirmed by a quorum; `None` without one.
+    fn read_versions(&self) -> VersionsFuture {
+        Box::pin(async { None })
+    }
+
     /// Sends a message, which may be lost.
     fn send(&self, to: InstanceId, datagram: &GatewayDatagram);
 }
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -64,6 +64,9 @@
     pub domain: DomainId,
     /// Endpoints that the call has tried already.
     pub tried: &'a [EndpointId],
+    /// Whether the call begins a stream that its caller may resume, for which only software versions
+    /// are considered that the quorum has recorded.
+    pub is_resumable: bool,
     /// Whether endpoints are considered for which a token must be asked for.
     pub may_ask: bool,
     /// Current time.
@@ -183,9 +186,14 @@
         self.version.is_none_or(|version| version == row.version_id)
     }
 
-    /// Whether the version of an endpoint is certain, if the call depends on it.
+    /// Whether the version of an endpoint is certain, if the call depends on it, and recorded, if
+    /// it must be.
     fn is_certain(&self, table: &EndpointTable, id: EndpointId) -> bool {
-        self.version.is_none() || table.versions.is_certain(id)
+        let Some(row) = table.row(id) else {
+            return false;
+        };
+        let is_recorded = !self.is_resumable || table.recorded.allows(row.service, row.version_id);
+        is_recorded && (self.version.is_none() || table.versions.is_certain(id))
     }
 
     /// Whether the call has not tried an endpoint, may go on there, and the endpoint's statements
--- a/crates/relay/src/relay_call.rs
+++ b/crates/relay/src/relay_call.rs
@@ -127,6 +127,7 @@
             instance: state.settings.instance,
             domain: state.settings.domain,
             tried,
+            is_resumable: self.route.kind.is_stream() && self.route.kind.is_repeatable(),
             may_ask: false,
             now: state.now(),
         }
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -5,7 +5,7 @@
 use exchange::events::ContentKind;
 use tokio::time::Instant;
 use wire::id::VersionId;
-use wire::stream::StreamOrigin;
+use wire::stream::{OriginClaim, StreamOrigin};
 
 use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer, with_time_limit};
 use crate::origin_lookup::stream_id;
@@ -130,6 +130,9 @@
         self.progress.begun_by = Some(self.progress.attempt_version);
         self.progress.is_begun_uncertain = true;
         self.settle_version();
+        if self.progress.is_begun_uncertain {
+            self.publish(OriginClaim::Unsettled);
+        }
     }
 
     /// Records the software version that began the stream, and publishes it, once it is certain.
@@ -137,19 +140,26 @@
         let Some(version) = self.certain_version() else {
             return;
         };
-        let call = self.call;
         self.progress.begun_by = Some(version);
         self.progress.is_begun_uncertain = false;
-        if call.route.kind.is_repeatable() {
-            let service = call.service;
-            let origin = StreamOrigin { service, version };
-            let caller_timeout = call.metadata.caller_timeout;
-            // A caller that names no attempt finds its stream by the request alone.
-            let attempt_id = call.metadata.attempt_id.as_deref();
-            let stream = attempt_id.map_or_else(rand::random, stream_id);
-            self.state
-                .publish_origin(call.fingerprint, stream, origin, caller_timeout);
+        let service = self.call.service;
+        self.publish(OriginClaim::Known(StreamOrigin { service, version }));
+    }
+
+    /// Tells other instances what is known of the origin of the stream, if its caller may resume it.
+    fn publish(&mut self, claim: OriginClaim) {
+        let call = self.call;
+        if !call.route.kind.is_repeatable() {
+            return;
         }
+        // A caller that names no attempt finds its stream by the request alone.
+        let attempt_id = call.metadata.attempt_id.as_deref();
+        let unnamed = || self.progress.published_stream.unwrap_or_else(rand::random);
+        let stream = attempt_id.map_or_else(unnamed, stream_id);
+        self.progress.published_stream = Some(stream);
+        let caller_timeout = call.metadata.caller_timeout;
+        self.state
+            .publish_claim(call.fingerprint, stream, claim, caller_timeout);
     }
 
     /// The software version of the process that sends the stream; `None` while it is not certain.
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -8,6 +8,7 @@
 use wire::gateway::ListedEndpoint;
 use wire::id::{EndpointId, InstanceId, ServiceId};
 use wire::statement::{LimitNotice, TokenOutcome};
+use wire::version_record::VersionRecord;
 
 use crate::call::LoadReport;
 use crate::endpoint_limit::KeeperView;
@@ -44,6 +45,8 @@
     instance_loads: BTreeMap<InstanceId, Vec<(EndpointId, u16)>>,
     /// Whether the listed software versions are those of the present processes.
     pub versions: VersionCertainty,
+    /// What the quorum has recorded of software versions.
+    pub recorded: VersionRecord,
     /// What is known of the keeper of the rates that endpoints name.
     pub keeper: KeeperView,
 }
--- a/crates/relay/src/version_certainty.rs
+++ b/crates/relay/src/version_certainty.rs
@@ -91,6 +91,12 @@
         }
     }
 
+    /// Whether the active list shows the processes that ran when this instance started, or later
+    /// ones.
+    pub fn has_watched(&self) -> bool {
+        self.states(Duration::ZERO)
+    }
+
     /// Whether the active list shows a process that has served since `at`.
     pub fn states(&self, at: Duration) -> bool {
         self.stated_at >= at + self.lag
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -80,6 +80,7 @@
         instance: 1,
         domain: 0,
         tried: &[],
+        is_resumable: false,
         may_ask: false,
         now: NOW,
     };
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -72,6 +72,7 @@
         instance: 1,
         domain: 0,
         tried: &[],
+        is_resumable: false,
         may_ask,
         now: millis(now_ms),
     }
--- a/crates/relay/tests/placement.rs
+++ b/crates/relay/tests/placement.rs
@@ -40,6 +40,7 @@
         instance: 0,
         domain: 0,
         tried: &[],
+        is_resumable: false,
         may_ask: false,
         now: Duration::ZERO,
     }
@@ -206,6 +207,7 @@
     let mut table = table_of(3);
     let settings = PlacementSettings::default();
     let later = |millis| PlacementQuery {
+        is_resumable: false,
         may_ask: false,
         now: Duration::from_millis(millis),
         ..query(None)
--- a/crates/replica/src/core.rs
+++ b/crates/replica/src/core.rs
@@ -279,6 +279,11 @@
         self.foreign
     }
 
+    /// Last entry that the snapshot of this member covers.
+    pub fn snapshot_index(&self) -> LogIndex {
+        self.log.snapshot_index()
+    }
+
     /// Whether this member belongs to a cluster.
     pub fn has_cluster(&self) -> bool {
         self.hard.cluster != 0
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::id::{DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId};
 use crate::statement::LimitMessage;
 use crate::stream::{RestartNotice, StreamMessage};
+use crate::version_record::VersionRecord;
 
 /// Largest payload of a datagram in bytes; below the usual MTU, so that datagrams are not
 /// fragmented.
@@ -248,6 +249,8 @@
     Restarts(RestartNotice),
     /// When the reading of the preceding [`Self::List`] began. Older gateways ignore it.
     ListAge(ListAge),
+    /// A part of the quorum's record of software versions. Older gateways ignore it.
+    Versions(VersionRecord),
 }
 
 /// A catalog in the operator's text form, compressed.
@@ -275,6 +278,8 @@
     Install(CatalogText),
     /// A message of the consensus protocol that is too large for a datagram.
     Replica(Vec<u8>),
+    /// To the leader: return the record of software versions, confirmed by a quorum.
+    ReadVersions,
 }
 
 /// The answer to a [`GatewayRequest`].
@@ -290,4 +295,6 @@
     NotLeader(Option<InstanceId>),
     /// No quorum answered in time.
     NoQuorum,
+    /// The record of software versions.
+    Versions(VersionRecord),
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod message;
 pub mod statement;
 pub mod stream;
+pub mod version_record;
 
 pub use message::LinkMessage;
--- a/crates/wire/src/stream.rs
+++ b/crates/wire/src/stream.rs
@@ -28,6 +28,9 @@
     Known(StreamOrigin),
     /// Streams of several origins have the same id, as when a caller uses an attempt id twice.
     Disputed,
+    /// The stream has begun at an endpoint whose version is not certain yet. Older gateways drop
+    /// messages with it.
+    Unsettled,
 }
 
 /// Asks for the origin of a stream.
--- a/crates/wire/tests/gateway.rs
+++ b/crates/wire/tests/gateway.rs
@@ -13,6 +13,7 @@
     TokenShortage, TokenWish,
 };
 use wire::stream::{MAX_RESTART_SIGNS, OriginQuery, RestartNotice, RestartSign, StreamMessage};
+use wire::version_record::VersionRecord;
 
 /// Number by which postcard names the variant of a datagram.
 fn variant_of(datagram: &GatewayDatagram) -> u8 {
@@ -50,11 +51,12 @@
         }),
         GatewayDatagram::Restarts(RestartNotice::default()),
         GatewayDatagram::ListAge(ListAge::default()),
+        GatewayDatagram::Versions(VersionRecord::default()),
     ];
 
     let numbers: Vec<u8> = datagrams.iter().map(variant_of).collect();
 
-    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7, 8, 9]));
+    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10]));
 }
 
 // The bytes of an earlier build: a notice without change, and one with an endpoint.
