Relay: no check of an endpoint that rests or names a limit; the soak's endpoints answer reports

Cause: the check of an endpoint whose version is not certain asked endpoints that had asked for rest or name a limit, which count each request. The soak's endpoints took the check for a call without an account (guarantees_hold_under_seeded_faults failed).

Change: endpoints that rest, leave or name a limit are not checked. The soak's endpoints answer /v1/report beside calls, as those of the platform do, with a start that differs between their processes.

Measured: cargo test -p soak guarantees: fails before, passes now.

--- a/crates/relay/src/restart_signs.rs
+++ b/crates/relay/src/restart_signs.rs
@@ -63,7 +63,15 @@
     pub fn check_processes(self: &Rc<Self>, endpoints: &[EndpointId]) {
         for endpoint in endpoints.iter().take(MAX_CHECKS) {
             let now = self.now();
-            if self.table.borrow_mut().versions.begin_check(*endpoint, now) {
+            let mut table = self.table.borrow_mut();
+            // A check is a request that the endpoint has not asked for.
+            let may_check = table.row(*endpoint).is_some_and(|row| {
+                let is_limited = row.limit.rate().is_some() || row.rests(now);
+                row.standing(now).is_some() && !is_limited
+            });
+            let is_due = may_check && table.versions.begin_check(*endpoint, now);
+            drop(table);
+            if is_due {
                 let (state, endpoint) = (Rc::clone(self), *endpoint);
                 actix_rt::spawn(async move {
                     let checked = timeout(CHECK_TIMEOUT, state.check_process(endpoint)).await;
--- a/crates/soak/src/endpoint.rs
+++ b/crates/soak/src/endpoint.rs
@@ -14,6 +14,7 @@
 };
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64;
+use wire::id::name_id;
 
 use crate::history::SoakHistory;
 use crate::http::{HttpMessage, HttpStream, sized_answer};
@@ -34,6 +35,9 @@
 /// Path of health checks, which the catalog names.
 const HEALTH_PATH: &str = "/healthz";
 
+/// Path of an endpoint's report, which tells its processes apart.
+const REPORT_PATH: &str = "/v1/report";
+
 /// Calls per thousand that are refused with status 503 before they are executed.
 const REFUSED_PER_THOUSAND: u32 = 30;
 /// Calls per thousand that are executed and answered with status 500.
@@ -155,6 +159,10 @@
         if call.start_line.contains(HEALTH_PATH) {
             return self.answer_health(stream, &name);
         }
+        if call.start_line.contains(REPORT_PATH) {
+            let report = format!("{{\"born\":{}}}", name_id(&name));
+            return stream.send(sized_answer(200, "", &report).as_bytes());
+        }
         let parts = call.header(PREFIX_HASH).unwrap_or_default();
         if let Some(scope) = scope_of(&call.text(), parts) {
             self.history.record_poison_run(scope);
