--- a/crates/gateway/src/catalog_sync.rs
+++ b/crates/gateway/src/catalog_sync.rs
@@ -85,6 +85,7 @@
             return Some(match request.clone() {
                 GatewayRequest::Replace(text) => self.replace_as_leader(text).await,
                 GatewayRequest::Evacuate(order) => self.evacuate_as_leader(order).await,
+                GatewayRequest::ReadVersions => self.read_versions_as_leader().await,
                 _ => self.read_as_leader().await,
             });
         }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -47,3 +47,4 @@
 pub mod reload;
 pub mod status;
 pub mod suspect_file;
+pub mod version_record;
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -10,6 +10,7 @@
 use wire::gateway::ListedEndpoint;
 use wire::id::{DomainId, EndpointId, InstanceId, ServiceId, VersionId};
 use wire::statement::{ColdNotice, LimitNotice, TokenOutcome};
+use wire::version_record::VersionRecord;
 
 use crate::call::LoadReport;
 use crate::endpoint_limit::KeeperView;
@@ -48,6 +49,8 @@
     evacuated: BTreeSet<DomainId>,
     /// Whether the listed software versions are those of the present processes.
     pub versions: VersionCertainty,
+    /// What the quorum has recorded of software versions.
+    pub recorded: VersionRecord,
     /// What is known of the keeper of the rates that endpoints name.
     pub keeper: KeeperView,
     /// How long the endpoints of services are cold after a start.
--- a/crates/wire/src/gateway.rs
+++ b/crates/wire/src/gateway.rs
@@ -10,6 +10,7 @@
 use crate::id::{DomainId, EndpointId, FingerprintHash, IncarnationNumber, InstanceId, ServiceId};
 use crate::statement::LimitMessage;
 use crate::stream::{RestartNotice, StreamMessage};
+use crate::version_record::VersionRecord;
 
 /// Largest payload of a datagram in bytes; below the usual MTU, so that datagrams are not
 /// fragmented.
@@ -315,6 +316,8 @@
     Restarts(RestartNotice),
     /// When the reading of the preceding [`Self::List`] began. Older gateways ignore it.
     ListAge(ListAge),
+    /// A part of the quorum's record of software versions. Older gateways ignore it.
+    Versions(VersionRecord),
 }
 
 /// A catalog in the operator's text form, compressed.
@@ -346,6 +349,8 @@
     Evacuate(EvacuationOrder),
     /// Return the evacuations, if the receiver has a later revision than this.
     FetchEvacuations(u64),
+    /// To the leader: return the record of software versions, confirmed by a quorum.
+    ReadVersions,
 }
 
 /// The answer to a [`GatewayRequest`].
@@ -363,4 +368,6 @@
     NoQuorum,
     /// The evacuations; revision 0 when there is none, or none later than asked for.
     Evacuations(EvacuationState),
+    /// The record of software versions.
+    Versions(VersionRecord),
 }
--- a/crates/wire/tests/gateway.rs
+++ b/crates/wire/tests/gateway.rs
@@ -13,6 +13,7 @@
     TokenAsk, TokenOutcome, TokenShortage, TokenWish,
 };
 use wire::stream::{MAX_RESTART_SIGNS, OriginQuery, RestartNotice, RestartSign, StreamMessage};
+use wire::version_record::VersionRecord;
 
 /// Number by which postcard names the variant of a datagram.
 fn variant_of(datagram: &GatewayDatagram) -> u8 {
@@ -52,11 +53,12 @@
         GatewayDatagram::ColdList(ColdListNotice::default()),
         GatewayDatagram::Restarts(RestartNotice::default()),
         GatewayDatagram::ListAge(ListAge::default()),
+        GatewayDatagram::Versions(VersionRecord::default()),
     ];
 
     let numbers: Vec<u8> = datagrams.iter().map(variant_of).collect();
 
-    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11]));
+    expect_that!(numbers, eq(&vec![0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12]));
 }
 
 // The bytes of an earlier build: a notice without change, and one with an endpoint.
