--- a/crates/soak/src/hostile.rs
+++ b/crates/soak/src/hostile.rs
@@ -101,7 +101,7 @@
     pub kinds: Vec<HostileKind>,
     /// Time for which they do.
     pub length: Duration,
-    /// Memory of the machine that the gateway is told, in MB.
+    /// Memory of the machine that the gateway is told, in MB; 0 leaves the table `limits` out.
     pub memory_mb: u64,
     /// Further lines of the table `limits`.
     pub limits: String,
@@ -118,6 +118,8 @@
     pub calls: u64,
     /// Ordinary calls that were served.
     pub served: u64,
+    /// Median time of the ordinary calls that were served, connecting included.
+    pub median_call: Duration,
     /// Readiness checks.
     pub checks: u64,
     /// Readiness checks that failed or took longer than a second.
@@ -161,6 +163,7 @@
 struct Counters {
     calls: AtomicU64,
     served: AtomicU64,
+    call_times: Mutex<Vec<Duration>>,
     checks: AtomicU64,
     late_checks: AtomicU64,
     longest_check: Mutex<Duration>,
@@ -190,7 +193,9 @@
         "\n[limits]\nmemory_mb = {}\n{}",
         settings.memory_mb, settings.limits
     );
-    gateway.append_settings(&limits)?;
+    if settings.memory_mb > 0 {
+        gateway.append_settings(&limits)?;
+    }
     gateway.start();
     let operators = gateway.operator_address();
     let started = Instant::now();
@@ -232,7 +237,11 @@
     gateway.kill();
     let read = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
     let longest = counters.longest_check.lock();
+    let times = counters.call_times.lock();
+    let mut times = times.unwrap_or_else(PoisonError::into_inner);
+    times.sort_unstable();
     Ok(HostileOutcome {
+        median_call: times.get(times.len() / 2).copied().unwrap_or_default(),
         peak_mb,
         has_ended,
         calls: read(&counters.calls),
@@ -307,8 +316,12 @@
                     Ok(stream.read()?.status())
                 };
                 counters.calls.fetch_add(1, Ordering::SeqCst);
+                let started = Instant::now();
                 if call().is_ok_and(|status| status == 200) {
                     counters.served.fetch_add(1, Ordering::SeqCst);
+                    let times = counters.call_times.lock();
+                    let mut times = times.unwrap_or_else(PoisonError::into_inner);
+                    times.push(started.elapsed());
                 }
                 thread::sleep(CALL_INTERVAL);
             }
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -35,6 +35,9 @@
     /// run clients that hold memory and connections, each kind alone and each pair, in place of faults
     #[argh(switch)]
     hostile: bool,
+    /// with --hostile, run ordinary callers alone and leave the table `limits` out
+    #[argh(switch)]
+    calm: bool,
     /// directory that keeps the settings, data and logs of failed runs
     #[argh(option, default = "std::env::temp_dir().join(\"sapphire-soak\")")]
     folder: PathBuf,
@@ -111,6 +114,9 @@
         let others = HostileKind::ALL[index + 1..].iter();
         sets.extend(others.map(|second| vec![first, *second]));
     }
+    if args.calm {
+        sets = vec![Vec::new()];
+    }
     let mut failed = 0;
     for seed in args.seed..args.seed + args.seeds {
         for kinds in &sets {
@@ -118,7 +124,7 @@
                 seed,
                 kinds: kinds.clone(),
                 length: Duration::from_secs_f64(args.minutes * 60.0),
-                memory_mb: MEMORY_MB,
+                memory_mb: if args.calm { 0 } else { MEMORY_MB },
                 limits: String::new(),
             };
             let folder = args.folder.join(format!("hostile-{seed}-{kinds:?}"));
@@ -132,10 +138,11 @@
             };
             let violations = outcome.violations(MEMORY_MB);
             println!(
-                "RESULT hostile seed={seed} kinds={kinds:?} peak_mb={:.1} calls={} served={} checks={} late={} longest_ms={} opened={} violations={violations:?}",
+                "RESULT hostile seed={seed} kinds={kinds:?} peak_mb={:.1} calls={} served={} median_us={} checks={} late={} longest_ms={} opened={} violations={violations:?}",
                 outcome.peak_mb,
                 outcome.calls,
                 outcome.served,
+                outcome.median_call.as_micros(),
                 outcome.checks,
                 outcome.late_checks,
                 outcome.longest_check.as_millis(),
