Soak, fake: hostile runs fit the descriptors of the test and run one at a time

Cause: the rig opens up to 4,000 connections in one process, which a limit of 1,024 descriptors does not allow its own callers, and two runs at once measure each other's load. The entry was not shown beside pipelined requests.

--- a/crates/soak/src/hostile.rs
+++ b/crates/soak/src/hostile.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use catalog::CallKind;
+use kernel::limits::descriptor_limit;
 use platform::headers::{ATTEMPT_ID, SERVER_STAMP};
 use platform::paths::READINESS;
 use rand::{RngExt, SeedableRng};
@@ -170,11 +171,15 @@
     opened: AtomicU64,
 }
 
+/// Locked by a run: two at once would measure each other's load.
+static RUNNING: Mutex<()> = Mutex::new(());
+
 /// Runs one gateway beside misbehaving clients. `folder` receives its settings, data and log.
 ///
 /// # Errors
 /// The error of a stand-in or of the file system.
 pub fn run_hostile(settings: &HostileSettings, folder: &Path) -> io::Result<HostileOutcome> {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let endpoint = start_endpoint()?;
     let row = ListedEndpoint {
         name: "endpoint-0".to_owned(),
@@ -380,9 +385,12 @@
     /// those that it closes.
     fn run(mut self) {
         let requests = self.requests();
+        // This process needs descriptors for ordinary callers and checks, too.
+        let descriptors = descriptor_limit().unwrap_or(usize::MAX);
+        let connections = self.kind.connections().min(descriptors / 4);
         let mut open: Vec<HostileConnection> = Vec::new();
         while !self.is_stopping.load(Ordering::SeqCst) {
-            let missing = self.kind.connections() - open.len();
+            let missing = connections - open.len();
             for _ in 0..missing.min(200) {
                 let bytes = &requests[self.random.random_range(0..requests.len())];
                 // Most connect to callers' listener, some to the readiness listener.
