--- a/crates/soak/src/hostile.rs
+++ b/crates/soak/src/hostile.rs
@@ -14,6 +14,7 @@
 use std::time::{Duration, Instant};
 
 use catalog::CallKind;
+use kernel::limits::descriptor_limit;
 use platform::headers::{ATTEMPT_ID, SERVER_STAMP};
 use platform::paths::READINESS;
 use rand::{RngExt, SeedableRng};
@@ -101,7 +102,7 @@
     pub kinds: Vec<HostileKind>,
     /// Time for which they do.
     pub length: Duration,
-    /// Memory of the machine that the gateway is told, in MB.
+    /// Memory of the machine that the gateway is told, in MB; 0 leaves the table `limits` out.
     pub memory_mb: u64,
     /// Further lines of the table `limits`.
     pub limits: String,
@@ -118,6 +119,8 @@
     pub calls: u64,
     /// Ordinary calls that were served.
     pub served: u64,
+    /// Median time of the ordinary calls that were served, connecting included.
+    pub median_call: Duration,
     /// Readiness checks.
     pub checks: u64,
     /// Readiness checks that failed or took longer than a second.
@@ -161,17 +164,22 @@
 struct Counters {
     calls: AtomicU64,
     served: AtomicU64,
+    call_times: Mutex<Vec<Duration>>,
     checks: AtomicU64,
     late_checks: AtomicU64,
     longest_check: Mutex<Duration>,
     opened: AtomicU64,
 }
 
+/// Locked by a run: two at once would measure each other's load.
+static RUNNING: Mutex<()> = Mutex::new(());
+
 /// Runs one gateway beside misbehaving clients. `folder` receives its settings, data and log.
 ///
 /// # Errors
 /// The error of a stand-in or of the file system.
 pub fn run_hostile(settings: &HostileSettings, folder: &Path) -> io::Result<HostileOutcome> {
+    let _running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
     let endpoint = start_endpoint()?;
     let row = ListedEndpoint {
         name: "endpoint-0".to_owned(),
@@ -190,7 +198,9 @@
         "\n[limits]\nmemory_mb = {}\n{}",
         settings.memory_mb, settings.limits
     );
-    gateway.append_settings(&limits)?;
+    if settings.memory_mb > 0 {
+        gateway.append_settings(&limits)?;
+    }
     gateway.start();
     let operators = gateway.operator_address();
     let started = Instant::now();
@@ -232,7 +242,11 @@
     gateway.kill();
     let read = |counter: &AtomicU64| counter.load(Ordering::SeqCst);
     let longest = counters.longest_check.lock();
+    let times = counters.call_times.lock();
+    let mut times = times.unwrap_or_else(PoisonError::into_inner);
+    times.sort_unstable();
     Ok(HostileOutcome {
+        median_call: times.get(times.len() / 2).copied().unwrap_or_default(),
         peak_mb,
         has_ended,
         calls: read(&counters.calls),
@@ -307,8 +321,12 @@
                     Ok(stream.read()?.status())
                 };
                 counters.calls.fetch_add(1, Ordering::SeqCst);
+                let started = Instant::now();
                 if call().is_ok_and(|status| status == 200) {
                     counters.served.fetch_add(1, Ordering::SeqCst);
+                    let times = counters.call_times.lock();
+                    let mut times = times.unwrap_or_else(PoisonError::into_inner);
+                    times.push(started.elapsed());
                 }
                 thread::sleep(CALL_INTERVAL);
             }
@@ -367,9 +385,12 @@
     /// those that it closes.
     fn run(mut self) {
         let requests = self.requests();
+        // This process needs descriptors for ordinary callers and checks, too.
+        let descriptors = descriptor_limit().unwrap_or(usize::MAX);
+        let connections = self.kind.connections().min(descriptors / 4);
         let mut open: Vec<HostileConnection> = Vec::new();
         while !self.is_stopping.load(Ordering::SeqCst) {
-            let missing = self.kind.connections() - open.len();
+            let missing = connections - open.len();
             for _ in 0..missing.min(200) {
                 let bytes = &requests[self.random.random_range(0..requests.len())];
                 // Most connect to callers' listener, some to the readiness listener.
