Placement and expected waits use the speed that endpoints state

Cause: the fourth figure of the load header, how long work takes on the machine now, was dropped. Calls went on to engines that were slow just then.

Prompts leave a slow warm endpoint, the utilization of slow endpoints counts for more, and expected waits grow with the slowdown. Without the figure, or with 100, all decisions are as before. The overload replay gets the patterns surge-one, surge-three, wave, moving, engines-flap and engines-uneven, and engines whose speed changes while they work.

--- a/crates/measure/src/overload/engine.rs
+++ b/crates/measure/src/overload/engine.rs
@@ -56,6 +56,9 @@
     cache: VecDeque<(u64, u32)>,
     /// Factor by which all durations are multiplied.
     pub slowdown: f64,
+    /// Slowdowns of its machine with the times from which on they apply, in order. Empty for an
+    /// engine that does not state its speed.
+    pub speeds: Vec<(Duration, f64)>,
     /// Whether the engine accepts requests.
     pub is_up: bool,
 }
@@ -67,6 +70,7 @@
             waiting: VecDeque::new(),
             cache: VecDeque::new(),
             slowdown: 1.0,
+            speeds: Vec::new(),
             is_up: true,
         }
     }
@@ -88,7 +92,7 @@
     }
 
     /// Starts the next waiting request if a slot is free.
-    pub fn start(&mut self) -> Option<StartedRun> {
+    pub fn start(&mut self, now: Duration) -> Option<StartedRun> {
         if self.running.len() >= SLOTS {
             return None;
         }
@@ -99,11 +103,34 @@
         let step = STEP_TIME + STEP_TIME_PER_REQUEST * self.running.len() as u32;
         Some(StartedRun {
             attempt: request.attempt,
-            first_token: (prefill + step).mul_f64(self.slowdown),
-            total: (prefill + step * request.output_tokens.max(1)).mul_f64(self.slowdown),
+            first_token: self.elapsed(now, prefill + step),
+            total: self.elapsed(now, prefill + step * request.output_tokens.max(1)),
         })
     }
 
+    /// Time from `now` until work is done that takes `work` at the usual speed.
+    fn elapsed(&self, now: Duration, work: Duration) -> Duration {
+        let mut left = work.mul_f64(self.slowdown);
+        let mut at = now;
+        let first = self.speeds.partition_point(|(from, _)| *from <= now);
+        let mut slowdown = self.machine_slowdown(now);
+        for (until, next) in &self.speeds[first..] {
+            let done = (*until - at).div_f64(slowdown);
+            if done >= left {
+                break;
+            }
+            left -= done;
+            (at, slowdown) = (*until, *next);
+        }
+        at - now + left.mul_f64(slowdown)
+    }
+
+    fn machine_slowdown(&self, now: Duration) -> f64 {
+        let next = self.speeds.partition_point(|(from, _)| *from <= now);
+        let current = next.checked_sub(1).map(|index| self.speeds[index].1);
+        current.unwrap_or(1.0)
+    }
+
     /// Marks a prompt part as most recently used. Returns the number of its tokens that were not
     /// cached.
     fn touch(&mut self, part: (u64, u32)) -> u32 {
@@ -135,11 +162,13 @@
     }
 
     /// Returns the load report that accompanies answers.
-    pub fn report(&self) -> LoadReport {
+    pub fn report(&self, now: Duration) -> LoadReport {
+        let states_speed = !self.speeds.is_empty();
         LoadReport {
             running: self.running.len() as u32,
             waiting: self.waiting.len() as u32,
             slots: SLOTS as u32,
+            work_percent: states_speed.then(|| (self.machine_slowdown(now) * 100.0) as u32),
         }
     }
 }
--- a/crates/measure/src/overload/load.rs
+++ b/crates/measure/src/overload/load.rs
@@ -19,6 +19,14 @@
 const USUAL_RATE: f64 = 45.0;
 /// Number of client accounts; account 0 sends the most calls.
 const ACCOUNTS: u64 = 10;
+/// Number of client accounts of the patterns with a surge.
+const SURGE_ACCOUNTS: u64 = 24;
+/// How many times its usual calls a surging account sends.
+const SURGE_FACTOR: f64 = 7.0;
+/// Share of the refused calls of a surge that are retried immediately, up to three times.
+const SURGE_RETRY_SHARE: f64 = 0.3;
+/// Period of the swinging rate.
+const WAVE_PERIOD: Duration = Duration::from_secs(17);
 /// Number of different shared prompt parts of each kind of call in a small fleet.
 const PARTS_PER_KIND: f64 = 24.0;
 
@@ -50,11 +58,33 @@
     /// Three times the usual rate; half of the callers disconnect early.
     #[display("give-up")]
     GiveUp,
+    /// One and a half times the usual rate all the time; the largest of 24 accounts sends seven
+    /// times its usual calls, of which callers retry three in ten immediately.
+    #[display("surge-one")]
+    SurgeOne,
+    /// The same with three accounts of middle size.
+    #[display("surge-three")]
+    SurgeThree,
+    /// A rate that swings by half around one and a half times the usual one, in 17 s.
+    #[display("wave")]
+    Wave,
+    /// Two and a half times the usual rate; all callers reach the gateways of one third, and those
+    /// of the next third every 2 s.
+    #[display("moving")]
+    Moving,
+    /// One and three quarters of the usual rate; for 15 % of the time, work at an engine takes two and a
+    /// half times as long, which changes about every 600 ms.
+    #[display("engines-flap")]
+    EnginesFlap,
+    /// One and three quarters of the usual rate; a tenth of the engines is four and a half times slower
+    /// for about 3 s at a time.
+    #[display("engines-uneven")]
+    EnginesUneven,
 }
 
 impl LoadPattern {
     /// Every pattern.
-    pub const ALL: [Self; 8] = [
+    pub const ALL: [Self; 14] = [
         Self::Burst,
         Self::HotPrompt,
         Self::HotAccount,
@@ -63,14 +93,53 @@
         Self::EnginesSlow,
         Self::Release,
         Self::GiveUp,
+        Self::SurgeOne,
+        Self::SurgeThree,
+        Self::Wave,
+        Self::Moving,
+        Self::EnginesFlap,
+        Self::EnginesUneven,
     ];
 
-    /// Returns the call rate during the peak as a multiple of the usual rate.
-    fn rate_factor(self) -> f64 {
+    /// Accounts that send [`SURGE_FACTOR`] times their usual calls during the peak.
+    pub fn surging(self) -> &'static [u64] {
+        match self {
+            Self::SurgeOne => &[0],
+            Self::SurgeThree => &[1, 2, 4],
+            _ => &[],
+        }
+    }
+
+    /// Number of client accounts; account 0 sends the most calls.
+    pub fn accounts(self) -> u64 {
+        match self.surging() {
+            [] => ACCOUNTS,
+            _ => SURGE_ACCOUNTS,
+        }
+    }
+
+    /// Returns the call rate at a time as a multiple of the usual rate.
+    fn rate_factor(self, at: Duration) -> f64 {
+        let is_peak = PEAK.contains(&at);
+        match self {
+            Self::SurgeOne | Self::SurgeThree => 1.5,
+            Self::EnginesFlap | Self::EnginesUneven => 1.75,
+            Self::Wave => {
+                let turns = at.as_secs_f64() / WAVE_PERIOD.as_secs_f64();
+                1.5 * (1.0 + 0.5 * (turns * std::f64::consts::TAU).sin())
+            }
+            _ if is_peak => self.peak_factor(),
+            _ => 1.0,
+        }
+    }
+
+    fn peak_factor(self) -> f64 {
         match self {
             Self::Burst => 4.0,
             Self::HotPrompt | Self::HotAccount | Self::AngryRetries | Self::GiveUp => 3.0,
             Self::EnginesLost | Self::EnginesSlow | Self::Release => 2.0,
+            Self::Moving => 2.5,
+            _ => 1.0,
         }
     }
 }
@@ -180,6 +249,29 @@
 
 /// Generates the calls of a pattern in order of arrival, for a fleet of some size.
 pub fn draw_load(pattern: LoadPattern, size: FleetSize, seed: u64) -> Vec<LoadCall> {
+    let mut calls = draw_base(pattern, size, seed);
+    let is_surging =
+        |call: &LoadCall| PEAK.contains(&call.at) && pattern.surging().contains(&call.account);
+    let copied: Vec<LoadCall> = calls.iter().copied().filter(is_surging).collect();
+    let mut rng = Pcg64Mcg::seed_from_u64(!seed);
+    let peak = (PEAK.end - PEAK.start).as_secs_f64();
+    for _ in 1..SURGE_FACTOR as u32 {
+        for call in &copied {
+            let mut call = *call;
+            call.at = PEAK.start + Duration::from_secs_f64(peak * rng.random::<f64>());
+            if rng.random_bool(SURGE_RETRY_SHARE) {
+                call.retries_immediately = true;
+                call.max_retries = 3;
+            }
+            calls.push(call);
+        }
+    }
+    calls.sort_by_key(|call| call.at);
+    calls
+}
+
+/// Generates the calls of a pattern without the additional calls of a surge.
+pub fn draw_base(pattern: LoadPattern, size: FleetSize, seed: u64) -> Vec<LoadCall> {
     let usual_rate = USUAL_RATE * size.scale();
     let parts = (PARTS_PER_KIND * size.scale()) as u64;
     let mut rng = Pcg64Mcg::seed_from_u64(seed);
@@ -187,7 +279,7 @@
     let mut at = Duration::ZERO;
     loop {
         let is_peak = PEAK.contains(&at);
-        let rate_factor = if is_peak { pattern.rate_factor() } else { 1.0 };
+        let rate_factor = pattern.rate_factor(at);
         let gap = -(1.0 - rng.random::<f64>()).ln() / (usual_rate * rate_factor);
         at += Duration::from_secs_f64(gap);
         if at >= RUN_TIME {
@@ -211,7 +303,7 @@
     let mut call = LoadCall {
         at,
         kind,
-        account: (skewed * ACCOUNTS as f64) as u64,
+        account: (skewed * pattern.accounts() as f64) as u64,
         part: kind as u64 * parts + rng.random_range(0..parts),
         output_tokens: (call_kind.output_tokens * (0.4 + 1.2 * rng.random::<f64>())) as u32,
         caller_timeout: call_kind.caller_timeout,
@@ -240,3 +332,24 @@
     });
     found.unwrap_or(last)
 }
+
+/// Draws the slowdowns of an engine's machine until `end`.
+pub fn draw_speeds(
+    pattern: LoadPattern,
+    end: Duration,
+    rng: &mut Pcg64Mcg,
+) -> Vec<(Duration, f64)> {
+    // Mean time between changes, share of the slow spells and slowdown in them.
+    let (mean_time, slow_share, slowdown) = match pattern {
+        LoadPattern::EnginesFlap => (Duration::from_millis(600), 0.15, 2.5),
+        _ => (Duration::from_secs(3), 0.1, 4.5),
+    };
+    let mut speeds = Vec::new();
+    let mut at = Duration::ZERO;
+    while at < end {
+        let is_slow = rng.random_bool(slow_share);
+        speeds.push((at, if is_slow { slowdown } else { 1.0 }));
+        at += mean_time.mul_f64(0.5 + rng.random::<f64>());
+    }
+    speeds
+}
--- a/crates/measure/src/overload/mod.rs
+++ b/crates/measure/src/overload/mod.rs
@@ -28,8 +28,8 @@
     /// seed of the calls
     #[argh(option, default = "7")]
     pub seed: u64,
-    /// burst, hot-prompt, hot-account, angry-retries, engines-lost, engines-slow, release or
-    /// give-up; without it, all of them
+    /// burst, hot-prompt, hot-account, angry-retries, engines-lost, engines-slow, release, give-up,
+    /// surge-one, surge-three, wave, moving, engines-flap or engines-uneven; without it, all of them
     #[argh(option)]
     pub pattern: Option<LoadPattern>,
     /// number of gateways and engines, such as 7x9
@@ -48,6 +48,8 @@
     pub open: OverloadResult,
     /// Result when admission control decides by waits that it does not correct.
     pub uncorrected: OverloadResult,
+    /// Result when admission control decides and placement ignores the speeds that engines state.
+    pub speed_ignored: OverloadResult,
     /// Result when the gateways' admission control decides.
     pub bounded: OverloadResult,
     /// Estimate of the largest worth that a fleet can earn.
@@ -74,6 +76,7 @@
     PatternResult {
         open: replay(pattern, AdmissionPolicy::Open, size, &calls, seed),
         uncorrected: replay(pattern, AdmissionPolicy::Uncorrected, size, &calls, seed),
+        speed_ignored: replay(pattern, AdmissionPolicy::SpeedIgnored, size, &calls, seed),
         bounded: replay(pattern, AdmissionPolicy::Bounded, size, &calls, seed),
         ideal: ideal_worth(&calls, size.engines),
     }
@@ -96,6 +99,13 @@
             &result.uncorrected,
             result.ideal,
         );
+        print_result(
+            pattern,
+            args,
+            "speed-ignored",
+            &result.speed_ignored,
+            result.ideal,
+        );
         print_result(pattern, args, "bounded", &result.bounded, result.ideal);
         holds &= result.holds();
     }
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -8,6 +8,7 @@
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use relay::admission::{AdmissionCall, AdmissionControl, AdmissionSettings, MetLoad};
+use relay::call::LoadReport;
 use relay::health::CallOutcome;
 use relay::placement::{PlacementQuery, PlacementSettings};
 use relay::refusal::CallRefusal;
@@ -18,7 +19,7 @@
 
 use super::engine::{SLOTS, SimulatedEngine};
 use super::layout::{ROUND_GATEWAYS, domain_of, engine_index, listed, service};
-use super::load::{CALL_KINDS, LoadCall, LoadPattern, PEAK, RUN_TIME};
+use super::load::{CALL_KINDS, LoadCall, LoadPattern, PEAK, RUN_TIME, draw_speeds};
 use super::size::FleetSize;
 use super::tally::OverloadResult;
 
@@ -42,6 +43,10 @@
     /// The calls that the gateway's admission control accepts, by waits that it does not correct.
     #[display("uncorrected")]
     Uncorrected,
+    /// The calls that the gateway's admission control accepts, placed without the speeds that
+    /// engines state.
+    #[display("speed-ignored")]
+    SpeedIgnored,
     /// The calls that the gateway's admission control accepts.
     #[display("bounded")]
     Bounded,
@@ -50,7 +55,7 @@
 impl AdmissionPolicy {
     fn settings(self) -> AdmissionSettings {
         AdmissionSettings {
-            corrects_waits: self == Self::Bounded,
+            corrects_waits: matches!(self, Self::SpeedIgnored | Self::Bounded),
             ..AdmissionSettings::default()
         }
     }
@@ -64,8 +69,8 @@
     calls: &[LoadCall],
     seed: u64,
 ) -> OverloadResult {
-    let mut fleet = GatewayFleet::new(policy, size, calls, seed);
-    fleet.schedule_faults(pattern);
+    let mut fleet = GatewayFleet::new(pattern, policy, size, calls, seed);
+    fleet.schedule_faults();
     fleet.run();
     fleet.result
 }
@@ -115,6 +120,7 @@
 }
 
 struct GatewayFleet<'a> {
+    pattern: LoadPattern,
     policy: AdmissionPolicy,
     size: FleetSize,
     /// Ids of the engines, in their order.
@@ -134,7 +140,13 @@
 }
 
 impl<'a> GatewayFleet<'a> {
-    fn new(policy: AdmissionPolicy, size: FleetSize, calls: &'a [LoadCall], seed: u64) -> Self {
+    fn new(
+        pattern: LoadPattern,
+        policy: AdmissionPolicy,
+        size: FleetSize,
+        calls: &'a [LoadCall],
+        seed: u64,
+    ) -> Self {
         let listed = (0..size.engines).map(|engine| listed(engine, size));
         let listed: Vec<ListedEndpoint> = listed.collect();
         let gateway = |_| {
@@ -148,6 +160,7 @@
             }
         };
         let mut fleet = Self {
+            pattern,
             policy,
             size,
             endpoints: listed.iter().map(ListedEndpoint::id).collect(),
@@ -182,11 +195,11 @@
         fleet
     }
 
-    /// Schedules the engine faults of a pattern.
-    fn schedule_faults(&mut self, pattern: LoadPattern) {
+    /// Schedules the engine faults of the pattern.
+    fn schedule_faults(&mut self) {
         let engines = self.size.engines;
         let third = (0..engines).step_by(3);
-        match pattern {
+        match self.pattern {
             LoadPattern::EnginesLost => {
                 for engine in third {
                     self.schedule(PEAK.start, FleetEvent::EngineDown { engine });
@@ -207,6 +220,12 @@
                     self.schedule(down + ENGINE_DOWNTIME, FleetEvent::EngineUp { engine });
                 }
             }
+            LoadPattern::EnginesFlap | LoadPattern::EnginesUneven => {
+                let end = RUN_TIME * 2;
+                for engine in &mut self.engines {
+                    engine.speeds = draw_speeds(self.pattern, end, &mut self.rng);
+                }
+            }
             _ => {}
         }
     }
@@ -237,12 +256,24 @@
         }
     }
 
+    /// Draws the gateway that a caller reaches.
+    fn draw_gateway(&mut self) -> usize {
+        let gateways = self.size.gateways;
+        if self.pattern != LoadPattern::Moving || !PEAK.contains(&self.now) {
+            return self.rng.random_range(0..gateways);
+        }
+        let third = gateways.div_ceil(3);
+        let turn = (self.now - PEAK.start).as_secs() as usize / 2;
+        (turn * third + self.rng.random_range(0..third)) % gateways
+    }
+
     fn arrive(&mut self, call: usize, retries: u32) {
         let load_call = self.calls[call];
         let attempt = self.attempts.len();
+        let gateway = self.draw_gateway();
         self.attempts.push(CallAttempt {
             call,
-            gateway: self.rng.random_range(0..self.size.gateways),
+            gateway,
             retries,
             engine: None,
             wait: Duration::ZERO,
@@ -312,10 +343,11 @@
         let engine = engine_index(&self.endpoints, endpoint);
         let rank = match self.policy {
             AdmissionPolicy::Open => 0,
-            AdmissionPolicy::Uncorrected | AdmissionPolicy::Bounded => placed.rank,
+            _ => placed.rank,
         };
         if !self.engines[engine].push(load_call.request(attempt, rank)) {
-            let report = self.engines[engine].report();
+            let report = self.report(engine);
+            let gateway_state = &mut self.gateways[gateway];
             match self.engines[engine].is_up {
                 true => gateway_state.table.note_report(now, endpoint, report),
                 false => {
@@ -324,6 +356,7 @@
             }
             return Ok(false);
         }
+        let gateway_state = &mut self.gateways[gateway];
         gateway_state.table.start(now, endpoint);
         gateway_state.admission.accounts.start(service(), &account);
         let needs_announcement = self.size.gateways <= ROUND_GATEWAYS + 1
@@ -385,8 +418,20 @@
         self.result.kinds[self.calls[call].kind].refused += 1;
     }
 
+    /// The load report of an engine, as far as the policy uses it.
+    fn report(&self, engine: usize) -> LoadReport {
+        let report = self.engines[engine].report(self.now);
+        match self.policy {
+            AdmissionPolicy::SpeedIgnored => LoadReport {
+                work_percent: None,
+                ..report
+            },
+            _ => report,
+        }
+    }
+
     fn start_runs(&mut self, engine: usize) {
-        while let Some(run) = self.engines[engine].start() {
+        while let Some(run) = self.engines[engine].start(self.now) {
             let attempt = run.attempt;
             let at = self.now + NETWORK_DELAY * 2;
             self.schedule(at + run.first_token, FleetEvent::FirstToken { attempt });
@@ -413,7 +458,7 @@
         let in_time = self.now <= load_call.at + CALL_KINDS[load_call.kind].objective;
         self.answered.insert(call, in_time);
         let endpoint = self.endpoints[engine];
-        let report = self.engines[engine].report();
+        let report = self.report(engine);
         let Gateway {
             table, admission, ..
         } = &mut self.gateways[gateway];
--- a/crates/measure/src/overload/tally.rs
+++ b/crates/measure/src/overload/tally.rs
@@ -1,5 +1,7 @@
 //! Results of calls, and an estimate of the best possible result.
 
+use std::time::Duration;
+
 use super::engine::{SLOTS, SimulatedEngine};
 use super::load::{CALL_KINDS, CallKind, LoadCall, RUN_TIME};
 
@@ -80,6 +82,6 @@
     engine.push(call.request(0, 0));
     engine.remove(0);
     engine.push(call.request(0, 0));
-    let run = engine.start().expect("a slot is free");
+    let run = engine.start(Duration::ZERO).expect("a slot is free");
     (kind.worth, run.total.as_secs_f64())
 }
--- a/crates/measure/tests/overload.rs
+++ b/crates/measure/tests/overload.rs
@@ -1,7 +1,8 @@
 //! Results of calls while the offered load exceeds the capacity of the engines, by load pattern.
 
 use googletest::prelude::*;
-use measure::overload::load::{CALL_KINDS, LoadPattern};
+use measure::overload::load::{CALL_KINDS, LoadPattern, draw_load};
+use measure::overload::replay::{AdmissionPolicy, replay};
 use measure::overload::size::FleetSize;
 use measure::overload::{PatternResult, measure};
 
@@ -61,3 +62,25 @@
         }
     });
 }
+
+// Without the speeds that engines state, calls wait at engines whose machines are slow just then.
+#[gtest]
+fn stated_speeds_earn_worth_while_engines_differ() {
+    let patterns = [LoadPattern::EnginesFlap, LoadPattern::EnginesUneven];
+    let worth = |policy| {
+        let seeds = patterns.into_iter().flat_map(|pattern| {
+            (1..9).map(move |seed| {
+                let calls = draw_load(pattern, FleetSize::SMALL, seed);
+                replay(pattern, policy, FleetSize::SMALL, &calls, seed).worth()
+            })
+        });
+        seeds.sum::<f64>() / 16.0
+    };
+
+    let with_speeds = worth(AdmissionPolicy::Bounded);
+
+    expect_that!(
+        with_speeds,
+        gt(worth(AdmissionPolicy::SpeedIgnored) + 0.003)
+    );
+}
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -18,6 +18,7 @@
 };
 use crate::ranks::RankStatistics;
 use crate::retry_schedule::RetrySchedule;
+use crate::speed::EndpointSpeed;
 use crate::table::EndpointTable;
 use crate::wait_correction::WaitCorrection;
 
@@ -233,7 +234,7 @@
         // utilized endpoint rather than being refused, although the cache there may be cold.
         let other = match first.verdict {
             AdmissionVerdict::Admit => None,
-            AdmissionVerdict::Refuse { .. } => choose_least_utilized(table, query),
+            AdmissionVerdict::Refuse { .. } => choose_least_utilized(placement, table, query),
         };
         let other = other.map(|other| self.assess(table, query, call, other, rank));
         let other = other.filter(|other| other.verdict == AdmissionVerdict::Admit);
@@ -264,6 +265,7 @@
             return;
         };
         let wait = holding_time.mul_f64(met.report.waiting_ratio());
+        let wait = EndpointSpeed::stated(now, met.report.work_percent).work_time(now, wait);
         self.correction.note(now, met.service, met.known_wait, wait);
     }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -84,6 +84,9 @@
     pub waiting: u32,
     /// Number of requests that can run concurrently.
     pub slots: u32,
+    /// Time that work takes on the endpoint's machine now, in percent of the usual time; `None` if
+    /// it is not stated.
+    pub work_percent: Option<u32>,
 }
 
 impl LoadReport {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! * [`table`]: the endpoints of the list.
 //! * [`row`]: load and health of one endpoint.
+//! * [`speed`]: current speed of the machine that an endpoint runs on.
 //! * [`health`]: health of an endpoint, derived from the calls of this instance.
 //! * [`endpoint_limit`]: the limit of one endpoint, and this instance's share of it.
 //! * [`endpoint_leave`]: whether an endpoint has said that it leaves.
@@ -84,6 +85,7 @@
 pub mod server;
 pub mod session;
 pub mod slot;
+pub mod speed;
 pub mod state;
 pub mod statement_change;
 pub mod statement_log;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -32,6 +32,11 @@
     /// Number of requests by which an endpoint of another failure domain counts as more loaded, for
     /// calls without a prompt.
     pub remote_domain_penalty: f64,
+    /// Slowdown of an endpoint, relative to the fastest one, up to which it takes calls for its
+    /// cached prompts.
+    pub warm_slowdown_limit: f64,
+    /// Utilization by which an endpoint counts as more utilized if its work takes twice as long.
+    pub slowdown_penalty: f64,
 }
 
 impl Default for PlacementSettings {
@@ -41,6 +46,8 @@
             load_slack: 2.8,
             warm_queue_limit: 0.3,
             remote_domain_penalty: 0.5,
+            warm_slowdown_limit: 1.5,
+            slowdown_penalty: 0.25,
         }
     }
 }
@@ -86,12 +93,13 @@
 /// Chooses the least utilized endpoint, whatever its cache holds. Returns `None` if no usable
 /// endpoint is left.
 pub fn choose_least_utilized(
+    settings: &PlacementSettings,
     table: &EndpointTable,
     query: &PlacementQuery<'_>,
 ) -> Option<EndpointId> {
     let usable = best_standing(table, query);
     let seed = query.shared_part.unwrap_or_default() ^ query.instance;
-    let chosen = least_utilized(&usable, seed, query.now);
+    let chosen = least_utilized(settings, &usable, seed, query.now);
     chosen.map(|(id, _)| *id)
 }
 
@@ -232,12 +240,17 @@
     let within: Vec<_> = within
         .filter(|(_, row)| f64::from(row.load(now)) < bound)
         .collect();
-    let has_room = |(_, row): &&Candidate<'_>| row.queue_ratio(now) <= settings.warm_queue_limit;
+    let lowest = within.iter().map(|(_, row)| row.slowdown(now));
+    let lowest = lowest.fold(f64::INFINITY, f64::min);
+    let slowdown_limit = lowest.max(1.0) * settings.warm_slowdown_limit;
+    let has_room = |(_, row): &&Candidate<'_>| {
+        row.queue_ratio(now) <= settings.warm_queue_limit && row.slowdown(now) <= slowdown_limit
+    };
     let first = within
         .iter()
         .filter(has_room)
         .max_by_key(|(id, _)| affinity(part, *id));
-    let chosen = first.or_else(|| least_utilized(&within, part ^ query.instance, now));
+    let chosen = first.or_else(|| least_utilized(settings, &within, part ^ query.instance, now));
     chosen.map(|(id, _)| *id)
 }
 
@@ -245,11 +258,15 @@
 /// by `seed`. The seed must differ between instances, as otherwise all instances would choose the
 /// same endpoint and overload it.
 fn least_utilized<'a, 'b>(
+    settings: &PlacementSettings,
     usable: &'b [Candidate<'a>],
     seed: u64,
     now: Duration,
 ) -> Option<&'b Candidate<'a>> {
-    let step = |row: &EndpointRow| (row.utilization(now) * UTILIZATION_STEPS).floor();
+    let step = |row: &EndpointRow| {
+        let penalty = (row.slowdown(now) - 1.0) * settings.slowdown_penalty;
+        ((row.utilization(now) + penalty) * UTILIZATION_STEPS).floor()
+    };
     usable.iter().min_by(|(left_id, left), (right_id, right)| {
         let by_step = step(left).total_cmp(&step(right));
         by_step.then_with(|| affinity(seed, *right_id).cmp(&affinity(seed, *left_id)))
@@ -304,7 +321,8 @@
             settings.remote_domain_penalty
         };
         let load = f64::from(row.load(query.now)) + 1.0 + penalty;
-        (load * slowdown.sqrt() / served, *id)
+        let slowdown = slowdown.sqrt().max(row.slowdown(query.now));
+        (load * slowdown / served, *id)
     };
     let cheapest = usable.iter().min_by(|a, b| {
         let ((left, left_id), (right, right_id)) = (cost(a), cost(b));
--- a/crates/relay/src/row.rs
+++ b/crates/relay/src/row.rs
@@ -15,6 +15,7 @@
 use crate::endpoint_leave::EndpointLeave;
 use crate::endpoint_limit::{EndpointLimit, KeeperView};
 use crate::health::EndpointHealth;
+use crate::speed::EndpointSpeed;
 use crate::statement_change::StatementChange;
 
 /// Time without activity after which calls avoid an endpoint that runs requests. Several times as
@@ -82,6 +83,8 @@
     others_running: u32,
     /// Latest load that the endpoint reported, with the time of the report.
     report: Option<(LoadReport, Duration)>,
+    /// Speed of its machine, as stated with the latest report.
+    speed: EndpointSpeed,
     /// Health, derived from the calls of this instance.
     pub health: EndpointHealth,
     /// The limit that the endpoint names, and this instance's share of it.
@@ -127,6 +130,7 @@
             announced_running: 0,
             others_running: 0,
             report: None,
+            speed: EndpointSpeed::default(),
             health: EndpointHealth::default(),
             limit: EndpointLimit::new(Duration::ZERO),
             rest: EndpointRest::None,
@@ -399,6 +403,19 @@
         self.update_average(now);
         self.update_present_fraction(report);
         self.report = Some((report, now));
+        self.speed = EndpointSpeed::stated(now, report.work_percent);
+    }
+
+    /// Expected factor by which work takes longer than usual at `now`.
+    pub fn slowdown(&self, now: Duration) -> f64 {
+        self.speed.slowdown(now)
+    }
+
+    /// Expected time until a call gets a slot, if calls hold one for `holding_time` at the usual
+    /// speed.
+    pub fn expected_wait(&self, now: Duration, holding_time: Duration) -> Duration {
+        let wait = holding_time.mul_f64(self.queue_ratio(now));
+        self.speed.work_time(now, wait)
     }
 
     /// Records that another endpoint has taken over the address.
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -140,10 +140,10 @@
     }
 
     /// Expected time until a call gets a slot at an endpoint whose calls hold one for
-    /// `holding_time`.
+    /// `holding_time` at the usual speed.
     pub fn expected_wait(&self, now: Duration, id: EndpointId, holding_time: Duration) -> Duration {
-        let queue_ratio = self.rows.get(&id).map_or(0.0, |row| row.queue_ratio(now));
-        holding_time.mul_f64(queue_ratio)
+        let row = self.rows.get(&id);
+        row.map_or(Duration::ZERO, |row| row.expected_wait(now, holding_time))
     }
 
     /// Expected time between two slots becoming free while all slots of a service are taken, if its
--- a/crates/relay/tests/admission.rs
+++ b/crates/relay/tests/admission.rs
@@ -463,6 +463,7 @@
         running: 3,
         waiting: 0,
         slots: u32::from(SLOTS),
+        work_percent: None,
     };
 
     let before = table.expected_wait(NOW, endpoint, HOLDING_TIME);
@@ -486,6 +487,7 @@
             running: u32::from(SLOTS),
             waiting: 6 * u32::from(SLOTS),
             slots: u32::from(SLOTS),
+            work_percent: None,
         },
     };
     for _ in 0..calls {
