--- a/crates/measure/tests/cold.rs
+++ b/crates/measure/tests/cold.rs
@@ -8,14 +8,15 @@
 use measure::limit::{LimitResult, replay_cold};
 
 const SEED: u64 = 1;
+const QUIET_SEEDS: std::ops::Range<u64> = 1..4;
 const SIZES: [usize; 3] = [7, 30, 105];
 
 /// The replays under a steady load, which run once for all tests.
-static STEADY: LazyLock<Vec<LimitResult>> = LazyLock::new(|| replays(ColdLoad::Steady));
+static STEADY: LazyLock<Vec<LimitResult>> = LazyLock::new(steady_replays);
 
-fn replays(cold_load: ColdLoad) -> Vec<LimitResult> {
+fn steady_replays() -> Vec<LimitResult> {
     let sizes = SIZES.into_iter();
-    let results = sizes.map(|size| replay_cold(size, cold_load, SEED, true));
+    let results = sizes.map(|size| replay_cold(size, ColdLoad::Steady, SEED, true));
     results.collect()
 }
 
@@ -31,9 +32,10 @@
 
 #[gtest]
 fn cold_endpoint_of_a_quiet_service_gets_more_calls_in_a_second_than_it_bears() {
-    let results = replays(ColdLoad::Quiet);
+    let results = QUIET_SEEDS.map(|seed| replay_cold(30, ColdLoad::Quiet, seed, true));
 
-    expect_that!(results, each(field!(LimitResult.breaches, eq(&0))));
+    let breaches = results.map(|result| result.breaches);
+    expect_that!(breaches.collect::<Vec<_>>(), each(eq(&0)));
 }
 
 #[gtest]
