--- a/crates/gateway/src/datagrams.rs
+++ b/crates/gateway/src/datagrams.rs
@@ -81,6 +81,7 @@
                 self.readings.borrow_mut().note_age(self.now(), &age);
                 self.note_list_stated();
             }
+            GatewayDatagram::Accounts(notice) => self.handle_account_notice(from, notice),
             GatewayDatagram::PartCrashes(notice) => {
                 self.handle_crash_notice(from, SuspectKind::Part, &notice);
             }
--- a/crates/gateway/src/heartbeat.rs
+++ b/crates/gateway/src/heartbeat.rs
@@ -56,10 +56,11 @@
             directory.add_known(now, seeds.iter().copied());
             directory.next_recipients(now, &seeds)
         };
-        for instance in recipients {
-            node.send_datagram(instance, &heartbeat);
+        for instance in &recipients {
+            node.send_datagram(*instance, &heartbeat);
         }
         node.announce_evacuations();
+        node.send_account_notices(now, &recipients);
         if now >= expired_at + SLOW_INTERVAL {
             expired_at = now;
             node.relay_state.pool.expire(now);
@@ -126,6 +127,8 @@
                 .table
                 .borrow_mut()
                 .set_instance_loads(now, instance, Vec::new());
+            let mut admission = self.relay_state.admission.borrow_mut();
+            admission.shares.forget(instance);
         }
         let is_prober = self.directory.borrow().own_rank(now) == 0;
         self.relay_state.crashes.borrow_mut().set_prober(is_prober);
