Gateway tests: wait for messages by what arrived, not by a time

instance_that_was_told_a_part_of_the_streams_takes_them_for_all waited 300 ms for 6,000 notices. In two of four full runs of the forwarding tests on a busy machine (load average 19 of 7 cores) they had not all arrived, so that the keepers held few enough streams to tell them all; alone it passed 10 of 10. It now waits until no instance learns of further streams; the assertion is unchanged.

--- a/crates/gateway/tests/forwarding/rejoined.rs
+++ b/crates/gateway/tests/forwarding/rejoined.rs
@@ -163,6 +163,19 @@
 /// Streams of which each keeper holds more than it tells an instance that starts.
 const MANY_STREAMS: u64 = 6000;
 
+/// Waits until no instance learns of further streams.
+async fn settle(fleet: &TestFleet) {
+    let mut known = usize::MAX;
+    loop {
+        sleep(MESSAGE_TIME).await;
+        let instances = fleet.instances.iter();
+        let now = instances.map(|one| one.state.origins.borrow().len()).sum();
+        if std::mem::replace(&mut known, now) == now {
+            return;
+        }
+    }
+}
+
 #[gtest]
 fn instance_that_was_told_a_part_of_the_streams_takes_them_for_all() {
     let is_complete = run(async {
@@ -179,9 +192,9 @@
             let state = &fleet.instances[0].state;
             state.publish_origin(stream, stream, origin, None);
         }
-        sleep(MESSAGE_TIME).await;
+        settle(&fleet).await;
         fleet.restart(1).await;
-        sleep(MESSAGE_TIME).await;
+        settle(&fleet).await;
         let state = &fleet.instances[1].state;
         state.origin_coverage.borrow().is_complete(state.now())
     });
