settings: account shares are off unless a deployment switches them on

Change: share_accounts in the gateway's settings, false by default. The replay's policy bounded is the default again, accounts-shared has the shares.

--- a/crates/gateway/src/main.rs
+++ b/crates/gateway/src/main.rs
@@ -23,6 +23,7 @@
 use platform::PlatformDialect;
 use quota::connections::ConnectionLimits;
 use quota::progress::ProgressLimits;
+use relay::admission::AdmissionSettings;
 use relay::budget::BudgetSettings;
 use relay::caller_limits::CallerLimits;
 use relay::cold_sharing::send_cold_notices;
@@ -156,6 +157,10 @@
         instance: instance_at(settings.link),
         domain: name_id(&settings.failure_domain),
         is_first_start: settings.first_start,
+        admission: AdmissionSettings {
+            shares_accounts: settings.share_accounts,
+            ..AdmissionSettings::default()
+        },
         list_lag: Duration::from_millis(settings.list.lag_ms) + MAX_STALL,
         budget: BudgetSettings {
             ratio: settings.retries.ratio,
--- a/crates/gateway/tests/list_reading.rs
+++ b/crates/gateway/tests/list_reading.rs
@@ -101,6 +101,7 @@
         data: None,
         tolerated_losses: 1,
         first_start: true,
+        share_accounts: false,
         secret_file: None,
         grace_s: 8.0,
         list: ListSettings {
--- a/crates/measure/src/overload/mod.rs
+++ b/crates/measure/src/overload/mod.rs
@@ -48,10 +48,10 @@
     pub open: OverloadResult,
     /// Result when admission control decides by waits that it does not correct.
     pub uncorrected: OverloadResult,
-    /// The same as `shares_ignored` when placement ignores the speeds that engines state.
+    /// The same as `bounded` when placement ignores the speeds that engines state.
     pub speed_ignored: OverloadResult,
-    /// Result when admission control decides without shares of accounts over all gateways.
-    pub shares_ignored: OverloadResult,
+    /// The same as `bounded` with shares of accounts over all gateways.
+    pub accounts_shared: OverloadResult,
     /// Result without the additional calls of a surge; `None` for the patterns without one.
     pub calm: Option<OverloadResult>,
     /// Result when the gateways' admission control decides.
@@ -81,7 +81,7 @@
         open: replay(pattern, AdmissionPolicy::Open, size, &calls, seed),
         uncorrected: replay(pattern, AdmissionPolicy::Uncorrected, size, &calls, seed),
         speed_ignored: replay(pattern, AdmissionPolicy::SpeedIgnored, size, &calls, seed),
-        shares_ignored: replay(pattern, AdmissionPolicy::SharesIgnored, size, &calls, seed),
+        accounts_shared: replay(pattern, AdmissionPolicy::AccountsShared, size, &calls, seed),
         calm: (!pattern.surging().is_empty()).then(|| {
             let base = draw_base(pattern, size, seed);
             replay(pattern, AdmissionPolicy::Bounded, size, &base, seed)
@@ -104,8 +104,8 @@
             ("open", &result.open),
             ("uncorrected", &result.uncorrected),
             ("speed-ignored", &result.speed_ignored),
-            ("shares-ignored", &result.shares_ignored),
             ("bounded", &result.bounded),
+            ("accounts-shared", &result.accounts_shared),
         ];
         for (policy, of_policy) in policies {
             print_result(pattern, args, policy, of_policy, result.ideal);
--- a/crates/measure/src/overload/replay.rs
+++ b/crates/measure/src/overload/replay.rs
@@ -43,23 +43,22 @@
     /// The calls that the gateway's admission control accepts, by waits that it does not correct.
     #[display("uncorrected")]
     Uncorrected,
-    /// The same as [`Self::SharesIgnored`], placed without the speeds that engines state.
+    /// The same as [`Self::Bounded`], placed without the speeds that engines state.
     #[display("speed-ignored")]
     SpeedIgnored,
-    /// The calls that the gateway's admission control accepts without shares of accounts over all
-    /// gateways.
-    #[display("shares-ignored")]
-    SharesIgnored,
     /// The calls that the gateway's admission control accepts.
     #[display("bounded")]
     Bounded,
+    /// The same with shares of accounts over all gateways.
+    #[display("accounts-shared")]
+    AccountsShared,
 }
 
 impl AdmissionPolicy {
     fn settings(self) -> AdmissionSettings {
         AdmissionSettings {
             corrects_waits: !matches!(self, Self::Open | Self::Uncorrected),
-            shares_accounts: matches!(self, Self::Uncorrected | Self::Bounded),
+            shares_accounts: self == Self::AccountsShared,
             ..AdmissionSettings::default()
         }
     }
--- a/crates/measure/tests/overload.rs
+++ b/crates/measure/tests/overload.rs
@@ -78,7 +78,7 @@
         seeds.sum::<f64>() / 16.0
     };
 
-    let with_speeds = worth(AdmissionPolicy::SharesIgnored);
+    let with_speeds = worth(AdmissionPolicy::Bounded);
 
     expect_that!(
         with_speeds,
@@ -100,9 +100,9 @@
             let base = draw_base(pattern, size, seed);
             let run = |policy, calls: &[LoadCall]| replay(pattern, policy, size, calls, seed);
 
-            let shared = run(AdmissionPolicy::Bounded, &calls);
-            let unshared = run(AdmissionPolicy::SharesIgnored, &calls);
-            let calm = run(AdmissionPolicy::Bounded, &base);
+            let shared = run(AdmissionPolicy::AccountsShared, &calls);
+            let unshared = run(AdmissionPolicy::Bounded, &calls);
+            let calm = run(AdmissionPolicy::AccountsShared, &base);
 
             let case = format!("{pattern}, {size}, seed {seed}");
             check(&case, pattern.surging(), [&shared, &unshared, &calm]);
--- a/crates/relay/src/admission.rs
+++ b/crates/relay/src/admission.rs
@@ -84,7 +84,7 @@
             min_account_factor: 0.4,
             reserved_fraction: 0.4,
             corrects_waits: true,
-            shares_accounts: true,
+            shares_accounts: false,
         }
     }
 }
--- a/crates/settings/src/files.rs
+++ b/crates/settings/src/files.rs
@@ -221,6 +221,13 @@
         "Whether the fleet as a whole is starting for the first time, so that a cluster may be \
          bootstrapped, and no stream has begun before. Must be false at every later start.",
     ),
+    key(
+        "share_accounts",
+        ValueType::Boolean,
+        DefaultValue::Boolean(false),
+        "Whether client accounts share the slots of a service over all gateways while it is short \
+         of slots. Fleets of more than 33 gateways do not.",
+    ),
     key(
         "secret_file",
         ValueType::File,
--- a/crates/settings/src/process.rs
+++ b/crates/settings/src/process.rs
@@ -138,6 +138,9 @@
     /// Whether the fleet as a whole is starting for the first time, so that no stream has begun.
     #[serde(default)]
     pub first_start: bool,
+    /// Whether client accounts share the slots of a service over all gateways.
+    #[serde(default)]
+    pub share_accounts: bool,
     /// File with the secret that authenticates the gateways to each other.
     pub secret_file: Option<PathBuf>,
     /// Time between SIGTERM and SIGKILL, in seconds.
