--- a/crates/relay/src/cold_sharing.rs
+++ b/crates/relay/src/cold_sharing.rs
@@ -19,6 +19,9 @@
 /// that of the instances that find the same most need not announce it. Far shorter than a restart.
 const NOTICE_DELAY: Range<Duration> = Duration::from_millis(3)..Duration::from_millis(20);
 
+/// Interval at which a call that waits for a keeper of the rates looks for one.
+const KEEPER_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// The services of a catalog that have cold endpoints.
 pub fn cold_rules(catalog: &CatalogIndex) -> HashMap<ServiceId, ColdRule> {
     let services = catalog.catalog().services.iter();
@@ -72,6 +75,26 @@
         self.refresh_informed();
     }
 
+    /// Waits until some instance keeps the rates that instances share, at most for `limit`, if this
+    /// instance knows neither which endpoints of the service are cold nor who keeps the rates. Load
+    /// pattern: all instances restart at once, and calls arrive before the quorum has a leader. They
+    /// need tokens that nobody hands out yet, and would all be refused.
+    pub(crate) async fn until_rates_kept(&self, service: ServiceId, limit: Duration) {
+        let deadline = self.now() + limit;
+        while self.lacks_keeper(service) && self.now() < deadline {
+            sleep(KEEPER_CHECK_INTERVAL).await;
+        }
+    }
+
+    fn lacks_keeper(&self, service: ServiceId) -> bool {
+        let needs_keeper = self.table.borrow().needs_keeper(self.now(), service);
+        needs_keeper
+            && self
+                .peers
+                .get()
+                .is_some_and(|peers| peers.keeper().is_none())
+    }
+
     /// Records that an endpoint could not be reached or broke a connection, and tells the other
     /// instances, as it is cold when it returns.
     pub(crate) fn note_maybe_cold(&self, endpoint: EndpointId) {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -186,6 +186,8 @@
     async fn try_endpoints(&mut self) -> CallEnd {
         let (state, call) = (self.state, self.call);
         state.note_request(call.service);
+        let max_wait = SET_UP_LIMIT.min(call.time_left().unwrap_or(SET_UP_LIMIT) / SET_UP_DIVISOR);
+        state.until_rates_kept(call.service, max_wait).await;
         loop {
             self.ask_for_token().await;
             let Some(placed) = self.place() else {
--- a/crates/relay/src/table.rs
+++ b/crates/relay/src/table.rs
@@ -349,6 +349,12 @@
         notices.collect()
     }
 
+    /// Whether calls of a service need tokens only because this instance does not know which
+    /// endpoints are cold.
+    pub fn needs_keeper(&self, now: Duration, service: ServiceId) -> bool {
+        !self.keeper.is_informed(now) && self.cold_rules.contains_key(&service)
+    }
+
     /// Whether an endpoint of a service names a limit or is cold.
     pub fn has_limit(&self, now: Duration, service: ServiceId) -> bool {
         let mut rows = self.of_service(service);
--- a/crates/relay/tests/cold.rs
+++ b/crates/relay/tests/cold.rs
@@ -264,3 +264,19 @@
     expect_that!(f64::from(granted), le(RATE * 1.5 + 5.0));
     expect_that!(f64::from(granted), ge(RATE * 0.95));
 }
+
+/// Guards against calls that are refused at once after all instances have restarted, while the quorum
+/// elects the leader that hands out tokens.
+#[gtest]
+fn calls_wait_for_a_keeper_only_while_an_instance_is_uninformed() {
+    let mut table = table();
+    let (cold, other) = (name_id("chat"), name_id("plain"));
+    let informed = table.needs_keeper(millis(100), cold);
+
+    table.keeper.uninformed_until = millis(5000);
+
+    expect_that!(informed, eq(false));
+    expect_that!(table.needs_keeper(millis(100), cold), eq(true));
+    expect_that!(table.needs_keeper(millis(100), other), eq(false));
+    expect_that!(table.needs_keeper(millis(5000), cold), eq(false));
+}
