relay: leave a restarted gateway the retries that its predecessor could not spend

Change: the fraction of the part that no process spends (0.15) is available at once. The sum of both processes stays within the budget.

--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -34,6 +34,10 @@
 /// differently at the edges of the window.
 const SPENDABLE_FRACTION: f64 = 0.85;
 
+/// Fraction of this instance's part of the constant that it has in the first window after a restart:
+/// what the process before it left, as that spent no more than [`SPENDABLE_FRACTION`].
+const RESTART_FRACTION: f64 = (1.0 - SPENDABLE_FRACTION) / SPENDABLE_FRACTION;
+
 /// Arrival times of one service's requests and retries in the window.
 #[derive(Debug, Default)]
 struct ServiceWindow {
@@ -48,7 +52,7 @@
     /// Number of instances that share `BudgetSettings::extra`; at least 1.
     instances: usize,
     services: HashMap<ServiceId, ServiceWindow>,
-    /// Until when this instance's part of `BudgetSettings::extra` counts as spent.
+    /// Until when most of this instance's part of `BudgetSettings::extra` counts as spent.
     extra_spent_until: Duration,
 }
 
@@ -64,8 +68,8 @@
     }
 
     /// Creates the budget of an instance that starts at time zero in place of an earlier process.
-    /// That process may have spent its part of `BudgetSettings::extra` just before, so the part
-    /// counts as spent for one window.
+    /// That process may have spent all that it could of its part of `BudgetSettings::extra` just
+    /// before, so only the rest is left for one window.
     pub fn after_restart(settings: BudgetSettings) -> Self {
         let extra_spent_until = settings.window;
         Self {
@@ -91,9 +95,10 @@
 
     /// Takes one retry from the budget of a service. Returns `false` if the budget is used up.
     pub fn take_retry(&mut self, now: Duration, service: ServiceId) -> bool {
+        let extra = self.settings.extra / self.instances as f64;
         let extra = match now < self.extra_spent_until {
-            true => 0.0,
-            false => self.settings.extra / self.instances as f64,
+            true => extra * RESTART_FRACTION,
+            false => extra,
         };
         let ratio = self.settings.ratio;
         let window = self.window(now, service);
