relay: an endpoint that two probes did not reach may be cold when it answers again

Cause: a silent endpoint that is found unreachable gave no sign of a restart until the next call failed to connect. Change: the second failed probe is such a sign.

--- a/crates/relay/src/reach_check.rs
+++ b/crates/relay/src/reach_check.rs
@@ -95,6 +95,8 @@
         row.note_probe(is_reached);
         if row.is_unreachable(now) {
             log::info!(endpoint = row.name.as_str(); "relay: silent endpoint accepts no connection");
+            drop(table);
+            self.note_maybe_cold(endpoint);
         }
     }
 }
