--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -333,6 +333,9 @@
         let state = self.state;
         let reason = error.to_string();
         let is_silent_call = matches!(error, EndpointError::Silent);
+        if !is_silent_call {
+            state.note_maybe_cold(self.endpoint);
+        }
         if !is_silent_call || state.is_silent(self.endpoint) {
             state.note_health(self.endpoint, CallOutcome::Broken, &reason);
             if error.is_lost_connection() {
