--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -38,6 +38,9 @@
     /// with --hostile, run ordinary callers alone and leave the table `limits` out
     #[argh(switch)]
     calm: bool,
+    /// keep the directories of runs that passed, too
+    #[argh(switch)]
+    keep: bool,
     /// directory that keeps the settings, data and logs of failed runs
     #[argh(option, default = "std::env::temp_dir().join(\"sapphire-soak\")")]
     folder: PathBuf,
@@ -90,11 +93,10 @@
             counts.late_part_runs,
             outcome.violations.len()
         );
-        if outcome.violations.is_empty() {
-            // Only runs with violations keep their directory.
-            let _ = std::fs::remove_dir_all(&folder);
-        } else {
+        if !outcome.violations.is_empty() {
             failed.push(seed);
+        } else if !args.keep {
+            let _ = std::fs::remove_dir_all(&folder);
         }
     }
     println!("RESULT soak seeds={} failed={failed:?}", args.seeds);
