relay: settle the origin of a stream once the list states which process began it

Cause: a stream that begins shortly after a sign of a restart has no certain version. It was settled only while it ran, so that returns of streams that had ended were refused for good, and their callers were told to come back four times before any reading of the list could have told more. Change: streams whose version is open are kept until a reading states the process, a later process has answered, or their callers have stopped waiting. Refusals for an open version name the lag of the list as time to come back. The cause of each refused return is logged and counted.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -68,8 +68,7 @@
             let forward = CallForward::new(state, &call, writer, &mut record);
             record.end = forward.run().await;
         }
-        Err(kind) => {
-            let refusal = CallRefusal::new(kind, metadata.caller_timeout);
+        Err(refusal) => {
             (record.end, record.retry_after) = refuse(state, &refusal, writer).await;
         }
     }
@@ -93,8 +92,9 @@
     catalog: Option<&'a CatalogIndex>,
     incoming: &IncomingCall,
     metadata: &CallMetadata,
-) -> Result<(CallRules<'a>, Option<StreamOrigin>), FaultKind> {
-    let rules = resolve_rules(catalog, incoming, metadata, rand::random())?;
+) -> Result<(CallRules<'a>, Option<StreamOrigin>), CallRefusal> {
+    let to_refusal = |kind| CallRefusal::new(kind, metadata.caller_timeout);
+    let rules = resolve_rules(catalog, incoming, metadata, rand::random()).map_err(to_refusal)?;
     let kind = rules.route.kind;
     let is_resumed = kind.is_stream() && metadata.resume_after.is_some();
     let Some(catalog) = catalog.filter(|_| is_resumed) else {
@@ -104,7 +104,8 @@
     let routing = routing_digest(catalog.catalog());
     let sole = sole_service(rules.route).map(|service| (service, routing));
     let origin = state.resumed_origin(kind, request, metadata, sole).await?;
-    Ok((rules_at(catalog, rules, origin.service)?, Some(origin)))
+    let rules = rules_at(catalog, rules, origin.service).map_err(to_refusal)?;
+    Ok((rules, Some(origin)))
 }
 
 /// Carries one call through its attempts.
@@ -379,10 +380,25 @@
         if self.call.domains.is_some() {
             self.state.metrics.count_region_refusal();
         }
-        match self.wait_for_room() {
-            Some(wait) => self.refuse_overloaded(wait).await,
-            None => self.finish_failed().await,
+        if let Some(wait) = self.wait_for_room() {
+            return self.refuse_overloaded(wait).await;
         }
+        match self.last.is_none() && self.has_uncertain() {
+            true => {
+                let refusal = CallRefusal {
+                    scheduled_wait: Some(self.state.settings.list_lag),
+                    ..CallRefusal::new(FaultKind::NoEndpoint, self.call.time_left())
+                };
+                self.refuse_unless_run(refusal).await
+            }
+            false => self.finish_failed().await,
+        }
+    }
+
+    /// Whether an endpoint may go on with the stream once the list states which process serves there.
+    fn has_uncertain(&self) -> bool {
+        let query = self.call.query(self.state, self.progress.begun_by, &[]);
+        !uncertain(&self.state.table.borrow(), &query).is_empty()
     }
 
     /// Time after which a call returns that is kept from endpoints by what these state; `None` if it
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 //! * [`budget`]: retry budget of a service.
 //! * [`origin`]: which software version began a stream.
 //! * [`origin_coverage`]: whether the records of streams are complete.
+//! * [`unsettled_origins`]: streams whose origin is settled after they began.
 //! * [`crash`]: detection of requests that crash the endpoints that run them.
 //! * [`retry`]: whether a failed attempt is followed by another.
 //! * [`region`]: regions in which calls must stay.
@@ -104,5 +105,6 @@
 pub mod statement_log;
 mod stream_answer;
 pub mod table;
+pub mod unsettled_origins;
 pub mod version_certainty;
 pub mod wait_correction;
--- a/crates/relay/src/origin_lookup.rs
+++ b/crates/relay/src/origin_lookup.rs
@@ -18,8 +18,10 @@
 use crate::call::CallMetadata;
 use crate::origin::{ASKED_INSTANCES, KEEPERS, rank_instances, whole_millis};
 use crate::origin_coverage::{COVERAGE_TIME, covering_count};
+use crate::refusal::CallRefusal;
 use crate::relay_call::DEFAULT_CALLER_TIMEOUT;
 use crate::state::RelayState;
+use crate::unsettled_origins::ProcessFinding;
 
 /// How long the answers to each round of queries are awaited. The next round makes up for lost
 /// datagrams, and for a notice that the return of its caller has overtaken.
@@ -67,6 +69,31 @@
     }
 }
 
+/// Why a caller's stream does not go on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RefusedReturn {
+    /// Streams of its route may not be resumed.
+    NotResumable,
+    /// Streams of several origins have its id.
+    Disputed,
+    /// The version that began it is not certain yet.
+    Unsettled,
+    /// Nobody who answers knows it.
+    Unknown,
+}
+
+impl RefusedReturn {
+    /// Label for the log and the metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::NotResumable => "not-resumable",
+            Self::Disputed => "disputed",
+            Self::Unsettled => "unsettled",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
 /// Guard of a lookup, which ends with the last guard of its query.
 struct LookupGuard<'a> {
     lookups: &'a RefCell<OriginLookups>,
@@ -130,17 +157,17 @@
     /// stream resumes one of the same request: it goes on if all known ones have one origin.
     ///
     /// # Errors
-    /// [`FaultKind::OriginUnknown`] if nobody who answers knows the origin, if it is disputed, or
-    /// if the route does not allow that its streams are resumed.
+    /// A refusal of kind [`FaultKind::OriginUnknown`] if nobody who answers knows the origin, if it is
+    /// disputed or not settled yet, or if the route does not allow that its streams are resumed.
     pub async fn resumed_origin(
         &self,
         kind: CallKind,
         request: FingerprintHash,
         metadata: &CallMetadata,
         sole: Option<(ServiceId, u64)>,
-    ) -> Result<StreamOrigin, FaultKind> {
+    ) -> Result<StreamOrigin, CallRefusal> {
         if !kind.is_repeatable() {
-            return Err(FaultKind::OriginUnknown);
+            return Err(self.refuse_return(metadata, RefusedReturn::NotResumable));
         }
         let query = OriginQuery {
             request,
@@ -161,9 +188,34 @@
                 }
                 Ok(origin)
             }
-            Some(OriginClaim::Disputed | OriginClaim::Unsettled) | None => {
-                Err(FaultKind::OriginUnknown)
+            Some(OriginClaim::Disputed) => {
+                Err(self.refuse_return(metadata, RefusedReturn::Disputed))
+            }
+            Some(OriginClaim::Unsettled) => {
+                Err(self.refuse_return(metadata, RefusedReturn::Unsettled))
             }
+            None => Err(self.refuse_return(metadata, RefusedReturn::Unknown)),
+        }
+    }
+
+    /// Refuses a caller whose stream does not go on. A stream whose origin is not settled may go on
+    /// once the list states the process that began it.
+    fn refuse_return(&self, metadata: &CallMetadata, cause: RefusedReturn) -> CallRefusal {
+        self.metrics.count_stream_return(cause.label());
+        log::info!(
+            call = metadata.attempt_id.as_deref().unwrap_or("-"),
+            resumes = metadata.resumes.as_deref().unwrap_or(""),
+            cause = cause.label();
+            "relay: stream is not taken up"
+        );
+        CallRefusal {
+            scheduled_wait: match cause {
+                RefusedReturn::Unsettled => Some(self.settings.list_lag),
+                RefusedReturn::Disputed | RefusedReturn::Unknown | RefusedReturn::NotResumable => {
+                    None
+                }
+            },
+            ..CallRefusal::new(FaultKind::OriginUnknown, metadata.caller_timeout)
         }
     }
 
@@ -203,6 +255,28 @@
         }
     }
 
+    /// Publishes the origins of the streams that began at a version which has become certain.
+    pub(crate) fn settle_origins(&self) {
+        let settled = {
+            let table = self.table.borrow();
+            self.unsettled.borrow_mut().settle(self.now(), |stream| {
+                let row = table.row(stream.endpoint);
+                match row.filter(|row| row.address == stream.address) {
+                    Some(row) => table.versions.find_process(stream, row.version_id),
+                    None => ProcessFinding::Lost,
+                }
+            })
+        };
+        for (stream, version) in settled {
+            let origin = StreamOrigin {
+                service: stream.service,
+                version,
+            };
+            self.metrics.count_stream_return("settled");
+            self.publish_origin(stream.request, stream.stream, origin, stream.caller_timeout);
+        }
+    }
+
     /// Looks up the origin of a stream.
     async fn find_origin(&self, query: OriginQuery) -> Option<OriginClaim> {
         let own = self.known_origin(query);
@@ -214,11 +288,9 @@
             Some(_) => self.ask_for_stream(query).await,
             None => self.ask_for_request(query).await,
         };
-        let result = match claim {
-            Some(_) => "found",
-            None => "unknown",
-        };
-        self.metrics.count_stream_return(result);
+        if claim.is_some() {
+            self.metrics.count_stream_return("found");
+        }
         claim
     }
 
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -29,6 +29,7 @@
 use crate::rate_keeper::RateKeeper;
 use crate::region::DomainRegions;
 use crate::table::EndpointTable;
+use crate::unsettled_origins::UnsettledOrigins;
 use crate::version_certainty::VersionCertainty;
 use exchange::pool::ConnectionPool;
 use quota::budget::ByteBudget;
@@ -118,6 +119,8 @@
     pub origins: RefCell<OriginTable>,
     /// Whether these records are complete.
     pub origin_coverage: RefCell<OriginCoverage>,
+    /// Streams whose origin is not settled.
+    pub unsettled: RefCell<UnsettledOrigins>,
     /// Streams whose origin is being looked up at other instances.
     pub origin_lookups: RefCell<OriginLookups>,
     /// Notified when another instance has sent a message about origins.
@@ -192,6 +195,7 @@
             regions: RefCell::default(),
             listed_at: Cell::new(None),
             crashes: RefCell::new(CrashTracker::new(rand::random())),
+            unsettled: RefCell::default(),
             origin_lookups: RefCell::default(),
             origin_changed: Notify::new(),
             peers: OnceCell::new(),
@@ -291,6 +295,7 @@
     pub fn note_list_stated(&self, began_at: Duration) {
         let now = self.now();
         self.table.borrow_mut().versions.note_stated(now, began_at);
+        self.settle_origins();
         if !began_at.is_zero() {
             self.note_first_list();
         }
--- a/crates/relay/src/stream_answer.rs
+++ b/crates/relay/src/stream_answer.rs
@@ -13,9 +13,11 @@
 use crate::attempt::{AttemptResult, EndpointAttempt, FailedAttempt, OpenAnswer};
 use crate::origin_lookup::stream_id;
 use crate::reach_check::wait_while_reachable;
+use crate::relay_call::DEFAULT_CALLER_TIMEOUT;
 use crate::retry::AttemptEnd;
 use crate::session::{self, CallerFraming};
 use crate::slot::OccupiedSlot;
+use crate::unsettled_origins::UnsettledStream;
 
 /// Time from the first event of a stream to a later one, from which on no part of its prompt counts
 /// as crashing endpoints. Such a part crashes its endpoint within 0.1 s after the run began.
@@ -163,9 +165,33 @@
         self.settle_version();
         if self.progress.is_begun_uncertain {
             self.publish(OriginClaim::Unsettled);
+            self.note_unsettled();
         }
     }
 
+    /// Lets the origin be settled after the stream has ended, if its caller may resume it.
+    fn note_unsettled(&self) {
+        let (state, call, progress) = (self.state, self.call, &self.progress);
+        let Some((stream, address)) = progress.published_stream.zip(progress.attempt_address)
+        else {
+            return;
+        };
+        let now = state.now();
+        let caller_timeout = call.metadata.caller_timeout;
+        let unsettled = UnsettledStream {
+            request: call.fingerprint,
+            stream,
+            service: call.service,
+            endpoint: self.endpoint,
+            address,
+            listed_version: progress.attempt_version,
+            accepted_at: progress.accepted_at,
+            caller_timeout,
+            expires_at: now + caller_timeout.unwrap_or(DEFAULT_CALLER_TIMEOUT),
+        };
+        state.unsettled.borrow_mut().add(now, unsettled);
+    }
+
     /// Records the software version that began the stream, and publishes it, once it is certain.
     fn settle_version(&mut self) {
         let Some(version) = self.certain_version() else {
@@ -173,6 +199,10 @@
         };
         self.progress.begun_by = Some(version);
         self.progress.is_begun_uncertain = false;
+        if let Some(stream) = self.progress.published_stream {
+            let mut unsettled = self.state.unsettled.borrow_mut();
+            unsettled.remove(self.call.fingerprint, stream);
+        }
         let service = self.call.service;
         self.publish(OriginClaim::Known(StreamOrigin { service, version }));
     }
--- /dev/null
+++ b/crates/relay/src/unsettled_origins.rs
@@ -0,0 +1,102 @@
+//! Streams that began at an endpoint whose software version was not certain, and whose origin is
+//! settled once it is.
+//!
+//! Load pattern: endpoints crash one after the other, so that many streams begin shortly after a
+//! sign of a restart. A caller that loses such a stream returns when the list has long stated which
+//! process sent its events; without this table, the origin stays unknown once the stream has ended.
+
+use std::collections::HashMap;
+use std::net::SocketAddrV4;
+use std::time::Duration;
+
+use wire::id::{EndpointId, FingerprintHash, ServiceId, StreamId, VersionId};
+
+/// Largest number of streams. Further ones are not settled after their end.
+const MAX_STREAMS: usize = 8 * 1024;
+
+/// A stream whose origin is not settled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UnsettledStream {
+    /// The request that the stream answers.
+    pub request: FingerprintHash,
+    /// The stream.
+    pub stream: StreamId,
+    /// Service of the endpoint that began it.
+    pub service: ServiceId,
+    /// The endpoint that began it.
+    pub endpoint: EndpointId,
+    /// Address of that endpoint.
+    pub address: SocketAddrV4,
+    /// Its software version in the list when the stream began.
+    pub listed_version: VersionId,
+    /// When the endpoint accepted the connection on which it began.
+    pub accepted_at: Duration,
+    /// Time for which its caller waits.
+    pub caller_timeout: Option<Duration>,
+    /// When its caller has stopped waiting.
+    pub expires_at: Duration,
+}
+
+/// What has become known of the process that began a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ProcessFinding {
+    /// Its software version.
+    Version(VersionId),
+    /// Nothing yet.
+    Open,
+    /// It is gone, and its version will not be known.
+    Lost,
+}
+
+/// The streams whose origin is not settled.
+#[derive(Clone, Debug, Default)]
+pub struct UnsettledOrigins {
+    streams: HashMap<(FingerprintHash, StreamId), UnsettledStream>,
+}
+
+impl UnsettledOrigins {
+    /// Number of streams.
+    pub fn len(&self) -> usize {
+        self.streams.len()
+    }
+
+    /// Whether there is no stream.
+    pub fn is_empty(&self) -> bool {
+        self.streams.is_empty()
+    }
+
+    /// Adds a stream.
+    pub fn add(&mut self, now: Duration, stream: UnsettledStream) {
+        if self.streams.len() >= MAX_STREAMS {
+            self.streams.retain(|_, stream| now < stream.expires_at);
+        }
+        if self.streams.len() < MAX_STREAMS {
+            let key = (stream.request, stream.stream);
+            self.streams.insert(key, stream);
+        }
+    }
+
+    /// Removes a stream that was settled while it ran.
+    pub fn remove(&mut self, request: FingerprintHash, stream: StreamId) {
+        self.streams.remove(&(request, stream));
+    }
+
+    /// Removes and returns the streams whose version has become known. Those that expired, or whose
+    /// version will not be known, are dropped.
+    pub fn settle(
+        &mut self,
+        now: Duration,
+        find: impl Fn(&UnsettledStream) -> ProcessFinding,
+    ) -> Vec<(UnsettledStream, VersionId)> {
+        let mut settled = Vec::new();
+        self.streams.retain(|_, stream| match find(stream) {
+            ProcessFinding::Version(version) => {
+                settled.push((*stream, version));
+                false
+            }
+            ProcessFinding::Open => now < stream.expires_at,
+            ProcessFinding::Lost => false,
+        });
+        settled
+    }
+}
--- a/crates/relay/src/version_certainty.rs
+++ b/crates/relay/src/version_certainty.rs
@@ -12,10 +12,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use wire::id::EndpointId;
+use wire::id::{EndpointId, VersionId};
 use wire::stream::{MAX_RESTART_SIGNS, RestartNotice, RestartSign};
 
 use crate::origin::whole_millis;
+use crate::unsettled_origins::{ProcessFinding, UnsettledStream};
 
 /// Time for which a sign is kept if the endpoint does not answer: longer than any stream lives that
 /// could return to it.
@@ -102,6 +103,21 @@
         self.stated_at >= at + self.lag
     }
 
+    /// What is known of the process that began a stream, if the list now states `version` for its
+    /// endpoint. Another version than the one listed at that time may be that of a later process.
+    pub fn find_process(&self, stream: &UnsettledStream, version: VersionId) -> ProcessFinding {
+        if stream.listed_version != version {
+            return ProcessFinding::Lost;
+        }
+        let accepted_at = stream.accepted_at;
+        match self.signs.get(&stream.endpoint).map(|sign| sign.served) {
+            Some(Some(served)) if served.since > accepted_at => ProcessFinding::Lost,
+            Some(Some(served)) if self.states(served.since) => ProcessFinding::Version(version),
+            None if self.states(accepted_at) => ProcessFinding::Version(version),
+            _ => ProcessFinding::Open,
+        }
+    }
+
     /// Records a sign that was seen at `at`. Returns whether other instances should be told.
     pub fn note_sign(&mut self, endpoint: EndpointId, at: Duration) -> bool {
         let sign = self.note_told(endpoint, at);
--- a/crates/relay/tests/versions.rs
+++ b/crates/relay/tests/versions.rs
@@ -1,9 +1,11 @@
 //! Whether the listed software version of an endpoint is that of its present process: signs of
 //! restarts, and what overcomes them.
 
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use googletest::prelude::*;
+use relay::unsettled_origins::{ProcessFinding, UnsettledOrigins, UnsettledStream};
 use relay::version_certainty::VersionCertainty;
 
 const ENDPOINT: u64 = 7;
@@ -121,3 +123,78 @@
 
     expect_that!(checks.count(), eq(2));
 }
+
+/// A stream that began on a connection which the endpoint accepted at this time.
+fn unsettled_since(accepted_at: Duration) -> UnsettledStream {
+    UnsettledStream {
+        request: 1,
+        stream: 2,
+        service: 3,
+        endpoint: ENDPOINT,
+        address: SocketAddrV4::new(Ipv4Addr::LOCALHOST, 80),
+        listed_version: 4,
+        accepted_at,
+        caller_timeout: None,
+        expires_at: ms(60_000),
+    }
+}
+
+/// Streams that begin right after a crash, and whose callers lose them before the list has caught up.
+#[gtest]
+fn version_of_a_stream_that_has_ended_is_settled_by_a_later_reading() {
+    let mut versions = watching();
+    versions.note_sign(ENDPOINT, ms(10_100));
+    versions.note_answer(ENDPOINT, ms(10_200), ms(10_200));
+    let stream = unsettled_since(ms(10_200));
+
+    let at_once = versions.find_process(&stream, 4);
+    versions.note_stated(ms(11_000), ms(11_000));
+
+    expect_that!(at_once, eq(ProcessFinding::Open));
+    expect_that!(
+        versions.find_process(&stream, 4),
+        eq(ProcessFinding::Version(4))
+    );
+    // The list may have changed because of a later process.
+    expect_that!(versions.find_process(&stream, 5), eq(ProcessFinding::Lost));
+}
+
+/// A process that crashed before the list could state its version.
+#[gtest]
+fn version_of_a_stream_is_lost_with_its_process() {
+    let mut versions = watching();
+    versions.note_sign(ENDPOINT, ms(10_100));
+    versions.note_answer(ENDPOINT, ms(10_200), ms(10_200));
+    let stream = unsettled_since(ms(10_200));
+
+    versions.note_sign(ENDPOINT, ms(10_400));
+    versions.note_stated(ms(11_500), ms(11_500));
+    let while_down = versions.find_process(&stream, 4);
+    versions.note_answer(ENDPOINT, ms(11_600), ms(11_600));
+    versions.note_stated(ms(13_000), ms(13_000));
+
+    expect_that!(while_down, eq(ProcessFinding::Open));
+    expect_that!(versions.find_process(&stream, 4), eq(ProcessFinding::Lost));
+}
+
+/// Each stream is settled once, and none is kept longer than its caller waits.
+#[gtest]
+fn settled_and_expired_streams_are_removed() {
+    let mut origins = UnsettledOrigins::default();
+    let stream = unsettled_since(ms(10));
+    let other = UnsettledStream {
+        stream: 9,
+        expires_at: ms(50),
+        ..stream
+    };
+    origins.add(ms(10), stream);
+    origins.add(ms(10), other);
+
+    let settled = origins.settle(ms(60), |found| match found.stream {
+        2 => ProcessFinding::Version(4),
+        _ => ProcessFinding::Open,
+    });
+
+    expect_that!(settled, elements_are![eq(&(stream, 4))]);
+    expect_that!(origins.is_empty(), eq(true));
+}
