--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -28,6 +28,7 @@
 mod framing;
 mod hostile;
 mod limits;
+mod out_of_step;
 mod regions;
 mod rejoined;
 mod stopping;
--- a/crates/gateway/tests/forwarding/version_fleet.rs
+++ b/crates/gateway/tests/forwarding/version_fleet.rs
@@ -1,10 +1,10 @@
 //! Several instances before endpoints of two software versions, on loopback, and what a caller
 //! receives of its stream.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use catalog::{CatalogIndex, RouteCatalog, ServiceShare};
 use gateway::version_record::listed_versions;
@@ -17,6 +17,7 @@
 use relay::state::{RelaySettings, RelayState};
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 use tokio::time::sleep;
 use watch::GatewayMetrics;
 use watch::label::LabelSettings;
@@ -35,32 +36,37 @@
 /// Share of the messages between instances that are lost.
 const LOSS: f64 = 0.1;
 const READING_INTERVAL: Duration = Duration::from_millis(5);
+/// Time from the end of an outage until its instance reads the list again.
+const LATE_READING: Duration = Duration::from_millis(150);
 /// Exclusive upper bound of the delay of a message, in milliseconds.
 const MAX_DELAY_MS: u64 = 12;
 
 /// Endpoint that sends event streams and breaks some of them off.
-struct VersionedEndpoint {
-    version: &'static str,
+pub(crate) struct VersionedEndpoint {
+    version: Cell<&'static str>,
     random: RefCell<StdRng>,
+    restarted: Notify,
 }
 
 impl VersionedEndpoint {
-    /// Starts an endpoint and returns its entry of the endpoint list.
-    async fn start(number: usize, version: &'static str, seed: u64) -> ListedEndpoint {
+    /// Starts an endpoint and returns it with its entry of the endpoint list.
+    async fn start(number: usize, version: &'static str, seed: u64) -> (Rc<Self>, ListedEndpoint) {
         let listener = TcpListener::bind("127.0.0.1:0")
             .await
             .expect("loopback works");
         let address = listener.local_addr().expect("loopback works").to_string();
         let endpoint = Rc::new(Self {
-            version,
+            version: Cell::new(version),
+            restarted: Notify::new(),
             random: RefCell::new(StdRng::seed_from_u64(seed * 100 + number as u64)),
         });
+        let accepting = Rc::clone(&endpoint);
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(Rc::clone(&endpoint).serve(stream));
+                actix_rt::spawn(Rc::clone(&accepting).serve_process(stream));
             }
         });
-        ListedEndpoint {
+        let listed = ListedEndpoint {
             name: format!("e{number}"),
             service: SERVICE.to_owned(),
             address: address.parse().expect("an IPv4 address"),
@@ -68,6 +74,21 @@
             slots: 4,
             is_draining: false,
             version: version.to_owned(),
+        };
+        (endpoint, listed)
+    }
+
+    /// Replaces the process by one of another version, under its name and at its address.
+    fn restart(&self, version: &'static str) {
+        self.version.set(version);
+        self.restarted.notify_waiters();
+    }
+
+    /// Serves a connection until the process ends.
+    async fn serve_process(self: Rc<Self>, stream: TcpStream) {
+        tokio::select! {
+            () = Rc::clone(&self).serve(stream) => {}
+            () = self.restarted.notified() => {}
         }
     }
 
@@ -93,7 +114,7 @@
     }
 
     fn event(&self, id: u32) -> String {
-        format!("id: {id}\ndata: {} {id}\n\n", self.version)
+        format!("id: {id}\ndata: {} {id}\n\n", self.version.get())
     }
 
     /// The event after which the stream breaks off; `None` for a whole one.
@@ -117,6 +138,24 @@
     random: RefCell<StdRng>,
     /// The quorum's record of software versions; `None` without a quorum.
     record: RefCell<Option<VersionRecord>>,
+    /// The endpoint list as it is read.
+    list: RefCell<Vec<ListedEndpoint>>,
+    /// The instance that no message reaches, and that reads no list.
+    out_of_step: Cell<Option<InstanceId>>,
+    /// The instance that was out of step last, and when it reads the list again.
+    reads_from: Cell<Option<(InstanceId, Instant)>>,
+}
+
+impl TestNetwork {
+    fn is_reachable(&self, instance: InstanceId) -> bool {
+        self.out_of_step.get() != Some(instance)
+    }
+
+    fn reads_list(&self, instance: InstanceId) -> bool {
+        let late = self.reads_from.get();
+        let is_late = late.is_some_and(|(one, at)| one == instance && Instant::now() < at);
+        self.is_reachable(instance) && !is_late
+    }
 }
 
 /// The other instances, as one of them sees them.
@@ -162,7 +201,7 @@
                 random.random_range(0..MAX_DELAY_MS),
             )
         };
-        if is_lost {
+        if is_lost || !network.is_reachable(own) || !network.is_reachable(to) {
             return;
         }
         actix_rt::spawn(async move {
@@ -204,6 +243,7 @@
     pub(crate) layout: FleetLayout,
     pub(crate) listed: Vec<ListedEndpoint>,
     pub(crate) instances: Vec<RelayFixture>,
+    endpoints: Vec<Rc<VersionedEndpoint>>,
     network: Rc<TestNetwork>,
 }
 
@@ -213,10 +253,14 @@
             layout,
             listed: Vec::new(),
             instances: Vec::new(),
+            endpoints: Vec::new(),
             network: Rc::new(TestNetwork {
                 states: RefCell::default(),
                 random: RefCell::new(StdRng::seed_from_u64(seed)),
                 record: RefCell::default(),
+                list: RefCell::default(),
+                out_of_step: Cell::new(None),
+                reads_from: Cell::new(None),
             }),
         };
         for (number, listed) in VERSIONS.into_iter().enumerate() {
@@ -224,13 +268,15 @@
                 true => VERSIONS[0],
                 false => listed,
             };
-            let mut listed = VersionedEndpoint::start(number, version, seed).await;
+            let (endpoint, mut listed) = VersionedEndpoint::start(number, version, seed).await;
+            fleet.endpoints.push(endpoint);
             if layout.has_services {
                 let version = std::mem::replace(&mut listed.version, "v1".to_owned());
                 listed.service = service_of(&version);
             }
             fleet.listed.push(listed);
         }
+        *fleet.network.list.borrow_mut() = fleet.listed.clone();
         for number in 0..layout.instances {
             let instance = fleet.start_instance(number, true).await;
             fleet.instances.push(instance);
@@ -248,7 +294,7 @@
         let state = Rc::new(RelayState::new(settings, Rc::new(PlatformDialect), metrics));
         state.set_catalog(CatalogIndex::new(self.catalog()));
         state.set_endpoints(&self.listed);
-        read_list(&state);
+        read_list(number, &state, &self.network);
         let peers = TestPeers {
             own: number,
             network: Rc::clone(&self.network),
@@ -303,6 +349,32 @@
         self.listed.retain(|listed| listed.version != version);
     }
 
+    /// Begins an outage of an instance: no message reaches it or leaves it, and it reads no list.
+    pub(crate) fn begin_outage(&self, instance: InstanceId) {
+        self.network.out_of_step.set(Some(instance));
+    }
+
+    /// Ends the outage. The instance reads the list again a while later.
+    pub(crate) fn end_outage(&self) {
+        if let Some(instance) = self.network.out_of_step.take() {
+            let reads_from = Instant::now() + LATE_READING;
+            self.network.reads_from.set(Some((instance, reads_from)));
+        }
+    }
+
+    /// Replaces each endpoint by one of the other version, under its name and at its address.
+    pub(crate) fn swap_versions(&mut self) {
+        for (endpoint, listed) in self.endpoints.iter().zip(&mut self.listed) {
+            let version = match listed.version.as_str() {
+                "v1" => "v2",
+                _ => "v1",
+            };
+            endpoint.restart(version);
+            listed.version = version.to_owned();
+        }
+        *self.network.list.borrow_mut() = self.listed.clone();
+    }
+
     /// Lets the other instances notice that one has started.
     fn notice_start(&self, number: usize) {
         let others = self.instances.iter().enumerate();
@@ -312,12 +384,20 @@
     }
 }
 
-/// Reads the list, which has no lag in these tests, again and again.
-fn read_list(state: &Rc<RelayState>) {
-    let state = Rc::clone(state);
+/// Reads the list, which has no lag in these tests, again and again while the instance is in step.
+fn read_list(own: InstanceId, state: &Rc<RelayState>, network: &Rc<TestNetwork>) {
+    let (state, network) = (Rc::clone(state), Rc::clone(network));
     actix_rt::spawn(async move {
+        let mut read = network.list.borrow().clone();
         loop {
-            state.note_list_stated(state.now());
+            if network.reads_list(own) {
+                let list = network.list.borrow().clone();
+                if list != read {
+                    state.set_endpoints(&list);
+                    read = list;
+                }
+                state.note_list_stated(state.now());
+            }
             sleep(READING_INTERVAL).await;
         }
     });
