gateway: the consensus core counts suspensions of the machine

Cause: the steady clock stops while a machine is suspended, so that a leader that wakes takes the last confirmation of a majority for recent, and hands out tokens beside its successor. Change: crate clock, the boot clock; the core of the gateway's quorum runs on it. The suspension itself can't be played in a test of ours.

--- a/crates/gateway/src/quorum.rs
+++ b/crates/gateway/src/quorum.rs
@@ -9,6 +9,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use clock::BootClock;
+
 use control::disk::{DiskQueue, DiskReport, DiskReports, start_disk};
 use relay::sole_version::routing_digest;
 use replica::id::{
@@ -86,8 +88,8 @@
     /// When this member last proposed the record.
     record_proposed_at: Cell<Option<Duration>>,
     send_queues: RefCell<HashMap<InstanceId, mpsc::Sender<Vec<u8>>>>,
-    /// Origin of the clock of the consensus core.
-    started: Instant,
+    /// Clock of the consensus core. A leader that was suspended must not take itself for confirmed.
+    clock: BootClock,
 }
 
 /// Opens the data folder and runs this gateway's member until the folder fails. The folder is
@@ -178,7 +180,7 @@
         record_index: Cell::new(0),
         record_proposed_at: Cell::new(None),
         send_queues: RefCell::default(),
-        started: Instant::now(),
+        clock: BootClock::start(),
     });
     *node.quorum.borrow_mut() = Some(Rc::clone(&quorum));
     let mut reports = reports;
@@ -212,7 +214,7 @@
 
 impl GatewayQuorum {
     fn now(&self) -> Duration {
-        self.started.elapsed()
+        self.clock.elapsed()
     }
 
     /// The cluster of this member; `None` if it belongs to none.
