--- a/crates/gateway/src/endpoint_list.rs
+++ b/crates/gateway/src/endpoint_list.rs
@@ -37,8 +37,8 @@
 const TOO_MANY_REQUESTS: u16 = 429;
 /// Pages of a reading at most.
 const MAX_PAGES: usize = 1024;
-/// Bytes of a page at most.
-const MAX_PAGE_BYTES: usize = 1024 * 1024;
+/// Bytes of a page at most. An entry of another writer may be far larger than those of the platform.
+const MAX_PAGE_BYTES: usize = 8 * 1024 * 1024;
 
 /// Why a reading failed.
 #[derive(Debug, derive_more::Display)]
