control: an odd entry of the platform's list hides no other

Cause: the list was parsed as one value, so that one entry of another writer made every reading fail, with a line in the log each second. Change: entries are read one by one; those that can't be read are skipped, counted, and logged when their number changes.

--- a/crates/control/src/platform.rs
+++ b/crates/control/src/platform.rs
@@ -13,6 +13,8 @@
 use awc::Client;
 use member::list::{ListEntry, ListState};
 use serde::Deserialize;
+use serde_json::Value;
+use serde_json::value::RawValue;
 use tokio::time::{interval, timeout};
 use wire::id::{EndpointId, IncarnationNumber, name_id};
 
@@ -44,6 +46,33 @@
     pub state: PlatformState,
 }
 
+/// A list as it was read.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ReadInstances {
+    /// The instances whose entries can be read.
+    pub instances: Vec<PlatformInstance>,
+    /// Number of entries that can't be read.
+    pub skipped: usize,
+}
+
+/// Parses a list. An entry that another writer left is skipped and counted; the parser bounds its
+/// depth.
+///
+/// # Errors
+/// Bytes that are not an array in JSON.
+pub fn read_instances(body: &[u8]) -> serde_json::Result<ReadInstances> {
+    let entries: Vec<Box<RawValue>> = serde_json::from_slice(body)?;
+    let readable = entries.iter().filter_map(|entry| {
+        let _: Value = serde_json::from_str(entry.get()).ok()?;
+        serde_json::from_str(entry.get()).ok()
+    });
+    let instances: Vec<PlatformInstance> = readable.collect();
+    Ok(ReadInstances {
+        skipped: entries.len() - instances.len(),
+        instances,
+    })
+}
+
 /// Agent incarnations by endpoint.
 pub type IncarnationMap = BTreeMap<EndpointId, IncarnationNumber>;
 
@@ -97,10 +126,17 @@
     let client = Client::default();
     let follower = RefCell::new(ListFollower::default());
     let mut ticks = interval(READ_INTERVAL);
+    let mut skipped = 0;
     loop {
         ticks.tick().await;
         match timeout(READ_TIMEOUT, read_list(&client, address)).await {
-            Ok(Ok(instances)) => {
+            Ok(Ok(ReadInstances {
+                instances,
+                skipped: odd,
+            })) => {
+                if std::mem::replace(&mut skipped, odd) != odd {
+                    log::warn!(skipped = odd; "control: number of unreadable entries of the platform's list changed");
+                }
                 let entries = follower
                     .borrow_mut()
                     .observe(&instances, node.members.incarnations());
@@ -112,15 +148,13 @@
     }
 }
 
-async fn read_list(client: &Client, address: SocketAddr) -> Result<Vec<PlatformInstance>, String> {
+async fn read_list(client: &Client, address: SocketAddr) -> Result<ReadInstances, String> {
     let sent = client
         .get(format!("http://{address}/instances"))
         .send()
         .await;
     let mut response = sent.map_err(|error| error.to_string())?;
-    let read = response
-        .json::<Vec<PlatformInstance>>()
-        .limit(MAX_LIST_BYTES)
-        .await;
-    read.map_err(|error| error.to_string())
+    let body = response.body().limit(MAX_LIST_BYTES).await;
+    let body = body.map_err(|error| error.to_string())?;
+    read_instances(&body).map_err(|error| error.to_string())
 }
--- a/crates/control/tests/platform.rs
+++ b/crates/control/tests/platform.rs
@@ -1,6 +1,8 @@
 //! A stale state in the platform's list, which lags, must not affect a new incarnation.
 
-use control::platform::{IncarnationMap, ListFollower, PlatformInstance, PlatformState};
+use control::platform::{
+    IncarnationMap, ListFollower, PlatformInstance, PlatformState, read_instances,
+};
 use googletest::prelude::*;
 use member::list::ListEntry;
 use wire::id::name_id;
@@ -62,3 +64,34 @@
 
     assert_that!(incarnations(&entries), elements_are![eq(&Some(1))]);
 }
+
+/// Entries of another writer must not keep control from following the list.
+#[gtest]
+fn an_odd_entry_hides_the_others_of_the_list() {
+    let sound = r#"{"name":"engine-0","state":"leaving"}"#;
+    let deep = "[".repeat(100_000) + &"]".repeat(100_000);
+    let field = format!(r#"{{"name":"engine-1","state":"live","more":{deep}}}"#);
+    let odd = [
+        deep.as_str(),
+        &field,
+        "1e999",
+        "null",
+        r#"{"name":7,"state":"live"}"#,
+        r#"{"name":"engine-1","state":"asleep"}"#,
+        r#"{"name":"engine-1","name":"engine-2","state":"live"}"#,
+        r#"{"name":"engine-1","state":"live","port":1e999}"#,
+    ];
+    for odd in odd {
+        let body = format!("[{odd},{sound}]");
+
+        let read = read_instances(body.as_bytes()).expect("it is an array");
+
+        let shown: String = odd.chars().take(40).collect();
+        expect_that!(
+            read.instances,
+            eq(&vec![instance(PlatformState::Leaving)]),
+            "{shown}"
+        );
+        expect_that!(read.skipped, eq(1), "{shown}");
+    }
+}
