Gateway tests: a refusal that is written once more, known to fail

Cause: operators of a like system reported clients that were told 'not run' for calls that ran, or calls that ran twice, at an endpoint that repeats refusals on kept connections. Change: a faulty endpoint that does so at each of six moments, for five combinations of ids.

--- a/crates/gateway/tests/forwarding/main.rs
+++ b/crates/gateway/tests/forwarding/main.rs
@@ -31,6 +31,7 @@
 mod out_of_step;
 mod regions;
 mod rejoined;
+mod repeated_refusal;
 mod stopping;
 mod version_fleet;
 mod versions;
@@ -145,13 +146,18 @@
 /// A relay in front of these endpoints. Only the first is in the relay's failure domain, so it is
 /// tried first.
 async fn relay_before(endpoints: &[&Rc<ScriptedEndpoint>]) -> RelayFixture {
-    let state = empty_state();
-    state.set_catalog(CatalogIndex::new(valid_catalog()));
     let listed = endpoints
         .iter()
         .enumerate()
         .map(|(place, endpoint)| listed_at(&endpoint.name, endpoint.address, u64::from(place > 0)));
-    state.set_endpoints(&listed.collect::<Vec<_>>());
+    relay_of(&listed.collect::<Vec<_>>()).await
+}
+
+/// A relay in front of these endpoints.
+async fn relay_of(listed: &[ListedEndpoint]) -> RelayFixture {
+    let state = empty_state();
+    state.set_catalog(CatalogIndex::new(valid_catalog()));
+    state.set_endpoints(listed);
     serve(state).await
 }
 
