relay: a call uses no connection on which a repeated refusal could be taken for its own

Cause: an answer is tied to its call by the id that it names. A call without an id took any answer on a kept connection, and one with the id of a call that was refused there took the refusal that a faulty endpoint wrote once more; as not run, it was sent to a second endpoint while the first ran it. Change: connections remember the ids that were refused on them; a call that could not be told apart opens another one. A refusal on a kept connection no longer shows that a process serves.

--- a/crates/exchange/src/connection.rs
+++ b/crates/exchange/src/connection.rs
@@ -153,6 +153,9 @@
     }
 }
 
+/// Calls on one connection that an endpoint may refuse until the connection is not kept any more.
+const MAX_REFUSED_CALLS: usize = 64;
+
 /// An open connection to an endpoint.
 pub struct EndpointConnection {
     /// Address of the endpoint.
@@ -176,6 +179,9 @@
     is_sent_whole: bool,
     /// Whether the endpoint keeps the connection open after the answer.
     keeps_alive: bool,
+    /// Ids of the calls that the endpoint refused on this connection. A faulty endpoint may send such
+    /// a refusal once more.
+    refused: Vec<String>,
 }
 
 impl EndpointConnection {
@@ -204,9 +210,21 @@
             has_sent: false,
             is_sent_whole: false,
             keeps_alive: false,
+            refused: Vec::new(),
         }
     }
 
+    /// Records that the endpoint refused a call with this id on the connection.
+    pub fn note_refused(&mut self, id: &str) {
+        self.refused.push(id.to_owned());
+    }
+
+    /// Whether the answer to a call with this id can be told from all that may still arrive for earlier
+    /// calls on the connection. Nothing tells the answer to a call without an id.
+    pub fn tells_answer_to(&self, id: Option<&str>) -> bool {
+        id.is_some_and(|id| !self.refused.iter().any(|refused| refused == id))
+    }
+
     /// Time since the endpoint accepted the connection. One process has served it all this time.
     pub fn age(&self) -> Duration {
         self.accepted_at.elapsed()
@@ -361,10 +379,12 @@
     }
 
     /// Whether another call may use the connection: the endpoint keeps it open, the call was sent
-    /// whole, and no bytes followed the end of the answer.
+    /// whole, no bytes followed the end of the answer, and the refused calls are known.
     pub fn is_reusable(&self) -> bool {
         let has_ended = matches!(self.body, BodyState::Ended);
-        has_ended && self.keeps_alive && self.is_sent_whole && self.read_buffer.is_empty()
+        let knows_refused = self.refused.len() < MAX_REFUSED_CALLS;
+        let is_clean = self.is_sent_whole && self.read_buffer.is_empty();
+        has_ended && self.keeps_alive && is_clean && knows_refused
     }
 }
 
--- a/crates/gateway/tests/forwarding/repeated_refusal.rs
+++ b/crates/gateway/tests/forwarding/repeated_refusal.rs
@@ -192,7 +192,6 @@
 
 // An operator's report: clients were told "not run" for calls that an endpoint ran, or these ran twice.
 #[gtest]
-#[ignore = "known to fail, see KNOWN-RED.txt"]
 fn repeated_refusal_is_taken_for_that_of_the_next_call() {
     for path in ["/unsafe/x", "/stream/x"] {
         for moment in MOMENTS {
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -57,6 +57,9 @@
         let read = with_time_limit(Some(REFUSAL_BODY_LIMIT), reading).await;
         let is_read = matches!(read, Ok(Some(_)));
         self.note_end(answer.connection.framing, is_read, 0);
+        if let Some(id) = &self.call.metadata.attempt_id {
+            answer.connection.note_refused(id);
+        }
         if is_read {
             self.end_answer(answer, slot);
         }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -201,7 +201,10 @@
         // An idle connection may lead to an endpoint that was replaced under its name, which may be
         // in another region.
         let idle = state.pool.take(state.now(), self.endpoint);
-        let idle = idle.filter(|idle| idle.address == address.into());
+        // Nor may an answer be taken for this call's that is a second one to an earlier call.
+        let attempt_id = call.metadata.attempt_id.as_deref();
+        let idle =
+            idle.filter(|idle| idle.address == address.into() && idle.tells_answer_to(attempt_id));
         let is_reused = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
--- a/crates/relay/src/restart_signs.rs
+++ b/crates/relay/src/restart_signs.rs
@@ -94,6 +94,7 @@
         let limit = self.settings.connect_limit;
         // A connection from before the sign shows at once that there was no restart.
         let idle = self.pool.take(sent_at, endpoint);
+        let is_reused = idle.is_some();
         let mut connection = match idle {
             Some(connection) => connection,
             None => EndpointConnection::open(address.into(), limit).await?,
@@ -111,7 +112,9 @@
         let path = Uri::from_static(self.dialect.report_path());
         let head = request_head(Method::GET, path, headers);
         let head = connection.exchange(&self.http, head, &Bytes::new()).await?;
-        if head.status == StatusCode::MISDIRECTED_REQUEST {
+        // On a connection that is used again, it may be a second answer to an earlier call.
+        let is_report = head.status == StatusCode::OK;
+        if head.status == StatusCode::MISDIRECTED_REQUEST || is_reused && !is_report {
             return Ok(());
         }
         self.note_process(endpoint, since, sent_at);
